--- /dev/null
+++ b/crates/carob-base/src/key.rs
@@ -0,0 +1,17 @@
+//! Small `Copy` keys into arenas.
+//!
+//! A key is meaningful only to the arena that issued it, on one instance; between processes objects go by
+//! [`Name`](crate::Name).
+
+slotmap::new_key_type! {
+    /// A client account.
+    pub struct AccountKey;
+    /// An instance of the system.
+    pub struct InstanceKey;
+    /// A request in progress.
+    pub struct RequestKey;
+    /// A service.
+    pub struct ServiceKey;
+    /// An upstream.
+    pub struct UpstreamKey;
+}
--- /dev/null
+++ b/crates/carob-base/src/name.rs
@@ -0,0 +1,83 @@
+//! Names of configured objects.
+
+use std::{borrow::Borrow, fmt, str::FromStr, sync::Arc};
+
+/// Longest permitted name, in bytes.
+pub const NAME_LIMIT: usize = 63;
+
+/// The name of a service, client account, route, upstream, instance, failure domain or region.
+///
+/// A name has 1 to [`NAME_LIMIT`] characters out of lower-case letters, digits, `-`, `_` and `.`, and starts with
+/// a letter or a digit. Cloning it is cheap.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Name(Arc<str>);
+
+/// The text is no valid [`Name`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// The rejected text, cut to [`NAME_LIMIT`] characters.
+    pub text: String,
+}
+
+impl Name {
+    /// Checks `text` and makes a name of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] if the text is empty, too long or holds a character that names do not allow.
+    pub fn new(text: &str) -> Result<Self, Error> {
+        let starts = text.starts_with(|c: char| c.is_ascii_lowercase() || c.is_ascii_digit());
+        if starts && text.len() <= NAME_LIMIT && text.bytes().all(is_name_byte) {
+            return Ok(Self(Arc::from(text)));
+        }
+        let text = text.chars().take(NAME_LIMIT).collect();
+        Err(Error { text })
+    }
+
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'-' | b'_' | b'.')
+}
+
+impl FromStr for Name {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        Self::new(text)
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:?} is no name: expected 1 to {NAME_LIMIT} of a-z, 0-9, '-', '_' and '.', starting with a letter or digit",
+            self.text
+        )
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/carob-claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-idempotent calls.
--- /dev/null
+++ b/crates/carob-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! An entry instance: its control thread and its traffic threads.
--- /dev/null
+++ b/crates/carob-http/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP listeners and clients with deadlines, limits and idle timeouts.
--- /dev/null
+++ b/crates/carob-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated frames between instances over TCP and UDP.
--- /dev/null
+++ b/crates/carob-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of instances and the soft state they share.
--- /dev/null
+++ b/crates/carob-order/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to engines under a lease and a fencing number.
--- /dev/null
+++ b/crates/carob-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed messages between instances.
--- /dev/null
+++ b/crates/carob-replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replay of recorded traces in virtual time against stated outcomes.
--- /dev/null
+++ b/crates/carob-route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, admission and queueing decisions for answers of unknown length.
--- /dev/null
+++ b/crates/carob-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings file of an instance.
--- /dev/null
+++ b/crates/carob-stream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Delivery of one generation exactly once, in order and whole.
--- /dev/null
+++ b/crates/carob-suspect/src/lib.rs
@@ -0,0 +1,1 @@
+//! Detection and refusal of requests that crash upstreams.
--- /dev/null
+++ b/crates/carob-ticket/src/lib.rs
@@ -0,0 +1,1 @@
+//! Change tickets: their format, their total order and their application.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `carobhaven` command.
+
+fn main() {}
