--- /dev/null
+++ b/crates/carob-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generation and experiments with reports and plots.
