feat: delivery state machine for streamed answers

Cause: the entry instance needs the outcome rules for generations before it can be wired to sockets.

--- /dev/null
+++ b/crates/carob-stream/src/delivery.rs
@@ -0,0 +1,529 @@
+//! One answer from its caller's point of view.
+//!
+//! Events are delivered by sequence number, so that repeats are dropped and gaps lead to a resumption. A
+//! connection that falls silent is replaced by a new one that resumes after the last event. Events of another
+//! generation never reach the caller. As long as nothing has been delivered, the request may be rerun on another
+//! upstream; afterwards a lost generation ends in an explicit failure.
+
+use std::time::Duration;
+
+use carob_base::Time;
+use carob_wire::{
+    Problem,
+    event::{Event, Kind},
+};
+use smallvec::SmallVec;
+
+use crate::{
+    Action, Actions, Cause, Conn, End, Generation, Mode, Options, Pace, Source,
+    link::{Events, Link},
+    lost,
+};
+
+/// First delay before an upstream that failed is tried again; doubled after every try.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Longest delay between two tries.
+const RETRY_LIMIT: Duration = Duration::from_secs(2);
+/// Doublings of a waiting time after which it stays as it is.
+const DOUBLINGS: u32 = 4;
+/// Most connections at the same time: the silent one and its replacement.
+const LINKS: usize = 2;
+/// Connections in a row that may bring events of other generations or nothing but gaps.
+const FAULT_LIMIT: u32 = 8;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Waits for routing to name an upstream.
+    Idle,
+    /// Reads from the current upstream.
+    Running,
+    /// The caller has gone; the generation is cancelled at this time unless it is resumed elsewhere.
+    Abandoned(Time),
+    /// Nothing more will happen.
+    Over,
+}
+
+/// Delivery of one answer to one caller.
+#[derive(Debug)]
+pub struct Delivery {
+    options: Options,
+    /// Pace of the engine when the attempt started.
+    usual: Pace,
+    /// Gaps that this delivery saw.
+    pace: Pace,
+    generation: Generation,
+    phase: Phase,
+    links: SmallVec<[Link; LINKS]>,
+    next_conn: u32,
+    /// Sequence number that is accepted next.
+    next: u64,
+    /// Whether the current generation has produced any of the answer itself.
+    producing: bool,
+    /// Whether the caller has any event of the answer.
+    delivered: bool,
+    held: Vec<Event>,
+    held_bytes: usize,
+    first_start: Option<Time>,
+    attempts: u32,
+    /// Whether any upstream may have started the request.
+    uncertain: bool,
+    /// When the last event was accepted, or the attempt started.
+    progress: Time,
+    /// Since when the upstream has not shown that it is there.
+    unreached: Option<Time>,
+    /// When silence was last acted on or ended.
+    quiet: Time,
+    /// Connections in a row that broke without progress.
+    strikes: u32,
+    /// Connections in a row that the engine accepted and then left silent.
+    silences: u32,
+    /// Connections in a row that brought foreign events or gaps.
+    faults: u32,
+    retry: Option<Time>,
+    cause: Option<Cause>,
+}
+
+impl Delivery {
+    /// A delivery of a new answer. [`start`](Self::start) it with the upstream that routing names.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            usual: Pace::new(),
+            pace: Pace::new(),
+            generation: Generation::default(),
+            phase: Phase::Idle,
+            links: SmallVec::new(),
+            next_conn: 0,
+            next: 0,
+            producing: false,
+            delivered: false,
+            held: Vec::new(),
+            held_bytes: 0,
+            first_start: None,
+            attempts: 0,
+            uncertain: false,
+            progress: Time::ZERO,
+            unreached: None,
+            quiet: Time::ZERO,
+            strikes: 0,
+            silences: 0,
+            faults: 0,
+            retry: None,
+            cause: None,
+        }
+    }
+
+    /// A delivery for a caller who resumes `generation` by its id, on this instance or another.
+    ///
+    /// `after` is the sequence number of the last event that the caller has; `None` asks for all events.
+    pub fn resume(options: Options, generation: Generation, after: Option<u64>) -> Self {
+        let mut delivery = Self::new(options.with_mode(Mode::Stream));
+        delivery.generation = generation;
+        delivery.next = after.map_or(0, |after| after + 1);
+        delivery.producing = true;
+        delivery.delivered = true;
+        delivery.uncertain = true;
+        delivery
+    }
+
+    /// Starts on the upstream that routing named; `usual` is that engine's pace.
+    pub fn start(&mut self, usual: Pace, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        if self.phase != Phase::Idle {
+            return actions;
+        }
+        self.usual = usual;
+        self.phase = Phase::Running;
+        self.attempts += 1;
+        self.first_start.get_or_insert(now);
+        self.progress = now;
+        let source = match &self.generation.answer {
+            Some(_) => self.resumption(),
+            None => Source::Create,
+        };
+        self.open(source, now, &mut actions);
+        actions
+    }
+
+    /// The engine accepted a connection; `incarnation` is its header's value, 0 if there is none.
+    pub fn on_head(&mut self, conn: Conn, incarnation: u64, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        let Some(at) = self.position(conn) else {
+            return actions;
+        };
+        if !self.generation.admit(incarnation) {
+            // Another incarnation does not know the answer; a resumption could only bring foreign events.
+            self.lose(None, false, now, &mut actions);
+            return actions;
+        }
+        self.uncertain = true;
+        self.links[at].headed = true;
+        self.unreached = None;
+        self.retry = None;
+        for older in self.links.drain(..at) {
+            actions.push(Action::Close(older.conn));
+        }
+        actions
+    }
+
+    /// An event arrived on a connection.
+    pub fn on_event(&mut self, conn: Conn, event: Event, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        let Some(at) = self.position(conn).filter(|at| self.links[*at].headed) else {
+            return actions;
+        };
+        self.unreached = None;
+        match self.links[at].take(event, self.next, &mut self.generation) {
+            Ok(events) if events.is_empty() => {}
+            Ok(events) => self.accept(at, events, now, &mut actions),
+            Err(_fault) => self.reject(at, now, &mut actions),
+        }
+        actions
+    }
+
+    /// A connection ended without the answer's last event, or could not be opened.
+    pub fn on_broken(&mut self, conn: Conn, cause: Cause, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        let Some(at) = self.position(conn) else {
+            return actions;
+        };
+        let link = self.links.remove(at);
+        self.cause = Some(cause);
+        if !matches!(cause, Cause::Refused | Cause::Busy | Cause::Rejected { .. }) {
+            self.uncertain = true;
+        }
+        if link.source == Source::Create && !self.producing && self.links.is_empty() {
+            self.lose(Some(cause), true, now, &mut actions);
+            return actions;
+        }
+        if cause == Cause::NotFound || self.generation.answer.is_none() {
+            self.lose(Some(cause), false, now, &mut actions);
+            return actions;
+        }
+        if self.links.is_empty() && self.retry.is_none() {
+            self.unreached.get_or_insert(now);
+            self.schedule_retry(now);
+            self.step(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Acts on whatever is due; call it at [`deadline`](Self::deadline).
+    pub fn on_tick(&mut self, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        self.step(now, &mut actions);
+        actions
+    }
+
+    /// The caller's connection is gone. The generation is cancelled after a grace period unless
+    /// [`on_resumed_elsewhere`](Self::on_resumed_elsewhere) comes first.
+    pub fn on_caller_gone(&mut self, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        if !matches!(self.phase, Phase::Running | Phase::Idle) {
+            return actions;
+        }
+        self.close_links(&mut actions);
+        // A caller that has no event has no id to resume the answer by.
+        let grace = if self.delivered {
+            self.options.grace
+        } else {
+            Duration::ZERO
+        };
+        self.phase = Phase::Abandoned(now + grace);
+        self.step(now, &mut actions);
+        actions
+    }
+
+    /// The caller has resumed the answer through another connection, so this delivery ends without cancelling.
+    pub fn on_resumed_elsewhere(&mut self) -> Actions {
+        let mut actions = Actions::new();
+        self.close_links(&mut actions);
+        self.phase = Phase::Over;
+        actions
+    }
+
+    /// When [`on_tick`](Self::on_tick) has to be called at the latest.
+    pub fn deadline(&self) -> Time {
+        match self.phase {
+            Phase::Idle | Phase::Over => Time::NEVER,
+            Phase::Abandoned(until) => until,
+            Phase::Running => {
+                let retry = self.retry.unwrap_or(Time::NEVER);
+                let silent = if self.links.is_empty() {
+                    Time::NEVER
+                } else {
+                    self.silent_at()
+                };
+                retry.min(silent).min(self.progress + self.options.stall_limit)
+            }
+        }
+    }
+
+    /// Whether the delivery is over.
+    pub fn is_over(&self) -> bool {
+        self.phase == Phase::Over
+    }
+
+    /// Whether the caller has any event of the answer.
+    pub const fn has_delivered(&self) -> bool {
+        self.delivered
+    }
+
+    /// The sequence number for a failure event after the events delivered so far.
+    pub fn next_sequence(&self) -> u64 {
+        if self.delivered { self.next } else { 0 }
+    }
+
+    /// What is known of the current generation.
+    pub const fn generation(&self) -> &Generation {
+        &self.generation
+    }
+
+    /// The gaps that this delivery saw, to be merged into the engine's pace.
+    pub const fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Ends the delivery, such as when routing has no further upstream: the problem that the caller is told and
+    /// the connections to close and generation to cancel.
+    pub fn close(mut self) -> (Problem, Actions) {
+        let mut actions = Actions::new();
+        let problem = self.problem(self.cause);
+        self.close_links(&mut actions);
+        if self.phase == Phase::Running {
+            self.cancel(&mut actions);
+        }
+        (problem, actions)
+    }
+
+    fn step(&mut self, now: Time, actions: &mut Actions) {
+        match self.phase {
+            Phase::Idle | Phase::Over => {}
+            Phase::Abandoned(until) if now < until => {}
+            Phase::Abandoned(_) => {
+                self.cancel(actions);
+                self.phase = Phase::Over;
+            }
+            Phase::Running => self.step_running(now, actions),
+        }
+    }
+
+    fn step_running(&mut self, now: Time, actions: &mut Actions) {
+        if now >= self.hopeless_at() {
+            self.lose(self.cause, true, now, actions);
+            return;
+        }
+        if self.retry.is_some_and(|at| now >= at) {
+            self.open(self.resumption(), now, actions);
+        } else if !self.links.is_empty() && now >= self.silent_at() {
+            self.replace_silent(now, actions);
+        }
+    }
+
+    /// Opens a connection beside the silent one, which stays in use until the new one is accepted.
+    fn replace_silent(&mut self, now: Time, actions: &mut Actions) {
+        if self.generation.answer.is_none() {
+            // Without an id there is nothing to resume, and nothing has been delivered.
+            self.lose(None, true, now, actions);
+            return;
+        }
+        // A connection that was accepted shows a stalled engine; others show that the link is at fault.
+        let stalled = self
+            .links
+            .last()
+            .is_some_and(|link| link.headed && link.last.is_none());
+        self.silences += u32::from(stalled);
+        if self.links.len() == LINKS {
+            let link = self.links.remove(LINKS - 1);
+            actions.push(Action::Close(link.conn));
+        }
+        self.open(self.resumption(), now, actions);
+    }
+
+    fn open(&mut self, source: Source, now: Time, actions: &mut Actions) {
+        let conn = Conn(self.next_conn);
+        self.next_conn += 1;
+        self.links.push(Link::new(conn, source));
+        self.quiet = now;
+        self.retry = None;
+        if source != Source::Create {
+            self.unreached.get_or_insert(now);
+        }
+        actions.push(Action::Open { conn, source });
+    }
+
+    fn resumption(&self) -> Source {
+        Source::Resume {
+            after: self.next.checked_sub(1),
+        }
+    }
+
+    fn accept(&mut self, at: usize, events: Events, now: Time, actions: &mut Actions) {
+        let link = &mut self.links[at];
+        if let Some(last) = link.last.replace(now).filter(|_| self.producing) {
+            self.pace.record(now.since(last));
+        }
+        self.progress = now;
+        self.quiet = now;
+        self.strikes = 0;
+        self.silences = 0;
+        self.faults = 0;
+        for event in events {
+            if self.accept_one(event, now, actions) {
+                return;
+            }
+        }
+    }
+
+    /// Takes in the next event; true if the delivery or the attempt is over with it.
+    fn accept_one(&mut self, event: Event, now: Time, actions: &mut Actions) -> bool {
+        let kind = event.kind();
+        if kind == Kind::Failed && !self.delivered && self.may_rerun(now) {
+            // The engine has ended this generation itself, so that there is nothing to cancel.
+            self.lose(None, false, now, actions);
+            return true;
+        }
+        self.next = event.head.sequence + 1;
+        self.producing |= kind == Kind::Delta;
+        self.held_bytes += event.data.len();
+        self.held.push(event);
+        if self.may_deliver(kind) {
+            self.delivered = true;
+            self.held_bytes = 0;
+            actions.extend(self.held.drain(..).map(Action::Deliver));
+        }
+        let Some(end) = end_of(kind) else {
+            return false;
+        };
+        self.close_links(actions);
+        self.phase = Phase::Over;
+        actions.push(Action::Finish(end));
+        true
+    }
+
+    /// Whether held events may go out: at the end, or from the first piece of text on. The events before it are
+    /// held so that a rerun is possible for as long as the engine has only queued the request.
+    fn may_deliver(&self, kind: Kind) -> bool {
+        let streams = self.options.mode == Mode::Stream || self.held_bytes > self.options.whole_limit;
+        kind.is_last() || self.delivered || (self.producing && streams)
+    }
+
+    /// Drops a connection that brought a gap or a foreign event.
+    fn reject(&mut self, at: usize, now: Time, actions: &mut Actions) {
+        let link = self.links.remove(at);
+        actions.push(Action::Close(link.conn));
+        self.faults += 1;
+        if self.faults > FAULT_LIMIT || self.generation.answer.is_none() {
+            self.lose(None, true, now, actions);
+            return;
+        }
+        if self.links.is_empty() {
+            self.schedule_retry(now);
+            self.step(now, actions);
+        }
+    }
+
+    /// The first retry comes at once, the others after a growing delay.
+    fn schedule_retry(&mut self, now: Time) {
+        let delay = match self.strikes.max(self.faults.saturating_sub(1)) {
+            0 => Duration::ZERO,
+            strikes => RETRY_DELAY * (1 << (strikes - 1).min(DOUBLINGS)),
+        };
+        self.strikes += 1;
+        self.retry = Some(now + delay.min(RETRY_LIMIT));
+    }
+
+    /// Gives up on the current generation; `alive` if the engine may still be working on it.
+    fn lose(&mut self, cause: Option<Cause>, alive: bool, now: Time, actions: &mut Actions) {
+        self.close_links(actions);
+        if alive {
+            self.cancel(actions);
+        }
+        self.cause = cause;
+        if self.delivered || !self.may_rerun(now) || is_final(cause) {
+            self.phase = Phase::Over;
+            actions.push(Action::Fail(self.problem(cause)));
+            return;
+        }
+        self.forget_attempt();
+        actions.push(Action::Rerun { cause });
+    }
+
+    fn may_rerun(&self, now: Time) -> bool {
+        let start = self.first_start.unwrap_or(now);
+        self.attempts < self.options.max_attempts && now < start + self.options.patience
+    }
+
+    fn forget_attempt(&mut self) {
+        self.phase = Phase::Idle;
+        self.generation = Generation::default();
+        self.next = 0;
+        self.producing = false;
+        self.held.clear();
+        self.held_bytes = 0;
+        self.strikes = 0;
+        self.silences = 0;
+        self.faults = 0;
+        self.retry = None;
+        self.unreached = None;
+    }
+
+    fn problem(&self, cause: Option<Cause>) -> Problem {
+        if self.delivered {
+            lost::after_delivery()
+        } else {
+            lost::before_delivery(cause, self.uncertain)
+        }
+    }
+
+    fn cancel(&self, actions: &mut Actions) {
+        if self.generation.answer.is_some() {
+            actions.push(Action::Cancel(self.generation.clone()));
+        }
+    }
+
+    fn close_links(&mut self, actions: &mut Actions) {
+        actions.extend(self.links.drain(..).map(|link| Action::Close(link.conn)));
+    }
+
+    fn position(&self, conn: Conn) -> Option<usize> {
+        self.links.iter().position(|link| link.conn == conn)
+    }
+
+    /// When the upstream counts as gone or as stalled for good.
+    fn hopeless_at(&self) -> Time {
+        let gone = self
+            .unreached
+            .map_or(Time::NEVER, |since| since + self.options.gone_after);
+        gone.min(self.progress + self.options.stall_limit)
+    }
+
+    /// When the present silence has lasted too long; the time doubles as long as the engine itself is stalled.
+    fn silent_at(&self) -> Time {
+        let wait = if self.producing {
+            let pace = if self.usual.p99().is_some() {
+                &self.usual
+            } else {
+                &self.pace
+            };
+            self.options.silence_of(pace)
+        } else {
+            self.options.queueing
+        };
+        self.quiet + wait * (1 << self.silences.min(DOUBLINGS))
+    }
+}
+
+const fn end_of(kind: Kind) -> Option<End> {
+    match kind {
+        Kind::Completed => Some(End::Completed),
+        Kind::Incomplete => Some(End::Incomplete),
+        Kind::Failed => Some(End::Failed),
+        Kind::Created | Kind::Delta | Kind::Other => None,
+    }
+}
+
+/// Whether another upstream would answer the same: the request itself is at fault.
+fn is_final(cause: Option<Cause>) -> bool {
+    matches!(cause, Some(Cause::Rejected { status }) if (400..500).contains(&status))
+}
--- /dev/null
+++ b/crates/carob-stream/src/lost.rs
@@ -0,0 +1,35 @@
+//! The problem that a caller is told when an answer cannot be delivered.
+
+use std::time::Duration;
+
+use carob_wire::{Code, Problem, Ran};
+
+use crate::Cause;
+
+/// When a request that no upstream could take is worth sending again.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// The problem for a caller that already has a part of the answer.
+pub fn after_delivery() -> Problem {
+    let detail = "the upstream that generated this answer is gone and the rest of the answer is lost";
+    Problem::new(Code::AnswerLost, Ran::Unknown, detail)
+}
+
+/// The problem for a caller that has nothing; `uncertain` if any upstream may have started the request.
+pub fn before_delivery(cause: Option<Cause>, uncertain: bool) -> Problem {
+    match cause {
+        Some(Cause::Rejected { status }) if (400..500).contains(&status) => {
+            let detail = format!("the upstream refused the request with status {status}");
+            Problem::not_run(Code::BadRequest, detail)
+        }
+        _ if uncertain => {
+            let detail =
+                "the upstreams that took the request failed before any of the answer could be delivered";
+            Problem::new(Code::UpstreamFailed, Ran::Unknown, detail)
+        }
+        Some(Cause::Busy) => {
+            Problem::not_run(Code::Overloaded, "no upstream took the request").with_retry_after(RETRY_AFTER)
+        }
+        _ => Problem::not_run(Code::NoUpstream, "no upstream could be reached").with_retry_after(RETRY_AFTER),
+    }
+}
