feat: router with learned lengths, predicted memory and a fair queue

Cause: the entry instance needs the decision interface before the policy is tuned. Lengths are hazards per log bucket with censoring and back-off; memory is predicted at nine horizons; the queue is start-time fair.

--- /dev/null
+++ b/crates/carob-route/src/apply.rs
@@ -0,0 +1,158 @@
+//! Bringing the router's services, accounts and upstreams in line with a configuration.
+
+use carob_base::{ServiceKey, Time, UpstreamKey};
+use carob_config::Config;
+
+use crate::{
+    budget::Budget,
+    router::Router,
+    state::{Account, Rate, Service},
+    submit::Place,
+    upstream::Upstream,
+};
+
+impl Router {
+    /// Takes over a configuration. What was learned stays with objects that keep their names; upstreams that are gone
+    /// get no new work, and requests that wait for a service that is gone are refused by the next poll.
+    pub fn apply(&mut self, config: &Config, now: Time) {
+        self.apply_services(config);
+        self.apply_accounts(config);
+        self.apply_upstreams(config);
+        let services: Vec<ServiceKey> = self.services.keys().collect();
+        for service in services {
+            self.list_upstreams(service);
+        }
+        self.polled = now;
+        self.ripe = true;
+    }
+
+    fn apply_services(&mut self, config: &Config) {
+        for service in self.services.values_mut() {
+            service.removed = !config.services.contains_key(&service.name);
+        }
+        for (name, object) in &config.services {
+            if let Some(service) = self
+                .service_names
+                .get(name)
+                .and_then(|&key| self.services.get_mut(key))
+            {
+                service.kind = object.kind;
+                service.weights = object.weights;
+                service.patience = object.patience;
+                service.max_tokens = object.max_tokens;
+                service.retry_percent = object.retry_percent;
+                continue;
+            }
+            let key = self.services.insert(Service {
+                name: name.clone(),
+                kind: object.kind,
+                weights: object.weights,
+                patience: object.patience,
+                max_tokens: object.max_tokens,
+                retry_percent: object.retry_percent,
+                removed: false,
+                upstreams: Vec::new(),
+                tiers: [0; 2],
+                largest: 0,
+                queue: crate::queue::Queue::default(),
+                budget: Budget::new(),
+                rate: Rate::default(),
+                residual: crate::forecast::Residual::default(),
+                residual_at: Time::ZERO,
+            });
+            self.service_names.insert(name.clone(), key);
+        }
+    }
+
+    fn apply_accounts(&mut self, config: &Config) {
+        for account in self.accounts.values_mut() {
+            account.removed = !config.accounts.contains_key(&account.name);
+        }
+        for (name, object) in &config.accounts {
+            if let Some(account) = self
+                .account_names
+                .get(name)
+                .and_then(|&key| self.accounts.get_mut(key))
+            {
+                account.share = object.share;
+                account.max_open = object.max_open;
+                continue;
+            }
+            let key = self.accounts.insert(Account {
+                name: name.clone(),
+                share: object.share,
+                max_open: object.max_open,
+                open: 0,
+                removed: false,
+            });
+            self.account_names.insert(name.clone(), key);
+        }
+    }
+
+    fn apply_upstreams(&mut self, config: &Config) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.removed = !config.upstreams.contains_key(&upstream.name);
+        }
+        for (name, object) in &config.upstreams {
+            let Some(&service) = self.service_names.get(&object.service) else {
+                continue;
+            };
+            let place = self.place_of(object);
+            if let Some(upstream) = self
+                .upstream_names
+                .get(name)
+                .and_then(|&key| self.upstreams.get_mut(key))
+            {
+                upstream.service = service;
+                upstream.address = object.address;
+                upstream.place = place;
+                upstream.memory = object.memory;
+                upstream.slots = object.slots;
+                continue;
+            }
+            let key = self.upstreams.insert(Upstream::new(object, service, place));
+            self.upstream_names.insert(name.clone(), key);
+        }
+        self.sweep_upstreams();
+    }
+
+    /// Drops removed upstreams on which nothing runs any more.
+    fn sweep_upstreams(&mut self) {
+        let names = &mut self.upstream_names;
+        let prefixes = &mut self.prefixes;
+        self.upstreams.retain(|key, upstream| {
+            let keep = !upstream.removed || !upstream.own.is_empty();
+            if !keep {
+                names.remove(&upstream.name);
+                prefixes.clear(key);
+            }
+            keep
+        });
+    }
+
+    fn place_of(&self, upstream: &carob_config::Upstream) -> Place {
+        if upstream.domain == self.options.domain {
+            Place::Domain
+        } else if upstream.region == self.options.region {
+            Place::Region
+        } else {
+            Place::Remote
+        }
+    }
+
+    fn list_upstreams(&mut self, key: ServiceKey) {
+        let of_service = |(upstream, state): (UpstreamKey, &Upstream)| {
+            let listed = state.service == key && !state.removed;
+            listed.then(|| (state.place, state.name.clone(), upstream, state.memory))
+        };
+        let mut listed: Vec<_> = self.upstreams.iter().filter_map(of_service).collect();
+        listed.sort();
+        let service = &mut self.services[key];
+        service.tiers = [
+            listed.partition_point(|entry| entry.0 <= Place::Domain),
+            listed.partition_point(|entry| entry.0 <= Place::Region),
+        ];
+        service.largest = listed.iter().map(|entry| entry.3).max().unwrap_or(0);
+        service.upstreams = listed.into_iter().map(|entry| entry.2).collect();
+    }
+}
--- /dev/null
+++ b/crates/carob-route/src/choose.rs
@@ -0,0 +1,300 @@
+//! The choice of an upstream for one request.
+
+use std::time::Duration;
+
+use carob_base::{RequestKey, Time, UpstreamKey};
+use carob_config::Kind;
+use rand::RngExt;
+
+use crate::{
+    breaker::State,
+    forecast::{Curve, residual},
+    router::Router,
+    state::{Open, Phase, Service},
+    submit::{Choice, Place, Reason},
+    upstream::Upstream,
+};
+
+/// Most upstreams that are all looked at; of more, a sample is.
+const ALL_LIMIT: usize = 24;
+/// Upstreams sampled from the own failure domain, the rest of the region and the rest.
+const SAMPLES: [usize; 3] = [12, 6, 4];
+/// Age at which the prediction of own requests is made anew.
+const REBUILD_AFTER: Duration = Duration::from_millis(100);
+/// Age at which a service's residual survival is computed anew.
+const RESIDUAL_AFTER: Duration = Duration::from_secs(1);
+/// Prompt whose prefill weighs as much as the whole prefix credit, in tokens.
+const PREFIX_SCALE: f32 = 4_000.0;
+/// Cost of a failure share of one, in fractions of memory.
+const FAILURE_PRICE: f32 = 1.0;
+/// Random part of a cost when load is known exactly, in fractions of memory.
+const JITTER: f32 = 0.01;
+/// Growth of the random part with the age of the load report, per second.
+const JITTER_GROWTH: f32 = 0.02;
+/// Most random part of a cost.
+const JITTER_LIMIT: f32 = 0.1;
+
+/// The chosen upstream with the figures behind the choice.
+#[derive(Debug)]
+pub struct Chosen {
+    pub upstream: UpstreamKey,
+    pub reason: Reason,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// None takes work.
+    None,
+    /// None has room now.
+    Full,
+}
+
+/// What a request is compared with on every candidate.
+struct Want<'a> {
+    open: &'a Open,
+    service: &'a Service,
+    curve: Curve,
+    now: Time,
+}
+
+/// A candidate's figures.
+#[derive(Clone, Copy)]
+struct Figures {
+    fits: bool,
+    cost: f32,
+    peak: f32,
+    caution: f32,
+    cached: f32,
+}
+
+impl Router {
+    /// Chooses an upstream for the request; with `force` the least loaded one if none has room.
+    pub(crate) fn choose(&mut self, key: RequestKey, force: bool, now: Time) -> Result<Chosen, Miss> {
+        let mut candidates = std::mem::take(&mut self.candidates);
+        self.collect_candidates(key, now, &mut candidates);
+        for &candidate in &candidates {
+            self.rebuild_if_due(candidate, now);
+        }
+        let chosen = self.cheapest(key, &candidates, force, now);
+        self.candidates = candidates;
+        chosen
+    }
+
+    /// Lists the upstreams to look at: all of a small service, a sample and the prefix's holders of a large one.
+    fn collect_candidates(&mut self, key: RequestKey, now: Time, candidates: &mut Vec<UpstreamKey>) {
+        candidates.clear();
+        let open = &self.open[key];
+        let service = &self.services[open.service];
+        if service.upstreams.len() <= ALL_LIMIT {
+            candidates.extend(&service.upstreams);
+        } else {
+            let [domain, region] = service.tiers;
+            let tiers = [0..domain, domain..region, region..service.upstreams.len()];
+            for (tier, samples) in tiers.into_iter().zip(SAMPLES) {
+                if tier.len() <= samples {
+                    candidates.extend(&service.upstreams[tier]);
+                    continue;
+                }
+                for _ in 0..samples {
+                    let at = self.random.random_range(tier.clone());
+                    candidates.push(service.upstreams[at]);
+                }
+            }
+            if let Some(&longest) = open.prefix.last() {
+                candidates.extend(self.prefixes.holders(longest));
+            }
+        }
+        let usable = |upstream: &UpstreamKey| {
+            let takes_work = |state: &Upstream| state.service == open.service && state.takes_work(now);
+            self.upstreams.get(*upstream).is_some_and(takes_work) && !open.excluded.contains(upstream)
+        };
+        candidates.retain(usable);
+    }
+
+    fn cheapest(
+        &mut self,
+        key: RequestKey,
+        candidates: &[UpstreamKey],
+        force: bool,
+        now: Time,
+    ) -> Result<Chosen, Miss> {
+        let open = &self.open[key];
+        let want = Want {
+            open,
+            service: &self.services[open.service],
+            curve: open.curve(self.lengths.table(open.group)),
+            now,
+        };
+        let mut best: Option<(UpstreamKey, Figures)> = None;
+        let mut fitting = 0;
+        for &candidate in candidates {
+            let upstream = &self.upstreams[candidate];
+            let mut figures = self.figures(&want, candidate, upstream);
+            figures.cost += self.random.random::<f32>() * jitter(upstream, now);
+            fitting += u16::from(figures.fits);
+            let rank = |figures: &Figures| (!figures.fits, figures.cost);
+            let better = best.is_none_or(|(_, old)| rank(&figures) < rank(&old));
+            if better && (figures.fits || force) {
+                best = Some((candidate, figures));
+            }
+        }
+        let miss = if candidates.is_empty() {
+            Miss::None
+        } else {
+            Miss::Full
+        };
+        let (upstream, figures) = best.ok_or(miss)?;
+        let considered = candidates.len() as u16;
+        let reason = reason(&want, &self.upstreams[upstream], &figures, (considered, fitting));
+        Ok(Chosen { upstream, reason })
+    }
+
+    fn figures(&self, want: &Want<'_>, key: UpstreamKey, upstream: &Upstream) -> Figures {
+        let batch = upstream.batch();
+        let busy = batch / upstream.slots.max(1) as f32;
+        let price = match upstream.place {
+            Place::Domain => 0.0,
+            Place::Region => self.options.domain_price,
+            Place::Remote => self.options.region_price,
+        };
+        let base = FAILURE_PRICE.mul_add(upstream.breaker.failure_share(), price);
+        let has_slot = batch < upstream.slots as f32;
+        if want.service.kind == Kind::Plain {
+            return Figures {
+                fits: has_slot,
+                cost: base + busy,
+                peak: 0.0,
+                caution: 0.0,
+                cached: 0.0,
+            };
+        }
+        let caution = self.caution(want, upstream);
+        let peak = self.peak(want, upstream, caution);
+        let memory = upstream.memory.max(1) as f32;
+        let has_room = peak <= memory;
+        let lonely = !want.open.alone || batch < 0.5;
+        let cached = self.cached(want, key);
+        let credit = self.options.prefix_credit * cached * (want.open.prompt as f32 / PREFIX_SCALE).min(1.0);
+        Figures {
+            fits: has_slot && has_room && lonely,
+            cost: base + (peak / memory).max(busy) - credit,
+            peak,
+            caution,
+            cached,
+        }
+    }
+
+    /// Deviations above the mean at which memory has to fit.
+    fn caution(&self, want: &Want<'_>, upstream: &Upstream) -> f32 {
+        let weights = want.service.weights;
+        let (stall, preempt) = (f32::from(weights.stall), f32::from(weights.preempt));
+        let part = if stall + preempt > 0.0 {
+            preempt / (stall + preempt)
+        } else {
+            0.5
+        };
+        let (low, high) = (self.options.low_caution, self.options.high_caution);
+        let base = (high - low).mul_add(part, low);
+        if self.options.parts.feedback {
+            base + upstream.caution(want.now)
+        } else {
+            base
+        }
+    }
+
+    fn peak(&self, want: &Want<'_>, upstream: &Upstream, caution: f32) -> f32 {
+        let mut curve = upstream.predicted(&want.service.residual);
+        curve.add(&want.curve);
+        if self.options.parts.forecast {
+            curve.peak(caution)
+        } else {
+            curve.near()
+        }
+    }
+
+    fn cached(&self, want: &Want<'_>, key: UpstreamKey) -> f32 {
+        if !self.options.parts.prefix || want.open.prefix.is_empty() {
+            return 0.0;
+        }
+        self.prefixes.share(key, &want.open.prefix)
+    }
+
+    /// Predicts the own requests' memory on an upstream anew if the last prediction is old or wrong.
+    fn rebuild_if_due(&mut self, key: UpstreamKey, now: Time) {
+        let upstream = &self.upstreams[key];
+        let service = upstream.service;
+        if !upstream.dirty && now.since(upstream.built) < REBUILD_AFTER {
+            return;
+        }
+        let mut curve = Curve::default();
+        for own in &upstream.own {
+            let open = &self.open[*own];
+            curve.add(&open.curve(self.lengths.table(open.group)));
+        }
+        let upstream = &mut self.upstreams[key];
+        upstream.curve = curve;
+        upstream.built = now;
+        upstream.dirty = false;
+        self.refresh_residual(service, now);
+    }
+
+    fn refresh_residual(&mut self, key: carob_base::ServiceKey, now: Time) {
+        let service = &mut self.services[key];
+        if service.residual_at != Time::ZERO && now.since(service.residual_at) < RESIDUAL_AFTER {
+            return;
+        }
+        service.residual_at = now;
+        service.residual = residual(self.lengths.service_table(key));
+    }
+
+    /// Puts the request onto the chosen upstream.
+    pub(crate) fn attach(&mut self, key: RequestKey, chosen: &Chosen, now: Time) {
+        let open = &mut self.open[key];
+        open.phase = Phase::Running {
+            upstream: chosen.upstream,
+            placed: now,
+            moved: now,
+        };
+        let curve = open.curve(self.lengths.table(open.group));
+        let upstream = &mut self.upstreams[chosen.upstream];
+        upstream.own.push(key);
+        upstream.curve.add(&curve);
+        upstream.breaker.sent();
+        if open.alone {
+            upstream.sealed = Some(key);
+        }
+        self.prefixes.store(chosen.upstream, &open.prefix);
+    }
+}
+
+fn jitter(upstream: &Upstream, now: Time) -> f32 {
+    let age = upstream
+        .seen
+        .as_ref()
+        .map_or(0.0, |seen| now.since(seen.sampled).as_secs_f32());
+    JITTER_GROWTH.mul_add(age, JITTER).min(JITTER_LIMIT)
+}
+
+fn reason(want: &Want<'_>, upstream: &Upstream, figures: &Figures, counts: (u16, u16)) -> Reason {
+    let choice = match (upstream.breaker.state(), want.service.kind) {
+        (State::Open(_), _) => Choice::Probe,
+        _ if !figures.fits => Choice::Crowded,
+        (_, Kind::Plain) => Choice::LeastBusy,
+        _ if want.open.alone => Choice::Alone,
+        _ => Choice::Fits,
+    };
+    Reason {
+        choice,
+        considered: counts.0,
+        fitting: counts.1,
+        peak: figures.peak as u32,
+        memory: upstream.memory,
+        caution: (figures.caution * 100.0) as u16,
+        batch: upstream.batch() as u32,
+        expected: want.open.expected,
+        cached: (figures.cached * 100.0) as u8,
+        place: upstream.place,
+        waited: want.now.since(want.open.submitted),
+    }
+}
--- /dev/null
+++ b/crates/carob-route/src/forecast.rs
@@ -0,0 +1,94 @@
+//! Memory predicted ahead in time.
+//!
+//! All requests of a batch grow by one token per step, so the horizon is counted in tokens. At each horizon an
+//! upstream's memory is a sum of independent terms, one per request: its prompt and tokens if it is still alive then,
+//! nothing otherwise. Means and variances add up; the peak over the horizons at a number of deviations above the mean
+//! is what has to fit.
+
+use crate::length::Table;
+
+/// Tokens ahead at which memory is predicted.
+pub const HORIZONS: [u32; 9] = [1, 24, 64, 160, 400, 1_000, 2_500, 6_000, 16_000];
+
+/// Predicted memory at each of the [`HORIZONS`], in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Curve {
+    mean: [f32; HORIZONS.len()],
+    variance: [f32; HORIZONS.len()],
+}
+
+/// Probability that a random request in progress is still alive at each of the [`HORIZONS`].
+pub type Residual = [f32; HORIZONS.len()];
+
+impl Curve {
+    /// The memory of one request with `prompt` and `produced` tokens whose answer ends at `cap` at the latest.
+    pub fn of_request(table: Table<'_>, prompt: u32, produced: u32, cap: u32) -> Self {
+        let mut curve = Self::default();
+        for (k, &ahead) in HORIZONS.iter().enumerate() {
+            let length = produced.saturating_add(ahead);
+            if length > cap.max(produced + 1) {
+                break;
+            }
+            let alive = table.alive_given(length, produced);
+            let size = (prompt + length) as f32;
+            curve.mean[k] = size * alive;
+            curve.variance[k] = size * size * alive * (1.0 - alive);
+        }
+        curve
+    }
+
+    /// The memory of `count` requests of unknown age that hold `tokens` together.
+    pub fn of_crowd(residual: &Residual, count: f32, tokens: f32) -> Self {
+        let mut curve = Self::default();
+        if count <= 0.0 {
+            return curve;
+        }
+        for (k, &ahead) in HORIZONS.iter().enumerate() {
+            let alive = residual[k];
+            let size = tokens / count + ahead as f32;
+            curve.mean[k] = count * size * alive;
+            curve.variance[k] = count * size * size * alive * (1.0 - alive);
+        }
+        curve
+    }
+
+    /// Adds another curve.
+    pub fn add(&mut self, other: &Self) {
+        for k in 0..HORIZONS.len() {
+            self.mean[k] += other.mean[k];
+            self.variance[k] += other.variance[k];
+        }
+    }
+
+    /// The highest memory over the horizons, `caution` deviations above the mean.
+    pub fn peak(&self, caution: f32) -> f32 {
+        let at = |k: usize| caution.mul_add(self.variance[k].max(0.0).sqrt(), self.mean[k]);
+        (0..HORIZONS.len()).map(at).fold(0.0, f32::max)
+    }
+
+    /// Memory at the nearest horizon.
+    pub fn near(&self) -> f32 {
+        self.mean[0]
+    }
+}
+
+/// The residual survival of requests in progress whose answers follow `table`, by the renewal theorem.
+pub fn residual(table: Table<'_>) -> Residual {
+    const STEPS: u32 = 96;
+    const LIMIT: f32 = 17.0;
+    // Integrates the survival over lengths on a logarithmic grid, and its tail beyond each horizon.
+    let point = |step: u32| (LIMIT * step as f32 / STEPS as f32).exp2() as u32 - 1;
+    let mut total = 0.0;
+    let mut tails = [0.0; HORIZONS.len()];
+    for step in 0..STEPS {
+        let (start, end) = (point(step), point(step + 1));
+        let area = (end - start) as f32 * table.alive(u32::midpoint(start, end));
+        total += area;
+        for (tail, &ahead) in tails.iter_mut().zip(&HORIZONS) {
+            if start >= ahead {
+                *tail += area;
+            }
+        }
+    }
+    tails.map(|tail| if total > 0.0 { tail / total } else { 0.0 })
+}
--- /dev/null
+++ b/crates/carob-route/src/options.rs
@@ -0,0 +1,107 @@
+//! Tunable figures of a [`Router`](crate::Router).
+
+use std::time::Duration;
+
+use carob_base::Name;
+
+/// Options of a [`Router`](crate::Router).
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The failure domain of this instance.
+    pub domain: Name,
+    /// The region of this instance.
+    pub region: Name,
+    /// Seed of the random choices; the same seed and calls give the same decisions. Default 1.
+    pub seed: u64,
+    /// Most requests that wait per service. Default 512.
+    pub queue_limit: usize,
+    /// Deviations of predicted memory kept free by a service that weighs only stall time. Default 0.
+    pub low_caution: f32,
+    /// Deviations of predicted memory kept free by a service that weighs only preemptions. Default 2.
+    pub high_caution: f32,
+    /// Price of leaving the region, as a fraction of an upstream's memory. Default 0.15.
+    pub region_price: f32,
+    /// Price of leaving the failure domain within the region, as a fraction of an upstream's memory. Default 0.02.
+    pub domain_price: f32,
+    /// Most credit for a cached prefix, as a fraction of an upstream's memory. Default 0.2.
+    pub prefix_credit: f32,
+    /// How long other instances' shares and load reports count after they were received. Default 15 s.
+    pub stale_after: Duration,
+    /// Which mechanisms are in use. Default all; the others serve measurements.
+    pub parts: Parts,
+}
+
+/// Mechanisms that measurements switch off one at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each mechanism is switched on its own in the ablation"
+)]
+pub struct Parts {
+    /// Learned answer lengths; otherwise the prior for every request.
+    pub lengths: bool,
+    /// Memory predicted ahead; otherwise only the memory in use counts.
+    pub forecast: bool,
+    /// Caution that follows the preemptions seen.
+    pub feedback: bool,
+    /// The queue at the entry; otherwise a request that fits nowhere goes to the least loaded upstream.
+    pub queue: bool,
+    /// Fair shares between accounts in the queue; otherwise first come, first served.
+    pub fairness: bool,
+    /// Short expected answers before long ones in the queue and at the engine.
+    pub short_first: bool,
+    /// Preference for upstreams that hold the prompt's prefix.
+    pub prefix: bool,
+    /// Own dispatches that no load report covers yet are counted in.
+    pub dispatches: bool,
+    /// Other instances' unreported dispatches are counted in.
+    pub peers: bool,
+}
+
+impl Parts {
+    /// Every mechanism in use.
+    pub const ALL: Self = Self {
+        lengths: true,
+        forecast: true,
+        feedback: true,
+        queue: true,
+        fairness: true,
+        short_first: true,
+        prefix: true,
+        dispatches: true,
+        peers: true,
+    };
+}
+
+impl Options {
+    /// Options of an instance in `domain` of `region`, with the defaults for the rest.
+    pub fn new(domain: Name, region: Name) -> Self {
+        Self {
+            domain,
+            region,
+            seed: 1,
+            queue_limit: 512,
+            low_caution: 0.0,
+            high_caution: 2.0,
+            region_price: 0.15,
+            domain_price: 0.02,
+            prefix_credit: 0.2,
+            stale_after: Duration::from_secs(15),
+            parts: Parts::ALL,
+        }
+    }
+
+    /// Sets the seed of the random choices.
+    #[must_use]
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets the mechanisms in use.
+    #[must_use]
+    pub fn with_parts(mut self, parts: Parts) -> Self {
+        self.parts = parts;
+        self
+    }
+}
--- /dev/null
+++ b/crates/carob-route/src/state.rs
@@ -0,0 +1,132 @@
+//! Services, client accounts and requests in progress.
+
+use std::time::Duration;
+
+use carob_base::{AccountKey, Name, RequestKey, ServiceKey, Time, UpstreamKey};
+use carob_config::{Kind, Weights};
+use smallvec::SmallVec;
+
+use crate::{
+    budget::Budget,
+    forecast::{Curve, Residual},
+    length::GroupKey,
+    queue::{Entry, Queue},
+};
+
+/// A service with its queue.
+#[derive(Debug)]
+pub struct Service {
+    pub name: Name,
+    pub kind: Kind,
+    pub weights: Weights,
+    pub patience: Duration,
+    pub max_tokens: u32,
+    pub retry_percent: u16,
+    pub removed: bool,
+    /// Its upstreams, those of the own failure domain first, then those of the own region.
+    pub upstreams: Vec<UpstreamKey>,
+    /// Ends of the own failure domain's and the own region's part of `upstreams`.
+    pub tiers: [usize; 2],
+    /// Memory of the largest upstream, in tokens.
+    pub largest: u32,
+    pub queue: Queue,
+    pub budget: Budget,
+    /// Work placed per second, in tokens, over the last seconds.
+    pub rate: Rate,
+    pub residual: Residual,
+    pub residual_at: Time,
+}
+
+/// A client account.
+#[derive(Debug)]
+pub struct Account {
+    pub name: Name,
+    pub share: u16,
+    pub max_open: u32,
+    pub open: u32,
+    pub removed: bool,
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub struct Open {
+    pub id: u64,
+    pub key: RequestKey,
+    pub service: ServiceKey,
+    pub account: AccountKey,
+    pub group: GroupKey,
+    pub prompt: u32,
+    /// Most tokens of the answer.
+    pub cap: u32,
+    pub produced: u32,
+    pub prefix: SmallVec<[u64; 4]>,
+    pub alone: bool,
+    pub excluded: SmallVec<[UpstreamKey; 2]>,
+    pub submitted: Time,
+    /// Median expected length of the answer, in tokens.
+    pub expected: u32,
+    pub phase: Phase,
+}
+
+/// Where a request in progress is.
+#[derive(Clone, Copy, Debug)]
+pub enum Phase {
+    /// It neither waits nor runs, in the middle of a decision.
+    Loose,
+    /// It waits in its service's queue under this entry.
+    Waiting(Entry),
+    /// It runs.
+    Running {
+        /// Where.
+        upstream: UpstreamKey,
+        /// Since when.
+        placed: Time,
+        /// When it last made progress.
+        moved: Time,
+    },
+}
+
+impl Open {
+    /// Its predicted memory.
+    pub fn curve(&self, table: crate::length::Table<'_>) -> Curve {
+        Curve::of_request(table, self.prompt, self.produced, self.cap)
+    }
+
+    /// Tokens that it holds on its upstream.
+    pub fn tokens(&self) -> u32 {
+        self.prompt + self.produced
+    }
+}
+
+/// A rate that follows the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rate {
+    sum: f32,
+    since: Option<Time>,
+    at: Time,
+}
+
+/// Time over which a [`Rate`] is taken, in seconds.
+const RATE_SPAN: f32 = 10.0;
+/// Time before a [`Rate`] is known, in seconds.
+const RATE_FIRST: f32 = 2.0;
+
+impl Rate {
+    /// Counts `amount` at `now`.
+    pub fn add(&mut self, amount: f32, now: Time) {
+        let fade = (-now.since(self.at).as_secs_f32() / RATE_SPAN).exp();
+        self.sum = self.sum.mul_add(fade, amount);
+        self.at = now;
+        self.since.get_or_insert(now);
+    }
+
+    /// The rate per second at `now`, once enough time has passed to know it.
+    pub fn per_second(&self, now: Time) -> Option<f32> {
+        let span = now.since(self.since?).as_secs_f32();
+        if span < RATE_FIRST {
+            return None;
+        }
+        let fade = (-now.since(self.at).as_secs_f32() / RATE_SPAN).exp();
+        Some(self.sum * fade / (RATE_SPAN * (1.0 - (-span / RATE_SPAN).exp())))
+    }
+}
--- /dev/null
+++ b/crates/carob-route/tests/basic.rs
@@ -0,0 +1,83 @@
+//! A request's way through the router.
+
+mod common;
+
+use carob_base::{Name, Time};
+use carob_route::{End, Event, Outcome, Request, Router, submit::Cause};
+use common::{config, name, options, place, request};
+
+#[test]
+fn places_on_the_near_upstream() {
+    let mut router = Router::new(options());
+    router.apply(&config(3, 10_000, 8), Time::ZERO);
+    let placement = place(router.submit(request(1), Time::ZERO));
+    assert_eq!(placement.upstream, name("u0"));
+    let line = placement.to_string();
+    assert!(
+        line.contains("choice=fits") && line.contains("place=domain"),
+        "{line}"
+    );
+}
+
+#[test]
+fn queues_when_full_and_places_after_a_finish() {
+    let mut router = Router::new(options());
+    router.apply(&config(1, 100_000, 1), Time::ZERO);
+    place(router.submit(request(1), Time::ZERO));
+    assert_eq!(router.submit(request(2), Time::ZERO), Outcome::Queued);
+    assert!(router.poll(Time::from_millis(10)).is_empty());
+    router.finish(1, End::Complete { tokens: 5 }, Time::from_millis(20));
+    assert!(router.deadline() <= Time::from_millis(20));
+    let events = router.poll(Time::from_millis(20));
+    assert!(
+        matches!(&events[..], [Event::Placed(placement)] if placement.id == 2),
+        "{events:?}"
+    );
+    assert_eq!(router.deadline(), Time::NEVER);
+}
+
+#[test]
+fn refuses_unknown_names_and_too_long_requests_at_once() {
+    let mut router = Router::new(options());
+    router.apply(&config(1, 1_000, 1), Time::ZERO);
+    let refused = |router: &mut Router, request: Request| match router.submit(request, Time::ZERO) {
+        Outcome::Refused(refusal) => refusal.cause,
+        other => panic!("expected a refusal, got {other:?}"),
+    };
+    let service = Request::new(1, name("nothing"), name("a0"));
+    assert_eq!(refused(&mut router, service), Cause::UnknownService);
+    let account = Request::new(1, name("draft"), name("nobody"));
+    assert_eq!(refused(&mut router, account), Cause::UnknownAccount);
+    let long = request(1).with_tokens(900, Some(200));
+    assert_eq!(refused(&mut router, long), Cause::TooLong);
+}
+
+#[test]
+fn expired_waits_are_refused_by_the_next_poll() {
+    let mut router = Router::new(options());
+    router.apply(&config(1, 100_000, 1), Time::ZERO);
+    place(router.submit(request(1), Time::ZERO));
+    assert_eq!(router.submit(request(2), Time::ZERO), Outcome::Queued);
+    let events = router.poll(Time::from_millis(common::PATIENCE_MS));
+    assert!(
+        matches!(&events[..], [Event::Refused(refusal)] if refusal.cause == Cause::Expired),
+        "{events:?}"
+    );
+}
+
+#[test]
+fn a_retry_avoids_the_failed_upstream() {
+    let mut router = Router::new(options());
+    router.apply(&config(2, 10_000, 8), Time::ZERO);
+    let first: Name = place(router.submit(request(1), Time::ZERO)).upstream;
+    let second = place(router.retry(1, End::Failed, Time::from_millis(5))).upstream;
+    assert_ne!(first, second);
+    router.finish(1, End::Complete { tokens: 3 }, Time::from_millis(9));
+    assert!(
+        router
+            .status(Time::from_millis(9))
+            .upstreams
+            .iter()
+            .all(|upstream| upstream.own == 0)
+    );
+}
--- /dev/null
+++ b/crates/carob-route/tests/common/mod.rs
@@ -0,0 +1,82 @@
+//! A small configuration for tests.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::time::Duration;
+
+use carob_base::Name;
+use carob_config::{Account, Config, Fencing, Kind, Revision, Service, Upstream, Weights};
+use carob_route::{Options, Outcome, Placement, Request};
+use smallvec::SmallVec;
+
+/// Patience of the service, in milliseconds.
+pub const PATIENCE_MS: u64 = 10_000;
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("test names are valid")
+}
+
+pub fn options() -> Options {
+    Options::new(name("d0"), name("r0"))
+}
+
+pub fn request(id: u64) -> Request {
+    Request::new(id, name("draft"), name("a0")).with_tokens(50, None)
+}
+
+/// The placement, or a panic that shows what came instead.
+pub fn place(outcome: Outcome) -> Placement {
+    match outcome {
+        Outcome::Placed(placement) => placement,
+        other => panic!("expected a placement, got {other:?}"),
+    }
+}
+
+/// One service with `count` upstreams, one per failure domain and region, and three accounts.
+pub fn config(count: usize, memory: u32, slots: u32) -> Config {
+    let mut config = Config {
+        revision: Revision(1),
+        ..Config::default()
+    };
+    let service = service();
+    for at in 0..count {
+        let upstream = Upstream {
+            name: name(&format!("u{at}")),
+            service: service.name.clone(),
+            address: ([127, 0, 0, 1], 9_000 + at as u16).into(),
+            domain: name(&format!("d{at}")),
+            region: name(&format!("r{at}")),
+            fencing: Fencing::Checks,
+            memory,
+            slots,
+        };
+        config.upstreams.insert(upstream.name.clone(), upstream);
+    }
+    config.services.insert(service.name.clone(), service);
+    for at in 0..3 {
+        let account = account(&format!("a{at}"));
+        config.accounts.insert(account.name.clone(), account);
+    }
+    config
+}
+
+pub fn service() -> Service {
+    Service {
+        name: name("draft"),
+        kind: Kind::Generation,
+        model: Some(name("model")),
+        weights: Weights::default(),
+        patience: Duration::from_millis(PATIENCE_MS),
+        max_tokens: 32_000,
+        retry_percent: 10,
+    }
+}
+
+pub fn account(text: &str) -> Account {
+    Account {
+        name: name(text),
+        key_hash: [0; 32],
+        share: 1,
+        max_open: 1_000,
+        services: SmallVec::new(),
+    }
+}
