feat: callers' listener, client and operators' listener

Cause: entry instances need HTTP towards callers, upstreams and operators in which everything that the other end controls is bounded. tiny_http bounds neither heads nor connections, and minreq takes a cut chunked body for a whole one, which would present a part of an answer as the whole. Change: a listener over hyper on one network thread with a bounded pool of workers and typed refusals, a client over hyper that tells 'certainly not sent' from 'unknown', and a small operators' listener over tiny_http.

--- /dev/null
+++ b/crates/carob-http/tests/listener.rs
@@ -0,0 +1,311 @@
+//! The callers' listener over sockets.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
+    sync::mpsc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use carob_http::{
+    Headers,
+    client::{self, Chunk, Request},
+    listen::{Exchange, Listener, Options, SendError},
+};
+
+const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Long enough for any step on a busy machine.
+const LONG: Duration = Duration::from_secs(20);
+
+fn bind(options: impl FnOnce(&mut Options), handler: impl Fn(Exchange) + Send + Sync + 'static) -> Listener {
+    let mut chosen = Options::new(LOCAL);
+    options(&mut chosen);
+    Listener::bind(chosen, handler).expect("loopback is free")
+}
+
+fn echo(mut exchange: Exchange) {
+    let body = exchange.take_body();
+    let headers = Headers::new()
+        .with("x-path", exchange.path())
+        .with("x-query", exchange.query());
+    exchange.respond(200, &headers, body);
+}
+
+/// Sends raw bytes and reads until the listener closes the connection.
+fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    stream.write_all(bytes).expect("the listener reads");
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).expect("the listener closes");
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+#[track_caller]
+fn assert_refused(text: &str, status: u16, code: &str) {
+    assert!(text.starts_with(&format!("HTTP/1.1 {status} ")), "{text}");
+    assert!(text.contains("content-type: application/problem+json"), "{text}");
+    assert!(text.contains("carob-outcome: not-run"), "{text}");
+    assert!(text.contains(&format!(r#""code":"{code}""#)), "{text}");
+}
+
+#[test]
+fn whole_exchange() {
+    let listener = bind(|_| {}, echo);
+    let request = Request::post(listener.local_addr(), "/a/b?c=d", "hello");
+    let response = client::call(&request).expect("the listener answers");
+    assert_eq!((response.status, &response.body[..]), (200, &b"hello"[..]));
+    assert_eq!(response.headers.get("x-path"), Some("/a/b"));
+    assert_eq!(response.headers.get("x-query"), Some("c=d"));
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn kept_connection_counts_each_head_by_itself() {
+    let listener = bind(|options| options.head_limit = 256, echo);
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    for _ in 0..10 {
+        stream
+            .write_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nok")
+            .expect("the listener reads");
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"\r\n\r\nok") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).expect("the listener answers");
+            seen.push(byte[0]);
+        }
+    }
+    drop(stream);
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn malformed_and_oversized_requests_are_refused() {
+    let limits = |options: &mut Options| {
+        options.head_limit = 512;
+        options.body_limit = 100;
+    };
+    let listener = bind(limits, echo);
+    let address = listener.local_addr();
+    assert_refused(&raw(address, b"this is not HTTP\r\n\r\n"), 400, "bad-request");
+    assert_refused(
+        &raw(address, b"GET / HTTP/1.1\r\nho st: x\r\n\r\n"),
+        400,
+        "bad-request",
+    );
+    let large = format!("GET / HTTP/1.1\r\nhost: x\r\nx: {}\r\n\r\n", "y".repeat(600));
+    assert_refused(&raw(address, large.as_bytes()), 431, "head-too-large");
+    let body = format!(
+        "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 101\r\n\r\n{}",
+        "y".repeat(101)
+    );
+    assert_refused(&raw(address, body.as_bytes()), 413, "body-too-large");
+    let chunk = "y".repeat(101);
+    let chunked =
+        format!("POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n65\r\n{chunk}\r\n0\r\n\r\n");
+    assert_refused(&raw(address, chunked.as_bytes()), 413, "body-too-large");
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn slow_requests_are_refused() {
+    let limits = |options: &mut Options| {
+        options.head_timeout = Duration::from_millis(50);
+        options.body_timeout = Duration::from_millis(50);
+    };
+    let listener = bind(limits, echo);
+    let address = listener.local_addr();
+    assert_refused(&raw(address, b"GET / HTT"), 408, "request-timeout");
+    let body = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nab";
+    assert_refused(&raw(address, body), 408, "request-timeout");
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn idle_connection_is_closed_without_a_word() {
+    let listener = bind(|options| options.idle_timeout = Duration::from_millis(50), echo);
+    assert_eq!(raw(listener.local_addr(), b""), "");
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn connections_over_the_limit_are_refused() {
+    let listener = bind(|options| options.max_connections = 1, echo);
+    let held = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    let text = raw(listener.local_addr(), b"");
+    assert_refused(&text, 503, "overloaded");
+    assert!(text.contains("retry-after: 1"), "{text}");
+    drop(held);
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn requests_over_the_limit_are_refused() {
+    let (release, wait) = flume::bounded::<()>(0);
+    let handler = move |exchange: Exchange| {
+        let _released = wait.recv();
+        exchange.respond(200, &Headers::new(), "late");
+    };
+    let listener = bind(|options| options.max_requests = 1, handler);
+    let request = Request::get(listener.local_addr(), "/");
+    let first = client::start(&request);
+    while listener.open_requests() == 0 {
+        std::thread::yield_now();
+    }
+    let refused = client::call(&request).expect("the listener answers");
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.headers.get("carob-outcome"), Some("not-run"));
+    release.send(()).expect("the handler waits");
+    let first = first.wait(LONG).expect("in time").expect("a response");
+    assert_eq!(first.status, 200);
+    first.close();
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn pieces_arrive_one_by_one() {
+    let (send, pieces) = flume::bounded::<&'static str>(0);
+    let handler = move |exchange: Exchange| {
+        let mut writer = exchange.stream(200, &Headers::new());
+        for piece in &pieces {
+            writer.send(Bytes::from(piece)).expect("the caller reads");
+        }
+        writer.close();
+    };
+    let listener = bind(|_| {}, handler);
+    let opening = client::start(&Request::get(listener.local_addr(), "/"));
+    send.send("one").expect("the handler waits");
+    let stream = opening.wait(LONG).expect("in time").expect("a response");
+    assert_eq!(stream.next(LONG), Chunk::Data(Bytes::from("one")));
+    assert_eq!(stream.next(Duration::from_millis(1)), Chunk::Silent);
+    send.send("two").expect("the handler waits");
+    assert_eq!(stream.next(LONG), Chunk::Data(Bytes::from("two")));
+    drop(send);
+    assert_eq!(stream.next(LONG), Chunk::End);
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn dropped_writer_is_never_a_clean_end() {
+    let handler = |exchange: Exchange| {
+        let mut writer = exchange.stream(200, &Headers::new());
+        writer.send(Bytes::from("part")).expect("the caller reads");
+    };
+    let listener = bind(|_| {}, handler);
+    let stream = client::open(&Request::get(listener.local_addr(), "/")).expect("a response");
+    assert_eq!(stream.next(LONG), Chunk::Data(Bytes::from("part")));
+    assert!(matches!(stream.next(LONG), Chunk::Broken(_)));
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn panicking_handler_aborts_one_request_only() {
+    let handler = |exchange: Exchange| {
+        assert_ne!(exchange.path(), "/panic", "asked for");
+        echo(exchange);
+    };
+    let listener = bind(|_| {}, handler);
+    let address = listener.local_addr();
+    let outcome = client::call(&Request::get(address, "/panic"));
+    assert!(matches!(outcome, Err(client::Error::Unknown(_))));
+    assert_eq!(
+        client::call(&Request::get(address, "/")).map(|response| response.status),
+        Ok(200)
+    );
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn vanished_caller_is_noticed_while_nothing_is_sent() {
+    let (tell, gone) = mpsc::channel();
+    let handler = move |exchange: Exchange| {
+        let mut writer = exchange.stream(200, &Headers::new());
+        writer.send(Bytes::from("first")).expect("the caller reads");
+        while !writer.is_gone() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        tell.send(writer.send(Bytes::from("more")))
+            .expect("the test waits");
+    };
+    let listener = bind(|_| {}, handler);
+    let stream = client::open(&Request::get(listener.local_addr(), "/")).expect("a response");
+    assert_eq!(stream.next(LONG), Chunk::Data(Bytes::from("first")));
+    stream.close();
+    assert_eq!(gone.recv_timeout(LONG), Ok(Err(SendError::Gone)));
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn caller_that_stops_reading_is_cut_off() {
+    let (tell, outcome) = mpsc::channel();
+    let handler = move |exchange: Exchange| {
+        let mut writer = exchange.stream(200, &Headers::new());
+        let piece = Bytes::from(vec![b'x'; 64 * 1024]);
+        let error = loop {
+            if let Err(error) = writer.send(piece.clone()) {
+                break error;
+            }
+        };
+        tell.send(error).expect("the test waits");
+    };
+    let listener = bind(
+        |options| options.send_timeout = Duration::from_millis(50),
+        handler,
+    );
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    let error = outcome.recv_timeout(LONG).expect("the handler ends");
+    assert!(matches!(error, SendError::Slow | SendError::Gone), "{error}");
+    drop(stream);
+    assert_eq!(listener.close(LONG), 0);
+}
+
+#[test]
+fn drain_cuts_nothing_off() {
+    let (send, pieces) = flume::unbounded::<&'static str>();
+    let handler = move |exchange: Exchange| {
+        if exchange.path() == "/probe" {
+            return echo(exchange);
+        }
+        let mut writer = exchange.stream(200, &Headers::new());
+        for piece in &pieces {
+            writer.send(Bytes::from(piece)).expect("the caller reads");
+        }
+        writer.close();
+    };
+    let listener = bind(|_| {}, handler);
+    let address = listener.local_addr();
+    send.send("one").expect("the handler waits");
+    let stream = client::open(&Request::get(address, "/")).expect("a response");
+    assert_eq!(stream.next(LONG), Chunk::Data(Bytes::from("one")));
+    let drain = std::thread::spawn(move || listener.drain());
+    while !matches!(
+        client::call(&Request::get(address, "/probe")),
+        Err(client::Error::NotSent(_))
+    ) {}
+    send.send("two").expect("the handler waits");
+    drop(send);
+    assert_eq!(stream.next(LONG), Chunk::Data(Bytes::from("two")));
+    assert_eq!(stream.next(LONG), Chunk::End);
+    drain.join().expect("drained");
+}
+
+#[test]
+fn close_reports_what_it_cut_off() {
+    let (release, wait) = flume::bounded::<()>(0);
+    let handler = move |exchange: Exchange| {
+        let mut writer = exchange.stream(200, &Headers::new());
+        writer.send(Bytes::from("part")).expect("the caller reads");
+        let _released = wait.recv();
+    };
+    let listener = bind(|_| {}, handler);
+    let stream = client::open(&Request::get(listener.local_addr(), "/")).expect("a response");
+    assert_eq!(stream.next(LONG), Chunk::Data(Bytes::from("part")));
+    assert_eq!(listener.close(Duration::ZERO), 1);
+    assert!(matches!(stream.next(LONG), Chunk::Broken(_)));
+    drop(release);
+}
