feat: open-loop load generator with checked outcomes

Figures about latency are worth little if the answers behind them are wrong, and a load generator that waits for answers hides the stalls it should show. carob-load starts callers by a seeded Poisson process that does not depend on answers, checks each outcome while it measures (order of events, one generation, typed and timely refusals, runs in the upstreams' record), and gives tables, CSV, SVG plots and comparisons over seeds.

--- /dev/null
+++ b/crates/carob-load/src/caller/exchange.rs
@@ -0,0 +1,254 @@
+//! A generation as a pure state machine: what the connection shows goes in, the next step comes out.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use carob_base::Time;
+use carob_wire::{
+    Code,
+    event::{Event, Kind},
+};
+use serde::Deserialize;
+
+use super::{Gap, Outcome, Record};
+use crate::{
+    arrivals::{Arrival, Habit},
+    check::{self, Refusal, Sent, Sequence, Violation},
+    workload::Class,
+};
+
+/// Most attempts to resume an answer without any event in between.
+const ATTEMPTS: u32 = 8;
+/// Pause before the first attempt to resume, and growth with every further one.
+const PAUSE: Duration = Duration::from_millis(50);
+
+carob_base::plain! {
+    /// What the caller does next.
+    pub enum Step {
+        /// Reads on.
+        Read,
+        /// Pauses, then reads on.
+        Pause(Duration),
+        /// Closes the connection, pauses, and sends the request for [`Exchange::resume_path`].
+        Reconnect(Duration),
+        /// Closes the connection; the exchange is over.
+        End,
+    }
+}
+
+/// The state of a generation's exchange.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    arrival: Arrival,
+    path: String,
+    refusal: Duration,
+    sequence: Sequence,
+    sent: Time,
+    first: Option<Time>,
+    /// When the last token came, unless the caller itself has delayed the next one.
+    latest: Option<Time>,
+    gaps: Vec<Gap>,
+    tokens: u32,
+    resumed: u32,
+    attempts: u32,
+    /// Whether the caller still has to break the connection.
+    breaks: bool,
+    violations: Vec<Violation>,
+    outcome: Option<Outcome>,
+}
+
+/// The fields of a failure event that tell its cause.
+#[derive(Deserialize)]
+struct Failure {
+    response: FailedResponse,
+}
+
+#[derive(Deserialize)]
+struct FailedResponse {
+    error: Cause,
+}
+
+#[derive(Deserialize)]
+struct Cause {
+    code: Code,
+}
+
+impl Exchange {
+    /// The exchange of `arrival`, whose request is sent `now`.
+    pub fn new(arrival: Arrival, class: &Class, now: Time) -> Self {
+        Self {
+            breaks: matches!(arrival.habit, Habit::Resume { .. }),
+            arrival,
+            path: class.path.clone(),
+            refusal: class.refusal,
+            sequence: Sequence::new(),
+            sent: now,
+            first: None,
+            latest: None,
+            gaps: Vec::new(),
+            tokens: 0,
+            resumed: 0,
+            attempts: 0,
+            violations: Vec::new(),
+            outcome: None,
+        }
+    }
+
+    /// Path that resumes the answer; `None` if nothing has come, so that the request is sent as at first.
+    pub fn resume_path(&self) -> Option<String> {
+        let answer = self.sequence.answer()?;
+        let after = self.sequence.delivered()?;
+        Some(format!(
+            "{}/{answer}?stream=true&starting_after={after}",
+            self.path
+        ))
+    }
+
+    /// Attempts so far to reach a listener, for the choice of the next one.
+    pub const fn attempts(&self) -> u32 {
+        self.attempts + self.resumed
+    }
+
+    /// The data of an event came.
+    pub fn data(&mut self, data: Bytes, now: Time) -> Step {
+        self.attempts = 0;
+        let Ok(event) = Event::parse(data) else {
+            return self.end_with(Violation::Malformed);
+        };
+        if let Err(violation) = self.sequence.event(&event) {
+            self.violations.push(violation);
+        }
+        match event.kind() {
+            Kind::Delta => self.token(now),
+            Kind::Completed | Kind::Incomplete => self.end(Outcome::Whole),
+            Kind::Failed => self.end(Outcome::Failed(failure_code(&event))),
+            Kind::Created | Kind::Other => Step::Read,
+        }
+    }
+
+    /// A response other than a stream came.
+    pub fn refused(&mut self, refusal: &Refusal, now: Time) -> Step {
+        let problem = match refusal.problem() {
+            Ok(problem) => problem,
+            Err(violation) => {
+                self.violations.push(violation);
+                return self.end(Outcome::Untyped(refusal.status));
+            }
+        };
+        if self.sequence.delivered().is_none() {
+            if let Err(violation) = check::refusal_time(now.since(self.sent), self.refusal) {
+                self.violations.push(violation);
+            }
+            return self.end(Outcome::Refused(problem));
+        }
+        if matches!(
+            problem.code,
+            Code::NotReady | Code::NoUpstream | Code::Overloaded | Code::AccountBusy
+        ) {
+            return self.reconnect(Outcome::Failed(Some(problem.code)));
+        }
+        self.end(Outcome::Failed(Some(problem.code)))
+    }
+
+    /// No connection could be made; nothing was sent.
+    pub fn unreachable(&mut self) -> Step {
+        self.reconnect(Outcome::Broken)
+    }
+
+    /// The connection broke.
+    pub fn interrupted(&mut self) -> Step {
+        if self.sequence.answer().is_none() {
+            return self.end(Outcome::Broken);
+        }
+        self.reconnect(Outcome::Broken)
+    }
+
+    /// The body ended as if it were whole.
+    pub fn ended(&mut self) -> Step {
+        self.violations.push(Violation::Cut);
+        self.interrupted()
+    }
+
+    /// The caller's patience ended.
+    pub fn expired(&mut self) -> Step {
+        self.end(Outcome::Expired)
+    }
+
+    /// The record of the exchange, compared with the text that the engine generated, if it is known.
+    pub fn close(mut self, key: String, expected: Option<&str>, now: Time) -> Record {
+        if let Some(Err(violation)) = expected.map(|text| self.sequence.compare(text)) {
+            self.violations.push(violation);
+        }
+        let outcome = self.outcome.unwrap_or(Outcome::Broken);
+        let sent = match &outcome {
+            Outcome::Refused(problem) => Sent::Refused(problem.outcome),
+            _ if self.sequence.delivered().is_some() => Sent::Answered(200, Bytes::new()),
+            _ => Sent::Lost,
+        };
+        Record {
+            arrival: self.arrival,
+            key,
+            sends: vec![sent],
+            sent: self.sent,
+            first: self.first,
+            gaps: self.gaps,
+            tokens: self.tokens,
+            resumed: self.resumed,
+            end: now,
+            outcome,
+            violations: self.violations,
+        }
+    }
+
+    fn token(&mut self, now: Time) -> Step {
+        self.tokens += 1;
+        self.first = self.first.or(Some(now));
+        if let Some(latest) = self.latest.replace(now) {
+            self.gaps.push(Gap {
+                end: now,
+                length: now.since(latest),
+            });
+        }
+        match self.arrival.habit {
+            Habit::Vanish { after } if self.tokens >= after => self.end(Outcome::Vanished),
+            Habit::Resume { after } if self.breaks && self.tokens >= after => {
+                self.breaks = false;
+                self.latest = None;
+                self.resumed += 1;
+                Step::Reconnect(Duration::ZERO)
+            }
+            Habit::Slow { pause } => {
+                self.latest = None;
+                Step::Pause(pause)
+            }
+            _ => Step::Read,
+        }
+    }
+
+    /// Tries again unless there were too many attempts, which end the exchange with `outcome`.
+    fn reconnect(&mut self, outcome: Outcome) -> Step {
+        if self.attempts >= ATTEMPTS {
+            return self.end(outcome);
+        }
+        self.attempts += 1;
+        if self.sequence.answer().is_some() {
+            self.resumed += 1;
+        }
+        Step::Reconnect(PAUSE * self.attempts)
+    }
+
+    fn end(&mut self, outcome: Outcome) -> Step {
+        self.outcome = Some(outcome);
+        Step::End
+    }
+
+    fn end_with(&mut self, violation: Violation) -> Step {
+        self.violations.push(violation);
+        self.end(Outcome::Broken)
+    }
+}
+
+fn failure_code(event: &Event) -> Option<Code> {
+    let failure: Failure = serde_json::from_slice(&event.data).ok()?;
+    Some(failure.response.error.code)
+}
--- /dev/null
+++ b/crates/carob-load/src/experiment.rs
@@ -0,0 +1,173 @@
+//! Comparison of variants as ratios, over several seeds with their spread.
+
+use std::fmt::Write as _;
+
+use crate::{Report, durations::Durations};
+
+/// A measure that variants are compared by; less is better, except for goodput.
+#[derive(Clone, Copy, Debug)]
+pub struct Measure {
+    /// Name with the unit.
+    pub name: &'static str,
+    /// Its value in a report, if the report has any.
+    pub value: fn(&Report) -> Option<f64>,
+}
+
+/// The measures that [`Experiment::to_text`] prints.
+pub const MEASURES: [Measure; 9] = [
+    Measure {
+        name: "first token p50, ms",
+        value: |report| millis(&report.total.first, 0.5),
+    },
+    Measure {
+        name: "first token p95, ms",
+        value: |report| millis(&report.total.first, 0.95),
+    },
+    Measure {
+        name: "first token p99, ms",
+        value: |report| millis(&report.total.first, 0.99),
+    },
+    Measure {
+        name: "gap p50, ms",
+        value: |report| millis(&report.total.gaps, 0.5),
+    },
+    Measure {
+        name: "gap p95, ms",
+        value: |report| millis(&report.total.gaps, 0.95),
+    },
+    Measure {
+        name: "gap p99, ms",
+        value: |report| millis(&report.total.gaps, 0.99),
+    },
+    Measure {
+        name: "stall time, s",
+        value: |report| Some(report.total.stall.as_secs_f64()),
+    },
+    Measure {
+        name: "goodput, tokens/s",
+        value: |report| Some(report.goodput()),
+    },
+    Measure {
+        name: "refused, %",
+        value: |report| Some(report.total.refusals() as f64 * 100.0 / report.total.sent.max(1) as f64),
+    },
+];
+
+fn millis(durations: &Durations, quantile: f64) -> Option<f64> {
+    Some(durations.quantile(quantile)?.as_secs_f64() * 1e3)
+}
+
+/// The runs of one variant, one per seed.
+#[derive(Clone, Debug)]
+pub struct Variant {
+    /// Name.
+    pub name: String,
+    /// One report per seed, in the same order of seeds for every variant.
+    pub runs: Vec<Report>,
+}
+
+/// A figure over several seeds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spread {
+    /// Smallest value.
+    pub least: f64,
+    /// Median.
+    pub median: f64,
+    /// Largest value.
+    pub most: f64,
+}
+
+impl Spread {
+    /// The spread of `values`; `None` if there are none.
+    pub fn new(mut values: Vec<f64>) -> Option<Self> {
+        values.sort_by(f64::total_cmp);
+        let middle = values.len() / 2;
+        let upper = *values.get(middle)?;
+        let median = if values.len().is_multiple_of(2) {
+            f64::midpoint(values[middle - 1], upper)
+        } else {
+            upper
+        };
+        Some(Self {
+            least: *values.first()?,
+            median,
+            most: *values.last()?,
+        })
+    }
+}
+
+/// A comparison of variants with the first one.
+#[derive(Clone, Debug, Default)]
+pub struct Experiment {
+    /// The variants; the first one is the base of the ratios.
+    pub variants: Vec<Variant>,
+}
+
+impl Experiment {
+    /// A comparison of nothing yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds the runs of a variant.
+    #[must_use]
+    pub fn with_variant(mut self, name: &str, runs: Vec<Report>) -> Self {
+        self.variants.push(Variant {
+            name: name.to_owned(),
+            runs,
+        });
+        self
+    }
+
+    /// The values of `measure` in each run of the variant at `index`.
+    pub fn values(&self, index: usize, measure: &Measure) -> Vec<f64> {
+        self.variants[index]
+            .runs
+            .iter()
+            .filter_map(measure.value)
+            .collect()
+    }
+
+    /// The ratios of the variant at `index` to the base, seed by seed; seeds with a base of zero are left out.
+    pub fn ratios(&self, index: usize, measure: &Measure) -> Vec<f64> {
+        let runs = self.variants[index].runs.iter();
+        runs.zip(&self.variants[0].runs)
+            .filter_map(|(run, base)| {
+                let base = (measure.value)(base).filter(|base| *base > 0.0)?;
+                Some((measure.value)(run)? / base)
+            })
+            .collect()
+    }
+
+    /// The comparison as a table: medians, and ratios to the base with their spread over the seeds.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        let mut line = |line: String| writeln!(text, "{line}").expect("strings take any text");
+        line(format!(
+            "{:<22} {:<16} {:>12}   ratio to {} (least..most)",
+            "measure",
+            "variant",
+            "median",
+            self.variants.first().map_or("base", |base| base.name.as_str()),
+        ));
+        for measure in &MEASURES {
+            for (index, variant) in self.variants.iter().enumerate() {
+                let median = Spread::new(self.values(index, measure));
+                let median = median.map_or_else(|| "-".to_owned(), |spread| format!("{:.2}", spread.median));
+                let ratio = Spread::new(self.ratios(index, measure)).map_or_else(
+                    || "-".to_owned(),
+                    |s| format!("{:.3} ({:.3}..{:.3})", s.median, s.least, s.most),
+                );
+                line(format!(
+                    "{:<22} {:<16} {median:>12}   {ratio}",
+                    measure.name, variant.name
+                ));
+            }
+        }
+        for variant in &self.variants {
+            let violated = variant.runs.iter().map(Report::violated).sum::<u64>();
+            line(format!("violations in {}: {violated}", variant.name));
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/carob-load/src/plot/mod.rs
@@ -0,0 +1,111 @@
+//! The report as an SVG image: latency over time and the distribution of gaps.
+//!
+//! * [`chart`]: one chart with axes, ticks, lines and a legend.
+
+pub mod chart;
+
+use chart::{Axis, Chart, Line};
+
+use crate::{
+    Report,
+    durations::Durations,
+    measure::{WINDOW, Window},
+};
+
+/// Width of the image, in pixels.
+const WIDTH: u32 = 860;
+/// Height of one chart, in pixels.
+const HEIGHT: u32 = 260;
+/// Quantiles over time, with their names and colours.
+const QUANTILES: [(&str, f64, &str); 3] = [
+    ("p50", 0.5, "#2a6f97"),
+    ("p95", 0.95, "#e09f3e"),
+    ("p99", 0.99, "#9e2a2b"),
+];
+/// Colours of several runs in one chart.
+const COLOURS: [&str; 6] = ["#2a6f97", "#9e2a2b", "#e09f3e", "#588157", "#6d597a", "#444444"];
+
+/// An image of one run: time to the first token and gaps over time, and the distribution of gaps.
+pub fn svg(report: &Report) -> String {
+    let course = |title, pick: fn(&Window) -> &Durations| Chart {
+        title,
+        x: Axis::linear("time since the start, s"),
+        y: Axis::linear("ms"),
+        lines: QUANTILES
+            .iter()
+            .map(|(name, quantile, colour)| Line {
+                name: (*name).to_owned(),
+                colour,
+                points: over_time(&report.windows, pick, *quantile),
+            })
+            .collect(),
+    };
+    let charts = [
+        course("Time to the first token", |window| &window.first),
+        course("Gap between tokens", |window| &window.gaps),
+        gaps(&[(report.name.as_str(), report)]),
+    ];
+    image(&charts)
+}
+
+/// An image of the distributions of gaps and of the time to the first token in several runs.
+pub fn compare_svg(runs: &[(&str, &Report)]) -> String {
+    let first = Chart {
+        title: "Distribution of the time to the first token",
+        x: Axis::log("time to the first token, ms"),
+        y: Axis::linear("share of answers, %"),
+        lines: distributions(runs, |report| &report.total.first),
+    };
+    image(&[first, gaps(runs)])
+}
+
+fn gaps(runs: &[(&str, &Report)]) -> Chart {
+    Chart {
+        title: "Distribution of gaps between tokens",
+        x: Axis::log("gap, ms"),
+        y: Axis::linear("share of gaps, %"),
+        lines: distributions(runs, |report| &report.total.gaps),
+    }
+}
+
+fn distributions(runs: &[(&str, &Report)], pick: fn(&Report) -> &Durations) -> Vec<Line> {
+    runs.iter()
+        .zip(COLOURS.iter().cycle())
+        .map(|((name, report), colour)| Line {
+            name: (*name).to_owned(),
+            colour,
+            points: pick(report)
+                .cumulative()
+                .into_iter()
+                .map(|(value, share)| (value.as_secs_f64() * 1e3, share * 100.0))
+                .collect(),
+        })
+        .collect()
+}
+
+fn over_time(windows: &[Window], pick: fn(&Window) -> &Durations, quantile: f64) -> Vec<(f64, f64)> {
+    let middle = |index: usize| (index as f64 + 0.5) * WINDOW.as_secs_f64();
+    windows
+        .iter()
+        .enumerate()
+        .filter_map(|(index, window)| {
+            let value = pick(window).quantile(quantile)?;
+            Some((middle(index), value.as_secs_f64() * 1e3))
+        })
+        .collect()
+}
+
+/// Charts one below the other.
+fn image(charts: &[Chart]) -> String {
+    let height = HEIGHT * charts.len() as u32;
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDTH}\" height=\"{height}\" \
+         viewBox=\"0 0 {WIDTH} {height}\" font-family=\"sans-serif\" font-size=\"12\">\n\
+         <rect width=\"100%\" height=\"100%\" fill=\"#ffffff\"/>\n"
+    );
+    for (index, chart) in charts.iter().enumerate() {
+        svg.push_str(&chart.group(HEIGHT * index as u32, WIDTH, HEIGHT));
+    }
+    svg.push_str("</svg>\n");
+    svg
+}
--- /dev/null
+++ b/crates/carob-load/src/run.rs
@@ -0,0 +1,167 @@
+//! A run: arrivals start callers, and what callers saw becomes a report.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread::{self, JoinHandle},
+};
+
+use carob_base::{Clock, Time};
+use flume::{Receiver, Sender};
+
+use crate::{
+    Report, Target,
+    arrivals::{Arrival, Arrivals},
+    caller::{Context, Record},
+    check::{self, Sent},
+    measure::Measures,
+    workload::{Kind, Workload},
+};
+
+/// Stack of a caller's thread, in bytes.
+const STACK: usize = 256 * 1024;
+
+/// A run could not be carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The system permits no further thread.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[source] io::Error),
+}
+
+/// Sends the arrivals of `workload` that belong to `seed` to `target` and waits until all have ended.
+///
+/// # Errors
+///
+/// Returns [`Error`] if the system permits no thread for the results. Arrivals for whose callers no thread can
+/// be had are counted as skipped.
+pub fn run(workload: &Workload, target: &Target, seed: u64) -> Result<Report, Error> {
+    let context = Context {
+        workload: Arc::new(workload.clone()),
+        target: Arc::new(target.clone()),
+        clock: Clock::new(),
+    };
+    log::info!("load: workload {} with seed {seed} begins", workload.name);
+    let (sender, records) = flume::unbounded();
+    let collector = Collector::new(context.clone());
+    let collector = thread::Builder::new()
+        .name("load-collect".to_owned())
+        .spawn(move || collector.run(&records))
+        .map_err(Error::Thread)?;
+    let skipped = send_all(&context, seed, sender);
+    let measures = join(collector);
+    let length = context.clock.now().since(Time::ZERO);
+    log::info!(
+        "load: workload {} with seed {seed} has ended after {length:.1?}",
+        workload.name
+    );
+    Ok(Report::new(workload, seed, length, skipped, measures))
+}
+
+fn join(collector: JoinHandle<Measures>) -> Measures {
+    collector.join().expect("the collecting thread does not panic")
+}
+
+/// Starts a caller for each arrival; returns the number of arrivals that were left out.
+fn send_all(context: &Context, seed: u64, records: Sender<Record>) -> u64 {
+    let open = Arc::new(AtomicU32::new(0));
+    let mut skipped = 0;
+    for arrival in Arrivals::new(&context.workload, seed) {
+        thread::sleep(arrival.at.since(context.clock.now()));
+        let room = open.load(Ordering::Relaxed) < context.workload.open;
+        if !room || start(context, arrival, &open, &records).is_err() {
+            skipped += 1;
+        }
+    }
+    drop(records);
+    skipped
+}
+
+fn start(
+    context: &Context,
+    arrival: Arrival,
+    open: &Arc<AtomicU32>,
+    records: &Sender<Record>,
+) -> io::Result<()> {
+    let context = context.clone();
+    let records = records.clone();
+    let count = Arc::clone(open);
+    open.fetch_add(1, Ordering::Relaxed);
+    let spawned = thread::Builder::new()
+        .name("load-caller".to_owned())
+        .stack_size(STACK)
+        .spawn(move || {
+            let record = context.run(arrival);
+            count.fetch_sub(1, Ordering::Relaxed);
+            records.send(record).expect("results are collected to the end");
+        });
+    if spawned.is_err() {
+        open.fetch_sub(1, Ordering::Relaxed);
+    }
+    spawned.map(drop)
+}
+
+/// Gathers the records of all exchanges.
+struct Collector {
+    context: Context,
+    measures: Measures,
+    /// Requests to be compared with the upstreams' record.
+    calls: Vec<(Kind, String, Vec<Sent>)>,
+}
+
+impl Collector {
+    fn new(context: Context) -> Self {
+        Self {
+            measures: Measures::new(&context.workload),
+            context,
+            calls: Vec::new(),
+        }
+    }
+
+    fn run(mut self, records: &Receiver<Record>) -> Measures {
+        for record in records {
+            log_record(&record);
+            self.measures.record(&record);
+            let kind = self.context.workload.class(record.arrival.class).kind;
+            self.calls.push((kind, record.key, record.sends));
+        }
+        self.compare();
+        self.measures
+    }
+
+    /// Compares all requests with the upstreams' record, once nothing runs any more.
+    fn compare(&mut self) {
+        for (kind, key, sends) in &self.calls {
+            let Some(runs) = self.context.target.runs(*kind, key) else {
+                continue;
+            };
+            for violation in check::runs(sends, runs, *kind == Kind::Order) {
+                log::warn!(
+                    "load: {} of {key}: {runs} runs, sends {sends:?}",
+                    violation.as_str()
+                );
+                self.measures.violate(violation);
+            }
+        }
+    }
+}
+
+fn log_record(record: &Record) {
+    log::debug!(
+        "load: exchange {} ended with {:?} after {} tokens",
+        record.arrival.number,
+        record.outcome,
+        record.tokens
+    );
+    for violation in &record.violations {
+        log::warn!(
+            "load: {} in exchange {} ({})",
+            violation.as_str(),
+            record.arrival.number,
+            record.key
+        );
+    }
+}
--- /dev/null
+++ b/crates/carob-load/src/workload/size.rs
@@ -0,0 +1,108 @@
+//! Distributions of prompt and answer lengths.
+
+use std::{fmt::Debug, str::FromStr};
+
+use rand::{Rng, RngExt as _};
+use rand_distr::{Distribution as _, LogNormal, Pareto};
+
+/// A distribution of lengths.
+///
+/// The text form is a kind with its figures: `fixed N`, `uniform LOW HIGH`, `lognormal MEDIAN SIGMA MOST` or
+/// `pareto LEAST SHAPE MOST`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Size {
+    /// Always the same length.
+    Fixed(u32),
+    /// Every length in a range alike.
+    Uniform {
+        /// Shortest length.
+        low: u32,
+        /// Longest length.
+        high: u32,
+    },
+    /// Log-normal: most lengths near the median, a few far longer.
+    LogNormal {
+        /// Median length.
+        median: u32,
+        /// Standard deviation of the length's natural logarithm.
+        sigma: f64,
+        /// Lengths beyond this one are cut to it.
+        most: u32,
+    },
+    /// Pareto: a power-law tail.
+    Pareto {
+        /// Shortest length.
+        least: u32,
+        /// Exponent of the tail; smaller is heavier.
+        shape: f64,
+        /// Lengths beyond this one are cut to it.
+        most: u32,
+    },
+}
+
+// Parsed figures are finite, so that a size always equals itself.
+impl Eq for Size {}
+
+impl Size {
+    /// Draws a length; at least 1.
+    pub fn sample(&self, rng: &mut impl Rng) -> u32 {
+        let length = match *self {
+            Self::Fixed(length) => length,
+            Self::Uniform { low, high } => rng.random_range(low..=high),
+            Self::LogNormal { median, sigma, most } => cut(
+                valid(LogNormal::new(f64::from(median).ln(), sigma)).sample(rng),
+                most,
+            ),
+            Self::Pareto { least, shape, most } => {
+                cut(valid(Pareto::new(f64::from(least), shape)).sample(rng), most)
+            }
+        };
+        length.max(1)
+    }
+}
+
+/// A distribution whose figures were checked when they were parsed.
+fn valid<D, E: Debug>(distribution: Result<D, E>) -> D {
+    distribution.expect("the figures of a size are checked")
+}
+
+fn cut(length: f64, most: u32) -> u32 {
+    length.min(f64::from(most)).round() as u32
+}
+
+impl FromStr for Size {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let words = text.split_whitespace().collect::<Vec<_>>();
+        match words[..] {
+            ["fixed", length] => Ok(Self::Fixed(whole(length)?)),
+            ["uniform", low, high] => {
+                let (low, high) = (whole(low)?, whole(high)?);
+                (low <= high).then_some(Self::Uniform { low, high }).ok_or(())
+            }
+            ["lognormal", median, sigma, most] => Ok(Self::LogNormal {
+                median: whole(median)?,
+                sigma: positive(sigma)?,
+                most: whole(most)?,
+            }),
+            ["pareto", least, shape, most] => Ok(Self::Pareto {
+                least: whole(least)?,
+                shape: positive(shape)?,
+                most: whole(most)?,
+            }),
+            _ => Err(()),
+        }
+    }
+}
+
+fn whole(text: &str) -> Result<u32, ()> {
+    text.parse().ok().filter(|number| *number > 0).ok_or(())
+}
+
+fn positive(text: &str) -> Result<f64, ()> {
+    text.parse()
+        .ok()
+        .filter(|number: &f64| number.is_finite() && *number > 0.0)
+        .ok_or(())
+}
--- /dev/null
+++ b/crates/carob-load/tests/check.rs
@@ -0,0 +1,135 @@
+//! Checks of outcomes: each must be able to fail.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use carob_load::check::{self, Refusal, Sent, Sequence, Violation};
+use carob_wire::{Code, Problem, Ran, event::Event};
+
+fn event(text: &str) -> Event {
+    Event::parse(Bytes::from(text.to_owned())).expect("the event is valid")
+}
+
+fn created(sequence: u64, id: &str) -> Event {
+    event(&format!(
+        r#"{{"type":"response.created","sequence_number":{sequence},"response":{{"id":"{id}"}}}}"#
+    ))
+}
+
+fn delta(sequence: u64, item: &str, text: &str) -> Event {
+    event(&format!(
+        r#"{{"type":"response.output_text.delta","sequence_number":{sequence},"item_id":"{item}","delta":"{text}"}}"#
+    ))
+}
+
+fn completed(sequence: u64) -> Event {
+    event(&format!(
+        r#"{{"type":"response.completed","sequence_number":{sequence},"response":{{"id":"a"}}}}"#
+    ))
+}
+
+/// What the events show, one result each.
+fn feed(events: &[Event]) -> (Sequence, Vec<Result<(), Violation>>) {
+    let mut sequence = Sequence::new();
+    let results = events.iter().map(|event| sequence.event(event)).collect();
+    (sequence, results)
+}
+
+#[test]
+fn whole_answer_has_no_violation() {
+    let (sequence, results) = feed(&[
+        created(0, "a"),
+        delta(1, "m", "one "),
+        delta(2, "m", "two"),
+        completed(3),
+    ]);
+    assert!(results.iter().all(Result::is_ok));
+    assert_eq!(sequence.compare("one two"), Ok(()));
+    assert_eq!(sequence.compare("one too"), Err(Violation::Mismatch));
+}
+
+#[test]
+fn each_fault_of_a_stream_is_seen() {
+    let start = || vec![created(0, "a"), delta(1, "m", "x")];
+    for (next, violation) in [
+        (delta(1, "m", "x"), Violation::Repeat),
+        (delta(3, "m", "x"), Violation::Gap),
+        (delta(2, "other", "x"), Violation::Spliced),
+        (created(2, "b"), Violation::Spliced),
+    ] {
+        let mut events = start();
+        events.push(next);
+        assert_eq!(feed(&events).1.last(), Some(&Err(violation)));
+    }
+    let late = [created(0, "a"), completed(1), delta(2, "m", "x")];
+    assert_eq!(feed(&late).1[2], Err(Violation::Extra));
+}
+
+fn refusal(problem: &Problem) -> Refusal {
+    Refusal {
+        status: problem.status,
+        media: Some("application/problem+json".to_owned()),
+        outcome: Some(problem.outcome.as_str().to_owned()),
+        body: Bytes::from(problem.to_json()),
+    }
+}
+
+#[test]
+fn refusals_must_be_typed_and_agree() {
+    let problem = Problem::not_run(Code::Overloaded, "full");
+    let good = refusal(&problem);
+    assert_eq!(good.problem(), Ok(problem));
+    for bad in [
+        Refusal {
+            media: Some("text/plain".to_owned()),
+            ..good.clone()
+        },
+        Refusal {
+            outcome: None,
+            ..good.clone()
+        },
+        Refusal {
+            outcome: Some("done".to_owned()),
+            ..good.clone()
+        },
+        Refusal {
+            status: 500,
+            ..good.clone()
+        },
+        Refusal {
+            body: Bytes::new(),
+            ..good
+        },
+    ] {
+        assert_eq!(bad.problem(), Err(Violation::Untyped), "{bad:?}");
+    }
+    let second = Duration::from_secs(1);
+    assert_eq!(check::refusal_time(second, second), Ok(()));
+    assert_eq!(
+        check::refusal_time(second * 2, second),
+        Err(Violation::LateRefusal)
+    );
+}
+
+#[test]
+fn runs_are_compared_with_what_was_said() {
+    let not_run = Sent::Refused(Ran::NotRun);
+    let unknown = Sent::Refused(Ran::Unknown);
+    let one = Sent::Answered(200, Bytes::from("order 1"));
+    let two = Sent::Answered(200, Bytes::from("order 2"));
+    for (sends, runs, expected) in [
+        (vec![one.clone()], 1, vec![]),
+        (vec![one.clone(), one.clone()], 1, vec![]),
+        (vec![not_run.clone(), one.clone()], 1, vec![]),
+        (vec![not_run.clone()], 0, vec![]),
+        (vec![unknown.clone()], 1, vec![]),
+        (vec![Sent::Lost], 1, vec![]),
+        (vec![one.clone()], 2, vec![Violation::RanTwice]),
+        (vec![not_run.clone(), not_run], 1, vec![Violation::RanRefused]),
+        (vec![one.clone()], 0, vec![Violation::NotRecorded]),
+        (vec![one, two], 1, vec![Violation::Differs]),
+    ] {
+        assert_eq!(check::runs(&sends, runs, true), expected, "{sends:?}");
+    }
+    assert_eq!(check::runs(&[unknown], 2, false), []);
+}
