feat: store client, tickets and the way of a configuration to every instance

Cause: the entry instance needs the store's calls, tickets and the configuration in force as pure state machines.

--- /dev/null
+++ b/crates/carob-config/src/canonical.rs
@@ -0,0 +1,127 @@
+//! The canonical text of objects: one section of INI for each, in a fixed order of keys.
+//!
+//! Digests are computed over this text and tickets are stored in it, so it must not change: a key that is added
+//! later is left out while it has its default, and binaries of different versions then agree on the digest of
+//! every configuration that they both understand.
+
+use std::{
+    fmt::{Display, Write},
+    time::Duration,
+};
+
+use crate::object::{Account, Fencing, Kind, Route, Service, Upstream};
+
+/// Writes the sections of `INI`.
+#[derive(Clone, Debug, Default)]
+pub struct Writer {
+    text: String,
+}
+
+impl Writer {
+    /// An empty text.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts the section of the object `name` of kind `kind`, such as `service`.
+    pub fn section(&mut self, kind: &str, name: impl Display) {
+        self.line(format_args!("[{kind} {name}]"));
+    }
+
+    /// Writes one key.
+    pub fn key(&mut self, key: &str, value: impl Display) {
+        self.line(format_args!("{key} = {value}"));
+    }
+
+    /// Writes a list of values; an empty list is left out.
+    pub fn list<T: Display>(&mut self, key: &str, values: &[T]) {
+        if values.is_empty() {
+            return;
+        }
+        let values: Vec<_> = values.iter().map(ToString::to_string).collect();
+        self.key(key, values.join(","));
+    }
+
+    /// Writes any line.
+    pub fn line(&mut self, line: impl Display) {
+        writeln!(self.text, "{line}").expect("strings take any text");
+    }
+
+    /// Writes a service.
+    pub fn service(&mut self, service: &Service) {
+        self.section("service", &service.name);
+        self.key("kind", kind_text(service.kind));
+        if let Some(model) = &service.model {
+            self.key("model", model);
+        }
+        self.key("stall", service.weights.stall);
+        self.key("preempt", service.weights.preempt);
+        self.key("patience", duration_text(service.patience));
+        self.key("max-tokens", service.max_tokens);
+        self.key("retry-percent", service.retry_percent);
+    }
+
+    /// Writes a client account.
+    pub fn account(&mut self, account: &Account) {
+        self.section("account", &account.name);
+        self.key("key-sha256", hex_text(&account.key_hash));
+        self.key("share", account.share);
+        self.key("max-open", account.max_open);
+        self.list("services", &account.services);
+    }
+
+    /// Writes a route.
+    pub fn route(&mut self, route: &Route) {
+        self.section("route", &route.name);
+        self.key("path", &route.path);
+        self.list("methods", &route.methods);
+        self.key("service", &route.service);
+        self.key("idempotent", if route.idempotent { "yes" } else { "no" });
+    }
+
+    /// Writes an upstream.
+    pub fn upstream(&mut self, upstream: &Upstream) {
+        self.section("upstream", &upstream.name);
+        self.key("service", &upstream.service);
+        self.key("address", upstream.address);
+        self.key("domain", &upstream.domain);
+        self.key("region", &upstream.region);
+        self.key("fencing", fencing_text(upstream.fencing));
+        self.key("memory", upstream.memory);
+        self.key("slots", upstream.slots);
+    }
+
+    /// Ends the text.
+    pub fn close(self) -> String {
+        self.text
+    }
+}
+
+/// `kind` as tickets write it.
+pub fn kind_text(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Generation => "generation",
+        Kind::Plain => "plain",
+    }
+}
+
+/// `fencing` as tickets write it.
+pub fn fencing_text(fencing: Fencing) -> &'static str {
+    match fencing {
+        Fencing::Checks => "checks",
+        Fencing::Ignores => "ignores",
+    }
+}
+
+/// `duration` in whole milliseconds, such as `250ms`.
+pub fn duration_text(duration: Duration) -> String {
+    format!("{}ms", duration.as_millis())
+}
+
+/// `bytes` in lower-case hexadecimal digits.
+pub fn hex_text(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        write!(text, "{byte:02x}").expect("strings take any text");
+        text
+    })
+}
--- a/crates/carob-config/src/snapshot.rs
+++ b/crates/carob-config/src/snapshot.rs
@@ -4,7 +4,10 @@
 
 use carob_base::Name;
 
-use crate::object::{Account, Route, Service, Upstream};
+use crate::{
+    canonical::Writer,
+    object::{Account, Route, Service, Upstream},
+};
 
 carob_base::plain! {
     /// Position of a configuration in the one order of accepted change tickets; 0 is the empty configuration.
@@ -70,9 +73,27 @@
 
     /// The digest of the content; see [`Digest`].
     pub fn digest(&self) -> Digest {
-        // `Debug` of the ordered maps is a complete and deterministic rendering of the content.
-        Digest(xxhash_rust::xxh3::xxh3_64(format!("{self:?}").as_bytes()))
+        Digest(xxhash_rust::xxh3::xxh3_64(self.to_text().as_bytes()))
     }
+
+    /// The canonical text of every object; see [`canonical`](crate::canonical).
+    pub fn to_text(&self) -> String {
+        let mut writer = Writer::new();
+        self.services.values().for_each(|service| writer.service(service));
+        self.accounts.values().for_each(|account| writer.account(account));
+        self.routes.values().for_each(|route| writer.route(route));
+        self.upstreams
+            .values()
+            .for_each(|upstream| writer.upstream(upstream));
+        writer.close()
+    }
+}
+
+/// A short id of a name, for messages in which names would take too much room.
+///
+/// Change tickets refuse an upstream whose id another one has already.
+pub fn short_id(name: &Name) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()) as u32
 }
 
 fn covers(prefix: &str, path: &str) -> bool {
--- /dev/null
+++ b/crates/carob-ticket/src/check.rs
@@ -0,0 +1,65 @@
+//! Checks that a configuration's objects fit together.
+
+use std::collections::BTreeMap;
+
+use carob_base::Name;
+use carob_config::{Config, Kind, short_id};
+
+use crate::ledger::Refusal;
+
+/// Checks the whole configuration.
+pub(crate) fn config(config: &Config) -> Result<(), Refusal> {
+    for account in config.accounts.values() {
+        for service in &account.services {
+            need_service(config, service, || format!("account {}", account.name))?;
+        }
+    }
+    for route in config.routes.values() {
+        need_service(config, &route.service, || format!("route {}", route.name))?;
+    }
+    keys(config)?;
+    upstreams(config)
+}
+
+fn need_service(config: &Config, service: &Name, owner: impl Fn() -> String) -> Result<(), Refusal> {
+    if config.services.contains_key(service) {
+        return Ok(());
+    }
+    Err(unfit(owner(), format!("service {service} does not exist")))
+}
+
+/// Two accounts with one key could not be told apart.
+fn keys(config: &Config) -> Result<(), Refusal> {
+    let mut owners = BTreeMap::new();
+    for account in config.accounts.values() {
+        if let Some(other) = owners.insert(account.key_hash, &account.name) {
+            let reason = format!("has the same key as account {other}");
+            return Err(unfit(format!("account {}", account.name), reason));
+        }
+    }
+    Ok(())
+}
+
+fn upstreams(config: &Config) -> Result<(), Refusal> {
+    let mut ids = BTreeMap::new();
+    for upstream in config.upstreams.values() {
+        let object = || format!("upstream {}", upstream.name);
+        need_service(config, &upstream.service, object)?;
+        let generates = config.services[&upstream.service].kind == Kind::Generation;
+        if generates && (upstream.memory == 0 || upstream.slots == 0) {
+            let reason = "memory and slots must be above 0 for a generation service";
+            return Err(unfit(object(), reason.to_owned()));
+        }
+        if let Some(other) = ids.insert(short_id(&upstream.name), &upstream.name) {
+            return Err(unfit(
+                object(),
+                format!("its short id is that of upstream {other}; rename one"),
+            ));
+        }
+    }
+    Ok(())
+}
+
+fn unfit(object: String, reason: String) -> Refusal {
+    Refusal::Unfit { object, reason }
+}
--- /dev/null
+++ b/crates/carob-ticket/src/field.rs
@@ -0,0 +1,134 @@
+//! Typed access to the keys of one section.
+
+use std::{str::FromStr, time::Duration};
+
+use carob_base::Name;
+use smallvec::SmallVec;
+
+use crate::ini::{Error, Pair, Section};
+
+/// The keys of one section that have not been read yet.
+pub(crate) struct Fields<'a> {
+    section: &'a Section,
+    file: &'a str,
+    rest: Vec<&'a Pair>,
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn new(section: &'a Section, file: &'a str) -> Result<Self, Error> {
+        let fields = Self {
+            section,
+            file,
+            rest: section.pairs.iter().collect(),
+        };
+        for (index, pair) in section.pairs.iter().enumerate() {
+            if section.pairs[..index].iter().any(|other| other.key == pair.key) {
+                return Err(fields.error(pair, "each key once"));
+            }
+        }
+        Ok(fields)
+    }
+
+    /// Takes the key `key`, if the section has it.
+    pub(crate) fn take(&mut self, key: &str) -> Option<&'a Pair> {
+        let index = self.rest.iter().position(|pair| pair.key == key)?;
+        Some(self.rest.remove(index))
+    }
+
+    /// Takes and converts a key that must be there.
+    pub(crate) fn need<T>(
+        &mut self,
+        key: &str,
+        expected: &str,
+        convert: impl Fn(&str) -> Option<T>,
+    ) -> Result<T, Error> {
+        let Some(pair) = self.take(key) else {
+            return Err(self
+                .section
+                .error(self.file, format!("the key {key}: {expected}")));
+        };
+        convert(&pair.value).ok_or_else(|| self.error(pair, expected))
+    }
+
+    /// Takes and converts a key; `default` if it is not there.
+    pub(crate) fn or<T>(
+        &mut self,
+        key: &str,
+        default: T,
+        expected: &str,
+        convert: impl Fn(&str) -> Option<T>,
+    ) -> Result<T, Error> {
+        match self.take(key) {
+            None => Ok(default),
+            Some(pair) => convert(&pair.value).ok_or_else(|| self.error(pair, expected)),
+        }
+    }
+
+    pub(crate) fn name(&mut self, key: &str) -> Result<Name, Error> {
+        self.need(key, NAME, |text| Name::new(text).ok())
+    }
+
+    pub(crate) fn number<T: FromStr>(&mut self, key: &str) -> Result<T, Error> {
+        self.need(key, NUMBER, |text| text.parse().ok())
+    }
+
+    pub(crate) fn number_or<T: FromStr>(&mut self, key: &str, default: T) -> Result<T, Error> {
+        self.or(key, default, NUMBER, |text| text.parse().ok())
+    }
+
+    /// Ends the reading: an unread key is an unknown one.
+    pub(crate) fn close(self) -> Result<(), Error> {
+        match self.rest.first() {
+            None => Ok(()),
+            Some(pair) => Err(self.error(pair, "no such key in this section")),
+        }
+    }
+
+    fn error(&self, pair: &Pair, expected: &str) -> Error {
+        Error {
+            file: self.file.to_owned(),
+            line: pair.line,
+            section: self.section.title.clone(),
+            key: pair.key.clone(),
+            expected: format!("{expected}, got {:?}", pair.value),
+        }
+    }
+}
+
+pub(crate) const NAME: &str = "a name of 1 to 63 of a-z, 0-9, '-', '_' and '.'";
+const NUMBER: &str = "a whole number in range";
+
+/// `10s` or `250ms`.
+pub(crate) fn duration(text: &str) -> Option<Duration> {
+    let (digits, unit): (_, fn(u64) -> Duration) = match text.strip_suffix("ms") {
+        Some(digits) => (digits, Duration::from_millis),
+        None => (text.strip_suffix('s')?, Duration::from_secs),
+    };
+    digits.parse().ok().map(unit)
+}
+
+/// Items between commas; empty text is an empty list.
+pub(crate) fn list<T, const N: usize>(
+    text: &str,
+    item: impl Fn(&str) -> Option<T>,
+) -> Option<SmallVec<[T; N]>>
+where
+    [T; N]: smallvec::Array<Item = T>,
+{
+    if text.trim().is_empty() {
+        return Some(SmallVec::new());
+    }
+    text.split(',').map(|part| item(part.trim())).collect()
+}
+
+/// 64 hexadecimal digits.
+pub(crate) fn hash(text: &str) -> Option<[u8; 32]> {
+    if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut hash = [0; 32];
+    for (index, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(hash)
+}
--- a/crates/carob-ticket/src/lib.rs
+++ b/crates/carob-ticket/src/lib.rs
@@ -1,1 +1,28 @@
-//! Change tickets: their format, their total order and their application.
+//! Change tickets: their format, their one order in the store and their way to every instance.
+//!
+//! * [`parse`]: reads a ticket from its INI text.
+//! * [`ticket`]: the typed ticket and its canonical text.
+//! * [`ledger`]: the configuration with what is needed to answer tickets; applies one ticket after the other.
+//! * [`head`]: the values in which the store and peers hold the order: a short tail of tickets, and a snapshot.
+//! * [`submit`]: brings one ticket into the order.
+//! * [`follow`]: keeps an instance's configuration up to date.
+//!
+//! `submit` and `follow` are pure state machines: they emit [`carob_store::Call`]s and take in the replies.
+
+pub mod follow;
+pub mod head;
+pub mod ledger;
+pub mod parse;
+pub mod submit;
+pub mod ticket;
+
+mod check;
+mod field;
+mod ini;
+mod object;
+
+pub use follow::Follow;
+pub use ini::Error;
+pub use ledger::{Accepted, Ledger, Refusal};
+pub use submit::Submit;
+pub use ticket::{Change, Object, Ticket};
--- /dev/null
+++ b/crates/carob-ticket/src/parse.rs
@@ -0,0 +1,70 @@
+//! Reads a ticket from its INI text.
+
+use crate::{
+    field::Fields,
+    ini::{self, Error, Section},
+    object,
+    ticket::{Change, Ticket},
+};
+
+/// Longest text of a ticket, in bytes; the store holds values up to a megabyte.
+pub const TEXT_LIMIT: usize = 256 * 1024;
+
+/// Reads the ticket in `text`; errors name `file`.
+///
+/// # Errors
+///
+/// Returns the first [`Error`] with its line, section and key, and what was expected there.
+pub fn ticket(text: &str, file: &str) -> Result<Ticket, Error> {
+    let mut sections = ini::sections(text, file)?.into_iter();
+    let missing = |line| Error {
+        file: file.to_owned(),
+        line,
+        section: String::new(),
+        key: String::new(),
+        expected: "a [ticket] section with the number first".to_owned(),
+    };
+    if text.len() > TEXT_LIMIT {
+        let expected = format!("at most {TEXT_LIMIT} bytes in one ticket");
+        return Err(Error {
+            expected,
+            ..missing(1)
+        });
+    }
+    let Some(first) = sections.next() else {
+        return Err(missing(1));
+    };
+    if first.title != "ticket" {
+        return Err(missing(first.line));
+    }
+    let number = number(&first, file)?;
+    let changes = changes(sections.as_slice(), file)?;
+    if changes.is_empty() {
+        return Err(first.error(file, "at least one object after this section"));
+    }
+    Ok(Ticket { number, changes })
+}
+
+fn number(section: &Section, file: &str) -> Result<u64, Error> {
+    let mut fields = Fields::new(section, file)?;
+    let number = fields.need("number", "the ticket's number, from 1", |text| {
+        text.parse().ok().filter(|number| *number > 0)
+    })?;
+    fields.close()?;
+    Ok(number)
+}
+
+/// Reads the objects of `sections` and orders them; each may occur once.
+pub(crate) fn changes(sections: &[Section], file: &str) -> Result<Vec<Change>, Error> {
+    let mut changes = Vec::with_capacity(sections.len());
+    let mut seen = std::collections::HashSet::new();
+    for section in sections {
+        let change = object::change(section, file)?;
+        if !seen.insert(change.object()) {
+            return Err(section.error(file, "each object once"));
+        }
+        changes.push(change);
+    }
+    changes.sort_by_cached_key(Change::object);
+    Ok(changes)
+}
--- /dev/null
+++ b/crates/carob-ticket/src/ticket.rs
@@ -0,0 +1,120 @@
+//! The typed ticket and its canonical text.
+
+use std::fmt;
+
+use carob_base::Name;
+use carob_config::{Account, Route, Service, Upstream, canonical::Writer};
+
+carob_base::plain! {
+    /// Kind of a configured object, in the order in which tickets list them.
+    pub enum Kind {
+        /// A service.
+        Service,
+        /// A client account.
+        Account,
+        /// A route.
+        Route,
+        /// An upstream.
+        Upstream,
+    }
+}
+
+/// A configured object: its kind and its name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Object(pub Kind, pub Name);
+
+carob_base::value! {
+    /// The whole new state of one object; `None` removes it.
+    pub enum Change {
+        /// A service.
+        Service(Name, Option<Service>),
+        /// A client account.
+        Account(Name, Option<Account>),
+        /// A route.
+        Route(Name, Option<Route>),
+        /// An upstream.
+        Upstream(Name, Option<Upstream>),
+    }
+
+    /// A numbered change ticket.
+    pub struct Ticket {
+        /// The operators' number, from 1.
+        pub number: u64,
+        /// The changes, ordered by object, each object once.
+        pub changes: Vec<Change>,
+    }
+}
+
+impl Ticket {
+    /// The canonical text: the same for equal tickets, whatever their files looked like.
+    pub fn to_text(&self) -> String {
+        let mut writer = Writer::new();
+        writer.line("[ticket]");
+        writer.key("number", self.number);
+        self.changes.iter().for_each(|change| change.write(&mut writer));
+        writer.close()
+    }
+
+    /// Digest of the canonical text.
+    pub fn digest(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(self.to_text().as_bytes())
+    }
+}
+
+impl Change {
+    /// The object that changes.
+    pub fn object(&self) -> Object {
+        match self {
+            Self::Service(name, _) => Object(Kind::Service, name.clone()),
+            Self::Account(name, _) => Object(Kind::Account, name.clone()),
+            Self::Route(name, _) => Object(Kind::Route, name.clone()),
+            Self::Upstream(name, _) => Object(Kind::Upstream, name.clone()),
+        }
+    }
+
+    /// Whether the object is removed.
+    pub fn removes(&self) -> bool {
+        matches!(
+            self,
+            Self::Service(_, None) | Self::Account(_, None) | Self::Route(_, None) | Self::Upstream(_, None)
+        )
+    }
+
+    pub(crate) fn write(&self, writer: &mut Writer) {
+        match self {
+            Self::Service(_, Some(service)) => writer.service(service),
+            Self::Account(_, Some(account)) => writer.account(account),
+            Self::Route(_, Some(route)) => writer.route(route),
+            Self::Upstream(_, Some(upstream)) => writer.upstream(upstream),
+            _ => {
+                let Object(kind, name) = self.object();
+                writer.section(kind.as_str(), name);
+                writer.key("state", "absent");
+            }
+        }
+    }
+}
+
+impl Kind {
+    /// The word that starts the sections of this kind.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Service => "service",
+            Self::Account => "account",
+            Self::Route => "route",
+            Self::Upstream => "upstream",
+        }
+    }
+
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        [Self::Service, Self::Account, Self::Route, Self::Upstream]
+            .into_iter()
+            .find(|kind| kind.as_str() == text)
+    }
+}
+
+impl fmt::Display for Object {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.0.as_str(), self.1)
+    }
+}
