feat: stand-ins for the store, the instance list, an engine and an ordering service

Change: four servers on tiny_http that can be told to fail (outage, lost replies, cut, stalled and shuffled streams, death and restart) and that record what ran; the client says that it closes its connection, so that servers close their side at once.

--- a/crates/carob-http/src/client/request.rs
+++ b/crates/carob-http/src/client/request.rs
@@ -101,6 +101,8 @@
             .method(self.method.as_str())
             .uri(self.path.as_str())
             .header(hyper::header::HOST, self.address.to_string())
+            // The connection is not used again, and the other end need not wait for more.
+            .header(hyper::header::CONNECTION, "close")
             .body(http_body_util::Full::new(self.body.clone()))?;
         self.headers.add_to(request.headers_mut());
         Ok(request)
--- /dev/null
+++ b/crates/carob-standin/tests/engine.rs
@@ -0,0 +1,261 @@
+//! The engine's protocol, batching and faults, over sockets.
+
+use std::time::Duration;
+
+use carob_http::client::{self, Chunk, Request};
+use carob_standin::engine::{Engine, Fault, Options, Status};
+use carob_wire::{
+    event::{Event, Kind},
+    header,
+    load::Report,
+    sse::Decoder,
+};
+use serde_json::{Value, json};
+
+/// Long enough for any step on a busy machine.
+const LONG: Duration = Duration::from_secs(20);
+
+fn engine(change: impl FnOnce(&mut Options)) -> Engine {
+    let mut options = Options {
+        pace: Duration::from_millis(1),
+        ..Options::default()
+    };
+    change(&mut options);
+    Engine::start(options).expect("loopback is free")
+}
+
+fn body(prompt: &str, tokens: u32) -> String {
+    json!({ "input": prompt, "stream": true, "metadata": { "tokens": tokens.to_string() } }).to_string()
+}
+
+fn post(engine: &Engine, body: &str) -> client::Stream {
+    let request = Request::post(engine.address(), "/v1/responses", body.to_owned()).with_deadline(LONG);
+    client::open(&request).expect("the engine answers")
+}
+
+/// Reads events until the stream ends, and says whether it ended cleanly.
+fn read(stream: &client::Stream) -> (Vec<Event>, bool) {
+    let mut decoder = Decoder::new(1 << 20);
+    let mut events = Vec::new();
+    loop {
+        match stream.next(LONG) {
+            Chunk::Data(data) => decoder.feed(&data),
+            Chunk::End => return (events, true),
+            Chunk::Broken(_) => return (events, false),
+            Chunk::Silent => panic!("the engine has fallen silent"),
+        }
+        while let Some(data) = decoder.next_data().expect("events are small") {
+            events.push(Event::parse(data).expect("the engine sends events"));
+        }
+    }
+}
+
+fn text(events: &[Event]) -> String {
+    let deltas = events.iter().filter(|event| event.kind() == Kind::Delta);
+    let parse = |event: &Event| serde_json::from_slice::<Value>(&event.data).expect("JSON");
+    deltas
+        .map(|event| parse(event)["delta"].as_str().expect("text").to_owned())
+        .collect()
+}
+
+fn sequences(events: &[Event]) -> Vec<u64> {
+    events.iter().map(|event| event.head.sequence).collect()
+}
+
+#[test]
+fn stream_is_the_expected_answer() {
+    let engine = engine(|_| {});
+    let body = body("a quote", 10);
+    let (events, clean) = read(&post(&engine, &body));
+    assert!(clean);
+    assert_eq!(sequences(&events), (0..14).collect::<Vec<_>>());
+    assert_eq!(text(&events), engine.expected_answer(body.as_bytes()));
+    assert_eq!(events[0].kind(), Kind::Created);
+    let last = &events[13];
+    assert_eq!((last.kind(), last.head.tokens), (Kind::Completed, Some(10)));
+    engine.close();
+}
+
+#[test]
+fn limit_of_the_request_cuts_the_answer() {
+    let engine = engine(|_| {});
+    let body =
+        json!({ "input": "x", "stream": true, "max_output_tokens": 3, "metadata": { "tokens": "10" } });
+    let (events, clean) = read(&post(&engine, &body.to_string()));
+    assert!(clean);
+    let last = events.last().expect("events");
+    assert_eq!((last.kind(), last.head.tokens), (Kind::Incomplete, Some(3)));
+    engine.close();
+}
+
+#[test]
+fn cut_stream_is_resumed_where_it_broke() {
+    let engine = engine(|_| {});
+    let body = body("a quote", 20);
+    engine.inject(Fault::Cut(5));
+    let stream = post(&engine, &body);
+    assert_eq!(
+        stream.headers.get(header::INCARNATION),
+        Some(engine.incarnation().to_string().as_str())
+    );
+    let (mut events, clean) = read(&stream);
+    assert!(!clean);
+    assert_eq!(sequences(&events), [0, 1, 2, 3, 4]);
+    let id = events[0].head.answer.clone().expect("the first event has the id");
+    let path = format!("/v1/responses/{id}?stream=true&starting_after=4");
+    let rest = client::open(&Request::get(engine.address(), &path)).expect("the engine answers");
+    let (rest, clean) = read(&rest);
+    assert!(clean);
+    events.extend(rest);
+    assert_eq!(sequences(&events), (0..24).collect::<Vec<_>>());
+    assert_eq!(text(&events), engine.expected_answer(body.as_bytes()));
+    engine.close();
+}
+
+#[test]
+fn faults_change_the_order_of_events() {
+    let engine = engine(|_| {});
+    let cases = [
+        (Fault::Repeat(1), vec![0, 1, 1, 2, 3, 4, 5]),
+        (Fault::Skip(1), vec![0, 2, 3, 4, 5]),
+        (Fault::Swap(1), vec![0, 2, 1, 3, 4, 5]),
+    ];
+    for (fault, expected) in cases {
+        engine.inject(fault);
+        let (events, clean) = read(&post(&engine, &body("x", 2)));
+        assert_eq!((sequences(&events), clean), (expected, true), "{fault:?}");
+    }
+    engine.close();
+}
+
+#[test]
+fn stalled_stream_is_silent_while_the_answer_goes_on() {
+    let engine = engine(|_| {});
+    engine.inject(Fault::Stall(2));
+    let stream = post(&engine, &body("x", 5));
+    while engine.records()[0].status != Status::Completed {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let mut received = Vec::new();
+    while let Chunk::Data(data) = stream.next(Duration::from_millis(50)) {
+        received.extend_from_slice(&data);
+    }
+    assert!(!String::from_utf8_lossy(&received).contains("delta"));
+    stream.close();
+    engine.close();
+}
+
+#[test]
+fn cancel_frees_the_engine() {
+    let engine = engine(|_| {});
+    let stream = post(&engine, &body("x", 1_000_000));
+    let Chunk::Data(first) = stream.next(LONG) else {
+        panic!("the stream begins");
+    };
+    let mut decoder = Decoder::new(1 << 20);
+    decoder.feed(&first);
+    let event = Event::parse(decoder.next_data().expect("small").expect("whole")).expect("valid");
+    let id = event.head.answer.expect("the first event has the id");
+    let cancel = Request::post(engine.address(), &format!("/v1/responses/{id}/cancel"), "");
+    assert_eq!(client::call(&cancel).map(|response| response.status), Ok(200));
+    assert_eq!(engine.open_count(), 0);
+    assert_eq!(engine.records()[0].status, Status::Cancelled);
+    let unknown = Request::post(engine.address(), "/v1/responses/resp_0/cancel", "");
+    assert_eq!(client::call(&unknown).map(|response| response.status), Ok(404));
+    engine.close();
+}
+
+#[test]
+fn death_cuts_streams_and_a_restart_is_another_incarnation() {
+    let engine = engine(|_| {});
+    let first = engine.incarnation();
+    let stream = post(&engine, &body("x", 1_000_000));
+    engine.die();
+    assert!(!read(&stream).1);
+    let refused = client::call(&Request::get(engine.address(), "/metrics"));
+    assert!(matches!(refused, Err(client::Error::NotSent(_))), "{refused:?}");
+    engine.restart().expect("the port is free");
+    assert!(engine.incarnation() > first);
+    let (events, clean) = read(&post(&engine, &body("x", 3)));
+    assert!(clean);
+    assert_eq!(text(&events), engine.expected_answer(body("x", 3).as_bytes()));
+    assert_eq!(engine.records().len(), 2);
+    engine.close();
+}
+
+#[test]
+fn poison_kills() {
+    let engine = engine(|options| options.poison = Some("arsenic".to_owned()));
+    let stream = post(&engine, &body("a pinch of arsenic", 5));
+    assert!(!read(&stream).1);
+    assert_eq!(engine.incarnation(), 0);
+    engine.close();
+}
+
+#[test]
+fn full_memory_preempts_the_latest_and_still_completes_all() {
+    let engine = engine(|options| options.memory = 60);
+    let bodies = [body("a", 40), body("b", 40)];
+    let streams: Vec<_> = bodies.iter().map(|body| post(&engine, body)).collect();
+    for (stream, body) in streams.iter().zip(&bodies) {
+        let (events, clean) = read(stream);
+        assert!(clean);
+        assert_eq!(text(&events), engine.expected_answer(body.as_bytes()));
+    }
+    let preempted: Vec<u32> = engine.records().iter().map(|record| record.preempted).collect();
+    assert_eq!(preempted[0], 0);
+    assert!(preempted[1] > 0);
+    engine.close();
+}
+
+#[test]
+fn report_shows_leaving() {
+    let engine = engine(|options| options.report_lag = Duration::ZERO);
+    engine.announce_leaving();
+    let report = || {
+        let response = client::call(&Request::get(engine.address(), "/metrics")).expect("the engine answers");
+        Report::parse(std::str::from_utf8(&response.body).unwrap_or_default()).ok()
+    };
+    while report().is_none_or(|report| !report.leaving) {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(report().map(|report| report.memory), Some(16 * 1024));
+    engine.close();
+}
+
+#[test]
+fn old_fencing_number_is_refused_where_it_is_checked() {
+    for (fencing, status) in [(true, 409), (false, 200)] {
+        let engine = engine(|options| options.fencing = fencing);
+        let order = |number: &str| {
+            let body = json!({ "order": "load", "model": "quotes" }).to_string();
+            let request =
+                Request::post(engine.address(), "/orders", body).with_header(header::FENCING, number);
+            client::call(&request).map(|response| response.status)
+        };
+        assert_eq!(order("7"), Ok(200));
+        assert_eq!(order("6"), Ok(status));
+        assert_eq!(engine.orders().len(), if fencing { 1 } else { 2 });
+        engine.close();
+    }
+}
+
+#[test]
+fn cache_events_have_gaps() {
+    let engine = engine(|options| {
+        options.cache_lag = Duration::ZERO;
+        options.cache_gap = 2;
+    });
+    read(&post(&engine, &body(&"x".repeat(256), 1)));
+    let response =
+        client::call(&Request::get(engine.address(), "/cache/events?after=0")).expect("the engine answers");
+    let events: Value = serde_json::from_slice(&response.body).expect("JSON");
+    let numbers: Vec<u64> = events["events"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter_map(|event| event["sequence"].as_u64())
+        .collect();
+    assert_eq!((numbers, events["last"].as_u64()), (vec![1, 3], Some(4)));
+    engine.close();
+}
