feat: orders to engines under a lease and a fencing number

Cause: engines must be told what to load, by one instance at a time, also when holders pause and replies are lost.

--- /dev/null
+++ b/crates/carob-order/src/orders.rs
@@ -0,0 +1,192 @@
+//! The orders that one instance gives.
+
+use std::collections::{BTreeMap, HashMap};
+
+use bytes::Bytes;
+use carob_base::{Name, Time};
+use carob_store::{Call, Failure, Reply};
+
+use crate::{
+    Fence, Observed, Options, Order, Outcome, Target,
+    lease::Holder,
+    target::{Context, Progress, Request},
+};
+
+carob_base::plain! {
+    /// Number of a store call, by which its result is fed back.
+    pub struct CallId(pub u64);
+}
+
+carob_base::value! {
+    /// An order to send now.
+    pub struct Send {
+        /// The upstream.
+        pub upstream: Name,
+        /// Fencing number to send along.
+        pub fence: Fence,
+        /// The order.
+        pub order: Order,
+    }
+
+    /// What the driver has to do.
+    #[derive(Default)]
+    pub struct Step {
+        /// Store calls to make. Every call must be followed by [`Orders::on_reply`].
+        pub calls: Vec<(CallId, Call)>,
+        /// Orders to send. Ask [`Orders::may_send`] just before the first byte of each, take no longer than
+        /// [`Options::send_limit`], and report with [`Orders::on_outcome`].
+        pub sends: Vec<Send>,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Purpose {
+    Lease,
+    Upstream(Name),
+}
+
+/// The orders that one instance gives while it holds the lease.
+#[derive(Debug)]
+pub struct Orders {
+    options: Options,
+    holder: Holder,
+    upstreams: BTreeMap<Name, Progress>,
+    calls: HashMap<CallId, Purpose>,
+    next_call: u64,
+}
+
+impl Orders {
+    /// An instance that gives no orders yet.
+    pub fn new(options: Options, instance: &Name) -> Self {
+        Self {
+            options,
+            holder: Holder::new(Bytes::from(instance.to_string())),
+            upstreams: BTreeMap::new(),
+            calls: HashMap::new(),
+            next_call: 0,
+        }
+    }
+
+    /// Takes in what upstreams should have loaded, such as after a new configuration.
+    pub fn set_targets(&mut self, targets: Vec<Target>) {
+        let mut old = std::mem::take(&mut self.upstreams);
+        for target in targets {
+            let name = target.upstream.clone();
+            let progress = match old.remove(&name) {
+                Some(mut progress) => {
+                    progress.target = target;
+                    progress
+                }
+                None => Progress::new(target),
+            };
+            self.upstreams.insert(name, progress);
+        }
+    }
+
+    /// Takes in what an upstream reports about itself.
+    pub fn observe(&mut self, observed: Observed, now: Time) {
+        if let Some(progress) = self.upstreams.get_mut(&observed.upstream) {
+            progress.observe(observed.model, now);
+        }
+    }
+
+    /// Everything that has to be done now; `wall` is milliseconds since 1970. Call it at least every
+    /// [`Options::retry`].
+    pub fn poll(&mut self, now: Time, wall: u64) -> Step {
+        let mut step = Step::default();
+        if let Some(call) = self.holder.poll(&self.options, now) {
+            let id = self.next_call_id(Purpose::Lease);
+            step.calls.push((id, call));
+        }
+        let Some(fence) = self.holder.fence(std::time::Duration::ZERO, now) else {
+            return step;
+        };
+        let cx = self.context(fence, now, wall);
+        let mut upstreams = std::mem::take(&mut self.upstreams);
+        for (name, progress) in &mut upstreams {
+            match progress.poll(&cx) {
+                None => {}
+                Some(Request::Store(call)) => {
+                    let id = self.next_call_id(Purpose::Upstream(name.clone()));
+                    step.calls.push((id, call));
+                }
+                Some(Request::Send(order)) => step.sends.push(new_send(name, fence, order)),
+            }
+        }
+        self.upstreams = upstreams;
+        step
+    }
+
+    /// Whether an order under `fence` may be sent now: the lease must outlast the sending by a margin.
+    pub fn may_send(&self, fence: Fence, now: Time) -> bool {
+        let left = self.options.send_limit + self.options.margin;
+        self.holder.fence(left, now) == Some(fence)
+    }
+
+    /// Takes in the result of a store call.
+    pub fn on_reply(&mut self, call: CallId, result: Result<Reply, Failure>, now: Time, wall: u64) {
+        match self.calls.remove(&call) {
+            None => {}
+            Some(Purpose::Lease) => self.holder.on_reply(result, &self.options, now),
+            Some(Purpose::Upstream(name)) => {
+                let fence = self
+                    .holder
+                    .fence(std::time::Duration::ZERO, now)
+                    .unwrap_or(Fence(0));
+                let cx = self.context(fence, now, wall);
+                if let Some(progress) = self.upstreams.get_mut(&name) {
+                    progress.on_store(result, &cx);
+                }
+            }
+        }
+    }
+
+    /// Takes in the result of sending an order; [`Outcome::NotSent`] if [`may_send`](Self::may_send) said no.
+    pub fn on_outcome(&mut self, send: &Send, outcome: Outcome, now: Time, wall: u64) {
+        log::info!(
+            "order: {} for {} under fencing number {}: {outcome:?}",
+            send.order.describe(),
+            send.upstream,
+            send.fence.0
+        );
+        let cx = self.context(send.fence, now, wall);
+        if let Some(progress) = self.upstreams.get_mut(&send.upstream) {
+            progress.on_outcome(outcome, &cx);
+        }
+    }
+
+    /// The fencing number, while this instance holds the lease.
+    pub fn fence(&self, now: Time) -> Option<Fence> {
+        self.holder.fence(std::time::Duration::ZERO, now)
+    }
+
+    fn context(&self, fence: Fence, now: Time, wall: u64) -> Context {
+        Context {
+            options: self.options,
+            fence,
+            may_send: self.may_send(fence, now),
+            now,
+            wall,
+        }
+    }
+
+    fn next_call_id(&mut self, purpose: Purpose) -> CallId {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.calls.insert(id, purpose);
+        id
+    }
+}
+
+fn new_send(upstream: &Name, fence: Fence, order: Order) -> Send {
+    log::info!(
+        "order: giving {} to {upstream} under fencing number {}",
+        order.describe(),
+        fence.0
+    );
+    Send {
+        upstream: upstream.clone(),
+        fence,
+        order,
+    }
+}
