feat: example workloads, and answers compared with the upstreams' own record

An answer may run on any engine and, before its first token, more than once, so the expected text cannot be known when the request is sent. The upstreams' record is now read once at the end of a run: a whole answer must be one of the texts generated for its request, and sends must agree with the number of runs. Prompts of one account and class share their beginning, so that prefix caches have something to find. Two example workloads with phases, a rush and a burst are part of the crate.

--- a/crates/carob-load/src/body.rs
+++ b/crates/carob-load/src/body.rs
@@ -1,14 +1,19 @@
 //! Request bodies as the stand-ins take them.
+//!
+//! A prompt begins with text that all requests of its group share, so that prefix caches have something to find,
+//! followed by the request's tag. The answer's length stands in the metadata, where only a stand-in engine reads
+//! it.
 
 use bytes::Bytes;
+use carob_wire::create::BYTES_PER_TOKEN;
 use serde_json::json;
 
 use crate::{Ask, workload::Kind};
 
-/// Bytes of text per token of a prompt.
-const BYTES_PER_TOKEN: usize = carob_wire::create::BYTES_PER_TOKEN;
 /// Text that prompts are filled up with.
 const FILLER: &str = "beeswax taper ";
+/// What stands before and after the tag within a prompt.
+const MARK: char = '#';
 
 /// The body of a request to the stand-ins.
 pub fn standin(ask: &Ask) -> Bytes {
@@ -18,9 +23,21 @@
     }
 }
 
+/// The [tag](Ask::tag) of the request that has this prompt.
+pub fn tag_of(prompt: &str) -> Option<&str> {
+    prompt.split(MARK).nth(1)
+}
+
 fn generation(ask: &Ask) -> Bytes {
-    let input = fill(&ask.tag, ask.prompt as usize * BYTES_PER_TOKEN);
-    let mut body = json!({ "input": input, "stream": true, "max_output_tokens": ask.output });
+    let length = ask.prompt as usize * BYTES_PER_TOKEN;
+    let shared = fill(format!("{} ", ask.group), length / 2);
+    let input = fill(format!("{shared}{MARK}{}{MARK} ", ask.tag), length);
+    let mut body = json!({
+        "input": input,
+        "stream": true,
+        "prompt_cache_key": ask.group,
+        "metadata": { "tokens": ask.output.to_string() },
+    });
     if let Some(model) = &ask.model {
         body["model"] = json!(model);
     }
@@ -28,16 +45,14 @@
 }
 
 fn plain(ask: &Ask) -> Bytes {
-    let text = fill(&ask.tag, ask.prompt as usize);
+    let text = fill(format!("{} ", ask.tag), ask.prompt as usize);
     Bytes::from(json!({ "order": text }).to_string())
 }
 
-/// `start` with filler up to `length` bytes.
-fn fill(start: &str, length: usize) -> String {
-    let mut text = format!("{start} ");
-    while text.len() < length {
+/// `text` with filler up to about `length` bytes.
+fn fill(mut text: String, length: usize) -> String {
+    while text.len() + FILLER.len() <= length {
         text.push_str(FILLER);
     }
-    text.truncate(length.max(start.len()));
     text
 }
--- a/crates/carob-load/src/caller/exchange.rs
+++ b/crates/carob-load/src/caller/exchange.rs
@@ -174,11 +174,8 @@
         self.end(Outcome::Expired)
     }
 
-    /// The record of the exchange, compared with the text that the engine generated, if it is known.
-    pub fn close(mut self, key: String, expected: Option<&str>, now: Time) -> Record {
-        if let Some(Err(violation)) = expected.map(|text| self.sequence.compare(text)) {
-            self.violations.push(violation);
-        }
+    /// The record of the exchange, whose request is marked with `key` in the upstreams' record.
+    pub fn close(self, key: String, now: Time) -> Record {
         let outcome = self.outcome.unwrap_or(Outcome::Broken);
         let sent = match &outcome {
             Outcome::Refused(problem) => Sent::Refused(problem.outcome),
@@ -189,6 +186,7 @@
             arrival: self.arrival,
             key,
             sends: vec![sent],
+            text: (outcome == Outcome::Whole).then(|| self.sequence.into_text()),
             sent: self.sent,
             first: self.first,
             gaps: self.gaps,
--- a/crates/carob-load/src/caller/generation.rs
+++ b/crates/carob-load/src/caller/generation.rs
@@ -23,9 +23,8 @@
 /// Runs the exchange of `arrival` to its end.
 pub fn run(context: &Context, arrival: Arrival) -> Record {
     let class = context.class(&arrival);
-    let ask = Ask::new(&arrival, class);
+    let ask = Ask::new(&arrival, &context.workload);
     let body = context.target.body(&ask);
-    let expected = context.target.expected(&ask, &body);
     let now = context.clock.now();
     let driver = Driver {
         context,
@@ -38,7 +37,7 @@
         match driver.connection(&mut exchange, &request) {
             Step::Reconnect(pause) => thread::sleep(pause),
             Step::Read | Step::Pause(_) => {}
-            Step::End => return exchange.close(ask.tag, expected.as_deref(), context.clock.now()),
+            Step::End => return exchange.close(ask.tag, context.clock.now()),
         }
     }
 }
--- a/crates/carob-load/src/caller/mod.rs
+++ b/crates/carob-load/src/caller/mod.rs
@@ -50,6 +50,8 @@
         pub key: String,
         /// How each send of the request ended.
         pub sends: Vec<Sent>,
+        /// Text of a whole answer.
+        pub text: Option<String>,
         /// When the request was first sent.
         pub sent: Time,
         /// When the first token came.
--- a/crates/carob-load/src/caller/plain.rs
+++ b/crates/carob-load/src/caller/plain.rs
@@ -29,7 +29,7 @@
 /// Runs the exchange of `arrival` to its end.
 pub fn run(context: &Context, arrival: Arrival) -> Record {
     let class = context.class(&arrival);
-    let ask = Ask::new(&arrival, class);
+    let ask = Ask::new(&arrival, &context.workload);
     let call = Call {
         context,
         arrival: &arrival,
@@ -192,6 +192,7 @@
         arrival,
         key,
         sends: all().map(|reply| reply.send.clone()).collect(),
+        text: None,
         sent,
         first: None,
         gaps: Vec::new(),
--- a/crates/carob-load/src/check.rs
+++ b/crates/carob-load/src/check.rs
@@ -119,9 +119,9 @@
         self.last
     }
 
-    /// The answer's text so far.
-    pub fn text(&self) -> &str {
-        &self.text
+    /// The text so far.
+    pub fn into_text(self) -> String {
+        self.text
     }
 
     /// Takes in the next event.
@@ -154,18 +154,6 @@
         }
         Ok(())
     }
-
-    /// Compares a whole answer with the text that the engine generated.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Violation::Mismatch`] if they differ.
-    pub fn compare(&self, expected: &str) -> Result<(), Violation> {
-        if self.last != Some(Kind::Completed) || self.text == expected {
-            return Ok(());
-        }
-        Err(Violation::Mismatch)
-    }
 }
 
 /// Whether `found` is another id than the one known; the first one is kept.
@@ -267,3 +255,15 @@
     }
     found
 }
+
+/// Compares a whole answer with the texts that the upstreams generated for its request.
+///
+/// # Errors
+///
+/// Returns [`Violation::Mismatch`] if it is none of them.
+pub fn answer(text: &str, generated: &[String]) -> Result<(), Violation> {
+    if generated.iter().any(|run| run == text) {
+        return Ok(());
+    }
+    Err(Violation::Mismatch)
+}
--- a/crates/carob-load/src/run.rs
+++ b/crates/carob-load/src/run.rs
@@ -16,8 +16,9 @@
     Report, Target,
     arrivals::{Arrival, Arrivals},
     caller::{Context, Record},
-    check::{self, Sent},
+    check::{self, Sent, Violation},
     measure::Measures,
+    target::Recorded,
     workload::{Kind, Workload},
 };
 
@@ -104,12 +105,19 @@
     spawned.map(drop)
 }
 
+/// What a request's callers saw, to be compared with the upstreams' record.
+struct Seen {
+    kind: Kind,
+    key: String,
+    sends: Vec<Sent>,
+    text: Option<String>,
+}
+
 /// Gathers the records of all exchanges.
 struct Collector {
     context: Context,
     measures: Measures,
-    /// Requests to be compared with the upstreams' record.
-    calls: Vec<(Kind, String, Vec<Sent>)>,
+    seen: Vec<Seen>,
 }
 
 impl Collector {
@@ -117,7 +125,7 @@
         Self {
             measures: Measures::new(&context.workload),
             context,
-            calls: Vec::new(),
+            seen: Vec::new(),
         }
     }
 
@@ -125,27 +133,45 @@
         for record in records {
             log_record(&record);
             self.measures.record(&record);
-            let kind = self.context.workload.class(record.arrival.class).kind;
-            self.calls.push((kind, record.key, record.sends));
+            self.seen.push(Seen {
+                kind: self.context.workload.class(record.arrival.class).kind,
+                key: record.key,
+                sends: record.sends,
+                text: record.text,
+            });
         }
-        self.compare();
-        self.measures
-    }
-
-    /// Compares all requests with the upstreams' record, once nothing runs any more.
-    fn compare(&mut self) {
-        for (kind, key, sends) in &self.calls {
-            let Some(runs) = self.context.target.runs(*kind, key) else {
-                continue;
-            };
-            for violation in check::runs(sends, runs, *kind == Kind::Order) {
+        // Only now does nothing run any more.
+        let recorded = self.context.target.recorded();
+        for seen in &self.seen {
+            for violation in compare(seen, &recorded) {
                 log::warn!(
-                    "load: {} of {key}: {runs} runs, sends {sends:?}",
-                    violation.as_str()
+                    "load: {} of {}, sends {:?}",
+                    violation.as_str(),
+                    seen.key,
+                    seen.sends
                 );
                 self.measures.violate(violation);
             }
         }
+        self.measures
+    }
+}
+
+/// What the upstreams' record shows about one request.
+fn compare(seen: &Seen, recorded: &Recorded) -> Vec<Violation> {
+    match (seen.kind, &recorded.generations, &recorded.orders) {
+        (Kind::Generation, Some(generations), _) => {
+            let texts = generations.get(&seen.key).map_or(&[][..], Vec::as_slice);
+            let mut found = check::runs(&seen.sends, texts.len(), false);
+            let answer = seen.text.as_ref().map(|text| check::answer(text, texts));
+            found.extend(answer.and_then(Result::err));
+            found
+        }
+        (Kind::Order, _, Some(orders)) => {
+            let runs = orders.get(&seen.key).copied().unwrap_or(0);
+            check::runs(&seen.sends, runs, true)
+        }
+        _ => Vec::new(),
     }
 }
 
--- a/crates/carob-load/src/target.rs
+++ b/crates/carob-load/src/target.rs
@@ -1,12 +1,12 @@
 //! Where callers send their requests, and what is known about the upstreams behind.
 
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{collections::HashMap, fmt, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 
 use crate::{
     arrivals::Arrival,
-    workload::{Class, Kind},
+    workload::{Kind, Workload},
 };
 
 carob_base::value! {
@@ -14,6 +14,8 @@
     pub struct Ask {
         /// Text that marks the request, unique within a run.
         pub tag: String,
+        /// Text that marks requests of one account and class, whose prompts share their beginning.
+        pub group: String,
         /// Kind of the request.
         pub kind: Kind,
         /// Model of a generation; the route decides if it is missing.
@@ -23,13 +25,25 @@
         /// Length of the answer, in tokens.
         pub output: u32,
     }
+
+    /// What the upstreams have run, as they themselves recorded it.
+    #[derive(Default)]
+    pub struct Recorded {
+        /// Text of every run of a generation, by the request's [tag](Ask::tag); `None` if it is not known.
+        pub generations: Option<HashMap<String, Vec<String>>>,
+        /// Number of runs of a non-idempotent call, by its idempotency key; `None` if it is not known.
+        pub orders: Option<HashMap<String, usize>>,
+    }
 }
 
 impl Ask {
-    /// What `arrival` of `class` asks for.
-    pub fn new(arrival: &Arrival, class: &Class) -> Self {
+    /// What `arrival` of `workload` asks for.
+    pub fn new(arrival: &Arrival, workload: &Workload) -> Self {
+        let class = workload.class(arrival.class);
+        let account = workload.account(arrival.account);
         Self {
             tag: format!("{:016x}-{}", arrival.seed, arrival.number),
+            group: format!("{}-{}", account.name, class.name),
             kind: class.kind,
             model: class.model.clone(),
             prompt: arrival.prompt,
@@ -39,8 +53,7 @@
 }
 
 type Body = Arc<dyn Fn(&Ask) -> Bytes + Send + Sync>;
-type Expected = Arc<dyn Fn(&Ask, &Bytes) -> Option<String> + Send + Sync>;
-type Runs = Arc<dyn Fn(&str) -> usize + Send + Sync>;
+type Record = Arc<dyn Fn() -> Recorded + Send + Sync>;
 
 /// Where callers send their requests, and what is known about the upstreams behind.
 #[derive(Clone)]
@@ -48,9 +61,7 @@
     /// Callers' listeners; exchanges go to them in turn, and to the next one after a failure.
     pub addresses: Vec<SocketAddr>,
     body: Body,
-    expected: Option<Expected>,
-    orders: Option<Runs>,
-    generations: Option<Runs>,
+    record: Option<Record>,
 }
 
 impl Target {
@@ -66,9 +77,7 @@
         Self {
             addresses,
             body: Arc::new(crate::body::standin),
-            expected: None,
-            orders: None,
-            generations: None,
+            record: None,
         }
     }
 
@@ -79,27 +88,10 @@
         self
     }
 
-    /// Compares whole answers with the text that `expected` gives for what was asked and the body sent.
-    #[must_use]
-    pub fn with_expected(
-        mut self,
-        expected: impl Fn(&Ask, &Bytes) -> Option<String> + Send + Sync + 'static,
-    ) -> Self {
-        self.expected = Some(Arc::new(expected));
-        self
-    }
-
-    /// Compares non-idempotent calls with the number of times that `runs` gives for an idempotency key.
+    /// Compares what callers saw with the upstreams' record, which `record` gives when all exchanges have ended.
     #[must_use]
-    pub fn with_orders(mut self, runs: impl Fn(&str) -> usize + Send + Sync + 'static) -> Self {
-        self.orders = Some(Arc::new(runs));
-        self
-    }
-
-    /// Compares generations with the number of times that `runs` gives for the [tag](Ask::tag) of a request.
-    #[must_use]
-    pub fn with_generations(mut self, runs: impl Fn(&str) -> usize + Send + Sync + 'static) -> Self {
-        self.generations = Some(Arc::new(runs));
+    pub fn with_record(mut self, record: impl Fn() -> Recorded + Send + Sync + 'static) -> Self {
+        self.record = Some(Arc::new(record));
         self
     }
 
@@ -108,19 +100,11 @@
         (self.body)(ask)
     }
 
-    /// The text that the engine generates, if it is known.
-    pub fn expected(&self, ask: &Ask, body: &Bytes) -> Option<String> {
-        self.expected.as_ref()?(ask, body)
-    }
-
-    /// How often the upstreams have run the request under `key`, if it is known.
-    pub fn runs(&self, kind: Kind, key: &str) -> Option<usize> {
-        let hook = match kind {
-            Kind::Generation => self.generations.as_ref()?,
-            Kind::Order => self.orders.as_ref()?,
-            Kind::Lookup => return None,
-        };
-        Some(hook(key))
+    /// The upstreams' record so far; empty if it is not known.
+    pub fn recorded(&self) -> Recorded {
+        self.record
+            .as_ref()
+            .map_or_else(Recorded::default, |record| record())
     }
 }
 
--- a/crates/carob-load/src/workload/mod.rs
+++ b/crates/carob-load/src/workload/mod.rs
@@ -11,6 +11,11 @@
 pub use parse::Error;
 pub use size::Size;
 
+/// Example: wholesale orders with long drafted quotes, short stock answers and a burst.
+pub const WHOLESALE: &str = include_str!("../../workloads/wholesale.ini");
+/// Example: enrolment in courses with long course plans and an intake week.
+pub const ENROLMENT: &str = include_str!("../../workloads/enrolment.ini");
+
 /// Version of the text form; other versions are refused.
 pub const VERSION: u32 = 1;
 
--- a/crates/carob-load/tests/report.rs
+++ b/crates/carob-load/tests/report.rs
@@ -51,6 +51,7 @@
         arrival,
         key: String::new(),
         sends: Vec::new(),
+        text: None,
         sent: arrival.at,
         first: Some(first),
         gaps,
