feat: authenticated links, peer messages and membership

Cause: instances have to know each other and share load, signs and suspects without a second coordination service. Change: carob-link seals frames with HMAC-SHA256 and refuses replays; carob-peer holds the prost messages; carob-member probes within a failure domain, spreads bundles of soft state along a binomial tree and exchanges summaries between domains.

--- /dev/null
+++ b/crates/carob-link/tests/link.rs
@@ -0,0 +1,113 @@
+//! Frames: authentication, replay, incarnations, streams in pieces.
+
+use std::io::{self, Cursor, Read, Write};
+
+use bytes::Bytes;
+use carob_link::{
+    Error, Frames, Key, Opener, Sealer, Window,
+    frame::{OVERHEAD, VERSION},
+    stream::FRAME_LIMIT,
+};
+
+const A: u32 = 1;
+const B: u32 = 2;
+
+fn pair() -> (Sealer, Opener) {
+    let key = Key::new(b"secret");
+    (Sealer::new(key.clone(), A, 10), Opener::new(key, B))
+}
+
+#[test]
+fn a_sealed_frame_opens_once() {
+    let (mut sealer, mut opener) = pair();
+    let frame = sealer.seal(B, b"hello");
+    assert_eq!(frame.len(), 5 + OVERHEAD);
+    let opened = opener.open(&frame).expect("genuine");
+    assert_eq!(
+        (opened.from, opened.incarnation, &opened.body[..]),
+        (A, 10, &b"hello"[..])
+    );
+    assert_eq!(opener.open(&frame), Err(Error::Replayed));
+}
+
+#[test]
+fn any_changed_byte_is_noticed() {
+    let (mut sealer, opener) = pair();
+    let frame = sealer.seal(B, b"hello");
+    for index in 0..frame.len() {
+        let mut changed = frame.to_vec();
+        changed[index] ^= 1;
+        assert!(opener.clone().open(&changed.into()).is_err(), "byte {index}");
+    }
+}
+
+#[test]
+fn another_key_receiver_version_or_length_is_refused() {
+    let (mut sealer, mut opener) = pair();
+    let frame = sealer.seal(B, b"hello");
+    let mut other = Opener::new(Key::new(b"other"), B);
+    assert_eq!(other.open(&frame), Err(Error::Tag));
+    assert_eq!(opener.open(&sealer.seal(3, b"hello")), Err(Error::Tag));
+    assert_eq!(opener.open(&frame.slice(..OVERHEAD - 1)), Err(Error::Short));
+    let mut newer = frame.to_vec();
+    newer[0] = VERSION + 1;
+    assert_eq!(opener.open(&newer.into()), Err(Error::Version(VERSION + 1)));
+}
+
+#[test]
+fn an_older_incarnation_is_refused_and_named() {
+    let (mut sealer, mut opener) = pair();
+    let old = sealer.seal(B, b"old");
+    sealer.set_incarnation(11);
+    opener.open(&sealer.seal(B, b"new")).expect("genuine");
+    let refused = Error::OldIncarnation { from: A, known: 11 };
+    assert_eq!(opener.open(&old), Err(refused));
+}
+
+#[test]
+fn frames_may_overtake_each_other_within_the_window() {
+    let mut window = Window::default();
+    assert!(window.accept(5) && window.accept(3) && window.accept(200));
+    assert!(!window.accept(3) && !window.accept(5) && !window.accept(0));
+    assert!(window.accept(199) && window.accept(73) && !window.accept(72));
+}
+
+/// A connection that gives one byte at a time.
+struct Trickle(Cursor<Vec<u8>>);
+
+impl Read for Trickle {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        self.0.read(&mut buf[..1])
+    }
+}
+
+impl Write for Trickle {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn streams_are_read_in_pieces() {
+    let mut frames = Frames::new(Trickle(Cursor::default()));
+    frames.write(Bytes::from_static(b"one")).expect("written");
+    frames.write(Bytes::from_static(b"two")).expect("written");
+    let mut stream = frames.close();
+    stream.0.set_position(0);
+    let mut frames = Frames::new(stream);
+    assert_eq!(frames.read().expect("read").expect("frame"), "one");
+    assert_eq!(frames.read().expect("read").expect("frame"), "two");
+    assert!(frames.read().expect("read").is_none());
+}
+
+#[test]
+fn cut_and_overlong_frames_are_errors() {
+    let cut = Cursor::new(vec![0, 0, 0, 9, 1]);
+    Frames::new(cut).read().expect_err("cut within a frame");
+    let long = (FRAME_LIMIT as u32 + 1).to_be_bytes().to_vec();
+    Frames::new(Cursor::new(long)).read().expect_err("too long");
+}
--- /dev/null
+++ b/crates/carob-member/src/members.rs
@@ -0,0 +1,157 @@
+//! The state machine.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use bytes::Bytes;
+use carob_base::{InstanceKey, Time};
+use carob_config::{Digest, Revision, short_id};
+use carob_peer::{ServiceLoad, Sign};
+use rand::{SeedableRng as _, rngs::SmallRng};
+use slotmap::SlotMap;
+
+use crate::{
+    bridge::Bridges,
+    event::{Actions, Event},
+    load::{Load, Own, SignKind},
+    member::Member,
+    options::Options,
+    outbox::Outbox,
+    probe::Prober,
+    send::Traffic,
+    spread::Queue,
+    suspicion::Suspicion,
+};
+
+/// An instance's view of the others.
+#[derive(Debug)]
+pub struct Members {
+    pub(crate) options: Options,
+    pub(crate) own: u32,
+    pub(crate) arena: SlotMap<InstanceKey, Member>,
+    pub(crate) by_id: HashMap<u32, InstanceKey>,
+    /// Short ids of the instances alive in the own failure domain, this one included, in order.
+    pub(crate) ring: Vec<u32>,
+    pub(crate) prober: Prober,
+    pub(crate) suspicions: BTreeMap<u32, Suspicion>,
+    pub(crate) outbox: Outbox,
+    pub(crate) bridges: Bridges,
+    pub(crate) loads: HashMap<u32, (Load, Time)>,
+    pub(crate) owns: HashMap<u32, BTreeMap<u32, Own>>,
+    /// Hashes of the suspects seen, oldest first.
+    pub(crate) seen: VecDeque<u64>,
+    pub(crate) queue: Queue,
+    pub(crate) next_flush: Time,
+    pub(crate) greetings: VecDeque<u32>,
+    pub(crate) rounds: u32,
+    pub(crate) rng: SmallRng,
+    pub(crate) last_tick: Option<Time>,
+    pub(crate) current: bool,
+    pub(crate) traffic: Traffic,
+}
+
+impl Members {
+    /// An instance that knows only itself.
+    pub fn new(options: Options) -> Self {
+        let own = short_id(&options.name);
+        Self {
+            own,
+            arena: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            ring: vec![own],
+            prober: Prober::new(),
+            suspicions: BTreeMap::new(),
+            outbox: Outbox::default(),
+            bridges: Bridges::default(),
+            loads: HashMap::new(),
+            owns: HashMap::new(),
+            seen: VecDeque::new(),
+            queue: Queue::default(),
+            next_flush: Time::ZERO,
+            greetings: VecDeque::new(),
+            rounds: 0,
+            rng: SmallRng::seed_from_u64(options.seed),
+            last_tick: None,
+            current: true,
+            traffic: Traffic::default(),
+            options,
+        }
+    }
+
+    /// Takes in `event` at `now`.
+    pub fn step(&mut self, event: Event, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        self.notice_pause(now, &mut actions);
+        match event {
+            Event::Tick => self.tick(now, &mut actions),
+            Event::List(list) => self.list(&list, now),
+            Event::Datagram(datagram) => self.datagram(datagram, now, &mut actions),
+            Event::OldIncarnation { from, known } => self.tell_known(from, known, &mut actions),
+        }
+        actions
+    }
+
+    /// Says goodbye: the others need not find out by probes.
+    pub fn close(mut self, now: Time) -> Actions {
+        let mut actions = Actions::new();
+        let mut state = self.outbox.state;
+        (state.leaving, state.left, state.ready) = (true, true, false);
+        self.outbox.set_state(state);
+        self.publish(now, &mut actions);
+        actions
+    }
+
+    /// Sets the configuration in force here.
+    pub fn set_applied(&mut self, revision: Revision, digest: Digest) {
+        let mut state = self.outbox.state;
+        (state.revision, state.digest) = (revision.0, digest.0);
+        self.outbox.set_state(state);
+    }
+
+    /// Sets whether this instance serves.
+    pub fn set_ready(&mut self, ready: bool) {
+        let mut state = self.outbox.state;
+        state.ready = ready;
+        self.outbox.set_state(state);
+    }
+
+    /// Sets whether this instance is shutting down.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        let mut state = self.outbox.state;
+        state.leaving = leaving;
+        self.outbox.set_state(state);
+    }
+
+    /// Shares a report that this instance has polled.
+    pub fn report(&mut self, upstream: u32, load: Load, now: Time) {
+        self.loads.insert(upstream, (load, now));
+        self.outbox.load(upstream, load);
+    }
+
+    /// Shares what this instance has under way at an upstream.
+    pub fn set_own(&mut self, upstream: u32, own: Own) {
+        self.outbox.own(upstream, own);
+    }
+
+    /// Shares a sign of an upstream at once; `incarnation` is 0 if it is not known.
+    pub fn sign(&mut self, upstream: u32, incarnation: u32, kind: SignKind) {
+        self.outbox.sign(Sign {
+            upstream,
+            incarnation,
+            kind: kind.to_wire(),
+        });
+    }
+
+    /// Shares requests suspected of crashing upstreams, at once and with the other failure domains; up to 128 bytes
+    /// leave the domain.
+    pub fn suspect(&mut self, suspect: &Bytes) {
+        if self.first_seen(suspect) {
+            self.outbox.suspect(suspect.clone());
+            self.bridges.suspect(suspect);
+        }
+    }
+
+    /// Sets the load of a service's upstreams in this failure domain, for the other domains.
+    pub fn set_service(&mut self, load: ServiceLoad) {
+        self.bridges.set_service(load);
+    }
+}
--- /dev/null
+++ b/crates/carob-member/src/receive.rs
@@ -0,0 +1,249 @@
+//! What a datagram changes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use carob_base::{Name, Time};
+use carob_config::{Digest, Revision, short_id};
+use carob_peer::{Body, Bundle, Hello, Known, Packet, Sign, State, decode};
+
+use crate::{
+    event::{Action, Actions, Change, Datagram, Listed, Target},
+    load::SignKind,
+    member::Status,
+    members::Members,
+    outbox,
+    send::{ack, ping},
+};
+
+impl Members {
+    pub(crate) fn datagram(&mut self, datagram: Datagram, now: Time, actions: &mut Actions) {
+        let Datagram {
+            from,
+            incarnation,
+            source,
+            body,
+        } = datagram;
+        let Ok(packet) = decode::<Packet>(body) else {
+            log::warn!("member: a datagram from {source} is no message");
+            return;
+        };
+        if let Some(hello) = &packet.hello {
+            self.greeted_by(from, hello, now);
+        }
+        let Some(member) = self.get(from) else {
+            let stranger = ack(packet.ping.map_or(0, |ping| ping.number), true);
+            let target = Target {
+                id: from,
+                address: source,
+            };
+            self.send_packet(&target, &stranger, actions);
+            return;
+        };
+        if incarnation < member.incarnation {
+            let known = member.incarnation;
+            self.tell_known(from, known, actions);
+            return;
+        }
+        self.current = true;
+        self.heard(from, incarnation, source, now, actions);
+        self.parts(from, packet, now, actions);
+    }
+
+    /// Tells `from` that it goes by too low an incarnation: its clock went back before it started.
+    pub(crate) fn tell_known(&mut self, from: u32, known: u64, actions: &mut Actions) {
+        let packet = Packet {
+            known: Some(Known { incarnation: known }),
+            ..Packet::default()
+        };
+        self.send(from, packet, actions);
+    }
+
+    fn parts(&mut self, from: u32, packet: Packet, now: Time, actions: &mut Actions) {
+        if let Some(ping) = packet.ping {
+            self.send(from, ack(ping.number, false), actions);
+        }
+        if let Some(ack) = packet.ack {
+            self.acked(from, ack, actions);
+        }
+        if let Some(relay) = packet.relay {
+            let number = self.prober.relay(from, relay.number, now);
+            self.send(relay.target, ping(number), actions);
+        }
+        if let Some(known) = packet.known {
+            self.outlive(known.incarnation, actions);
+        }
+        for bundle in packet.bundles {
+            self.bundle(bundle, now, actions);
+        }
+        if let Some(summary) = packet.summary {
+            self.outbox.summary(summary.clone());
+            self.summary_received(summary, now, actions);
+        }
+    }
+
+    fn greeted_by(&mut self, from: u32, hello: &Hello, now: Time) {
+        let name = |text: &str| Name::new(text).ok();
+        let (Some(name), Some(domain), Some(region), Ok(address)) = (
+            name(&hello.name),
+            name(&hello.domain),
+            name(&hello.region),
+            hello.address.parse(),
+        ) else {
+            log::warn!("member: a greeting is not understood: {hello:?}");
+            return;
+        };
+        if short_id(&name) != from {
+            return;
+        }
+        self.learn(
+            &Listed {
+                name,
+                domain,
+                region,
+                address,
+                leaving: false,
+            },
+            now,
+        );
+    }
+
+    /// Something came from `from` directly.
+    fn heard(&mut self, from: u32, incarnation: u64, source: SocketAddr, now: Time, actions: &mut Actions) {
+        let member = &mut self.arena[self.by_id[&from]];
+        member.heard = now;
+        member.address = source;
+        self.lives(from, incarnation, actions);
+    }
+
+    fn acked(&mut self, from: u32, ack: carob_peer::Ack, actions: &mut Actions) {
+        let member = &mut self.arena[self.by_id[&from]];
+        member.greeted = (!ack.stranger).then_some(member.incarnation);
+        if ack.stranger {
+            let number = self.prober.number();
+            self.send(from, ping(number), actions);
+            return;
+        }
+        if let Some((requester, number)) = self.prober.answered(ack.number) {
+            self.send(requester, crate::send::ack(number, false), actions);
+        }
+    }
+
+    /// Goes on as an incarnation after `known`.
+    fn outlive(&mut self, known: u64, actions: &mut Actions) {
+        if known <= self.options.incarnation {
+            return;
+        }
+        log::warn!(
+            "member: the clock went back before the start; going on as incarnation {}",
+            known + 1
+        );
+        self.options.incarnation = known + 1;
+        self.outbox.version = 0;
+        self.outbox.urge();
+        actions.push(Action::Reincarnate(known + 1));
+    }
+
+    /// Takes in a bundle if it is new, and passes it on.
+    fn bundle(&mut self, bundle: Bundle, now: Time, actions: &mut Actions) {
+        let Some(key) = self.by_id.get(&bundle.origin).copied() else {
+            return;
+        };
+        let member = &self.arena[key];
+        if bundle.incarnation < member.incarnation {
+            return;
+        }
+        let restarted = bundle.incarnation > member.incarnation;
+        let suspected = self.suspicions.get(&bundle.origin);
+        if restarted || suspected.is_none_or(|suspicion| bundle.version > suspicion.version) {
+            self.lives(bundle.origin, bundle.incarnation, actions);
+        }
+        let member = &mut self.arena[key];
+        if bundle.incarnation != member.incarnation || !member.versions.accept(bundle.version) {
+            return;
+        }
+        // Bundles may overtake each other; of the state only the latest counts.
+        let latest = bundle.version > member.version;
+        member.version = member.version.max(bundle.version);
+        self.pass_on(&bundle, actions);
+        match decode::<Body>(bundle.body) {
+            Ok(mut body) => {
+                body.state = body.state.filter(|_| latest);
+                self.body(bundle.origin, body, now, actions);
+            }
+            Err(error) => log::warn!("member: a bundle is no message: {error}"),
+        }
+    }
+
+    fn body(&mut self, origin: u32, body: Body, now: Time, actions: &mut Actions) {
+        if let Some(state) = body.state {
+            self.state(origin, state, actions);
+        }
+        for (upstream, load) in body.loads.iter().flat_map(outbox::read_loads) {
+            self.loads.insert(upstream, (load, now));
+            actions.push(Action::Reported { upstream, load });
+        }
+        for (upstream, own) in body.owns.iter().flat_map(outbox::read_owns) {
+            self.owns.entry(origin).or_default().insert(upstream, own);
+        }
+        for Sign {
+            upstream,
+            incarnation,
+            kind,
+        } in body.signs
+        {
+            let kind = SignKind::from_wire(kind);
+            actions.push(Action::Signed {
+                upstream,
+                incarnation,
+                kind,
+            });
+        }
+        for suspicion in body.suspicions {
+            self.suspicion(origin, suspicion, now, actions);
+        }
+        for suspect in body.suspects {
+            self.crashing(suspect, actions);
+        }
+        for summary in body.summaries {
+            self.summary_received(summary, now, actions);
+        }
+    }
+
+    fn state(&mut self, origin: u32, state: State, actions: &mut Actions) {
+        let member = &mut self.arena[self.by_id[&origin]];
+        member.ready = state.ready;
+        member.leaving = state.leaving;
+        member.revision = Revision(state.revision);
+        member.digest = Digest(state.digest);
+        if state.left {
+            self.suspicions.remove(&origin);
+            self.owns.remove(&origin);
+            self.set_status(origin, Status::Left, actions);
+        }
+    }
+
+    fn crashing(&mut self, suspect: Bytes, actions: &mut Actions) {
+        if !self.first_seen(&suspect) {
+            return;
+        }
+        self.bridges.suspect(&suspect);
+        actions.push(Action::Crashing(suspect));
+    }
+
+    fn summary_received(&mut self, summary: carob_peer::Summary, now: Time, actions: &mut Actions) {
+        if summary.domain == self.options.domain.as_str() {
+            return;
+        }
+        for suspect in &summary.suspects {
+            self.crashing(suspect.clone(), actions);
+        }
+        let domain = Name::new(&summary.domain);
+        if self.bridges.note(summary, now)
+            && let Ok(domain) = domain
+        {
+            log::info!("member: failure domain {domain} is heard of again");
+            actions.push(Action::Changed(Change::Joint(domain)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-member/src/suspicion.rs
@@ -0,0 +1,57 @@
+//! How long an instance is suspected before it counts as failed.
+//!
+//! One instance's suspicion may be due to its own link, so it waits long; every further instance that suspects the
+//! same one shortens the wait.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use carob_base::Time;
+
+/// Further instances whose suspicion brings the wait down to the shortest one.
+const CONFIRMATIONS: usize = 3;
+
+/// The suspicion of one instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspicion {
+    /// When it began.
+    pub(crate) since: Time,
+    /// Last bundle of the suspected instance that the suspicion rests on.
+    pub(crate) version: u32,
+    /// Whether this instance itself had no answer.
+    pub(crate) own: bool,
+    by: BTreeSet<u32>,
+}
+
+impl Suspicion {
+    pub(crate) fn new(since: Time, version: u32) -> Self {
+        Self {
+            since,
+            version,
+            own: false,
+            by: BTreeSet::new(),
+        }
+    }
+
+    /// Notes that the instance `by` had no answer.
+    pub(crate) fn confirm(&mut self, by: u32, own: bool) {
+        self.by.insert(by);
+        self.own |= own;
+    }
+
+    /// When the suspected instance counts as failed, in a domain of `alive` instances.
+    pub(crate) fn ends(&self, alive: usize, longest: Duration, shortest: Duration) -> Time {
+        // The suspected instance and the first one to suspect it confirm nothing.
+        let needed = CONFIRMATIONS.min(alive.saturating_sub(2));
+        if needed == 0 {
+            return self.since + longest;
+        }
+        let confirmed = self.by.len().saturating_sub(1).min(needed);
+        let share = (confirmed as f64).ln_1p() / (needed as f64).ln_1p();
+        self.since + longest.saturating_sub(longest.saturating_sub(shortest).mul_f64(share))
+    }
+
+    /// Puts the end off by the time that this process was paused.
+    pub(crate) fn put_off(&mut self, pause: Duration) {
+        self.since = self.since + pause;
+    }
+}
--- /dev/null
+++ b/crates/carob-member/src/tick.rs
@@ -0,0 +1,149 @@
+//! What the passing of time brings: pauses, probes, ends of suspicions.
+
+use std::time::Duration;
+
+use carob_base::Time;
+use carob_peer::{Packet, Relay};
+
+use crate::{
+    event::{Action, Actions, Change},
+    member::{Member, Status},
+    members::Members,
+    options::Options,
+    probe::{Probe, Prober},
+    send::ping,
+    suspicion::Suspicion,
+};
+
+/// Time that bundles for one instance wait for each other.
+const FLUSH: Duration = Duration::from_millis(400);
+/// Instances greeted in one step, so that a start makes no burst.
+const GREETINGS_PER_STEP: usize = 8;
+/// One in this many probes may go to a failed instance that is still on the list.
+const FAILED_EVERY: u32 = 8;
+
+impl Members {
+    /// A process that was paused draws no conclusion from what it did not hear meanwhile.
+    pub(crate) fn notice_pause(&mut self, now: Time, actions: &mut Actions) {
+        let Some(last) = self.last_tick else {
+            return;
+        };
+        let gap = now.since(last);
+        if gap <= self.options.pause {
+            return;
+        }
+        self.last_tick = Some(now);
+        self.current = false;
+        self.prober.abandon(now + self.options.period);
+        self.suspicions.values_mut().for_each(|s| s.put_off(gap));
+        self.bridges.put_off(gap);
+        log::warn!("member: paused for {gap:?}; the view is old");
+        actions.push(Action::Changed(Change::Woke(gap)));
+    }
+
+    pub(crate) fn tick(&mut self, now: Time, actions: &mut Actions) {
+        self.last_tick = Some(now);
+        self.greet(actions);
+        self.probe(now, actions);
+        self.end_suspicions(now, actions);
+        if self.outbox.urgent || now >= self.outbox.next {
+            self.publish(now, actions);
+        }
+        if now >= self.next_flush {
+            self.next_flush = now + FLUSH;
+            for (to, bundles) in self.queue.take() {
+                self.send_bundles(to, Packet::default(), bundles, actions);
+            }
+        }
+        self.bridge(now, actions);
+    }
+
+    fn greet(&mut self, actions: &mut Actions) {
+        for _ in 0..GREETINGS_PER_STEP {
+            let Some(id) = self.greetings.pop_front() else {
+                return;
+            };
+            let number = self.prober.number();
+            self.send(id, ping(number), actions);
+        }
+    }
+
+    fn probe(&mut self, now: Time, actions: &mut Actions) {
+        if now >= self.prober.next {
+            self.conclude(actions, now);
+            self.prober.next = now + self.options.period;
+            self.start_probe(now, actions);
+            return;
+        }
+        let Some(probe) = &mut self.prober.probe else {
+            return;
+        };
+        if probe.answered || probe.relayed || now.since(probe.sent) < self.options.direct {
+            return;
+        }
+        probe.relayed = true;
+        let Probe { target, number, .. } = *probe;
+        let candidates: Vec<_> = self.ring.iter().copied().filter(|id| *id != self.own).collect();
+        for relay in Prober::relays(&candidates, target, &mut self.rng) {
+            let relayed = Relay { number, target };
+            let packet = Packet {
+                relay: Some(relayed),
+                ..Packet::default()
+            };
+            self.send(relay, packet, actions);
+        }
+    }
+
+    fn start_probe(&mut self, now: Time, actions: &mut Actions) {
+        self.rounds = self.rounds.wrapping_add(1);
+        let failed_too = self.rounds.is_multiple_of(FAILED_EVERY);
+        let wanted = |member: &&Member| match member.status {
+            Status::Unknown | Status::Alive | Status::Suspect => true,
+            Status::Failed => failed_too && member.listed,
+            Status::Left => false,
+        };
+        let near = self.arena.values().filter(|m| m.domain == self.options.domain);
+        let candidates: Vec<_> = near.filter(wanted).map(|member| member.id).collect();
+        let Some(target) = self.prober.choose(&candidates, &mut self.rng) else {
+            return;
+        };
+        let number = self.prober.number();
+        self.prober.probe = Some(Probe {
+            target,
+            number,
+            sent: now,
+            relayed: false,
+            answered: false,
+        });
+        self.send(target, ping(number), actions);
+    }
+
+    /// Suspects the target of the last probe if neither an answer nor anything else came from it.
+    fn conclude(&mut self, actions: &mut Actions, now: Time) {
+        let Some(probe) = self.prober.probe.take() else {
+            return;
+        };
+        let Some(member) = self.get(probe.target) else {
+            return;
+        };
+        if probe.answered || member.heard >= probe.sent || !member.is_alive() {
+            return;
+        }
+        let (id, version) = (member.id, member.version);
+        self.suspect_member(id, version, self.own, now, actions);
+    }
+
+    fn end_suspicions(&mut self, now: Time, actions: &mut Actions) {
+        let alive = self.ring.len();
+        let Options {
+            longest, shortest, ..
+        } = self.options;
+        let over = |(id, s): (&u32, &Suspicion)| (now >= s.ends(alive, longest, shortest)).then_some(*id);
+        let failed: Vec<_> = self.suspicions.iter().filter_map(over).collect();
+        for id in failed {
+            self.suspicions.remove(&id);
+            self.owns.remove(&id);
+            self.set_status(id, Status::Failed, actions);
+        }
+    }
+}
