feat: replay of traces in virtual time with a table of policies

Cause: the routing decisions had no measurement. In the burst, waiting requests are ordered more strongly by expected length, and an instance assumes that the others have sent what it has sent since they last told their load.

--- /dev/null
+++ b/crates/carob-replay/src/generate.rs
@@ -0,0 +1,386 @@
+//! Traces with fixed seeds: both deployments' days and the situations that hurt.
+
+use std::time::Duration;
+
+use carob_base::{Name, Time};
+use carob_config::{Account, Kind, Service, Weights};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use smallvec::SmallVec;
+
+use crate::{
+    engine::Model,
+    trace::{Arrival, Fault, FaultKind, Instance, Signals, Trace, Upstream},
+};
+
+/// Longest answer, in tokens.
+const LONGEST: u32 = 30_000;
+/// Time of one step that the load is computed with, in seconds.
+const STEP: f64 = 0.027;
+/// Requests drawn to compute the load of a mix.
+const DRAWS: u32 = 20_000;
+/// Entry instances.
+const INSTANCES: usize = 7;
+/// Distinct prefixes per account.
+const PREFIXES: u32 = 3;
+
+/// The figures of a model engine.
+pub const MODEL: Model = Model {
+    memory: 60_000,
+    slots: 64,
+    step_us: 12_000.0,
+    answer_us: 200.0,
+    token_us: 0.12,
+    prefill_us: 30.0,
+    chunk: 256,
+};
+
+/// A deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deployment {
+    /// Candle wholesale: stall time first.
+    Saarela,
+    /// Baking courses: preemptions first.
+    Tandyr,
+}
+
+/// A situation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scenario {
+    /// An ordinary day, at 70% of the memory-limited capacity.
+    Day,
+    /// 85% of the memory-limited capacity.
+    Busy,
+    /// A morning rush of short requests on top of the drafts, up to 110%.
+    Rush,
+    /// A minute of three times the capacity.
+    Burst,
+    /// Lengths from a few tokens to tens of thousands.
+    HeavyTail,
+    /// Answers become 1.6 times as long in mid-run, which about doubles the load.
+    Shift,
+    /// An upstream is lost for a minute.
+    Lost,
+    /// Load reports arrive ten seconds late.
+    Stale,
+}
+
+/// Every situation.
+pub const SCENARIOS: [Scenario; 8] = [
+    Scenario::Day,
+    Scenario::Busy,
+    Scenario::Rush,
+    Scenario::Burst,
+    Scenario::HeavyTail,
+    Scenario::Shift,
+    Scenario::Lost,
+    Scenario::Stale,
+];
+
+/// One kind of request.
+#[derive(Clone, Copy, Debug)]
+struct Class {
+    /// Share of the requests.
+    part: f64,
+    /// Length of the prompt's shared prefix, in tokens.
+    prefix: u32,
+    /// Median length of the rest of the prompt, in tokens.
+    prompt: f64,
+    /// Median length of the answer, in tokens.
+    answer: f64,
+    /// Spread of the answer's logarithm.
+    spread: f64,
+}
+
+/// What a trace is generated from.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The situation.
+    pub scenario: Scenario,
+    /// Seed.
+    pub seed: u64,
+    /// Time in which requests come.
+    pub span: Duration,
+    /// Runners; the deployment's number by default.
+    pub runners: usize,
+}
+
+impl Spec {
+    /// Four minutes at the deployment's size.
+    pub fn new(deployment: Deployment, scenario: Scenario, seed: u64) -> Self {
+        let runners = match deployment {
+            Deployment::Saarela => 9,
+            Deployment::Tandyr => 14,
+        };
+        Self {
+            deployment,
+            scenario,
+            seed,
+            span: Duration::from_mins(4),
+            runners,
+        }
+    }
+
+    /// Sets the time in which requests come.
+    #[must_use]
+    pub fn with_span(mut self, span: Duration) -> Self {
+        self.span = span;
+        self
+    }
+
+    /// Sets the number of runners.
+    #[must_use]
+    pub fn with_runners(mut self, runners: usize) -> Self {
+        self.runners = runners;
+        self
+    }
+
+    /// The title of the trace.
+    pub fn title(&self) -> String {
+        format!("{:?} {:?} seed {}", self.deployment, self.scenario, self.seed).to_lowercase()
+    }
+
+    /// Generates the trace.
+    pub fn trace(&self) -> Trace {
+        let mut random = SmallRng::seed_from_u64(self.seed);
+        Trace {
+            title: self.title(),
+            signals: self.signals(),
+            services: vec![self.service()],
+            accounts: (0..ACCOUNTS.len()).map(account).collect(),
+            upstreams: (0..self.runners).map(|at| self.upstream(at)).collect(),
+            instances: (0..INSTANCES).map(|at| self.instance(at)).collect(),
+            requests: self.requests(&mut random),
+            faults: self.faults(),
+            expectations: Vec::new(),
+        }
+    }
+
+    fn signals(&self) -> Signals {
+        let mut signals = Signals::default();
+        if self.scenario == Scenario::Stale {
+            signals.report_lag = Duration::from_secs(10);
+        }
+        signals
+    }
+
+    fn service(&self) -> Service {
+        let (text, weights) = match self.deployment {
+            Deployment::Saarela => ("quotes", Weights { stall: 3, preempt: 1 }),
+            Deployment::Tandyr => ("course-plans", Weights { stall: 1, preempt: 3 }),
+        };
+        Service {
+            name: name(text),
+            kind: Kind::Generation,
+            model: Some(name("model")),
+            weights,
+            patience: Duration::from_secs(30),
+            max_tokens: LONGEST,
+            retry_percent: 10,
+        }
+    }
+
+    fn region(&self, at: usize) -> Name {
+        let regions = match self.deployment {
+            Deployment::Saarela => ["uusimaa", "pirkanmaa", "pohjanmaa"],
+            Deployment::Tandyr => ["almaty", "astana", "shymkent"],
+        };
+        name(regions[at % regions.len()])
+    }
+
+    fn upstream(&self, at: usize) -> Upstream {
+        let service = self.service().name;
+        let region = self.region(at);
+        Upstream {
+            name: name(&format!("runner-{at}")),
+            service,
+            domain: region.clone(),
+            region,
+            model: MODEL,
+        }
+    }
+
+    fn instance(&self, at: usize) -> Instance {
+        let region = self.region(at);
+        Instance {
+            name: name(&format!("entry-{at}")),
+            domain: region.clone(),
+            region,
+        }
+    }
+
+    fn classes(&self) -> [Class; 2] {
+        let (short, long) = match self.deployment {
+            Deployment::Saarela => (0.7, 500.0),
+            Deployment::Tandyr => (0.55, 700.0),
+        };
+        let spread = if self.scenario == Scenario::HeavyTail {
+            1.6
+        } else {
+            0.9
+        };
+        [
+            Class {
+                part: short,
+                prefix: 256,
+                prompt: 60.0,
+                answer: 40.0,
+                spread: 0.7,
+            },
+            Class {
+                part: 1.0 - short,
+                prefix: 1_024,
+                prompt: 300.0,
+                answer: long,
+                spread,
+            },
+        ]
+    }
+
+    /// Load at a point of the span, relative to the memory-limited capacity.
+    fn load(&self, part: f64) -> f64 {
+        let middle = (0.35..0.6).contains(&part);
+        match self.scenario {
+            Scenario::Shift => 0.45,
+            Scenario::Busy | Scenario::Stale => 0.85,
+            Scenario::Lost => 0.8,
+            Scenario::HeavyTail => 0.9,
+            Scenario::Rush if middle => 1.1,
+            Scenario::Day | Scenario::Rush => 0.7,
+            Scenario::Burst if middle => 3.0,
+            Scenario::Burst => 0.6,
+        }
+    }
+
+    /// Requests per second that fill the memory of all runners.
+    fn capacity(&self, random: &mut SmallRng) -> f64 {
+        let classes = self.classes();
+        let hold = |random: &mut SmallRng| {
+            let (_, prompt, output) = draw(&classes, 1.0, random);
+            let (prompt, output) = (f64::from(prompt), f64::from(output));
+            output.mul_add(prompt, output * output / 2.0) * STEP
+        };
+        let total: f64 = (0..DRAWS).map(|_| hold(random)).sum();
+        let memory = f64::from(MODEL.memory) * self.runners as f64;
+        memory / (total / f64::from(DRAWS))
+    }
+
+    fn requests(&self, random: &mut SmallRng) -> Vec<Arrival> {
+        let classes = self.classes();
+        let capacity = self.capacity(random);
+        let span = self.span.as_secs_f64();
+        let (mut at, mut requests) = (0.0, Vec::new());
+        loop {
+            let part = at / span;
+            let rate = capacity * self.load(part);
+            at += Exp::new(rate).expect("the rate is positive").sample(random);
+            if at >= span {
+                return requests;
+            }
+            let growth = if self.scenario == Scenario::Shift && part > 0.4 {
+                1.6
+            } else {
+                1.0
+            };
+            let account = draw_account(random);
+            let growth = growth * ACCOUNTS[account].1;
+            let (class, prompt, output) = draw(&classes, growth, random);
+            requests.push(Arrival {
+                at: Time::ZERO + Duration::from_secs_f64(at),
+                instance: random.random_range(0..INSTANCES),
+                service: self.service().name,
+                account: account_name(account),
+                prompt,
+                output,
+                prefix: prefix(account, class, classes[class].prefix, random),
+            });
+        }
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        if self.scenario != Scenario::Lost {
+            return Vec::new();
+        }
+        let kind = FaultKind::Lose {
+            upstream: name("runner-0"),
+            away: Duration::from_mins(1),
+        };
+        vec![Fault {
+            at: Time::ZERO + self.span.mul_f64(0.4),
+            kind,
+        }]
+    }
+}
+
+/// Part of the requests and relative length of the answers of each account.
+const ACCOUNTS: [(f64, f64); 10] = [
+    (0.30, 1.0),
+    (0.22, 0.8),
+    (0.16, 1.3),
+    (0.08, 1.0),
+    (0.06, 0.6),
+    (0.05, 1.2),
+    (0.05, 1.0),
+    (0.04, 0.7),
+    (0.03, 1.5),
+    (0.01, 1.0),
+];
+
+fn account_name(at: usize) -> Name {
+    name(&format!("account-{at}"))
+}
+
+fn account(at: usize) -> Account {
+    Account {
+        name: account_name(at),
+        key_hash: [at as u8; 32],
+        share: 1,
+        max_open: 10_000,
+        services: SmallVec::new(),
+    }
+}
+
+fn draw_account(random: &mut SmallRng) -> usize {
+    let mut left: f64 = random.random_range(0.0..1.0);
+    for (at, (part, _)) in ACCOUNTS.iter().enumerate() {
+        left -= part;
+        if left < 0.0 {
+            return at;
+        }
+    }
+    ACCOUNTS.len() - 1
+}
+
+/// Draws a request: its class, its prompt's length and its answer's.
+fn draw(classes: &[Class; 2], growth: f64, random: &mut SmallRng) -> (usize, u32, u32) {
+    let class = usize::from(random.random_range(0.0..1.0) >= classes[0].part);
+    let Class {
+        prefix,
+        prompt,
+        answer,
+        spread,
+        ..
+    } = classes[class];
+    let prompt = log_normal(prompt, 0.5, random) as u32;
+    let answer = (log_normal(answer, spread, random) * growth) as u32;
+    (class, prefix + prompt.clamp(1, 8_000), answer.clamp(2, LONGEST))
+}
+
+fn log_normal(median: f64, spread: f64, random: &mut SmallRng) -> f64 {
+    LogNormal::new(median.ln(), spread)
+        .expect("the spread is finite")
+        .sample(random)
+}
+
+/// The hashes of a prompt's shared prefix: the class's, then one of the account's.
+fn prefix(account: usize, class: usize, length: u32, random: &mut SmallRng) -> SmallVec<[(u64, u32); 4]> {
+    let own = random.random_range(0..PREFIXES);
+    let hash = 1_000 + (account as u64 * 10 + class as u64) * 10 + u64::from(own);
+    SmallVec::from_slice(&[(class as u64 + 1, length / 2), (hash, length)])
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("generated names are valid")
+}
--- /dev/null
+++ b/crates/carob-replay/src/run.rs
@@ -0,0 +1,562 @@
+//! Replay of a trace in virtual time.
+//!
+//! Instances decide, engines run, and signals travel between them with the trace's delays. Everything happens in the
+//! order of one event heap, so a replay with the same trace, policy and seed gives the same report.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    time::Duration,
+};
+
+use carob_base::{Name, Time};
+use carob_route::{End, Request, Share, cache};
+use carob_wire::load;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use smallvec::SmallVec;
+
+use crate::{
+    engine::{Engine, Job, Token},
+    policy::{Decider, Policy, Verdict, event_verdict},
+    report::Report,
+    tally::Ledger,
+    trace::{FaultKind, Trace},
+};
+
+/// Tokens of an answer between two progress calls after the first token.
+const PROGRESS_EVERY: u32 = 8;
+/// Longest time that a replay goes on after the last request came.
+const DRAIN_LIMIT: Duration = Duration::from_mins(30);
+/// Time after which a failing upstream answers with a failure.
+const FAIL_AFTER: Duration = Duration::from_millis(1);
+
+/// Something that happens at a point in time.
+#[derive(Debug)]
+enum Event {
+    /// A request comes.
+    Arrive(usize),
+    /// A fault of the trace begins.
+    Fault(usize),
+    /// An upstream is well again.
+    Mend(usize),
+    /// A request reaches its engine.
+    Start {
+        upstream: usize,
+        attempt: u32,
+        job: Box<Job>,
+    },
+    /// The end of an engine's step.
+    Step { upstream: usize, generation: u32 },
+    /// An engine makes a load report and publishes its cache events.
+    Sample(usize),
+    /// A load report reaches an instance.
+    Load {
+        instance: usize,
+        upstream: usize,
+        report: load::Report,
+        sampled: Time,
+    },
+    /// Cache events reach an instance.
+    Cache {
+        instance: usize,
+        upstream: usize,
+        events: Vec<cache::Event>,
+    },
+    /// An instance tells the others its load.
+    Tell(usize),
+    /// An instance's load reaches another.
+    Told {
+        instance: usize,
+        from: usize,
+        shares: Vec<Share>,
+    },
+    /// An instance looks at its queues.
+    Poll(usize),
+    /// A caller's patience ends.
+    GiveUp(usize),
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Running { upstream: usize },
+    Over,
+}
+
+/// A replay in progress.
+struct Replay<'a> {
+    trace: &'a Trace,
+    policy: Policy,
+    seed: u64,
+    now: Time,
+    heap: BinaryHeap<Reverse<(Time, u64)>>,
+    events: HashMap<u64, Event>,
+    sequence: u64,
+    deciders: Vec<Decider>,
+    engines: Vec<Engine>,
+    /// Counts restarts, so that steps of an earlier process are dropped.
+    generations: Vec<u32>,
+    stepping: Vec<bool>,
+    away: Vec<bool>,
+    failing: Vec<bool>,
+    /// When each instance looks at its queues next.
+    polls: Vec<Time>,
+    cache_sequences: Vec<u64>,
+    phases: Vec<Phase>,
+    attempts: Vec<u32>,
+    lag: Duration,
+    names: HashMap<Name, usize>,
+    patience: HashMap<Name, Duration>,
+    random: SmallRng,
+    ledger: Ledger,
+    tokens: Vec<Token>,
+}
+
+/// Replays `trace` with `policy`.
+pub fn run(trace: &Trace, policy: Policy, seed: u64) -> Report {
+    let mut replay = Replay::new(trace, policy, seed);
+    replay.start();
+    let limit = trace.end() + DRAIN_LIMIT;
+    while let Some(Reverse((at, sequence))) = replay.heap.pop() {
+        if at > limit || replay.ledger.is_settled() {
+            break;
+        }
+        replay.now = at;
+        if let Some(event) = replay.events.remove(&sequence) {
+            replay.handle(event);
+        }
+    }
+    let preemptions = replay.engines.iter().map(Engine::preemptions).sum();
+    replay.ledger.close(trace, preemptions)
+}
+
+impl<'a> Replay<'a> {
+    fn new(trace: &'a Trace, policy: Policy, seed: u64) -> Self {
+        let upstreams = trace.upstreams.len();
+        let decider = |(at, instance)| {
+            let seed = seed.wrapping_mul(1_000).wrapping_add(at as u64);
+            Decider::new(policy, trace, instance, seed, Time::ZERO)
+        };
+        let named = |(at, upstream): (usize, &crate::trace::Upstream)| (upstream.name.clone(), at);
+        Self {
+            trace,
+            policy,
+            seed,
+            now: Time::ZERO,
+            heap: BinaryHeap::new(),
+            events: HashMap::new(),
+            sequence: 0,
+            deciders: trace.instances.iter().enumerate().map(decider).collect(),
+            engines: trace
+                .upstreams
+                .iter()
+                .map(|upstream| Engine::new(upstream.model))
+                .collect(),
+            generations: vec![0; upstreams],
+            stepping: vec![false; upstreams],
+            away: vec![false; upstreams],
+            failing: vec![false; upstreams],
+            polls: vec![Time::NEVER; trace.instances.len()],
+            cache_sequences: vec![0; upstreams],
+            phases: vec![Phase::Waiting; trace.requests.len()],
+            attempts: vec![0; trace.requests.len()],
+            lag: trace.signals.report_lag,
+            names: trace.upstreams.iter().enumerate().map(named).collect(),
+            patience: trace
+                .services
+                .iter()
+                .map(|s| (s.name.clone(), s.patience))
+                .collect(),
+            random: SmallRng::seed_from_u64(seed),
+            ledger: Ledger::new(trace),
+            tokens: Vec::new(),
+        }
+    }
+
+    fn start(&mut self) {
+        for (at, request) in self.trace.requests.iter().enumerate() {
+            self.push(request.at, Event::Arrive(at));
+        }
+        for (at, fault) in self.trace.faults.iter().enumerate() {
+            self.push(fault.at, Event::Fault(at));
+        }
+        for upstream in 0..self.engines.len() {
+            // Engines report out of step with each other.
+            let part = self.random.random_range(0.0..1.0);
+            let first = self.trace.signals.report_every.mul_f64(part);
+            self.push(Time::ZERO + first, Event::Sample(upstream));
+        }
+        for instance in 0..self.deciders.len() {
+            let part = self.random.random_range(0.0..1.0);
+            let first = self.trace.signals.peer_every.mul_f64(part);
+            self.push(Time::ZERO + first, Event::Tell(instance));
+        }
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.sequence += 1;
+        self.heap.push(Reverse((at, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Fault(fault) => self.fault(fault),
+            Event::Mend(upstream) => self.mend(upstream),
+            Event::Start {
+                upstream,
+                attempt,
+                job,
+            } => self.start_job(upstream, attempt, *job),
+            Event::Step { upstream, generation } => self.end_step(upstream, generation),
+            Event::Sample(upstream) => self.sample(upstream),
+            Event::Load {
+                instance,
+                upstream,
+                report,
+                sampled,
+            } => {
+                let name = &self.trace.upstreams[upstream].name;
+                if let Some(router) = self.deciders[instance].router() {
+                    router.report(name, report, sampled, self.now);
+                }
+                self.plan_poll(instance);
+            }
+            Event::Cache {
+                instance,
+                upstream,
+                events,
+            } => {
+                let name = &self.trace.upstreams[upstream].name;
+                if let Some(router) = self.deciders[instance].router() {
+                    router.cache(name, &events, self.now);
+                }
+            }
+            Event::Tell(instance) => self.tell(instance),
+            Event::Told {
+                instance,
+                from,
+                shares,
+            } => {
+                let name = &self.trace.instances[from].name;
+                if let Some(router) = self.deciders[instance].router() {
+                    router.peers(name, &shares, self.now);
+                }
+                self.plan_poll(instance);
+            }
+            Event::Poll(instance) => self.poll(instance),
+            Event::GiveUp(request) => self.give_up(request),
+        }
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let arrival = &self.trace.requests[request];
+        self.push(self.now + self.patience[&arrival.service], Event::GiveUp(request));
+        let prefix: SmallVec<[u64; 4]> = arrival.prefix.iter().map(|&(hash, _)| hash).collect();
+        let asked = Request::new(request as u64, arrival.service.clone(), arrival.account.clone())
+            .with_tokens(arrival.prompt, None)
+            .with_prefix(prefix);
+        let decider = &mut self.deciders[arrival.instance];
+        let verdict = decider.submit(asked, arrival.output, self.now, &self.names);
+        self.obey(verdict, arrival.instance);
+        self.plan_poll(arrival.instance);
+    }
+
+    fn obey(&mut self, verdict: Verdict, instance: usize) {
+        match verdict {
+            Verdict::Send {
+                id,
+                upstream,
+                priority,
+            } => self.send(id as usize, upstream, priority, instance),
+            Verdict::Wait => {}
+            Verdict::Refuse { id } => {
+                self.phases[id as usize] = Phase::Over;
+                self.ledger.refused(id as usize, self.now);
+            }
+        }
+    }
+
+    fn send(&mut self, request: usize, upstream: usize, priority: i32, instance: usize) {
+        self.phases[request] = Phase::Running { upstream };
+        self.attempts[request] += 1;
+        let arrival = &self.trace.requests[request];
+        let at = self.now + self.way(instance, upstream) * 2;
+        let job = Job::new(request, priority, at, arrival.prompt, arrival.output)
+            .with_prefix(arrival.prefix.clone());
+        let attempt = self.attempts[request];
+        self.push(
+            at,
+            Event::Start {
+                upstream,
+                attempt,
+                job: Box::new(job),
+            },
+        );
+    }
+
+    fn way(&self, instance: usize, upstream: usize) -> Duration {
+        let near = self.trace.instances[instance].region == self.trace.upstreams[upstream].region;
+        if near {
+            self.trace.signals.near
+        } else {
+            self.trace.signals.far
+        }
+    }
+
+    fn start_job(&mut self, upstream: usize, attempt: u32, job: Job) {
+        let request = job.index;
+        let current =
+            self.phases[request] == Phase::Running { upstream } && self.attempts[request] == attempt;
+        if !current {
+            return;
+        }
+        if self.away[upstream] || self.failing[upstream] {
+            self.now = self.now + FAIL_AFTER;
+            self.fail(request, End::Failed);
+            return;
+        }
+        self.engines[upstream].push(job);
+        self.begin_step(upstream);
+    }
+
+    fn begin_step(&mut self, upstream: usize) {
+        if self.stepping[upstream] || self.engines[upstream].is_idle() {
+            return;
+        }
+        self.stepping[upstream] = true;
+        let took = self.engines[upstream].start_step();
+        let generation = self.generations[upstream];
+        self.push(self.now + took, Event::Step { upstream, generation });
+    }
+
+    fn end_step(&mut self, upstream: usize, generation: u32) {
+        if self.generations[upstream] != generation {
+            return;
+        }
+        let mut tokens = std::mem::take(&mut self.tokens);
+        self.engines[upstream].end_step(&mut tokens);
+        for token in &tokens {
+            self.note(token);
+        }
+        self.tokens = tokens;
+        self.stepping[upstream] = false;
+        self.begin_step(upstream);
+    }
+
+    fn note(&mut self, token: &Token) {
+        let request = token.index;
+        let instance = self.trace.requests[request].instance;
+        self.ledger.token(request, self.now);
+        let decider = &mut self.deciders[instance];
+        if token.last {
+            self.phases[request] = Phase::Over;
+            self.ledger.completed(request);
+            decider.finish(
+                request as u64,
+                End::Complete {
+                    tokens: token.produced,
+                },
+                self.now,
+            );
+            self.plan_poll(instance);
+            return;
+        }
+        let told = token.produced == 1 || token.produced.is_multiple_of(PROGRESS_EVERY);
+        if let Some(router) = decider.router().filter(|_| told) {
+            router.progress(request as u64, token.produced, self.now);
+        }
+    }
+
+    /// The request's upstream failed: an answer that has begun is lost, any other is retried.
+    fn fail(&mut self, request: usize, end: End) {
+        let instance = self.trace.requests[request].instance;
+        if self.ledger.has_begun(request) {
+            self.phases[request] = Phase::Over;
+            self.ledger.lost();
+            self.deciders[instance].finish(request as u64, end, self.now);
+            self.plan_poll(instance);
+            return;
+        }
+        self.ledger.retried();
+        self.phases[request] = Phase::Waiting;
+        let verdict = self.deciders[instance].retry(request as u64, end, self.now, &self.names);
+        self.obey(verdict, instance);
+        self.plan_poll(instance);
+    }
+
+    fn give_up(&mut self, request: usize) {
+        if self.phases[request] == Phase::Over || self.ledger.has_begun(request) {
+            return;
+        }
+        let instance = self.trace.requests[request].instance;
+        if let Phase::Running { upstream } = self.phases[request] {
+            self.engines[upstream].cancel(request);
+        }
+        self.phases[request] = Phase::Over;
+        self.ledger.abandoned(request, self.now);
+        self.deciders[instance].finish(request as u64, End::Cancelled { tokens: 0 }, self.now);
+        self.plan_poll(instance);
+    }
+
+    fn fault(&mut self, fault: usize) {
+        match &self.trace.faults[fault].kind {
+            FaultKind::Lose { upstream, away } => {
+                let upstream = self.names[upstream];
+                self.away[upstream] = true;
+                self.generations[upstream] += 1;
+                self.stepping[upstream] = false;
+                self.push(self.now + *away, Event::Mend(upstream));
+                for request in self.engines[upstream].restart() {
+                    self.fail(request, End::UpstreamDied);
+                }
+            }
+            FaultKind::Fail { upstream, away } => {
+                let upstream = self.names[upstream];
+                self.failing[upstream] = true;
+                self.push(self.now + *away, Event::Mend(upstream));
+            }
+            FaultKind::Lag(lag) => self.lag = *lag,
+            FaultKind::Forget { instance } => {
+                let found = self
+                    .trace
+                    .instances
+                    .iter()
+                    .position(|other| &other.name == instance);
+                if let Some(at) = found {
+                    self.forget(at);
+                }
+            }
+        }
+    }
+
+    /// Restarts an instance gracefully: its running requests go on with the old process, which decides no more.
+    fn forget(&mut self, at: usize) {
+        let seed = self.seed.wrapping_mul(7_919).wrapping_add(at as u64);
+        let instance = &self.trace.instances[at];
+        self.deciders[at] = Decider::new(self.policy, self.trace, instance, seed, self.now);
+        for request in 0..self.phases.len() {
+            let own =
+                self.trace.requests[request].instance == at && self.trace.requests[request].at < self.now;
+            if own && self.phases[request] == Phase::Waiting {
+                self.phases[request] = Phase::Over;
+                self.ledger.refused(request, self.now);
+            }
+        }
+    }
+
+    fn mend(&mut self, upstream: usize) {
+        self.away[upstream] = false;
+        self.failing[upstream] = false;
+    }
+
+    fn sample(&mut self, upstream: usize) {
+        let signals = self.trace.signals;
+        self.push(self.now + signals.report_every, Event::Sample(upstream));
+        if self.away[upstream] {
+            return;
+        }
+        let report = self.engines[upstream].report();
+        let events = self.take_cache_events(upstream);
+        let sampled = self.now;
+        for instance in 0..self.deciders.len() {
+            let way = self.way(instance, upstream);
+            if !self.loses(signals.report_loss) {
+                let report = report.clone();
+                self.push(
+                    self.now + self.lag + way,
+                    Event::Load {
+                        instance,
+                        upstream,
+                        report,
+                        sampled,
+                    },
+                );
+            }
+            if !events.is_empty() && !self.loses(signals.cache_loss) {
+                let events = events.clone();
+                self.push(
+                    self.now + signals.cache_lag + way,
+                    Event::Cache {
+                        instance,
+                        upstream,
+                        events,
+                    },
+                );
+            }
+        }
+    }
+
+    fn loses(&mut self, percent: u8) -> bool {
+        self.random.random_range(0..100) < percent
+    }
+
+    fn take_cache_events(&mut self, upstream: usize) -> Vec<cache::Event> {
+        let change = self.engines[upstream].take_change();
+        let stored = cache::Change::Stored(change.stored.into_iter().collect());
+        let removed = cache::Change::Removed(change.removed.into_iter().collect());
+        let mut events = Vec::new();
+        for change in [stored, removed] {
+            let (cache::Change::Stored(hashes) | cache::Change::Removed(hashes)) = &change else {
+                continue;
+            };
+            if hashes.is_empty() {
+                continue;
+            }
+            self.cache_sequences[upstream] += 1;
+            events.push(cache::Event {
+                sequence: self.cache_sequences[upstream],
+                change,
+            });
+        }
+        events
+    }
+
+    fn tell(&mut self, instance: usize) {
+        let signals = self.trace.signals;
+        let Some(router) = self.deciders[instance].router() else {
+            return;
+        };
+        let shares = router.own_load();
+        self.push(self.now + signals.peer_every, Event::Tell(instance));
+        for other in (0..self.deciders.len()).filter(|&other| other != instance) {
+            let near = self.trace.instances[other].region == self.trace.instances[instance].region;
+            let way = if near { signals.near } else { signals.far };
+            let told = Event::Told {
+                instance: other,
+                from: instance,
+                shares: shares.clone(),
+            };
+            self.push(self.now + way, told);
+        }
+    }
+
+    fn poll(&mut self, instance: usize) {
+        if self.polls[instance] > self.now {
+            return;
+        }
+        self.polls[instance] = Time::NEVER;
+        let now = self.now;
+        let Some(router) = self.deciders[instance].router() else {
+            return;
+        };
+        for event in router.poll(now) {
+            let verdict = event_verdict(event, &self.names);
+            self.obey(verdict, instance);
+        }
+        self.plan_poll(instance);
+    }
+
+    fn plan_poll(&mut self, instance: usize) {
+        let Some(router) = self.deciders[instance].router() else {
+            return;
+        };
+        let due = router.deadline().max(self.now);
+        if due < self.polls[instance] {
+            self.polls[instance] = due;
+            self.push(due, Event::Poll(instance));
+        }
+    }
+}
--- a/crates/carob-route/src/choose.rs
+++ b/crates/carob-route/src/choose.rs
@@ -12,7 +12,7 @@
     router::Router,
     state::{Open, Phase, Service},
     submit::{Choice, Place, Reason},
-    upstream::Upstream,
+    upstream::{Crowd, Upstream},
 };
 
 /// Most upstreams that are all looked at; of more, a sample is.
@@ -55,6 +55,10 @@
     open: &'a Open,
     service: &'a Service,
     curve: Curve,
+    /// Number of other instances.
+    peers: f32,
+    /// When the other instances told their shares, on average.
+    told: Time,
     now: Time,
 }
 
@@ -64,6 +68,7 @@
     fits: bool,
     cost: f32,
     peak: f32,
+    batch: f32,
     caution: f32,
     cached: f32,
 }
@@ -124,6 +129,8 @@
             open,
             service: &self.services[open.service],
             curve: open.curve(self.lengths.table(open.group)),
+            peers: self.peers.count() as f32,
+            told: self.peers.mean_received(),
             now,
         };
         let mut best: Option<(UpstreamKey, Figures)> = None;
@@ -151,7 +158,8 @@
     }
 
     fn figures(&self, want: &Want<'_>, key: UpstreamKey, upstream: &Upstream) -> Figures {
-        let batch = upstream.batch();
+        let others = self.others(want, upstream);
+        let batch = upstream.own.len() as f32 + others.count;
         let busy = batch / upstream.slots.max(1) as f32;
         let price = match upstream.place {
             Place::Domain => 0.0,
@@ -165,12 +173,13 @@
                 fits: has_slot,
                 cost: base + busy,
                 peak: 0.0,
+                batch,
                 caution: 0.0,
                 cached: 0.0,
             };
         }
         let caution = self.caution(want, upstream);
-        let peak = self.peak(want, upstream, caution);
+        let peak = self.peak(want, upstream, others, caution);
         let memory = upstream.memory.max(1) as f32;
         let has_room = peak <= memory;
         let lonely = !want.open.alone || batch < 0.5;
@@ -180,11 +189,35 @@
             fits: has_slot && has_room && lonely,
             cost: base + (peak / memory).max(busy) - credit,
             peak,
+            batch,
             caution,
             cached,
         }
     }
 
+    /// The requests of other instances: those reported and told, and as many again per instance as this one has sent
+    /// since then, because all see the same reports and choose alike.
+    fn others(&self, want: &Want<'_>, upstream: &Upstream) -> Crowd {
+        let mut others = upstream.others();
+        if !self.options.parts.mirror {
+            return others;
+        }
+        let sampled = upstream.seen.as_ref().map_or(Time::ZERO, |seen| seen.sampled);
+        let since = sampled.max(want.told);
+        for own in upstream.own.iter().rev() {
+            let open = &self.open[*own];
+            let Phase::Running { placed, .. } = open.phase else {
+                continue;
+            };
+            if placed <= since {
+                break;
+            }
+            others.count += want.peers;
+            others.tokens += want.peers * open.tokens() as f32;
+        }
+        others
+    }
+
     /// Deviations above the mean at which memory has to fit.
     fn caution(&self, want: &Want<'_>, upstream: &Upstream) -> f32 {
         let weights = want.service.weights;
@@ -203,8 +236,13 @@
         }
     }
 
-    fn peak(&self, want: &Want<'_>, upstream: &Upstream, caution: f32) -> f32 {
-        let mut curve = upstream.predicted(&want.service.residual);
+    fn peak(&self, want: &Want<'_>, upstream: &Upstream, others: Crowd, caution: f32) -> f32 {
+        let mut curve = upstream.curve;
+        curve.add(&Curve::of_crowd(
+            &want.service.residual,
+            others.count,
+            others.tokens,
+        ));
         curve.add(&want.curve);
         if self.options.parts.forecast {
             curve.peak(caution)
@@ -227,11 +265,7 @@
         if !upstream.dirty && now.since(upstream.built) < REBUILD_AFTER {
             return;
         }
-        let mut curve = Curve::default();
-        for own in &upstream.own {
-            let open = &self.open[*own];
-            curve.add(&open.curve(self.lengths.table(open.group)));
-        }
+        let curve = self.own_curve(upstream);
         let upstream = &mut self.upstreams[key];
         upstream.curve = curve;
         upstream.built = now;
@@ -239,6 +273,16 @@
         self.refresh_residual(service, now);
     }
 
+    /// Predicted memory of the own requests on an upstream.
+    pub(crate) fn own_curve(&self, upstream: &Upstream) -> Curve {
+        let mut curve = Curve::default();
+        for own in &upstream.own {
+            let open = &self.open[*own];
+            curve.add(&open.curve(self.lengths.table(open.group)));
+        }
+        curve
+    }
+
     fn refresh_residual(&mut self, key: carob_base::ServiceKey, now: Time) {
         let service = &mut self.services[key];
         if service.residual_at != Time::ZERO && now.since(service.residual_at) < RESIDUAL_AFTER {
@@ -291,7 +335,7 @@
         peak: figures.peak as u32,
         memory: upstream.memory,
         caution: (figures.caution * 100.0) as u16,
-        batch: upstream.batch() as u32,
+        batch: figures.batch as u32,
         expected: want.open.expected,
         cached: (figures.cached * 100.0) as u8,
         place: upstream.place,
--- a/crates/carob-route/src/forecast.rs
+++ b/crates/carob-route/src/forecast.rs
@@ -37,6 +37,17 @@
         curve
     }
 
+    /// The memory of one request whose answer is certain to have `length` tokens.
+    pub fn of_known(prompt: u32, produced: u32, length: u32) -> Self {
+        let mut curve = Self::default();
+        for (k, &ahead) in HORIZONS.iter().enumerate() {
+            if k == 0 || produced + ahead <= length {
+                curve.mean[k] = (prompt + produced + ahead) as f32;
+            }
+        }
+        curve
+    }
+
     /// The memory of `count` requests of unknown age that hold `tokens` together.
     pub fn of_crowd(residual: &Residual, count: f32, tokens: f32) -> Self {
         let mut curve = Self::default();
--- a/crates/carob-route/src/length.rs
+++ b/crates/carob-route/src/length.rs
@@ -21,10 +21,14 @@
 const REFRESH: u32 = 24;
 /// Most groups; further ones use their parent.
 const GROUP_LIMIT: usize = 8_192;
-/// Hazard of the prior per bucket: a median near 200 tokens with a heavy tail.
-const PRIOR_HAZARD: f32 = 0.09;
+/// Hazard of the prior in its first buckets.
+const PRIOR_SHORT: f32 = 0.01;
 /// Bucket from which the prior expects answers to end.
 const PRIOR_FIRST: usize = 12;
+/// Hazard of the prior there: a median near 200 tokens.
+const PRIOR_MIDDLE: f32 = 0.05;
+/// Growth of the prior's hazard with each further bucket.
+const PRIOR_GROWTH: f32 = 0.008;
 
 slotmap::new_key_type! {
     /// A group of answers whose lengths are learned together.
@@ -301,5 +305,9 @@
 }
 
 fn prior() -> Hazards {
-    std::array::from_fn(|b| if b < PRIOR_FIRST { 0.01 } else { PRIOR_HAZARD })
+    let hazard = |b: usize| match b.checked_sub(PRIOR_FIRST) {
+        Some(further) => PRIOR_GROWTH.mul_add(further as f32, PRIOR_MIDDLE),
+        None => PRIOR_SHORT,
+    };
+    std::array::from_fn(hazard)
 }
--- a/crates/carob-route/src/options.rs
+++ b/crates/carob-route/src/options.rs
@@ -52,10 +52,10 @@
     pub short_first: bool,
     /// Preference for upstreams that hold the prompt's prefix.
     pub prefix: bool,
-    /// Own dispatches that no load report covers yet are counted in.
-    pub dispatches: bool,
     /// Other instances' unreported dispatches are counted in.
     pub peers: bool,
+    /// Other instances are taken to have done since they last told as this one has.
+    pub mirror: bool,
 }
 
 impl Parts {
@@ -68,8 +68,8 @@
         fairness: true,
         short_first: true,
         prefix: true,
-        dispatches: true,
         peers: true,
+        mirror: true,
     };
 }
 
--- a/crates/carob-route/src/peer.rs
+++ b/crates/carob-route/src/peer.rs
@@ -31,6 +31,24 @@
     shares: Vec<(UpstreamKey, Crowd)>,
 }
 
+impl Peers {
+    /// Instances that have told their shares.
+    pub fn count(&self) -> usize {
+        self.by_instance.len()
+    }
+
+    /// When they told them, on average.
+    pub fn mean_received(&self) -> Time {
+        let count = self.by_instance.len().max(1) as u64;
+        let total: u64 = self
+            .by_instance
+            .values()
+            .map(|told| told.received.as_micros())
+            .sum();
+        Time::from_micros(total / count)
+    }
+}
+
 impl Router {
     /// Takes in the shares of another instance, which replace its earlier ones.
     pub fn peers(&mut self, instance: &Name, shares: &[Share], now: Time) {
--- a/crates/carob-route/src/place.rs
+++ b/crates/carob-route/src/place.rs
@@ -20,9 +20,9 @@
 /// Heads of lanes that are tried in one look at a queue.
 const TRY_LIMIT: usize = 8;
 /// Delay in the queue per token of the expected answer.
-const RANK_PER_TOKEN: Duration = Duration::from_millis(4);
-/// Most delay in the queue for the expected length.
-const RANK_LIMIT: Duration = Duration::from_secs(8);
+const RANK_PER_TOKEN: Duration = Duration::from_millis(30);
+/// Part of the patience that is the most delay in the queue for the expected length.
+const RANK_PART: u32 = 2;
 /// Part of the patience after which a waiting request is overtaken no more.
 const OVERTAKE_PART: u32 = 4;
 /// Shortest advice to come back.
@@ -119,7 +119,8 @@
         self.lengths.refresh(group);
         let limit = self.services[service].max_tokens;
         let cap = request.max_tokens.map_or(limit, |max| max.min(limit));
-        let expected = self.lengths.table(group).exceeded(0, 0.5).min(cap);
+        let learned = || self.lengths.table(group).exceeded(0, 0.5).min(cap);
+        let expected = request.known_tokens.unwrap_or_else(learned);
         let names = &self.upstream_names;
         let excluded = request
             .excluded
@@ -135,6 +136,7 @@
             prompt: request.prompt_tokens,
             cap,
             produced: 0,
+            known: request.known_tokens,
             prefix: request.prefix,
             alone: request.alone,
             excluded,
@@ -202,7 +204,10 @@
         if !self.options.parts.short_first {
             return open.submitted;
         }
-        open.submitted + RANK_PER_TOKEN.saturating_mul(open.expected).min(RANK_LIMIT)
+        open.submitted
+            + RANK_PER_TOKEN
+                .saturating_mul(open.expected)
+                .min(self.services[open.service].patience / RANK_PART)
     }
 
     fn entry(&self, open: &Open, rank: Time) -> Entry {
--- a/crates/carob-route/src/state.rs
+++ b/crates/carob-route/src/state.rs
@@ -59,6 +59,8 @@
     /// Most tokens of the answer.
     pub cap: u32,
     pub produced: u32,
+    /// Length of the answer where it is certain.
+    pub known: Option<u32>,
     pub prefix: SmallVec<[u64; 4]>,
     pub alone: bool,
     pub excluded: SmallVec<[UpstreamKey; 2]>,
@@ -89,7 +91,10 @@
 impl Open {
     /// Its predicted memory.
     pub fn curve(&self, table: crate::length::Table<'_>) -> Curve {
-        Curve::of_request(table, self.prompt, self.produced, self.cap)
+        match self.known {
+            Some(length) => Curve::of_known(self.prompt, self.produced, length),
+            None => Curve::of_request(table, self.prompt, self.produced, self.cap),
+        }
     }
 
     /// Tokens that it holds on its upstream.
--- a/crates/carob-route/src/status.rs
+++ b/crates/carob-route/src/status.rs
@@ -4,7 +4,7 @@
 
 use carob_base::{Name, Time};
 
-use crate::{breaker::State, router::Router, upstream::Upstream};
+use crate::{breaker::State, forecast::Curve, router::Router, upstream::Upstream};
 
 carob_base::value! {
     /// A snapshot for operators.
@@ -71,12 +71,15 @@
 
     fn upstream_status(&self, upstream: &Upstream, now: Time) -> UpstreamStatus {
         let service = &self.services[upstream.service];
+        let others = upstream.others();
+        let mut curve = self.own_curve(upstream);
+        curve.add(&Curve::of_crowd(&service.residual, others.count, others.tokens));
         UpstreamStatus {
             name: upstream.name.clone(),
             service: service.name.clone(),
             own: upstream.own.len() as u32,
-            batch: upstream.batch() as u32,
-            peak: upstream.predicted(&service.residual).peak(0.0) as u32,
+            batch: upstream.own.len() as u32 + others.count as u32,
+            peak: curve.peak(0.0) as u32,
             memory: upstream.memory,
             breaker: upstream.breaker.state(),
             leaving: upstream.leaving,
--- a/crates/carob-route/src/submit.rs
+++ b/crates/carob-route/src/submit.rs
@@ -18,6 +18,8 @@
         pub prompt_tokens: u32,
         /// Most tokens of the answer; `None` leaves the service's limit.
         pub max_tokens: Option<u32>,
+        /// Length of the answer where it is certain, in tokens.
+        pub known_tokens: Option<u32>,
         /// Hashes of the prompt's prefixes, longest last.
         pub prefix: SmallVec<[u64; 4]>,
         /// Whether it may run more than once.
@@ -168,6 +170,7 @@
             account,
             prompt_tokens: 0,
             max_tokens: None,
+            known_tokens: None,
             prefix: SmallVec::new(),
             idempotent: true,
             alone: false,
@@ -184,6 +187,13 @@
         self
     }
 
+    /// States the length of the answer, for a caller who is certain of it.
+    #[must_use]
+    pub fn with_known_tokens(mut self, tokens: u32) -> Self {
+        self.known_tokens = Some(tokens);
+        self
+    }
+
     /// Sets the hashes of the prompt's prefixes, longest last.
     #[must_use]
     pub fn with_prefix(mut self, prefix: SmallVec<[u64; 4]>) -> Self {
--- a/crates/carob-route/src/upstream.rs
+++ b/crates/carob-route/src/upstream.rs
@@ -5,11 +5,7 @@
 use carob_base::{Name, RequestKey, ServiceKey, Time};
 use carob_wire::load::Report;
 
-use crate::{
-    breaker::Breaker,
-    forecast::{Curve, Residual},
-    submit::Place,
-};
+use crate::{breaker::Breaker, forecast::Curve, submit::Place};
 
 /// Most ended requests remembered for the reconciliation with late load reports.
 const ENDED_LIMIT: usize = 512;
@@ -47,7 +43,7 @@
     pub dirty: bool,
     pub seen: Option<Seen>,
     pub foreign: Crowd,
-    /// Dispatches of other instances that no report covers yet.
+    /// Dispatches of other instances that no report covers yet, as they told.
     pub peers: Crowd,
     /// Tokens a second per request.
     pub pace: f32,
@@ -110,18 +106,12 @@
         !self.removed && !self.leaving && self.sealed.is_none() && self.breaker.admits(now)
     }
 
-    /// Requests estimated there.
-    pub fn batch(&self) -> f32 {
-        self.own.len() as f32 + self.foreign.count + self.peers.count
-    }
-
-    /// Predicted memory of everything there.
-    pub fn predicted(&self, residual: &Residual) -> Curve {
-        let count = self.foreign.count + self.peers.count;
-        let tokens = self.foreign.tokens + self.peers.tokens;
-        let mut curve = self.curve;
-        curve.add(&Curve::of_crowd(residual, count, tokens));
-        curve
+    /// Requests of other instances as reported and told.
+    pub fn others(&self) -> Crowd {
+        Crowd {
+            count: self.foreign.count + self.peers.count,
+            tokens: self.foreign.tokens + self.peers.tokens,
+        }
     }
 
     /// Deviations added to the caution by the preemptions seen, faded until `now`.
