--- /dev/null
+++ b/crates/carob-entry/src/admin.rs
@@ -0,0 +1,74 @@
+//! The operators' interface.
+//!
+//! * `GET /healthz`: the process runs.
+//! * `GET /readyz`: the instance takes requests.
+//! * `GET /metrics`: metrics in the Prometheus text format.
+//! * `GET /status`: upstreams, peers, configuration and queues, as JSON.
+//! * `POST /tickets`: submits a change ticket; `GET /tickets/NUMBER`: what became of one.
+
+use std::{sync::Arc, time::Duration};
+
+use carob_http::admin::{Ask, Reply};
+use carob_store::Client;
+use serde_json::json;
+
+use crate::{
+    control::Event,
+    shared::{Phase, Shared},
+};
+
+pub(crate) mod metrics;
+mod status;
+mod tickets;
+
+/// Longest wait for the control thread.
+const CONTROL_WAIT: Duration = Duration::from_secs(5);
+
+/// Answers operators.
+#[derive(Debug)]
+pub struct Handler {
+    shared: Arc<Shared>,
+    client: Arc<Client>,
+}
+
+impl Handler {
+    /// A handler; tickets go to the store through `client`.
+    pub const fn new(shared: Arc<Shared>, client: Arc<Client>) -> Self {
+        Self { shared, client }
+    }
+
+    /// Answers one request.
+    pub fn answer(&self, ask: &Ask) -> Reply {
+        match (ask.method.as_str(), ask.path.as_str()) {
+            ("GET", "/healthz") => Reply::text(200, "ok\n"),
+            ("GET", "/readyz") => self.ready(),
+            ("GET", "/metrics") => Reply::text(200, metrics::render()),
+            ("GET", "/status") => self.status(),
+            ("POST", "/tickets") => tickets::submit(&self.shared, &self.client, ask),
+            ("GET", path) if path.starts_with("/tickets/") => tickets::find(&self.shared, ask),
+            _ => error(404, "no such resource"),
+        }
+    }
+
+    fn ready(&self) -> Reply {
+        match self.shared.phase() {
+            Phase::Ready => Reply::text(200, "ready\n"),
+            Phase::Starting => Reply::text(503, "no configuration yet\n"),
+            Phase::Leaving => Reply::text(503, "leaving\n"),
+        }
+    }
+
+    fn status(&self) -> Reply {
+        let (reply, status) = flume::bounded(1);
+        self.shared.tell(Event::Status { reply });
+        match status.recv_timeout(CONTROL_WAIT) {
+            Ok(status) => Reply::json(200, status::render(&self.shared, &status)),
+            Err(_) => error(503, "the control thread does not answer"),
+        }
+    }
+}
+
+/// An error as JSON.
+fn error(status: u16, detail: &str) -> Reply {
+    Reply::json(status, json!({ "error": detail }).to_string())
+}
--- /dev/null
+++ b/crates/carob-entry/src/admin/metrics.rs
@@ -0,0 +1,30 @@
+//! Metrics in the Prometheus text format.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// The recorder of the process; `None` if another one was installed before.
+static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Installs the recorder, once per process.
+pub fn install() {
+    RECORDER.get_or_init(|| match PrometheusBuilder::new().install_recorder() {
+        Ok(handle) => Some(handle),
+        Err(error) => {
+            log::warn!("metrics: another recorder is installed: {error}");
+            None
+        }
+    });
+}
+
+/// Every metric of the process.
+pub fn render() -> String {
+    let handle = RECORDER.get().and_then(Option::as_ref);
+    handle
+        .map(|handle| {
+            handle.run_upkeep();
+            handle.render()
+        })
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/carob-entry/src/admin/status.rs
@@ -0,0 +1,47 @@
+//! The status as JSON.
+
+use carob_route::status::{ServiceStatus, UpstreamStatus};
+use serde_json::{Value, json};
+
+use crate::{control::status::Status, shared::Shared};
+
+/// Renders a snapshot.
+pub fn render(shared: &Shared, status: &Status) -> String {
+    let options = &shared.options;
+    let value = json!({
+        "instance": options.name.as_str(),
+        "domain": options.domain.as_str(),
+        "region": options.region.as_str(),
+        "phase": format!("{:?}", shared.phase()).to_lowercase(),
+        "revision": status.revision.0,
+        "digest": status.digest.to_string(),
+        "requests": status.requests,
+        "claims_pending": status.claims,
+        "services": status.route.services.iter().map(service).collect::<Vec<_>>(),
+        "upstreams": status.route.upstreams.iter().map(upstream).collect::<Vec<_>>(),
+    });
+    format!("{value:#}\n")
+}
+
+fn service(service: &ServiceStatus) -> Value {
+    json!({
+        "name": service.name.as_str(),
+        "waiting": service.waiting,
+        "retries_left": service.retries,
+    })
+}
+
+fn upstream(upstream: &UpstreamStatus) -> Value {
+    json!({
+        "name": upstream.name.as_str(),
+        "service": upstream.service.as_str(),
+        "own": upstream.own,
+        "batch": upstream.batch,
+        "peak_tokens": upstream.peak,
+        "memory_tokens": upstream.memory,
+        "breaker": format!("{:?}", upstream.breaker).to_lowercase(),
+        "leaving": upstream.leaving,
+        "report_age_ms": upstream.report_age.map(|age| age.as_millis() as u64),
+        "tokens_per_second": upstream.pace,
+    })
+}
--- /dev/null
+++ b/crates/carob-entry/src/admin/tickets.rs
@@ -0,0 +1,110 @@
+//! Change tickets of operators.
+
+use std::{sync::Arc, thread};
+
+use carob_http::admin::{Ask, Reply};
+use carob_store::Client;
+use carob_ticket::{
+    Accepted, Ledger, Submit, Ticket, parse,
+    submit::{Outcome, Step},
+};
+use serde_json::json;
+
+use super::{CONTROL_WAIT, error};
+use crate::{control::Event, shared::Shared};
+
+/// Name under which errors in a submitted ticket are reported.
+const SOURCE: &str = "ticket";
+
+/// Brings a ticket into the order.
+pub fn submit(shared: &Arc<Shared>, client: &Client, ask: &Ask) -> Reply {
+    if !authorized(shared, ask) {
+        return error(401, "expected `Authorization: Bearer` with the operators' key");
+    }
+    let Ok(text) = std::str::from_utf8(&ask.body) else {
+        return error(400, "the ticket is not UTF-8");
+    };
+    let ticket = match parse::ticket(text, SOURCE) {
+        Ok(ticket) => ticket,
+        Err(problem) => return error(400, &problem.to_string()),
+    };
+    let Some(ledger) = ledger(shared) else {
+        return error(503, "the control thread does not answer; not recorded");
+    };
+    let number = ticket.number;
+    log::info!("ticket: number={number} submitted");
+    let outcome = drive(client, ticket, ledger, shared.options.seed ^ number);
+    log::info!("ticket: number={number} {outcome:?}");
+    answer(number, outcome)
+}
+
+/// What became of a ticket, as far as this instance knows.
+pub fn find(shared: &Arc<Shared>, ask: &Ask) -> Reply {
+    let number = ask.path.rsplit('/').next().and_then(|text| text.parse().ok());
+    let Some(number) = number else {
+        return error(400, "expected /tickets/NUMBER");
+    };
+    let Some(ledger) = ledger(shared) else {
+        return error(503, "the control thread does not answer");
+    };
+    match ledger.answer(number) {
+        Some(accepted) => Reply::json(200, recorded(accepted)),
+        None => error(404, "this instance knows no recent ticket with this number"),
+    }
+}
+
+fn authorized(shared: &Shared, ask: &Ask) -> bool {
+    let key = shared.options.operator_key.as_ref();
+    key.is_some_and(|key| ask.bearer.as_ref().is_some_and(|bearer| bearer.as_bytes() == key))
+}
+
+fn ledger(shared: &Shared) -> Option<Ledger> {
+    let (reply, ledger) = flume::bounded(1);
+    shared.tell(Event::Ledger { reply });
+    ledger.recv_timeout(CONTROL_WAIT).ok()
+}
+
+fn drive(client: &Client, ticket: Ticket, ledger: Ledger, seed: u64) -> Outcome {
+    let mut submit = Submit::new(ticket, ledger, seed);
+    let mut step = submit.start();
+    loop {
+        step = match step {
+            Step::Call(call) => submit.replied(client.call(&call)),
+            Step::Wait(delay) => {
+                thread::sleep(delay);
+                submit.start()
+            }
+            Step::Finished(outcome) => return outcome,
+        };
+    }
+}
+
+fn answer(number: u64, outcome: Outcome) -> Reply {
+    match outcome {
+        Outcome::Recorded(accepted) => Reply::json(200, recorded(accepted)),
+        Outcome::Refused(refusal) => refused(409, number, "refused", &refusal.to_string()),
+        Outcome::Unavailable { unknown: false } => {
+            refused(503, number, "not-recorded", "the store cannot be reached")
+        }
+        Outcome::Unavailable { unknown: true } => {
+            let detail = "the store's reply was lost; submit the same ticket again";
+            refused(503, number, "unknown", detail)
+        }
+        Outcome::Unreadable(reason) => refused(500, number, "not-recorded", &reason),
+    }
+}
+
+fn recorded(accepted: Accepted) -> String {
+    json!({
+        "number": accepted.number,
+        "outcome": "recorded",
+        "revision": accepted.revision.0,
+        "digest": format!("{:016x}", accepted.digest),
+    })
+    .to_string()
+}
+
+fn refused(status: u16, number: u64, outcome: &str, detail: &str) -> Reply {
+    let body = json!({ "number": number, "outcome": outcome, "error": detail });
+    Reply::json(status, body.to_string())
+}
--- /dev/null
+++ b/crates/carob-entry/src/control.rs
@@ -0,0 +1,164 @@
+//! The control thread: it owns all control state and takes typed events.
+//!
+//! * [`claims`]: claims on idempotency keys.
+//! * [`event`]: what other threads tell it, and what it answers.
+//! * [`health`]: health of upstreams.
+//! * [`stored`]: results of store calls.
+//! * [`status`]: snapshots for operators.
+//!
+//! Every part of the state is a pure state machine of a crate of its own; the modules here feed them and carry
+//! out what they ask for.
+
+pub mod claims;
+pub mod event;
+pub mod health;
+pub mod status;
+pub mod stored;
+
+mod config;
+mod requests;
+
+use std::{sync::Arc, time::Duration};
+
+use carob_base::Time;
+use carob_claim::Claims;
+use carob_route::Router;
+use carob_suspect::Suspects;
+use flume::{Receiver, RecvTimeoutError, Sender};
+
+pub use event::{Directive, Event, Go};
+
+use crate::{
+    io::{poll, store, watch},
+    shared::{Phase, Shared},
+};
+
+/// Longest time between two looks at what is due.
+const PULSE: Duration = Duration::from_millis(100);
+/// Events that are taken before the due work is looked at again.
+const BURST: usize = 256;
+/// Time between two looks after which the process must have been paused.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Threads that the control thread has work done by.
+#[derive(Clone, Debug)]
+pub struct Hands {
+    /// Store calls.
+    pub store: Sender<store::Job>,
+    /// Watches of the store.
+    pub watch: Sender<watch::Job>,
+    /// Health checks that are wanted at once.
+    pub probe: Sender<poll::Probe>,
+}
+
+/// All control state of an instance.
+#[derive(Debug)]
+pub struct Control {
+    shared: Arc<Shared>,
+    events: Receiver<Event>,
+    hands: Hands,
+    router: Router,
+    requests: requests::Requests,
+    config: config::Following,
+    claims: Claims,
+    claimants: claims::Claimants,
+    health: health::Health,
+    suspects: Suspects,
+    seen: Time,
+}
+
+impl Control {
+    /// The state of an instance that has just started.
+    pub fn new(shared: Arc<Shared>, events: Receiver<Event>, hands: Hands) -> Self {
+        let options = &shared.options;
+        let route = carob_route::Options::new(options.domain.clone(), options.region.clone());
+        let holder = rand::random();
+        Self {
+            router: Router::new(route.with_seed(options.seed)),
+            requests: requests::Requests::default(),
+            config: config::Following::new(options.seed),
+            claims: Claims::new(carob_claim::Options::new(), holder),
+            claimants: claims::Claimants::default(),
+            health: health::Health::default(),
+            suspects: Suspects::new(carob_suspect::Options::new(), holder),
+            seen: shared.now(),
+            shared,
+            events,
+            hands,
+        }
+    }
+
+    /// Runs until it is told to stop.
+    pub fn run(mut self) {
+        loop {
+            let now = self.shared.now();
+            let wait = self.deadline().since(now).min(PULSE);
+            match self.events.recv_timeout(wait) {
+                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(event) => self.handle(event),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for _ in 0..BURST {
+                match self.events.try_recv() {
+                    Ok(Event::Stop) => return,
+                    Ok(event) => self.handle(event),
+                    Err(_) => break,
+                }
+            }
+            self.tick();
+        }
+    }
+
+    fn deadline(&self) -> Time {
+        self.router.deadline().min(self.claims.deadline())
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.shared.now();
+        match event {
+            Event::Submit {
+                request,
+                fingerprint,
+                reply,
+            } => self.submit(request, fingerprint, reply, now),
+            Event::Retry { id, end } => self.retry(id, end, now),
+            Event::Progress { id, tokens } => self.router.progress(id, tokens, now),
+            Event::Finish { id, end, pace } => self.finish(id, end, pace.as_deref(), now),
+            Event::Resumed { answer, reply, id } => self.resumed(answer, reply, id),
+            Event::Report {
+                upstream,
+                report,
+                sampled,
+            } => self.report(&upstream, report, sampled, now),
+            Event::Reachable { upstream } => self.reachable(&upstream, now),
+            Event::Unreachable { upstream, miss } => self.unreachable(&upstream, miss, now),
+            Event::Claim(event) => self.claim(event, now),
+            Event::Stored(stored) => self.stored(stored, now),
+            Event::Follow(event) => self.follow(event, now),
+            Event::Ledger { reply } => self.send_ledger(&reply),
+            Event::Status { reply } => self.send_status(&reply, now),
+            Event::Leave => self.shared.advance(Phase::Leaving),
+            Event::Stop => unreachable!("the loop takes this event"),
+        }
+    }
+
+    fn stored(&mut self, stored: stored::Stored, now: Time) {
+        match stored.part {
+            stored::Part::Config => self.follow(carob_ticket::follow::Event::Replied(stored.result), now),
+            stored::Part::Claims(id) => self.claims.on_reply(id, stored.result, now),
+        }
+    }
+
+    /// Does whatever is due.
+    fn tick(&mut self) {
+        let now = self.shared.now();
+        let pause = now.since(self.seen);
+        if pause > PAUSE {
+            log::warn!("control: paused for {} ms", pause.as_millis());
+        }
+        self.seen = now;
+        self.poll_router(now);
+        self.poll_claims(now);
+        self.follow(carob_ticket::follow::Event::Tick, now);
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/control/config.rs
@@ -0,0 +1,78 @@
+//! The configuration in force.
+
+use std::sync::Arc;
+
+use carob_base::Time;
+use carob_ticket::{
+    Follow, Ledger,
+    follow::{self, Action},
+};
+use flume::Sender;
+
+use super::{Control, stored::Part};
+use crate::{
+    io::{store, watch},
+    shared::Phase,
+};
+
+/// This instance's view of the order of tickets.
+#[derive(Debug)]
+pub struct Following {
+    follow: Follow,
+}
+
+impl Following {
+    /// A view that knows nothing yet; `seed` draws the jitter.
+    pub fn new(seed: u64) -> Self {
+        let options = follow::Options {
+            seed,
+            ..follow::Options::default()
+        };
+        Self {
+            follow: Follow::new(options),
+        }
+    }
+}
+
+impl Control {
+    pub(super) fn follow(&mut self, event: follow::Event, now: Time) {
+        let actions = self.config.follow.step(event, now);
+        for action in actions {
+            match action {
+                Action::Call(call) => self.ask_store(Part::Config, call),
+                Action::Watch { from, deadline } => self.watch(from, deadline),
+                Action::Ask { held } => log::debug!("config: peers hold more than {held}"),
+                Action::Apply(config) => self.apply(config, now),
+            }
+        }
+        if self.config.follow.ready() {
+            self.shared.advance(Phase::Ready);
+        }
+    }
+
+    fn apply(&mut self, config: Arc<carob_config::Config>, now: Time) {
+        metrics::gauge!("carob_config_revision").set(config.revision.0 as f64);
+        self.router.apply(&config, now);
+        self.shared.set_config(config);
+    }
+
+    /// Has a store call made; its result comes back as an event.
+    pub(super) fn ask_store(&self, part: Part, call: carob_store::Call) {
+        if self.hands.store.send(store::Job { part, call }).is_err() {
+            log::debug!("control: the store threads have ended");
+        }
+    }
+
+    fn watch(&self, from: u64, deadline: std::time::Duration) {
+        if self.hands.watch.send(watch::Job { from, deadline }).is_err() {
+            log::debug!("control: the watch thread has ended");
+        }
+    }
+
+    /// Hands out the ledger, from which a submission starts.
+    pub(super) fn send_ledger(&self, reply: &Sender<Ledger>) {
+        if reply.send(self.config.follow.ledger().clone()).is_err() {
+            log::debug!("control: nobody waits for the ledger any more");
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/control/requests.rs
@@ -0,0 +1,248 @@
+//! Placement of requests, and who waits for it.
+
+use std::collections::HashMap;
+
+use carob_base::{Name, Time};
+use carob_route::{
+    End,
+    submit::{self, Cause, Outcome, Placement, Refusal, Request},
+};
+use carob_stream::Pace;
+use carob_suspect::{Fingerprint, Verdict};
+use carob_wire::{Code, Problem};
+use flume::Sender;
+
+use super::{Control, Directive, Go};
+
+/// The requests in progress.
+#[derive(Debug, Default)]
+pub struct Requests {
+    open: HashMap<u64, Open>,
+    /// Each engine's usual pace.
+    paces: HashMap<Name, Pace>,
+    /// Resumed answers, by upstream and engine's id, with the request that resumed it last.
+    resumed: HashMap<(String, String), u64>,
+}
+
+/// A request in progress.
+#[derive(Debug)]
+struct Open {
+    reply: Sender<Directive>,
+    fingerprint: Fingerprint,
+    /// What was asked for; `None` if the request resumes an answer.
+    request: Option<Request>,
+    upstream: Option<Name>,
+}
+
+carob_base::plain! {
+    /// A retry that waits until it is known whether its upstream's process died.
+    pub struct Limbo {
+        /// The request.
+        pub id: u64,
+        /// How it ended on the upstream.
+        pub end: End,
+    }
+}
+
+impl Requests {
+    /// Number of requests in progress.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Fingerprints of the requests that run on `upstream`, and whether the only one runs there alone.
+    pub fn running_on(&self, upstream: &Name) -> (Vec<Fingerprint>, bool) {
+        let there = |open: &&Open| open.request.is_some() && open.upstream.as_ref() == Some(upstream);
+        let running: Vec<&Open> = self.open.values().filter(there).collect();
+        let alone = |open: &&Open| open.request.as_ref().is_some_and(|request| request.alone);
+        let isolated = running.len() == 1 && running.iter().all(alone);
+        (running.iter().map(|open| open.fingerprint).collect(), isolated)
+    }
+}
+
+impl Control {
+    pub(super) fn submit(
+        &mut self,
+        request: Request,
+        fingerprint: Fingerprint,
+        reply: Sender<Directive>,
+        now: Time,
+    ) {
+        let id = request.id;
+        let open = Open {
+            reply,
+            fingerprint,
+            request: Some(request.clone()),
+            upstream: None,
+        };
+        self.requests.open.insert(id, open);
+        self.place(request, fingerprint, now);
+    }
+
+    /// Asks the router for a placement, as far as the request is not suspected of crashing upstreams.
+    fn place(&mut self, mut request: Request, fingerprint: Fingerprint, now: Time) {
+        let id = request.id;
+        match self.suspects.verdict(fingerprint, now) {
+            Verdict::Refuse { remaining } => {
+                log::info!("suspect: request={id} refused for {} s", remaining.as_secs());
+                let detail = "requests like this one have crashed upstreams";
+                let problem = Problem::not_run(Code::Suspected, detail).with_retry_after(remaining);
+                return self.direct(id, Directive::Refuse(problem));
+            }
+            Verdict::Alone => {
+                log::info!("suspect: request={id} may run alone only");
+                request.alone = true;
+            }
+            Verdict::Clear => {}
+        }
+        if let Some(open) = self.requests.open.get_mut(&id) {
+            open.request = Some(request.clone());
+        }
+        let outcome = self.router.submit(request, now);
+        self.answer(id, outcome);
+    }
+
+    pub(super) fn retry(&mut self, id: u64, end: End, now: Time) {
+        let Some(open) = self.requests.open.get(&id) else {
+            return;
+        };
+        let upstream = open.upstream.clone().filter(|_| end == End::UpstreamDied);
+        let Some(upstream) = upstream else {
+            return self.retry_now(id, end, now);
+        };
+        self.note_broken(&upstream, open.fingerprint, now);
+        self.hold_retry(&upstream, Limbo { id, end });
+    }
+
+    /// Goes on with retries whose upstream's state is known by now.
+    pub(super) fn release_limbo(&mut self, limbo: Vec<Limbo>, now: Time) {
+        for Limbo { id, end } in limbo {
+            self.retry_now(id, end, now);
+        }
+    }
+
+    /// A suspect is taken off the router and placed anew, so that it does not run beside others.
+    fn retry_now(&mut self, id: u64, end: End, now: Time) {
+        let Some(open) = self.requests.open.get_mut(&id) else {
+            return;
+        };
+        let failed = open.upstream.take();
+        let fingerprint = open.fingerprint;
+        let suspected = self.suspects.verdict(fingerprint, now) != Verdict::Clear;
+        let request = open.request.clone().filter(|request| suspected && !request.alone);
+        let Some(mut request) = request else {
+            let outcome = self.router.retry(id, end, now);
+            return self.answer(id, outcome);
+        };
+        self.router.finish(id, end, now);
+        request.excluded.extend(failed);
+        self.place(request, fingerprint, now);
+    }
+
+    pub(super) fn finish(&mut self, id: u64, end: End, pace: Option<&Pace>, now: Time) {
+        self.router.finish(id, end, now);
+        self.requests.resumed.retain(|_, by| *by != id);
+        let Some(open) = self.requests.open.remove(&id) else {
+            return;
+        };
+        let Some(upstream) = open.upstream else {
+            return;
+        };
+        match end {
+            End::Complete { .. } => self.suspects.on_finish(open.fingerprint, now),
+            End::UpstreamDied => self.note_broken(&upstream, open.fingerprint, now),
+            End::Interrupted { .. } | End::Cancelled { .. } | End::Failed => {}
+        }
+        if let Some(pace) = pace {
+            self.requests.paces.entry(upstream).or_default().merge(pace);
+        }
+    }
+
+    /// A caller resumed an answer here: an earlier delivery of it must not cancel it.
+    pub(super) fn resumed(&mut self, answer: (String, String), reply: Sender<Directive>, id: u64) {
+        let open = Open {
+            reply,
+            fingerprint: Fingerprint(0),
+            request: None,
+            upstream: Name::new(&answer.0).ok(),
+        };
+        self.requests.open.insert(id, open);
+        if let Some(earlier) = self.requests.resumed.insert(answer, id) {
+            self.direct(earlier, Directive::ResumedElsewhere);
+        }
+    }
+
+    pub(super) fn poll_router(&mut self, now: Time) {
+        if now < self.router.deadline() {
+            return;
+        }
+        for event in self.router.poll(now) {
+            match event {
+                submit::Event::Placed(placement) => self.placed(placement),
+                submit::Event::Refused(refusal) => self.refused(&refusal),
+            }
+        }
+    }
+
+    fn answer(&mut self, id: u64, outcome: Outcome) {
+        match outcome {
+            Outcome::Placed(placement) => self.placed(placement),
+            Outcome::Queued => log::info!("route: request={id} queued"),
+            Outcome::Refused(refusal) => self.refused(&refusal),
+        }
+    }
+
+    fn placed(&mut self, placement: Placement) {
+        log::info!("route: {placement}");
+        metrics::counter!("carob_route_placements").increment(1);
+        let id = placement.id;
+        let pace = self
+            .requests
+            .paces
+            .get(&placement.upstream)
+            .cloned()
+            .unwrap_or_default();
+        if let Some(open) = self.requests.open.get_mut(&id) {
+            open.upstream = Some(placement.upstream.clone());
+        }
+        let go = Go {
+            upstream: placement.upstream,
+            address: placement.address,
+            priority: placement.priority,
+            pace,
+        };
+        self.direct(id, Directive::Go(Box::new(go)));
+    }
+
+    fn refused(&mut self, refusal: &Refusal) {
+        log::info!("route: {refusal}");
+        metrics::counter!("carob_route_refusals").increment(1);
+        self.direct(refusal.id, Directive::Refuse(problem_of(refusal)));
+    }
+
+    fn direct(&self, id: u64, directive: Directive) {
+        let Some(open) = self.requests.open.get(&id) else {
+            return;
+        };
+        if open.reply.send(directive).is_err() {
+            log::debug!("control: nobody waits for request={id} any more");
+        }
+    }
+}
+
+/// What the caller of a refused request is told.
+fn problem_of(refusal: &Refusal) -> Problem {
+    let code = match refusal.cause {
+        Cause::AccountBusy => Code::AccountBusy,
+        Cause::Overloaded | Cause::Expired | Cause::RetryBudget => Code::Overloaded,
+        Cause::TooLong => Code::TooLong,
+        Cause::NoUpstream => Code::NoUpstream,
+        Cause::UnknownService | Cause::UnknownAccount => Code::NotFound,
+        Cause::BadId => Code::UpstreamFailed,
+    };
+    let problem = Problem::not_run(code, refusal.cause.to_string());
+    match code {
+        Code::TooLong | Code::NotFound => problem,
+        _ => problem.with_retry_after(refusal.retry_after),
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/instance.rs
@@ -0,0 +1,183 @@
+//! Starting and closing an instance.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use carob_http::{admin::Admin, listen};
+use carob_store::Client;
+
+use crate::{
+    admin,
+    control::{Control, Event, Hands},
+    io::{janitor, poll, store, watch},
+    options::Options,
+    shared::{Phase, Shared},
+    traffic,
+};
+
+/// How often the end of unfinished work is looked for.
+const POLL: Duration = Duration::from_millis(20);
+/// Longest wait for the store to take the last outcomes when the instance closes.
+const STORE_WAIT: Duration = Duration::from_secs(30);
+
+/// Why an instance could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The callers' listener could not start.
+    #[error("callers' address: {0}")]
+    Callers(#[from] listen::Error),
+    /// The operators' listener could not start.
+    #[error("operators' address {address}: {source}")]
+    Admin {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// A thread could not be started.
+    #[error("a thread could not be started: {0}")]
+    Thread(std::io::Error),
+}
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    shared: Arc<Shared>,
+    listener: listen::Listener,
+    admin: Admin,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Starts every thread of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] if an address cannot be listened on or a thread cannot be started.
+    pub fn start(options: Options) -> Result<Self, Error> {
+        admin::metrics::install();
+        let (control_tx, control_rx) = flume::unbounded();
+        let (janitor_tx, janitor_rx) = flume::unbounded();
+        let (store_tx, store_rx) = flume::unbounded();
+        let (watch_tx, watch_rx) = flume::unbounded();
+        let (probe_tx, probe_rx) = flume::unbounded();
+        let shared = Arc::new(Shared::new(options, control_tx, janitor_tx));
+        let client = Arc::new(new_client(&shared.options));
+        let hands = Hands {
+            store: store_tx,
+            watch: watch_tx,
+            probe: probe_tx,
+        };
+        let control = Control::new(Arc::clone(&shared), control_rx, hands);
+
+        let mut threads = vec![spawn("control", move || control.run())?];
+        for _ in 0..store::THREADS {
+            let (shared, client, jobs) = (Arc::clone(&shared), Arc::clone(&client), store_rx.clone());
+            threads.push(spawn("store", move || store::run(&shared, &client, &jobs))?);
+        }
+        let (watcher, watch_client) = (Arc::clone(&shared), Arc::clone(&client));
+        threads.push(spawn("watch", move || {
+            watch::run(&watcher, &watch_client, &watch_rx);
+        })?);
+        let poller = Arc::clone(&shared);
+        threads.push(spawn("poll", move || poll::run(&poller, &probe_rx))?);
+        let sweeper = Arc::clone(&shared);
+        // The janitor holds the shared state, and with it the sender of its own channel: it ends with the process.
+        drop(spawn("janitor", move || janitor::run(&sweeper, &janitor_rx))?);
+
+        let operators = admin::Handler::new(Arc::clone(&shared), client);
+        let address = shared.options.admin;
+        let admin = Admin::bind(address, move |ask| operators.answer(ask))
+            .map_err(|source| Error::Admin { address, source })?;
+        let server = Arc::clone(&shared);
+        let listener = listen::Listener::bind(shared.options.callers.clone(), move |exchange| {
+            traffic::serve(&server, exchange);
+        })?;
+        log::info!(
+            "entry: instance={} domain={} region={} callers={} admin={}",
+            shared.options.name,
+            shared.options.domain,
+            shared.options.region,
+            listener.local_addr(),
+            admin.local_addr()
+        );
+        Ok(Self {
+            shared,
+            listener,
+            admin,
+            threads,
+        })
+    }
+
+    /// Address for callers.
+    pub const fn callers(&self) -> SocketAddr {
+        self.listener.local_addr()
+    }
+
+    /// Address for operators.
+    pub const fn admin(&self) -> SocketAddr {
+        self.admin.local_addr()
+    }
+
+    /// Whether the instance takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.phase() == Phase::Ready
+    }
+
+    /// Leaves gracefully: says that it is not ready, still answers what the balancer sends for the configured
+    /// delay, finishes every open request however long it takes, and ends.
+    pub fn close(self) {
+        log::info!("entry: instance={} leaving", self.shared.options.name);
+        self.shared.advance(Phase::Leaving);
+        self.shared.tell(Event::Leave);
+        self.listener.retire();
+        thread::sleep(self.shared.options.leave_delay);
+        self.listener.drain();
+        self.shared.settle();
+        self.shared.tell(Event::Stop);
+        self.admin.close();
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("entry: a thread panicked");
+            }
+        }
+        log::info!("entry: instance={} closed", self.shared.options.name);
+    }
+}
+
+impl Shared {
+    /// Waits until the outcomes of the last calls are stored.
+    fn settle(&self) {
+        let end = self.now() + STORE_WAIT;
+        while self.now() < end {
+            let (reply, status) = flume::bounded(1);
+            self.tell(Event::Status { reply });
+            let Ok(status) = status.recv() else {
+                return;
+            };
+            if status.requests == 0 && status.claims == 0 {
+                return;
+            }
+            thread::sleep(POLL);
+        }
+        log::warn!(
+            "entry: the store has not taken every outcome within {} s",
+            STORE_WAIT.as_secs()
+        );
+    }
+}
+
+fn new_client(options: &Options) -> Client {
+    let mut store = carob_store::client::Options::new(options.store.clone());
+    store.timeout = options.store_timeout;
+    Client::new(store)
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Error> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(run).map_err(Error::Thread)
+}
--- /dev/null
+++ b/crates/carob-entry/src/io/poll.rs
@@ -0,0 +1,126 @@
+//! Load reports of upstreams, asked for at regular times.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use carob_base::{Name, Time};
+use carob_config::{Kind, Upstream};
+use carob_http::client::{self, Chunk, Opening, Stream};
+use carob_wire::load::Report;
+use flume::{Receiver, RecvTimeoutError};
+
+use crate::{
+    control::{Event, health::Miss},
+    shared::Shared,
+};
+
+/// Largest load report, in bytes.
+const REPORT_LIMIT: usize = 256 << 10;
+/// Path of load reports at every engine.
+const PATH: &str = "/metrics";
+
+/// A health check that is wanted at once.
+#[derive(Clone, Debug)]
+pub struct Probe {
+    /// The upstream.
+    pub upstream: Name,
+}
+
+/// Polls until the channel is closed.
+pub fn run(shared: &Arc<Shared>, probes: &Receiver<Probe>) {
+    let mut round = Instant::now();
+    loop {
+        let rest = round.saturating_duration_since(Instant::now());
+        match probes.recv_timeout(rest) {
+            Ok(probe) => poll(shared, |upstream| upstream.name == probe.upstream),
+            Err(RecvTimeoutError::Timeout) => {
+                round = Instant::now() + shared.options.poll_every;
+                poll(shared, |_| true);
+            }
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+/// Asks the chosen upstreams at the same time, so that one that does not answer delays no other's report.
+fn poll(shared: &Shared, chosen: impl Fn(&Upstream) -> bool) {
+    let config = shared.config();
+    let limit = shared.options.poll_every;
+    let engines = config.upstreams.values().filter(|upstream| chosen(upstream));
+    let asked: Vec<_> = engines
+        .map(|upstream| {
+            let kind = config.services.get(&upstream.service).map(|service| service.kind);
+            (
+                upstream.name.clone(),
+                kind,
+                shared.now(),
+                ask(upstream.address, limit),
+            )
+        })
+        .collect();
+    for (upstream, kind, sampled, opening) in asked {
+        let check = read(opening, limit);
+        shared.tell(event_of(upstream, kind, sampled, check));
+    }
+}
+
+fn ask(address: SocketAddr, limit: Duration) -> Opening {
+    client::start(&client::Request::get(address, PATH).with_deadline(limit))
+}
+
+/// What a health check found.
+enum Check {
+    Report(Report),
+    /// An answer that is no load report.
+    Answer,
+    Refused,
+    Silent,
+}
+
+/// A plain service that answers at all is well, whatever it says.
+fn event_of(upstream: Name, kind: Option<Kind>, sampled: Time, check: Check) -> Event {
+    match check {
+        Check::Report(report) => Event::Report {
+            upstream,
+            report,
+            sampled,
+        },
+        Check::Answer if kind == Some(Kind::Plain) => Event::Reachable { upstream },
+        Check::Refused => Event::Unreachable {
+            upstream,
+            miss: Miss::Refused,
+        },
+        Check::Answer | Check::Silent => Event::Unreachable {
+            upstream,
+            miss: Miss::Silent,
+        },
+    }
+}
+
+fn read(opening: Opening, limit: Duration) -> Check {
+    let stream = match opening.wait(limit) {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(client::Error::Refused(_))) => return Check::Refused,
+        Ok(Err(_)) | Err(_) => return Check::Silent,
+    };
+    let Some(text) = body(&stream, limit) else {
+        return Check::Silent;
+    };
+    let text = std::str::from_utf8(&text).ok().filter(|_| stream.status == 200);
+    let report = text.and_then(|text| Report::parse(text).ok());
+    report.map_or(Check::Answer, Check::Report)
+}
+
+fn body(stream: &Stream, limit: Duration) -> Option<Vec<u8>> {
+    let mut text = Vec::new();
+    loop {
+        match stream.next(limit) {
+            Chunk::Data(data) if text.len() + data.len() <= REPORT_LIMIT => text.extend_from_slice(&data),
+            Chunk::End => return Some(text),
+            Chunk::Data(_) | Chunk::Broken(_) | Chunk::Silent => return None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/io/watch.rs
@@ -0,0 +1,34 @@
+//! Watches of the configuration's head in the store.
+
+use std::{sync::Arc, time::Duration};
+
+use carob_store::Client;
+use carob_ticket::{follow, head::HEAD_KEY};
+use flume::Receiver;
+
+use crate::{control::Event, shared::Shared};
+
+/// A watch to open.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// First revision of the store to report.
+    pub from: u64,
+    /// Lifetime of the watch.
+    pub deadline: Duration,
+}
+
+/// Opens watches until the channel is closed.
+pub fn run(shared: &Arc<Shared>, client: &Client, jobs: &Receiver<Job>) {
+    for job in jobs {
+        let end = match client.watch(HEAD_KEY, job.from, job.deadline) {
+            Ok(mut watch) => {
+                for notice in watch.by_ref() {
+                    shared.tell(Event::Follow(follow::Event::Noticed(notice)));
+                }
+                Ok(watch.next_revision())
+            }
+            Err(failure) => Err(failure),
+        };
+        shared.tell(Event::Follow(follow::Event::WatchEnded(end)));
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic.rs
@@ -0,0 +1,47 @@
+//! What a worker does with one caller's request.
+//!
+//! * [`admit`]: who calls and which route covers the call.
+//! * [`generate`]: a new answer; [`resume`]: the rest of an answer by its id; [`cancel`]: the end of one.
+//! * [`deliver`]: the loop that drives a delivery's connections.
+//! * [`plain`]: calls to plain services; [`claimed`]: those that run at most once.
+
+pub mod admit;
+pub mod cancel;
+pub mod claimed;
+pub mod deliver;
+pub mod generate;
+pub mod plain;
+pub mod resume;
+
+mod answer;
+mod outlet;
+pub(crate) mod place;
+
+use std::sync::Arc;
+
+use carob_config::Kind;
+use carob_http::listen::Exchange;
+use carob_wire::{Code, Problem};
+
+use crate::shared::{Phase, Shared};
+
+/// Serves one caller's request, on a worker thread.
+pub fn serve(shared: &Arc<Shared>, exchange: Exchange) {
+    if shared.phase() == Phase::Starting {
+        let problem = Problem::not_run(Code::NotReady, "this instance has no configuration yet");
+        return exchange.refuse(&problem.with_retry_after(admit::NOT_READY_DELAY));
+    }
+    let call = match admit::check(shared, &exchange) {
+        Ok(call) => call,
+        Err(problem) => return admit::refuse(exchange, &problem),
+    };
+    match (call.service.kind, call.rest()) {
+        (Kind::Plain, _) => plain::serve(shared, &call, exchange),
+        (Kind::Generation, admit::Rest::Collection) => generate::serve(shared, &call, exchange),
+        (Kind::Generation, admit::Rest::Answer(id)) => resume::serve(shared, &call, id, exchange),
+        (Kind::Generation, admit::Rest::Cancel(id)) => cancel::serve(shared, &call, id, exchange),
+        (Kind::Generation, admit::Rest::Unknown) => {
+            admit::refuse(exchange, &Problem::not_run(Code::NotFound, "no such resource"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic/answer.rs
@@ -0,0 +1,18 @@
+//! The caller's id of an answer.
+
+use carob_base::Name;
+use carob_stream::Generation;
+use carob_wire::answer::Answer;
+
+use crate::shared::Shared;
+
+/// The id under which the caller of `account` finds the generation at `upstream` again.
+pub fn id_of(shared: &Shared, account: &Name, upstream: &Name, generation: &Generation) -> String {
+    let answer = Answer {
+        upstream: upstream.to_string(),
+        incarnation: generation.incarnation.unwrap_or_default(),
+        engine_id: generation.answer.clone().unwrap_or_default(),
+        account: account.to_string(),
+    };
+    answer.to_id(&shared.options.answer_key)
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic/cancel.rs
@@ -0,0 +1,47 @@
+//! The end of an answer by its id.
+
+use std::{sync::Arc, time::Duration};
+
+use carob_http::{Headers, client, listen::Exchange};
+use carob_wire::{Code, Problem, Ran};
+
+use super::{
+    admit::{self, Call},
+    deliver::ENGINE_PATH,
+    resume,
+};
+use crate::{io::janitor::Task, shared::Shared};
+
+/// Time limit of one cancellation while the caller waits.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// Cancels the answer `id` at its engine.
+pub fn serve(shared: &Arc<Shared>, call: &Call, id: &str, exchange: Exchange) {
+    let (answer, go) = match resume::find(shared, call, id) {
+        Ok(found) => found,
+        Err(problem) => return admit::refuse(exchange, &problem),
+    };
+    let path = format!("{ENGINE_PATH}/{}/cancel", answer.engine_id);
+    let request = client::Request::post(go.address, &path, "").with_deadline(LIMIT);
+    match client::call(&request) {
+        Ok(response) if response.status < 300 => {
+            log::info!("stream: cancelled upstream={} by its caller", go.upstream);
+            let headers = Headers::new().with("content-type", "application/json");
+            let body = serde_json::json!({ "id": id, "object": "response", "status": "cancelled" });
+            exchange.respond(200, &headers, body.to_string());
+        }
+        Ok(response) if matches!(response.status, 404 | 410) => {
+            let problem = Problem::new(Code::NotFound, Ran::Done, "the answer has ended");
+            admit::refuse(exchange, &problem);
+        }
+        Ok(_) | Err(_) => {
+            let generation = carob_stream::Generation::of_answer(answer.incarnation, answer.engine_id);
+            shared.cancel(Task::cancel(&go, generation));
+            let detail = "the engine has not confirmed; the cancellation is repeated";
+            admit::refuse(
+                exchange,
+                &Problem::new(Code::UpstreamFailed, Ran::Unknown, detail),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic/claimed.rs
@@ -0,0 +1,202 @@
+//! Non-idempotent calls: claimed first, sent at most once.
+
+use std::{sync::Arc, time::Duration};
+
+use carob_base::Time;
+use carob_claim::{Key, Outcome, Ticket, Verdict};
+use carob_http::{Headers, client, listen::Exchange};
+use carob_route::End;
+use carob_wire::{Code, Problem, Ran, header};
+use flume::Receiver;
+
+use super::{
+    admit::{self, Call},
+    place::{Answer, Place},
+    plain::{self, Forward},
+};
+use crate::{
+    control::{Event, Go, claims},
+    shared::Shared,
+};
+
+/// Time limit of a call that runs at most once: it cannot be retried, so it is given long.
+const SEND_LIMIT: Duration = Duration::from_mins(2);
+
+/// Claims the caller's key, sends the call once and records its outcome.
+pub fn serve(shared: &Arc<Shared>, call: &Call, forward: &Forward, exchange: Exchange) {
+    let key = match read_key(call, &exchange) {
+        Ok(key) => key,
+        Err(problem) => return admit::refuse(exchange, &problem),
+    };
+    let Ok((ticket, verdict)) = begin(shared, key, forward.fingerprint()).recv() else {
+        return admit::refuse(exchange, &stopping());
+    };
+    match verdict {
+        Verdict::Granted { send_by } => {
+            let claim = Claim {
+                shared,
+                ticket,
+                send_by,
+                open: true,
+            };
+            place(shared, call, forward, claim, exchange);
+        }
+        Verdict::Replay(outcome) => {
+            log::info!(
+                "claim: account={} route={} outcome replayed",
+                call.account.name,
+                call.route.name
+            );
+            replay(exchange, outcome);
+        }
+        Verdict::Refused(problem) => admit::refuse(exchange, &problem),
+    }
+}
+
+/// A granted claim. Dropping it without an outcome records that the outcome is not known.
+struct Claim<'a> {
+    shared: &'a Shared,
+    ticket: Ticket,
+    send_by: Time,
+    open: bool,
+}
+
+impl Claim<'_> {
+    /// Asks whether the call may be sent now, and notes that it will be.
+    fn may_send(&mut self) -> Result<(), Problem> {
+        let (reply, permission) = flume::bounded(1);
+        let ticket = self.ticket;
+        self.shared
+            .tell(Event::Claim(claims::Event::MaySend { ticket, reply }));
+        let permission = permission.recv().unwrap_or_else(|_ended| Err(stopping()));
+        if permission.is_err() {
+            self.open = false;
+        }
+        permission
+    }
+
+    fn finish(mut self, outcome: Outcome) {
+        self.open = false;
+        let ticket = self.ticket;
+        self.shared
+            .tell(Event::Claim(claims::Event::Finish { ticket, outcome }));
+    }
+
+    /// The call was certainly not sent.
+    fn release(mut self) {
+        self.open = false;
+        let ticket = self.ticket;
+        self.shared.tell(Event::Claim(claims::Event::Release { ticket }));
+    }
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            let ticket = self.ticket;
+            self.shared.tell(Event::Claim(claims::Event::Forget { ticket }));
+        }
+    }
+}
+
+fn read_key(call: &Call, exchange: &Exchange) -> Result<Key, Problem> {
+    let Some(text) = exchange.header(header::IDEMPOTENCY_KEY) else {
+        let detail = "this call runs at most once and needs an `Idempotency-Key`, a UUID of version 7";
+        return Err(Problem::not_run(Code::KeyMissing, detail));
+    };
+    Key::new(&call.account.name, &call.route.name, text).map_err(carob_claim::key::Error::to_problem)
+}
+
+fn begin(shared: &Shared, key: Key, fingerprint: u64) -> Receiver<(Ticket, Verdict)> {
+    let (reply, verdict) = flume::bounded(1);
+    shared.tell(Event::Claim(claims::Event::Begin {
+        key,
+        fingerprint,
+        reply,
+    }));
+    verdict
+}
+
+/// Finds an upstream for the claimed call. Another one is asked for only while nothing has been sent.
+fn place(shared: &Arc<Shared>, call: &Call, forward: &Forward, mut claim: Claim<'_>, exchange: Exchange) {
+    let place = Place::submit(
+        shared,
+        plain::route_request(shared, call),
+        forward.suspect(&call.service.name),
+    );
+    loop {
+        // A caller that has gone may ask again with the same key, so the call goes on without it.
+        let go = match place.wait(|| false) {
+            Answer::Go(go) => go,
+            Answer::Refuse(problem) => {
+                claim.release();
+                place.finish(End::Failed, None);
+                return admit::refuse(exchange, &problem);
+            }
+            Answer::Gone => unreachable!("the caller is not looked after"),
+        };
+        if let Err(problem) = claim.may_send() {
+            place.finish(End::Cancelled { tokens: 0 }, None);
+            return admit::refuse(exchange, &problem);
+        }
+        if shared.now() >= claim.send_by {
+            // A pause between the permission and this point has used it up.
+            claim.release();
+            place.finish(End::Cancelled { tokens: 0 }, None);
+            return admit::refuse(exchange, &carob_claim::verdict::store_unavailable());
+        }
+        match client::call(&forward.request(&go, place.id(), SEND_LIMIT)) {
+            Ok(response) => return done(place, claim, &go, response, exchange),
+            Err(client::Error::Refused(reason) | client::Error::NotSent(reason)) => {
+                log::info!(
+                    "call: request={} upstream={} not sent: {reason}",
+                    place.id(),
+                    go.upstream
+                );
+                place.retry(End::UpstreamDied);
+            }
+            Err(client::Error::Unknown(reason)) => {
+                log::warn!(
+                    "call: request={} upstream={} outcome unknown: {reason}",
+                    place.id(),
+                    go.upstream
+                );
+                drop(claim);
+                place.finish(End::UpstreamDied, None);
+                return admit::refuse(exchange, &unknown());
+            }
+        }
+    }
+}
+
+fn done(place: Place, claim: Claim<'_>, go: &Go, response: client::Response, exchange: Exchange) {
+    let id = place.id();
+    log::info!(
+        "call: request={id} upstream={} ran once, status={}",
+        go.upstream,
+        response.status
+    );
+    let media = response.headers.get("content-type").unwrap_or_default();
+    claim.finish(Outcome::new(response.status, media, response.body.clone()));
+    place.finish(End::Complete { tokens: 0 }, None);
+    plain::respond(exchange, response, id);
+}
+
+fn replay(exchange: Exchange, outcome: Outcome) {
+    let headers = Headers::new()
+        .with("content-type", outcome.media)
+        .with(header::OUTCOME, Ran::Done.as_str());
+    let Some(body) = outcome.body else {
+        return admit::refuse(exchange, &carob_claim::verdict::body_lost(outcome.status));
+    };
+    exchange.respond(outcome.status, &headers, body);
+}
+
+fn unknown() -> Problem {
+    let detail = "the upstream's answer was lost; the call may have run and is not repeated";
+    Problem::new(Code::UpstreamFailed, Ran::Unknown, detail)
+}
+
+fn stopping() -> Problem {
+    Problem::not_run(Code::NotReady, "this instance is shutting down")
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic/deliver.rs
@@ -0,0 +1,407 @@
+//! The loop that drives a delivery's connections.
+//!
+//! All decisions are the [`Delivery`]'s; this loop only moves bytes between its connections and the caller.
+
+use std::{sync::Arc, time::Duration};
+
+use carob_base::{Name, Time};
+use carob_http::client::{self, Feed, Part, Signal};
+use carob_route::End;
+use carob_stream::{Action, Actions, Cause, Conn, Delivery, End as DeliveryEnd, Source};
+use carob_wire::{
+    Problem,
+    create::Create,
+    event::{Event, Kind},
+    header, sse,
+};
+use flume::{Receiver, RecvTimeoutError, Sender};
+use smallvec::SmallVec;
+
+use super::{
+    answer,
+    outlet::Outlet,
+    place::{Answer, Place},
+};
+use crate::{control::Go, io::janitor::Task, shared::Shared};
+
+/// Largest event of an engine, in bytes.
+const EVENT_LIMIT: usize = 1 << 20;
+/// Parts of responses that are read ahead of the caller.
+const READ_AHEAD: usize = 32;
+/// How often a silent stream's caller is looked after, and the least time between two reports of progress.
+const PULSE: Duration = Duration::from_millis(250);
+/// Silence after which a comment is sent to the caller.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+/// Longest life of one connection to an engine; the delivery resumes on another afterwards.
+const CONNECTION_LIFE: Duration = Duration::from_mins(10);
+/// Path of generations at every engine.
+pub const ENGINE_PATH: &str = "/v1/responses";
+
+/// What a delivery is for.
+#[derive(Debug)]
+pub struct Job {
+    /// The account that owns the answer.
+    pub account: Name,
+    /// The request; `None` if an answer is resumed.
+    pub create: Option<Create>,
+    /// Where the request goes.
+    pub go: Box<Go>,
+}
+
+/// Drives one delivery to its end.
+#[derive(Debug)]
+pub struct Driver {
+    shared: Arc<Shared>,
+    job: Job,
+    place: Option<Place>,
+    delivery: Delivery,
+    outlet: Option<Outlet>,
+    links: SmallVec<[Link; 2]>,
+    sink: Sender<Signal>,
+    inbox: Receiver<Signal>,
+    count: Count,
+    /// When the caller last got anything.
+    sent: Time,
+}
+
+/// One connection to the engine.
+#[derive(Debug)]
+struct Link {
+    conn: Conn,
+    feed: Feed,
+    decoder: sse::Decoder,
+}
+
+/// Tokens of the present generation.
+#[derive(Debug, Default)]
+struct Count {
+    tokens: u32,
+    /// The next sequence number that has not been counted.
+    next: u64,
+    /// When progress was last reported.
+    told: Time,
+}
+
+impl Driver {
+    /// A driver for `delivery`, which has not been started.
+    pub fn new(shared: &Arc<Shared>, job: Job, place: Place, delivery: Delivery, outlet: Outlet) -> Self {
+        let (sink, inbox) = flume::bounded(READ_AHEAD);
+        Self {
+            shared: Arc::clone(shared),
+            job,
+            place: Some(place),
+            delivery,
+            outlet: Some(outlet),
+            links: SmallVec::new(),
+            sink,
+            inbox,
+            count: Count::default(),
+            sent: shared.now(),
+        }
+    }
+
+    /// Runs until the answer is whole, has failed, or the caller has gone.
+    pub fn run(mut self) {
+        let actions = self.delivery.start(self.job.go.pace.clone(), self.shared.now());
+        self.perform(actions);
+        while self.place.is_some() {
+            let now = self.shared.now();
+            let wait = self.delivery.deadline().since(now).min(PULSE);
+            match self.inbox.recv_timeout(wait) {
+                Ok(signal) => self.take(signal),
+                Err(RecvTimeoutError::Timeout) => self.tick(),
+                Err(RecvTimeoutError::Disconnected) => unreachable!("the driver holds a sender"),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.now();
+        if self.outlet.as_ref().is_some_and(Outlet::is_gone) {
+            return self.caller_gone("closed its connection");
+        }
+        if self.place.as_ref().is_some_and(Place::resumed_elsewhere) {
+            return self.resumed_elsewhere();
+        }
+        if now.since(self.sent) >= KEEP_ALIVE {
+            self.sent = now;
+            let alive = self.outlet.as_mut().map(Outlet::keep_alive);
+            if let Some(Err(error)) = alive {
+                return self.caller_gone(&error.to_string());
+            }
+        }
+        if now >= self.delivery.deadline() {
+            let actions = self.delivery.on_tick(now);
+            self.perform(actions);
+        }
+    }
+
+    /// Takes in a part of an engine's response.
+    fn take(&mut self, signal: Signal) {
+        let conn = Conn(signal.tag);
+        if !self.links.iter().any(|link| link.conn == conn) {
+            return;
+        }
+        match signal.part {
+            Part::Head { status, headers } => {
+                let incarnation = headers
+                    .get(header::INCARNATION)
+                    .and_then(|text| text.parse().ok());
+                self.head(conn, status, incarnation.unwrap_or_default());
+            }
+            Part::Data(data) => self.data(conn, &data),
+            Part::Failed(client::Error::Refused(_) | client::Error::NotSent(_)) => {
+                self.broken(conn, Cause::Refused);
+            }
+            Part::End | Part::Failed(client::Error::Unknown(_)) => self.broken(conn, Cause::Ended),
+        }
+    }
+
+    fn head(&mut self, conn: Conn, status: u16, incarnation: u64) {
+        let now = self.shared.now();
+        match status {
+            200 => {
+                let actions = self.delivery.on_head(conn, incarnation, now);
+                self.perform(actions);
+            }
+            404 | 410 => self.broken(conn, Cause::NotFound),
+            429 | 503 => self.broken(conn, Cause::Busy),
+            _ => self.broken(conn, Cause::Rejected { status }),
+        }
+    }
+
+    fn data(&mut self, conn: Conn, data: &[u8]) {
+        let Some(link) = self.links.iter_mut().find(|link| link.conn == conn) else {
+            return;
+        };
+        link.decoder.feed(data);
+        while let Some(link) = self.links.iter_mut().find(|link| link.conn == conn) {
+            let event = match link.decoder.next_data() {
+                Ok(Some(data)) => Event::parse(data),
+                Ok(None) => return,
+                Err(_) => return self.broken(conn, Cause::Malformed),
+            };
+            let Ok(event) = event else {
+                return self.broken(conn, Cause::Malformed);
+            };
+            self.note_progress(&event);
+            let actions = self.delivery.on_event(conn, event, self.shared.now());
+            self.perform(actions);
+        }
+    }
+
+    fn broken(&mut self, conn: Conn, cause: Cause) {
+        self.unlink(conn);
+        let now = self.shared.now();
+        log::debug!(
+            "stream: request={} upstream={} conn={} ended: {cause:?}",
+            self.id(),
+            self.job.go.upstream,
+            conn.0
+        );
+        let actions = self.delivery.on_broken(conn, cause, now);
+        self.perform(actions);
+    }
+
+    /// Counts tokens and tells the control thread from time to time.
+    fn note_progress(&mut self, event: &Event) {
+        let count = &mut self.count;
+        if event.kind() != Kind::Delta || event.head.sequence < count.next {
+            return;
+        }
+        count.next = event.head.sequence + 1;
+        count.tokens += 1;
+        let now = self.shared.now();
+        if count.tokens == 1 || now.since(count.told) >= PULSE {
+            count.told = now;
+            if let Some(place) = &self.place {
+                place.progress(count.tokens);
+            }
+        }
+    }
+
+    fn perform(&mut self, actions: Actions) {
+        for action in actions {
+            match action {
+                Action::Deliver(event) => self.deliver(event),
+                Action::Open { conn, source } => self.open(conn, source),
+                Action::Close(conn) => self.unlink(conn),
+                Action::Rerun { cause } => self.rerun(cause),
+                Action::Cancel(generation) => self.shared.cancel(Task::cancel(&self.job.go, generation)),
+                Action::Fail(problem) => self.fail(&problem),
+                Action::Finish(end) => self.finish(end),
+            }
+        }
+    }
+
+    fn deliver(&mut self, event: Event) {
+        let Some(outlet) = self.outlet.take() else {
+            return;
+        };
+        let answer = self.answer_id();
+        match outlet.send(event, &answer, self.id()) {
+            Ok(outlet) => {
+                self.sent = self.shared.now();
+                self.outlet = Some(outlet);
+            }
+            Err(error) => self.caller_gone(&error.to_string()),
+        }
+    }
+
+    fn open(&mut self, conn: Conn, source: Source) {
+        let go = &self.job.go;
+        let request = match (source, &self.job.create) {
+            (Source::Create, Some(create)) => {
+                client::Request::post(go.address, ENGINE_PATH, create.body_for_engine(go.priority))
+                    .with_header("content-type", "application/json")
+            }
+            (Source::Create, None) => return,
+            (Source::Resume { after }, _) => client::Request::get(go.address, &self.resume_path(after)),
+        };
+        log::debug!(
+            "stream: request={} upstream={} conn={} {source:?}",
+            self.id(),
+            go.upstream,
+            conn.0
+        );
+        let request = request.with_deadline(CONNECTION_LIFE);
+        let feed = client::feed(&request, conn.0, self.sink.clone());
+        let decoder = sse::Decoder::new(EVENT_LIMIT);
+        self.links.push(Link { conn, feed, decoder });
+    }
+
+    fn resume_path(&self, after: Option<u64>) -> String {
+        let answer = self.delivery.generation().answer.as_deref().unwrap_or_default();
+        let after = after.map_or_else(String::new, |after| format!("&starting_after={after}"));
+        format!("{ENGINE_PATH}/{answer}?stream=true{after}")
+    }
+
+    fn unlink(&mut self, conn: Conn) {
+        if let Some(at) = self.links.iter().position(|link| link.conn == conn) {
+            self.links.remove(at).feed.close();
+        }
+    }
+
+    /// Nothing has reached the caller: asks for another upstream.
+    fn rerun(&mut self, cause: Option<Cause>) {
+        let (Some(place), Some(outlet)) = (&self.place, &self.outlet) else {
+            return;
+        };
+        log::info!(
+            "stream: request={} upstream={} rerun after {cause:?}",
+            place.id(),
+            self.job.go.upstream
+        );
+        place.retry(end_of_attempt(cause, self.count.tokens));
+        self.count = Count::default();
+        match place.wait(|| outlet.is_gone()) {
+            Answer::Go(go) => {
+                self.job.go = go;
+                let actions = self.delivery.start(self.job.go.pace.clone(), self.shared.now());
+                self.perform(actions);
+            }
+            Answer::Refuse(_) => self.give_up(),
+            Answer::Gone => self.caller_gone("closed its connection"),
+        }
+    }
+
+    /// Routing has no further upstream. The delivery knows whether an earlier attempt may have run.
+    fn give_up(&mut self) {
+        let delivery = std::mem::replace(&mut self.delivery, Delivery::new(carob_stream::Options::new()));
+        let (problem, actions) = delivery.close();
+        self.perform(actions);
+        self.fail(&problem);
+    }
+
+    fn fail(&mut self, problem: &Problem) {
+        log::info!(
+            "stream: request={} upstream={} failed code={:?} outcome={}",
+            self.id(),
+            self.job.go.upstream,
+            problem.code,
+            problem.outcome.as_str()
+        );
+        metrics::counter!("carob_stream_failures", "code" => format!("{:?}", problem.code)).increment(1);
+        let answer = self.answer_id();
+        let sequence = self.delivery.next_sequence();
+        if let Some(outlet) = self.outlet.take() {
+            outlet.fail(problem, sequence, &answer);
+        }
+        self.release(End::UpstreamDied);
+    }
+
+    fn finish(&mut self, end: DeliveryEnd) {
+        let answer = self.answer_id();
+        let id = self.id();
+        if let Some(outlet) = self.outlet.take() {
+            outlet.close(&answer, id);
+        }
+        let tokens = self.count.tokens;
+        log::debug!(
+            "stream: request={id} upstream={} {end:?} tokens={tokens}",
+            self.job.go.upstream
+        );
+        self.release(match end {
+            DeliveryEnd::Completed | DeliveryEnd::Incomplete => End::Complete { tokens },
+            DeliveryEnd::Failed => End::Interrupted { tokens },
+        });
+    }
+
+    /// The caller has gone: the janitor waits for a resumption, then cancels.
+    fn caller_gone(&mut self, why: &str) {
+        let Some(place) = self.place.take() else {
+            return;
+        };
+        log::info!(
+            "stream: request={} upstream={} caller gone: {why}",
+            place.id(),
+            self.job.go.upstream
+        );
+        self.outlet = None;
+        let fresh = Delivery::new(carob_stream::Options::new());
+        let mut delivery = std::mem::replace(&mut self.delivery, fresh);
+        let actions = delivery.on_caller_gone(self.shared.now());
+        let tokens = self.count.tokens;
+        self.shared
+            .cancel(Task::abandon(&self.job.go, delivery, place, tokens));
+        self.perform(actions);
+        self.links.clear();
+    }
+
+    fn resumed_elsewhere(&mut self) {
+        let actions = self.delivery.on_resumed_elsewhere();
+        self.perform(actions);
+        self.outlet = None;
+        let tokens = self.count.tokens;
+        self.release(End::Interrupted { tokens });
+    }
+
+    fn release(&mut self, end: End) {
+        if let Some(place) = self.place.take() {
+            place.finish(end, Some(self.delivery.pace()));
+        }
+        self.links.clear();
+    }
+
+    fn answer_id(&self) -> String {
+        answer::id_of(
+            &self.shared,
+            &self.job.account,
+            &self.job.go.upstream,
+            self.delivery.generation(),
+        )
+    }
+
+    fn id(&self) -> u64 {
+        self.place.as_ref().map_or(0, Place::id)
+    }
+}
+
+/// How an attempt that is rerun elsewhere ended on its upstream.
+const fn end_of_attempt(cause: Option<Cause>, tokens: u32) -> End {
+    match cause {
+        Some(Cause::Refused | Cause::Ended | Cause::NotFound) => End::UpstreamDied,
+        Some(Cause::Busy | Cause::Rejected { .. } | Cause::Malformed) => End::Failed,
+        None => End::Interrupted { tokens },
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic/generate.rs
@@ -0,0 +1,94 @@
+//! A request for a new answer.
+
+use std::sync::Arc;
+
+use carob_http::listen::Exchange;
+use carob_route::submit::Request;
+use carob_stream::{Delivery, Mode, Options};
+use carob_suspect::Fingerprint;
+use carob_wire::{Code, Problem, create::Create, header};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{
+    admit::{self, Call},
+    deliver::{Driver, Job},
+    outlet::Outlet,
+    place::{Answer, Place},
+};
+use crate::shared::Shared;
+
+/// Lengths of the prompt's prefixes whose hashes are compared with the engines' caches, in bytes.
+const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
+
+/// Places the request and delivers its answer.
+pub fn serve(shared: &Arc<Shared>, call: &Call, mut exchange: Exchange) {
+    let create = match Create::parse(exchange.take_body()) {
+        Ok(create) => create,
+        Err(error) => {
+            let problem = Problem::not_run(Code::BadRequest, error.to_string());
+            return admit::refuse(exchange, &problem);
+        }
+    };
+    let options = match delivery_options(call, &create, &exchange) {
+        Ok(options) => options,
+        Err(problem) => return admit::refuse(exchange, &problem),
+    };
+    let request = route_request(shared, call, &create);
+    let fingerprint = Fingerprint::new(&call.service.name, &create.body);
+    let place = Place::submit(shared, request, fingerprint);
+    let go = match place.wait(|| exchange.is_gone()) {
+        Answer::Go(go) => go,
+        Answer::Refuse(problem) => {
+            place.finish(carob_route::End::Cancelled { tokens: 0 }, None);
+            return admit::refuse(exchange, &problem);
+        }
+        Answer::Gone => return place.finish(carob_route::End::Cancelled { tokens: 0 }, None),
+    };
+    let outlet = Outlet::new(exchange, create.stream);
+    let job = Job {
+        account: call.account.name.clone(),
+        create: Some(create),
+        go,
+    };
+    Driver::new(shared, job, place, Delivery::new(options), outlet).run();
+}
+
+/// Streamed answers are passed on at once, unless the caller prefers a whole one.
+fn delivery_options(call: &Call, create: &Create, exchange: &Exchange) -> Result<Options, Problem> {
+    let wish = exchange.header(header::DELIVERY).unwrap_or("stream");
+    let mode = match wish {
+        "stream" if create.stream => Mode::Stream,
+        "stream" | "whole" => Mode::Whole,
+        _ => {
+            let detail = format!("`{}` is {wish:?}; expected `stream` or `whole`", header::DELIVERY);
+            return Err(Problem::not_run(Code::BadRequest, detail));
+        }
+    };
+    let mut options = Options::new().with_mode(mode);
+    options.patience = options.patience.max(call.service.patience);
+    Ok(options)
+}
+
+fn route_request(shared: &Shared, call: &Call, create: &Create) -> Request {
+    Request::new(
+        shared.next_id(),
+        call.service.name.clone(),
+        call.account.name.clone(),
+    )
+    .with_tokens(create.prompt_tokens, create.max_tokens)
+    .with_prefix(prefix_hashes(create))
+    .with_idempotent(call.route.idempotent)
+}
+
+/// Hashes of the prompt's prefixes, longest last. The caller's own grouping comes first, as the shortest.
+fn prefix_hashes(create: &Create) -> SmallVec<[u64; 4]> {
+    let key = create.cache_key.as_deref().unwrap_or_default().as_bytes();
+    let seed = xxh3_64(key);
+    let whole = PREFIX_BYTES
+        .iter()
+        .take_while(|length| **length <= create.body.len());
+    whole
+        .map(|length| xxh3_64_with_seed(&create.body[..*length], seed))
+        .collect()
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic/plain.rs
@@ -0,0 +1,196 @@
+//! Calls to plain services.
+//!
+//! Idempotent calls are retried on other upstreams within the service's budget. Non-idempotent calls are claimed
+//! first and sent at most once.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use carob_base::Name;
+use carob_http::{Headers, client, listen::Exchange};
+use carob_route::{End, submit::Request};
+use carob_stream::call::{self, Failure, Step};
+use carob_suspect::Fingerprint;
+use carob_wire::{Problem, header};
+
+use super::{
+    admit::{self, Call},
+    claimed,
+    place::{Answer, Place},
+};
+use crate::{control::Go, shared::Shared};
+
+/// Headers that concern one connection, or that are the system's own.
+const KEPT_BACK: [&str; 9] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+/// Shortest time limit of one attempt.
+const ATTEMPT_FLOOR: Duration = Duration::from_secs(1);
+
+/// A call as it goes to an upstream.
+#[derive(Debug)]
+pub struct Forward {
+    method: String,
+    path: String,
+    headers: Headers,
+    body: Bytes,
+}
+
+/// Sends the call to an upstream of its service.
+pub fn serve(shared: &Arc<Shared>, call: &Call, mut exchange: Exchange) {
+    let forward = Forward::new(&mut exchange);
+    if call.route.idempotent {
+        idempotent(shared, call, &forward, exchange);
+    } else {
+        claimed::serve(shared, call, &forward, exchange);
+    }
+}
+
+impl Forward {
+    fn new(exchange: &mut Exchange) -> Self {
+        let mut path = exchange.path().to_owned();
+        if !exchange.query().is_empty() {
+            path = format!("{path}?{}", exchange.query());
+        }
+        Self {
+            method: exchange.method().to_owned(),
+            path,
+            headers: end_to_end(exchange.headers()),
+            body: exchange.take_body(),
+        }
+    }
+
+    /// Digest of the call, by which a repeated key with another call is recognised.
+    pub fn fingerprint(&self) -> u64 {
+        carob_claim::key::fingerprint(&self.method, &self.path, &self.body)
+    }
+
+    /// Digest of the call, by which crashes of upstreams are attributed.
+    pub fn suspect(&self, service: &Name) -> Fingerprint {
+        Fingerprint::new(service, &self.fingerprint().to_be_bytes())
+    }
+
+    /// The request to the upstream.
+    pub fn request(&self, go: &Go, id: u64, limit: Duration) -> client::Request {
+        let mut request = client::Request::new(&self.method, go.address, &self.path)
+            .with_body(self.body.clone())
+            .with_header(header::REQUEST, id.to_string())
+            .with_deadline(limit);
+        for (name, value) in self.headers.iter() {
+            request = request.with_header(name, value);
+        }
+        request
+    }
+}
+
+/// What routing needs to know of a plain call.
+pub fn route_request(shared: &Shared, call: &Call) -> Request {
+    Request::new(
+        shared.next_id(),
+        call.service.name.clone(),
+        call.account.name.clone(),
+    )
+    .with_idempotent(call.route.idempotent)
+}
+
+/// Passes an upstream's response on.
+pub fn respond(exchange: Exchange, response: client::Response, id: u64) {
+    let headers = end_to_end(&response.headers).with(header::REQUEST, id.to_string());
+    exchange.respond(response.status, &headers, response.body);
+}
+
+fn end_to_end(headers: &Headers) -> Headers {
+    let mut kept = Headers::new();
+    for (name, value) in headers.iter().filter(|(name, _)| !KEPT_BACK.contains(name)) {
+        kept.push(name, value);
+    }
+    kept
+}
+
+fn idempotent(shared: &Arc<Shared>, call: &Call, forward: &Forward, exchange: Exchange) {
+    let limits = limits(call);
+    let mut state = call::Call::new(limits, shared.now());
+    let place = Place::submit(
+        shared,
+        route_request(shared, call),
+        forward.suspect(&call.service.name),
+    );
+    let mut answer = place.wait(|| exchange.is_gone());
+    loop {
+        let go = match answer {
+            Answer::Go(go) => go,
+            Answer::Gone => return place.finish(End::Cancelled { tokens: 0 }, None),
+            Answer::Refuse(problem) => {
+                let problem = if state.failed().is_empty() {
+                    problem
+                } else {
+                    state.refuse()
+                };
+                place.finish(End::Failed, None);
+                return admit::refuse(exchange, &problem);
+            }
+        };
+        let attempt = state.start(go.upstream.clone(), shared.now());
+        let limit = state.deadline().since(shared.now());
+        let result = client::call(&forward.request(&go, place.id(), limit));
+        let (step, end) = match &result {
+            Ok(response) if matches!(response.status, 429 | 503) => (
+                state.on_failure(attempt, Failure::Busy, shared.now()),
+                End::Failed,
+            ),
+            Ok(_) => (state.on_answer(attempt), End::Complete { tokens: 0 }),
+            Err(client::Error::Refused(_) | client::Error::NotSent(_)) => (
+                state.on_failure(attempt, Failure::Refused, shared.now()),
+                End::UpstreamDied,
+            ),
+            Err(client::Error::Unknown(_)) => (
+                state.on_failure(attempt, Failure::Broken, shared.now()),
+                End::Failed,
+            ),
+        };
+        match (step, result) {
+            (Step::Answer, Ok(response)) => {
+                let id = place.id();
+                place.finish(end, None);
+                return respond(exchange, response, id);
+            }
+            (Step::Fail(problem), _) => return fail(place, end, exchange, &problem),
+            (Step::Retry, result) => {
+                log::info!(
+                    "call: request={} upstream={} retry after {:?}",
+                    place.id(),
+                    go.upstream,
+                    result.err()
+                );
+                place.retry(end);
+                answer = place.wait(|| exchange.is_gone());
+            }
+            (step, _) => {
+                unreachable!("one attempt at a time ends in an answer, a retry or a failure: {step:?}")
+            }
+        }
+    }
+}
+
+fn fail(place: Place, end: End, exchange: Exchange, problem: &Problem) {
+    place.finish(end, None);
+    admit::refuse(exchange, problem);
+}
+
+/// A retry must be able to start while the caller still waits.
+fn limits(call: &Call) -> call::Options {
+    let patience = call.service.patience;
+    call::Options {
+        patience,
+        attempt_limit: (patience / 2).max(ATTEMPT_FLOOR),
+        ..call::Options::default()
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/traffic/resume.rs
@@ -0,0 +1,111 @@
+//! The rest of an answer by its id.
+//!
+//! The id says all that is needed, so that any instance can resume an answer after the first one has died.
+
+use std::sync::Arc;
+
+use carob_config::Config;
+use carob_http::listen::Exchange;
+use carob_stream::{Delivery, Generation, Options, Pace};
+use carob_wire::{Code, Problem, Ran, answer::Answer};
+
+use super::{
+    admit::{self, Call},
+    deliver::{Driver, Job},
+    outlet::Outlet,
+    place::Place,
+};
+use crate::{control::Go, shared::Shared};
+
+/// Delivers the events of the answer `id` after the one that the query names.
+pub fn serve(shared: &Arc<Shared>, call: &Call, id: &str, exchange: Exchange) {
+    let query = match Query::parse(exchange.query()) {
+        Ok(query) => query,
+        Err(problem) => return admit::refuse(exchange, &problem),
+    };
+    let (answer, go) = match find(shared, call, id) {
+        Ok(found) => found,
+        Err(problem) => return admit::refuse(exchange, &problem),
+    };
+    let request = shared.next_id();
+    log::info!(
+        "stream: request={request} resumes upstream={} after={:?}",
+        answer.upstream,
+        query.after
+    );
+    let generation = Generation::of_answer(answer.incarnation, answer.engine_id.clone());
+    let place = Place::resumed(shared, request, (answer.upstream, answer.engine_id));
+    let job = Job {
+        account: call.account.name.clone(),
+        create: None,
+        go: Box::new(go),
+    };
+    let delivery = Delivery::resume(Options::new(), generation, query.after);
+    let outlet = Outlet::new(exchange, query.stream);
+    Driver::new(shared, job, place, delivery, outlet).run();
+}
+
+/// Finds the upstream that holds the caller's answer `id`.
+///
+/// # Errors
+///
+/// Returns the refusal for the caller: the id is malformed or another account's, or its upstream has left.
+pub fn find(shared: &Shared, call: &Call, id: &str) -> Result<(Answer, Go), Problem> {
+    let unknown = || Problem::not_run(Code::NotFound, "no such answer");
+    let answer = Answer::from_id(id, &shared.options.answer_key).map_err(|_error| unknown())?;
+    // Another account's answer is reported like one that does not exist.
+    if answer.account != call.account.name.as_str() {
+        return Err(unknown());
+    }
+    let Some(go) = go_to(&call.config, &answer.upstream) else {
+        let detail = "the upstream that held the answer has left";
+        return Err(Problem::new(Code::AnswerLost, Ran::Unknown, detail));
+    };
+    Ok((answer, go))
+}
+
+fn go_to(config: &Config, upstream: &str) -> Option<Go> {
+    let upstream = config.upstreams.get(upstream)?;
+    Some(Go {
+        upstream: upstream.name.clone(),
+        address: upstream.address,
+        priority: 0,
+        pace: Pace::new(),
+    })
+}
+
+struct Query {
+    stream: bool,
+    after: Option<u64>,
+}
+
+impl Query {
+    fn parse(text: &str) -> Result<Self, Problem> {
+        let mut query = Self {
+            stream: false,
+            after: None,
+        };
+        for pair in text.split('&').filter(|pair| !pair.is_empty()) {
+            match pair.split_once('=') {
+                Some(("stream", "true")) => query.stream = true,
+                Some(("stream", "false")) => query.stream = false,
+                Some(("starting_after", number)) => query.after = Some(parse_number(number)?),
+                _ => {
+                    return Err(Problem::not_run(
+                        Code::BadRequest,
+                        format!("unknown parameter {pair:?}"),
+                    ));
+                }
+            }
+        }
+        Ok(query)
+    }
+}
+
+fn parse_number(text: &str) -> Result<u64, Problem> {
+    let number = text.parse().ok().filter(|number| *number < u64::MAX);
+    number.ok_or_else(|| {
+        let detail = format!("`starting_after` is {text:?}; expected a sequence number");
+        Problem::not_run(Code::BadRequest, detail)
+    })
+}
--- a/crates/carob-http/src/admin.rs
+++ b/crates/carob-http/src/admin.rs
@@ -27,6 +27,8 @@
         pub path: String,
         /// Query without the question mark.
         pub query: String,
+        /// Key from an `Authorization: Bearer` header.
+        pub bearer: Option<String>,
         /// Body, at most 1 MiB.
         pub body: Bytes,
     }
@@ -154,6 +156,15 @@
         method: request.method().to_string(),
         path: path.to_owned(),
         query: query.to_owned(),
+        bearer: bearer(request),
         body: Bytes::from(body),
     })
 }
+
+fn bearer(request: &Request) -> Option<String> {
+    let header = request
+        .headers()
+        .iter()
+        .find(|header| header.field.equiv("Authorization"))?;
+    header.value.as_str().strip_prefix("Bearer ").map(str::to_owned)
+}
--- a/crates/carob-http/src/client.rs
+++ b/crates/carob-http/src/client.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`call`]: one exchange with the whole body, under one deadline.
 //! * [`start`] and [`open`]: a body that is read as it comes.
+//! * [`feed`]: the same for several connections that share one channel.
 
 use std::time::Duration;
 
@@ -14,17 +15,22 @@
 use crate::Headers;
 
 mod exchange;
+mod feed;
 mod request;
 mod runtime;
 mod stream;
 
+pub use feed::{Feed, Part, Signal};
 pub use request::Request;
 pub use stream::{Chunk, Opening, Stream};
 
 /// Why a call has no response.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
-    /// No connection was made, so that the request certainly did not run.
+    /// Nothing listens at the address, so that the request certainly did not run.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// No connection was made for another reason; the request certainly did not run.
     #[error("not sent: {0}")]
     NotSent(String),
     /// The connection broke or the deadline passed; the request may have run.
@@ -48,7 +54,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if the response is missing, cut
+/// Returns [`Error::Refused`] or [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if the response is missing, cut
 /// off, larger than the limit or not there before the deadline.
 pub fn call(request: &Request) -> Result<Response, Error> {
     let (done, result) = flume::bounded(1);
@@ -71,11 +77,18 @@
     stream::start(request.clone())
 }
 
+/// Sends `request` in the background; the response's parts go into `sink` with `tag`.
+///
+/// The connection is slowed down while `sink` is full. Its deadline covers the body too.
+pub fn feed(request: &Request, tag: u32, sink: flume::Sender<Signal>) -> Feed {
+    feed::start(request.clone(), tag, sink)
+}
+
 /// Sends `request` and waits for the response's head; the body is read as it comes.
 ///
 /// # Errors
 ///
-/// Returns [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if no head came before the
+/// Returns [`Error::Refused`] or [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if no head came before the
 /// request's deadline.
 pub fn open(request: &Request) -> Result<Stream, Error> {
     // The deadline is kept by the network thread; the margin only guards against its loss.
--- a/crates/carob-http/src/client/exchange.rs
+++ b/crates/carob-http/src/client/exchange.rs
@@ -81,7 +81,7 @@
     let stream = timeout(limit, TcpStream::connect(request.address))
         .await
         .map_err(|_elapsed| Error::NotSent(format!("no connection within {limit:?}")))?
-        .map_err(not_sent)?;
+        .map_err(not_connected)?;
     stream.set_nodelay(true).map_err(not_sent)?;
     Ok(stream)
 }
@@ -134,6 +134,13 @@
     Ok(body.freeze())
 }
 
+fn not_connected(error: std::io::Error) -> Error {
+    match error.kind() {
+        std::io::ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
+        _ => not_sent(error),
+    }
+}
+
 fn not_sent(error: impl std::fmt::Display) -> Error {
     Error::NotSent(error.to_string())
 }
--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -285,7 +285,7 @@
     let drain = std::thread::spawn(move || listener.drain());
     while !matches!(
         client::call(&Request::get(address, "/probe")),
-        Err(client::Error::NotSent(_))
+        Err(client::Error::Refused(_))
     ) {}
     send.send("two").expect("the handler waits");
     drop(send);
--- a/crates/carob-load/src/caller/generation.rs
+++ b/crates/carob-load/src/caller/generation.rs
@@ -73,7 +73,7 @@
     fn connection(&self, exchange: &mut Exchange, request: &Request) -> Step {
         let stream = match client::start(request).wait(self.left()) {
             Ok(Ok(stream)) => stream,
-            Ok(Err(Error::NotSent(_))) => return exchange.unreachable(),
+            Ok(Err(Error::Refused(_) | Error::NotSent(_))) => return exchange.unreachable(),
             Ok(Err(Error::Unknown(_))) => return exchange.interrupted(),
             Err(opening) => {
                 opening.close();
--- a/crates/carob-load/src/caller/plain.rs
+++ b/crates/carob-load/src/caller/plain.rs
@@ -171,7 +171,7 @@
 
 /// The reply to a send whose answer did not come.
 fn lost(error: &Error, expired: bool, end: Time) -> Reply {
-    let not_sent = matches!(error, Error::NotSent(_));
+    let not_sent = matches!(error, Error::Refused(_) | Error::NotSent(_));
     Reply {
         outcome: if expired {
             Outcome::Expired
--- a/crates/carob-standin/tests/engine.rs
+++ b/crates/carob-standin/tests/engine.rs
@@ -173,7 +173,7 @@
     engine.die();
     assert!(!read(&stream).1);
     let refused = client::call(&Request::get(engine.address(), "/metrics"));
-    assert!(matches!(refused, Err(client::Error::NotSent(_))), "{refused:?}");
+    assert!(matches!(refused, Err(client::Error::Refused(_))), "{refused:?}");
     engine.restart().expect("the port is free");
     assert!(engine.incarnation() > first);
     let (events, clean) = read(&post(&engine, &body("x", 3)));
--- a/crates/carob-standin/tests/services.rs
+++ b/crates/carob-standin/tests/services.rs
@@ -183,7 +183,7 @@
     orders.stop();
     assert!(matches!(
         post(orders.address(), "/orders", &order),
-        Err(client::Error::NotSent(_))
+        Err(client::Error::Refused(_))
     ));
     orders.restart().expect("the port is free");
     let stock = Request::get(orders.address(), "/stock");
--- a/crates/carob-stream/src/call.rs
+++ b/crates/carob-stream/src/call.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use carob_base::{Time, UpstreamKey};
+use carob_base::{Name, Time};
 use carob_wire::{Code, Problem, Ran};
 use smallvec::SmallVec;
 
@@ -71,8 +71,8 @@
     options: Options,
     until: Time,
     attempts: u32,
-    current: Option<(Attempt, UpstreamKey, Time)>,
-    failed: SmallVec<[UpstreamKey; 4]>,
+    current: Option<(Attempt, Name, Time)>,
+    failed: SmallVec<[Name; 4]>,
     last: Option<Failure>,
     uncertain: bool,
     over: bool,
@@ -94,7 +94,7 @@
     }
 
     /// Starts an attempt on an upstream outside [`failed`](Self::failed).
-    pub fn start(&mut self, upstream: UpstreamKey, now: Time) -> Attempt {
+    pub fn start(&mut self, upstream: Name, now: Time) -> Attempt {
         debug_assert!(
             !self.failed.contains(&upstream),
             "a failed upstream is not tried again"
@@ -138,17 +138,17 @@
     }
 
     /// Upstreams that must not be tried again.
-    pub fn failed(&self) -> &[UpstreamKey] {
+    pub fn failed(&self) -> &[Name] {
         &self.failed
     }
 
     /// When [`on_tick`](Self::on_tick) has to be called at the latest.
     pub fn deadline(&self) -> Time {
-        let Some((_, _, started)) = self.current else {
+        let Some((_, _, started)) = &self.current else {
             return Time::NEVER;
         };
         // The last attempt that patience permits may use all that is left of it.
-        let limit = started + self.options.attempt_limit;
+        let limit = *started + self.options.attempt_limit;
         if self.attempts >= self.options.max_attempts {
             self.until.max(limit)
         } else {
@@ -157,7 +157,11 @@
     }
 
     fn is_current(&self, attempt: Attempt) -> bool {
-        !self.over && self.current.is_some_and(|(current, _, _)| current == attempt)
+        !self.over
+            && self
+                .current
+                .as_ref()
+                .is_some_and(|(current, _, _)| *current == attempt)
     }
 
     fn give_up_attempt(&mut self, failure: Failure, now: Time) -> Step {
--- /dev/null
+++ b/src/args.rs
@@ -0,0 +1,139 @@
+//! Arguments of the command and its subcommands.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use argh::FromArgs;
+
+/// Serving system for model generations of unknown length on crowded engines.
+///
+/// Exit codes: 0 done; 1 refused or an outcome did not hold; 2 bad arguments, settings or input; 3 an instance or
+/// the platform could not be reached; 4 a ticket is recorded but not yet in force everywhere.
+#[derive(FromArgs)]
+pub struct Args {
+    /// which log lines to write: error, warn, info, debug or a filter such as `warn,carob_route=debug`
+    #[argh(option, default = "String::from(\"info\")")]
+    pub log: String,
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// The subcommands.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Check(Check),
+    Demo(Demo),
+    Serve(Serve),
+    Standin(Standin),
+    Status(Status),
+    Ticket(Ticket),
+}
+
+/// Run an entry instance until SIGTERM or SIGINT, then finish open requests and exit.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct Serve {
+    /// settings file (INI); see docs/SETTINGS.md
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
+/// Check a settings file without starting anything; prints every problem with file, line and key.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// settings file (INI)
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
+/// Run an entry instance with embedded stand-ins for the platform and the upstreams, on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {
+    /// run the whole round once, print each outcome and exit: 0 only if every outcome held
+    #[argh(switch)]
+    pub once: bool,
+}
+
+/// Run one stand-in for an outside system as a process of its own, until SIGTERM or SIGINT.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "standin")]
+pub struct Standin {
+    /// which one: store, list, engine or orders
+    #[argh(positional)]
+    pub kind: String,
+    /// address to listen on (default 127.0.0.1:0, any free port; the address is printed)
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    pub address: SocketAddr,
+}
+
+/// Show an instance's upstreams, peers, configuration revision and queue.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// operators' address of any instance
+    #[argh(option)]
+    pub admin: SocketAddr,
+}
+
+/// Check, submit or follow change tickets.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "ticket")]
+pub struct Ticket {
+    #[argh(subcommand)]
+    pub action: Action,
+}
+
+/// What to do with a ticket.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Action {
+    Check(TicketCheck),
+    Status(TicketStatus),
+    Submit(TicketSubmit),
+}
+
+/// Check a ticket file without sending it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct TicketCheck {
+    /// ticket file (INI)
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Submit a ticket and wait until it is in force everywhere.
+///
+/// Submitting the same ticket again is safe and gives the same answer.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub struct TicketSubmit {
+    /// ticket file (INI)
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// operators' address of any instance
+    #[argh(option)]
+    pub admin: SocketAddr,
+    /// file with the operators' key
+    #[argh(option)]
+    pub key: Option<PathBuf>,
+    /// seconds to wait until the ticket is in force everywhere (default 8)
+    #[argh(option, default = "8")]
+    pub wait: u64,
+}
+
+/// Show whether a ticket is recorded and which instances have not confirmed it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct TicketStatus {
+    /// the ticket's number
+    #[argh(positional)]
+    pub number: u64,
+    /// operators' address of any instance
+    #[argh(option)]
+    pub admin: SocketAddr,
+    /// file with the operators' key
+    #[argh(option)]
+    pub key: Option<PathBuf>,
+}
--- /dev/null
+++ b/src/command/check.rs
@@ -0,0 +1,30 @@
+//! Checks a settings file.
+
+use std::path::Path;
+
+use carob_settings::Settings;
+
+use crate::{
+    args::Check,
+    exit::{Exit, failure},
+};
+
+/// Checks the file and prints who the instance would be.
+pub fn run(args: &Check) -> eyre::Result<Exit> {
+    let settings = load(&args.settings)?;
+    let who = &settings.instance;
+    println!(
+        "settings are valid: instance {}, failure domain {}, region {}",
+        who.name, who.domain, who.region
+    );
+    Ok(Exit::Done)
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns every problem with file, line and key, with the exit code [`Exit::Usage`].
+pub fn load(path: &Path) -> eyre::Result<Settings> {
+    Settings::load(path).map_err(|errors| failure(Exit::Usage, errors.to_string()))
+}
--- /dev/null
+++ b/src/command/serve.rs
@@ -0,0 +1,43 @@
+//! Runs an entry instance.
+
+use carob_entry::{Instance, Options};
+use carob_settings::Settings;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+use crate::{
+    args::Serve,
+    exit::{Exit, failure},
+};
+
+/// Serves until a signal asks the instance to leave, then finishes every open request.
+pub fn run(args: &Serve) -> eyre::Result<Exit> {
+    let settings = super::check::load(&args.settings)?;
+    let mut signals =
+        Signals::new([SIGINT, SIGTERM]).map_err(|error| failure(Exit::Usage, error.to_string()))?;
+    let instance =
+        Instance::start(options(settings)).map_err(|error| failure(Exit::Usage, error.to_string()))?;
+    signals.forever().next();
+    instance.close();
+    Ok(Exit::Done)
+}
+
+fn options(settings: Settings) -> Options {
+    let who = settings.instance;
+    let mut options = Options::new(who.name, who.domain, who.region);
+    options.leave_delay = who.leave_delay;
+    options.callers = settings.callers;
+    options.admin = settings.admin.address;
+    options.operator_key = settings.admin.key.map(|key| key.bytes().clone());
+    options.peers = settings.peers.address;
+    options.peer_key = settings.peers.key.bytes().clone();
+    options.store = settings.store.endpoints;
+    options.store_timeout = settings.store.timeout;
+    options.list = settings.list.address;
+    options.answer_key = settings.answers.key.bytes().clone();
+    options.poll_every = settings.upstreams.poll_interval;
+    options.seed = rand::random();
+    options
+}
--- /dev/null
+++ b/src/demo/round.rs
@@ -0,0 +1,129 @@
+//! The whole round with its outcomes.
+
+use std::{
+    thread,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use carob_load::caller::key::uuid_v7;
+
+use super::{
+    caller::{self, Answer},
+    world::World,
+};
+use crate::exit::Exit;
+
+/// A short answer.
+const SHORT: &str = r#"{"input":"beeswax taper availability","stream":true,"metadata":{"tokens":"40"}}"#;
+/// An answer that is still being generated when the instance is told to leave.
+const LONG: &str = r#"{"input":"an Advent liturgy candle quote","stream":true,"metadata":{"tokens":"400"}}"#;
+/// Events of the long answer after which the instance is told to leave.
+const LEAVE_AFTER: u64 = 20;
+
+/// Runs every step, prints whether its outcome held, and closes everything.
+pub fn run(world: World) -> Exit {
+    let mut held = true;
+    let mut note = |name: &str, outcome: eyre::Result<String>| {
+        let (mark, detail) = match outcome {
+            Ok(detail) => ("held  ", detail),
+            Err(error) => ("MISSED", format!("{error:#}")),
+        };
+        held &= mark == "held  ";
+        println!("{mark} {name}: {detail}");
+    };
+    note("ticket", ticket(&world));
+    note("answer", short_answer(&world));
+    note("order", double_order(&world));
+    note("shutdown", shutdown(world));
+    if held { Exit::Done } else { Exit::Refused }
+}
+
+fn ticket(world: &World) -> eyre::Result<String> {
+    let answer = world.submit_ticket()?;
+    eyre::ensure!(
+        answer.status == 200,
+        "refused with status {}: {}",
+        answer.status,
+        answer.body
+    );
+    world.wait_ready()?;
+    Ok("recorded, and in force at the instance".to_owned())
+}
+
+fn short_answer(world: &World) -> eyre::Result<String> {
+    let answer = caller::generate(world.instance.callers(), SHORT, |_| {})?;
+    check(world, &answer, SHORT)?;
+    Ok(format!(
+        "{} events, equal to what the engine generated",
+        answer.events
+    ))
+}
+
+fn double_order(world: &World) -> eyre::Result<String> {
+    let millis = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
+    let key = uuid_v7(millis, &mut rand::rng());
+    let first = caller::order(world.instance.callers(), &key)?;
+    let second = caller::order(world.instance.callers(), &key)?;
+    let booked = world.orders.bookings().len();
+    eyre::ensure!(first.0 == 201, "the order was answered with status {}", first.0);
+    eyre::ensure!(
+        first == second,
+        "the repeat got another answer: {first:?}, then {second:?}"
+    );
+    eyre::ensure!(booked == 1, "the order was booked {booked} times");
+    Ok("sent twice with one key, booked once, same answer".to_owned())
+}
+
+fn shutdown(world: World) -> eyre::Result<String> {
+    let address = world.instance.callers();
+    let (halfway, reached) = flume::bounded(1);
+    let reader = thread::spawn(move || {
+        caller::generate(address, LONG, |events| {
+            if events == LEAVE_AFTER && halfway.send(()).is_err() {
+                log::debug!("demo: nobody waits for the long answer");
+            }
+        })
+    });
+    // If the answer fails early, the channel closes and the reader's error is reported below.
+    let started = reached.recv().is_ok();
+    let World {
+        store,
+        list,
+        engines,
+        orders,
+        instance,
+    } = world;
+    instance.close();
+    let answer = reader
+        .join()
+        .map_err(|_panic| eyre::eyre!("the caller panicked"))??;
+    let expected = engines
+        .iter()
+        .any(|engine| engine.expected_answer(LONG.as_bytes()) == answer.text);
+    eyre::ensure!(started, "the answer ended before the shutdown");
+    eyre::ensure!(
+        answer.whole && answer.ordered && expected,
+        "the answer was cut off after {} events",
+        answer.events
+    );
+    orders.close();
+    list.close();
+    engines.into_iter().for_each(carob_standin::Engine::close);
+    store.close();
+    Ok(format!(
+        "in the middle of an answer; all {} events came",
+        answer.events
+    ))
+}
+
+fn check(world: &World, answer: &Answer, body: &str) -> eyre::Result<()> {
+    eyre::ensure!(
+        answer.ordered,
+        "sequence numbers are missing, repeated or out of order"
+    );
+    eyre::ensure!(answer.whole, "the answer's end is missing");
+    let mut engines = world.engines.iter();
+    let expected = engines.any(|engine| engine.expected_answer(body.as_bytes()) == answer.text);
+    eyre::ensure!(expected, "the text differs from what any engine generated");
+    Ok(())
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,21 @@
 //! The `carobhaven` command.
 
-fn main() {}
+mod args;
+mod command;
+mod demo;
+mod exit;
+mod logs;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: args::Args = argh::from_env();
+    logs::start(&args.log);
+    match command::run(args.command) {
+        Ok(exit) => exit.into(),
+        Err(report) => {
+            eprintln!("carobhaven: {report:#}");
+            exit::of_report(&report).into()
+        }
+    }
+}
