--- a/crates/carob-member/src/suspicion.rs
+++ b/crates/carob-member/src/suspicion.rs
@@ -1,7 +1,8 @@
 //! How long an instance is suspected before it counts as failed.
 //!
 //! One instance's suspicion may be due to its own link, so it waits long; every further instance that suspects the
-//! same one shortens the wait.
+//! same one shortens the wait. Meanwhile every instance that was told of the suspicion pings the suspected one itself,
+//! since the bundle that denies the suspicion may be lost on the way to it.
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -15,6 +16,8 @@
 pub(crate) struct Suspicion {
     /// When it began.
     pub(crate) since: Time,
+    /// When the suspected instance is pinged next.
+    pub(crate) next_ping: Time,
     /// Last bundle of the suspected instance that the suspicion rests on.
     pub(crate) version: u32,
     /// Whether this instance itself had no answer.
@@ -26,6 +29,7 @@
     pub(crate) fn new(since: Time, version: u32) -> Self {
         Self {
             since,
+            next_ping: since,
             version,
             own: false,
             by: BTreeSet::new(),
--- a/crates/carob-member/src/tick.rs
+++ b/crates/carob-member/src/tick.rs
@@ -45,6 +45,7 @@
         self.last_tick = Some(now);
         self.greet(actions);
         self.probe(now, actions);
+        self.ping_suspects(now, actions);
         self.end_suspicions(now, actions);
         if self.outbox.urgent || now >= self.outbox.next {
             self.publish(now, actions);
@@ -133,6 +134,20 @@
         self.suspect_member(id, version, self.own, now, actions);
     }
 
+    fn ping_suspects(&mut self, now: Time, actions: &mut Actions) {
+        let mut due = Vec::new();
+        for (id, suspicion) in &mut self.suspicions {
+            if now >= suspicion.next_ping {
+                suspicion.next_ping = now + self.options.period;
+                due.push(*id);
+            }
+        }
+        for id in due {
+            let number = self.prober.number();
+            self.send(id, ping(number), actions);
+        }
+    }
+
     fn end_suspicions(&mut self, now: Time, actions: &mut Actions) {
         let alive = self.ring.len();
         let Options {
