fix: tickets read INI through carob-ini

Cause: the reading of INI with line numbers stood twice, in carob-ticket and in carob-ini. Change: carob-ticket uses carob-ini; its own copy is gone.

--- a/crates/carob-ticket/src/field.rs
+++ b/crates/carob-ticket/src/field.rs
@@ -3,9 +3,31 @@
 use std::{str::FromStr, time::Duration};
 
 use carob_base::Name;
+use carob_ini::{Error, Pair, Section};
 use smallvec::SmallVec;
 
-use crate::ini::{Error, Pair, Section};
+/// Reads the sections of `text`; of several errors the first.
+pub(crate) fn sections(text: &str, file: &str) -> Result<Vec<Section>, Error> {
+    carob_ini::sections(text, file)
+        .map_err(|errors| errors.into_iter().next().expect("errors are never empty"))
+}
+
+/// The title's first word and the rest.
+pub(crate) fn split_title(section: &Section) -> (&str, &str) {
+    let (kind, name) = section.title.split_once(' ').unwrap_or((&section.title, ""));
+    (kind, name.trim())
+}
+
+/// An error about a section as a whole.
+pub(crate) fn section_error(section: &Section, file: &str, expected: impl Into<String>) -> Error {
+    Error {
+        file: file.to_owned(),
+        line: section.line,
+        section: section.title.clone(),
+        key: String::new(),
+        expected: expected.into(),
+    }
+}
 
 /// The keys of one section that have not been read yet.
 pub(crate) struct Fields<'a> {
@@ -43,9 +65,11 @@
         convert: impl Fn(&str) -> Option<T>,
     ) -> Result<T, Error> {
         let Some(pair) = self.take(key) else {
-            return Err(self
-                .section
-                .error(self.file, format!("the key {key}: {expected}")));
+            return Err(section_error(
+                self.section,
+                self.file,
+                format!("the key {key}: {expected}"),
+            ));
         };
         convert(&pair.value).ok_or_else(|| self.error(pair, expected))
     }
--- a/crates/carob-ticket/src/head.rs
+++ b/crates/carob-ticket/src/head.rs
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use carob_base::Name;
 use carob_config::{Config, Digest, Revision, canonical::Writer};
+use carob_ini::{Error, Pair, Section};
 
 use crate::{
     check,
-    field::Fields,
-    ini::{self, Error, Section},
+    field::{self, Fields, section_error, split_title},
     ledger::{Accepted, Ledger, Refusal, set},
     parse,
     ticket::{Kind, Object, Ticket},
@@ -168,7 +168,7 @@
             snapshot,
             ..Self::default()
         };
-        for entry in rest.chunk_by(|_, next| next.split().0 != "entry") {
+        for entry in rest.chunk_by(|_, next| split_title(next).0 != "entry") {
             head.tail.push_back(Entry::read(entry)?);
         }
         Ok(head)
@@ -200,11 +200,11 @@
         };
         let mut fields = Fields::new(first, HEAD_FILE)?;
         let digest = fields.need("digest", "a digest", digest)?;
-        let revision = first.split().1.parse().ok();
+        let revision = split_title(first).1.parse().ok();
         let number = Fields::new(ticket, HEAD_FILE)?.number("number")?;
         let changes = parse::changes(objects, HEAD_FILE)?;
         Ok(Self {
-            revision: Revision(revision.ok_or_else(|| first.error(HEAD_FILE, "a revision"))?),
+            revision: Revision(revision.ok_or_else(|| section_error(first, HEAD_FILE, "a revision"))?),
             digest,
             ticket: Ticket { number, changes },
         })
@@ -255,7 +255,11 @@
             set(&mut config, &change);
         }
         if config.digest() != digest || check::config(&config).is_err() {
-            return Err(first.error(SNAPSHOT_FILE, "the configuration that the digest belongs to"));
+            return Err(section_error(
+                first,
+                SNAPSHOT_FILE,
+                "the configuration that the digest belongs to",
+            ));
         }
         Ok(Self {
             config: config.into(),
@@ -272,7 +276,7 @@
 
 fn sections(bytes: &[u8], file: &str) -> Result<Vec<Section>, Error> {
     let text = std::str::from_utf8(bytes).ok().ok_or_else(|| not_text(file))?;
-    ini::sections(text, file)
+    field::sections(text, file)
 }
 
 fn not_text(file: &str) -> Error {
@@ -299,8 +303,8 @@
     section: &Section,
     convert: impl Fn(&str, &str) -> Option<U>,
 ) -> Result<T, Error> {
-    let wrong = || section.error(SNAPSHOT_FILE, "entries that this system wrote");
-    let convert = |pair: &ini::Pair| convert(&pair.key, &pair.value).ok_or_else(wrong);
+    let wrong = || section_error(section, SNAPSHOT_FILE, "entries that this system wrote");
+    let convert = |pair: &Pair| convert(&pair.key, &pair.value).ok_or_else(wrong);
     section.pairs.iter().map(convert).collect()
 }
 
--- a/crates/carob-ticket/src/lib.rs
+++ b/crates/carob-ticket/src/lib.rs
@@ -18,11 +18,10 @@
 
 mod check;
 mod field;
-mod ini;
 mod object;
 
+pub use carob_ini::Error;
 pub use follow::Follow;
-pub use ini::Error;
 pub use ledger::{Accepted, Ledger, Refusal};
 pub use submit::Submit;
 pub use ticket::{Change, Object, Ticket};
--- a/crates/carob-ticket/src/object.rs
+++ b/crates/carob-ticket/src/object.rs
@@ -4,11 +4,11 @@
 
 use carob_base::Name;
 use carob_config::{Account, Fencing, Kind, Route, Service, Upstream, Weights};
+use carob_ini::{Error, Section};
 use smallvec::SmallVec;
 
 use crate::{
     field::{self, Fields, NAME},
-    ini::{Error, Section},
     ticket::Change,
 };
 
@@ -25,8 +25,8 @@
 
 /// Reads the new state of one object; `state = absent` removes it.
 pub(crate) fn change(section: &Section, file: &str) -> Result<Change, Error> {
-    let (kind, name) = section.split();
-    let unknown = || section.error(file, SECTIONS);
+    let (kind, name) = field::split_title(section);
+    let unknown = || field::section_error(section, file, SECTIONS);
     if !matches!(kind, "service" | "account" | "route" | "upstream") {
         return Err(unknown());
     }
--- a/crates/carob-ticket/src/parse.rs
+++ b/crates/carob-ticket/src/parse.rs
@@ -1,8 +1,9 @@
 //! Reads a ticket from its INI text.
 
+use carob_ini::{Error, Section};
+
 use crate::{
-    field::Fields,
-    ini::{self, Error, Section},
+    field::{Fields, section_error, sections},
     object,
     ticket::{Change, Ticket},
 };
@@ -16,7 +17,7 @@
 ///
 /// Returns the first [`Error`] with its line, section and key, and what was expected there.
 pub fn ticket(text: &str, file: &str) -> Result<Ticket, Error> {
-    let mut sections = ini::sections(text, file)?.into_iter();
+    let mut sections = sections(text, file)?.into_iter();
     let missing = |line| Error {
         file: file.to_owned(),
         line,
@@ -40,7 +41,11 @@
     let number = number(&first, file)?;
     let changes = changes(sections.as_slice(), file)?;
     if changes.is_empty() {
-        return Err(first.error(file, "at least one object after this section"));
+        return Err(section_error(
+            &first,
+            file,
+            "at least one object after this section",
+        ));
     }
     Ok(Ticket { number, changes })
 }
@@ -61,7 +66,7 @@
     for section in sections {
         let change = object::change(section, file)?;
         if !seen.insert(change.object()) {
-            return Err(section.error(file, "each object once"));
+            return Err(section_error(section, file, "each object once"));
         }
         changes.push(change);
     }
