--- a/crates/carob-member/src/outbox.rs
+++ b/crates/carob-member/src/outbox.rs
@@ -28,7 +28,7 @@
     pub(crate) state_due: Time,
     /// Whether the next bundle is due at once and passed on at once.
     pub(crate) urgent: bool,
-    /// When the next bundle is due.
+    /// Earliest time of the next bundle; own load alone waits for longer.
     pub(crate) next: Time,
     /// Version of the last bundle.
     pub(crate) version: u32,
@@ -78,6 +78,13 @@
         self.summaries.insert(summary.domain.clone(), summary);
     }
 
+    /// Whether there is more to tell than own load, which waits for the rest.
+    pub(crate) fn has_news(&self, now: Time) -> bool {
+        now >= self.state_due
+            || !(self.loads.is_empty() && self.signs.is_empty())
+            || !(self.suspects.is_empty() && self.summaries.is_empty())
+    }
+
     /// Takes the bodies of the bundles that are due, with at most `owns` entries of own load.
     pub(crate) fn take(&mut self, mut suspicions: Vec<Suspicion>, owns: usize, now: Time) -> Vec<Body> {
         suspicions.truncate(SIGNS_PER_BUNDLE);
--- a/crates/carob-member/src/publish.rs
+++ b/crates/carob-member/src/publish.rs
@@ -4,7 +4,6 @@
 
 use carob_base::{Name, Time};
 use carob_peer::{Bundle, Packet, Summary, Suspicion, encode};
-use rand::RngExt as _;
 
 use crate::{
     event::{Action, Actions, Change},
@@ -18,13 +17,16 @@
 const LOAD_COST: usize = 20;
 /// Bytes that the own load on one upstream takes.
 const OWN_COST: usize = 9;
+/// Part of the pace before which no further bundle goes out; upstreams polled at the pace never wait for it.
+const PACE_SHARE: f64 = 0.75;
 /// Share of the budget that own load may take.
 const OWN_SHARE: f64 = 0.25;
 /// Suspects that are remembered so that each is passed on once.
 const SEEN_LIMIT: usize = 1_024;
 
 impl Members {
-    /// Time between two bundles of soft state: the more instances and upstreams, the longer.
+    /// Time between two bundles of soft state, at which upstreams should be polled: the more instances and upstreams,
+    /// the longer.
     pub fn pace(&self) -> Duration {
         let bytes = self.ring.len() * BUNDLE_COST + self.loads.len() * LOAD_COST;
         let pace = Duration::from_secs_f64(bytes as f64 / f64::from(self.options.budget.max(1)));
@@ -34,7 +36,7 @@
     /// Tells the others of this failure domain what is new.
     pub(crate) fn publish(&mut self, now: Time, actions: &mut Actions) {
         let pace = self.pace();
-        self.outbox.next = now + pace.mul_f64(self.rng.random_range(0.9..1.1));
+        self.outbox.next = now + pace.mul_f64(PACE_SHARE);
         let urgent = self.outbox.urgent;
         let suspicions = self.own_suspicions();
         let share = f64::from(self.options.budget) * OWN_SHARE * pace.as_secs_f64();
--- a/crates/carob-member/src/tick.rs
+++ b/crates/carob-member/src/tick.rs
@@ -10,6 +10,7 @@
     member::{Member, Status},
     members::Members,
     options::Options,
+    outbox::Outbox,
     probe::{Probe, Prober},
     send::ping,
     suspicion::Suspicion,
@@ -47,7 +48,7 @@
         self.probe(now, actions);
         self.ping_suspects(now, actions);
         self.end_suspicions(now, actions);
-        if self.outbox.urgent || now >= self.outbox.next {
+        if self.must_publish(now) {
             self.publish(now, actions);
         }
         if now >= self.next_flush {
@@ -59,6 +60,14 @@
         self.bridge(now, actions);
     }
 
+    /// A bundle goes out as soon as there is news and the last one is long enough ago, so that a report does not
+    /// wait for a fixed time.
+    fn must_publish(&self, now: Time) -> bool {
+        let Outbox { urgent, next, .. } = self.outbox;
+        let news = self.outbox.has_news(now) || self.suspicions.values().any(|s| s.own);
+        urgent || (news && now >= next) || now >= next + self.pace()
+    }
+
     fn greet(&mut self, actions: &mut Actions) {
         for _ in 0..GREETINGS_PER_STEP {
             let Some(id) = self.greetings.pop_front() else {
