--- a/crates/carob-link/src/lib.rs
+++ b/crates/carob-link/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`frame`]: seals and opens one frame: version, sender, incarnation, sequence, body, authentication tag.
 //! * [`window`]: refuses frames that were seen before.
 //! * [`stream`]: frames on a TCP connection.
+//! * [`exchange`]: one question and its answer over a TCP connection.
 //!
 //! # Layout of a frame
 //!
@@ -17,10 +18,12 @@
 //!
 //! Numbers are big-endian. The receiver's id is not sent: a frame for one instance does not open at another one.
 
+pub mod exchange;
 pub mod frame;
 pub mod stream;
 pub mod window;
 
+pub use exchange::Party;
 pub use frame::{Error, Key, Opened, Opener, Sealer};
 pub use stream::Frames;
 pub use window::Window;
--- a/crates/carob-link/tests/link.rs
+++ b/crates/carob-link/tests/link.rs
@@ -1,10 +1,15 @@
 //! Frames: authentication, replay, incarnations, streams in pieces.
 
-use std::io::{self, Cursor, Read, Write};
+use std::{
+    io::{self, Cursor, Read, Write},
+    net::TcpListener,
+    thread,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use carob_link::{
-    Error, Frames, Key, Opener, Sealer, Window,
+    Error, Frames, Key, Opener, Party, Sealer, Window, exchange,
     frame::{OVERHEAD, VERSION},
     stream::FRAME_LIMIT,
 };
@@ -104,6 +109,49 @@
     assert!(frames.read().expect("read").is_none());
 }
 
+fn party(id: u32, secret: &[u8]) -> Party {
+    Party {
+        key: Key::new(secret),
+        id,
+        incarnation: 1,
+    }
+}
+
+/// Asks an instance that answers every question with itself, twice.
+fn ask_echo(secret: &'static [u8], nonce: u64) -> io::Result<Bytes> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let server = thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a caller");
+        let echo = |from, question: Bytes| {
+            assert_eq!(from, A);
+            [question.clone(), question].concat().into()
+        };
+        exchange::answer(&party(B, b"secret"), stream, echo)
+    });
+    let answer = exchange::ask(
+        &party(A, secret),
+        B,
+        address,
+        nonce,
+        b"ho",
+        Duration::from_secs(5),
+    );
+    let served = server.join().expect("the server ends");
+    assert_eq!(served.is_ok(), answer.is_ok());
+    answer
+}
+
+#[test]
+fn a_question_over_tcp_has_its_answer() {
+    assert_eq!(ask_echo(b"secret", 9).expect("answered"), "hoho");
+}
+
+#[test]
+fn a_question_under_another_key_has_none() {
+    ask_echo(b"other", 9).expect_err("not authentic");
+}
+
 #[test]
 fn cut_and_overlong_frames_are_errors() {
     let cut = Cursor::new(vec![0, 0, 0, 9, 1]);
--- a/crates/carob-member/benches/control.rs
+++ b/crates/carob-member/benches/control/main.rs
@@ -4,21 +4,31 @@
 //! failure domain, with two instances of each of five other domains, over links in memory and a clock passed in.
 //! Upstreams and accounts grow with the instances, up to a domain of the largest planned fleet at 62.
 //!
+//! Some also run as processes of their own over loopback, for the cost of real datagrams.
+//!
 //! Run with `cargo bench --bench control`.
 
-#[path = "../tests/common/mod.rs"]
+#[path = "../../tests/common/mod.rs"]
 mod common;
+mod process;
+mod report;
+mod usage;
 
-use std::{fmt::Write as _, fs, net::UdpSocket, time::Duration};
+use std::time::Duration;
 
+use carob_base::Time;
 use carob_config::short_id;
 use carob_member::{Listed, Load, Members, Own, Traffic};
 use carob_ticket::parse;
 use common::{Net, Node, fleet, listed, name, store::service};
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use report::Row;
+use usage::{cpu_time, datagram_cost, resident};
 
 /// Instances of the measured failure domain.
 const SIZES: [usize; 4] = [3, 7, 20, 62];
+/// Instances that run as processes of their own over loopback.
+const PROCESSES: [usize; 3] = [3, 7, 20];
 /// Upstreams of a failure domain and of all, and accounts, when the domain has 62 instances.
 const DOMAIN_UPSTREAMS: usize = 100;
 const ALL_UPSTREAMS: usize = 600;
@@ -29,34 +39,20 @@
 const STEADY: Duration = Duration::from_mins(1);
 /// Tickets submitted to measure what one costs.
 const TICKETS: u64 = 10;
-/// Datagrams sent over loopback to measure what one costs.
-const DATAGRAMS: u32 = 20_000;
-
-/// The figures of one size.
-struct Row {
-    size: usize,
-    messages: f64,
-    bytes: f64,
-    cross_region: f64,
-    cpu: f64,
-    memory: f64,
-    calls: f64,
-    age: f64,
-    ticket_bytes: f64,
-    ticket_cpu: f64,
-    in_force: f64,
-    joined: f64,
-    failed: f64,
-}
 
 fn main() {
+    if process::is_child() {
+        process::run();
+        return;
+    }
     let rows: Vec<_> = SIZES.into_iter().map(measure).collect();
-    print_rows(&rows);
-    print_slopes(&rows);
+    report::print_rows(&rows);
+    report::print_slopes(&rows);
     println!(
         "\none datagram of 200 bytes over loopback, sent and received: {:.2} us of CPU",
         datagram_cost()
     );
+    process::measure(&PROCESSES);
 }
 
 fn measure(size: usize) -> Row {
@@ -145,13 +141,13 @@
 
 /// Polls upstreams at their homes and counts requests, as the entry's threads do.
 struct LoadSource {
-    upstreams: Vec<(String, u32)>,
+    upstreams: Vec<u32>,
     rng: SmallRng,
 }
 
 impl LoadSource {
     fn new(names: &[String]) -> Self {
-        let upstreams = names.iter().map(|text| (text.clone(), short_id(&name(text))));
+        let upstreams = names.iter().map(|text| short_id(&name(text)));
         Self {
             upstreams: upstreams.collect(),
             rng: SmallRng::seed_from_u64(1),
@@ -177,16 +173,12 @@
                     continue;
                 }
                 *due = now + node.members.pace();
-                for (text, upstream) in &self.upstreams {
-                    if node.members.is_home(text) {
-                        node.members.report(*upstream, report(now.as_millis()), now);
-                    }
-                }
+                report_load(&mut node.members, self.upstreams.len(), now);
                 self.requests(&mut node.members);
             }
             net.run(Duration::from_millis(100));
             for node in net.nodes.values().filter(|node| node.listed.domain == name("a")) {
-                for (_, upstream) in &self.upstreams {
+                for upstream in &self.upstreams {
                     let Some((load, _)) = node.members.load(*upstream) else {
                         continue;
                     };
@@ -210,7 +202,16 @@
                 tokens: self.rng.random_range(0..50_000),
                 sent: 1,
             };
-            members.set_own(self.upstreams[index].1, own);
+            members.set_own(self.upstreams[index], own);
+        }
+    }
+}
+
+/// Reports the first `count` upstreams as far as this instance looks after them.
+fn report_load(members: &mut Members, count: usize, now: Time) {
+    for text in (0..count).map(upstream_name) {
+        if members.is_home(&text) {
+            members.report(short_id(&name(&text)), report(now.as_millis()), now);
         }
     }
 }
@@ -297,112 +298,3 @@
         cross_region: after.cross_region - before.cross_region,
     }
 }
-
-fn print_rows(rows: &[Row]) {
-    println!(
-        "one failure domain, per instance (CPU includes the links in memory; ages and times are of the clock passed in)"
-    );
-    println!(
-        "{:>9} {:>8} {:>8} {:>9} {:>8} {:>8} {:>9} {:>7} {:>9} {:>9} {:>9} {:>7} {:>7}",
-        "instances",
-        "msgs/s",
-        "bytes/s",
-        "region/s",
-        "cpu %",
-        "KiB",
-        "calls/s",
-        "age s",
-        "B/ticket",
-        "us/ticket",
-        "in force",
-        "join s",
-        "fail s"
-    );
-    for row in rows {
-        println!(
-            "{:>9} {:>8.1} {:>8.0} {:>9.1} {:>8.4} {:>8.0} {:>9.2} {:>7.2} {:>9.0} {:>9.0} {:>9.2} {:>7.2} {:>7.2}",
-            row.size,
-            row.messages,
-            row.bytes,
-            row.cross_region,
-            row.cpu * 100.0,
-            row.memory / 1024.0,
-            row.calls,
-            row.age,
-            row.ticket_bytes,
-            row.ticket_cpu * 1e6,
-            row.in_force,
-            row.joined,
-            row.failed,
-        );
-    }
-}
-
-/// A figure by name.
-type Figure = (&'static str, fn(&Row) -> f64);
-
-fn print_slopes(rows: &[Row]) {
-    let figures: [Figure; 6] = [
-        ("messages/s", |row| row.messages),
-        ("bytes/s", |row| row.bytes),
-        ("cpu %", |row| row.cpu * 100.0),
-        ("memory KiB", |row| row.memory / 1024.0),
-        ("bytes per ticket", |row| row.ticket_bytes),
-        ("cpu us per ticket", |row| row.ticket_cpu * 1e6),
-    ];
-    println!("\nleast squares over the sizes: base + slope per instance of the failure domain");
-    for (label, figure) in figures {
-        let (base, slope) = fit(rows, figure);
-        let mut line = String::new();
-        write!(
-            line,
-            "{label:>18}: {base:.4} + {slope:.5} n; at 62: {:.4}",
-            base + 62.0 * slope
-        )
-        .expect("strings take any text");
-        println!("{line}");
-    }
-}
-
-fn fit(rows: &[Row], figure: fn(&Row) -> f64) -> (f64, f64) {
-    let count = rows.len() as f64;
-    let mean_x = rows.iter().map(|row| row.size as f64).sum::<f64>() / count;
-    let mean_y = rows.iter().map(figure).sum::<f64>() / count;
-    let (mut xy, mut xx) = (0.0, 0.0);
-    for row in rows {
-        let x = row.size as f64 - mean_x;
-        xy += x * (figure(row) - mean_y);
-        xx += x * x;
-    }
-    let slope = xy / xx;
-    (mean_y - slope * mean_x, slope)
-}
-
-/// Processor time of this thread, in seconds.
-fn cpu_time() -> f64 {
-    let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    let nanos = text.split(' ').next().and_then(|field| field.parse::<f64>().ok());
-    nanos.unwrap_or(0.0) / 1e9
-}
-
-/// Resident memory of this process, in bytes.
-fn resident() -> u64 {
-    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib = line.and_then(|rest| rest.trim().split(' ').next()?.parse::<u64>().ok());
-    kib.unwrap_or(0) * 1024
-}
-
-/// Processor time of sending and receiving one datagram, in microseconds.
-fn datagram_cost() -> f64 {
-    let bind = || UdpSocket::bind(("127.0.0.1", 0)).expect("a free port");
-    let (from, to) = (bind(), bind());
-    let address = to.local_addr().expect("bound");
-    let (frame, mut buffer) = ([7; 200], [0; 2048]);
-    let start = cpu_time();
-    for _ in 0..DATAGRAMS {
-        from.send_to(&frame, address).expect("sent");
-        to.recv_from(&mut buffer).expect("received");
-    }
-    (cpu_time() - start) / f64::from(DATAGRAMS) * 1e6
-}
