--- /dev/null
+++ b/crates/carob-http/tests/libraries.rs
@@ -0,0 +1,94 @@
+//! Why the house style's HTTP libraries do not face callers and upstreams.
+//!
+//! If one of these fails, the library has changed, and docs/design/http.md should be weighed again.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use carob_http::{
+    Headers,
+    client::{self, Request},
+    listen::{Listener, Options},
+};
+
+/// Long enough for any step on a busy machine.
+const LONG: Duration = Duration::from_secs(20);
+
+fn tiny() -> (tiny_http::Server, SocketAddr) {
+    let server = tiny_http::Server::http("127.0.0.1:0").expect("loopback is free");
+    let address = server.server_addr().to_ip().expect("an IP address");
+    (server, address)
+}
+
+#[test]
+fn tiny_http_takes_a_head_of_any_size() {
+    let (server, address) = tiny();
+    let sender = thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).expect("the server accepts");
+        let line = format!("x: {}\r\n", "y".repeat(8 << 20));
+        let head = format!("GET / HTTP/1.1\r\nhost: x\r\n{line}\r\n");
+        stream.write_all(head.as_bytes()).expect("the server reads");
+        stream
+    });
+    let request = server
+        .recv_timeout(LONG)
+        .expect("no error")
+        .expect("the request is taken");
+    let largest = request
+        .headers()
+        .iter()
+        .map(|header| header.value.as_str().len())
+        .max();
+    assert_eq!(largest, Some(8 << 20));
+    drop(sender.join());
+}
+
+/// Answers one request with a chunked body that is cut between two chunks.
+fn cut_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback is free");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut head = [0; 1024];
+        let _read = stream.read(&mut head).expect("the client sends");
+        let reply = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+        stream.write_all(reply).expect("the client reads");
+    });
+    address
+}
+
+#[test]
+fn minreq_takes_a_cut_body_for_a_whole_one() {
+    let response = minreq::get(format!("http://{}/", cut_server()))
+        .send()
+        .expect("no error at all");
+    assert_eq!((response.status_code, response.as_bytes()), (200, &b"part"[..]));
+}
+
+#[test]
+fn our_client_does_not() {
+    let outcome = client::call(&Request::get(cut_server(), "/"));
+    assert!(matches!(outcome, Err(client::Error::Unknown(_))), "{outcome:?}");
+}
+
+#[test]
+fn our_listener_serves_others_while_heads_are_unfinished() {
+    let options = Options::new(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listener = Listener::bind(options, |exchange| exchange.respond(200, &Headers::new(), "ok"));
+    let listener = listener.expect("loopback is free");
+    let address = listener.local_addr();
+    let half = |_| {
+        let mut stream = TcpStream::connect(address).expect("the listener accepts");
+        stream.write_all(b"GET / HT").expect("the listener reads");
+        stream
+    };
+    let held: Vec<TcpStream> = (0..100).map(half).collect();
+    let answer = client::call(&Request::get(address, "/")).map(|response| response.status);
+    assert_eq!((answer, listener.open_requests()), (Ok(200), 0));
+    drop(held);
+    assert_eq!(listener.close(LONG), 0);
+}
