fix: a stream cut before its first token is resumed

Cause: a connection that broke before the first piece of text was taken for a dead engine and the request rerun elsewhere. With one upstream there is no elsewhere: a caller got 502 with outcome unknown although the engine went on generating its answer. Found by the end-to-end test that cuts a stream after its first event. Change: if the answer's id is known, the first reaction is a resumption. A refused connection there shows that the engine is dead, and the rerun follows at once. Ruled out: waiting for the upstream in routing, which would run the request a second time on the same engine.

--- a/crates/carob-stream/src/delivery.rs
+++ b/crates/carob-stream/src/delivery.rs
@@ -192,7 +192,7 @@
         if !matches!(cause, Cause::Refused | Cause::Busy | Cause::Rejected { .. }) {
             self.uncertain = true;
         }
-        if link.source == Source::Create && !self.producing && self.links.is_empty() {
+        if !self.producing && self.links.is_empty() && !self.may_resume(&link, cause) {
             self.lose(Some(cause), true, now, &mut actions);
             return actions;
         }
@@ -208,6 +208,17 @@
         actions
     }
 
+    /// Whether a generation without any text yet is resumed after `link` broke, rather than rerun elsewhere.
+    ///
+    /// A connection may be cut while its engine lives, and there may be no other upstream. Whether the engine
+    /// lives shows at the first resumption, so that a rerun is delayed by no more than one connection.
+    fn may_resume(&self, link: &Link, cause: Cause) -> bool {
+        match link.source {
+            Source::Create => self.generation.answer.is_some(),
+            Source::Resume { .. } => cause != Cause::Refused,
+        }
+    }
+
     /// Acts on whatever is due; call it at [`deadline`](Self::deadline).
     pub fn on_tick(&mut self, now: Time) -> Actions {
         let mut actions = Actions::new();
