--- a/crates/carob-standin/src/list.rs
+++ b/crates/carob-standin/src/list.rs
@@ -44,13 +44,23 @@
     }
 
     /// How the list behaves.
-    #[derive(Default)]
     pub struct Options {
+        /// Address to listen on; any free port of the loopback interface by default.
+        pub address: SocketAddr,
         /// Time after which a change shows; none by default.
         pub lag: Duration,
     }
 }
 
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: LOOPBACK,
+            lag: Duration::ZERO,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Shared {
     /// Every version of the list with the time of its change, the latest last.
@@ -75,7 +85,7 @@
         let shared = Arc::new(Shared::default());
         *lock(&shared.lag) = options.lag;
         let served = Arc::clone(&shared);
-        let host = Host::start(LOOPBACK, move |request| answer(&served, request))?;
+        let host = Host::start(options.address, move |request| answer(&served, request))?;
         Ok(Self { host, shared })
     }
 
--- a/crates/carob-standin/src/orders.rs
+++ b/crates/carob-standin/src/orders.rs
@@ -31,13 +31,23 @@
     }
 
     /// How the service behaves.
-    #[derive(Default)]
     pub struct Options {
+        /// Address to listen on; any free port of the loopback interface by default.
+        pub address: SocketAddr,
         /// Time that every call takes; none by default.
         pub delay: Duration,
     }
 }
 
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: LOOPBACK,
+            delay: Duration::ZERO,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Shared {
     bookings: Mutex<Vec<Booking>>,
@@ -71,7 +81,7 @@
     pub fn start(options: &Options) -> Result<Self, Error> {
         let shared = Arc::new(Shared::default());
         lock(&shared.faults).delay = options.delay;
-        let host = serve(LOOPBACK, &shared)?;
+        let host = serve(options.address, &shared)?;
         Ok(Self {
             address: host.address(),
             host: Mutex::new(Some(host)),
--- a/crates/carob-standin/src/store.rs
+++ b/crates/carob-standin/src/store.rs
@@ -29,13 +29,23 @@
 
 carob_base::value! {
     /// How the store behaves.
-    #[derive(Default)]
     pub struct Options {
+        /// Address to listen on; any free port of the loopback interface by default.
+        pub address: SocketAddr,
         /// Time that every call takes; none by default.
         pub delay: Duration,
     }
 }
 
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: LOOPBACK,
+            delay: Duration::ZERO,
+        }
+    }
+}
+
 /// What the threads of the store share.
 struct Shared {
     state: Mutex<State>,
@@ -78,7 +88,7 @@
             changed: Condvar::new(),
         });
         let served = Arc::clone(&shared);
-        let host = Host::start(LOOPBACK, move |request| answer(&served, request))?;
+        let host = Host::start(options.address, move |request| answer(&served, request))?;
         Ok(Self { host, shared })
     }
 
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -15,6 +15,7 @@
 /// Serves until a signal asks the instance to leave, then finishes every open request.
 pub fn run(args: &Serve) -> eyre::Result<Exit> {
     let settings = super::check::load(&args.settings)?;
+    log::set_max_level(settings.log.level.min(log::max_level()));
     let mut signals =
         Signals::new([SIGINT, SIGTERM]).map_err(|error| failure(Exit::Usage, error.to_string()))?;
     let instance =
--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -25,17 +25,26 @@
             engine.close();
         }
         "list" => {
-            let list = List::start(&list::Options::default())?;
+            let list = List::start(&list::Options {
+                address: args.address,
+                ..list::Options::default()
+            })?;
             wait(list.address())?;
             list.close();
         }
         "orders" => {
-            let orders = Orders::start(&orders::Options::default())?;
+            let orders = Orders::start(&orders::Options {
+                address: args.address,
+                ..orders::Options::default()
+            })?;
             wait(orders.address())?;
             orders.close();
         }
         "store" => {
-            let store = Store::start(&store::Options::default())?;
+            let store = Store::start(&store::Options {
+                address: args.address,
+                ..store::Options::default()
+            })?;
             wait(store.address())?;
             store.close();
         }
