test: stateful fuzz test of claims

Cause: at most once needs proof under lost replies, late effects, outages, pauses and crashes. Change: a fuzz test of three instances with clocks 3 minutes apart and a store that loses replies or carries calls out late, against an oracle of two rules; also that a key which never ran can be used again.

--- /dev/null
+++ b/crates/carob-claim/tests/fuzz/oracle.rs
@@ -0,0 +1,23 @@
+//! The oracle: no key runs twice, and no attempt that was told `not-run` has run.
+
+use std::collections::BTreeMap;
+
+use carob_wire::Ran;
+
+use crate::world::{Answer, Attempt};
+
+pub fn check(attempts: &[Attempt]) {
+    let mut runs = BTreeMap::<usize, u32>::new();
+    for attempt in attempts {
+        *runs.entry(attempt.key).or_default() += attempt.runs;
+    }
+    for attempt in attempts {
+        let runs_of_key = runs[&attempt.key];
+        assert!(runs_of_key <= 1, "ran twice: {attempts:#?}");
+        match &attempt.answer {
+            Some(Answer::Refused(Ran::NotRun)) => assert_eq!(attempt.runs, 0, "it did run: {attempt:?}"),
+            Some(Answer::Refused(Ran::Done) | Answer::Outcome) => assert_eq!(runs_of_key, 1, "{attempt:?}"),
+            Some(Answer::Refused(Ran::Unknown)) | None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-claim/tests/fuzz/world.rs
@@ -0,0 +1,368 @@
+//! Instances and callers around the fake store, in virtual time.
+
+use std::{collections::BTreeMap, sync::Mutex, time::Duration};
+
+use bytes::Bytes;
+use carob_base::{Name, Time};
+use carob_claim::{Claims, Key, Options, Outcome, Ticket, Verdict};
+use carob_wire::Ran;
+
+use crate::{
+    Fault,
+    store::{Delivery, Store},
+};
+
+const INSTANCES: usize = 3;
+/// Wall clock at the start, in milliseconds since 1970.
+const WALL: u64 = 0x0190_0000_0000;
+/// How long the upstream takes for a call.
+const RUN: Duration = Duration::from_millis(300);
+/// Time between the confirmation of a claim and the first byte to the upstream.
+const HAND_OVER: Duration = Duration::from_millis(1);
+/// Longer than every limit of an attempt.
+const CALM: Duration = Duration::from_secs(40);
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Outcome,
+    Refused(Ran),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Asked,
+    /// The worker has the claim and will ask for permission at this time.
+    Granted(Time),
+    /// The worker has permission and writes the first byte when its instance runs.
+    Permitted,
+    /// The upstream is working until this time.
+    Running(Time),
+    Over,
+}
+
+/// One sending of a call by its caller.
+#[derive(Debug)]
+pub struct Attempt {
+    pub key: usize,
+    pub runs: u32,
+    pub answer: Option<Answer>,
+    instance: usize,
+    holder: u64,
+    ticket: Ticket,
+    state: State,
+    breaks: bool,
+}
+
+#[derive(Debug)]
+struct Instance {
+    claims: Claims,
+    holder: u64,
+    paused: Time,
+    /// Results that a paused process has not read yet.
+    inbox: Vec<Delivery>,
+    /// Milliseconds by which its wall clock is ahead.
+    skew: i64,
+}
+
+#[derive(Debug)]
+pub struct World {
+    pub attempts: Vec<Attempt>,
+    pub store: Store,
+    instances: Vec<Instance>,
+    keys: Vec<Key>,
+    holders: u64,
+    now: Time,
+    break_next: bool,
+    /// Keys with a claim that a dead instance may have left behind.
+    stranded: Vec<usize>,
+    faults: BTreeMap<String, u64>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let mut world = Self {
+            attempts: Vec::new(),
+            store: Store::default(),
+            instances: Vec::new(),
+            keys: Vec::new(),
+            holders: 0,
+            now: Time::ZERO,
+            break_next: false,
+            stranded: Vec::new(),
+            faults: BTreeMap::new(),
+        };
+        for skew in [0, 90_000, -90_000] {
+            let instance = world.new_instance(skew);
+            world.instances.push(instance);
+        }
+        world
+    }
+
+    fn new_instance(&mut self, skew: i64) -> Instance {
+        self.holders += 1;
+        let options = Options {
+            shards: 2,
+            ..Options::new()
+        };
+        Instance {
+            claims: Claims::new(options, self.holders),
+            holder: self.holders,
+            paused: Time::ZERO,
+            inbox: Vec::new(),
+            skew,
+        }
+    }
+
+    fn wall(&self, instance: usize) -> u64 {
+        (WALL + self.now.as_millis()).saturating_add_signed(self.instances[instance].skew)
+    }
+
+    /// A caller sends a call under a new key.
+    pub fn ask(&mut self, instance: usize) {
+        let name = |text| Name::new(text).expect("a valid name");
+        let made = WALL + self.now.as_millis();
+        let (high, low, count) = (made >> 16, made & 0xffff, self.keys.len());
+        let text = format!("{high:08x}-{low:04x}-7000-8000-{count:012x}");
+        let key = Key::new(&name("parish"), &name("orders"), &text).expect("a valid key");
+        self.keys.push(key);
+        self.send(count, instance);
+    }
+
+    /// A caller, or a balancer on its behalf, sends a call again.
+    pub fn ask_again(&mut self, pick: usize, instance: usize) {
+        if !self.keys.is_empty() {
+            self.send(pick % self.keys.len(), instance);
+        }
+    }
+
+    fn send(&mut self, key: usize, at: usize) {
+        let at = at % INSTANCES;
+        if self.now < self.instances[at].paused {
+            return;
+        }
+        let wall = self.wall(at);
+        let instance = &mut self.instances[at];
+        let ticket = instance.claims.begin(self.keys[key], 1, self.now, wall);
+        self.attempts.push(Attempt {
+            key,
+            runs: 0,
+            answer: None,
+            instance: at,
+            holder: instance.holder,
+            ticket,
+            state: State::Asked,
+            breaks: std::mem::take(&mut self.break_next),
+        });
+        self.settle();
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now = self
+                .next_event()
+                .max(self.now + Duration::from_millis(1))
+                .min(until);
+            self.settle();
+        }
+    }
+
+    /// Without further faults, every attempt gets its answer, and a key that nobody ran can be used.
+    pub fn calm_down(&mut self) {
+        self.store.down = Time::ZERO;
+        (self.store.lose, self.store.late) = (0, 0);
+        for instance in &mut self.instances {
+            instance.paused = Time::ZERO;
+        }
+        self.pass(CALM);
+        for attempt in &self.attempts {
+            assert!(
+                attempt.answer.is_some() || attempt.state == State::Over,
+                "no answer: {attempt:?}"
+            );
+        }
+        let young = Options::new().window.as_millis() as u64 - 200_000;
+        for key in 0..self.keys.len() {
+            let ran = self
+                .attempts
+                .iter()
+                .any(|attempt| attempt.key == key && attempt.runs > 0);
+            let age = (WALL + self.now.as_millis()).saturating_sub(self.keys[key].made);
+            if !ran && !self.stranded.contains(&key) && age < young {
+                self.send(key, 0);
+                self.pass(Duration::from_secs(2));
+                let last = self.attempts.last().expect("an attempt was just made");
+                assert_eq!(last.runs, 1, "a key that never ran cannot be used: {last:?}");
+            }
+        }
+    }
+
+    pub fn inject(&mut self, fault: Fault, pick: usize) {
+        let instance = pick % INSTANCES;
+        let pause = [3, 30, 900, 2_000][pick % 4];
+        match fault {
+            Fault::LoseReplies => self.store.lose += 1 + pick as u32 % 4,
+            Fault::LateEffects => self.store.late += 1 + pick as u32 % 2,
+            Fault::Outage => self.store.down = self.now + Duration::from_secs(pause.min(60)),
+            Fault::Pause => self.instances[instance].paused = self.now + Duration::from_secs(pause),
+            Fault::Crash => self.crash(instance),
+            Fault::Break => self.break_next = true,
+        }
+        *self.faults.entry(format!("{fault:?}")).or_default() += 1;
+    }
+
+    fn crash(&mut self, at: usize) {
+        let skew = self.instances[at].skew;
+        let fresh = self.new_instance(skew);
+        let old = std::mem::replace(&mut self.instances[at], fresh);
+        for attempt in self
+            .attempts
+            .iter_mut()
+            .filter(|attempt| attempt.holder == old.holder)
+        {
+            self.stranded.push(attempt.key);
+            attempt.state = State::Over;
+        }
+        // The others learn of it from the list of instances.
+        for instance in &mut self.instances {
+            instance.claims.holder_gone(old.holder);
+        }
+    }
+
+    fn next_event(&self) -> Time {
+        let running = |at: usize| self.now >= self.instances[at].paused;
+        let wake = self
+            .instances
+            .iter()
+            .map(|one| one.paused)
+            .filter(|at| *at > self.now);
+        let due = (0..INSTANCES)
+            .filter(|at| running(*at))
+            .map(|at| self.instances[at].claims.deadline());
+        let work = self
+            .attempts
+            .iter()
+            .filter(|one| running(one.instance))
+            .map(|one| match one.state {
+                State::Granted(at) | State::Running(at) => at,
+                State::Permitted => self.now,
+                State::Asked | State::Over => Time::NEVER,
+            });
+        wake.chain(due)
+            .chain(work)
+            .chain([self.store.deadline()])
+            .min()
+            .unwrap_or(Time::NEVER)
+    }
+
+    /// Does everything that is due now.
+    fn settle(&mut self) {
+        for one in self.store.run(self.now) {
+            let instance = &mut self.instances[one.instance];
+            if instance.holder == one.holder {
+                instance.inbox.push(one);
+            }
+        }
+        for at in 0..INSTANCES {
+            let instance = &mut self.instances[at];
+            if self.now < instance.paused {
+                continue;
+            }
+            for one in instance.inbox.drain(..) {
+                instance.claims.on_reply(one.id, one.result, self.now);
+            }
+            self.run_attempts(at);
+            self.poll(at);
+        }
+    }
+
+    fn poll(&mut self, at: usize) {
+        let instance = &mut self.instances[at];
+        let holder = instance.holder;
+        let step = instance.claims.poll(self.now);
+        for call in step.calls {
+            self.store.send(at, holder, call, self.now);
+        }
+        for (ticket, verdict) in step.verdicts {
+            let own = |one: &&mut Attempt| one.holder == holder && one.ticket == ticket;
+            let Some(attempt) = self.attempts.iter_mut().find(own) else {
+                continue;
+            };
+            match verdict {
+                Verdict::Granted { .. } => attempt.state = State::Granted(self.now + HAND_OVER),
+                Verdict::Replay(_) => attempt.end(Answer::Outcome),
+                Verdict::Refused(problem) => attempt.end(Answer::Refused(problem.outcome)),
+            }
+        }
+    }
+
+    fn run_attempts(&mut self, at: usize) {
+        let (now, wall) = (self.now, self.wall(at));
+        let Instance { claims, holder, .. } = &mut self.instances[at];
+        for attempt in self.attempts.iter_mut().filter(|one| one.holder == *holder) {
+            match attempt.state {
+                State::Granted(due) if due <= now => match claims.may_send(attempt.ticket, now, wall) {
+                    Ok(()) => attempt.state = State::Permitted,
+                    Err(problem) => attempt.end(Answer::Refused(problem.outcome)),
+                },
+                State::Permitted => {
+                    attempt.runs += 1;
+                    attempt.state = State::Running(now + RUN);
+                }
+                State::Running(due) if due <= now && attempt.breaks => {
+                    claims.forget(attempt.ticket, now);
+                    attempt.end(Answer::Refused(Ran::Unknown));
+                }
+                State::Running(due) if due <= now => {
+                    let outcome = Outcome::new(201, "text/plain", Bytes::from("booked"));
+                    claims.finish(attempt.ticket, outcome, now);
+                    attempt.end(Answer::Outcome);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Attempt {
+    fn end(&mut self, answer: Answer) {
+        self.answer = Some(answer);
+        self.state = State::Over;
+    }
+}
+
+/// Counts over all cases.
+#[derive(Debug, Default)]
+pub struct Stats {
+    cases: u64,
+    keys: u64,
+    attempts: u64,
+    runs: u64,
+    swaps: u64,
+    answers: BTreeMap<String, u64>,
+    faults: BTreeMap<String, u64>,
+}
+
+static STATS: Mutex<Option<Stats>> = Mutex::new(None);
+
+impl Stats {
+    pub fn add(world: &World) {
+        let mut guard = STATS.lock().expect("no test panics while it counts");
+        let stats = guard.get_or_insert_default();
+        stats.cases += 1;
+        stats.keys += world.keys.len() as u64;
+        stats.swaps += world.store.swaps;
+        for attempt in &world.attempts {
+            stats.attempts += 1;
+            stats.runs += u64::from(attempt.runs);
+            *stats.answers.entry(format!("{:?}", attempt.answer)).or_default() += 1;
+        }
+        for (fault, count) in &world.faults {
+            *stats.faults.entry(fault.clone()).or_default() += count;
+        }
+    }
+
+    pub fn print() {
+        println!("{:#?}", STATS.lock().expect("no test panics while it counts"));
+    }
+}
