fix: cancel generations whose caller goes before their id is known

Cause: the fuzz test with answers that outlast it left a stalled engine with a generation that nobody could cancel: its caller had gone before the first event told the id. Change: the connection stays open until the id is known, and the generation is then cancelled.

--- a/crates/carob-claim/tests/fuzz/main.rs
+++ b/crates/carob-claim/tests/fuzz/main.rs
@@ -40,7 +40,7 @@
 enum Fault {
     /// Replies of the store are lost after the calls took effect.
     LoseReplies,
-    /// Calls take effect two seconds after their replies were given up.
+    /// Swaps take effect two seconds after their replies were given up.
     LateEffects,
     /// The store refuses every call.
     Outage,
--- a/crates/carob-claim/tests/steps.rs
+++ b/crates/carob-claim/tests/steps.rs
@@ -177,3 +177,87 @@
     };
     assert_eq!((problem.code, problem.outcome), (Code::KeyRejected, Ran::Unknown));
 }
+
+#[test]
+fn a_process_whose_monotonic_clock_stopped_in_a_pause_sends_nothing() {
+    let mut store = Store::default();
+    let mut claims = Claims::new(Options::new(), 1);
+    let ticket = begin(&mut claims, Time::ZERO);
+    store.serve(&mut claims, Time::ZERO);
+    let problem = claims
+        .may_send(ticket, Time::ZERO, WALL + 3_600_000)
+        .expect_err("the key is old by now");
+    assert_eq!((problem.code, problem.outcome), (Code::KeyRejected, Ran::Unknown));
+}
+
+#[test]
+fn a_repeat_waits_for_a_live_holder_and_not_for_one_that_has_ended() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (Claims::new(Options::new(), 1), Claims::new(Options::new(), 2));
+    begin(&mut first, Time::ZERO);
+    store.serve(&mut first, Time::ZERO);
+    let repeat = begin(&mut second, Time::ZERO);
+    assert_eq!(store.serve(&mut second, Time::from_millis(100)), []);
+    second.holder_gone(1);
+    let verdicts = store.serve(&mut second, Time::from_millis(400));
+    let [(ticket, Verdict::Refused(problem))] = verdicts.as_slice() else {
+        panic!("expected a refusal: {verdicts:?}");
+    };
+    assert_eq!(
+        (*ticket, problem.code, problem.outcome),
+        (repeat, Code::OutcomeLost, Ran::Unknown)
+    );
+}
+
+#[test]
+fn a_repeat_that_has_waited_long_enough_is_told_so() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (Claims::new(Options::new(), 1), Claims::new(Options::new(), 2));
+    begin(&mut first, Time::ZERO);
+    store.serve(&mut first, Time::ZERO);
+    begin(&mut second, Time::ZERO);
+    store.serve(&mut second, Time::ZERO);
+    let verdicts = store.serve(&mut second, Time::from_millis(10_000));
+    let [(_, Verdict::Refused(problem))] = verdicts.as_slice() else {
+        panic!("expected a refusal: {verdicts:?}");
+    };
+    assert_eq!(
+        (problem.code, problem.outcome),
+        (Code::KeyInProgress, Ran::Unknown)
+    );
+}
+
+#[test]
+fn a_key_that_comes_again_with_another_request_is_refused() {
+    let mut store = Store::default();
+    let mut claims = Claims::new(Options::new(), 1);
+    begin(&mut claims, Time::ZERO);
+    store.serve(&mut claims, Time::ZERO);
+    let key = claim_key(KEY).expect("a valid key");
+    claims.begin(key, 6, Time::ZERO, WALL);
+    let verdicts = store.serve(&mut claims, Time::from_millis(200));
+    let [(_, Verdict::Refused(problem))] = verdicts.as_slice() else {
+        panic!("expected a refusal: {verdicts:?}");
+    };
+    assert_eq!((problem.code, problem.outcome), (Code::KeyReused, Ran::NotRun));
+}
+
+#[test]
+fn an_outcome_too_large_to_keep_is_answered_as_done() {
+    let mut store = Store::default();
+    let mut claims = Claims::new(Options::new(), 1);
+    let ticket = begin(&mut claims, Time::ZERO);
+    store.serve(&mut claims, Time::ZERO);
+    claims
+        .may_send(ticket, Time::ZERO, WALL)
+        .expect("the claim is fresh");
+    let outcome = Outcome::new(200, "text/plain", Bytes::from(vec![b'x'; 2_000]));
+    claims.finish(ticket, outcome, Time::from_millis(200));
+    store.serve(&mut claims, Time::from_millis(200));
+    begin(&mut claims, Time::from_millis(300));
+    let verdicts = store.serve(&mut claims, Time::from_millis(300));
+    let [(_, Verdict::Refused(problem))] = verdicts.as_slice() else {
+        panic!("expected a refusal: {verdicts:?}");
+    };
+    assert_eq!((problem.code, problem.outcome), (Code::OutcomeLost, Ran::Done));
+}
--- a/crates/carob-order/tests/orders.rs
+++ b/crates/carob-order/tests/orders.rs
@@ -269,6 +269,28 @@
     assert!(!fleet.instances[0].may_send(send.fence, woken));
 }
 
+#[test]
+fn an_unsettled_order_of_an_earlier_holder_is_waited_out() {
+    let mut fleet = Fleet::new(false, 1);
+    let intent = Bytes::from_static(br#"{"fence":1,"order":{"load-model":"old"},"settled":false}"#);
+    let put = Call::Swap {
+        key: Bytes::from_static(b"carob/order/intent/engine-0"),
+        expect: Expect::Absent,
+        value: intent,
+        lease: None,
+    };
+    fleet.store.carry_out(&put, fleet.now).expect("the store is up");
+    while fleet.holders() == 0 {
+        fleet.step([false, false]);
+    }
+    let held = fleet.now;
+    while !fleet.all_have("m1") {
+        fleet.step([false, false]);
+    }
+    let options = Options::new();
+    assert!(fleet.now.since(held) >= options.send_limit + options.margin);
+}
+
 #[test]
 fn an_engine_that_checks_refuses_a_paused_holders_late_order() {
     let mut fleet = Fleet::new(true, 1);
--- a/crates/carob-stream/src/delivery.rs
+++ b/crates/carob-stream/src/delivery.rs
@@ -39,6 +39,9 @@
     Running,
     /// The caller has gone; the generation is cancelled at this time unless it is resumed elsewhere.
     Abandoned(Time),
+    /// The caller has gone before the engine told the answer's id. The connection stays open until then, or
+    /// until this time, because without the id nothing can be cancelled.
+    Draining(Time),
     /// Nothing more will happen.
     Over,
 }
@@ -173,6 +176,11 @@
             return actions;
         };
         self.unreached = None;
+        if let Phase::Draining(_) = self.phase {
+            self.generation.check(&event.head);
+            self.finish_draining(&mut actions);
+            return actions;
+        }
         match self.links[at].take(event, self.next, &mut self.generation) {
             Ok(events) if events.is_empty() => {}
             Ok(events) => self.accept(at, events, now, &mut actions),
@@ -188,6 +196,10 @@
             return actions;
         };
         let link = self.links.remove(at);
+        if self.phase != Phase::Running {
+            self.phase = Phase::Over;
+            return actions;
+        }
         self.cause = Some(cause);
         if !matches!(cause, Cause::Refused | Cause::Busy | Cause::Rejected { .. }) {
             self.uncertain = true;
@@ -233,6 +245,10 @@
         if !matches!(self.phase, Phase::Running | Phase::Idle) {
             return actions;
         }
+        if self.generation.answer.is_none() && !self.links.is_empty() {
+            self.phase = Phase::Draining(now + self.options.queueing);
+            return actions;
+        }
         self.close_links(&mut actions);
         // A caller that has no event has no id to resume the answer by.
         let grace = if self.delivered {
@@ -257,7 +273,7 @@
     pub fn deadline(&self) -> Time {
         match self.phase {
             Phase::Idle | Phase::Over => Time::NEVER,
-            Phase::Abandoned(until) => until,
+            Phase::Abandoned(until) | Phase::Draining(until) => until,
             Phase::Running => {
                 let retry = self.retry.unwrap_or(Time::NEVER);
                 let silent = if self.links.is_empty() {
@@ -310,7 +326,8 @@
     fn step(&mut self, now: Time, actions: &mut Actions) {
         match self.phase {
             Phase::Idle | Phase::Over => {}
-            Phase::Abandoned(until) if now < until => {}
+            Phase::Abandoned(until) | Phase::Draining(until) if now < until => {}
+            Phase::Draining(_) => self.finish_draining(actions),
             Phase::Abandoned(_) => {
                 self.cancel(actions);
                 self.phase = Phase::Over;
@@ -319,6 +336,12 @@
         }
     }
 
+    fn finish_draining(&mut self, actions: &mut Actions) {
+        self.close_links(actions);
+        self.cancel(actions);
+        self.phase = Phase::Over;
+    }
+
     fn step_running(&mut self, now: Time, actions: &mut Actions) {
         if now >= self.hopeless_at() {
             self.lose(self.cause, true, now, actions);
