refactor: smaller modules for deliveries and their fuzz test

Change: acceptance and recovery are modules of their own; faults and counts are split from the world. Result: the same tests pass.

--- a/crates/carob-stream/src/delivery.rs
+++ b/crates/carob-stream/src/delivery/mod.rs
@@ -5,31 +5,19 @@
 //! generation never reach the caller. As long as nothing has been delivered, the request may be rerun on another
 //! upstream; afterwards a lost generation ends in an explicit failure.
 
+mod accept;
+mod recover;
+
 use std::time::Duration;
 
 use carob_base::Time;
-use carob_wire::{
-    Problem,
-    event::{Event, Kind},
-};
+use carob_wire::{Problem, event::Event};
 use smallvec::SmallVec;
 
-use crate::{
-    Action, Actions, Cause, Conn, End, Generation, Mode, Options, Pace, Source,
-    link::{Events, Link},
-    lost,
-};
+use crate::{Action, Actions, Cause, Conn, Generation, Mode, Options, Pace, Source, link::Link, lost};
 
-/// First delay before an upstream that failed is tried again; doubled after every try.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest delay between two tries.
-const RETRY_LIMIT: Duration = Duration::from_secs(2);
-/// Doublings of a waiting time after which it stays as it is.
-const DOUBLINGS: u32 = 4;
 /// Most connections at the same time: the silent one and its replacement.
 const LINKS: usize = 2;
-/// Connections in a row that may bring events of other generations or nothing but gaps.
-const FAULT_LIMIT: u32 = 8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -323,188 +311,6 @@
         (problem, actions)
     }
 
-    fn step(&mut self, now: Time, actions: &mut Actions) {
-        match self.phase {
-            Phase::Idle | Phase::Over => {}
-            Phase::Abandoned(until) | Phase::Draining(until) if now < until => {}
-            Phase::Draining(_) => self.finish_draining(actions),
-            Phase::Abandoned(_) => {
-                self.cancel(actions);
-                self.phase = Phase::Over;
-            }
-            Phase::Running => self.step_running(now, actions),
-        }
-    }
-
-    fn finish_draining(&mut self, actions: &mut Actions) {
-        self.close_links(actions);
-        self.cancel(actions);
-        self.phase = Phase::Over;
-    }
-
-    fn step_running(&mut self, now: Time, actions: &mut Actions) {
-        if now >= self.hopeless_at() {
-            self.lose(self.cause, true, now, actions);
-            return;
-        }
-        if self.retry.is_some_and(|at| now >= at) {
-            self.open(self.resumption(), now, actions);
-        } else if !self.links.is_empty() && now >= self.silent_at() {
-            self.replace_silent(now, actions);
-        }
-    }
-
-    /// Opens a connection beside the silent one, which stays in use until the new one is accepted.
-    fn replace_silent(&mut self, now: Time, actions: &mut Actions) {
-        if self.generation.answer.is_none() {
-            // Without an id there is nothing to resume, and nothing has been delivered.
-            self.lose(None, true, now, actions);
-            return;
-        }
-        // A connection that was accepted shows a stalled engine; others show that the link is at fault.
-        let stalled = self
-            .links
-            .last()
-            .is_some_and(|link| link.headed && link.last.is_none());
-        self.silences += u32::from(stalled);
-        if self.links.len() == LINKS {
-            let link = self.links.remove(LINKS - 1);
-            actions.push(Action::Close(link.conn));
-        }
-        self.open(self.resumption(), now, actions);
-    }
-
-    fn open(&mut self, source: Source, now: Time, actions: &mut Actions) {
-        let conn = Conn(self.next_conn);
-        self.next_conn += 1;
-        self.links.push(Link::new(conn, source));
-        self.quiet = now;
-        self.retry = None;
-        if source != Source::Create {
-            self.unreached.get_or_insert(now);
-        }
-        actions.push(Action::Open { conn, source });
-    }
-
-    /// As long as the item is not known, a resumption starts over: its first event shows the answer's id, and
-    /// events that the caller has are dropped as repeats.
-    fn resumption(&self) -> Source {
-        let known = self.generation.item.is_some();
-        Source::Resume {
-            after: self.next.checked_sub(1).filter(|_| known),
-        }
-    }
-
-    fn accept(&mut self, at: usize, events: Events, now: Time, actions: &mut Actions) {
-        let link = &mut self.links[at];
-        if let Some(last) = link.last.replace(now).filter(|_| self.producing) {
-            self.pace.record(now.since(last));
-        }
-        self.progress = now;
-        self.quiet = now;
-        self.strikes = 0;
-        self.silences = 0;
-        self.faults = 0;
-        for event in events {
-            if self.accept_one(event, now, actions) {
-                return;
-            }
-        }
-    }
-
-    /// Takes in the next event; true if the delivery or the attempt is over with it.
-    fn accept_one(&mut self, event: Event, now: Time, actions: &mut Actions) -> bool {
-        let kind = event.kind();
-        if kind == Kind::Failed && !self.delivered && self.may_rerun(now) {
-            // The engine has ended this generation itself, so that there is nothing to cancel.
-            self.lose(None, false, now, actions);
-            return true;
-        }
-        self.next = event.head.sequence + 1;
-        self.producing |= kind == Kind::Delta;
-        self.held_bytes += event.data.len();
-        self.held.push(event);
-        if self.may_deliver(kind) {
-            self.delivered = true;
-            self.held_bytes = 0;
-            actions.extend(self.held.drain(..).map(Action::Deliver));
-        }
-        let Some(end) = end_of(kind) else {
-            return false;
-        };
-        self.close_links(actions);
-        self.phase = Phase::Over;
-        actions.push(Action::Finish(end));
-        true
-    }
-
-    /// Whether held events may go out: at the end, or from the first piece of text on. The events before it are
-    /// held so that a rerun is possible for as long as the engine has only queued the request.
-    fn may_deliver(&self, kind: Kind) -> bool {
-        let streams = self.options.mode == Mode::Stream || self.held_bytes > self.options.whole_limit;
-        kind.is_last() || self.delivered || (self.producing && streams)
-    }
-
-    /// Drops a connection that brought a gap or a foreign event.
-    fn reject(&mut self, at: usize, now: Time, actions: &mut Actions) {
-        let link = self.links.remove(at);
-        actions.push(Action::Close(link.conn));
-        self.faults += 1;
-        if self.faults > FAULT_LIMIT || self.generation.answer.is_none() {
-            self.lose(None, true, now, actions);
-            return;
-        }
-        if self.links.is_empty() {
-            self.schedule_retry(now);
-            self.step(now, actions);
-        }
-    }
-
-    /// The first retry comes at once, the others after a growing delay.
-    fn schedule_retry(&mut self, now: Time) {
-        let delay = match self.strikes.max(self.faults.saturating_sub(1)) {
-            0 => Duration::ZERO,
-            strikes => RETRY_DELAY * (1 << (strikes - 1).min(DOUBLINGS)),
-        };
-        self.strikes += 1;
-        self.retry = Some(now + delay.min(RETRY_LIMIT));
-    }
-
-    /// Gives up on the current generation; `alive` if the engine may still be working on it.
-    fn lose(&mut self, cause: Option<Cause>, alive: bool, now: Time, actions: &mut Actions) {
-        self.close_links(actions);
-        if alive {
-            self.cancel(actions);
-        }
-        self.cause = cause;
-        if self.delivered || !self.may_rerun(now) || is_final(cause) {
-            self.phase = Phase::Over;
-            actions.push(Action::Fail(self.problem(cause)));
-            return;
-        }
-        self.forget_attempt();
-        actions.push(Action::Rerun { cause });
-    }
-
-    fn may_rerun(&self, now: Time) -> bool {
-        let start = self.first_start.unwrap_or(now);
-        self.attempts < self.options.max_attempts && now < start + self.options.patience
-    }
-
-    fn forget_attempt(&mut self) {
-        self.phase = Phase::Idle;
-        self.generation = Generation::default();
-        self.next = 0;
-        self.producing = false;
-        self.held.clear();
-        self.held_bytes = 0;
-        self.strikes = 0;
-        self.silences = 0;
-        self.faults = 0;
-        self.retry = None;
-        self.unreached = None;
-    }
-
     fn problem(&self, cause: Option<Cause>) -> Problem {
         if self.delivered {
             lost::after_delivery()
@@ -526,41 +332,4 @@
     fn position(&self, conn: Conn) -> Option<usize> {
         self.links.iter().position(|link| link.conn == conn)
     }
-
-    /// When the upstream counts as gone or as stalled for good.
-    fn hopeless_at(&self) -> Time {
-        let gone = self
-            .unreached
-            .map_or(Time::NEVER, |since| since + self.options.gone_after);
-        gone.min(self.progress + self.options.stall_limit)
-    }
-
-    /// When the present silence has lasted too long; the time doubles as long as the engine itself is stalled.
-    fn silent_at(&self) -> Time {
-        let wait = if self.producing {
-            let pace = if self.usual.p99().is_some() {
-                &self.usual
-            } else {
-                &self.pace
-            };
-            self.options.silence_of(pace)
-        } else {
-            self.options.queueing
-        };
-        self.quiet + wait * (1 << self.silences.min(DOUBLINGS))
-    }
-}
-
-const fn end_of(kind: Kind) -> Option<End> {
-    match kind {
-        Kind::Completed => Some(End::Completed),
-        Kind::Incomplete => Some(End::Incomplete),
-        Kind::Failed => Some(End::Failed),
-        Kind::Created | Kind::Delta | Kind::Other => None,
-    }
-}
-
-/// Whether another upstream would answer the same: the request itself is at fault.
-fn is_final(cause: Option<Cause>) -> bool {
-    matches!(cause, Some(Cause::Rejected { status }) if (400..500).contains(&status))
 }
--- a/crates/carob-stream/tests/fuzz/main.rs
+++ b/crates/carob-stream/tests/fuzz/main.rs
@@ -4,7 +4,9 @@
 //! `--nocapture` the counts are printed.
 
 mod engine;
+mod faults;
 mod oracle;
+mod stats;
 mod world;
 
 use std::time::Duration;
@@ -15,7 +17,8 @@
 };
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use world::{Stats, World};
+use stats::Stats;
+use world::World;
 
 /// Seed of the run in CI.
 const SEED: u64 = 20_261_203;
--- a/crates/carob-stream/tests/fuzz/world.rs
+++ b/crates/carob-stream/tests/fuzz/world.rs
@@ -1,6 +1,6 @@
 //! Instances, callers and links around the fake engines, in virtual time.
 
-use std::{collections::BTreeMap, sync::Mutex, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use carob_base::Time;
 use carob_stream::{
@@ -9,13 +9,13 @@
 use carob_wire::event::Event;
 
 use crate::{
-    ENDLESS, Fault,
+    ENDLESS,
     engine::{Engine, GAP},
 };
 
 const TICK: Duration = Duration::from_millis(20);
-const ENGINES: usize = 4;
-const INSTANCES: usize = 3;
+pub const ENGINES: usize = 4;
+pub const INSTANCES: usize = 3;
 /// How long a driver waits for a connection to be accepted.
 const CONNECT_LIMIT: Duration = Duration::from_secs(3);
 /// By then every caller must have its answer or a failure: longer than every limit in the options together.
@@ -34,51 +34,51 @@
 pub struct Caller {
     pub received: Vec<Event>,
     pub state: State,
-    instance: usize,
-    pieces: u64,
-    engine: usize,
-    tried: Vec<usize>,
+    pub instance: usize,
+    pub pieces: u64,
+    pub engine: usize,
+    pub tried: Vec<usize>,
     /// Incarnation that the answer's id names.
-    incarnation: u64,
-    delivery: Option<Delivery>,
+    pub incarnation: u64,
+    pub delivery: Option<Delivery>,
 }
 
 #[derive(Debug)]
-struct Link {
-    caller: usize,
-    conn: Conn,
-    source: Source,
-    engine: usize,
-    incarnation: u64,
-    generation: Option<u64>,
-    cursor: u64,
-    opened: Time,
-    headed: bool,
-    silent: bool,
-    closed: bool,
+pub struct Link {
+    pub caller: usize,
+    pub conn: Conn,
+    pub source: Source,
+    pub engine: usize,
+    pub incarnation: u64,
+    pub generation: Option<u64>,
+    pub cursor: u64,
+    pub opened: Time,
+    pub headed: bool,
+    pub silent: bool,
+    pub closed: bool,
 }
 
 #[derive(Debug)]
-struct Cancel {
-    duty: cancel::Duty,
-    instance: usize,
-    engine: usize,
-    incarnation: Option<u64>,
-    id: u64,
+pub struct Cancel {
+    pub duty: cancel::Duty,
+    pub instance: usize,
+    pub engine: usize,
+    pub incarnation: Option<u64>,
+    pub id: u64,
 }
 
 #[derive(Debug, Default)]
 pub struct World {
     pub callers: Vec<Caller>,
-    engines: Vec<Engine>,
-    paused: [Time; INSTANCES],
-    links: Vec<Link>,
-    duties: Vec<Cancel>,
-    now: Time,
-    numbers: u64,
-    faults: BTreeMap<String, u64>,
+    pub engines: Vec<Engine>,
+    pub paused: [Time; INSTANCES],
+    pub links: Vec<Link>,
+    pub duties: Vec<Cancel>,
+    pub now: Time,
+    pub numbers: u64,
+    pub faults: BTreeMap<String, u64>,
     /// Generations that an instance left behind when it died before it could hand them over.
-    orphans: Vec<(usize, u64, u64)>,
+    pub orphans: Vec<(usize, u64, u64)>,
 }
 
 impl World {
@@ -145,33 +145,6 @@
         }
     }
 
-    pub fn inject(&mut self, fault: Fault, pick: usize) {
-        let engine = pick % ENGINES;
-        let instance = pick % INSTANCES;
-        let hit = match fault {
-            Fault::Kill => self.stop(engine, false),
-            Fault::Vanish => self.stop(engine, true),
-            Fault::Restart => self.restart(engine),
-            Fault::Replace => self.stop(engine, false) && self.restart(engine),
-            Fault::Stall => {
-                self.set(|world| world.engines[engine].stalled = world.now + Duration::from_secs(20))
-            }
-            Fault::Cut => self.set(|world| world.engines[engine].cut = world.now + Duration::from_secs(4)),
-            Fault::Silence => self.with_link(pick, |link| link.silent = true),
-            Fault::Break => self.break_link(pick),
-            Fault::Repeat => self.with_link(pick, |link| link.cursor = link.cursor.saturating_sub(2)),
-            Fault::Skip => self.skip(pick),
-            Fault::Swap => self.swap(pick),
-            Fault::Pause => self.set(|world| world.paused[instance] = world.now + Duration::from_secs(7)),
-            Fault::Crash => self.crash(instance),
-            Fault::Leave => self.leave(pick),
-            Fault::Resume => self.resume_elsewhere(pick),
-        };
-        if hit {
-            *self.faults.entry(format!("{fault:?}")).or_default() += 1;
-        }
-    }
-
     fn tick(&mut self) {
         self.now = self.now + TICK;
         for engine in &mut self.engines {
@@ -192,7 +165,7 @@
     }
 
     /// Names an upstream that the caller's request has not been given to; an unlucky choice may be dead.
-    fn route(&mut self, at: usize) {
+    pub fn route(&mut self, at: usize) {
         let now = self.now;
         let caller = &mut self.callers[at];
         let first = at % ENGINES;
@@ -211,7 +184,7 @@
         self.start(at, now);
     }
 
-    fn start(&mut self, at: usize, now: Time) {
+    pub fn start(&mut self, at: usize, now: Time) {
         let mut usual = Pace::new();
         for _ in 0..100 {
             usual.record(GAP);
@@ -377,7 +350,7 @@
         }
     }
 
-    fn fail_link(&mut self, at: usize, cause: Cause) {
+    pub fn fail_link(&mut self, at: usize, cause: Cause) {
         let link = &mut self.links[at];
         link.closed = true;
         let (caller, conn) = (link.caller, link.conn);
@@ -385,7 +358,7 @@
         self.step(caller, |delivery, now| delivery.on_broken(conn, cause, now));
     }
 
-    fn step(&mut self, at: usize, act: impl FnOnce(&mut Delivery, Time) -> Actions) {
+    pub fn step(&mut self, at: usize, act: impl FnOnce(&mut Delivery, Time) -> Actions) {
         let now = self.now;
         let Some(delivery) = self.callers[at].delivery.as_mut() else {
             return;
@@ -444,205 +417,10 @@
         self.duties
             .retain(|one| !one.duty.is_over() && engines[one.engine].up);
     }
-
-    fn set(&mut self, act: impl FnOnce(&mut Self)) -> bool {
-        act(self);
-        true
-    }
-
-    fn stop(&mut self, at: usize, quiet: bool) -> bool {
-        let was_up = self.engines[at].up;
-        self.engines[at].up = false;
-        self.engines[at].vanished = quiet;
-        was_up
-    }
-
-    fn restart(&mut self, at: usize) -> bool {
-        if self.engines[at].up {
-            return false;
-        }
-        self.engines[at].restart();
-        true
-    }
-
-    fn with_link(&mut self, pick: usize, act: impl FnOnce(&mut Link)) -> bool {
-        let mut open: Vec<_> = self
-            .links
-            .iter_mut()
-            .filter(|link| link.headed && !link.closed)
-            .collect();
-        let count = open.len();
-        let Some(link) = open.get_mut(pick % count.max(1)) else {
-            return false;
-        };
-        act(link);
-        true
-    }
-
-    fn break_link(&mut self, pick: usize) -> bool {
-        let open: Vec<_> = (0..self.links.len())
-            .filter(|at| !self.links[*at].closed)
-            .collect();
-        let Some(at) = open.get(pick % open.len().max(1)) else {
-            return false;
-        };
-        self.fail_link(*at, Cause::Ended);
-        true
-    }
-
-    /// Leaves out any event but the very first, without which nobody knows the answer's id.
-    fn skip(&mut self, pick: usize) -> bool {
-        let mut hit = false;
-        self.with_link(pick, |link| {
-            hit = link.cursor > 0 || link.source != Source::Create;
-            link.cursor += u64::from(hit);
-        });
-        hit
-    }
-
-    /// Swaps a resumed answer from its start, or any answer once its item is known. A swap of a new answer
-    /// before that cannot be told from the answer itself.
-    fn swap(&mut self, pick: usize) -> bool {
-        let counts: Vec<_> = self
-            .engines
-            .iter()
-            .map(|engine| engine.generations.len() as u64)
-            .collect();
-        let mut hit = false;
-        self.with_link(pick, |link| {
-            let count = counts[link.engine].max(1);
-            hit = link.cursor > 2 || (link.cursor == 0 && link.source != Source::Create);
-            if hit {
-                link.generation = link.generation.map(|id| (id + 1) % count);
-            }
-        });
-        hit
-    }
-
-    /// The instance's state is lost. Callers who know an id resume by it, the others ask again.
-    fn crash(&mut self, instance: usize) -> bool {
-        let served = |at: &usize| self.callers[*at].instance == instance;
-        let callers: Vec<_> = (0..self.callers.len()).filter(served).collect();
-        for at in callers {
-            if self.callers[at].delivery.is_some() {
-                self.abandon(at);
-            }
-            if self.callers[at].state == State::Reading {
-                self.resume(at);
-            }
-        }
-        // What it had to cancel is left behind.
-        for one in self.duties.iter().filter(|one| one.instance == instance) {
-            self.orphans
-                .push((one.engine, one.incarnation.unwrap_or_default(), one.id));
-        }
-        self.duties.retain(|one| one.instance != instance);
-        true
-    }
-
-    /// Forgets a delivery with its connections, as a crash does.
-    fn abandon(&mut self, at: usize) {
-        for link in self.links.iter_mut().filter(|link| link.caller == at) {
-            link.closed = true;
-            let id = link.generation.unwrap_or_default();
-            self.orphans.push((link.engine, link.incarnation, id));
-        }
-        let caller = &mut self.callers[at];
-        let generation = caller
-            .delivery
-            .take()
-            .map(|delivery| delivery.generation().clone());
-        let id = generation.and_then(|one| Some((one.incarnation?, one.answer?)));
-        if let Some((incarnation, answer)) = id {
-            self.orphans
-                .push((caller.engine, incarnation, number_of(Some(&answer))));
-        }
-    }
-
-    fn resume(&mut self, at: usize) {
-        let now = self.now;
-        let caller = &mut self.callers[at];
-        caller.instance = (caller.instance + 1) % INSTANCES;
-        let Some(last) = caller.received.last().map(|event| event.head.sequence) else {
-            caller.tried.clear();
-            caller.delivery = Some(Delivery::new(Options::new()));
-            self.route(at);
-            return;
-        };
-        let answer = caller.received[0].head.answer.clone().unwrap_or_default();
-        let generation = Generation::of_answer(caller.incarnation, answer);
-        caller.delivery = Some(Delivery::resume(Options::new(), generation, Some(last)));
-        self.start(at, now);
-    }
-
-    fn leave(&mut self, pick: usize) -> bool {
-        let Some(at) = self.reading(pick) else {
-            return false;
-        };
-        self.go(at);
-        true
-    }
-
-    fn go(&mut self, at: usize) {
-        self.callers[at].state = State::Gone;
-        self.step(at, Delivery::on_caller_gone);
-    }
-
-    /// The instance of the old connection learns of the resumption and ends its delivery.
-    fn resume_elsewhere(&mut self, pick: usize) -> bool {
-        let Some(at) = self
-            .reading(pick)
-            .filter(|at| !self.callers[*at].received.is_empty())
-        else {
-            return false;
-        };
-        self.step(at, Delivery::on_caller_gone);
-        self.step(at, |delivery, _| delivery.on_resumed_elsewhere());
-        self.resume(at);
-        true
-    }
-
-    fn reading(&self, pick: usize) -> Option<usize> {
-        let reading = |at: &usize| self.callers[*at].state == State::Reading;
-        let all: Vec<_> = (0..self.callers.len()).filter(reading).collect();
-        all.get(pick % all.len().max(1)).copied()
-    }
 }
 
 /// The fake engine's number of an answer's id.
-fn number_of(answer: Option<&str>) -> u64 {
+pub fn number_of(answer: Option<&str>) -> u64 {
     let digits = answer.map(|answer| answer.trim_start_matches('r'));
     digits.and_then(|digits| digits.parse().ok()).unwrap_or(u64::MAX)
 }
-
-/// Counts over all cases.
-#[derive(Debug, Default)]
-pub struct Stats {
-    cases: u64,
-    answers: u64,
-    events: u64,
-    ends: BTreeMap<String, u64>,
-    faults: BTreeMap<String, u64>,
-}
-
-static STATS: Mutex<Option<Stats>> = Mutex::new(None);
-
-impl Stats {
-    pub fn add(world: &World) {
-        let mut guard = STATS.lock().expect("no test panics while it counts");
-        let stats = guard.get_or_insert_default();
-        stats.cases += 1;
-        stats.answers += world.callers.len() as u64;
-        for caller in &world.callers {
-            stats.events += caller.received.len() as u64;
-            *stats.ends.entry(format!("{:?}", caller.state)).or_default() += 1;
-        }
-        for (fault, count) in &world.faults {
-            *stats.faults.entry(fault.clone()).or_default() += count;
-        }
-    }
-
-    pub fn print() {
-        println!("{:#?}", STATS.lock().expect("no test panics while it counts"));
-    }
-}
