--- a/crates/carob-entry/src/control/peers.rs
+++ b/crates/carob-entry/src/control/peers.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_base::{Name, Time};
 use carob_config::{Config, short_id};
-use carob_link::frame::DATAGRAM_LIMIT;
+use carob_link::{Sealer, frame::DATAGRAM_LIMIT};
 use carob_member::{
     Action, Actions, Change, Event, Load, Member, Members, Own, SignKind,
     event::{Listed, Target},
@@ -19,7 +19,7 @@
     Control,
     health::{Miss, Source},
 };
-use crate::{io::fetch, shared::Phase};
+use crate::shared::Phase;
 
 /// Time between two exchanges of own load with the router.
 const SHARE_EVERY: Duration = Duration::from_millis(500);
@@ -40,7 +40,7 @@
     /// Who they are and what they said.
     pub members: Members,
     socket: Arc<UdpSocket>,
-    sealer: fetch::SharedSealer,
+    sealer: Sealer,
     /// Upstreams of the configuration by short id.
     upstreams: HashMap<u32, Name>,
     /// Upstreams whose own load has been shared.
@@ -53,7 +53,7 @@
 
 impl Peers {
     /// An instance that knows only itself; frames are sealed with `sealer` and sent from `socket`.
-    pub fn new(options: carob_member::Options, socket: Arc<UdpSocket>, sealer: fetch::SharedSealer) -> Self {
+    pub fn new(options: carob_member::Options, socket: Arc<UdpSocket>, sealer: Sealer) -> Self {
         Self {
             members: Members::new(options),
             socket,
@@ -76,17 +76,6 @@
         self.next_resumed = Time::ZERO;
     }
 
-    fn send(&self, to: &Target, body: &[u8]) {
-        if body.len() > DATAGRAM_LIMIT {
-            log::warn!("member: a datagram of {} bytes is too long", body.len());
-            return;
-        }
-        let frame = fetch::seal(&self.sealer, to.id, body);
-        if let Err(error) = self.socket.send_to(&frame, to.address) {
-            log::debug!("member: no datagram to {}: {error}", to.address);
-        }
-    }
-
     /// Tells the others of resumed answers again and again for a while.
     fn tell_resumed(&mut self, now: Time) -> Actions {
         if now < self.next_resumed || self.resumed.is_empty() {
@@ -176,15 +165,12 @@
         let Peers {
             members,
             socket,
-            sealer,
+            mut sealer,
             ..
         } = self.peers;
         for action in members.close(now) {
             if let Action::Send { to, body } = action {
-                let frame = fetch::seal(&sealer, to.id, &body);
-                if let Err(error) = socket.send_to(&frame, to.address) {
-                    log::debug!("member: no goodbye to {}: {error}", to.address);
-                }
+                send(&socket, &mut sealer, &to, &body);
             }
         }
     }
@@ -225,9 +211,9 @@
     fn perform_member(&mut self, actions: Actions, now: Time) {
         for action in actions {
             match action {
-                Action::Send { to, body } => self.peers.send(&to, &body),
+                Action::Send { to, body } => send(&self.peers.socket, &mut self.peers.sealer, &to, &body),
                 Action::Changed(change) => self.member_changed(&change, now),
-                Action::Reincarnate(incarnation) => fetch::reincarnate(&self.peers.sealer, incarnation),
+                Action::Reincarnate(incarnation) => self.peers.sealer.set_incarnation(incarnation),
                 Action::Reported { upstream, load } => self.reported(upstream, load, now),
                 Action::Signed { upstream, kind, .. } => self.signed(upstream, kind, now),
                 Action::Crashing(suspect) => self.take_suspect(suspect, now),
@@ -310,3 +296,14 @@
         })
     }
 }
+
+fn send(socket: &UdpSocket, sealer: &mut Sealer, to: &Target, body: &[u8]) {
+    if body.len() > DATAGRAM_LIMIT {
+        log::warn!("member: a datagram of {} bytes is too long", body.len());
+        return;
+    }
+    let frame = sealer.seal(to.id, body);
+    if let Err(error) = socket.send_to(&frame, to.address) {
+        log::debug!("member: no datagram to {}: {error}", to.address);
+    }
+}
--- a/crates/carob-entry/src/instance.rs
+++ b/crates/carob-entry/src/instance.rs
@@ -104,9 +104,9 @@
         })?);
         let poller = Arc::clone(&shared);
         threads.push(spawn("poll", move || poll::run(&poller, &probe_rx))?);
-        let (asker, sealer, id) = (Arc::clone(&shared), Arc::clone(&link.sealer), link.id);
+        let (asker, party) = (Arc::clone(&shared), link.party.clone());
         threads.push(spawn("fetch", move || {
-            fetch::ask(&asker, id, &sealer, &fetch_rx);
+            fetch::ask(&asker, &party, &fetch_rx);
         })?);
         let peers = link.address;
         link.serve(&shared)?;
--- a/crates/carob-entry/src/link.rs
+++ b/crates/carob-entry/src/link.rs
@@ -3,12 +3,12 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use carob_config::short_id;
-use carob_link::{Key, Sealer};
+use carob_link::{Key, Sealer, exchange::Party};
 
 use crate::{
     control::Peers,
@@ -28,11 +28,8 @@
 pub struct Link {
     /// The address.
     pub address: SocketAddr,
-    /// This instance's short id.
-    pub id: u32,
-    /// Seals every frame that leaves this process.
-    pub sealer: fetch::SharedSealer,
-    incarnation: u64,
+    /// This instance towards the others.
+    pub party: Party,
     socket: Arc<UdpSocket>,
     listener: TcpListener,
 }
@@ -52,12 +49,10 @@
         let address = listener.local_addr().unwrap_or(wanted);
         let id = short_id(&options.name);
         let incarnation = wall_millis();
-        let sealer = Sealer::new(Key::new(&options.peer_key), id, incarnation);
+        let key = Key::new(&options.peer_key);
         Ok(Self {
             address,
-            id,
-            sealer: Arc::new(Mutex::new(sealer)),
-            incarnation,
+            party: Party { key, id, incarnation },
             socket: Arc::new(socket),
             listener,
         })
@@ -67,9 +62,14 @@
     pub fn peers(&self, options: &Options) -> Peers {
         let (name, domain, region) = (&options.name, &options.domain, &options.region);
         let member = carob_member::Options::new(name.clone(), domain.clone(), region.clone(), self.address)
-            .with_incarnation(self.incarnation)
+            .with_incarnation(self.party.incarnation)
             .with_seed(options.seed);
-        Peers::new(member, Arc::clone(&self.socket), Arc::clone(&self.sealer))
+        let Party { key, id, incarnation } = self.party.clone();
+        Peers::new(
+            member,
+            Arc::clone(&self.socket),
+            Sealer::new(key, id, incarnation),
+        )
     }
 
     /// Starts the threads that read from the sockets and from the instance list. They end when they are
@@ -80,17 +80,17 @@
     /// Returns [`Error::Thread`] if a thread cannot be started.
     pub fn serve(self, shared: &Arc<Shared>) -> Result<(), Error> {
         let Self {
-            id,
-            sealer,
+            party,
             socket,
             listener,
             ..
         } = self;
+        let id = party.id;
         let reader = Arc::clone(shared);
         drop(spawn("datagrams", move || datagrams::run(&reader, id, &socket))?);
         let server = Arc::clone(shared);
         drop(spawn("serve-config", move || {
-            fetch::serve(&server, id, &sealer, &listener);
+            fetch::serve(&server, &party, &listener);
         })?);
         if let Some(address) = shared.options.list {
             let lister = Arc::clone(shared);
--- a/crates/carob-member/tests/common/mod.rs
+++ b/crates/carob-member/tests/common/mod.rs
@@ -56,6 +56,7 @@
     pub changes: Vec<(Time, Change)>,
     pub signs: Vec<(Time, u32)>,
     pub suspects: Vec<(Time, Bytes)>,
+    pub resumed: Vec<String>,
     pub steps: u64,
 }
 
@@ -155,6 +156,7 @@
             changes: Vec::new(),
             signs: Vec::new(),
             suspects: Vec::new(),
+            resumed: Vec::new(),
             steps: 0,
         };
         self.nodes.insert(id, node);
@@ -309,6 +311,18 @@
         }
     }
 
+    /// Has the instance tell the others of an answer that was resumed there.
+    pub fn resume(&mut self, at: &str, answer: &str) {
+        let resumed = carob_peer::Resumed {
+            upstream: "engine".to_owned(),
+            answer: answer.to_owned(),
+        };
+        let actions = self.node(at).members.resumed(&[resumed]);
+        for action in actions {
+            self.act(short_id(&name(at)), action);
+        }
+    }
+
     fn act(&mut self, id: u32, action: Action) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else {
@@ -329,6 +343,7 @@
             Action::Reported { .. } => {}
             Action::Signed { upstream, .. } => node.signs.push((now, upstream)),
             Action::Crashing(suspect) => node.suspects.push((now, suspect)),
+            Action::Resumed { answer, .. } => node.resumed.push(answer),
         }
     }
 
--- a/crates/carob-member/tests/convergence.rs
+++ b/crates/carob-member/tests/convergence.rs
@@ -126,6 +126,16 @@
     }
 }
 
+#[test]
+fn resumed_answer_is_told_in_every_domain() {
+    let mut net = Net::started(12, &fleet(&["a", "b"], 3), 10);
+    net.resume("a-0", "resp_1");
+    net.run(Duration::from_secs(1));
+    for node in net.nodes.values().filter(|node| node.listed.name != name("a-0")) {
+        assert_eq!(node.resumed, ["resp_1"], "{}", node.listed.name);
+    }
+}
+
 #[test]
 fn signs_travel_at_once() {
     let mut net = Net::started(7, &fleet(&["a"], 20), 10);
