--- a/crates/carob-replay/src/generate.rs
+++ b/crates/carob-replay/src/generate.rs
@@ -260,7 +260,7 @@
         let hold = |random: &mut SmallRng| {
             let (_, prompt, output) = draw(&classes, 1.0, random);
             let (prompt, output) = (f64::from(prompt), f64::from(output));
-            output.mul_add(prompt, output * output / 2.0) * STEP
+            (output * prompt + output * output / 2.0) * STEP
         };
         let total: f64 = (0..DRAWS).map(|_| hold(random)).sum();
         let memory = f64::from(MODEL.memory) * self.runners as f64;
--- a/crates/carob-route/src/choose.rs
+++ b/crates/carob-route/src/choose.rs
@@ -16,11 +16,11 @@
 };
 
 /// Most upstreams that are all looked at; of more, a sample is.
-const ALL_LIMIT: usize = 24;
+const ALL_LIMIT: usize = 16;
 /// Upstreams sampled from the own failure domain, the rest of the region and the rest.
-const SAMPLES: [usize; 3] = [12, 6, 4];
+const SAMPLES: [usize; 3] = [8, 3, 3];
 /// Age at which the prediction of own requests is made anew.
-const REBUILD_AFTER: Duration = Duration::from_millis(100);
+const REBUILD_AFTER: Duration = Duration::from_millis(500);
 /// Age at which a service's residual survival is computed anew.
 const RESIDUAL_AFTER: Duration = Duration::from_secs(1);
 /// Prompt whose prefill weighs as much as the whole prefix credit, in tokens.
@@ -166,7 +166,7 @@
             Place::Region => self.options.domain_price,
             Place::Remote => self.options.region_price,
         };
-        let base = FAILURE_PRICE.mul_add(upstream.breaker.failure_share(), price);
+        let base = price + FAILURE_PRICE * upstream.breaker.failure_share();
         let has_slot = batch < upstream.slots as f32;
         if want.service.kind == Kind::Plain {
             return Figures {
@@ -228,7 +228,7 @@
             0.5
         };
         let (low, high) = (self.options.low_caution, self.options.high_caution);
-        let base = (high - low).mul_add(part, low);
+        let base = low + (high - low) * part;
         if self.options.parts.feedback {
             base + upstream.caution(want.now)
         } else {
@@ -258,18 +258,17 @@
         self.prefixes.share(key, &want.open.prefix)
     }
 
-    /// Predicts the own requests' memory on an upstream anew if the last prediction is old or wrong.
+    /// Predicts the own requests' memory on an upstream anew if the last prediction is old.
     fn rebuild_if_due(&mut self, key: UpstreamKey, now: Time) {
         let upstream = &self.upstreams[key];
         let service = upstream.service;
-        if !upstream.dirty && now.since(upstream.built) < REBUILD_AFTER {
+        if now.since(upstream.built) < REBUILD_AFTER {
             return;
         }
         let curve = self.own_curve(upstream);
         let upstream = &mut self.upstreams[key];
         upstream.curve = curve;
         upstream.built = now;
-        upstream.dirty = false;
         self.refresh_residual(service, now);
     }
 
@@ -317,7 +316,7 @@
         .seen
         .as_ref()
         .map_or(0.0, |seen| now.since(seen.sampled).as_secs_f32());
-    JITTER_GROWTH.mul_add(age, JITTER).min(JITTER_LIMIT)
+    (JITTER + JITTER_GROWTH * age).min(JITTER_LIMIT)
 }
 
 fn reason(want: &Want<'_>, upstream: &Upstream, figures: &Figures, counts: (u16, u16)) -> Reason {
--- a/crates/carob-route/src/finish.rs
+++ b/crates/carob-route/src/finish.rs
@@ -96,7 +96,9 @@
         };
         open.phase = Phase::Loose;
         self.learn(key, end);
+        let curve = self.open[key].curve(self.lengths.table(self.open[key].group));
         let state = &mut self.upstreams[upstream];
+        state.curve.take(&curve);
         state.detach(key, ended);
         match end {
             End::Complete { .. } => state.breaker.succeeded(),
--- a/crates/carob-route/src/forecast.rs
+++ b/crates/carob-route/src/forecast.rs
@@ -8,7 +8,7 @@
 use crate::length::Table;
 
 /// Tokens ahead at which memory is predicted.
-pub const HORIZONS: [u32; 9] = [1, 24, 64, 160, 400, 1_000, 2_500, 6_000, 16_000];
+pub const HORIZONS: [u32; 8] = [1, 32, 96, 256, 640, 1_600, 4_000, 12_000];
 
 /// Predicted memory at each of the [`HORIZONS`], in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -24,12 +24,18 @@
     /// The memory of one request with `prompt` and `produced` tokens whose answer ends at `cap` at the latest.
     pub fn of_request(table: Table<'_>, prompt: u32, produced: u32, cap: u32) -> Self {
         let mut curve = Self::default();
+        // An answer beyond every length seen so far is taken to go on.
+        let known = table.alive(produced).max(f32::MIN_POSITIVE);
         for (k, &ahead) in HORIZONS.iter().enumerate() {
             let length = produced.saturating_add(ahead);
             if length > cap.max(produced + 1) {
                 break;
             }
-            let alive = table.alive_given(length, produced);
+            let alive = if k == 0 {
+                1.0
+            } else {
+                (table.alive(length) / known).min(1.0)
+            };
             let size = (prompt + length) as f32;
             curve.mean[k] = size * alive;
             curve.variance[k] = size * size * alive * (1.0 - alive);
@@ -71,9 +77,17 @@
         }
     }
 
+    /// Takes off a curve that was added before, perhaps with other figures.
+    pub fn take(&mut self, other: &Self) {
+        for k in 0..HORIZONS.len() {
+            self.mean[k] = (self.mean[k] - other.mean[k]).max(0.0);
+            self.variance[k] = (self.variance[k] - other.variance[k]).max(0.0);
+        }
+    }
+
     /// The highest memory over the horizons, `caution` deviations above the mean.
     pub fn peak(&self, caution: f32) -> f32 {
-        let at = |k: usize| caution.mul_add(self.variance[k].max(0.0).sqrt(), self.mean[k]);
+        let at = |k: usize| self.mean[k] + caution * self.variance[k].max(0.0).sqrt();
         (0..HORIZONS.len()).map(at).fold(0.0, f32::max)
     }
 
--- a/crates/carob-route/src/length.rs
+++ b/crates/carob-route/src/length.rs
@@ -18,7 +18,7 @@
 /// Part of a group's weight that fades with each ended answer: about 300 answers are remembered.
 const FADE: f32 = 1.0 / 300.0;
 /// Changes of a group, in answers passing a bucket, after which its survival table is computed anew.
-const REFRESH: u32 = 24;
+const REFRESH: u32 = 48;
 /// Most groups; further ones use their parent.
 const GROUP_LIMIT: usize = 8_192;
 /// Hazard of the prior in its first buckets.
@@ -239,7 +239,7 @@
             self.survival[b] = alive;
             let entered = self.entered[b] / self.weight;
             let ended = self.ended[b] / self.weight;
-            let hazard = PRIOR.mul_add(prior, ended) / (entered + PRIOR);
+            let hazard = (PRIOR * prior + ended) / (entered + PRIOR);
             alive *= 1.0 - hazard.clamp(0.0, 1.0);
         }
         self.survival[BUCKETS] = alive;
@@ -254,16 +254,7 @@
         let (start, end) = (edge(b), edge(b + 1));
         let part = (length - start) as f32 / (end - start) as f32;
         let (high, low) = (self.survival[b], self.survival[b + 1]);
-        (low - high).mul_add(part.min(1.0), high)
-    }
-
-    /// Probability that an answer of `produced` tokens so far reaches `length`.
-    pub fn alive_given(&self, length: u32, produced: u32) -> f32 {
-        let known = self.alive(produced);
-        if known <= 1e-6 {
-            return 0.0;
-        }
-        (self.alive(length) / known).min(1.0)
+        high + (low - high) * part.min(1.0)
     }
 
     /// The length that an answer of `produced` tokens so far exceeds with probability `part`.
@@ -281,7 +272,7 @@
             1.0
         };
         let (start, end) = (edge(b) as f32, edge(b + 1) as f32);
-        ((end - start).mul_add(share.clamp(0.0, 1.0), start) as u32).max(produced + 1)
+        ((start + (end - start) * share.clamp(0.0, 1.0)) as u32).max(produced + 1)
     }
 }
 
@@ -306,7 +297,7 @@
 
 fn prior() -> Hazards {
     let hazard = |b: usize| match b.checked_sub(PRIOR_FIRST) {
-        Some(further) => PRIOR_GROWTH.mul_add(further as f32, PRIOR_MIDDLE),
+        Some(further) => PRIOR_MIDDLE + PRIOR_GROWTH * further as f32,
         None => PRIOR_SHORT,
     };
     std::array::from_fn(hazard)
--- a/crates/carob-route/src/peer.rs
+++ b/crates/carob-route/src/peer.rs
@@ -106,8 +106,8 @@
             let Some(upstream) = self.upstreams.get_mut(*key) else {
                 continue;
             };
-            upstream.peers.count = sign.mul_add(crowd.count, upstream.peers.count).max(0.0);
-            upstream.peers.tokens = sign.mul_add(crowd.tokens, upstream.peers.tokens).max(0.0);
+            upstream.peers.count = (upstream.peers.count + sign * crowd.count).max(0.0);
+            upstream.peers.tokens = (upstream.peers.tokens + sign * crowd.tokens).max(0.0);
         }
     }
 
--- a/crates/carob-route/src/state.rs
+++ b/crates/carob-route/src/state.rs
@@ -120,7 +120,7 @@
     /// Counts `amount` at `now`.
     pub fn add(&mut self, amount: f32, now: Time) {
         let fade = (-now.since(self.at).as_secs_f32() / RATE_SPAN).exp();
-        self.sum = self.sum.mul_add(fade, amount);
+        self.sum = self.sum * fade + amount;
         self.at = now;
         self.since.get_or_insert(now);
     }
--- a/crates/carob-route/src/upstream.rs
+++ b/crates/carob-route/src/upstream.rs
@@ -40,7 +40,6 @@
     /// Predicted memory of the own requests, as of `built`.
     pub curve: Curve,
     pub built: Time,
-    pub dirty: bool,
     pub seen: Option<Seen>,
     pub foreign: Crowd,
     /// Dispatches of other instances that no report covers yet, as they told.
@@ -90,7 +89,6 @@
             sealed: None,
             curve: Curve::default(),
             built: Time::ZERO,
-            dirty: false,
             seen: None,
             foreign: Crowd::default(),
             peers: Crowd::default(),
@@ -130,7 +128,6 @@
     /// Takes an own request off the upstream.
     pub fn detach(&mut self, key: RequestKey, ended: Ended) {
         self.own.retain(|&own| own != key);
-        self.dirty = true;
         if self.sealed == Some(key) {
             self.sealed = None;
         }
