feat: more memory kept free, and waits that will not end in time refused at once

Half of its stall time came from requests that waited to the end of their patience and were then refused. Change: caution 2.25 to 4 by the weights; each poll refuses the last request of a lane when its expected wait, with a margin of 1.5, outlasts its caller; waits end half a second before the patience. Placing, retrying, admitting and draining are modules of their own.

--- a/crates/carob-replay/benches/policy.rs
+++ b/crates/carob-replay/benches/policy.rs
@@ -123,6 +123,13 @@
         ),
         ("- prefix", Parts { prefix: false, ..all }),
         ("- peers", Parts { peers: false, ..all }),
+        (
+            "- priority",
+            Parts {
+                priority: false,
+                ..all
+            },
+        ),
         ("- mirror", Parts { mirror: false, ..all }),
     ];
     without
--- a/crates/carob-route/src/lib.rs
+++ b/crates/carob-route/src/lib.rs
@@ -23,9 +23,13 @@
 pub mod status;
 pub mod submit;
 
+mod admit;
 mod apply;
 mod choose;
+mod denial;
+mod drain;
 mod place;
+mod retry;
 mod router;
 mod signal;
 mod state;
--- a/crates/carob-route/src/options.rs
+++ b/crates/carob-route/src/options.rs
@@ -15,9 +15,9 @@
     pub seed: u64,
     /// Most requests that wait per service. Default 512.
     pub queue_limit: usize,
-    /// Deviations of predicted memory kept free by a service that weighs only stall time. Default 0.
+    /// Deviations of predicted memory kept free by a service that weighs only stall time. Default 2.25.
     pub low_caution: f32,
-    /// Deviations of predicted memory kept free by a service that weighs only preemptions. Default 2.
+    /// Deviations of predicted memory kept free by a service that weighs only preemptions. Default 4.
     pub high_caution: f32,
     /// Price of leaving the region, as a fraction of an upstream's memory. Default 0.15.
     pub region_price: f32,
@@ -48,8 +48,10 @@
     pub queue: bool,
     /// Fair shares between accounts in the queue; otherwise first come, first served.
     pub fairness: bool,
-    /// Short expected answers before long ones in the queue and at the engine.
+    /// Short expected answers before long ones in the queue.
     pub short_first: bool,
+    /// Engine priorities: short expected answers before long ones there, too.
+    pub priority: bool,
     /// Preference for upstreams that hold the prompt's prefix.
     pub prefix: bool,
     /// Other instances' unreported dispatches are counted in.
@@ -67,6 +69,7 @@
         queue: true,
         fairness: true,
         short_first: true,
+        priority: true,
         prefix: true,
         peers: true,
         mirror: true,
@@ -81,8 +84,8 @@
             region,
             seed: 1,
             queue_limit: 512,
-            low_caution: 0.0,
-            high_caution: 2.0,
+            low_caution: 2.25,
+            high_caution: 4.0,
             region_price: 0.15,
             domain_price: 0.02,
             prefix_credit: 0.2,
--- a/crates/carob-route/src/queue.rs
+++ b/crates/carob-route/src/queue.rs
@@ -28,8 +28,10 @@
     account: Option<AccountKey>,
     share: f64,
     virtual_time: f64,
-    /// Waiting requests by rank, with their costs.
-    waiting: BTreeMap<Rank, f32>,
+    /// Waiting requests by rank.
+    waiting: BTreeMap<Rank, Entry>,
+    /// Work of all of them, in tokens.
+    cost: f32,
 }
 
 /// A request that waits.
@@ -68,7 +70,8 @@
         if lane.waiting.is_empty() {
             lane.virtual_time = lane.virtual_time.max(virtual_time);
         }
-        lane.waiting.insert((entry.rank, entry.key), entry.cost);
+        lane.waiting.insert((entry.rank, entry.key), *entry);
+        lane.cost += entry.cost;
         self.expiry.insert((entry.expiry, entry.key));
     }
 
@@ -81,6 +84,7 @@
             share: 1.0,
             virtual_time: 0.0,
             waiting: BTreeMap::new(),
+            cost: 0.0,
         });
         self.lanes.last_mut().expect("a lane was just added")
     }
@@ -93,6 +97,10 @@
         };
         let lane = &mut self.lanes[at];
         lane.waiting.remove(&(entry.rank, entry.key));
+        lane.cost -= entry.cost;
+        if lane.waiting.is_empty() {
+            lane.cost = 0.0;
+        }
         if served {
             self.virtual_time = self.virtual_time.max(lane.virtual_time);
             lane.virtual_time += f64::from(entry.cost) / lane.share;
@@ -120,26 +128,36 @@
         self.expiry.first().copied()
     }
 
+    /// The last request of each lane.
+    pub fn lasts(&self) -> impl Iterator<Item = Entry> {
+        self.lanes
+            .iter()
+            .filter_map(|lane| Some(*lane.waiting.last_key_value()?.1))
+    }
+
     /// Work of everything that waits, in tokens.
     pub fn cost(&self) -> f32 {
-        self.lanes.iter().flat_map(|lane| lane.waiting.values()).sum()
+        self.lanes.iter().map(|lane| lane.cost).sum()
     }
 
-    /// Work to be done before a request of `account` at `rank`, in tokens, if the lanes are served by share.
-    pub fn cost_ahead(&self, account: Option<AccountKey>, share: u16, rank: Time) -> f32 {
-        let share = f32::from(share.max(1));
-        let lane = self.lanes.iter().find(|lane| lane.account == account);
-        let own: f32 = lane.map_or(0.0, |lane| {
-            let before = lane.waiting.iter().take_while(|&(&(other, _), _)| other <= rank);
-            before.map(|(_, cost)| cost).sum()
-        });
-        let others = self.lanes.iter().filter(|lane| lane.account != account);
+    /// Work to be done up to and with a request, in tokens, if the lanes are served by share.
+    pub fn cost_ahead(&self, entry: &Entry) -> f32 {
+        let share = f32::from(entry.share.max(1));
+        let lane = self.lanes.iter().find(|lane| lane.account == entry.account);
+        let before = lane.map_or(0.0, |lane| lane.cost_before(entry));
+        let own = before + entry.cost;
+        let others = self.lanes.iter().filter(|lane| lane.account != entry.account);
         let rest: f32 = others
-            .map(|lane| {
-                let total: f32 = lane.waiting.values().sum();
-                total.min(own * lane.share as f32 / share)
-            })
+            .map(|lane| lane.cost.min(own * lane.share as f32 / share))
             .sum();
         own + rest
     }
 }
+
+impl Lane {
+    /// Work before a request of this lane, in tokens.
+    fn cost_before(&self, entry: &Entry) -> f32 {
+        let before = self.waiting.range(..(entry.rank, entry.key));
+        before.map(|(_, entry)| entry.cost).sum()
+    }
+}
--- a/crates/carob-route/src/state.rs
+++ b/crates/carob-route/src/state.rs
@@ -37,6 +37,23 @@
     pub residual_at: Time,
 }
 
+impl Service {
+    /// How long a request under `entry` is expected to wait, once the rate of placing is known.
+    pub fn wait_for(&self, entry: &Entry, now: Time) -> Option<Duration> {
+        /// Allowance for requests that come later and overtake.
+        const MARGIN: f32 = 1.5;
+        let rate = self.rate.per_second(now)?;
+        Some(time_for(self.queue.cost_ahead(entry) * MARGIN, rate))
+    }
+}
+
+/// Time for `cost` tokens of work at `rate` tokens a second.
+pub fn time_for(cost: f32, rate: f32) -> Duration {
+    /// Longest estimate, in seconds.
+    const LONGEST: f32 = 3_600.0;
+    Duration::from_secs_f32((cost / rate.max(1.0)).clamp(0.0, LONGEST))
+}
+
 /// A client account.
 #[derive(Debug)]
 pub struct Account {
