--- /dev/null
+++ b/benches/overhead/requests.rs
@@ -0,0 +1,56 @@
+//! Delay per request.
+
+use std::{net::SocketAddr, time::Instant};
+
+use carob_http::client::{self, Chunk, Request};
+use carob_standin::Engine;
+
+use crate::{
+    process::{KEY, LONG, Process, open},
+    summary::{Samples, print},
+};
+
+/// Requests of each kind; direct ones and others take turns.
+const REQUESTS: usize = 1_000;
+/// Generations of each kind.
+const GENERATIONS: usize = 200;
+
+/// Whole calls to a plain service.
+pub fn plain(process: &Process, service: SocketAddr) {
+    let call = |address| {
+        let request = Request::get(address, "/stock").with_header("authorization", format!("Bearer {KEY}"));
+        let start = Instant::now();
+        let response = client::call(&request).expect("an answer");
+        assert_eq!(response.status, 200);
+        start.elapsed()
+    };
+    let (mut direct, mut through) = (Samples::default(), Samples::default());
+    for _ in 0..REQUESTS {
+        direct.push(call(service));
+        through.push(call(process.callers));
+    }
+    print("plain call", &direct, &through);
+}
+
+/// From sending a request for a generation to its first event with text.
+pub fn first_event(process: &Process, engine: &Engine) {
+    let body = r#"{"input":"stock","stream":true,"metadata":{"tokens":"1"}}"#;
+    let call = |address| {
+        let start = Instant::now();
+        let stream = open(address, body);
+        let mut received = Vec::new();
+        while !received.windows(6).any(|bytes| bytes == b".delta") {
+            let Chunk::Data(data) = stream.next(LONG) else {
+                panic!("the stream ended");
+            };
+            received.extend_from_slice(&data);
+        }
+        start.elapsed()
+    };
+    let (mut direct, mut through) = (Samples::default(), Samples::default());
+    for _ in 0..GENERATIONS {
+        direct.push(call(engine.address()));
+        through.push(call(process.callers));
+    }
+    print("request to first token (10 ms engine steps)", &direct, &through);
+}
--- /dev/null
+++ b/benches/overhead/tokens.rs
@@ -0,0 +1,82 @@
+//! Delay per token: the same token through the instance and on a direct stream of the same answer.
+
+use std::{
+    collections::HashMap,
+    thread,
+    time::{Duration, Instant},
+};
+
+use carob_http::client::{self, Chunk, Request, Stream};
+use carob_standin::Engine;
+use carob_wire::{event::Event, sse::Decoder};
+
+use crate::{
+    process::{LONG, Process, open},
+    summary::Samples,
+};
+
+/// Tokens of each answer.
+const TOKENS: u64 = 300;
+/// Events until both streams are live.
+const WARM_UP: u64 = 50;
+
+/// When each event arrived, by sequence number.
+type Arrivals = HashMap<u64, Duration>;
+
+/// Measures `streams` answers at the same time.
+pub fn run(process: &Process, engine: &Engine, streams: usize) {
+    let start = Instant::now();
+    let pairs: Vec<_> = (0..streams)
+        .map(|at| {
+            let (callers, direct) = (process.callers, engine.address());
+            let prompt = format!("{streams} quotes, number {at}");
+            let body = format!(r#"{{"input":"{prompt}","stream":true,"metadata":{{"tokens":"{TOKENS}"}}}}"#);
+            let stream = open(callers, &body);
+            let record = engine
+                .records()
+                .into_iter()
+                .rfind(|record| record.prompt == prompt);
+            let id = record.expect("the engine runs it").id;
+            let path = format!("/v1/responses/{id}?stream=true");
+            let request = Request::get(direct, &path).with_deadline(10 * LONG);
+            let twin = client::open(&request).expect("the engine answers");
+            let through = thread::spawn(move || read(&stream, start));
+            (through, thread::spawn(move || read(&twin, start)))
+        })
+        .collect();
+    let mut added = Samples::default();
+    let mut gaps = (Samples::default(), Samples::default());
+    for (through, direct) in pairs {
+        let through = through.join().expect("the reader ends");
+        let direct = direct.join().expect("the reader ends");
+        for number in WARM_UP..TOKENS {
+            added.push_difference(through[&number], direct[&number]);
+            gaps.0.push_difference(direct[&number], direct[&(number - 1)]);
+            gaps.1.push_difference(through[&number], through[&(number - 1)]);
+        }
+    }
+    let (p50, p99) = added.both();
+    crate::summary::print(
+        &format!("gap between tokens, {streams} streams"),
+        &gaps.0,
+        &gaps.1,
+    );
+    println!("| same token, {streams} streams | | | | | {p50:.0} µs | {p99:.0} µs |");
+}
+
+fn read(stream: &Stream, start: Instant) -> Arrivals {
+    let mut decoder = Decoder::new(1 << 20);
+    let mut arrivals = Arrivals::new();
+    loop {
+        match stream.next(LONG) {
+            Chunk::Data(data) => decoder.feed(&data),
+            Chunk::End => return arrivals,
+            other => panic!("the stream broke: {other:?}"),
+        }
+        let now = start.elapsed();
+        while let Some(data) = decoder.next_data().expect("events are small") {
+            let event = Event::parse(data).expect("an event");
+            arrivals.insert(event.head.sequence, now);
+        }
+    }
+}
