--- a/src/args.rs
+++ b/src/args.rs
@@ -23,6 +23,8 @@
 pub enum Command {
     Check(Check),
     Demo(Demo),
+    Load(Load),
+    Replay(Replay),
     Serve(Serve),
     Standin(Standin),
     Status(Status),
@@ -56,6 +58,42 @@
     pub once: bool,
 }
 
+/// Send a workload to entry instances as an open loop, check every outcome and report latencies.
+///
+/// Exits with 1 if any outcome was wrong: an event lost, repeated or out of order, an order run twice, a refusal
+/// that did not hold.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct Load {
+    /// workload file; see docs/operators/load.md
+    #[argh(option)]
+    pub workload: PathBuf,
+    /// callers' address of an instance; may be given several times
+    #[argh(option)]
+    pub target: Vec<SocketAddr>,
+    /// seed of arrivals, sizes and callers' behaviour (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// rate of arrivals in percent of the workload's (default 100)
+    #[argh(option, default = "100")]
+    pub rate_percent: u64,
+    /// file for the report as CSV
+    #[argh(option)]
+    pub csv: Option<PathBuf>,
+    /// file for the report as an SVG plot
+    #[argh(option)]
+    pub plot: Option<PathBuf>,
+}
+
+/// Replay recorded traces in virtual time and compare with the outcomes that they state.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+pub struct Replay {
+    /// trace files; see docs/TRACES.md
+    #[argh(positional)]
+    pub traces: Vec<PathBuf>,
+}
+
 /// Run one stand-in for an outside system as a process of its own, until SIGTERM or SIGINT.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "standin")]
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,6 +2,8 @@
 
 pub mod admin;
 mod check;
+mod load;
+mod replay;
 mod serve;
 mod standin;
 mod status;
@@ -18,6 +20,8 @@
     match command {
         Command::Check(args) => check::run(&args),
         Command::Demo(args) => crate::demo::run(&args),
+        Command::Load(args) => load::run(&args),
+        Command::Replay(args) => replay::run(&args),
         Command::Serve(args) => serve::run(&args),
         Command::Standin(args) => standin::run(&args),
         Command::Status(args) => status::run(&args),
