feat: orders to engines are given by the instance that holds the lease

One instance of each failure domain tries for the lease; its holder looks every 5 s what engines have loaded and sends what their services need, each order after the lease's remaining time was checked on the monotonic clock.

--- a/crates/carob-entry/src/control.rs
+++ b/crates/carob-entry/src/control.rs
@@ -3,6 +3,7 @@
 //! * [`claims`]: claims on idempotency keys.
 //! * [`event`]: what other threads tell it, and what it answers.
 //! * [`health`]: health of upstreams.
+//! * [`orders`]: orders to engines.
 //! * [`stored`]: results of store calls.
 //! * [`status`]: snapshots for operators.
 //!
@@ -12,6 +13,7 @@
 pub mod claims;
 pub mod event;
 pub mod health;
+pub mod orders;
 pub mod status;
 pub mod stored;
 
@@ -33,7 +35,7 @@
 pub use peers::Peers;
 
 use crate::{
-    io::{fetch, poll, store, watch},
+    io::{fetch, order, poll, store, watch},
     shared::{Phase, Shared},
 };
 
@@ -51,6 +53,8 @@
     pub store: Sender<store::Job>,
     /// Watches of the store.
     pub watch: Sender<watch::Job>,
+    /// Orders to engines.
+    pub order: Sender<order::Job>,
     /// Questions to peers.
     pub fetch: Sender<fetch::Job>,
     /// Health checks that are wanted at once.
@@ -70,6 +74,7 @@
     claimants: claims::Claimants,
     health: health::Health,
     peers: peers::Peers,
+    ordering: orders::Ordering,
     suspects: Suspects,
     seen: Time,
 }
@@ -88,6 +93,7 @@
             claimants: claims::Claimants::default(),
             health: health::Health::default(),
             peers,
+            ordering: orders::Ordering::new(&options.name),
             suspects: Suspects::new(carob_suspect::Options::new(), holder),
             seen: shared.now(),
             shared,
@@ -157,6 +163,7 @@
                 miss,
             } => self.unreachable(&upstream, asked, miss, now),
             Event::Claim(event) => self.claim(event, now),
+            Event::Order(event) => self.order(event, now),
             Event::Stored(stored) => self.stored(stored, now),
             Event::Follow(event) => self.follow(event, now),
             Event::Ledger { reply } => self.send_ledger(&reply),
@@ -174,6 +181,10 @@
         match stored.part {
             stored::Part::Config => self.follow(carob_ticket::follow::Event::Replied(stored.result), now),
             stored::Part::Claims(id) => self.claims.on_reply(id, stored.result, now),
+            stored::Part::Orders(id) => {
+                let orders = &mut self.ordering.orders;
+                orders.on_reply(id, stored.result, now, claims::wall_millis());
+            }
         }
     }
 
@@ -189,6 +200,7 @@
         self.poll_claims(now);
         self.release_expired(now);
         self.tick_peers(now);
+        self.poll_orders(now);
         self.follow(carob_ticket::follow::Event::Tick, now);
     }
 }
--- a/crates/carob-entry/src/control/claims.rs
+++ b/crates/carob-entry/src/control/claims.rs
@@ -107,7 +107,7 @@
 }
 
 /// Milliseconds since 1970 on the system's clock, by which callers' keys are dated.
-fn wall_millis() -> u64 {
+pub(super) fn wall_millis() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     elapsed.as_millis() as u64
 }
--- a/crates/carob-entry/src/control/event.rs
+++ b/crates/carob-entry/src/control/event.rs
@@ -96,6 +96,8 @@
     },
     /// A worker says something about a claim.
     Claim(crate::control::claims::Event),
+    /// The order thread says something.
+    Order(crate::control::orders::Event),
     /// A store call has ended.
     Stored(crate::control::stored::Stored),
     /// A watch of the configuration says something.
--- a/crates/carob-entry/src/control/stored.rs
+++ b/crates/carob-entry/src/control/stored.rs
@@ -10,6 +10,8 @@
         Config,
         /// Claims on idempotency keys.
         Claims(CallId),
+        /// Orders to engines.
+        Orders(carob_order::CallId),
     }
 }
 
--- a/crates/carob-entry/src/instance.rs
+++ b/crates/carob-entry/src/instance.rs
@@ -13,7 +13,7 @@
 use crate::{
     admin,
     control::{Control, Event, Hands},
-    io::{fetch, janitor, poll, store, watch},
+    io::{fetch, janitor, order, poll, store, watch},
     link::{self, Link},
     options::Options,
     shared::{Phase, Shared},
@@ -74,6 +74,7 @@
         let (janitor_tx, janitor_rx) = flume::unbounded();
         let (store_tx, store_rx) = flume::unbounded();
         let (watch_tx, watch_rx) = flume::unbounded();
+        let (order_tx, order_rx) = flume::unbounded();
         let (fetch_tx, fetch_rx) = flume::unbounded();
         let (probe_tx, probe_rx) = flume::unbounded();
         let shared = Arc::new(Shared::new(options, control_tx, janitor_tx));
@@ -83,6 +84,7 @@
             store: store_tx,
             watch: watch_tx,
             fetch: fetch_tx,
+            order: order_tx,
             probe: probe_tx,
         };
         let control = Control::new(
@@ -104,6 +106,8 @@
         })?);
         let poller = Arc::clone(&shared);
         threads.push(spawn("poll", move || poll::run(&poller, &probe_rx))?);
+        let orderer = Arc::clone(&shared);
+        threads.push(spawn("order", move || order::run(&orderer, &order_rx))?);
         let (asker, party) = (Arc::clone(&shared), link.party.clone());
         threads.push(spawn("fetch", move || {
             fetch::ask(&asker, &party, &fetch_rx);
--- a/crates/carob-entry/src/io.rs
+++ b/crates/carob-entry/src/io.rs
@@ -4,6 +4,7 @@
 //! * [`watch`]: watches of the store.
 //! * [`datagrams`] and [`fetch`]: other instances.
 //! * [`list`]: the platform's instance list.
+//! * [`order`]: orders to engines.
 //! * [`poll`]: load reports of upstreams.
 //! * [`janitor`]: cancellation of generations that nobody waits for.
 
@@ -11,6 +12,7 @@
 pub mod fetch;
 pub mod janitor;
 pub mod list;
+pub mod order;
 pub mod poll;
 pub mod store;
 pub mod watch;
--- /dev/null
+++ b/crates/carob-entry/src/io/order.rs
@@ -0,0 +1,109 @@
+//! Orders to engines, and what they have loaded.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use carob_base::Name;
+use carob_http::client::{self, Chunk, Opening};
+use carob_order::{Observed, Order, Outcome, Send};
+use carob_wire::header;
+use flume::Receiver;
+use serde_json::{Value, json};
+
+use crate::{
+    control::{Event, orders},
+    shared::Shared,
+};
+
+/// Path of orders at every engine.
+const PATH: &str = "/orders";
+/// Time limit of a look at what an engine has loaded.
+const OBSERVE_LIMIT: Duration = Duration::from_secs(2);
+/// Largest answer to such a look, in bytes.
+const STATE_LIMIT: usize = 64 << 10;
+/// HTTP status with which an engine refuses an old fencing number.
+const OLD_FENCE: u16 = 409;
+
+/// Work for the order thread.
+#[derive(Debug)]
+pub enum Job {
+    /// Look what these engines have loaded.
+    Observe(Vec<(Name, SocketAddr)>),
+    /// Send an order.
+    Give {
+        /// The order.
+        send: Box<Send>,
+        /// The engine's address.
+        address: SocketAddr,
+    },
+}
+
+/// Works until the channel is closed.
+pub fn run(shared: &Arc<Shared>, jobs: &Receiver<Job>) {
+    for job in jobs {
+        match job {
+            Job::Observe(engines) => observe(shared, engines),
+            Job::Give { send, address } => {
+                let outcome = give(shared, &send, address);
+                shared.tell(Event::Order(orders::Event::Sent { send, outcome }));
+            }
+        }
+    }
+}
+
+/// Asks all engines at the same time. One that does not answer is not observed, and so gets no orders.
+fn observe(shared: &Shared, engines: Vec<(Name, SocketAddr)>) {
+    let ask = |(name, address): (Name, SocketAddr)| {
+        let request = client::Request::get(address, PATH).with_deadline(OBSERVE_LIMIT);
+        (name, client::start(&request))
+    };
+    let asked: Vec<(Name, Opening)> = engines.into_iter().map(ask).collect();
+    for (upstream, opening) in asked {
+        if let Some(state) = read(opening) {
+            let model = state["model"].as_str().map(str::to_owned);
+            let observed = Observed { upstream, model };
+            shared.tell(Event::Order(orders::Event::Observed(observed)));
+        }
+    }
+}
+
+fn read(opening: Opening) -> Option<Value> {
+    let stream = opening.wait(OBSERVE_LIMIT).ok()?.ok()?;
+    let mut text = Vec::new();
+    loop {
+        match stream.next(OBSERVE_LIMIT) {
+            Chunk::Data(data) if text.len() + data.len() <= STATE_LIMIT => text.extend_from_slice(&data),
+            Chunk::End if stream.status == 200 => return serde_json::from_slice(&text).ok(),
+            Chunk::Data(_) | Chunk::End | Chunk::Broken(_) | Chunk::Silent => return None,
+        }
+    }
+}
+
+/// Sends one order, if the lease still lasts long enough at this moment.
+fn give(shared: &Shared, send: &Send, address: SocketAddr) -> Outcome {
+    let request = client::Request::post(address, PATH, body_of(&send.order))
+        .with_header("content-type", "application/json")
+        .with_header(header::FENCING, send.fence.0.to_string())
+        .with_deadline(carob_order::Options::new().send_limit);
+    let (reply, permission) = flume::bounded(1);
+    let fence = send.fence;
+    shared.tell(Event::Order(orders::Event::MaySend { fence, reply }));
+    if !permission.recv().unwrap_or(false) {
+        return Outcome::NotSent;
+    }
+    match client::call(&request) {
+        Ok(response) if response.status < 300 => Outcome::Accepted,
+        Ok(response) if response.status == OLD_FENCE => Outcome::OldFence,
+        Ok(response) if response.status < 500 => Outcome::Refused,
+        Ok(_) | Err(client::Error::Unknown(_)) => Outcome::Unknown,
+        Err(client::Error::Refused(_) | client::Error::NotSent(_)) => Outcome::NotSent,
+    }
+}
+
+fn body_of(order: &Order) -> String {
+    let value = match order {
+        Order::LoadModel(model) => json!({ "order": "load", "model": model }),
+        Order::LoadAdapter(adapter) => json!({ "order": "load", "adapter": adapter }),
+        Order::ChangeRole(role) => json!({ "order": "role", "role": role }),
+    };
+    value.to_string()
+}
