--- a/crates/carob-http/tests/libraries.rs
+++ b/crates/carob-http/tests/libraries.rs
@@ -47,15 +47,17 @@
     drop(sender.join());
 }
 
-/// Answers one request with a chunked body that is cut between two chunks.
-fn cut_server() -> SocketAddr {
+/// A chunked body that is cut between two chunks.
+const CUT: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+
+/// Answers one request with `reply` and closes the connection.
+fn server(reply: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback is free");
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the client connects");
         let mut head = [0; 1024];
         let _read = stream.read(&mut head).expect("the client sends");
-        let reply = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
         stream.write_all(reply).expect("the client reads");
     });
     address
@@ -63,16 +65,26 @@
 
 #[test]
 fn minreq_takes_a_cut_body_for_a_whole_one() {
-    let response = minreq::get(format!("http://{}/", cut_server()))
+    let response = minreq::get(format!("http://{}/", server(CUT)))
         .send()
         .expect("no error at all");
     assert_eq!((response.status_code, response.as_bytes()), (200, &b"part"[..]));
 }
 
 #[test]
-fn our_client_does_not() {
-    let outcome = client::call(&Request::get(cut_server(), "/"));
-    assert!(matches!(outcome, Err(client::Error::Unknown(_))), "{outcome:?}");
+fn minreq_takes_a_missing_answer_for_a_refusal() {
+    let response = minreq::get(format!("http://{}/", server(b"")))
+        .send()
+        .expect("no error at all");
+    assert_eq!(response.status_code, 503);
+}
+
+#[test]
+fn our_client_takes_both_for_unknown() {
+    for reply in [CUT, b""] {
+        let outcome = client::call(&Request::get(server(reply), "/"));
+        assert!(matches!(outcome, Err(client::Error::Unknown(_))), "{outcome:?}");
+    }
 }
 
 #[test]
