fix: a claimed call that no upstream took may be tried on another one

Cause: the entry instance asks for permission again after a refused connection; a claim once permitted was then released and the call refused as if the store were down. Change: permission holds for further tries until its end, on the condition that none was sent. The fuzz test has upstreams that refuse.

--- a/crates/carob-claim/src/claims.rs
+++ b/crates/carob-claim/src/claims.rs
@@ -42,7 +42,7 @@
 enum State {
     Asked,
     Granted(Time),
-    Sent,
+    Sent(Time),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -110,7 +110,7 @@
     }
 
     /// Asks, just before the first byte goes upstream, whether the call may be sent. From then on it counts as
-    /// sent.
+    /// sent. Ask again before another try if the first was certainly not sent, and only then.
     ///
     /// # Errors
     ///
@@ -125,8 +125,8 @@
         let age = held.key.check_age(wall, self.options.window, self.options.ahead);
         let problem = match (held.state, age) {
             (_, Err(error)) => error.to_problem(),
-            (State::Granted(send_by), Ok(())) if now <= send_by => {
-                held.state = State::Sent;
+            (State::Granted(send_by) | State::Sent(send_by), Ok(())) if now <= send_by => {
+                held.state = State::Sent(send_by);
                 return Ok(());
             }
             _ => verdict::store_unavailable(),
--- a/crates/carob-claim/tests/fuzz/main.rs
+++ b/crates/carob-claim/tests/fuzz/main.rs
@@ -50,15 +50,18 @@
     Crash,
     /// The upstream's answer to the next call is lost.
     Break,
+    /// The next call's upstream refuses the connection, so that another one is tried.
+    Refuse,
 }
 
-const FAULTS: [Fault; 6] = [
+const FAULTS: [Fault; 7] = [
     Fault::LoseReplies,
     Fault::LateEffects,
     Fault::Outage,
     Fault::Pause,
     Fault::Crash,
     Fault::Break,
+    Fault::Refuse,
 ];
 
 /// The reference only counts steps: the oracle judges runs and answers.
--- a/crates/carob-claim/tests/fuzz/world.rs
+++ b/crates/carob-claim/tests/fuzz/world.rs
@@ -51,6 +51,7 @@
     ticket: Ticket,
     state: State,
     breaks: bool,
+    refused: bool,
 }
 
 #[derive(Debug)]
@@ -73,6 +74,7 @@
     holders: u64,
     now: Time,
     break_next: bool,
+    refuse_next: bool,
     /// Keys with a claim that a dead instance may have left behind.
     stranded: Vec<usize>,
     faults: BTreeMap<String, u64>,
@@ -88,6 +90,7 @@
             holders: 0,
             now: Time::ZERO,
             break_next: false,
+            refuse_next: false,
             stranded: Vec::new(),
             faults: BTreeMap::new(),
         };
@@ -152,6 +155,7 @@
             ticket,
             state: State::Asked,
             breaks: std::mem::take(&mut self.break_next),
+            refused: std::mem::take(&mut self.refuse_next),
         });
         self.settle();
     }
@@ -207,6 +211,7 @@
             Fault::Pause => self.instances[instance].paused = self.now + Duration::from_secs(pause),
             Fault::Crash => self.crash(instance),
             Fault::Break => self.break_next = true,
+            Fault::Refuse => self.refuse_next = true,
         }
         *self.faults.entry(format!("{fault:?}")).or_default() += 1;
     }
@@ -305,6 +310,10 @@
                     Ok(()) => attempt.state = State::Permitted,
                     Err(problem) => attempt.end(Answer::Refused(problem.outcome)),
                 },
+                State::Permitted if attempt.refused => {
+                    attempt.refused = false;
+                    attempt.state = State::Granted(now + HAND_OVER);
+                }
                 State::Permitted => {
                     attempt.runs += 1;
                     attempt.state = State::Running(now + RUN);
--- a/crates/carob-claim/tests/steps.rs
+++ b/crates/carob-claim/tests/steps.rs
@@ -261,3 +261,17 @@
     };
     assert_eq!((problem.code, problem.outcome), (Code::OutcomeLost, Ran::Done));
 }
+
+#[test]
+fn a_call_that_was_not_sent_may_be_tried_elsewhere_for_as_long_as_the_permission_lasts() {
+    let mut store = Store::default();
+    let mut claims = Claims::new(Options::new(), 1);
+    let ticket = begin(&mut claims, Time::ZERO);
+    store.serve(&mut claims, Time::ZERO);
+    assert_eq!(claims.may_send(ticket, Time::ZERO, WALL), Ok(()));
+    assert_eq!(claims.may_send(ticket, Time::from_millis(1_000), WALL), Ok(()));
+    let problem = claims
+        .may_send(ticket, Time::from_millis(5_000), WALL)
+        .expect_err("it has ended");
+    assert_eq!(problem.outcome, Ran::NotRun);
+}
