fix: a caller who leaves before its answer has an id leaves no work behind

Cause: the connection was closed before the engine had told the id, so that nothing could be cancelled, and the place on the upstream stayed taken for as long as the janitor waited. Change: the driver reads on without a caller until the id is known or the wait is over, and then ends. Result: the end-to-end tests of the entry instance pass.

--- a/crates/carob-entry/src/traffic/deliver.rs
+++ b/crates/carob-entry/src/traffic/deliver.rs
@@ -115,6 +115,7 @@
                 Err(RecvTimeoutError::Timeout) => self.tick(),
                 Err(RecvTimeoutError::Disconnected) => unreachable!("the driver holds a sender"),
             }
+            self.end_drained();
         }
     }
 
@@ -358,7 +359,8 @@
         });
     }
 
-    /// The caller has gone: the janitor waits for a resumption, then cancels.
+    /// The caller has gone: the janitor waits for a resumption, then cancels. Until the engine has told the
+    /// answer's id, there is nothing to cancel by, and this driver goes on reading.
     fn caller_gone(&mut self, why: &str) {
         let Some(place) = self.place.take() else {
             return;
@@ -369,9 +371,13 @@
             self.job.go.upstream
         );
         self.outlet = None;
+        let actions = self.delivery.on_caller_gone(self.shared.now());
+        if self.delivery.is_draining() {
+            self.place = Some(place);
+            return;
+        }
         let fresh = Delivery::new(carob_stream::Options::new());
-        let mut delivery = std::mem::replace(&mut self.delivery, fresh);
-        let actions = delivery.on_caller_gone(self.shared.now());
+        let delivery = std::mem::replace(&mut self.delivery, fresh);
         let tokens = self.count.tokens;
         self.shared
             .cancel(Task::abandon(&self.job.go, delivery, place, tokens));
@@ -379,6 +385,14 @@
         self.links.clear();
     }
 
+    /// Ends the driver once a delivery without a caller is over.
+    fn end_drained(&mut self) {
+        if self.outlet.is_none() && self.delivery.is_over() {
+            let tokens = self.count.tokens;
+            self.release(End::Cancelled { tokens });
+        }
+    }
+
     fn resumed_elsewhere(&mut self) {
         let actions = self.delivery.on_resumed_elsewhere();
         self.perform(actions);
--- a/crates/carob-stream/src/delivery/mod.rs
+++ b/crates/carob-stream/src/delivery/mod.rs
@@ -227,7 +227,8 @@
     }
 
     /// The caller's connection is gone. The generation is cancelled after a grace period unless
-    /// [`on_resumed_elsewhere`](Self::on_resumed_elsewhere) comes first.
+    /// [`on_resumed_elsewhere`](Self::on_resumed_elsewhere) comes first. If the delivery is then
+    /// [draining](Self::is_draining), its connections must be read on.
     pub fn on_caller_gone(&mut self, now: Time) -> Actions {
         let mut actions = Actions::new();
         if !matches!(self.phase, Phase::Running | Phase::Idle) {
@@ -279,6 +280,11 @@
         self.phase == Phase::Over
     }
 
+    /// Whether the caller has gone and the connections are kept until the engine tells the answer's id.
+    pub const fn is_draining(&self) -> bool {
+        matches!(self.phase, Phase::Draining(_))
+    }
+
     /// Whether the caller has any event of the answer.
     pub const fn has_delivered(&self) -> bool {
         self.delivered
