feat: engines' cache events reach the router, and health checks have a thread of their own

Prefix hashes are defined once (carob-wire::prefix) for prompts and for cache events, so that both name the same blocks. Checks that are wanted at once no longer wait behind a round of polls, which lasts its full limit when one upstream is silent. Opening::whole replaces three loops that read a response.

--- a/crates/carob-entry/src/control/event.rs
+++ b/crates/carob-entry/src/control/event.rs
@@ -78,6 +78,13 @@
         /// When it was asked for.
         sampled: Time,
     },
+    /// An engine has published events of its prefix cache.
+    Cached {
+        /// The upstream.
+        upstream: Name,
+        /// The events, in order.
+        events: Vec<carob_route::cache::Event>,
+    },
     /// A plain upstream answered a health check.
     Reachable {
         /// The upstream.
--- a/crates/carob-entry/src/instance.rs
+++ b/crates/carob-entry/src/instance.rs
@@ -12,12 +12,12 @@
 
 use crate::{
     admin,
-    control::{Control, Event, Hands},
-    io::{fetch, janitor, order, poll, store, watch},
+    control::{Control, Event},
+    io::janitor,
     link::{self, Link},
     options::Options,
     shared::{Phase, Shared},
-    traffic,
+    threads, traffic,
 };
 
 /// How often the end of unfinished work is looked for.
@@ -72,50 +72,20 @@
         admin::metrics::install();
         let (control_tx, control_rx) = flume::unbounded();
         let (janitor_tx, janitor_rx) = flume::unbounded();
-        let (store_tx, store_rx) = flume::unbounded();
-        let (watch_tx, watch_rx) = flume::unbounded();
-        let (order_tx, order_rx) = flume::unbounded();
-        let (fetch_tx, fetch_rx) = flume::unbounded();
-        let (probe_tx, probe_rx) = flume::unbounded();
         let shared = Arc::new(Shared::new(options, control_tx, janitor_tx));
         let client = Arc::new(new_client(&shared.options));
         let link = Link::bind(&shared.options)?;
-        let hands = Hands {
-            store: store_tx,
-            watch: watch_tx,
-            fetch: fetch_tx,
-            order: order_tx,
-            probe: probe_tx,
-        };
-        let control = Control::new(
-            Arc::clone(&shared),
-            control_rx,
-            hands,
-            link.peers(&shared.options),
-        );
-
-        let mut threads = vec![spawn("control", move || control.run())?];
-        for _ in 0..store::THREADS {
-            let (shared, client, jobs) = (Arc::clone(&shared), Arc::clone(&client), store_rx.clone());
-            threads.push(spawn("store", move || store::run(&shared, &client, &jobs))?);
-        }
-        let (watcher, watch_client) = (Arc::clone(&shared), Arc::clone(&client));
-        // It ends with its present watch, for which nothing has to wait.
-        drop(spawn("watch", move || {
-            watch::run(&watcher, &watch_client, &watch_rx);
-        })?);
-        let poller = Arc::clone(&shared);
-        threads.push(spawn("poll", move || poll::run(&poller, &probe_rx))?);
-        let orderer = Arc::clone(&shared);
-        threads.push(spawn("order", move || order::run(&orderer, &order_rx))?);
-        let (asker, party) = (Arc::clone(&shared), link.party.clone());
-        threads.push(spawn("fetch", move || {
-            fetch::ask(&asker, &party, &fetch_rx);
-        })?);
         let peers = link.address;
-        link.serve(&shared)?;
+        let (hands, work) = threads::channels();
+        let state = link.peers(&shared.options);
+        let control = Control::new(Arc::clone(&shared), control_rx, hands, state);
+        let mut threads = vec![threads::spawn("control", move || control.run())?];
+        threads.extend(threads::start(&shared, &client, &link, work)?);
         let sweeper = Arc::clone(&shared);
-        drop(spawn("janitor", move || janitor::run(&sweeper, &janitor_rx))?);
+        threads.push(threads::spawn("janitor", move || {
+            janitor::run(&sweeper, &janitor_rx);
+        })?);
+        link.serve(&shared)?;
 
         let operators = admin::Handler::new(Arc::clone(&shared), client);
         let address = shared.options.admin;
@@ -212,8 +182,3 @@
     store.timeout = options.store_timeout;
     Client::new(store)
 }
-
-pub(crate) fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Error> {
-    let builder = thread::Builder::new().name(name.to_owned());
-    builder.spawn(run).map_err(Error::Thread)
-}
--- a/crates/carob-entry/src/io.rs
+++ b/crates/carob-entry/src/io.rs
@@ -2,12 +2,14 @@
 //!
 //! * [`store`]: store calls.
 //! * [`watch`]: watches of the store.
+//! * [`cache`]: events of engines' prefix caches.
 //! * [`datagrams`] and [`fetch`]: other instances.
 //! * [`list`]: the platform's instance list.
 //! * [`order`]: orders to engines.
 //! * [`poll`]: load reports of upstreams.
 //! * [`janitor`]: cancellation of generations that nobody waits for.
 
+pub mod cache;
 pub mod datagrams;
 pub mod fetch;
 pub mod janitor;
--- a/crates/carob-entry/src/io/order.rs
+++ b/crates/carob-entry/src/io/order.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carob_base::Name;
-use carob_http::client::{self, Chunk, Opening};
+use carob_http::client::{self, Opening};
 use carob_order::{Observed, Order, Outcome, Send};
 use carob_wire::header;
 use flume::Receiver;
@@ -67,15 +67,10 @@
 }
 
 fn read(opening: Opening) -> Option<Value> {
-    let stream = opening.wait(OBSERVE_LIMIT).ok()?.ok()?;
-    let mut text = Vec::new();
-    loop {
-        match stream.next(OBSERVE_LIMIT) {
-            Chunk::Data(data) if text.len() + data.len() <= STATE_LIMIT => text.extend_from_slice(&data),
-            Chunk::End if stream.status == 200 => return serde_json::from_slice(&text).ok(),
-            Chunk::Data(_) | Chunk::End | Chunk::Broken(_) | Chunk::Silent => return None,
-        }
-    }
+    let response = opening.whole(OBSERVE_LIMIT, STATE_LIMIT).ok()?;
+    serde_json::from_slice(&response.body)
+        .ok()
+        .filter(|_| response.status == 200)
 }
 
 /// Sends one order, if the lease still lasts long enough at this moment.
--- a/crates/carob-entry/src/io/poll.rs
+++ b/crates/carob-entry/src/io/poll.rs
@@ -3,18 +3,19 @@
 use std::{
     net::SocketAddr,
     sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
 use carob_base::{Name, Time};
 use carob_config::{Kind, Upstream};
-use carob_http::client::{self, Chunk, Opening, Stream};
+use carob_http::client::{self, Opening};
 use carob_wire::load::Report;
-use flume::{Receiver, RecvTimeoutError};
+use flume::Receiver;
 
 use crate::{
     control::{Event, health::Miss},
-    shared::Shared,
+    shared::{Phase, Shared},
 };
 
 /// Largest load report, in bytes.
@@ -29,20 +30,20 @@
     pub upstream: Name,
 }
 
-/// Polls until the channel is closed.
-pub fn run(shared: &Arc<Shared>, probes: &Receiver<Probe>) {
-    let mut round = Instant::now();
-    loop {
-        let rest = round.saturating_duration_since(Instant::now());
-        match probes.recv_timeout(rest) {
-            Ok(probe) => poll(shared, |upstream| upstream.name == probe.upstream),
-            Err(RecvTimeoutError::Timeout) => {
-                round = Instant::now() + shared.options.poll_every;
-                let mine = shared.polled();
-                poll(shared, |upstream| mine.contains(&upstream.name));
-            }
-            Err(RecvTimeoutError::Disconnected) => return,
-        }
+/// Polls at regular times until the instance is closed.
+pub fn run(shared: &Arc<Shared>) {
+    while shared.phase() != Phase::Closed {
+        let round = Instant::now();
+        let mine = shared.polled();
+        poll(shared, |upstream| mine.contains(&upstream.name));
+        thread::sleep(shared.options.poll_every.saturating_sub(round.elapsed()));
+    }
+}
+
+/// Makes health checks that are wanted at once, until the channel is closed.
+pub fn run_probes(shared: &Arc<Shared>, probes: &Receiver<Probe>) {
+    for probe in probes {
+        poll(shared, |upstream| upstream.name == probe.upstream);
     }
 }
 
@@ -107,26 +108,14 @@
 }
 
 fn read(opening: Opening, limit: Duration) -> Check {
-    let stream = match opening.wait(limit) {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(client::Error::Refused(_))) => return Check::Refused,
-        Ok(Err(_)) | Err(_) => return Check::Silent,
-    };
-    let Some(text) = body(&stream, limit) else {
-        return Check::Silent;
+    let response = match opening.whole(limit, REPORT_LIMIT) {
+        Ok(response) => response,
+        Err(client::Error::Refused(_)) => return Check::Refused,
+        Err(client::Error::NotSent(_) | client::Error::Unknown(_)) => return Check::Silent,
     };
-    let text = std::str::from_utf8(&text).ok().filter(|_| stream.status == 200);
+    let text = std::str::from_utf8(&response.body)
+        .ok()
+        .filter(|_| response.status == 200);
     let report = text.and_then(|text| Report::parse(text).ok());
     report.map_or(Check::Answer, Check::Report)
 }
-
-fn body(stream: &Stream, limit: Duration) -> Option<Vec<u8>> {
-    let mut text = Vec::new();
-    loop {
-        match stream.next(limit) {
-            Chunk::Data(data) if text.len() + data.len() <= REPORT_LIMIT => text.extend_from_slice(&data),
-            Chunk::End => return Some(text),
-            Chunk::Data(_) | Chunk::Broken(_) | Chunk::Silent => return None,
-        }
-    }
-}
--- a/crates/carob-entry/src/lib.rs
+++ b/crates/carob-entry/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod link;
 mod shared;
+mod threads;
 
 pub use instance::Instance;
 pub use options::Options;
--- a/crates/carob-entry/src/link.rs
+++ b/crates/carob-entry/src/link.rs
@@ -12,10 +12,11 @@
 
 use crate::{
     control::Peers,
-    instance::{Error, spawn},
+    instance::Error,
     io::{datagrams, fetch, list},
     options::Options,
     shared::Shared,
+    threads::spawn,
 };
 
 /// Ports that are tried if any will do; one must be free for both datagrams and connections.
--- a/crates/carob-entry/src/traffic/generate.rs
+++ b/crates/carob-entry/src/traffic/generate.rs
@@ -7,8 +7,6 @@
 use carob_stream::{Delivery, Mode, Options};
 use carob_suspect::Fingerprint;
 use carob_wire::{Code, Problem, create::Create, header};
-use smallvec::SmallVec;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{
     admit::{self, Call},
@@ -18,9 +16,6 @@
 };
 use crate::shared::Shared;
 
-/// Lengths of the prompt's prefixes whose hashes are compared with the engines' caches, in bytes.
-const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
-
 /// Places the request and delivers its answer.
 pub fn serve(shared: &Arc<Shared>, call: &Call, mut exchange: Exchange) {
     let create = match Create::parse(exchange.take_body()) {
@@ -77,18 +72,6 @@
         call.account.name.clone(),
     )
     .with_tokens(create.prompt_tokens, create.max_tokens)
-    .with_prefix(prefix_hashes(create))
+    .with_prefix(create.prefix.clone())
     .with_idempotent(call.route.idempotent)
 }
-
-/// Hashes of the prompt's prefixes, longest last. The caller's own grouping comes first, as the shortest.
-fn prefix_hashes(create: &Create) -> SmallVec<[u64; 4]> {
-    let key = create.cache_key.as_deref().unwrap_or_default().as_bytes();
-    let seed = xxh3_64(key);
-    let whole = PREFIX_BYTES
-        .iter()
-        .take_while(|length| **length <= create.body.len());
-    whole
-        .map(|length| xxh3_64_with_seed(&create.body[..*length], seed))
-        .collect()
-}
--- a/crates/carob-http/src/client/stream.rs
+++ b/crates/carob-http/src/client/stream.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use flume::{Receiver, RecvTimeoutError, Sender};
 use tokio::{task::AbortHandle, time::timeout};
 
 use super::{
-    Error, Request,
+    Error, Request, Response,
     exchange::{self, Answer, describe},
     runtime,
 };
@@ -93,6 +93,24 @@
         }))
     }
 
+    /// Waits for the whole response: up to `wait` for its head and for each further piece, at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Error`] if no response came, or [`Error::Unknown`] if its body is cut off, late or too large.
+    pub fn whole(self, wait: Duration, limit: usize) -> Result<Response, Error> {
+        let stream = self.wait(wait).unwrap_or_else(|opening| {
+            opening.close();
+            Err(Error::Unknown(format!("no response within {wait:?}")))
+        })?;
+        let body = stream.read_whole(wait, limit)?;
+        Ok(Response {
+            status: stream.status,
+            headers: stream.headers,
+            body,
+        })
+    }
+
     /// Closes the connection.
     pub fn close(self) {
         drop(self);
@@ -100,6 +118,19 @@
 }
 
 impl Stream {
+    fn read_whole(&self, wait: Duration, limit: usize) -> Result<Bytes, Error> {
+        let mut body = BytesMut::new();
+        loop {
+            match self.next(wait) {
+                Chunk::Data(data) if body.len() + data.len() <= limit => body.extend_from_slice(&data),
+                Chunk::Data(_) => return Err(Error::Unknown(format!("the response exceeds {limit} bytes"))),
+                Chunk::End => return Ok(body.freeze()),
+                Chunk::Broken(reason) => return Err(Error::Unknown(reason)),
+                Chunk::Silent => return Err(Error::Unknown(format!("nothing within {wait:?}"))),
+            }
+        }
+    }
+
     /// Waits up to `limit` for what comes next.
     pub fn next(&self, limit: Duration) -> Chunk {
         match self.chunks.recv_timeout(limit) {
--- a/crates/carob-standin/src/engine/cache.rs
+++ b/crates/carob-standin/src/engine/cache.rs
@@ -5,14 +5,13 @@
     time::{Duration, Instant},
 };
 
+use carob_wire::{create, prefix};
 use serde_json::{Value, json};
 
-use super::{Options, prompt};
+use super::Options;
 
 /// Tokens of a block.
-const BLOCK_TOKENS: u32 = 16;
-/// Bytes of a prompt that make one block.
-const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * carob_wire::create::BYTES_PER_TOKEN;
+const BLOCK_TOKENS: u32 = (prefix::BLOCK_BYTES / create::BYTES_PER_TOKEN) as u32;
 
 /// Blocks of prompts that were read before, the least recently used first.
 #[derive(Debug)]
@@ -44,12 +43,10 @@
 
     /// Reads a prompt through the cache; returns how many of its tokens were there.
     pub(super) fn read(&mut self, prompt: &str, now: Instant) -> u32 {
-        let mut chain = 0;
         let mut hits = 0;
         let mut leading = true;
-        for block in prompt.as_bytes().chunks_exact(BLOCK_BYTES) {
-            chain = prompt::mix(chain ^ prompt::hash(block));
-            let present = self.touch(chain, now);
+        for block in prefix::chain(prompt) {
+            let present = self.touch(block, now);
             leading &= present;
             hits += u32::from(leading);
         }
--- a/crates/carob-standin/src/engine/prompt.rs
+++ b/crates/carob-standin/src/engine/prompt.rs
@@ -1,7 +1,7 @@
 //! What an engine generates for a request: a pure function of seed, incarnation and prompt.
 
 use bytes::Bytes;
-use carob_wire::create::Create;
+use carob_wire::create::{self, Create};
 use serde_json::Value;
 
 use super::Options;
@@ -30,7 +30,7 @@
 pub(super) fn plan(options: &Options, incarnation: u64, body: &[u8]) -> Plan {
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
     let create = Create::parse(Bytes::copy_from_slice(body)).ok();
-    let prompt = text_of(&value["input"]);
+    let prompt = create::prompt_of(&value["input"]).into_owned();
     let mut random = mix(options.seed ^ incarnation.rotate_left(32) ^ hash(prompt.as_bytes()));
     let natural = asked(&value).unwrap_or_else(|| {
         let (least, most) = options.lengths;
@@ -68,10 +68,6 @@
     }
 }
 
-fn text_of(input: &Value) -> String {
-    input.as_str().map_or_else(|| input.to_string(), str::to_owned)
-}
-
 /// FNV-1a.
 pub(super) fn hash(bytes: &[u8]) -> u64 {
     bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
--- a/crates/carob-wire/src/create.rs
+++ b/crates/carob-wire/src/create.rs
@@ -1,8 +1,13 @@
 //! The body of a request for a generation.
 
+use std::borrow::Cow;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::Value;
+use smallvec::SmallVec;
+
+use crate::prefix;
 
 /// Bytes of text that make about one token, for prompts that no tokenizer has counted.
 pub const BYTES_PER_TOKEN: usize = 4;
@@ -16,10 +21,10 @@
     pub stream: bool,
     /// Most tokens that the caller accepts.
     pub max_tokens: Option<u32>,
-    /// The caller's grouping of prompts that share a prefix.
-    pub cache_key: Option<String>,
     /// Estimated length of the prompt, in tokens.
     pub prompt_tokens: u32,
+    /// Hashes of the prompt's prefixes, longest last.
+    pub prefix: SmallVec<[u64; 4]>,
     /// The whole body as it came.
     pub body: Bytes,
 }
@@ -43,7 +48,6 @@
     #[serde(default)]
     stream: bool,
     max_output_tokens: Option<u32>,
-    prompt_cache_key: Option<String>,
 }
 
 impl Create {
@@ -63,7 +67,7 @@
             model: fields.model,
             stream: fields.stream,
             max_tokens: fields.max_output_tokens,
-            cache_key: fields.prompt_cache_key,
+            prefix: prefix::landmarks(&prompt_of(&input)),
             prompt_tokens: bytes.div_ceil(BYTES_PER_TOKEN).max(1) as u32,
             body,
         })
@@ -80,6 +84,14 @@
     }
 }
 
+/// The prompt as engines read it: the text itself, or the list of items as JSON.
+pub fn prompt_of(input: &Value) -> Cow<'_, str> {
+    match input {
+        Value::String(text) => Cow::Borrowed(text),
+        items => Cow::Owned(items.to_string()),
+    }
+}
+
 /// Bytes of all text within `value`.
 fn text_bytes(value: &Value) -> usize {
     match value {
--- a/crates/carob-wire/src/lib.rs
+++ b/crates/carob-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`event`]: one event of a generation's stream, in the shape of the OpenAI Responses API.
 //! * [`header`]: names of headers.
 //! * [`load`]: an engine's load report, in the Prometheus text format.
+//! * [`prefix`]: hashes of a prompt's prefixes.
 //! * [`problem`]: typed refusals as `application/problem+json`.
 //! * [`sse`]: framing of server-sent events.
 
@@ -13,6 +14,7 @@
 pub mod event;
 pub mod header;
 pub mod load;
+pub mod prefix;
 pub mod problem;
 pub mod sse;
 
--- a/crates/carob-wire/tests/messages.rs
+++ b/crates/carob-wire/tests/messages.rs
@@ -7,7 +7,7 @@
     create::Create,
     event::{Event, Kind},
     load::Report,
-    sse,
+    prefix, sse,
 };
 
 fn answer() -> Answer {
@@ -122,3 +122,15 @@
     assert!(json.contains(r#""code":"overloaded","outcome":"not-run","status":503"#));
     assert_eq!(Ran::Unknown.as_str(), "unknown");
 }
+
+#[test]
+fn prompts_with_a_common_beginning_share_its_landmarks() {
+    let beginning = "a".repeat(16 * prefix::BLOCK_BYTES);
+    let one = prefix::landmarks(&format!("{beginning}{}", "b".repeat(64 * prefix::BLOCK_BYTES)));
+    let other = prefix::landmarks(&format!("{beginning}{}", "c".repeat(64 * prefix::BLOCK_BYTES)));
+    assert_eq!((one.len(), other.len()), (3, 3));
+    assert_eq!(one[..2], other[..2]);
+    assert_ne!(one[2], other[2]);
+    let blocks: Vec<u64> = prefix::chain(&beginning).collect();
+    assert_eq!(one[1], blocks[15]);
+}
