--- a/crates/carob-replay/benches/policy.rs
+++ b/crates/carob-replay/benches/policy.rs
@@ -75,6 +75,7 @@
     vec![
         ("product", Policy::Product(Parts::ALL)),
         ("informed", Policy::Informed),
+        ("home", Policy::Home),
         ("round robin", Policy::RoundRobin),
         ("least outstanding", Policy::LeastOutstanding),
         ("two choices", Policy::TwoChoices),
--- a/crates/carob-replay/src/lib.rs
+++ b/crates/carob-replay/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod run;
 pub mod trace;
 
+mod fault;
+mod signal;
 mod tally;
 
 use std::{
--- a/crates/carob-replay/src/policy.rs
+++ b/crates/carob-replay/src/policy.rs
@@ -15,6 +15,8 @@
     Product(Parts),
     /// The product's router, told the true lengths.
     Informed,
+    /// The product's router at one home instance that decides for all of them, at the price of a round trip.
+    Home,
     /// One upstream after the other.
     RoundRobin,
     /// The upstream with the fewest own requests in progress.
@@ -74,7 +76,7 @@
     pub fn new(policy: Policy, trace: &Trace, instance: &Instance, seed: u64, now: Time) -> Self {
         let parts = match policy {
             Policy::Product(parts) => parts,
-            Policy::Informed => Parts::ALL,
+            Policy::Informed | Policy::Home => Parts::ALL,
             _ => return Self::Simple(Simple::new(policy, trace, seed)),
         };
         let options = Options::new(instance.domain.clone(), instance.region.clone());
--- a/crates/carob-replay/src/run.rs
+++ b/crates/carob-replay/src/run.rs
@@ -20,7 +20,7 @@
     policy::{Decider, Policy, Verdict, event_verdict},
     report::Report,
     tally::Ledger,
-    trace::{FaultKind, Trace},
+    trace::Trace,
 };
 
 /// Tokens of an answer between two progress calls after the first token.
@@ -32,7 +32,7 @@
 
 /// Something that happens at a point in time.
 #[derive(Debug)]
-enum Event {
+pub(crate) enum Event {
     /// A request comes.
     Arrive(usize),
     /// A fault of the trace begins.
@@ -78,38 +78,38 @@
 
 /// Where a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
+pub(crate) enum Phase {
     Waiting,
     Running { upstream: usize },
     Over,
 }
 
 /// A replay in progress.
-struct Replay<'a> {
-    trace: &'a Trace,
-    policy: Policy,
-    seed: u64,
-    now: Time,
+pub(crate) struct Replay<'a> {
+    pub(crate) trace: &'a Trace,
+    pub(crate) policy: Policy,
+    pub(crate) seed: u64,
+    pub(crate) now: Time,
     heap: BinaryHeap<Reverse<(Time, u64)>>,
     events: HashMap<u64, Event>,
     sequence: u64,
-    deciders: Vec<Decider>,
-    engines: Vec<Engine>,
+    pub(crate) deciders: Vec<Decider>,
+    pub(crate) engines: Vec<Engine>,
     /// Counts restarts, so that steps of an earlier process are dropped.
-    generations: Vec<u32>,
-    stepping: Vec<bool>,
-    away: Vec<bool>,
-    failing: Vec<bool>,
+    pub(crate) generations: Vec<u32>,
+    pub(crate) stepping: Vec<bool>,
+    pub(crate) away: Vec<bool>,
+    pub(crate) failing: Vec<bool>,
     /// When each instance looks at its queues next.
     polls: Vec<Time>,
-    cache_sequences: Vec<u64>,
-    phases: Vec<Phase>,
+    pub(crate) cache_sequences: Vec<u64>,
+    pub(crate) phases: Vec<Phase>,
     attempts: Vec<u32>,
-    lag: Duration,
-    names: HashMap<Name, usize>,
+    pub(crate) lag: Duration,
+    pub(crate) names: HashMap<Name, usize>,
     patience: HashMap<Name, Duration>,
-    random: SmallRng,
-    ledger: Ledger,
+    pub(crate) random: SmallRng,
+    pub(crate) ledger: Ledger,
     tokens: Vec<Token>,
 }
 
@@ -194,7 +194,7 @@
         }
     }
 
-    fn push(&mut self, at: Time, event: Event) {
+    pub(crate) fn push(&mut self, at: Time, event: Event) {
         self.sequence += 1;
         self.heap.push(Reverse((at, self.sequence)));
         self.events.insert(self.sequence, event);
@@ -258,13 +258,14 @@
         let asked = Request::new(request as u64, arrival.service.clone(), arrival.account.clone())
             .with_tokens(arrival.prompt, None)
             .with_prefix(prefix);
-        let decider = &mut self.deciders[arrival.instance];
+        let desk = self.desk(request);
+        let decider = &mut self.deciders[desk];
         let verdict = decider.submit(asked, arrival.output, self.now, &self.names);
-        self.obey(verdict, arrival.instance);
-        self.plan_poll(arrival.instance);
+        self.obey(verdict, desk);
+        self.plan_poll(desk);
     }
 
-    fn obey(&mut self, verdict: Verdict, instance: usize) {
+    pub(crate) fn obey(&mut self, verdict: Verdict, instance: usize) {
         match verdict {
             Verdict::Send {
                 id,
@@ -283,7 +284,7 @@
         self.phases[request] = Phase::Running { upstream };
         self.attempts[request] += 1;
         let arrival = &self.trace.requests[request];
-        let at = self.now + self.way(instance, upstream) * 2;
+        let at = self.now + self.way(instance, upstream) * 2 + self.consultation(request);
         let job = Job::new(request, priority, at, arrival.prompt, arrival.output)
             .with_prefix(arrival.prefix.clone());
         let attempt = self.attempts[request];
@@ -297,7 +298,26 @@
         );
     }
 
-    fn way(&self, instance: usize, upstream: usize) -> Duration {
+    /// The instance that decides on a request.
+    pub(crate) fn desk(&self, request: usize) -> usize {
+        match self.policy {
+            Policy::Home => 0,
+            _ => self.trace.requests[request].instance,
+        }
+    }
+
+    /// The round trip to the instance that decides.
+    fn consultation(&self, request: usize) -> Duration {
+        let own = &self.trace.instances[self.trace.requests[request].instance];
+        let desk = &self.trace.instances[self.desk(request)];
+        match (own.name == desk.name, own.region == desk.region) {
+            (true, _) => Duration::ZERO,
+            (false, true) => self.trace.signals.near * 2,
+            (false, false) => self.trace.signals.far * 2,
+        }
+    }
+
+    pub(crate) fn way(&self, instance: usize, upstream: usize) -> Duration {
         let near = self.trace.instances[instance].region == self.trace.upstreams[upstream].region;
         if near {
             self.trace.signals.near
@@ -348,7 +368,7 @@
 
     fn note(&mut self, token: &Token) {
         let request = token.index;
-        let instance = self.trace.requests[request].instance;
+        let instance = self.desk(request);
         self.ledger.token(request, self.now);
         let decider = &mut self.deciders[instance];
         if token.last {
@@ -370,28 +390,11 @@
         }
     }
 
-    /// The request's upstream failed: an answer that has begun is lost, any other is retried.
-    fn fail(&mut self, request: usize, end: End) {
-        let instance = self.trace.requests[request].instance;
-        if self.ledger.has_begun(request) {
-            self.phases[request] = Phase::Over;
-            self.ledger.lost();
-            self.deciders[instance].finish(request as u64, end, self.now);
-            self.plan_poll(instance);
-            return;
-        }
-        self.ledger.retried();
-        self.phases[request] = Phase::Waiting;
-        let verdict = self.deciders[instance].retry(request as u64, end, self.now, &self.names);
-        self.obey(verdict, instance);
-        self.plan_poll(instance);
-    }
-
     fn give_up(&mut self, request: usize) {
         if self.phases[request] == Phase::Over || self.ledger.has_begun(request) {
             return;
         }
-        let instance = self.trace.requests[request].instance;
+        let instance = self.desk(request);
         if let Phase::Running { upstream } = self.phases[request] {
             self.engines[upstream].cancel(request);
         }
@@ -401,138 +404,6 @@
         self.plan_poll(instance);
     }
 
-    fn fault(&mut self, fault: usize) {
-        match &self.trace.faults[fault].kind {
-            FaultKind::Lose { upstream, away } => {
-                let upstream = self.names[upstream];
-                self.away[upstream] = true;
-                self.generations[upstream] += 1;
-                self.stepping[upstream] = false;
-                self.push(self.now + *away, Event::Mend(upstream));
-                for request in self.engines[upstream].restart() {
-                    self.fail(request, End::UpstreamDied);
-                }
-            }
-            FaultKind::Fail { upstream, away } => {
-                let upstream = self.names[upstream];
-                self.failing[upstream] = true;
-                self.push(self.now + *away, Event::Mend(upstream));
-            }
-            FaultKind::Lag(lag) => self.lag = *lag,
-            FaultKind::Forget { instance } => {
-                let found = self
-                    .trace
-                    .instances
-                    .iter()
-                    .position(|other| &other.name == instance);
-                if let Some(at) = found {
-                    self.forget(at);
-                }
-            }
-        }
-    }
-
-    /// Restarts an instance gracefully: its running requests go on with the old process, which decides no more.
-    fn forget(&mut self, at: usize) {
-        let seed = self.seed.wrapping_mul(7_919).wrapping_add(at as u64);
-        let instance = &self.trace.instances[at];
-        self.deciders[at] = Decider::new(self.policy, self.trace, instance, seed, self.now);
-        for request in 0..self.phases.len() {
-            let own =
-                self.trace.requests[request].instance == at && self.trace.requests[request].at < self.now;
-            if own && self.phases[request] == Phase::Waiting {
-                self.phases[request] = Phase::Over;
-                self.ledger.refused(request, self.now);
-            }
-        }
-    }
-
-    fn mend(&mut self, upstream: usize) {
-        self.away[upstream] = false;
-        self.failing[upstream] = false;
-    }
-
-    fn sample(&mut self, upstream: usize) {
-        let signals = self.trace.signals;
-        self.push(self.now + signals.report_every, Event::Sample(upstream));
-        if self.away[upstream] {
-            return;
-        }
-        let report = self.engines[upstream].report();
-        let events = self.take_cache_events(upstream);
-        let sampled = self.now;
-        for instance in 0..self.deciders.len() {
-            let way = self.way(instance, upstream);
-            if !self.loses(signals.report_loss) {
-                let report = report.clone();
-                self.push(
-                    self.now + self.lag + way,
-                    Event::Load {
-                        instance,
-                        upstream,
-                        report,
-                        sampled,
-                    },
-                );
-            }
-            if !events.is_empty() && !self.loses(signals.cache_loss) {
-                let events = events.clone();
-                self.push(
-                    self.now + signals.cache_lag + way,
-                    Event::Cache {
-                        instance,
-                        upstream,
-                        events,
-                    },
-                );
-            }
-        }
-    }
-
-    fn loses(&mut self, percent: u8) -> bool {
-        self.random.random_range(0..100) < percent
-    }
-
-    fn take_cache_events(&mut self, upstream: usize) -> Vec<cache::Event> {
-        let change = self.engines[upstream].take_change();
-        let stored = cache::Change::Stored(change.stored.into_iter().collect());
-        let removed = cache::Change::Removed(change.removed.into_iter().collect());
-        let mut events = Vec::new();
-        for change in [stored, removed] {
-            let (cache::Change::Stored(hashes) | cache::Change::Removed(hashes)) = &change else {
-                continue;
-            };
-            if hashes.is_empty() {
-                continue;
-            }
-            self.cache_sequences[upstream] += 1;
-            events.push(cache::Event {
-                sequence: self.cache_sequences[upstream],
-                change,
-            });
-        }
-        events
-    }
-
-    fn tell(&mut self, instance: usize) {
-        let signals = self.trace.signals;
-        let Some(router) = self.deciders[instance].router() else {
-            return;
-        };
-        let shares = router.own_load();
-        self.push(self.now + signals.peer_every, Event::Tell(instance));
-        for other in (0..self.deciders.len()).filter(|&other| other != instance) {
-            let near = self.trace.instances[other].region == self.trace.instances[instance].region;
-            let way = if near { signals.near } else { signals.far };
-            let told = Event::Told {
-                instance: other,
-                from: instance,
-                shares: shares.clone(),
-            };
-            self.push(self.now + way, told);
-        }
-    }
-
     fn poll(&mut self, instance: usize) {
         if self.polls[instance] > self.now {
             return;
@@ -549,7 +420,7 @@
         self.plan_poll(instance);
     }
 
-    fn plan_poll(&mut self, instance: usize) {
+    pub(crate) fn plan_poll(&mut self, instance: usize) {
         let Some(router) = self.deciders[instance].router() else {
             return;
         };
--- a/crates/carob-route/src/apply.rs
+++ b/crates/carob-route/src/apply.rs
@@ -58,7 +58,7 @@
                 budget: Budget::new(),
                 rate: Rate::default(),
                 residual: crate::forecast::Residual::default(),
-                residual_at: Time::ZERO,
+                residual_at: None,
             });
             self.service_names.insert(name.clone(), key);
         }
--- a/crates/carob-route/src/choose.rs
+++ b/crates/carob-route/src/choose.rs
@@ -78,6 +78,7 @@
     pub(crate) fn choose(&mut self, key: RequestKey, force: bool, now: Time) -> Result<Chosen, Miss> {
         let mut candidates = std::mem::take(&mut self.candidates);
         self.collect_candidates(key, now, &mut candidates);
+        self.refresh_residual(self.open[key].service, now);
         for &candidate in &candidates {
             self.rebuild_if_due(candidate, now);
         }
@@ -261,7 +262,6 @@
     /// Predicts the own requests' memory on an upstream anew if the last prediction is old.
     fn rebuild_if_due(&mut self, key: UpstreamKey, now: Time) {
         let upstream = &self.upstreams[key];
-        let service = upstream.service;
         if now.since(upstream.built) < REBUILD_AFTER {
             return;
         }
@@ -269,7 +269,6 @@
         let upstream = &mut self.upstreams[key];
         upstream.curve = curve;
         upstream.built = now;
-        self.refresh_residual(service, now);
     }
 
     /// Predicted memory of the own requests on an upstream.
@@ -284,10 +283,13 @@
 
     fn refresh_residual(&mut self, key: carob_base::ServiceKey, now: Time) {
         let service = &mut self.services[key];
-        if service.residual_at != Time::ZERO && now.since(service.residual_at) < RESIDUAL_AFTER {
+        if service
+            .residual_at
+            .is_some_and(|at| now.since(at) < RESIDUAL_AFTER)
+        {
             return;
         }
-        service.residual_at = now;
+        service.residual_at = Some(now);
         service.residual = residual(self.lengths.service_table(key));
     }
 
--- a/crates/carob-route/src/queue.rs
+++ b/crates/carob-route/src/queue.rs
@@ -140,12 +140,11 @@
         self.lanes.iter().map(|lane| lane.cost).sum()
     }
 
-    /// Work to be done up to and with a request, in tokens, if the lanes are served by share.
+    /// Work to be done before a request, in tokens, if the lanes are served by share.
     pub fn cost_ahead(&self, entry: &Entry) -> f32 {
         let share = f32::from(entry.share.max(1));
         let lane = self.lanes.iter().find(|lane| lane.account == entry.account);
-        let before = lane.map_or(0.0, |lane| lane.cost_before(entry));
-        let own = before + entry.cost;
+        let own = lane.map_or(0.0, |lane| lane.cost_before(entry));
         let others = self.lanes.iter().filter(|lane| lane.account != entry.account);
         let rest: f32 = others
             .map(|lane| lane.cost.min(own * lane.share as f32 / share))
--- a/crates/carob-route/src/signal.rs
+++ b/crates/carob-route/src/signal.rs
@@ -33,7 +33,8 @@
             upstream.preempted(report.preemptions - preemptions, now);
         }
         upstream.foreign = foreign(&report, own);
-        upstream.leaving = report.leaving;
+        // A late report does not undo an announcement; only a new process does.
+        upstream.leaving = report.leaving || (upstream.leaving && last.is_some());
         if report.memory > 0 {
             upstream.memory = report.memory;
         }
--- a/crates/carob-route/src/state.rs
+++ b/crates/carob-route/src/state.rs
@@ -34,7 +34,7 @@
     /// Work placed per second, in tokens, over the last seconds.
     pub rate: Rate,
     pub residual: Residual,
-    pub residual_at: Time,
+    pub residual_at: Option<Time>,
 }
 
 impl Service {
--- /dev/null
+++ b/crates/carob-route/tests/load.rs
@@ -0,0 +1,275 @@
+//! Load reports that are lost, late, out of order or wrong, and what other instances do.
+
+mod common;
+
+use std::time::Duration;
+
+use carob_base::Time;
+use carob_route::{End, Options, Outcome, Router, Share, cache};
+use carob_wire::load::Report;
+use common::{config, name, options, place, request};
+use smallvec::smallvec;
+
+fn report(running: u32, used: u32) -> Report {
+    Report {
+        incarnation: 1,
+        running,
+        waiting: 0,
+        used,
+        memory: 60_000,
+        preemptions: 0,
+        leaving: false,
+    }
+}
+
+fn router(upstreams: usize) -> Router {
+    let mut router = Router::new(options());
+    router.apply(&config(upstreams, 60_000, 64), Time::ZERO);
+    router
+}
+
+fn batch(router: &Router, upstream: &str, now: Time) -> u32 {
+    let status = router.status(now);
+    let found = status.upstreams.iter().find(|other| other.name == name(upstream));
+    found.expect("the upstream is configured").batch
+}
+
+#[test]
+fn a_loaded_upstream_is_avoided() {
+    let mut router = router(2);
+    router.report(&name("u0"), report(30, 55_000), Time::ZERO, Time::from_millis(1));
+    let placement = place(router.submit(request(1), Time::from_millis(2)));
+    assert_eq!(placement.upstream, name("u1"));
+}
+
+#[test]
+fn an_older_report_does_not_replace_a_newer_one() {
+    let mut router = router(1);
+    let now = Time::from_millis(900);
+    router.report(&name("u0"), report(20, 30_000), Time::from_millis(500), now);
+    router.report(&name("u0"), report(1, 1_000), Time::from_millis(100), now);
+    assert_eq!(batch(&router, "u0", now), 20);
+}
+
+#[test]
+fn own_requests_are_not_counted_twice() {
+    let mut router = router(1);
+    for id in 0..4 {
+        place(router.submit(request(id), Time::from_millis(10)));
+    }
+    // Two were sent before the report was made, by its own count; two came later.
+    place(router.submit(request(9), Time::from_millis(700)));
+    let now = Time::from_millis(900);
+    router.report(&name("u0"), report(4, 400), Time::from_millis(500), now);
+    assert_eq!(batch(&router, "u0", now), 5);
+}
+
+#[test]
+fn a_request_that_ended_after_a_late_report_is_no_foreign_one() {
+    let mut router = router(1);
+    place(router.submit(request(1), Time::from_millis(10)));
+    router.finish(1, End::Complete { tokens: 20 }, Time::from_millis(800));
+    let now = Time::from_millis(10_500);
+    router.report(&name("u0"), report(1, 70), Time::from_millis(500), now);
+    assert_eq!(batch(&router, "u0", now), 0);
+}
+
+#[test]
+fn without_any_report_own_dispatches_fill_an_upstream_only_to_its_memory() {
+    let mut router = router(1);
+    let long = |id| request(id).with_tokens(10_000, None);
+    let placed = (0..20).filter(|&id| matches!(router.submit(long(id), Time::ZERO), Outcome::Placed(_)));
+    let placed = placed.count();
+    assert!(
+        (1..6).contains(&placed),
+        "{placed} prompts of 10000 tokens on 60000 tokens of memory"
+    );
+}
+
+#[test]
+fn memory_that_fills_in_mid_generation_stops_new_work() {
+    let mut router = router(1);
+    let mut now = Time::ZERO;
+    let mut placed = Vec::new();
+    for id in 0..20 {
+        now = now + Duration::from_millis(1);
+        if let Outcome::Placed(placement) = router.submit(request(id).with_tokens(1_000, None), now) {
+            placed.push(placement.id);
+        }
+    }
+    assert!(placed.len() > 5, "{} placed", placed.len());
+    // All of them turn out far longer than expected.
+    now = now + Duration::from_mins(1);
+    for id in &placed {
+        router.progress(*id, 50_000 / placed.len() as u32, now);
+    }
+    now = now + Duration::from_secs(1);
+    let outcome = router.submit(request(100).with_tokens(5_000, None), now);
+    assert!(!matches!(outcome, Outcome::Placed(_)), "{outcome:?}");
+}
+
+#[test]
+fn preemptions_raise_the_caution() {
+    let mut router = router(1);
+    let caution = |router: &mut Router, id, now| place(router.submit(request(id), now)).reason.caution;
+    router.report(
+        &name("u0"),
+        report(0, 0),
+        Time::from_millis(1),
+        Time::from_millis(2),
+    );
+    let before = caution(&mut router, 1, Time::from_millis(3));
+    let preempted = Report {
+        preemptions: 4,
+        ..report(1, 100)
+    };
+    router.report(
+        &name("u0"),
+        preempted,
+        Time::from_millis(500),
+        Time::from_millis(501),
+    );
+    let after = caution(&mut router, 2, Time::from_millis(502));
+    assert!(after > before, "{before} then {after}");
+    let faded = caution(&mut router, 3, Time::from_millis(400_000));
+    assert!(faded < after, "{after} then {faded}");
+}
+
+#[test]
+fn a_leaving_or_removed_upstream_gets_no_new_work() {
+    let mut router = router(3);
+    router.leaving(&name("u0"));
+    let leaving = Report {
+        leaving: true,
+        ..report(0, 0)
+    };
+    router.report(&name("u1"), leaving, Time::from_millis(1), Time::from_millis(2));
+    let now = Time::from_millis(3);
+    assert_eq!(place(router.submit(request(1), now)).upstream, name("u2"));
+    let mut config = config(3, 60_000, 64);
+    config.upstreams.remove(&name("u2"));
+    router.apply(&config, now);
+    let outcome = router.submit(request(2), now);
+    assert!(matches!(outcome, Outcome::Refused(_)), "{outcome:?}");
+}
+
+#[test]
+fn a_report_from_before_the_announcement_does_not_undo_it() {
+    let mut router = router(2);
+    let first = report(0, 0);
+    router.report(
+        &name("u0"),
+        first.clone(),
+        Time::from_millis(100),
+        Time::from_millis(200),
+    );
+    router.leaving(&name("u0"));
+    router.report(&name("u0"), first, Time::from_millis(300), Time::from_millis(900));
+    let placement = place(router.submit(request(1), Time::from_millis(901)));
+    assert_eq!(placement.upstream, name("u1"));
+    let new = Report {
+        incarnation: 2,
+        ..report(0, 0)
+    };
+    router.report(
+        &name("u0"),
+        new,
+        Time::from_millis(5_000),
+        Time::from_millis(5_100),
+    );
+    let placement = place(router.submit(request(2), Time::from_millis(5_200)));
+    assert_eq!(placement.upstream, name("u0"));
+}
+
+#[test]
+fn instances_do_not_herd_after_a_restart() {
+    // Seven fresh instances see the same reports: one upstream is the least loaded by a little.
+    let mut counts = [0_usize; 9];
+    for instance in 0..7 {
+        let options = Options::new(name("elsewhere"), name("elsewhere")).with_seed(instance);
+        let mut router = Router::new(options);
+        router.apply(&config(9, 60_000, 64), Time::ZERO);
+        for upstream in 0..9_u32 {
+            let used = if upstream == 0 { 18_000 } else { 20_000 };
+            let upstream = name(&format!("u{upstream}"));
+            router.report(
+                &upstream,
+                report(15, used),
+                Time::from_millis(1),
+                Time::from_millis(2),
+            );
+        }
+        for other in (0..7).filter(|&other| other != instance) {
+            router.peers(&name(&format!("i{other}")), &[], Time::from_millis(3));
+        }
+        for id in 0..10 {
+            let placement = place(router.submit(request(id).with_tokens(800, None), Time::from_millis(4)));
+            let at: usize = placement.upstream.as_str()[1..].parse().expect("a number");
+            counts[at] += 1;
+        }
+    }
+    let most = counts.iter().max().copied().unwrap_or(0);
+    assert!(most <= 18, "70 requests on 9 upstreams went {counts:?}");
+}
+
+#[test]
+fn work_that_peers_told_of_counts_until_they_fall_silent() {
+    let mut router = router(1);
+    let share = Share {
+        upstream: name("u0"),
+        requests: 30,
+        tokens: 58_000,
+    };
+    router.peers(&name("i1"), std::slice::from_ref(&share), Time::from_millis(1));
+    assert_eq!(router.submit(request(1), Time::from_millis(2)), Outcome::Queued);
+    router.peers(&name("i1"), &[], Time::from_millis(500));
+    assert_eq!(router.poll(Time::from_millis(500)).len(), 1);
+    router.peers(&name("i1"), &[share], Time::from_millis(600));
+    assert_eq!(router.submit(request(2), Time::from_millis(700)), Outcome::Queued);
+    // The peer is gone; its last word fades.
+    let mut placed = 0;
+    for second in 1..18 {
+        placed += router.poll(Time::from_millis(second * 1_000)).len();
+        if placed == 0 && second > 9 {
+            router.submit(request(100 + second), Time::from_millis(second * 1_000));
+        }
+    }
+    assert!(placed > 0);
+}
+
+#[test]
+fn own_load_tells_only_what_no_report_covers() {
+    let mut router = router(1);
+    place(router.submit(request(1), Time::from_millis(10)));
+    assert_eq!(router.own_load()[0].requests, 1);
+    router.report(
+        &name("u0"),
+        report(1, 60),
+        Time::from_millis(400),
+        Time::from_millis(500),
+    );
+    assert!(router.own_load().is_empty());
+}
+
+#[test]
+fn late_and_lost_cache_events_are_only_hints() {
+    let mut router = router(2);
+    let stored = |sequence, hash| cache::Event {
+        sequence,
+        change: cache::Change::Stored(smallvec![hash]),
+    };
+    let cached = |router: &mut Router, id, hash| {
+        let asked = request(id).with_tokens(4_000, None).with_prefix(smallvec![hash]);
+        let placement = place(router.submit(asked, Time::from_millis(id)));
+        router.finish(id, End::Cancelled { tokens: 0 }, Time::from_millis(id));
+        (placement.upstream, placement.reason.cached)
+    };
+    // Event 1 is lost, event 2 arrives, event 1 arrives late and is dropped.
+    router.cache(&name("u1"), &[stored(2, 7)], Time::ZERO);
+    router.cache(&name("u1"), &[stored(1, 8)], Time::ZERO);
+    assert_eq!(cached(&mut router, 1, 7), (name("u1"), 100));
+    assert_eq!(cached(&mut router, 2, 8).1, 0);
+    router.down(&name("u1"), Time::from_millis(3));
+    router.up(&name("u1"), Time::from_millis(4));
+    assert_ne!(cached(&mut router, 5, 7), (name("u1"), 100));
+}
