--- a/crates/carob-replay/src/generate.rs
+++ b/crates/carob-replay/src/generate.rs
@@ -250,7 +250,7 @@
     fn load(&self, part: f64) -> f64 {
         let middle = is_middle(part);
         match self.scenario {
-            Scenario::Shift => 0.45,
+            Scenario::Shift => 0.6,
             Scenario::Busy | Scenario::Stale => 0.85,
             Scenario::Lost => 0.8,
             // The longest answers outlast the span, so that the memory fills late.
--- a/crates/carob-route/src/choose.rs
+++ b/crates/carob-route/src/choose.rs
@@ -55,8 +55,8 @@
     open: &'a Open,
     service: &'a Service,
     curve: Curve,
-    /// Number of other instances.
-    peers: f32,
+    /// Other instances that are likely to choose among the same upstreams.
+    rivals: f32,
     /// When the other instances told their shares, on average.
     told: Time,
     now: Time,
@@ -126,11 +126,14 @@
         now: Time,
     ) -> Result<Chosen, Miss> {
         let open = &self.open[key];
+        // Of a large service each instance looks at a sample, and few others look at the same upstreams.
+        let listed = self.services[open.service].upstreams.len().max(1);
+        let overlap = (candidates.len() as f32 / listed as f32).min(1.0);
         let want = Want {
             open,
             service: &self.services[open.service],
             curve: open.curve(self.lengths.table(open.group)),
-            peers: self.peers.count() as f32,
+            rivals: self.peers.count() as f32 * overlap,
             told: self.peers.mean_received(),
             now,
         };
@@ -213,8 +216,8 @@
             if placed <= since {
                 break;
             }
-            others.count += want.peers;
-            others.tokens += want.peers * open.tokens() as f32;
+            others.count += want.rivals;
+            others.tokens += want.rivals * open.tokens() as f32;
         }
         others
     }
--- a/crates/carob-route/src/peer.rs
+++ b/crates/carob-route/src/peer.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     by_instance: HashMap<Name, Told>,
+    /// Other instances, if their number is known.
+    others: Option<usize>,
 }
 
 /// One instance's shares.
@@ -32,9 +34,9 @@
 }
 
 impl Peers {
-    /// Instances that have told their shares.
+    /// Other instances; without a number, those that have told their shares.
     pub fn count(&self) -> usize {
-        self.by_instance.len()
+        self.others.unwrap_or(self.by_instance.len())
     }
 
     /// When they told them, on average.
@@ -50,6 +52,11 @@
 }
 
 impl Router {
+    /// Sets the number of other instances, for a caller whose shares come added up under one name.
+    pub fn set_others(&mut self, count: usize) {
+        self.peers.others = Some(count);
+    }
+
     /// Takes in the shares of another instance, which replace its earlier ones.
     pub fn peers(&mut self, instance: &Name, shares: &[Share], now: Time) {
         let known = |share: &Share| {
