--- a/crates/carob-member/benches/control/main.rs
+++ b/crates/carob-member/benches/control/main.rs
@@ -12,6 +12,7 @@
 mod common;
 mod process;
 mod report;
+mod store;
 mod usage;
 
 use std::time::Duration;
@@ -20,7 +21,7 @@
 use carob_config::short_id;
 use carob_member::{Listed, Load, Members, Own, Traffic};
 use carob_ticket::parse;
-use common::{Net, Node, fleet, listed, name, store::service};
+use common::{Net, Node, fleet, listed, name};
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use report::Row;
 use usage::{cpu_time, datagram_cost, resident};
@@ -29,6 +30,8 @@
 const SIZES: [usize; 4] = [3, 7, 20, 62];
 /// Instances that run as processes of their own over loopback.
 const PROCESSES: [usize; 3] = [3, 7, 20];
+/// Instances that a lost rack takes with it.
+const RACK: usize = 10;
 /// Upstreams of a failure domain and of all, and accounts, when the domain has 62 instances.
 const DOMAIN_UPSTREAMS: usize = 100;
 const ALL_UPSTREAMS: usize = 600;
@@ -52,6 +55,8 @@
         "\none datagram of 200 bytes over loopback, sent and received: {:.2} us of CPU",
         datagram_cost()
     );
+    incidents();
+    store::measure();
     process::measure(&PROCESSES);
 }
 
@@ -236,9 +241,9 @@
     let (before, config, start, began) = (domain_traffic(net), net.config_bytes, cpu_time(), net.now);
     let mut longest = 0.0_f64;
     for number in 0..TICKETS {
-        net.submit(service(10 + number, "extra", number));
+        net.submit(common::store::service(10 + number, "extra", number));
         let took = net.run_until(Duration::from_secs(30), |net| net.in_force(number + 2));
-        longest = longest.max(took.map_or(f64::INFINITY, |took| took.as_secs_f64()));
+        longest = longest.max(seconds(took));
         load.run(net, Duration::from_secs(5));
     }
     let seconds = net.now.since(began).as_secs_f64();
@@ -262,7 +267,7 @@
             && net.nodes[&id].follow.ready()
     };
     let took = net.run_until(Duration::from_mins(1), known);
-    took.map_or(f64::INFINITY, |took| took.as_secs_f64())
+    seconds(took)
 }
 
 /// Kills an instance; returns the time until it counts as failed everywhere, in seconds.
@@ -271,6 +276,46 @@
     let size = domain(net).count();
     let gone = |net: &Net| domain(net).all(|node| node.members.alive().len() == size);
     let took = net.run_until(Duration::from_mins(1), gone);
+    seconds(took)
+}
+
+/// Prints what a lost rack and a restart of everything at once cost at the largest size.
+fn incidents() {
+    let size = SIZES[SIZES.len() - 1];
+    let (mut net, list) = start(size);
+    let (before, began) = (domain_traffic(&net), net.now);
+    for listed in &list[..RACK] {
+        net.kill(listed.name.as_str());
+    }
+    let left = size - RACK;
+    let settled = |net: &Net, count: usize| domain(net).all(|node| node.members.alive().len() == count);
+    let took = net.run_until(Duration::from_mins(2), |net| settled(net, left));
+    // The killed ones take their own counts with them.
+    let bytes = domain_traffic(&net).bytes as f64 - before.bytes as f64 * left as f64 / size as f64;
+    let rate = bytes / left as f64 / net.now.since(began).as_secs_f64();
+    println!(
+        "\n{RACK} of {size} instances killed at once: failed everywhere after {:.1} s, {rate:.0} bytes/s meanwhile",
+        seconds(took)
+    );
+
+    let began = net.now;
+    for listed in &list[..size] {
+        net.kill(listed.name.as_str());
+        net.start(listed, 2);
+    }
+    net.publish_list(&list);
+    let ready = |net: &Net| settled(net, size) && domain(net).all(|node| node.follow.ready());
+    let took = net.run_until(Duration::from_mins(2), ready);
+    let bytes = domain_traffic(&net).bytes as f64 / size as f64;
+    let rate = bytes / net.now.since(began).as_secs_f64();
+    println!(
+        "{size} instances restarted at once: all known and ready after {:.1} s, {rate:.0} bytes/s meanwhile",
+        seconds(took)
+    );
+}
+
+/// Seconds; infinite if the limit was reached first.
+fn seconds(took: Option<Duration>) -> f64 {
     took.map_or(f64::INFINITY, |took| took.as_secs_f64())
 }
 
--- a/crates/carob-ticket/src/follow.rs
+++ b/crates/carob-ticket/src/follow.rs
@@ -24,7 +24,7 @@
 pub struct Options {
     /// Lifetime of one watch; a watch that has gone silent is noticed after it. Default: 5 s.
     pub deadline: Duration,
-    /// Longest time between two reads of the head, drawn from half of it upwards. Default: 2 min.
+    /// Longest time between two reads of the head, drawn from half of it upwards. Default: 10 min.
     pub reread: Duration,
     /// Shortest time between two questions to peers. Default: 500 ms.
     pub ask: Duration,
@@ -36,7 +36,7 @@
     fn default() -> Self {
         Self {
             deadline: Duration::from_secs(5),
-            reread: Duration::from_mins(2),
+            reread: Duration::from_mins(10),
             ask: Duration::from_millis(500),
             seed: 0,
         }
