fix: own load that others told long ago no longer counts

Cause: with many instances only a few entries of own load fit into a bundle; those with the most requests always went first, so an entry could be overtaken for good and its last value counted on.

--- a/crates/carob-member/src/members.rs
+++ b/crates/carob-member/src/members.rs
@@ -36,7 +36,8 @@
     pub(crate) outbox: Outbox,
     pub(crate) bridges: Bridges,
     pub(crate) loads: HashMap<u32, (Load, Time)>,
-    pub(crate) owns: HashMap<u32, BTreeMap<u32, Own>>,
+    /// Own load of the others, by instance and upstream, with the time when it was told.
+    pub(crate) owns: HashMap<u32, BTreeMap<u32, (Own, Time)>>,
     /// Hashes of the suspects seen, oldest first.
     pub(crate) seen: VecDeque<u64>,
     pub(crate) queue: Queue,
--- a/crates/carob-member/src/outbox.rs
+++ b/crates/carob-member/src/outbox.rs
@@ -1,6 +1,9 @@
 //! What this instance has to tell the others of its failure domain.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use carob_base::Time;
@@ -33,7 +36,8 @@
     /// Version of the last bundle.
     pub(crate) version: u32,
     loads: BTreeMap<u32, Load>,
-    owns: BTreeMap<u32, Own>,
+    /// Own load that was not told yet, the longest waiting first.
+    owns: VecDeque<(u32, Own)>,
     /// Signs with the number of bundles that still carry them.
     signs: BTreeMap<u32, (Sign, u32)>,
     /// Suspects with the number of bundles that still carry them.
@@ -61,7 +65,10 @@
     }
 
     pub(crate) fn own(&mut self, upstream: u32, own: Own) {
-        self.owns.insert(upstream, own);
+        match self.owns.iter_mut().find(|(id, _)| *id == upstream) {
+            Some((_, waiting)) => *waiting = own,
+            None => self.owns.push_back((upstream, own)),
+        }
     }
 
     pub(crate) fn sign(&mut self, sign: Sign) {
@@ -141,13 +148,11 @@
         (!loads.upstreams.is_empty()).then_some(loads)
     }
 
-    /// The upstreams with the most unreported requests come first; the rest waits for the next bundle.
+    /// What does not fit waits for the next bundle.
     fn take_owns(&mut self, limit: usize) -> Option<Owns> {
-        let mut order: Vec<_> = self.owns.iter().map(|(id, own)| (own.sent, *id)).collect();
-        order.sort_unstable_by(|a, b| b.cmp(a));
+        let count = self.owns.len().min(limit);
         let mut owns = Owns::default();
-        for (_, upstream) in order.into_iter().take(limit) {
-            let own = self.owns.remove(&upstream).unwrap_or_default();
+        for (upstream, own) in self.owns.drain(..count) {
             owns.upstreams.push(upstream);
             owns.running.push(own.running);
             owns.tokens.push(own.tokens);
--- a/crates/carob-member/src/publish.rs
+++ b/crates/carob-member/src/publish.rs
@@ -21,7 +21,9 @@
 /// Part of the pace before which no further bundle goes out; upstreams polled at the pace never wait for it.
 const PACE_SHARE: f64 = 0.75;
 /// Share of the budget that own load may take.
-const OWN_SHARE: f64 = 0.25;
+const OWN_SHARE: f64 = 0.15;
+/// How long the own load of another instance counts after it was told.
+const OWN_LIFETIME: Duration = Duration::from_secs(10);
 /// Suspects that are remembered so that each is passed on once.
 const SEEN_LIMIT: usize = 1_024;
 
@@ -56,6 +58,7 @@
     pub(crate) fn publish(&mut self, now: Time, actions: &mut Actions) {
         let pace = self.pace();
         self.outbox.next = now + pace.mul_f64(PACE_SHARE);
+        self.forget_owns(now);
         let urgent = self.outbox.urgent;
         let suspicions = self.own_suspicions();
         let share = f64::from(self.options.budget) * OWN_SHARE * pace.as_secs_f64();
@@ -73,6 +76,13 @@
         }
     }
 
+    /// Forgets what others have said too long ago: what they still have under way they say again.
+    fn forget_owns(&mut self, now: Time) {
+        for owns in self.owns.values_mut() {
+            owns.retain(|_, (_, told)| now.since(*told) < OWN_LIFETIME);
+        }
+    }
+
     fn own_suspicions(&self) -> Vec<Suspicion> {
         let own = self.suspicions.iter().filter(|(_, suspicion)| suspicion.own);
         own.map(|(id, suspicion)| Suspicion {
--- a/crates/carob-member/src/receive.rs
+++ b/crates/carob-member/src/receive.rs
@@ -188,7 +188,7 @@
             actions.push(Action::Reported { upstream, load });
         }
         for (upstream, own) in body.owns.iter().flat_map(outbox::read_owns) {
-            self.owns.entry(origin).or_default().insert(upstream, own);
+            self.owns.entry(origin).or_default().insert(upstream, (own, now));
         }
         for Sign {
             upstream,
--- a/crates/carob-member/src/tick.rs
+++ b/crates/carob-member/src/tick.rs
@@ -17,7 +17,7 @@
 };
 
 /// Time that bundles for one instance wait for each other.
-const FLUSH: Duration = Duration::from_millis(400);
+const FLUSH: Duration = Duration::from_millis(500);
 /// Instances greeted in one step, so that a start makes no burst.
 const GREETINGS_PER_STEP: usize = 8;
 /// One in this many probes may go to a failed instance that is still on the list.
--- a/crates/carob-member/src/view.rs
+++ b/crates/carob-member/src/view.rs
@@ -49,10 +49,10 @@
         self.loads.get(&upstream).copied()
     }
 
-    /// What the other instances of this failure domain have under way at an upstream, as far as they said.
+    /// What the other instances of this failure domain have under way at an upstream, as far as they said lately.
     pub fn others(&self, upstream: u32) -> Own {
         let mut sum = Own::default();
-        for own in self.owns.values().filter_map(|owns| owns.get(&upstream)) {
+        for (own, _) in self.owns.values().filter_map(|owns| owns.get(&upstream)) {
             sum.running += own.running;
             sum.tokens += own.tokens;
             sum.sent += own.sent;
--- a/crates/carob-member/tests/convergence.rs
+++ b/crates/carob-member/tests/convergence.rs
@@ -158,8 +158,13 @@
     net.run(Duration::from_secs(4));
     assert_eq!(net.node("a-2").members.others(UP).running, 4);
     net.kill("a-0");
-    net.run(Duration::from_secs(20));
+    for _ in 0..20 {
+        net.node("a-1").members.set_own(UP, own);
+        net.run(Duration::from_secs(1));
+    }
     assert_eq!(net.node("a-2").members.others(UP).running, 2);
+    net.run(Duration::from_secs(15));
+    assert_eq!(net.node("a-2").members.others(UP).running, 0, "not said again");
 }
 
 #[test]
