test: failures in a fleet of instances over sockets

The promises need a proof over real sockets with several instances. Every outcome is compared with the upstreams' record.

--- /dev/null
+++ b/crates/carob-load/tests/common/fleet.rs
@@ -0,0 +1,165 @@
+//! Several instances before several stand-in upstreams, as threads of this process.
+
+use std::{
+    fmt::Write as _,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use carob_base::Name;
+use carob_entry::{Instance, Options};
+use carob_http::client::{self, Request};
+use carob_load::{Target, Workload};
+use carob_standin::{Engine, List, Orders, Store, engine, list, orders, store};
+use sha2::{Digest as _, Sha256};
+
+/// Key of the operators.
+const OPERATOR_KEY: &str = "operator-key";
+/// Failure domain and region of everything.
+const PLACE: &str = "uusimaa";
+/// Longest wait for the ticket to be in force everywhere.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// How often that is looked for.
+const READY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Instances with all that they need.
+pub struct Fleet {
+    pub store: Store,
+    pub list: List,
+    pub engines: Vec<Arc<Engine>>,
+    pub orders: Arc<Orders>,
+    pub instances: Vec<Instance>,
+}
+
+impl Fleet {
+    /// Starts `count` instances before `engines`, with the accounts of `workload`.
+    pub fn start(count: usize, engines: Vec<engine::Options>, workload: &Workload) -> Self {
+        // Another test of the same process may have been first.
+        drop(env_logger::builder().is_test(true).try_init());
+        let store = Store::start(&store::Options::default()).expect("a port is free");
+        let list = List::start(&list::Options::default()).expect("a port is free");
+        let orders = Orders::start(&orders::Options::default()).expect("a port is free");
+        let engines = engines.into_iter().map(|options| {
+            let engine = Engine::start(options).expect("a port is free");
+            Arc::new(engine)
+        });
+        let engines = engines.collect::<Vec<_>>();
+        let instances = (1..=count).map(|number| {
+            let options = options(number, store.address(), list.address());
+            let (name, domain, region) = names(&options);
+            let instance = Instance::start(options).expect("ports are free");
+            list.set(list::Instance {
+                name,
+                address: instance.peers(),
+                domain,
+                region,
+                state: list::State::Live,
+            });
+            instance
+        });
+        let instances = instances.collect::<Vec<_>>();
+        let fleet = Self {
+            instances,
+            store,
+            list,
+            engines,
+            orders: Arc::new(orders),
+        };
+        fleet.configure(workload);
+        fleet
+    }
+
+    /// Callers' addresses of all instances.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(Instance::callers).collect()
+    }
+
+    /// A target before `addresses`, with the upstreams' record.
+    pub fn target(&self, addresses: Vec<SocketAddr>) -> Target {
+        let engines = self.engines.clone();
+        let orders = Arc::clone(&self.orders);
+        Target::new(addresses).with_record(move || super::record::recorded(&engines, Some(&orders)))
+    }
+
+    /// Closes the instances gracefully, all at once.
+    pub fn close(self) {
+        let closing = self
+            .instances
+            .into_iter()
+            .map(|instance| thread::spawn(|| instance.close()));
+        for thread in closing.collect::<Vec<_>>() {
+            thread.join().expect("an instance closes without a panic");
+        }
+        self.list.close();
+        self.store.close();
+    }
+
+    /// Submits the ticket and waits until every instance is ready.
+    fn configure(&self, workload: &Workload) {
+        let request = Request::post(self.instances[0].admin(), "/tickets", self.ticket(workload))
+            .with_header("authorization", format!("Bearer {OPERATOR_KEY}"));
+        let response = client::call(&request).expect("the instance answers");
+        assert_eq!(response.status, 200, "{:?}", response.body);
+        let end = Instant::now() + READY_LIMIT;
+        while !self.instances.iter().all(Instance::is_ready) {
+            assert!(Instant::now() < end, "the ticket is not in force everywhere");
+            thread::sleep(READY_PAUSE);
+        }
+    }
+
+    fn ticket(&self, workload: &Workload) -> String {
+        let mut text = "\
+            [ticket]\nnumber = 1\n\
+            [service drafts]\nkind = generation\nmodel = default\npatience = 20s\n\
+            [service ordering]\nkind = plain\npatience = 5s\n\
+            [route drafts]\npath = /v1/responses\nservice = drafts\nidempotent = yes\n\
+            [route stock]\npath = /stock\nmethods = GET\nservice = ordering\nidempotent = yes\n\
+            [route orders]\npath = /orders\nmethods = POST\nservice = ordering\nidempotent = no\n"
+            .to_owned();
+        for account in &workload.accounts {
+            let hash = Sha256::digest(account.key.as_bytes());
+            write!(text, "[account {}]\nkey-sha256 = {hash:x}\n", account.name)
+                .expect("strings take any text");
+        }
+        for (at, engine) in self.engines.iter().enumerate() {
+            let name = format!("engine-{}", at + 1);
+            text += &upstream(&name, "drafts", engine.address(), "memory = 16384\nslots = 16\n");
+        }
+        text + &upstream("orders-1", "ordering", self.orders.address(), "slots = 64\n")
+    }
+}
+
+fn options(number: usize, store: SocketAddr, list: SocketAddr) -> Options {
+    let mut options = Options::new(name(&format!("entry-{number}")), name(PLACE), name(PLACE));
+    options.store = vec![store];
+    options.list = Some(list);
+    options.operator_key = Some(Bytes::from_static(OPERATOR_KEY.as_bytes()));
+    options.answer_key = Bytes::from_static(b"answer-key");
+    options.peer_key = Bytes::from_static(b"peer-key");
+    options.leave_delay = Duration::from_millis(200);
+    options.store_timeout = Duration::from_millis(500);
+    options.seed = number as u64;
+    options
+}
+
+/// Name, failure domain and region of an instance as the instance list has them.
+fn names(options: &Options) -> (String, String, String) {
+    (
+        options.name.to_string(),
+        options.domain.to_string(),
+        options.region.to_string(),
+    )
+}
+
+fn upstream(name: &str, service: &str, address: SocketAddr, rest: &str) -> String {
+    format!(
+        "[upstream {name}]\nservice = {service}\naddress = {address}\ndomain = {PLACE}\nregion = {PLACE}\n{rest}"
+    )
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("the names here are valid")
+}
--- a/crates/carob-load/tests/common/mod.rs
+++ b/crates/carob-load/tests/common/record.rs
@@ -1,4 +1,4 @@
-//! What the tests over sockets share.
+//! The stand-ins' record of what they have run.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -8,20 +8,25 @@
 /// What `engines` and `orders` have run.
 pub fn recorded(engines: &[Arc<Engine>], orders: Option<&Orders>) -> Recorded {
     let mut generations = HashMap::<_, Vec<String>>::new();
+    let mut preemptions = 0;
     for record in engines.iter().flat_map(|engine| engine.records()) {
+        preemptions += u64::from(record.preempted);
         if let Some(tag) = body::tag_of(&record.prompt) {
             generations.entry(tag.to_owned()).or_default().push(record.text);
         }
     }
-    let count = |orders: &Orders| {
-        let mut count = HashMap::new();
-        for key in orders.bookings().into_iter().filter_map(|booking| booking.key) {
-            *count.entry(key).or_default() += 1;
-        }
-        count
-    };
     Recorded {
         generations: Some(generations),
-        orders: orders.map(count),
+        orders: orders.map(bookings),
+        preemptions: Some(preemptions),
+    }
+}
+
+/// Number of bookings by idempotency key.
+fn bookings(orders: &Orders) -> HashMap<String, usize> {
+    let mut count = HashMap::new();
+    for key in orders.bookings().into_iter().filter_map(|booking| booking.key) {
+        *count.entry(key).or_default() += 1;
     }
+    count
 }
--- a/crates/carob-load/tests/direct.rs
+++ b/crates/carob-load/tests/direct.rs
@@ -9,7 +9,9 @@
     orders,
 };
 
-mod common;
+mod common {
+    pub mod record;
+}
 
 const TEXT: &str = "\
 [workload]
@@ -40,7 +42,8 @@
     }
     let workload: Workload = text.parse().expect("the workload is valid");
     let engines = [Arc::clone(engine)];
-    let target = Target::new(vec![engine.address()]).with_record(move || common::recorded(&engines, None));
+    let target =
+        Target::new(vec![engine.address()]).with_record(move || common::record::recorded(&engines, None));
     carob_load::run(&workload, &target, 7).expect("threads can be started")
 }
 
@@ -100,7 +103,7 @@
     let workload: Workload = text.parse().expect("the workload is valid");
     let record = Arc::clone(&orders);
     let target =
-        Target::new(vec![orders.address()]).with_record(move || common::recorded(&[], Some(&record)));
+        Target::new(vec![orders.address()]).with_record(move || common::record::recorded(&[], Some(&record)));
     let report = carob_load::run(&workload, &target, 7).expect("threads can be started");
     assert_eq!(
         report.violations.get(&Violation::RanTwice),
