fix: evidence of crashes leaves at once, and upstreams elsewhere are polled less often

Cause: membership ticked on every control event, which costs processor time under load; at ten ticks a second the evidence of a first crash left up to 100 ms late, and the other instance let the same request crash two more engines (4 deaths in the test). Evidence and signs now end the wait for the next tick.

--- a/crates/carob-entry/src/control.rs
+++ b/crates/carob-entry/src/control.rs
@@ -39,11 +39,11 @@
     shared::{Phase, Shared},
 };
 
-/// Longest time between two looks at what is due.
+/// Time between two looks at what need not be done at once.
 const PULSE: Duration = Duration::from_millis(100);
 /// Events that are taken before the due work is looked at again.
 const BURST: usize = 256;
-/// Time between two looks after which the process must have been paused.
+/// Delay of a look after which the process must have been paused.
 const PAUSE: Duration = Duration::from_secs(2);
 
 /// Threads that the control thread has work done by.
@@ -76,7 +76,8 @@
     peers: peers::Peers,
     ordering: orders::Ordering,
     suspects: Suspects,
-    seen: Time,
+    /// When membership, orders and the configuration are looked at next.
+    next_pulse: Time,
 }
 
 impl Control {
@@ -95,7 +96,7 @@
             peers,
             ordering: orders::Ordering::new(&options.name),
             suspects: Suspects::new(carob_suspect::Options::new(), holder),
-            seen: shared.now(),
+            next_pulse: shared.now(),
             shared,
             events,
             hands,
@@ -189,16 +190,24 @@
         }
     }
 
+    /// Has what the others should know at once sent as soon as the present event is done.
+    fn hasten(&mut self) {
+        self.next_pulse = self.next_pulse.min(self.shared.now());
+    }
+
     /// Does whatever is due.
     fn tick(&mut self) {
         let now = self.shared.now();
-        let pause = now.since(self.seen);
+        self.poll_router(now);
+        self.poll_claims(now);
+        if now < self.next_pulse {
+            return;
+        }
+        let pause = now.since(self.next_pulse);
         if pause > PAUSE {
             log::warn!("control: paused for {} ms", pause.as_millis());
         }
-        self.seen = now;
-        self.poll_router(now);
-        self.poll_claims(now);
+        self.next_pulse = now + PULSE;
         self.release_expired(now);
         self.tick_peers(now);
         self.poll_orders(now);
--- a/crates/carob-entry/src/control/peers.rs
+++ b/crates/carob-entry/src/control/peers.rs
@@ -157,6 +157,7 @@
     /// Shares evidence on requests that crash upstreams.
     pub(super) fn share_suspect(&mut self, suspect: &Bytes) {
         self.peers.members.suspect(suspect);
+        self.hasten();
     }
 
     /// Goodbye to the others, so that they need not find out by probes.
--- a/crates/carob-entry/src/io/cache.rs
+++ b/crates/carob-entry/src/io/cache.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// Asks the engines that this instance looks after for what follows the events that it has seen.
+/// Asks the engines of the failure domain that this instance looks after for what follows the events that it has seen.
 fn look(shared: &Shared, seen: &mut HashMap<Name, u64>) {
     let config = shared.config();
     let mine = shared.polled();
--- a/crates/carob-entry/src/io/poll.rs
+++ b/crates/carob-entry/src/io/poll.rs
@@ -20,6 +20,10 @@
 
 /// Largest load report, in bytes.
 const REPORT_LIMIT: usize = 256 << 10;
+/// Rounds from one poll of an upstream in another failure domain of the region to the next.
+const NEAR_EVERY: u32 = 3;
+/// Rounds from one poll of an upstream in another region to the next; its report must not be stale before.
+const FAR_EVERY: u32 = 10;
 /// Path of load reports at every engine.
 const PATH: &str = "/metrics";
 
@@ -32,14 +36,32 @@
 
 /// Polls at regular times until the instance is closed.
 pub fn run(shared: &Arc<Shared>) {
+    let mut count = 0;
     while shared.phase() != Phase::Closed {
         let round = Instant::now();
         let mine = shared.polled();
-        poll(shared, |upstream| mine.contains(&upstream.name));
+        poll(shared, |upstream| {
+            mine.contains(&upstream.name) && is_due(shared, upstream, count)
+        });
+        count = count.wrapping_add(1);
         thread::sleep(shared.options.poll_every.saturating_sub(round.elapsed()));
     }
 }
 
+/// Whether an upstream is polled in round `count`. Upstreams elsewhere serve as overflow only, and what crosses
+/// regions is paid for.
+fn is_due(shared: &Shared, upstream: &Upstream, count: u32) -> bool {
+    let options = &shared.options;
+    let every = if upstream.domain == options.domain {
+        1
+    } else if upstream.region == options.region {
+        NEAR_EVERY
+    } else {
+        FAR_EVERY
+    };
+    count.is_multiple_of(every)
+}
+
 /// Makes health checks that are wanted at once, until the channel is closed.
 pub fn run_probes(shared: &Arc<Shared>, probes: &Receiver<Probe>) {
     for probe in probes {
