refactor: foreign events teach nothing, and a contended value is read once before its swap

Cause: reading the code anew: an event whose answer id was foreign could still have taught its item id, and a driver slower than 2 ms between a reply and the next step would have read a contended value again and again. Change: ids are learned only from events that match; a flag in place of a time says that the value was read.

--- a/crates/carob-claim/src/value.rs
+++ b/crates/carob-claim/src/value.rs
@@ -21,8 +21,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Doublings of the retry delay.
 const RETRY_DOUBLINGS: u32 = 5;
-/// How long after a read a swap is likely to be the first.
-const FRESH: Duration = Duration::from_millis(2);
 /// Longest time between two swaps, as a multiple of [`Options::round`].
 const ROUND_FACTOR: u32 = 16;
 
@@ -64,7 +62,8 @@
     op: Op,
     ticket: Option<Ticket>,
     deadline: Time,
-    waits_since: Option<Time>,
+    /// Whether another call's claim stands in the way.
+    waits: bool,
     /// Whether a swap with this change, or with the claim that it releases, may have reached the store.
     tried: bool,
     /// Whether the swap under way carries this change.
@@ -82,6 +81,8 @@
 pub struct Value {
     known: Option<Known>,
     read_at: Time,
+    /// Whether the value was read since the last swap.
+    fresh: bool,
     pending: Vec<Pending>,
     flight: Option<Request>,
     /// What a swap expected whose reply was lost: it may still take effect while the value is like that.
@@ -100,6 +101,7 @@
         Self {
             known: None,
             read_at: Time::ZERO,
+            fresh: false,
             pending: Vec::new(),
             flight: None,
             lost: None,
@@ -117,7 +119,7 @@
             op,
             ticket,
             deadline,
-            waits_since: None,
+            waits: false,
             tried: ticket.is_none(),
             staged: false,
         });
@@ -150,7 +152,7 @@
         if self.flight.is_some() {
             return expiry;
         }
-        let all_wait = self.pending.iter().all(|pending| pending.waits_since.is_some());
+        let all_wait = self.pending.iter().all(|pending| pending.waits);
         let due = match (self.pending.is_empty(), all_wait) {
             (true, _) => self.used + options.idle,
             (false, true) => (self.read_at + options.wait_poll).max(self.next_at),
@@ -169,6 +171,7 @@
         if let Request::Swap { .. } = request {
             self.round = self.round.max(cx.options.round);
             self.next_at = cx.now + self.round;
+            self.fresh = false;
         }
         self.flight = Some(request.clone());
         Some(request)
@@ -183,7 +186,10 @@
         self.expire(cx, out);
         match (flight, result) {
             (Request::Grant, Ok(_)) => {}
-            (Request::Read, Ok(Reply::Found { entries, .. })) => self.adopt(entries.into_iter().next(), cx),
+            (Request::Read, Ok(Reply::Found { entries, .. })) => {
+                self.adopt(entries.into_iter().next(), cx);
+                self.fresh = true;
+            }
             (Request::Swap { page, .. }, Ok(Reply::Done { revision })) => {
                 self.on_stored(revision, page, cx, out);
             }
@@ -197,7 +203,7 @@
 
     fn next_request(&mut self, cx: &Context<'_>, out: &mut Verdicts) -> Option<Request> {
         // Where others write too, the value is read just before the swap, so that few swaps come to nothing.
-        let contended = self.round > cx.options.round && cx.now.since(self.read_at) > FRESH;
+        let contended = self.round > cx.options.round && !self.fresh;
         let Some(known) = self.known.as_ref().filter(|_| !contended) else {
             return Some(Request::Read);
         };
@@ -234,7 +240,7 @@
             if pending.staged {
                 // A release without a visible claim is stored nevertheless while a lost swap could still
                 // bring the claim back.
-                pending.waits_since = None;
+                pending.waits = false;
                 changed = true;
                 return true;
             }
@@ -330,8 +336,7 @@
             let Some(ticket) = pending.ticket else {
                 return false;
             };
-            let waited = pending.waits_since.is_some();
-            let problem = if waited {
+            let problem = if pending.waits {
                 verdict::in_progress()
             } else {
                 verdict::store_unavailable()
@@ -349,7 +354,7 @@
         self.op.change = Change::Release;
         self.ticket = None;
         self.deadline = deadline;
-        self.waits_since = None;
+        self.waits = false;
         self.staged = false;
     }
 
@@ -387,8 +392,8 @@
         if record.state != RESERVED || cx.gone.contains(&record.holder) {
             return Some(Verdict::Refused(verdict::outcome_unknown()));
         }
-        if self.waits_since.is_none() {
-            self.waits_since = Some(cx.now);
+        if !self.waits {
+            self.waits = true;
             self.deadline = cx.now + cx.options.wait_limit;
         }
         None
--- a/crates/carob-stream/src/generation.rs
+++ b/crates/carob-stream/src/generation.rs
@@ -45,25 +45,25 @@
         *self.incarnation.get_or_insert(incarnation) == incarnation
     }
 
-    /// Compares an event with the generation and learns ids that are still unknown.
+    /// Compares an event with the generation and learns ids that are still unknown, unless it is foreign.
     pub fn check(&mut self, head: &Head) -> Match {
-        let answer = compare(&mut self.answer, head.answer.as_ref());
-        let item = compare(&mut self.item, head.item.as_ref());
-        match (answer, item) {
-            (Match::Foreign, _) | (_, Match::Foreign) => Match::Foreign,
+        let answer = compare(self.answer.as_ref(), head.answer.as_ref());
+        let item = compare(self.item.as_ref(), head.item.as_ref());
+        let relation = match (answer, item) {
+            (Match::Foreign, _) | (_, Match::Foreign) => return Match::Foreign,
             (Match::Unmarked, Match::Unmarked) => Match::Unmarked,
             _ => Match::Same,
-        }
+        };
+        self.answer = self.answer.take().or_else(|| head.answer.clone());
+        self.item = self.item.take().or_else(|| head.item.clone());
+        relation
     }
 }
 
-fn compare(known: &mut Option<String>, seen: Option<&String>) -> Match {
-    let Some(seen) = seen else {
-        return Match::Unmarked;
-    };
-    if known.get_or_insert_with(|| seen.clone()) == seen {
-        Match::Same
-    } else {
-        Match::Foreign
+fn compare(known: Option<&String>, seen: Option<&String>) -> Match {
+    match (known, seen) {
+        (_, None) => Match::Unmarked,
+        (Some(known), Some(seen)) if known != seen => Match::Foreign,
+        (_, Some(_)) => Match::Same,
     }
 }
