--- a/crates/carob-replay/benches/policy.rs
+++ b/crates/carob-replay/benches/policy.rs
@@ -132,6 +132,14 @@
             },
         ),
         ("- mirror", Parts { mirror: false, ..all }),
+        (
+            "- peers, mirror",
+            Parts {
+                peers: false,
+                mirror: false,
+                ..all
+            },
+        ),
     ];
     without
         .into_iter()
--- a/crates/carob-replay/src/fault.rs
+++ b/crates/carob-replay/src/fault.rs
@@ -3,8 +3,9 @@
 use carob_route::End;
 
 use crate::{
+    event::Event,
     policy::Decider,
-    run::{Event, Phase, Replay},
+    run::{Phase, Replay},
     trace::FaultKind,
 };
 
--- a/crates/carob-replay/src/generate.rs
+++ b/crates/carob-replay/src/generate.rs
@@ -3,18 +3,16 @@
 use std::time::Duration;
 
 use carob_base::{Name, Time};
-use carob_config::{Account, Kind, Service, Weights};
+use carob_config::{Kind, Service, Weights};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use rand_distr::{Distribution, Exp, LogNormal};
-use smallvec::SmallVec;
+use rand_distr::{Distribution, Exp};
 
 use crate::{
     engine::Model,
+    mix::{ACCOUNTS, Class, LONGEST, account, account_name, draw, draw_account, name, prefix},
     trace::{Arrival, Fault, FaultKind, Instance, Signals, Trace, Upstream},
 };
 
-/// Longest answer, in tokens.
-const LONGEST: u32 = 30_000;
 /// Time of one step that the load is computed with, in seconds.
 const STEP: f64 = 0.027;
 /// Requests drawn to compute the load of a mix.
@@ -25,8 +23,6 @@
 const BURST_LOAD: f64 = 3.0;
 /// Load around a burst.
 const CALM_LOAD: f64 = 0.6;
-/// Distinct prefixes per account.
-const PREFIXES: u32 = 3;
 
 /// The figures of a model engine.
 pub const MODEL: Model = Model {
@@ -84,21 +80,6 @@
     Scenario::Stale,
 ];
 
-/// One kind of request.
-#[derive(Clone, Copy, Debug)]
-struct Class {
-    /// Share of the requests.
-    part: f64,
-    /// Length of the prompt's shared prefix, in tokens.
-    prefix: u32,
-    /// Median length of the rest of the prompt, in tokens.
-    prompt: f64,
-    /// Median length of the answer, in tokens.
-    answer: f64,
-    /// Spread of the answer's logarithm.
-    spread: f64,
-}
-
 /// What a trace is generated from.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -293,7 +274,7 @@
                 1.0
             };
             let account = self.draw_account(part, random);
-            let growth = growth * ACCOUNTS[account].1;
+            let growth = growth * ACCOUNTS[account].length;
             let (class, prompt, output) = draw(&classes, growth, random);
             requests.push(Arrival {
                 at: Time::ZERO + Duration::from_secs_f64(at),
@@ -331,78 +312,7 @@
     }
 }
 
-/// Part of the requests and relative length of the answers of each account.
-const ACCOUNTS: [(f64, f64); 10] = [
-    (0.30, 1.0),
-    (0.22, 0.8),
-    (0.16, 1.3),
-    (0.08, 1.0),
-    (0.06, 0.6),
-    (0.05, 1.2),
-    (0.05, 1.0),
-    (0.04, 0.7),
-    (0.03, 1.5),
-    (0.01, 1.0),
-];
-
-fn account_name(at: usize) -> Name {
-    name(&format!("account-{at}"))
-}
-
-fn account(at: usize) -> Account {
-    Account {
-        name: account_name(at),
-        key_hash: [at as u8; 32],
-        share: 1,
-        max_open: 10_000,
-        services: SmallVec::new(),
-    }
-}
-
 /// Whether a point of the span lies in the part in which rushes and bursts come.
 fn is_middle(part: f64) -> bool {
     (0.35..0.6).contains(&part)
 }
-
-fn draw_account(random: &mut SmallRng) -> usize {
-    let mut left: f64 = random.random_range(0.0..1.0);
-    for (at, (part, _)) in ACCOUNTS.iter().enumerate() {
-        left -= part;
-        if left < 0.0 {
-            return at;
-        }
-    }
-    ACCOUNTS.len() - 1
-}
-
-/// Draws a request: its class, its prompt's length and its answer's.
-fn draw(classes: &[Class; 2], growth: f64, random: &mut SmallRng) -> (usize, u32, u32) {
-    let class = usize::from(random.random_range(0.0..1.0) >= classes[0].part);
-    let Class {
-        prefix,
-        prompt,
-        answer,
-        spread,
-        ..
-    } = classes[class];
-    let prompt = log_normal(prompt, 0.5, random) as u32;
-    let answer = (log_normal(answer, spread, random) * growth) as u32;
-    (class, prefix + prompt.clamp(1, 8_000), answer.clamp(2, LONGEST))
-}
-
-fn log_normal(median: f64, spread: f64, random: &mut SmallRng) -> f64 {
-    LogNormal::new(median.ln(), spread)
-        .expect("the spread is finite")
-        .sample(random)
-}
-
-/// The hashes of a prompt's shared prefix: the class's, then one of the account's.
-fn prefix(account: usize, class: usize, length: u32, random: &mut SmallRng) -> SmallVec<[(u64, u32); 4]> {
-    let own = random.random_range(0..PREFIXES);
-    let hash = 1_000 + (account as u64 * 10 + class as u64) * 10 + u64::from(own);
-    SmallVec::from_slice(&[(class as u64 + 1, length / 2), (hash, length)])
-}
-
-fn name(text: &str) -> Name {
-    Name::new(text).expect("generated names are valid")
-}
--- a/crates/carob-replay/src/lib.rs
+++ b/crates/carob-replay/src/lib.rs
@@ -16,7 +16,9 @@
 pub mod run;
 pub mod trace;
 
+mod event;
 mod fault;
+mod mix;
 mod signal;
 mod tally;
 
--- a/crates/carob-replay/src/run.rs
+++ b/crates/carob-replay/src/run.rs
@@ -10,13 +10,13 @@
 };
 
 use carob_base::{Name, Time};
-use carob_route::{End, Request, Share, cache};
-use carob_wire::load;
+use carob_route::{End, Request};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use smallvec::SmallVec;
 
 use crate::{
     engine::{Engine, Job, Token},
+    event::Event,
     policy::{Decider, Policy, Verdict, event_verdict},
     report::Report,
     tally::Ledger,
@@ -30,52 +30,6 @@
 /// Time after which a failing upstream answers with a failure.
 const FAIL_AFTER: Duration = Duration::from_millis(1);
 
-/// Something that happens at a point in time.
-#[derive(Debug)]
-pub(crate) enum Event {
-    /// A request comes.
-    Arrive(usize),
-    /// A fault of the trace begins.
-    Fault(usize),
-    /// An upstream is well again.
-    Mend(usize),
-    /// A request reaches its engine.
-    Start {
-        upstream: usize,
-        attempt: u32,
-        job: Box<Job>,
-    },
-    /// The end of an engine's step.
-    Step { upstream: usize, generation: u32 },
-    /// An engine makes a load report and publishes its cache events.
-    Sample(usize),
-    /// A load report reaches an instance.
-    Load {
-        instance: usize,
-        upstream: usize,
-        report: load::Report,
-        sampled: Time,
-    },
-    /// Cache events reach an instance.
-    Cache {
-        instance: usize,
-        upstream: usize,
-        events: Vec<cache::Event>,
-    },
-    /// An instance tells the others its load.
-    Tell(usize),
-    /// An instance's load reaches another.
-    Told {
-        instance: usize,
-        from: usize,
-        shares: Vec<Share>,
-    },
-    /// An instance looks at its queues.
-    Poll(usize),
-    /// A caller's patience ends.
-    GiveUp(usize),
-}
-
 /// Where a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
--- a/crates/carob-replay/src/signal.rs
+++ b/crates/carob-replay/src/signal.rs
@@ -3,7 +3,7 @@
 use carob_route::cache;
 use rand::RngExt;
 
-use crate::run::{Event, Replay};
+use crate::{event::Event, run::Replay};
 
 impl Replay<'_> {
     pub(crate) fn sample(&mut self, upstream: usize) {
--- a/crates/carob-route/src/apply.rs
+++ b/crates/carob-route/src/apply.rs
@@ -114,6 +114,7 @@
             self.upstream_names.insert(name.clone(), key);
         }
         self.sweep_upstreams();
+        self.sweep_accounts();
     }
 
     /// Drops removed upstreams on which nothing runs any more.
@@ -130,6 +131,23 @@
         });
     }
 
+    /// Drops removed accounts without requests, and what was learned of them.
+    fn sweep_accounts(&mut self) {
+        let names = &mut self.account_names;
+        let lengths = &mut self.lengths;
+        self.accounts.retain(|key, account| {
+            let keep = !account.removed || account.open > 0;
+            if !keep {
+                names.remove(&account.name);
+                lengths.forget(key);
+            }
+            keep
+        });
+        for service in self.services.values_mut() {
+            service.queue.drop_idle_lanes();
+        }
+    }
+
     fn place_of(&self, upstream: &carob_config::Upstream) -> Place {
         if upstream.domain == self.options.domain {
             Place::Domain
--- a/crates/carob-route/src/length.rs
+++ b/crates/carob-route/src/length.rs
@@ -106,6 +106,18 @@
         key
     }
 
+    /// Forgets what was learned of an account.
+    pub fn forget(&mut self, account: AccountKey) {
+        let groups = &mut self.groups;
+        self.by_path.retain(|(_, rest), group| {
+            let keep = rest.is_none_or(|(owner, _)| owner != account);
+            if !keep {
+                groups.remove(*group);
+            }
+            keep
+        });
+    }
+
     /// An answer has grown from `before` to `after` tokens.
     pub fn pass(&mut self, group: GroupKey, before: u32, after: u32) {
         let (from, to) = (bucket(before), bucket(after));
--- a/crates/carob-route/src/queue.rs
+++ b/crates/carob-route/src/queue.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Drops lanes in which nothing waits and that are owed nothing.
+    pub fn drop_idle_lanes(&mut self) {
+        let now = self.virtual_time;
+        self.lanes
+            .retain(|lane| !lane.waiting.is_empty() || lane.virtual_time > now);
+    }
+
     /// The first request of each lane, the lane furthest behind first, into `heads`.
     pub fn heads(&self, heads: &mut Vec<RequestKey>) {
         heads.clear();
--- a/crates/carob-route/src/state.rs
+++ b/crates/carob-route/src/state.rs
@@ -19,9 +19,13 @@
     pub name: Name,
     pub kind: Kind,
     pub weights: Weights,
+    /// How long callers wait for a first byte.
     pub patience: Duration,
+    /// Most tokens of one answer.
     pub max_tokens: u32,
+    /// Retries and hedges earned by a hundred requests.
     pub retry_percent: u16,
+    /// No longer configured.
     pub removed: bool,
     /// Its upstreams, those of the own failure domain first, then those of the own region.
     pub upstreams: Vec<UpstreamKey>,
@@ -30,9 +34,11 @@
     /// Memory of the largest upstream, in tokens.
     pub largest: u32,
     pub queue: Queue,
+    /// Retries and hedges left.
     pub budget: Budget,
     /// Work placed per second, in tokens, over the last seconds.
     pub rate: Rate,
+    /// How likely a request of unknown age is to live on; computed anew from time to time.
     pub residual: Residual,
     pub residual_at: Option<Time>,
 }
@@ -58,28 +64,39 @@
 #[derive(Debug)]
 pub struct Account {
     pub name: Name,
+    /// Share of the capacity when requests queue.
     pub share: u16,
+    /// Most requests in progress.
     pub max_open: u32,
+    /// Requests in progress.
     pub open: u32,
+    /// No longer configured; kept until its last request has ended.
     pub removed: bool,
 }
 
 /// A request in progress.
 #[derive(Debug)]
 pub struct Open {
+    /// The caller's id of it.
     pub id: u64,
     pub key: RequestKey,
     pub service: ServiceKey,
     pub account: AccountKey,
+    /// Answers whose lengths are learned together with this one's.
     pub group: GroupKey,
+    /// Length of the prompt, in tokens.
     pub prompt: u32,
     /// Most tokens of the answer.
     pub cap: u32,
+    /// Tokens of the answer so far.
     pub produced: u32,
     /// Length of the answer where it is certain.
     pub known: Option<u32>,
+    /// Hashes of the prompt's prefixes, longest last.
     pub prefix: SmallVec<[u64; 4]>,
+    /// Whether it must run without neighbours.
     pub alone: bool,
+    /// Upstreams that must not be used.
     pub excluded: SmallVec<[UpstreamKey; 2]>,
     pub submitted: Time,
     /// Median expected length of the answer, in tokens.
--- a/crates/carob-route/src/upstream.rs
+++ b/crates/carob-route/src/upstream.rs
@@ -26,11 +26,15 @@
     pub name: Name,
     pub address: SocketAddr,
     pub service: ServiceKey,
+    /// How far it is.
     pub place: Place,
+    /// Memory, in tokens.
     pub memory: u32,
+    /// Most requests of a batch.
     pub slots: u32,
     /// No longer configured; kept until its last request has ended.
     pub removed: bool,
+    /// Announced to be leaving.
     pub leaving: bool,
     pub breaker: Breaker,
     /// Own requests in progress.
@@ -39,14 +43,19 @@
     pub sealed: Option<RequestKey>,
     /// Predicted memory of the own requests, as of `built`.
     pub curve: Curve,
+    /// When `curve` was last made anew.
     pub built: Time,
+    /// The newest load report.
     pub seen: Option<Seen>,
+    /// Requests of other instances by that report.
     pub foreign: Crowd,
     /// Dispatches of other instances that no report covers yet, as they told.
     pub peers: Crowd,
     /// Tokens a second per request.
     pub pace: f32,
+    /// Own requests that have ended lately, which a late report may still count.
     ended: VecDeque<Ended>,
+    /// Deviations added by preemptions, as of `caution_at`.
     caution: f32,
     caution_at: Time,
 }
--- a/crates/carob-route/tests/basic.rs
+++ b/crates/carob-route/tests/basic.rs
@@ -65,6 +65,23 @@
     );
 }
 
+#[test]
+fn a_removed_account_is_refused_and_its_running_request_ends_well() {
+    let mut router = Router::new(options());
+    let whole = config(1, 10_000, 8);
+    router.apply(&whole, Time::ZERO);
+    place(router.submit(request(1), Time::ZERO));
+    let mut without = whole.clone();
+    without.accounts.remove(&name("a0"));
+    router.apply(&without, Time::ZERO);
+    let outcome = router.submit(request(2), Time::ZERO);
+    assert!(matches!(outcome, Outcome::Refused(refusal) if refusal.cause == Cause::UnknownAccount));
+    router.finish(1, End::Complete { tokens: 3 }, Time::from_millis(5));
+    router.apply(&without, Time::from_millis(6));
+    router.apply(&whole, Time::from_millis(7));
+    place(router.submit(request(3), Time::from_millis(8)));
+}
+
 #[test]
 fn a_retry_avoids_the_failed_upstream() {
     let mut router = Router::new(options());
