refactor: streams of the client read the same parts as feeds

Cause: the exchange of a streamed response stood twice, once for a channel of its own and once for a shared one. Change: a stream is a feed with its own channel; a named constant and a plain function replace two oddities.

--- a/crates/carob-entry/tests/common/mod.rs
+++ b/crates/carob-entry/tests/common/mod.rs
@@ -203,7 +203,7 @@
 impl Reader {
     #[track_caller]
     pub fn new(stream: client::Stream) -> Self {
-        assert_eq!(stream.status, 200, "{:?}", stream.receiver().recv());
+        assert_eq!(stream.status, 200, "{:?}", stream.next(LONG));
         Self {
             stream,
             decoder: sse::Decoder::new(1 << 20),
--- a/crates/carob-http/src/client.rs
+++ b/crates/carob-http/src/client.rs
@@ -24,6 +24,9 @@
 pub use request::Request;
 pub use stream::{Chunk, Opening, Stream};
 
+/// Wait beyond a deadline, which the network thread keeps, in case that thread is lost.
+const MARGIN: Duration = Duration::from_secs(5);
+
 /// Why a call has no response.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -54,8 +57,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Refused`] or [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if the response is missing, cut
-/// off, larger than the limit or not there before the deadline.
+/// Returns [`Error::Refused`] or [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if the
+/// response is missing, cut off, larger than the limit or not there before the deadline.
 pub fn call(request: &Request) -> Result<Response, Error> {
     let (done, result) = flume::bounded(1);
     let limit = request.body_limit;
@@ -88,12 +91,10 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Refused`] or [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if no head came before the
-/// request's deadline.
+/// Returns [`Error::Refused`] or [`Error::NotSent`] if no connection was made, and [`Error::Unknown`] if no head
+/// came before the request's deadline.
 pub fn open(request: &Request) -> Result<Stream, Error> {
-    // The deadline is kept by the network thread; the margin only guards against its loss.
-    let margin = Duration::from_secs(5);
-    match start(request).wait(request.deadline + margin) {
+    match start(request).wait(request.deadline + MARGIN) {
         Ok(outcome) => outcome,
         Err(opening) => {
             opening.close();
--- a/crates/carob-http/src/client/stream.rs
+++ b/crates/carob-http/src/client/stream.rs
@@ -3,18 +3,18 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use flume::{Receiver, RecvTimeoutError, Sender};
-use tokio::{task::AbortHandle, time::timeout};
+use flume::{Receiver, RecvTimeoutError};
 
 use super::{
     Error, Request, Response,
-    exchange::{self, Answer, describe},
-    runtime,
+    feed::{self, Feed, Part, Signal},
 };
 use crate::Headers;
 
 /// Pieces that are read ahead of the consumer; the upstream is slowed down beyond that.
 const READ_AHEAD: usize = 32;
+/// Tag of the only connection of a channel.
+const TAG: u32 = 0;
 
 carob_base::value! {
     /// What comes next on a [`Stream`].
@@ -30,15 +30,11 @@
     }
 }
 
-/// Status and headers of a response.
-type Head = (u16, Headers);
-
 /// A request whose response has not begun yet. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Opening {
-    head: Receiver<Result<Head, Error>>,
-    chunks: Receiver<Chunk>,
-    task: Task,
+    parts: Receiver<Signal>,
+    feed: Feed,
 }
 
 /// A response whose body is read as it comes. Dropping it closes the connection.
@@ -48,29 +44,14 @@
     pub status: u16,
     /// Headers.
     pub headers: Headers,
-    chunks: Receiver<Chunk>,
-    task: Task,
-}
-
-/// The exchange on the network thread; it ends with this value.
-#[derive(Debug)]
-struct Task(AbortHandle);
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+    parts: Receiver<Signal>,
+    feed: Feed,
 }
 
 pub(super) fn start(request: Request) -> Opening {
-    let (head_tx, head) = flume::bounded(1);
-    let (chunk_tx, chunks) = flume::bounded(READ_AHEAD);
-    let task = runtime::spawn(run(request, head_tx, chunk_tx));
-    Opening {
-        head,
-        chunks,
-        task: Task(task),
-    }
+    let (sink, parts) = flume::bounded(READ_AHEAD);
+    let feed = feed::start(request, TAG, sink);
+    Opening { parts, feed }
 }
 
 impl Opening {
@@ -80,17 +61,23 @@
     ///
     /// Returns `Err(self)` if there is no outcome yet. The outcome itself is an [`Error`] if no response came.
     pub fn wait(self, limit: Duration) -> Result<Result<Stream, Error>, Self> {
-        let head = match self.head.recv_timeout(limit) {
-            Ok(head) => head,
+        let part = match self.parts.recv_timeout(limit) {
+            Ok(signal) => signal.part,
             Err(RecvTimeoutError::Timeout) => return Err(self),
-            Err(RecvTimeoutError::Disconnected) => Err(Error::Unknown("the client has shut down".to_owned())),
+            Err(RecvTimeoutError::Disconnected) => {
+                return Ok(Err(Error::Unknown("the client has shut down".to_owned())));
+            }
         };
-        Ok(head.map(|(status, headers)| Stream {
-            status,
-            headers,
-            chunks: self.chunks,
-            task: self.task,
-        }))
+        Ok(match part {
+            Part::Head { status, headers } => Ok(Stream {
+                status,
+                headers: *headers,
+                parts: self.parts,
+                feed: self.feed,
+            }),
+            Part::Failed(error) => Err(error),
+            Part::Data(_) | Part::End => unreachable!("the head comes first"),
+        })
     }
 
     /// Waits for the whole response: up to `wait` for its head and for each further piece, at most `limit` bytes.
@@ -113,7 +100,7 @@
 
     /// Closes the connection.
     pub fn close(self) {
-        drop(self);
+        self.feed.close();
     }
 }
 
@@ -133,58 +120,24 @@
 
     /// Waits up to `limit` for what comes next.
     pub fn next(&self, limit: Duration) -> Chunk {
-        match self.chunks.recv_timeout(limit) {
-            Ok(chunk) => chunk,
+        match self.parts.recv_timeout(limit) {
+            Ok(signal) => chunk(signal.part),
             Err(RecvTimeoutError::Timeout) => Chunk::Silent,
             Err(RecvTimeoutError::Disconnected) => Chunk::Broken("the stream has ended before".to_owned()),
         }
     }
 
-    /// The channel that [`next`](Self::next) reads, for use in a `flume::Selector`.
-    ///
-    /// It yields no [`Chunk::Silent`], and is disconnected after [`Chunk::End`] or [`Chunk::Broken`].
-    pub const fn receiver(&self) -> &Receiver<Chunk> {
-        &self.chunks
-    }
-
     /// Closes the connection, whether or not the body has ended.
     pub fn close(self) {
-        drop(self.task);
+        self.feed.close();
     }
 }
 
-/// The whole exchange, under the request's deadline.
-async fn run(request: Request, head: Sender<Result<Head, Error>>, chunks: Sender<Chunk>) {
-    let exchange = async {
-        let answer = match exchange::head(&request).await {
-            Ok(answer) => answer,
-            Err(error) => {
-                drop(head.send(Err(error)));
-                return;
-            }
-        };
-        // A consumer that has given up aborts this task; nothing needs to be told.
-        drop(head.send(Ok((answer.status(), answer.headers()))));
-        pump(answer, &chunks).await;
-    };
-    if timeout(request.deadline, exchange).await.is_err() {
-        let reason = "the deadline has passed".to_owned();
-        drop(head.try_send(Err(Error::Unknown(reason.clone()))));
-        drop(chunks.send_async(Chunk::Broken(reason)).await);
-    }
-}
-
-async fn pump(mut answer: Answer, chunks: &Sender<Chunk>) {
-    loop {
-        let chunk = match answer.next().await {
-            Some(Ok(data)) if data.is_empty() => continue,
-            Some(Ok(data)) => Chunk::Data(data),
-            Some(Err(error)) => Chunk::Broken(describe(&error)),
-            None => Chunk::End,
-        };
-        let last = !matches!(chunk, Chunk::Data(_));
-        if chunks.send_async(chunk).await.is_err() || last {
-            return;
-        }
+fn chunk(part: Part) -> Chunk {
+    match part {
+        Part::Data(data) => Chunk::Data(data),
+        Part::End => Chunk::End,
+        Part::Failed(error) => Chunk::Broken(error.to_string()),
+        Part::Head { .. } => unreachable!("the head comes once"),
     }
 }
--- a/crates/carob-http/src/pool.rs
+++ b/crates/carob-http/src/pool.rs
@@ -67,20 +67,19 @@
             return Ok(());
         }
         let shared = Arc::clone(&self.shared);
-        self.spawn(move || work(&shared, job)).map_err(|error| {
+        spawn(move || work(&shared, job)).map_err(|error| {
             log::warn!("http: no worker thread could be started: {error}");
             self.shared.busy.fetch_sub(1, Ordering::AcqRel);
             Full
         })
     }
+}
 
-    #[expect(clippy::unused_self, reason = "reads as an action of the pool")]
-    fn spawn(&self, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
-        let builder = thread::Builder::new()
-            .name("http-worker".to_owned())
-            .stack_size(STACK_BYTES);
-        builder.spawn(run).map(drop)
-    }
+fn spawn(run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    let builder = thread::Builder::new()
+        .name("http-worker".to_owned())
+        .stack_size(STACK_BYTES);
+    builder.spawn(run).map(drop)
 }
 
 /// Every worker is busy.
