--- a/crates/carob-entry/src/traffic.rs
+++ b/crates/carob-entry/src/traffic.rs
@@ -14,6 +14,8 @@
 pub mod resume;
 
 mod answer;
+mod count;
+mod links;
 mod outlet;
 pub(crate) mod place;
 
--- a/crates/carob-entry/src/traffic/deliver.rs
+++ b/crates/carob-entry/src/traffic/deliver.rs
@@ -5,30 +5,26 @@
 use std::{sync::Arc, time::Duration};
 
 use carob_base::{Name, Time};
-use carob_http::client::{self, Feed, Part, Signal};
+use carob_http::client::{self, Part, Signal};
 use carob_route::End;
 use carob_stream::{Action, Actions, Cause, Conn, Delivery, End as DeliveryEnd, Source};
 use carob_wire::{
     Problem,
     create::Create,
     event::{Event, Kind},
-    header, sse,
+    header,
 };
-use flume::{Receiver, RecvTimeoutError, Sender};
-use smallvec::SmallVec;
 
 use super::{
     answer,
+    count::Count,
+    links::Links,
     outlet::Outlet,
     place::{Answer, Place},
 };
 use crate::{control::Go, io::janitor::Task, shared::Shared};
 
-/// Largest event of an engine, in bytes.
-const EVENT_LIMIT: usize = 1 << 20;
-/// Parts of responses that are read ahead of the caller.
-const READ_AHEAD: usize = 32;
-/// How often a silent stream's caller is looked after, and the least time between two reports of progress.
+/// How often a silent stream's caller is looked after.
 const PULSE: Duration = Duration::from_millis(250);
 /// Silence after which a comment is sent to the caller.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
@@ -56,49 +52,29 @@
     place: Option<Place>,
     delivery: Delivery,
     outlet: Option<Outlet>,
-    links: SmallVec<[Link; 2]>,
-    sink: Sender<Signal>,
-    inbox: Receiver<Signal>,
+    links: Links,
     count: Count,
     /// The present upstream's incarnation, if it was seen.
     incarnation: Option<u64>,
+    /// Why the last connection ended.
+    cause: Option<Cause>,
     /// When the caller last got anything.
     sent: Time,
 }
 
-/// One connection to the engine.
-#[derive(Debug)]
-struct Link {
-    conn: Conn,
-    feed: Feed,
-    decoder: sse::Decoder,
-}
-
-/// Tokens of the present generation.
-#[derive(Debug, Default)]
-struct Count {
-    tokens: u32,
-    /// The next sequence number that has not been counted.
-    next: u64,
-    /// When progress was last reported.
-    told: Time,
-}
-
 impl Driver {
     /// A driver for `delivery`, which has not been started.
     pub fn new(shared: &Arc<Shared>, job: Job, place: Place, delivery: Delivery, outlet: Outlet) -> Self {
-        let (sink, inbox) = flume::bounded(READ_AHEAD);
         Self {
             shared: Arc::clone(shared),
             job,
             place: Some(place),
             delivery,
             outlet: Some(outlet),
-            links: SmallVec::new(),
-            sink,
-            inbox,
+            links: Links::new(),
             count: Count::default(),
             incarnation: None,
+            cause: None,
             sent: shared.now(),
         }
     }
@@ -110,10 +86,9 @@
         while self.place.is_some() {
             let now = self.shared.now();
             let wait = self.delivery.deadline().since(now).min(PULSE);
-            match self.inbox.recv_timeout(wait) {
-                Ok(signal) => self.take(signal),
-                Err(RecvTimeoutError::Timeout) => self.tick(),
-                Err(RecvTimeoutError::Disconnected) => unreachable!("the driver holds a sender"),
+            match self.links.wait(wait) {
+                Some(signal) => self.take(signal),
+                None => self.tick(),
             }
             self.end_drained();
         }
@@ -143,9 +118,6 @@
     /// Takes in a part of an engine's response.
     fn take(&mut self, signal: Signal) {
         let conn = Conn(signal.tag);
-        if !self.links.iter().any(|link| link.conn == conn) {
-            return;
-        }
         match signal.part {
             Part::Head { status, headers } => {
                 let incarnation = headers
@@ -178,27 +150,23 @@
     }
 
     fn data(&mut self, conn: Conn, data: &[u8]) {
-        let Some(link) = self.links.iter_mut().find(|link| link.conn == conn) else {
-            return;
-        };
-        link.decoder.feed(data);
-        while let Some(link) = self.links.iter_mut().find(|link| link.conn == conn) {
-            let event = match link.decoder.next_data() {
-                Ok(Some(data)) => Event::parse(data),
-                Ok(None) => return,
-                Err(_) => return self.broken(conn, Cause::Malformed),
-            };
+        self.links.feed(conn, data);
+        while let Some(event) = self.links.next_event(conn) {
             let Ok(event) = event else {
                 return self.broken(conn, Cause::Malformed);
             };
-            self.note_progress(&event);
-            let actions = self.delivery.on_event(conn, event, self.shared.now());
+            let now = self.shared.now();
+            if let (Some(tokens), Some(place)) = (self.count.note(&event, now), &self.place) {
+                place.progress(tokens);
+            }
+            let actions = self.delivery.on_event(conn, event, now);
             self.perform(actions);
         }
     }
 
     fn broken(&mut self, conn: Conn, cause: Cause) {
-        self.unlink(conn);
+        self.links.close(conn);
+        self.cause = Some(cause);
         let now = self.shared.now();
         log::debug!(
             "stream: request={} upstream={} conn={} ended: {cause:?}",
@@ -210,29 +178,12 @@
         self.perform(actions);
     }
 
-    /// Counts tokens and tells the control thread from time to time.
-    fn note_progress(&mut self, event: &Event) {
-        let count = &mut self.count;
-        if event.kind() != Kind::Delta || event.head.sequence < count.next {
-            return;
-        }
-        count.next = event.head.sequence + 1;
-        count.tokens += 1;
-        let now = self.shared.now();
-        if count.tokens == 1 || now.since(count.told) >= PULSE {
-            count.told = now;
-            if let Some(place) = &self.place {
-                place.progress(count.tokens);
-            }
-        }
-    }
-
     fn perform(&mut self, actions: Actions) {
         for action in actions {
             match action {
                 Action::Deliver(event) => self.deliver(event),
                 Action::Open { conn, source } => self.open(conn, source),
-                Action::Close(conn) => self.unlink(conn),
+                Action::Close(conn) => self.links.close(conn),
                 Action::Rerun { cause } => self.rerun(cause),
                 Action::Cancel(generation) => self.shared.cancel(Task::cancel(&self.job.go, generation)),
                 Action::Fail(problem) => self.fail(&problem),
@@ -250,7 +201,13 @@
         {
             place.named(&self.job.go.upstream, answer);
         }
-        let answer = self.answer_id();
+        // Only events with a response object show the id, and making it costs more than passing a token on.
+        let answer = event
+            .head
+            .answer
+            .as_ref()
+            .map(|_| self.answer_id())
+            .unwrap_or_default();
         match outlet.send(event, &answer, self.id()) {
             Ok(outlet) => {
                 self.sent = self.shared.now();
@@ -277,9 +234,7 @@
             conn.0
         );
         let request = request.with_deadline(CONNECTION_LIFE);
-        let feed = client::feed(&request, conn.0, self.sink.clone());
-        let decoder = sse::Decoder::new(EVENT_LIMIT);
-        self.links.push(Link { conn, feed, decoder });
+        self.links.open(conn, &request);
     }
 
     fn resume_path(&self, after: Option<u64>) -> String {
@@ -288,12 +243,6 @@
         format!("{ENGINE_PATH}/{answer}?stream=true{after}")
     }
 
-    fn unlink(&mut self, conn: Conn) {
-        if let Some(at) = self.links.iter().position(|link| link.conn == conn) {
-            self.links.remove(at).feed.close();
-        }
-    }
-
     /// Nothing has reached the caller: asks for another upstream.
     fn rerun(&mut self, cause: Option<Cause>) {
         let (Some(place), Some(outlet)) = (&self.place, &self.outlet) else {
@@ -304,8 +253,12 @@
             place.id(),
             self.job.go.upstream
         );
-        place.retry(end_of_attempt(cause, self.count.tokens), self.incarnation.take());
+        place.retry(
+            end_of_attempt(cause, self.count.tokens()),
+            self.incarnation.take(),
+        );
         self.count = Count::default();
+        self.cause = None;
         match place.wait(|| outlet.is_gone()) {
             Answer::Go(go) => {
                 self.job.go = go;
@@ -339,7 +292,7 @@
         if let Some(outlet) = self.outlet.take() {
             outlet.fail(problem, sequence, &answer);
         }
-        self.release(End::UpstreamDied);
+        self.release(end_of_failure(self.cause, self.count.tokens()));
     }
 
     fn finish(&mut self, end: DeliveryEnd) {
@@ -348,7 +301,7 @@
         if let Some(outlet) = self.outlet.take() {
             outlet.close(&answer, id);
         }
-        let tokens = self.count.tokens;
+        let tokens = self.count.tokens();
         log::debug!(
             "stream: request={id} upstream={} {end:?} tokens={tokens}",
             self.job.go.upstream
@@ -378,17 +331,17 @@
         }
         let fresh = Delivery::new(carob_stream::Options::new());
         let delivery = std::mem::replace(&mut self.delivery, fresh);
-        let tokens = self.count.tokens;
+        let tokens = self.count.tokens();
         self.shared
             .cancel(Task::abandon(&self.job.go, delivery, place, tokens));
         self.perform(actions);
-        self.links.clear();
+        self.links.close_all();
     }
 
     /// Ends the driver once a delivery without a caller is over.
     fn end_drained(&mut self) {
         if self.outlet.is_none() && self.delivery.is_over() {
-            let tokens = self.count.tokens;
+            let tokens = self.count.tokens();
             self.release(End::Cancelled { tokens });
         }
     }
@@ -397,7 +350,7 @@
         let actions = self.delivery.on_resumed_elsewhere();
         self.perform(actions);
         self.outlet = None;
-        let tokens = self.count.tokens;
+        let tokens = self.count.tokens();
         self.release(End::Interrupted { tokens });
     }
 
@@ -405,7 +358,7 @@
         if let Some(place) = self.place.take() {
             place.finish_at(end, self.incarnation, Some(self.delivery.pace()));
         }
-        self.links.clear();
+        self.links.close_all();
     }
 
     fn answer_id(&self) -> String {
@@ -430,3 +383,12 @@
         None => End::Interrupted { tokens },
     }
 }
+
+/// How an answer that has failed for good ended on its upstream.
+const fn end_of_failure(cause: Option<Cause>, tokens: u32) -> End {
+    match cause {
+        // The request itself is at fault, which says nothing about the upstream.
+        Some(Cause::Rejected { status: 400..=499 }) => End::Cancelled { tokens },
+        _ => end_of_attempt(cause, tokens),
+    }
+}
