fix: the router knows the number of other instances; a test's port may be taken

Cause: peers' shares reach the router under one name, so that it counted one rival; and the test of SIGTERM let its peers' port go before the instance took it, which failed once in four runs while other tests ran. Change: membership tells the router how many others are alive; the test tries another port if the instance ends with the exit code for settings.

--- a/crates/carob-entry/src/control/peers.rs
+++ b/crates/carob-entry/src/control/peers.rs
@@ -196,6 +196,8 @@
         let others = Name::new(OTHERS).expect("the text is a valid name");
         let shares: Vec<Share> = self.peers.others().collect();
         self.router.peers(&others, &shares, now);
+        let alive = self.peers.members.alive().len().saturating_sub(1);
+        self.router.set_others(alive);
     }
 
     /// Tells the poll thread which upstreams this instance looks after.
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -8,6 +8,7 @@
     net::{SocketAddr, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::mpsc::RecvTimeoutError,
     time::Duration,
 };
 
@@ -15,6 +16,8 @@
 
 /// Long enough for any step on a busy machine.
 pub const LONG: Duration = Duration::from_secs(30);
+/// Free ports that are tried.
+const ATTEMPTS: usize = 5;
 /// Key of the only client account.
 pub const KEY: &str = "a-key-of-the-parish";
 /// SHA-256 of [`KEY`].
@@ -38,7 +41,15 @@
 
 impl Process {
     /// Starts an instance before the store at `store`.
+    ///
+    /// The peers' port is free when it is chosen; if something else takes it before the instance does, the instance
+    /// refuses to start, and another port is tried.
     pub fn start(store: SocketAddr) -> Self {
+        let started = (0..ATTEMPTS).find_map(|_| Self::try_start(store));
+        started.expect("one of several free ports stays free")
+    }
+
+    fn try_start(store: SocketAddr) -> Option<Self> {
         let directory = tempfile::tempdir().expect("a temporary directory");
         let mut child = carobhaven()
             .args(["serve", "--settings"])
@@ -56,14 +67,23 @@
                 }
             }
         });
-        let (callers, admin) = addresses
-            .recv_timeout(LONG)
-            .expect("the instance logs its addresses");
-        Self {
-            child,
-            callers,
-            admin,
-            _directory: directory,
+        match addresses.recv_timeout(LONG) {
+            Ok((callers, admin)) => Some(Self {
+                child,
+                callers,
+                admin,
+                _directory: directory,
+            }),
+            Err(RecvTimeoutError::Disconnected) => {
+                let code = child.wait().expect("it has ended").code();
+                assert_eq!(
+                    code,
+                    Some(2),
+                    "the instance ends for another reason than its settings"
+                );
+                None
+            }
+            Err(RecvTimeoutError::Timeout) => panic!("the instance does not log its addresses"),
         }
     }
 
