fix: an instance without a configuration is not ready, and a cancelled answer shows its real status

Cause: a new store's empty configuration made an instance ready, so that callers got 401 before the first ticket; a cancellation of an answer that had ended said cancelled. Counters end in _total as Prometheus expects.

--- a/crates/carob-entry/src/control/config.rs
+++ b/crates/carob-entry/src/control/config.rs
@@ -47,7 +47,9 @@
                 Action::Apply(config) => self.apply(config, now),
             }
         }
-        if self.config.follow.ready() {
+        // An empty configuration, such as that of a new store, serves nobody.
+        let configured = self.config.follow.config().revision > Revision::default();
+        if configured && self.config.follow.ready() {
             self.shared.advance(Phase::Ready);
         }
     }
--- a/crates/carob-entry/src/control/requests.rs
+++ b/crates/carob-entry/src/control/requests.rs
@@ -217,7 +217,7 @@
 
     fn placed(&mut self, placement: Placement) {
         log::info!("route: {placement}");
-        metrics::counter!("carob_route_placements").increment(1);
+        metrics::counter!("carob_route_placements_total").increment(1);
         let id = placement.id;
         let pace = self
             .requests
@@ -239,7 +239,7 @@
 
     fn refused(&mut self, refusal: &Refusal) {
         log::info!("route: {refusal}");
-        metrics::counter!("carob_route_refusals").increment(1);
+        metrics::counter!("carob_route_refusals_total").increment(1);
         self.direct(refusal.id, Directive::Refuse(problem_of(refusal)));
     }
 
--- a/crates/carob-entry/src/traffic/admit.rs
+++ b/crates/carob-entry/src/traffic/admit.rs
@@ -116,7 +116,7 @@
         problem.outcome.as_str(),
         problem.detail
     );
-    metrics::counter!("carob_entry_refusals", "code" => format!("{:?}", problem.code)).increment(1);
+    metrics::counter!("carob_entry_refusals_total", "code" => format!("{:?}", problem.code)).increment(1);
     exchange.refuse(problem);
 }
 
--- a/crates/carob-entry/src/traffic/cancel.rs
+++ b/crates/carob-entry/src/traffic/cancel.rs
@@ -4,6 +4,7 @@
 
 use carob_http::{Headers, client, listen::Exchange};
 use carob_wire::{Code, Problem, Ran};
+use serde_json::{Value, json};
 
 use super::{
     admit::{self, Call},
@@ -27,7 +28,7 @@
         Ok(response) if response.status < 300 => {
             log::info!("stream: cancelled upstream={} by its caller", go.upstream);
             let headers = Headers::new().with("content-type", "application/json");
-            let body = serde_json::json!({ "id": id, "object": "response", "status": "cancelled" });
+            let body = json!({ "id": id, "object": "response", "status": status_of(&response.body) });
             exchange.respond(200, &headers, body.to_string());
         }
         Ok(response) if matches!(response.status, 404 | 410) => {
@@ -45,3 +46,9 @@
         }
     }
 }
+
+/// The answer's status in the engine's words: an answer that had ended before stays as it was.
+fn status_of(body: &[u8]) -> String {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    value["status"].as_str().unwrap_or("cancelled").to_owned()
+}
--- a/crates/carob-entry/src/traffic/deliver.rs
+++ b/crates/carob-entry/src/traffic/deliver.rs
@@ -286,7 +286,8 @@
             problem.code,
             problem.outcome.as_str()
         );
-        metrics::counter!("carob_stream_failures", "code" => format!("{:?}", problem.code)).increment(1);
+        metrics::counter!("carob_stream_failures_total", "code" => format!("{:?}", problem.code))
+            .increment(1);
         let answer = self.answer_id();
         let sequence = self.delivery.next_sequence();
         if let Some(outlet) = self.outlet.take() {
