--- a/crates/carob-load/src/report.rs
+++ b/crates/carob-load/src/report.rs
@@ -15,7 +15,7 @@
 const ALL: &str = "all";
 /// Quantiles in reports, with their names.
 const QUANTILES: [(&str, f64); 3] = [("p50", 0.5), ("p95", 0.95), ("p99", 0.99)];
-const HEAD: &str = "phase       class          sent  whole  refused  failed  broken  \
+const HEAD: &str = "phase       class          sent  whole  refused  failed  incompl  broken  expired  \
      first p50/p95/p99 ms       gap p50/p95/p99 ms   stall s";
 
 /// Measures of one phase and class.
@@ -173,12 +173,14 @@
         &cell.total
     };
     format!(
-        "{phase:<11} {class:<12} {:>6} {:>6} {:>8} {:>7} {:>7}  {:>24} {:>24}  {:>8.2}",
+        "{phase:<11} {class:<12} {:>6} {:>6} {:>8} {:>7} {:>8} {:>7} {:>8}  {:>24} {:>24}  {:>8.2}",
         cell.sent,
         cell.whole,
         cell.refusals(),
         cell.failed,
+        cell.incomplete,
         cell.broken,
+        cell.expired,
         triple(first),
         triple(&cell.gaps),
         cell.stall.as_secs_f64(),
--- a/crates/carob-load/tests/common/fleet.rs
+++ b/crates/carob-load/tests/common/fleet.rs
@@ -32,6 +32,8 @@
     pub engines: Vec<Arc<Engine>>,
     pub orders: Arc<Orders>,
     pub instances: Vec<Instance>,
+    /// Memory in tokens and slots of each engine, as the ticket has them.
+    sizes: Vec<(u32, usize)>,
 }
 
 impl Fleet {
@@ -42,6 +44,8 @@
         let store = Store::start(&store::Options::default()).expect("a port is free");
         let list = List::start(&list::Options::default()).expect("a port is free");
         let orders = Orders::start(&orders::Options::default()).expect("a port is free");
+        let sizes = engines.iter().map(|options| (options.memory, options.slots));
+        let sizes = sizes.collect();
         let engines = engines.into_iter().map(|options| {
             let engine = Engine::start(options).expect("a port is free");
             Arc::new(engine)
@@ -63,6 +67,7 @@
         let instances = instances.collect::<Vec<_>>();
         let fleet = Self {
             instances,
+            sizes,
             store,
             list,
             engines,
@@ -124,9 +129,10 @@
             write!(text, "[account {}]\nkey-sha256 = {hash:x}\n", account.name)
                 .expect("strings take any text");
         }
-        for (at, engine) in self.engines.iter().enumerate() {
+        for (at, (engine, (memory, slots))) in self.engines.iter().zip(&self.sizes).enumerate() {
             let name = format!("engine-{}", at + 1);
-            text += &upstream(&name, "drafts", engine.address(), "memory = 16384\nslots = 16\n");
+            let size = format!("memory = {memory}\nslots = {slots}\n");
+            text += &upstream(&name, "drafts", engine.address(), &size);
         }
         text + &upstream("orders-1", "ordering", self.orders.address(), "slots = 64\n")
     }
