fix: a cut before the first event does not take an upstream out, and early silence is noticed in 2 s

Cause: a broken connection went to the router as the upstream's death, so that one cut before the first event opened its breaker: with one such cut at both of two engines 28 of 120 requests found no upstream. A connection that fell silent after the engine had named the answer, but before its first text, was waited for for 30 s. Change: only the health check that follows a broken connection takes the upstream out; an answer with a name is resumed after the usual silence. The two fleet tests now stall from the first event on and cut at two engines.

--- a/crates/carob-entry/src/control/requests.rs
+++ b/crates/carob-entry/src/control/requests.rs
@@ -134,16 +134,16 @@
         let fingerprint = open.fingerprint;
         let suspected = self.suspects.verdict(fingerprint, now) != Verdict::Clear;
         let Some(mut request) = open.request.clone().filter(|_| suspected) else {
-            let outcome = self.router.retry(id, end, now);
+            let outcome = self.router.retry(id, for_router(end), now);
             return self.answer(id, outcome);
         };
-        self.router.finish(id, end, now);
+        self.router.finish(id, for_router(end), now);
         request.excluded.extend(failed);
         self.place(request, fingerprint, now);
     }
 
     pub(super) fn finish(&mut self, id: u64, end: End, pace: Option<&Pace>, now: Time) {
-        self.router.finish(id, end, now);
+        self.router.finish(id, for_router(end), now);
         self.requests.delivering.retain(|_, by| *by != id);
         let Some(open) = self.requests.open.remove(&id) else {
             return;
@@ -253,6 +253,15 @@
     }
 }
 
+/// How the router should take the end of an attempt. A broken connection alone does not prove that the upstream's
+/// process died: the health check that follows it does, and takes the upstream out then.
+const fn for_router(end: End) -> End {
+    match end {
+        End::UpstreamDied => End::Failed,
+        other => other,
+    }
+}
+
 /// What the caller of a refused request is told.
 fn problem_of(refusal: &Refusal) -> Problem {
     let code = match refusal.cause {
--- a/crates/carob-load/tests/fleet.rs
+++ b/crates/carob-load/tests/fleet.rs
@@ -199,7 +199,7 @@
     let workload = drafts();
     let fleet = Fleet::start(2, engines(2), &workload);
     for engine in &fleet.engines {
-        for after in [3, 5, 7, 12, 20] {
+        for after in [1, 2, 3, 5, 7, 12, 20] {
             engine.inject(Fault::Stall(after));
         }
     }
@@ -211,10 +211,15 @@
 fn broken_and_disordered_streams_reach_callers_whole() {
     let _turn = turn();
     let workload = drafts();
-    let fleet = Fleet::start(2, engines(2), &workload);
-    fleet.engines[0].inject(Fault::Cut(0));
+    let fleet = Fleet::start(2, engines(3), &workload);
     for engine in &fleet.engines {
-        for fault in [Fault::Cut(4), Fault::Repeat(3), Fault::Skip(5), Fault::Swap(6)] {
+        for fault in [
+            Fault::Cut(0),
+            Fault::Cut(4),
+            Fault::Repeat(3),
+            Fault::Skip(5),
+            Fault::Swap(6),
+        ] {
             engine.inject(fault);
         }
     }
--- a/crates/carob-stream/src/delivery/recover.rs
+++ b/crates/carob-stream/src/delivery/recover.rs
@@ -159,7 +159,8 @@
 
     /// When the present silence has lasted too long; the time doubles as long as the engine itself is stalled.
     pub(super) fn silent_at(&self) -> Time {
-        let wait = if self.producing {
+        // An engine that has named the answer can be asked again at little cost, also while it only queues the request.
+        let wait = if self.producing || self.generation.answer.is_some() {
             let pace = if self.usual.p99().is_some() {
                 &self.usual
             } else {
--- a/crates/carob-stream/src/options.rs
+++ b/crates/carob-stream/src/options.rs
@@ -23,7 +23,8 @@
         /// The longest that a caller waits for a silent connection's replacement unless the engine's own pace
         /// is slower; 2 s by default.
         pub silence: Duration,
-        /// How long the engine may queue the request before its first piece of text; 30 s by default.
+        /// How long a connection may be silent before the engine has named the answer, without which there is nothing
+        /// to resume; 30 s by default.
         pub queueing: Duration,
         /// How long an upstream that cannot be reached is tried again; 15 s by default.
         pub gone_after: Duration,
