--- a/crates/carob-entry/src/control/orders.rs
+++ b/crates/carob-entry/src/control/orders.rs
@@ -8,7 +8,7 @@
 use flume::Sender;
 
 use super::{Control, claims::wall_millis, stored::Part};
-use crate::io::order::Job;
+use crate::{io::order::Job, shared::Phase};
 
 /// Time between two looks at what is due.
 const POLL_EVERY: Duration = Duration::from_millis(500);
@@ -82,6 +82,10 @@
             return;
         }
         self.ordering.next_poll = now + POLL_EVERY;
+        // An instance that leaves lets its lease lapse.
+        if self.shared.phase() != Phase::Ready {
+            return;
+        }
         let holds = self.ordering.orders.fence(now).is_some();
         // One instance of each failure domain tries for the lease, so that a large fleet costs the store little.
         if !holds && !self.peers.members.is_home(HOME_KEY) {
--- a/crates/carob-entry/tests/instances.rs
+++ b/crates/carob-entry/tests/instances.rs
@@ -141,6 +141,36 @@
     world.close();
 }
 
+#[test]
+fn leaving_upstream_gets_no_new_work() {
+    let world = world(2, 2);
+    let leaves = |at: usize| {
+        let upstreams = world.status(at)["upstreams"].clone();
+        upstreams
+            .as_array()
+            .expect("a list")
+            .iter()
+            .any(|upstream| upstream["name"] == "engine-0" && upstream["leaving"] == true)
+    };
+    world.engines[0].announce_leaving();
+    wait("both instances know", || leaves(0) && leaves(1));
+    let before = world.engines[0].records().len();
+    for round in 0..8 {
+        let body = format!(r#"{{"input":"draft {round}","stream":true}}"#);
+        let create = request(
+            "POST",
+            world.instances[round % 2].callers(),
+            "/v1/responses",
+            KEY_ONE,
+        )
+        .with_body(body);
+        assert_eq!(client::call(&create).expect("an answer").status, 200);
+    }
+    assert_eq!(world.engines[0].records().len(), before);
+    assert_eq!(world.engines[1].records().len(), 8);
+    world.close();
+}
+
 #[test]
 fn request_that_crashes_engines_is_refused_at_every_instance() {
     let world = world(4, 2);
