--- a/crates/carob-load/benches/load.rs
+++ b/crates/carob-load/benches/load.rs
@@ -57,26 +57,45 @@
 mix = draft 1, answer 3
 ";
 
+/// Memory of an engine, in tokens.
+const MEMORY: u32 = 16 * 1024;
+/// Memory of an engine that holds a few answers only, in tokens.
+const TIGHT_MEMORY: u32 = 2_000;
+/// Load of such engines, in percent.
+const TIGHT_LEVEL: u64 = 50;
+
 fn main() {
     let base: Workload = TEXT.parse().expect("the workload is valid");
     for level in LEVELS {
-        let workload = base.clone().with_rate_percent(level);
-        let direct = SEEDS.map(|seed| direct(&workload, seed));
-        let product = SEEDS.map(|seed| product(&workload, seed));
+        let (direct, product) = compare(&format!("load {level}%"), &base, level, MEMORY);
         if level == PLOTTED {
-            plots(&direct[0], &product[0]);
+            plots(&direct, &product);
         }
-        let experiment = Experiment::new()
-            .with_variant("direct", direct.to_vec())
-            .with_variant("product", product.to_vec());
-        println!("load {level}%, {INSTANCES} instances, {ENGINES} engines, seeds {SEEDS:?}");
-        println!("{}", experiment.to_text());
     }
+    let text = TEXT.replace("0.8 600", "0.8 1200");
+    let long: Workload = text.parse().expect("the workload is valid");
+    let title = format!("memory for {TIGHT_MEMORY} tokens, answers of up to 1200, load {TIGHT_LEVEL}%");
+    compare(&title, &long, TIGHT_LEVEL, TIGHT_MEMORY);
+}
+
+/// Runs both variants and prints the comparison; returns the reports of the first seed.
+fn compare(title: &str, workload: &Workload, level: u64, memory: u32) -> (Report, Report) {
+    let workload = workload.clone().with_rate_percent(level);
+    let direct = SEEDS.map(|seed| direct(&workload, memory, seed));
+    let product = SEEDS.map(|seed| product(&workload, memory, seed));
+    let firsts = (direct[0].clone(), product[0].clone());
+    let experiment = Experiment::new()
+        .with_variant("direct", direct.to_vec())
+        .with_variant("product", product.to_vec());
+    println!("{title}, {INSTANCES} instances, {ENGINES} engines, seeds {SEEDS:?}");
+    println!("{}", experiment.to_text());
+    firsts
 }
 
-fn engines() -> Vec<Options> {
+fn engines(memory: u32) -> Vec<Options> {
     let options = |seed| Options {
         seed,
+        memory,
         slots: 8,
         pace: Duration::from_millis(10),
         prefill: Duration::from_micros(50),
@@ -86,17 +105,17 @@
 }
 
 /// A run without the product: each request goes to the next engine.
-fn direct(workload: &Workload, seed: u64) -> Report {
+fn direct(workload: &Workload, memory: u32, seed: u64) -> Report {
     let start = |options| Arc::new(Engine::start(options).expect("a port is free"));
-    let engines = engines().into_iter().map(start).collect::<Vec<_>>();
+    let engines = engines(memory).into_iter().map(start).collect::<Vec<_>>();
     let addresses = engines.iter().map(|engine| engine.address()).collect();
     let target = Target::new(addresses).with_record(move || record::recorded(&engines, None));
     carob_load::run(workload, &target, seed).expect("threads can be started")
 }
 
 /// A run in which each request goes to the next instance.
-fn product(workload: &Workload, seed: u64) -> Report {
-    let fleet = Fleet::start(INSTANCES, engines(), workload);
+fn product(workload: &Workload, memory: u32, seed: u64) -> Report {
+    let fleet = Fleet::start(INSTANCES, engines(memory), workload);
     let report = carob_load::run(workload, &fleet.target(fleet.callers()), seed);
     fleet.close();
     report.expect("threads can be started")
