--- a/crates/carob-entry/src/control.rs
+++ b/crates/carob-entry/src/control.rs
@@ -48,7 +48,7 @@
 
 /// Threads that the control thread has work done by.
 #[derive(Clone, Debug)]
-pub struct Hands {
+pub struct Channels {
     /// Store calls.
     pub store: Sender<store::Job>,
     /// Watches of the store.
@@ -66,7 +66,7 @@
 pub struct Control {
     shared: Arc<Shared>,
     events: Receiver<Event>,
-    hands: Hands,
+    channels: Channels,
     router: Router,
     requests: requests::Requests,
     config: config::Following,
@@ -82,7 +82,12 @@
 
 impl Control {
     /// The state of an instance that has just started.
-    pub fn new(shared: Arc<Shared>, events: Receiver<Event>, hands: Hands, peers: peers::Peers) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        events: Receiver<Event>,
+        channels: Channels,
+        peers: peers::Peers,
+    ) -> Self {
         let options = &shared.options;
         let route = carob_route::Options::new(options.domain.clone(), options.region.clone());
         let holder = rand::random();
@@ -99,7 +104,7 @@
             next_pulse: shared.now(),
             shared,
             events,
-            hands,
+            channels,
         }
     }
 
--- a/crates/carob-entry/src/control/config.rs
+++ b/crates/carob-entry/src/control/config.rs
@@ -70,7 +70,7 @@
             "config: asks the peer at {} for what follows {held}",
             peer.address
         );
-        if self.hands.fetch.send(fetch::Job { peer, held }).is_err() {
+        if self.channels.fetch.send(fetch::Job { peer, held }).is_err() {
             log::debug!("control: the fetch thread has ended");
         }
     }
@@ -90,13 +90,13 @@
 
     /// Has a store call made; its result comes back as an event.
     pub(super) fn ask_store(&self, part: Part, call: carob_store::Call) {
-        if self.hands.store.send(store::Job { part, call }).is_err() {
+        if self.channels.store.send(store::Job { part, call }).is_err() {
             log::debug!("control: the store threads have ended");
         }
     }
 
     fn watch(&self, from: u64, deadline: std::time::Duration) {
-        if self.hands.watch.send(watch::Job { from, deadline }).is_err() {
+        if self.channels.watch.send(watch::Job { from, deadline }).is_err() {
             log::debug!("control: the watch thread has ended");
         }
     }
--- a/crates/carob-entry/src/control/health.rs
+++ b/crates/carob-entry/src/control/health.rs
@@ -171,7 +171,7 @@
         let probe = Probe {
             upstream: upstream.clone(),
         };
-        if self.hands.probe.send(probe).is_err() {
+        if self.channels.probe.send(probe).is_err() {
             log::debug!("control: the poll thread has ended");
         }
     }
--- a/crates/carob-entry/src/control/orders.rs
+++ b/crates/carob-entry/src/control/orders.rs
@@ -128,7 +128,7 @@
     }
 
     fn order_job(&self, job: Job) {
-        if self.hands.order.send(job).is_err() {
+        if self.channels.order.send(job).is_err() {
             log::debug!("control: the order thread has ended");
         }
     }
--- a/crates/carob-entry/src/instance.rs
+++ b/crates/carob-entry/src/instance.rs
@@ -13,7 +13,7 @@
 use crate::{
     admin,
     control::{Control, Event},
-    io::janitor,
+    io::cancel,
     link::{self, Link},
     options::Options,
     shared::{Phase, Shared},
@@ -71,19 +71,19 @@
     pub fn start(options: Options) -> Result<Self, Error> {
         admin::metrics::install();
         let (control_tx, control_rx) = flume::unbounded();
-        let (janitor_tx, janitor_rx) = flume::unbounded();
-        let shared = Arc::new(Shared::new(options, control_tx, janitor_tx));
+        let (cancel_tx, cancel_rx) = flume::unbounded();
+        let shared = Arc::new(Shared::new(options, control_tx, cancel_tx));
         let client = Arc::new(new_client(&shared.options));
         let link = Link::bind(&shared.options)?;
         let peers = link.address;
-        let (hands, work) = threads::channels();
+        let (channels, work) = threads::channels();
         let state = link.peers(&shared.options);
-        let control = Control::new(Arc::clone(&shared), control_rx, hands, state);
+        let control = Control::new(Arc::clone(&shared), control_rx, channels, state);
         let mut threads = vec![threads::spawn("control", move || control.run())?];
         threads.extend(threads::start(&shared, &client, &link, work)?);
         let sweeper = Arc::clone(&shared);
-        threads.push(threads::spawn("janitor", move || {
-            janitor::run(&sweeper, &janitor_rx);
+        threads.push(threads::spawn("cancel", move || {
+            cancel::run(&sweeper, &cancel_rx);
         })?);
         link.serve(&shared)?;
 
--- a/crates/carob-entry/src/io.rs
+++ b/crates/carob-entry/src/io.rs
@@ -7,12 +7,12 @@
 //! * [`list`]: the platform's instance list.
 //! * [`order`]: orders to engines.
 //! * [`poll`]: load reports of upstreams.
-//! * [`janitor`]: cancellation of generations that nobody waits for.
+//! * [`cancel`]: cancellation of generations that nobody waits for.
 
 pub mod cache;
+pub mod cancel;
 pub mod datagrams;
 pub mod fetch;
-pub mod janitor;
 pub mod list;
 pub mod order;
 pub mod poll;
--- a/crates/carob-entry/src/shared.rs
+++ b/crates/carob-entry/src/shared.rs
@@ -12,7 +12,7 @@
 use carob_config::Config;
 use flume::Sender;
 
-use crate::{control, io::janitor::Task, options::Options};
+use crate::{control, io::cancel::Task, options::Options};
 
 carob_base::plain! {
     /// Whether the instance takes requests.
@@ -34,7 +34,7 @@
     pub options: Options,
     pub clock: Clock,
     pub control: Sender<control::Event>,
-    janitor: Sender<Task>,
+    canceller: Sender<Task>,
     config: RwLock<Arc<Config>>,
     /// Upstreams whose load reports this instance asks for.
     polled: RwLock<Arc<HashSet<Name>>>,
@@ -43,12 +43,12 @@
 }
 
 impl Shared {
-    pub fn new(options: Options, control: Sender<control::Event>, janitor: Sender<Task>) -> Self {
+    pub fn new(options: Options, control: Sender<control::Event>, canceller: Sender<Task>) -> Self {
         Self {
             options,
             clock: Clock::new(),
             control,
-            janitor,
+            canceller,
             config: RwLock::default(),
             polled: RwLock::default(),
             phase: AtomicU8::new(Phase::Starting as u8),
@@ -67,10 +67,10 @@
         }
     }
 
-    /// Hands a generation that nobody waits for to the janitor.
+    /// Hands a generation that nobody waits for to the canceller.
     pub fn cancel(&self, task: Task) {
-        if self.janitor.send(task).is_err() {
-            log::debug!("entry: the janitor has ended");
+        if self.canceller.send(task).is_err() {
+            log::debug!("entry: the canceller has ended");
         }
     }
 
--- a/crates/carob-entry/src/threads.rs
+++ b/crates/carob-entry/src/threads.rs
@@ -9,7 +9,7 @@
 use flume::Receiver;
 
 use crate::{
-    control::Hands,
+    control::Channels,
     instance::Error,
     io::{cache, fetch, order, poll, store, watch},
     link::Link,
@@ -27,13 +27,13 @@
 }
 
 /// The channels between the control thread and the threads that work for it.
-pub fn channels() -> (Hands, Work) {
+pub fn channels() -> (Channels, Work) {
     let (store, store_rx) = flume::unbounded();
     let (watch, watch_rx) = flume::unbounded();
     let (order, order_rx) = flume::unbounded();
     let (fetch, fetch_rx) = flume::unbounded();
     let (probe, probe_rx) = flume::unbounded();
-    let hands = Hands {
+    let channels = Channels {
         store,
         watch,
         order,
@@ -47,7 +47,7 @@
         fetch: fetch_rx,
         probe: probe_rx,
     };
-    (hands, work)
+    (channels, work)
 }
 
 /// Starts the threads. They end when the control thread has ended or the instance is closed.
--- a/crates/carob-entry/src/traffic/cancel.rs
+++ b/crates/carob-entry/src/traffic/cancel.rs
@@ -11,7 +11,7 @@
     deliver::ENGINE_PATH,
     resume,
 };
-use crate::{io::janitor::Task, shared::Shared};
+use crate::{io::cancel::Task, shared::Shared};
 
 /// Time limit of one cancellation while the caller waits.
 const LIMIT: Duration = Duration::from_secs(3);
--- a/crates/carob-entry/src/traffic/deliver.rs
+++ b/crates/carob-entry/src/traffic/deliver.rs
@@ -22,7 +22,7 @@
     outlet::Outlet,
     place::{Answer, Place},
 };
-use crate::{control::Go, io::janitor::Task, shared::Shared};
+use crate::{control::Go, io::cancel::Task, shared::Shared};
 
 /// How often a silent stream's caller is looked after.
 const PULSE: Duration = Duration::from_millis(250);
@@ -313,7 +313,7 @@
         });
     }
 
-    /// The caller has gone: the janitor waits for a resumption, then cancels. Until the engine has told the
+    /// The caller has gone: the canceller waits for a resumption, then cancels. Until the engine has told the
     /// answer's id, there is nothing to cancel by, and this driver goes on reading.
     fn caller_gone(&mut self, why: &str) {
         let Some(place) = self.place.take() else {
