--- /dev/null
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -0,0 +1,162 @@
+//! Chooses an upstream for a request.
+//!
+//! A generation holds memory for its prompt and for what it has made until it ends. An engine that runs out of
+//! memory takes a running generation's away, which costs its caller a pause and the prompt's time once more. A
+//! generation is therefore placed where all that run there are expected to fit to their ends, on the emptiest
+//! engine first; where none has room it waits. Plain calls go to the upstream with the fewest for its slots.
+
+use carob_base::Time;
+use smallvec::SmallVec;
+
+use super::{Fleet, State, Upstream, UpstreamKey};
+
+carob_base::plain! {
+    /// What an attempt showed of an upstream.
+    pub enum Quality {
+        /// It answered as it should.
+        Good,
+        /// It failed a request that it had.
+        Poor,
+        /// No connection came about.
+        Unreachable,
+    }
+
+    /// Where a request goes.
+    pub enum Place {
+        /// To this upstream.
+        At(UpstreamKey),
+        /// Nowhere yet: every upstream that could take it is full.
+        Full,
+        /// No upstream of the service is known.
+        None,
+    }
+}
+
+/// What a request asks of an upstream.
+#[derive(Clone, Debug)]
+pub struct Need {
+    /// Service.
+    pub service: Box<str>,
+    /// Tokens that it is expected to hold in the end; zero for plain calls.
+    pub tokens: u64,
+    /// Tokens that an engine of the service holds; zero for plain calls.
+    pub capacity: u64,
+    /// Upstreams that are not to be chosen.
+    pub except: SmallVec<[UpstreamKey; 4]>,
+}
+
+/// Share of an engine's memory that the expected sizes of its generations may fill.
+///
+/// Sizes are sums of estimates that are right at the median; generations on one engine end at different times, so
+/// that not all are at their full size at once. Trials at 0.9 to 1.4 are in docs/design/platform.md.
+const FILL: f64 = 1.15;
+
+/// Requests for each slot of a plain upstream, over which more only wait inside it.
+const BACKLOG: f64 = 3.0;
+
+/// Load that a distant upstream's advantage must exceed, as a share of its capacity: another failure domain.
+const OTHER_DOMAIN: f64 = 0.02;
+
+/// The same for another region.
+const OTHER_REGION: f64 = 0.08;
+
+/// Load that an upstream which fails every request seems to have on top, in capacities.
+const FAILURE_LOAD: f64 = 3.0;
+
+/// Load that an upstream which could not be reached lately seems to have on top, so that it is taken last.
+const AVOIDED_LOAD: f64 = 10.0;
+
+impl Fleet {
+    /// Chooses an upstream for `need`, or says why there is none.
+    pub fn place(&self, need: &Need, now: Time) -> Place {
+        let mut best = None;
+        let mut any = false;
+        for (key, found) in &self.upstreams {
+            if *found.entry.service != *need.service
+                || found.entry.state != State::Ready
+                || need.except.contains(&key)
+            {
+                continue;
+            }
+            any = true;
+            if !fits(found, need) {
+                continue;
+            }
+            let score = self.score(found, need, now);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, key));
+            }
+        }
+        match best {
+            Some((_, key)) => Place::At(key),
+            None if any => Place::Full,
+            None => Place::None,
+        }
+    }
+
+    /// Chooses where the generation at `from` moves to: the nearest upstream with room, since copies between
+    /// failure domains take twice as long.
+    pub fn refuge(&self, from: UpstreamKey, need: &Need, now: Time) -> Option<UpstreamKey> {
+        let domain = &self.upstreams.get(from)?.entry.domain;
+        let options = self.upstreams.iter().filter(|(key, found)| {
+            *key != from
+                && *found.entry.service == *need.service
+                && found.entry.state == State::Ready
+                && !need.except.contains(key)
+        });
+        let score = |found: &Upstream| {
+            let apart = if found.entry.domain == *domain { 0.0 } else { 0.3 };
+            let full = if fits(found, need) { 0.0 } else { 1.0 };
+            self.score(found, need, now) + apart + full
+        };
+        options
+            .min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)))
+            .map(|(key, _)| key)
+    }
+
+    /// The share of the service's upstreams' memory or slots that is taken, from 0; above 1 when overcommitted.
+    pub fn taken(&self, need: &Need) -> f64 {
+        let shares = self
+            .upstreams
+            .values()
+            .filter(|found| *found.entry.service == *need.service && found.entry.state == State::Ready)
+            .map(|found| load(found, need));
+        let (sum, count) = shares.fold((0.0, 0), |(sum, count), share| (sum + share, count + 1));
+        if count == 0 { 1.0 } else { sum / f64::from(count) }
+    }
+
+    /// Apparent load; less is better.
+    fn score(&self, found: &Upstream, need: &Need, now: Time) -> f64 {
+        let avoided = if found.avoid > now { AVOIDED_LOAD } else { 0.0 };
+        load(found, need) + found.failure * FAILURE_LOAD + avoided + self.distance(&found.entry.domain)
+    }
+
+    fn distance(&self, domain: &str) -> f64 {
+        let regions = &self.position.regions;
+        if *domain == *self.position.domain {
+            0.0
+        } else if regions.get(domain) == regions.get(&self.position.domain) {
+            OTHER_DOMAIN
+        } else {
+            OTHER_REGION
+        }
+    }
+}
+
+fn fits(found: &Upstream, need: &Need) -> bool {
+    let slots = f64::from(found.entry.slots.max(1));
+    if need.capacity == 0 {
+        return f64::from(found.requests()) < slots * BACKLOG;
+    }
+    // An idle engine takes anything; whether it is larger than the memory is the engine's to say.
+    let room = (found.expected() + need.tokens) as f64 <= need.capacity as f64 * FILL;
+    found.requests() == 0 || (room && f64::from(found.requests()) < slots)
+}
+
+fn load(found: &Upstream, need: &Need) -> f64 {
+    if need.capacity == 0 {
+        f64::from(found.requests()) / f64::from(found.entry.slots.max(1))
+    } else {
+        found.expected() as f64 / need.capacity as f64
+    }
+}
--- /dev/null
+++ b/crates/carob-dispatch/src/migration.rs
@@ -0,0 +1,46 @@
+//! The steps of moving a running generation to another upstream.
+//!
+//! The bulk of a generation's memory is copied while it goes on; then it stops, what is new is copied, and the
+//! other upstream continues it. Copies from one upstream queue on its link, so that the final copy of one
+//! generation would wait behind the bulk of others and show as a pause: final copies begin only after the time
+//! that all bulk copies from the upstream take. An upstream that leaves before then has given at least a bulk
+//! copy, from which the generation continues with a few tokens computed anew.
+
+use std::time::Duration;
+
+use carob_base::Time;
+
+use crate::table::Engine;
+
+/// When final copies begin, after the notice of leaving, at the earliest.
+///
+/// Notices come 1.5 s or more before the end; bulk copies of a full engine of eight generations take about as long
+/// on one link, those of a half-full one under a second.
+pub const FINAL_AFTER: Duration = Duration::from_millis(900);
+
+/// When a final copy begins although bulk copies may still run: less than the shortest notice.
+pub const FINAL_LATEST: Duration = Duration::from_millis(1_300);
+
+/// Other upstreams that are tried for the copy of one generation.
+pub const TARGETS: u32 = 3;
+
+/// Pause before a call is repeated that found no such generation, or another call in progress.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// The most retries of one call for these reasons.
+pub const RETRIES: u32 = 12;
+
+/// How long a copy call may take: the copies of a full engine on one link, between failure domains, twice over.
+pub const COPY_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// When the final copy of a generation may begin whose upstream was known to leave at `left`.
+pub fn finale(left: Time, copied: Time) -> Time {
+    let earliest = left + FINAL_AFTER;
+    if copied > earliest { copied } else { earliest }
+}
+
+/// How long copying `tokens` takes on an idle link within a failure domain.
+pub fn copy_time(engine: &Engine, tokens: u64) -> Duration {
+    let bits = tokens as f64 * engine.token_bytes as f64 * 8.0;
+    Duration::from_secs_f64(bits / (f64::from(engine.link_mbps.max(1)) * 1e6))
+}
--- /dev/null
+++ b/crates/carob-gateway/src/control/admin.rs
@@ -0,0 +1,58 @@
+//! Serves metrics as text.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+
+/// Path of the metrics.
+const PATH: &str = "/metrics";
+
+/// Listens on `address`.
+pub(super) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+/// Answers requests for metrics.
+pub(super) async fn serve(listener: TcpListener, metrics: PrometheusHandle) {
+    let metrics = Rc::new(metrics);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "operators' connection not accepted");
+                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let metrics = Rc::clone(&metrics);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let metrics = Rc::clone(&metrics);
+            async move { Ok::<_, Infallible>(answer(&request, &metrics)) }
+        });
+        tokio::task::spawn_local(async move {
+            let served = http1::Builder::new()
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!(error:% = error; "operators' connection ended");
+            }
+        });
+    }
+}
+
+fn answer(request: &Request<Incoming>, metrics: &PrometheusHandle) -> Response<Full<Bytes>> {
+    if request.uri().path() == PATH {
+        return Response::new(Full::new(Bytes::from(metrics.render())));
+    }
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
--- /dev/null
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -0,0 +1,102 @@
+//! The control thread: what the platform and other instances say, settings and signals.
+
+mod admin;
+mod follow;
+mod register;
+mod share;
+mod state;
+
+use std::{path::Path, rc::Rc, sync::Arc, time::Duration};
+
+use flume::{Receiver, Sender};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::LocalSet,
+};
+
+use crate::{
+    Settings,
+    run::Error,
+    update::{Report, Update},
+};
+use state::Control;
+
+/// How often the settings file is read again; it may change without a signal.
+const SETTINGS_EVERY: Duration = Duration::from_secs(2);
+
+/// Runs until the traffic thread has answered every request after a signal to leave.
+pub(crate) fn run(
+    path: &Path,
+    settings: &Arc<Settings>,
+    updates: Sender<Update>,
+    reports: &Receiver<Report>,
+    metrics: &PrometheusHandle,
+) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Error::Start("a runtime", error.to_string()))?;
+    let control = Rc::new(Control::new(Arc::clone(settings), updates));
+    LocalSet::new().block_on(&runtime, async {
+        let sharing = share::bind(settings.peers).map_err(|error| Error::Listen(settings.peers, error))?;
+        let admin = admin::bind(settings.admin).map_err(|error| Error::Listen(settings.admin, error))?;
+        tokio::task::spawn_local(follow::run(Rc::clone(&control)));
+        tokio::task::spawn_local(register::run(Rc::clone(&control)));
+        tokio::task::spawn_local(share::serve(Rc::clone(&control), sharing));
+        tokio::task::spawn_local(admin::serve(admin, metrics.clone()));
+        tokio::task::spawn_local(follow_settings(Rc::clone(&control), path.to_owned()));
+        let start = |kind| signal(kind).map_err(|error| Error::Start("signals", error.to_string()));
+        let mut terminate = start(SignalKind::terminate())?;
+        let mut interrupt = start(SignalKind::interrupt())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => leave(&control, "SIGTERM"),
+                _ = interrupt.recv() => leave(&control, "SIGINT"),
+                report = reports.recv_async() => match report {
+                    Ok(Report::Peer { address, revision, current }) => {
+                        share::peer_knows(&control, address, revision, current);
+                    }
+                    Ok(Report::Finished) | Err(_) => return Ok(()),
+                },
+            }
+        }
+    })
+}
+
+fn leave(control: &Control, signal: &str) {
+    log::info!(signal; "leaving: not ready any more, requests are finished");
+    control.tell(Update::Leave);
+}
+
+/// Takes over settings that have changed, on SIGHUP or when the file differs; a bad file changes nothing.
+async fn follow_settings(control: Rc<Control>, path: std::path::PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            log::error!(error:% = error; "SIGHUP cannot be handled; settings are read at regular times only");
+            return;
+        }
+    };
+    let mut refused = None;
+    loop {
+        let asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_EVERY) => false,
+        };
+        match Settings::load(&path) {
+            Ok(settings) if settings != *control.settings() => {
+                log::info!(file:% = path.display(), asked; "settings reloaded");
+                refused = None;
+                control.adopt(Arc::new(settings));
+            }
+            Ok(_) if asked => log::info!(file:% = path.display(); "settings read again, nothing has changed"),
+            Ok(_) => {}
+            Err(errors) if refused.as_ref() != Some(&errors) => {
+                log::error!(errors:% = errors; "settings refused; those in force stay");
+                refused = Some(errors);
+            }
+            Err(_same) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-gateway/src/control/state.rs
@@ -0,0 +1,267 @@
+//! What the control thread knows, and how it becomes known to the traffic thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use carob_platform::{config, directory, store::Item};
+use flume::Sender;
+use tokio::time::Instant;
+
+use crate::{Change, Mirror, Settings, update::Update};
+
+/// Prefix of the keys under which instances make themselves known.
+pub(super) const INSTANCES: &str = "carobhaven/instances/";
+
+/// Everything this instance reads of the store.
+pub(super) const PREFIXES: [&str; 3] = [config::PREFIX, directory::PREFIX, INSTANCES];
+
+/// How long a configuration can be taken as current without a word from store or peers: two watches.
+const CURRENT: Duration = Duration::from_millis(4_500);
+
+/// An outage of the store after which removals may only mean that leases ran out meanwhile.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// How long after the store's return such an entry may come back: two seconds, as the platform promises.
+const COMEBACK: Duration = Duration::from_millis(2_200);
+
+/// The control thread's state.
+pub(super) struct Control {
+    updates: Sender<Update>,
+    settings: RefCell<Arc<Settings>>,
+    mirror: RefCell<Mirror>,
+    /// Version of the configuration in force.
+    version: Cell<u64>,
+    /// When the store last answered.
+    answered: Cell<Instant>,
+    /// When the store or a peer last confirmed what is known.
+    confirmed: Cell<Instant>,
+    /// When the store answered again after an outage.
+    returned: Cell<Option<Instant>>,
+    /// Entries that were removed around an outage and may come back.
+    absent: RefCell<HashSet<String>>,
+    /// Since when a peer is known to know more.
+    behind: Cell<Option<Instant>>,
+    /// Whether a peer is being asked.
+    pub(super) asking: Cell<bool>,
+}
+
+impl Control {
+    pub(super) fn new(settings: Arc<Settings>, updates: Sender<Update>) -> Self {
+        let now = Instant::now();
+        Self {
+            updates,
+            settings: RefCell::new(settings),
+            mirror: RefCell::new(Mirror::new()),
+            version: Cell::new(0),
+            answered: Cell::new(now),
+            confirmed: Cell::new(now),
+            returned: Cell::new(None),
+            absent: RefCell::new(HashSet::new()),
+            behind: Cell::new(None),
+            asking: Cell::new(false),
+        }
+    }
+
+    pub(super) fn tell(&self, update: Update) {
+        // The traffic thread only ends after this one was told that it may.
+        if self.updates.send(update).is_err() {
+            log::error!("the traffic thread has ended");
+        }
+    }
+
+    pub(super) fn settings(&self) -> Arc<Settings> {
+        Arc::clone(&self.settings.borrow())
+    }
+
+    /// Takes over new settings.
+    pub(super) fn adopt(&self, settings: Arc<Settings>) {
+        *self.settings.borrow_mut() = Arc::clone(&settings);
+        self.tell(Update::Settings(settings));
+        self.tell_peers();
+    }
+
+    pub(super) fn store(&self) -> SocketAddr {
+        self.settings.borrow().store
+    }
+
+    pub(super) fn revision(&self) -> u64 {
+        self.mirror.borrow().revision()
+    }
+
+    /// How long the store has not answered.
+    pub(super) fn silence(&self) -> Duration {
+        self.answered.get().elapsed()
+    }
+
+    /// Notes that the store answered.
+    pub(super) fn answered(&self) {
+        let now = Instant::now();
+        let silence = now - self.answered.replace(now);
+        if silence >= OUTAGE {
+            log::info!(silence_ms = silence.as_millis() as u64; "the store answers again");
+            self.returned.set(Some(now));
+        }
+        self.confirmed.set(now);
+    }
+
+    /// Notes that a peer confirmed what is known.
+    pub(super) fn confirm(&self) {
+        self.confirmed.set(Instant::now());
+    }
+
+    /// How long a peer has known more than this instance, now that one says that it knows `revision`.
+    pub(super) fn behind(&self, revision: u64) -> Duration {
+        if revision <= self.revision() {
+            self.behind.set(None);
+            return Duration::ZERO;
+        }
+        let since = self.behind.get().unwrap_or_else(Instant::now);
+        self.behind.set(Some(since));
+        since.elapsed()
+    }
+
+    /// Tells the traffic thread how current its knowledge is.
+    pub(super) fn tell_known(&self) {
+        self.settle();
+        self.tell(Update::Known {
+            revision: self.revision(),
+            current: self.confirmed.get().elapsed() < CURRENT,
+        });
+    }
+
+    /// Takes in changes and notes that all up to `revision` are known.
+    pub(super) fn apply(&self, items: Vec<Item>, revision: u64) {
+        let mut moved = false;
+        for item in items {
+            let change = self
+                .mirror
+                .borrow_mut()
+                .apply(&item.key, item.revision, item.value);
+            if let Some(change) = change {
+                moved |= item.key.starts_with(INSTANCES);
+                self.publish(&item.key, change);
+            }
+        }
+        self.mirror.borrow_mut().reach(revision);
+        if moved {
+            self.tell_peers();
+        }
+        self.tell_known();
+    }
+
+    /// Takes in that only `present` keys were under `prefix` at `revision`.
+    pub(super) fn retain(&self, prefix: &str, revision: u64, present: &BTreeSet<String>) {
+        let gone = self.mirror.borrow_mut().retain(prefix, revision, present);
+        for key in gone {
+            self.publish(&key, Change::Removed);
+        }
+    }
+
+    /// Items that changed after `revision`, and all keys.
+    pub(super) fn content(&self, revision: u64) -> (Vec<(String, crate::Known)>, Vec<String>) {
+        let mirror = self.mirror.borrow();
+        let items = mirror
+            .items()
+            .filter(|(_, known)| known.revision > revision)
+            .map(|(key, known)| (key.to_owned(), known.clone()))
+            .collect();
+        let keys = mirror.items().map(|(key, _)| key.to_owned()).collect();
+        (items, keys)
+    }
+
+    /// Removes entries that were absent when the store returned and have not come back.
+    fn settle(&self) {
+        let due = self.returned.get().is_some_and(|returned| returned.elapsed() >= COMEBACK);
+        if !due {
+            return;
+        }
+        self.returned.set(None);
+        let absent: Vec<String> = self.absent.borrow_mut().drain().collect();
+        for id in absent {
+            log::info!(upstream:% = id; "upstream did not come back after the store's outage");
+            self.tell(Update::Removed(id.into()));
+        }
+    }
+
+    /// How long until [`Control::settle`] has something to do.
+    pub(super) fn unsettled(&self) -> Option<Duration> {
+        self.returned.get().map(|returned| COMEBACK.saturating_sub(returned.elapsed()))
+    }
+
+    fn publish(&self, key: &str, change: Change) {
+        if key == config::KEY {
+            if let Change::Set(known) = change {
+                self.configure(&known.value, known.revision);
+            }
+        } else if let Some(id) = key.strip_prefix(directory::PREFIX) {
+            match change {
+                Change::Set(known) => self.publish_entry(id, &known.value),
+                Change::Removed => self.publish_removal(id),
+            }
+        }
+    }
+
+    fn publish_entry(&self, id: &str, value: &[u8]) {
+        self.absent.borrow_mut().remove(id);
+        match directory::decode(id, value) {
+            Some(entry) => self.tell(Update::Entry(entry)),
+            None => {
+                log::warn!(upstream:% = id, bytes = value.len(); "entry in the directory is malformed; not used");
+                self.tell(Update::Removed(id.into()));
+            }
+        }
+    }
+
+    fn publish_removal(&self, id: &str) {
+        let outage = self.returned.get().is_some() || self.silence() >= OUTAGE;
+        if outage {
+            log::info!(upstream:% = id; "entry lapsed around an outage of the store; it may come back");
+            self.absent.borrow_mut().insert(id.to_owned());
+            if self.returned.get().is_none() {
+                self.returned.set(Some(Instant::now()));
+            }
+        } else {
+            self.tell(Update::Removed(id.into()));
+        }
+    }
+
+    fn configure(&self, value: &Bytes, revision: u64) {
+        match config::decode(value) {
+            Ok(table) if table.version() > self.version.get() => {
+                log::info!(
+                    version = table.version(), before = self.version.get(), revision,
+                    routes = table.routes(); "configuration in force"
+                );
+                self.version.set(table.version());
+                self.tell(Update::Table(Arc::new(table)));
+            }
+            Ok(table) => log::warn!(
+                version = table.version(), current = self.version.get(), revision;
+                "older configuration ignored"
+            ),
+            Err(error) => log::error!(
+                error:% = error, revision, current = self.version.get();
+                "configuration cannot be read; the one in force stays"
+            ),
+        }
+    }
+
+    /// Tells the traffic thread who the other instances are.
+    pub(super) fn tell_peers(&self) {
+        let settings = self.settings();
+        let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(*seed, settings.peers.port()));
+        let mirror = self.mirror.borrow();
+        let listed = mirror
+            .items()
+            .filter(|(key, _)| key.starts_with(INSTANCES))
+            .filter_map(|(_, known)| std::str::from_utf8(&known.value).ok()?.parse().ok());
+        let all: BTreeSet<SocketAddr> = seeds.chain(listed).filter(|peer| *peer != settings.peers).collect();
+        self.tell(Update::Peers(all.into_iter().collect()));
+    }
+}
--- /dev/null
+++ b/crates/carob-gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! The gateway: forwards callers' requests unchanged to upstreams of the platform.
+//!
+//! Two threads: *control* follows the platform's store and other instances, and *traffic* handles requests. They
+//! talk in typed messages ([`update`]); decisions are made by [`carob_dispatch`], and every name and format of the
+//! platform is [`carob_platform`]'s.
+//!
+//! * [`run`]: runs a gateway until it is asked to leave.
+//! * [`Settings`]: the settings file.
+//! * [`Mirror`]: what the store holds, as far as this instance knows.
+//! * [`events`]: whole events out of a stream's bytes.
+
+mod control;
+pub mod events;
+mod mirror;
+mod peer;
+mod run;
+mod settings;
+mod socket;
+mod traffic;
+mod update;
+
+pub use mirror::{Change, Known, Mirror};
+pub use run::{Error, run};
+pub use settings::{Errors, Settings};
--- /dev/null
+++ b/crates/carob-gateway/src/peer.rs
@@ -0,0 +1,94 @@
+//! Messages between instances.
+//!
+//! Each instance tells the others in datagrams what it runs and how much of the store's content it knows. One that
+//! the store turns away asks another for what is missing, over a connection, in length-delimited frames.
+
+use carob_dispatch::fleet::PeerLoad;
+use prost::Message;
+
+/// The largest frame: a configuration of the largest value that the store keeps, and the directory.
+pub(crate) const FRAME: usize = 4 << 20;
+
+/// What an instance tells all others.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Announce {
+    /// Revision up to which it knows the store's content.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Whether it heard of the store lately, itself or from another.
+    #[prost(bool, tag = "3")]
+    pub current: bool,
+    /// Its requests by upstream.
+    #[prost(message, repeated, tag = "2")]
+    pub loads: Vec<Load>,
+}
+
+/// Requests at one upstream.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Load {
+    /// Mark of the upstream.
+    #[prost(fixed64, tag = "1")]
+    pub mark: u64,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub runs: u32,
+    /// Tokens that they are expected to hold.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// Asks an instance for what it knows of the store's content.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Ask {
+    /// Only items that changed after this revision.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+}
+
+/// What an instance knows of the store's content.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Content {
+    /// Revision up to which it knows every change.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Items that changed after the revision that was asked about.
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<Item>,
+    /// All keys that are there.
+    #[prost(string, repeated, tag = "3")]
+    pub keys: Vec<String>,
+}
+
+/// An item of the store.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Item {
+    /// Key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Revision of its last change.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Value.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub value: bytes::Bytes,
+}
+
+impl From<PeerLoad> for Load {
+    fn from(load: PeerLoad) -> Self {
+        Self {
+            mark: load.mark,
+            runs: load.runs,
+            tokens: load.tokens,
+        }
+    }
+}
+
+impl From<Load> for PeerLoad {
+    fn from(load: Load) -> Self {
+        Self {
+            mark: load.mark,
+            runs: load.runs,
+            tokens: load.tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-gateway/src/run.rs
@@ -0,0 +1,52 @@
+//! Runs a gateway until it is asked to leave.
+
+use std::{net::SocketAddr, path::Path, sync::Arc, thread};
+
+use crate::{Settings, control, settings::Errors, traffic};
+
+/// Why a gateway could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings file cannot be used.
+    #[error("{0}")]
+    Settings(#[from] Errors),
+    /// An address cannot be listened on.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// A thread, a signal handler or the metrics could not be set up.
+    #[error("cannot start {0}: {1}")]
+    Start(&'static str, String),
+}
+
+/// Messages that a thread may be behind; beyond them the sender waits.
+const QUEUE: usize = 4_096;
+
+/// Runs a gateway with the settings at `path` until SIGTERM or SIGINT, and until its requests are answered then.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it cannot start.
+pub fn run(path: &Path) -> Result<(), Error> {
+    let settings = Arc::new(Settings::load(path)?);
+    log::info!(
+        instance:% = settings.name, domain:% = settings.domain, callers:% = settings.callers,
+        store:% = settings.store; "starting"
+    );
+    let (updates, received) = flume::bounded(QUEUE);
+    let (reports, reported) = flume::bounded(QUEUE);
+    let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| Error::Start("metrics", error.to_string()))?;
+    let sockets = traffic::Sockets::bind(&settings)?;
+    let initial = Arc::clone(&settings);
+    let traffic = thread::Builder::new()
+        .name("traffic".to_owned())
+        .spawn(move || traffic::run(sockets, initial, &received, reports))
+        .map_err(|error| Error::Start("a thread", error.to_string()))?;
+    let outcome = control::run(path, &settings, updates, &reported, &metrics);
+    if traffic.join().is_err() {
+        return Err(Error::Start("traffic", "its thread has panicked".to_owned()));
+    }
+    log::info!(instance:% = settings.name; "stopped");
+    outcome
+}
--- /dev/null
+++ b/crates/carob-gateway/src/settings.rs
@@ -0,0 +1,252 @@
+//! The gateway's settings file (INI).
+//!
+//! | section | key | meaning |
+//! | --- | --- | --- |
+//! | `instance` | `name`, `domain` | this instance and its failure domain |
+//! | | `regions` | `domain:region` for each failure domain, separated by commas |
+//! | `callers` | `address`, `ready` | listeners for requests and for questions whether the instance is ready |
+//! | | `connections` | most connections of callers at once |
+//! | `admin` | `address` | listener for metrics |
+//! | `peers` | `address` | datagrams and transfers between instances |
+//! | | `seeds` | other instances to begin with, separated by commas; their port is that of `address` |
+//! | `store` | `address` | the platform's key-value store |
+//! | `leaving` | `upstream` | how long an upstream serves on after it said that it leaves |
+//! | | `grace` | how long a leaving instance has until it is killed |
+//! | `retries` | `ratio`, `extra`, `window` | budget of all instances together for each service |
+
+use std::{
+    collections::HashMap,
+    fmt,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
+
+use carob_ini::Error;
+
+/// The settings of a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the instance.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Region of each failure domain.
+    pub regions: HashMap<Box<str>, Box<str>>,
+    /// Where callers' requests arrive.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the instance is ready.
+    pub ready: SocketAddr,
+    /// Most connections of callers at once.
+    pub connections: usize,
+    /// Where metrics are served.
+    pub admin: SocketAddr,
+    /// Datagrams and transfers between instances.
+    pub peers: SocketAddr,
+    /// Hosts of other instances to begin with.
+    pub seeds: Vec<IpAddr>,
+    /// The platform's key-value store.
+    pub store: SocketAddr,
+    /// How long an upstream serves on after it said that it leaves.
+    pub drain: Duration,
+    /// How long a leaving instance has until it is killed.
+    pub grace: Duration,
+    /// Retries for each request, over all instances.
+    pub ratio: f64,
+    /// Retries in a window beside the ratio, over all instances.
+    pub extra: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Everything that is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Errors(pub Vec<Error>);
+
+impl fmt::Display for Errors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, error) in self.0.iter().enumerate() {
+            if at > 0 {
+                f.write_str("; ")?;
+            }
+            write!(f, "{error}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Errors {}
+
+struct Reader<'a> {
+    file: &'a str,
+    sections: Vec<carob_ini::Section>,
+    used: Vec<(&'static str, &'static str)>,
+    errors: Vec<Error>,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Errors`] with everything that is wrong.
+    pub fn load(path: &Path) -> Result<Self, Errors> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            Errors(vec![Error {
+                file: file.clone(),
+                line: 1,
+                section: String::new(),
+                key: String::new(),
+                expected: format!("a file that can be read: {error}"),
+            }])
+        })?;
+        Self::parse(&text, &file)
+    }
+
+    /// Checks the content of the file called `file`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Errors`] with everything that is wrong.
+    pub fn parse(text: &str, file: &str) -> Result<Self, Errors> {
+        let sections = carob_ini::sections(text, file).map_err(Errors)?;
+        let mut reader = Reader {
+            file,
+            sections,
+            used: Vec::new(),
+            errors: Vec::new(),
+        };
+        let settings = reader.settings();
+        reader.unknown();
+        match settings {
+            Some(settings) if reader.errors.is_empty() => Ok(settings),
+            _ => Err(Errors(reader.errors)),
+        }
+    }
+}
+
+impl Reader<'_> {
+    fn settings(&mut self) -> Option<Settings> {
+        let name = self.read("instance", "name", "a name", word);
+        let domain = self.read("instance", "domain", "a failure domain", word);
+        let regions = self.read("instance", "regions", "`domain:region`, separated by commas", regions);
+        let callers = self.read("callers", "address", "IP:PORT", address);
+        let ready = self.read("callers", "ready", "IP:PORT", address);
+        let connections = self.read("callers", "connections", "a number above 0", |text| {
+            text.parse().ok().filter(|count| *count > 0)
+        });
+        let admin = self.read("admin", "address", "IP:PORT", address);
+        let peers = self.read("peers", "address", "IP:PORT", address);
+        let seeds = self.read("peers", "seeds", "IP:PORT, separated by commas", seeds);
+        let store = self.read("store", "address", "IP:PORT", address);
+        let drain = self.read("leaving", "upstream", DURATION, duration);
+        let grace = self.read("leaving", "grace", DURATION, duration);
+        let ratio = self.read("retries", "ratio", "a number from 0 to 1", |text| {
+            number(text).filter(|ratio| *ratio <= 1.0)
+        });
+        let extra = self.read("retries", "extra", "a number", number);
+        let window = self.read("retries", "window", DURATION, |text| {
+            duration(text).filter(|window| !window.is_zero())
+        });
+        Some(Settings {
+            name: name?,
+            domain: domain?,
+            regions: regions?,
+            callers: callers?,
+            ready: ready?,
+            connections: connections?,
+            admin: admin?,
+            peers: peers?,
+            seeds: seeds?,
+            store: store?,
+            drain: drain?,
+            grace: grace?,
+            ratio: ratio?,
+            extra: extra?,
+            window: window?,
+        })
+    }
+
+    fn read<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        self.used.push((section, key));
+        let pairs = self.sections.iter().filter(|found| found.title == section);
+        let found = pairs.flat_map(|found| &found.pairs).find(|pair| pair.key == key);
+        let line = found.map_or(1, |pair| pair.line);
+        let value = found.and_then(|pair| parse(pair.value.trim()));
+        if value.is_none() {
+            self.fail(line, section, key, expected);
+        }
+        value
+    }
+
+    /// Reports keys that no setting has, since a misspelled one would silently not hold.
+    fn unknown(&mut self) {
+        let mut unknown = Vec::new();
+        for section in &self.sections {
+            for pair in &section.pairs {
+                let known = self
+                    .used
+                    .iter()
+                    .any(|(title, key)| *title == section.title && *key == pair.key);
+                if !known {
+                    unknown.push((pair.line, section.title.clone(), pair.key.clone()));
+                }
+            }
+        }
+        for (line, section, key) in unknown {
+            self.fail(line, &section, &key, "a key that is known");
+        }
+    }
+
+    fn fail(&mut self, line: usize, section: &str, key: &str, expected: &str) {
+        self.errors.push(Error {
+            file: self.file.to_owned(),
+            line,
+            section: section.to_owned(),
+            key: key.to_owned(),
+            expected: expected.to_owned(),
+        });
+    }
+}
+
+const DURATION: &str = "a duration such as `8s` or `2500ms`";
+
+fn word(text: &str) -> Option<Box<str>> {
+    (!text.is_empty()).then(|| text.into())
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
+}
+
+fn duration(text: &str) -> Option<Duration> {
+    let seconds = match text.strip_suffix("ms") {
+        Some(millis) => number(millis.trim())? / 1e3,
+        None => number(text.strip_suffix('s')?.trim())?,
+    };
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+fn regions(text: &str) -> Option<HashMap<Box<str>, Box<str>>> {
+    let pair = |part: &str| {
+        let (domain, region) = part.split_once(':')?;
+        Some((domain.trim().into(), region.trim().into()))
+    };
+    text.split(',').map(pair).collect()
+}
+
+fn seeds(text: &str) -> Option<Vec<IpAddr>> {
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    parts.map(|part| address(part).map(|address| address.ip())).collect()
+}
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -0,0 +1,85 @@
+//! Values that undo what they stand for when they are dropped: a request's future may be dropped at any point.
+
+use std::rc::Rc;
+
+use carob_dispatch::fleet::{RunKey, UpstreamKey, WaitKey};
+
+use super::shared::Shared;
+
+/// A request that is being handled.
+pub(super) struct Active(Rc<Shared>);
+
+impl Active {
+    pub(super) fn new(shared: &Rc<Shared>) -> Self {
+        shared.begin();
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+/// A request's place at an upstream.
+pub(super) struct Run {
+    shared: Rc<Shared>,
+    pub(super) upstream: UpstreamKey,
+    key: RunKey,
+    pub(super) tokens: u64,
+}
+
+impl Run {
+    /// Takes a place at `upstream`.
+    pub(super) fn new(shared: &Rc<Shared>, upstream: UpstreamKey, tokens: u64) -> Self {
+        let key = shared.fleet_mut().begin(upstream, tokens);
+        Self::with_key(shared, upstream, key, tokens)
+    }
+
+    /// Keeps a place that was taken before.
+    pub(super) fn with_key(shared: &Rc<Shared>, upstream: UpstreamKey, key: RunKey, tokens: u64) -> Self {
+        shared.changed.notify_one();
+        Self {
+            shared: Rc::clone(shared),
+            upstream,
+            key,
+            tokens,
+        }
+    }
+
+    /// Corrects the expected size.
+    pub(super) fn resize(&mut self, tokens: u64) {
+        self.tokens = tokens;
+        self.shared.fleet_mut().resize(self.key, tokens);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.shared.fleet_mut().end(self.key);
+        self.shared.changed.notify_one();
+        self.shared.grant();
+    }
+}
+
+/// A place in the line.
+pub(super) struct Wait {
+    shared: Rc<Shared>,
+    key: WaitKey,
+}
+
+impl Wait {
+    pub(super) fn new(shared: &Rc<Shared>, key: WaitKey) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            key,
+        }
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        self.shared.abandon(self.key);
+    }
+}
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -0,0 +1,120 @@
+//! Moves a running generation away from an upstream that leaves.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use carob_dispatch::{
+    fleet::UpstreamKey,
+    migration::{COPY_TIMEOUT, RETRIES, RETRY_PAUSE, TARGETS, finale},
+};
+use carob_platform::engine::{self, Copy};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use super::{
+    exchange::{Call, name},
+    guard::Run,
+};
+use crate::socket;
+
+/// How far a move has come; read by whoever passes events on when the source breaks off meanwhile.
+#[derive(Default)]
+pub(super) struct Progress {
+    /// The place at the other upstream, and the handle of the copy there.
+    pub(super) copy: Option<(Run, String)>,
+    /// Whether the source was asked to stop.
+    pub(super) stopping: bool,
+}
+
+/// How a move ended.
+#[derive(Debug)]
+pub(super) enum Moved {
+    /// The generation has stopped, and the other upstream has its memory.
+    Stopped,
+    /// The generation has stopped, but its memory is only at the source, under this handle.
+    Stranded(String),
+    /// The source runs no such generation.
+    NotRunning,
+    /// There is no place for it, or the source cannot be asked.
+    Failed(&'static str),
+}
+
+/// Moves the generation of `call` away from `from`; `progress` shows how far it has come.
+pub(super) async fn run(call: Rc<Call>, from: UpstreamKey, progress: Rc<RefCell<Progress>>, tokens: u64) -> Moved {
+    let shared = &call.shared;
+    let (source, left) = match shared.fleet().upstream(from) {
+        Some(found) => (found.entry.address, found.left.unwrap_or_else(|| shared.now())),
+        None => return Moved::Failed("the upstream is forgotten"),
+    };
+    let mut except: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
+    loop {
+        if except.len() as u32 >= TARGETS {
+            return Moved::Failed("no upstream has room for the copy");
+        }
+        let need = call.need(tokens, &except);
+        let Some(target) = shared.fleet().refuge(from, &need, shared.now()) else {
+            return Moved::Failed("no other upstream");
+        };
+        except.push(target);
+        let place = Run::new(shared, target, tokens);
+        let begun = Instant::now();
+        let outcome = copy(&call, source, target, false).await;
+        log::info!(
+            request:% = call.id(), from:% = name(&call, from), to:% = name(&call, target), tokens,
+            outcome:? = outcome, took_ms = begun.elapsed().as_millis() as u64,
+            notice_ms = shared.now().since(left).as_millis() as u64; "memory copied ahead of a move"
+        );
+        match outcome {
+            Copy::Done(copied) => {
+                progress.borrow_mut().copy = Some((place, copied.handle));
+                break;
+            }
+            Copy::NoRoom(_) => {}
+            Copy::NoRun => return Moved::NotRunning,
+            Copy::Busy | Copy::Malformed => return Moved::Failed("the source does not copy"),
+        }
+    }
+    let pause = finale(left, shared.now()).since(shared.now());
+    tokio::time::sleep(pause).await;
+    let target = match &progress.borrow().copy {
+        Some((place, _)) => place.upstream,
+        None => return Moved::Failed("the copy was used"),
+    };
+    progress.borrow_mut().stopping = true;
+    let outcome = copy(&call, source, target, true).await;
+    match outcome {
+        Copy::Done(copied) => {
+            if let Some((_, handle)) = &mut progress.borrow_mut().copy {
+                *handle = copied.handle;
+            }
+            Moved::Stopped
+        }
+        Copy::NoRoom(Some(handle)) => Moved::Stranded(handle),
+        Copy::NoRun => Moved::NotRunning,
+        Copy::NoRoom(None) | Copy::Busy | Copy::Malformed => Moved::Failed("the final copy failed"),
+    }
+}
+
+/// Asks the source to copy, again while it says that another call is under way or that nothing runs yet.
+async fn copy(call: &Call, source: SocketAddr, target: UpstreamKey, last: bool) -> Copy {
+    let Some(address) = call.shared.fleet().upstream(target).map(|found| found.entry.address) else {
+        return Copy::Malformed;
+    };
+    let id = call.id().into_owned();
+    for _ in 0..RETRIES {
+        let deadline = Instant::now() + COPY_TIMEOUT;
+        let answer = match socket::call(source, engine::copy(&id, address, last), deadline).await {
+            Ok((status, body)) => engine::copied(status, &body),
+            Err(error) => {
+                log::info!(request:% = id, source:% = source, error:% = error, last; "copy call failed");
+                return Copy::Malformed;
+            }
+        };
+        match answer {
+            Copy::Busy => {}
+            Copy::NoRun if !last => {}
+            other => return other,
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    Copy::NoRun
+}
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -0,0 +1,94 @@
+//! The traffic thread: callers' requests and what other instances tell of theirs.
+
+mod announce;
+mod answer;
+mod exchange;
+mod guard;
+mod listen;
+mod migrate;
+mod plain;
+mod shared;
+mod stream;
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use flume::{Receiver, Sender};
+use tokio::task::LocalSet;
+
+use crate::{
+    Settings,
+    run::Error,
+    update::{Report, Update},
+};
+use shared::Shared;
+
+/// How often upstreams that have left are forgotten.
+const TIDY_EVERY: Duration = Duration::from_secs(10);
+
+/// Bound sockets, so that an address that is taken is told before anything starts.
+#[derive(Debug)]
+pub(crate) struct Sockets {
+    callers: std::net::TcpListener,
+    ready: std::net::TcpListener,
+    peers: std::net::UdpSocket,
+}
+
+impl Sockets {
+    /// Binds the addresses of `settings`.
+    pub(crate) fn bind(settings: &Settings) -> Result<Self, Error> {
+        let listen = |address: SocketAddr| {
+            listen::bind(address).map_err(|error| Error::Listen(address, error))
+        };
+        let peers = std::net::UdpSocket::bind(settings.peers)
+            .and_then(|socket| socket.set_nonblocking(true).map(|()| socket))
+            .map_err(|error| Error::Listen(settings.peers, error))?;
+        Ok(Self {
+            callers: listen(settings.callers)?,
+            ready: listen(settings.ready)?,
+            peers,
+        })
+    }
+}
+
+/// Serves until asked to leave and every request is answered.
+pub(crate) fn run(
+    sockets: Sockets,
+    settings: Arc<Settings>,
+    updates: &Receiver<Update>,
+    reports: Sender<Report>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime needs only descriptors, and the process has just started");
+    let shared = Rc::new(Shared::new(settings, reports));
+    LocalSet::new().block_on(&runtime, async {
+        if let Err(error) = start(&shared, sockets) {
+            log::error!(error:% = error; "listeners cannot be used");
+            return;
+        }
+        let mut tidy = tokio::time::interval(TIDY_EVERY);
+        loop {
+            tokio::select! {
+                update = updates.recv_async() => match update {
+                    Ok(update) => shared.update(update),
+                    Err(_closed) => break,
+                },
+                () = shared.finished() => break,
+                _ = tidy.tick() => shared.tidy(),
+            }
+        }
+        shared.report(Report::Finished);
+    });
+}
+
+fn start(shared: &Rc<Shared>, sockets: Sockets) -> std::io::Result<()> {
+    let callers = tokio::net::TcpListener::from_std(sockets.callers)?;
+    let ready = tokio::net::TcpListener::from_std(sockets.ready)?;
+    let peers = Rc::new(tokio::net::UdpSocket::from_std(sockets.peers)?);
+    tokio::task::spawn_local(listen::callers(Rc::clone(shared), callers));
+    tokio::task::spawn_local(listen::ready(Rc::clone(shared), ready));
+    tokio::task::spawn_local(announce::receive(Rc::clone(shared), Rc::clone(&peers)));
+    tokio::task::spawn_local(announce::send(Rc::clone(shared), peers));
+    Ok(())
+}
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -0,0 +1,269 @@
+//! State that all requests of the traffic thread share.
+
+use std::{
+    cell::{Cell, Ref, RefCell, RefMut},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use carob_base::{Clock, Time};
+use carob_dispatch::{
+    budget::{self, Budget},
+    fleet::{Fleet, Position, RunKey, UpstreamKey, WaitKey},
+    table::Table,
+};
+use flume::Sender;
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, oneshot};
+
+use crate::{
+    Settings,
+    update::{Report, Update},
+};
+
+/// Instances among which the fixed part of a retry budget is divided, if fewer are known.
+///
+/// Instances that are not known yet must find their share unspent.
+const LEAST_INSTANCES: usize = 10;
+
+/// An upstream for a request that waited, with its run noted.
+pub(super) type Grant = (UpstreamKey, RunKey);
+
+/// State of the traffic thread.
+pub(super) struct Shared {
+    pub(super) clock: Clock,
+    settings: RefCell<Arc<Settings>>,
+    table: RefCell<Option<Arc<Table>>>,
+    fleet: RefCell<Fleet>,
+    budgets: RefCell<HashMap<Box<str>, Budget>>,
+    /// Whether the configuration can be taken as current.
+    current: Cell<bool>,
+    revision: Cell<u64>,
+    peers: RefCell<Vec<SocketAddr>>,
+    reports: Sender<Report>,
+    /// Who waits for a grant.
+    grants: RefCell<SecondaryMap<WaitKey, oneshot::Sender<Grant>>>,
+    /// Told when an upstream begins to leave.
+    notices: RefCell<SecondaryMap<UpstreamKey, Rc<Notify>>>,
+    /// Requests that are being handled.
+    active: Cell<usize>,
+    leaving: Cell<Option<Time>>,
+    /// Told when the process begins to leave.
+    pub(super) leave: Notify,
+    /// Told when the last request has ended while leaving, and when time is up.
+    idle: Notify,
+    /// Told when this instance's load has changed.
+    pub(super) changed: Notify,
+}
+
+impl Shared {
+    pub(super) fn new(settings: Arc<Settings>, reports: Sender<Report>) -> Self {
+        let position = Position {
+            domain: settings.domain.clone(),
+            regions: settings.regions.clone(),
+        };
+        Self {
+            clock: Clock::new(),
+            settings: RefCell::new(settings),
+            table: RefCell::new(None),
+            fleet: RefCell::new(Fleet::new(position)),
+            budgets: RefCell::new(HashMap::new()),
+            current: Cell::new(false),
+            revision: Cell::new(0),
+            peers: RefCell::new(Vec::new()),
+            reports,
+            grants: RefCell::new(SecondaryMap::new()),
+            notices: RefCell::new(SecondaryMap::new()),
+            active: Cell::new(0),
+            leaving: Cell::new(None),
+            leave: Notify::new(),
+            idle: Notify::new(),
+            changed: Notify::new(),
+        }
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(super) fn settings(&self) -> Arc<Settings> {
+        Arc::clone(&self.settings.borrow())
+    }
+
+    pub(super) fn table(&self) -> Option<Arc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    pub(super) fn fleet(&self) -> Ref<'_, Fleet> {
+        self.fleet.borrow()
+    }
+
+    pub(super) fn fleet_mut(&self) -> RefMut<'_, Fleet> {
+        self.fleet.borrow_mut()
+    }
+
+    pub(super) fn peers(&self) -> Vec<SocketAddr> {
+        self.peers.borrow().clone()
+    }
+
+    pub(super) const fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Whether the configuration can be taken as current.
+    pub(super) const fn current(&self) -> bool {
+        self.current.get()
+    }
+
+    /// Whether new connections are welcome: a configuration and an upstream are known, and the process stays.
+    pub(super) fn ready(&self) -> bool {
+        self.leaving.get().is_none()
+            && self.table.borrow().is_some()
+            && self.fleet.borrow().upstreams().next().is_some()
+    }
+
+    /// When the process began to leave.
+    pub(super) const fn leaving(&self) -> Option<Time> {
+        self.leaving.get()
+    }
+
+    /// Takes in a message of the control thread.
+    pub(super) fn update(&self, update: Update) {
+        let now = self.now();
+        match update {
+            Update::Table(table) => *self.table.borrow_mut() = Some(table),
+            Update::Entry(entry) => {
+                log::info!(
+                    upstream:% = entry.id, service:% = entry.service, address:% = entry.address,
+                    domain:% = entry.domain, state:? = entry.state, born = entry.born; "directory entry"
+                );
+                let left = self.fleet.borrow_mut().refresh(entry, now);
+                self.notify_leaving(left);
+                self.grant();
+            }
+            Update::Removed(id) => {
+                log::info!(upstream:% = id; "directory entry removed");
+                let left = self.fleet.borrow_mut().remove(&id, now);
+                self.notify_leaving(left);
+            }
+            Update::Peers(peers) => *self.peers.borrow_mut() = peers,
+            Update::Known { revision, current } => {
+                self.revision.set(revision);
+                if self.current.replace(current) != current {
+                    log::info!(current, revision; "currency of the configuration changed");
+                }
+            }
+            Update::Settings(settings) => *self.settings.borrow_mut() = settings,
+            Update::Leave => {
+                if self.leaving.get().is_none() {
+                    self.leaving.set(Some(now));
+                    self.leave.notify_waiters();
+                }
+            }
+        }
+    }
+
+    /// Told when `upstream` begins to leave.
+    pub(super) fn notice(&self, upstream: UpstreamKey) -> Rc<Notify> {
+        let mut notices = self.notices.borrow_mut();
+        let Some(entry) = notices.entry(upstream) else {
+            return Rc::new(Notify::new());
+        };
+        Rc::clone(entry.or_insert_with(|| Rc::new(Notify::new())))
+    }
+
+    fn notify_leaving(&self, left: Option<UpstreamKey>) {
+        if let Some(notice) = left.and_then(|key| self.notices.borrow().get(key).cloned()) {
+            notice.notify_waiters();
+        }
+    }
+
+    /// Waits for `key` to be granted.
+    pub(super) fn expect(&self, key: WaitKey) -> oneshot::Receiver<Grant> {
+        let (sender, receiver) = oneshot::channel();
+        self.grants.borrow_mut().insert(key, sender);
+        receiver
+    }
+
+    /// Gives up waiting for `key`.
+    pub(super) fn abandon(&self, key: WaitKey) {
+        self.fleet.borrow_mut().abandon(key);
+        self.grants.borrow_mut().remove(key);
+    }
+
+    /// Places requests that wait, now that there may be room.
+    pub(super) fn grant(&self) {
+        loop {
+            let now = self.now();
+            let mut fleet = self.fleet.borrow_mut();
+            let Some((key, upstream, tokens)) = fleet.grant(now) else {
+                return;
+            };
+            let run = fleet.begin(upstream, tokens);
+            let waiter = self.grants.borrow_mut().remove(key);
+            if waiter.is_none_or(|waiter| waiter.send((upstream, run)).is_err()) {
+                fleet.end(run);
+            }
+        }
+    }
+
+    /// The budget of `service`.
+    pub(super) fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut Budget, Time) -> T) -> T {
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        if let Some(budget) = budgets.get_mut(service) {
+            return act(budget, now);
+        }
+        let settings = self.settings.borrow();
+        let instances = (self.peers.borrow().len() + 1).max(LEAST_INSTANCES);
+        let budget = budgets.entry(service.into()).or_insert(Budget::new(budget::Options {
+            window: settings.window,
+            ratio: settings.ratio,
+            extra: settings.extra / instances as f64,
+        }));
+        act(budget, now)
+    }
+
+    pub(super) fn report(&self, report: Report) {
+        if let Err(error) = self.reports.try_send(report) {
+            log::warn!(error:% = error; "the control thread did not get a report");
+        }
+    }
+
+    pub(super) fn begin(&self) {
+        self.active.set(self.active.get() + 1);
+    }
+
+    pub(super) fn end(&self) {
+        self.active.set(self.active.get().saturating_sub(1));
+        if self.active.get() == 0 {
+            self.idle.notify_waiters();
+        }
+    }
+
+    pub(super) const fn active(&self) -> usize {
+        self.active.get()
+    }
+
+    /// Returns when the process is leaving and may end.
+    pub(super) async fn finished(&self) {
+        listen::stay(self).await;
+    }
+
+    /// Returns when no request is being handled.
+    pub(super) async fn quiet(&self) {
+        while self.active.get() > 0 {
+            self.idle.notified().await;
+        }
+    }
+
+    /// Forgets upstreams that left long ago.
+    pub(super) fn tidy(&self) {
+        let now = self.now();
+        self.fleet.borrow_mut().tidy(now);
+    }
+}
+
+use super::listen;
--- a/src/args.rs
+++ b/src/args.rs
@@ -23,6 +23,7 @@
 pub enum Command {
     Check(Check),
     Demo(Demo),
+    Gateway(Gateway),
     Load(Load),
     Replay(Replay),
     Serve(Serve),
@@ -40,6 +41,15 @@
     pub settings: PathBuf,
 }
 
+/// Run a gateway on the users' platform until SIGTERM or SIGINT, then finish open requests and exit.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct Gateway {
+    /// settings file (INI); see docs/operators/gateway.md
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
 /// Check a settings file without starting anything; prints every problem with file, line and key.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -47,6 +57,9 @@
     /// settings file (INI)
     #[argh(option)]
     pub settings: PathBuf,
+    /// check it as the settings of a gateway
+    #[argh(switch)]
+    pub gateway: bool,
 }
 
 /// Run an entry instance with embedded stand-ins for the platform and the upstreams, on loopback.
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -11,6 +11,15 @@
 
 /// Checks the file and prints who the instance would be.
 pub fn run(args: &Check) -> eyre::Result<Exit> {
+    if args.gateway {
+        let settings = carob_gateway::Settings::load(&args.settings)
+            .map_err(|errors| failure(Exit::Usage, errors.to_string()))?;
+        println!(
+            "settings are valid: gateway {}, failure domain {}",
+            settings.name, settings.domain
+        );
+        return Ok(Exit::Done);
+    }
     let settings = load(&args.settings)?;
     let who = &settings.instance;
     println!(
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,12 +10,17 @@
 
 fn main() -> ExitCode {
     let args: args::Args = argh::from_env();
-    logs::start(&args.log);
-    match command::run(args.command) {
+    let structured = matches!(args.command, args::Command::Gateway(_));
+    let writer = logs::start(&args.log, structured);
+    let code = match command::run(args.command) {
         Ok(exit) => exit.into(),
         Err(report) => {
             eprintln!("carobhaven: {report:#}");
             exit::of_report(&report).into()
         }
+    };
+    if let Some(writer) = writer {
+        writer.close();
     }
+    code
 }
