feat: prompts are spread first, and targets of moves are drawn

Cause: an engine reads prompts one after another, so that two on one engine delay both first events by 440 ms each; placement looked at memory only. And all instances that lose an upstream chose the same emptiest target at the same moment: 100 of 228 copies were turned away for want of room while the reports of those targets showed half of their memory free.

Change: unread prompts count in the load and are told to peers; the target of a move is drawn by free memory among those of the source's domain first.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -68,10 +68,14 @@
     pub runs: u32,
     /// Tokens that the requests of this instance are expected to hold in the end.
     pub tokens: u64,
+    /// Tokens of prompts of this instance that it has not read yet.
+    pub unread: u64,
     /// Requests of other instances that it has.
     others: u32,
     /// Tokens of other instances' requests.
     foreign: u64,
+    /// Tokens of other instances' prompts that it has not read yet.
+    foreign_unread: u64,
     /// Decaying share of attempts that failed for the upstream's own reasons.
     failure: f64,
     /// No new requests before this, since it could not be reached.
@@ -89,6 +93,11 @@
         self.runs + self.others
     }
 
+    /// Tokens of all instances' prompts that it has not read yet.
+    pub const fn prompts(&self) -> u64 {
+        self.unread + self.foreign_unread
+    }
+
     /// Tokens that the requests of all instances are expected to hold.
     pub const fn expected(&self) -> u64 {
         self.tokens + self.foreign
@@ -99,7 +108,17 @@
 #[derive(Clone, Copy, Debug)]
 struct Run {
     upstream: UpstreamKey,
-    tokens: u64,
+    size: Size,
+}
+
+carob_base::plain! {
+    /// What a request takes of an upstream, in tokens; zero for plain calls.
+    pub struct Size {
+        /// Tokens that it is expected to hold in the end.
+        pub tokens: u64,
+        /// Tokens of its prompt that are to be read.
+        pub unread: u64,
+    }
 }
 
 /// Where this instance stands, for the distance to upstreams.
@@ -156,23 +175,25 @@
         self.upstreams.iter()
     }
 
-    /// Notes that a request that will hold `tokens` was sent to `upstream`.
-    pub fn begin(&mut self, upstream: UpstreamKey, tokens: u64) -> RunKey {
+    /// Notes that a request was sent to `upstream`.
+    pub fn begin(&mut self, upstream: UpstreamKey, size: Size) -> RunKey {
         if let Some(found) = self.upstreams.get_mut(upstream) {
             found.runs += 1;
-            found.tokens += tokens;
+            found.tokens += size.tokens;
+            found.unread += size.unread;
         }
-        self.runs.insert(Run { upstream, tokens })
+        self.runs.insert(Run { upstream, size })
     }
 
-    /// Corrects how many tokens a request will hold.
-    pub fn resize(&mut self, run: RunKey, tokens: u64) {
+    /// Corrects what a request takes, as its prompt is read or its answer grows.
+    pub fn resize(&mut self, run: RunKey, size: Size) {
         let Some(known) = self.runs.get_mut(run) else {
             return;
         };
-        let before = std::mem::replace(&mut known.tokens, tokens);
+        let before = std::mem::replace(&mut known.size, size);
         if let Some(found) = self.upstreams.get_mut(known.upstream) {
-            found.tokens = (found.tokens + tokens).saturating_sub(before);
+            found.tokens = (found.tokens + size.tokens).saturating_sub(before.tokens);
+            found.unread = (found.unread + size.unread).saturating_sub(before.unread);
         }
     }
 
@@ -183,7 +204,8 @@
         };
         if let Some(found) = self.upstreams.get_mut(known.upstream) {
             found.runs = found.runs.saturating_sub(1);
-            found.tokens = found.tokens.saturating_sub(known.tokens);
+            found.tokens = found.tokens.saturating_sub(known.size.tokens);
+            found.unread = found.unread.saturating_sub(known.size.unread);
         }
     }
 
--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -24,6 +24,8 @@
         pub runs: u32,
         /// Tokens that they are expected to hold.
         pub tokens: u64,
+        /// Tokens of their prompts that are not read yet.
+        pub unread: u64,
     }
 
     /// Where a message stands among those of its sender.
@@ -58,6 +60,7 @@
                 mark: found.mark(),
                 runs: found.runs,
                 tokens: found.tokens,
+                unread: found.unread,
             })
             .collect()
     }
@@ -122,9 +125,11 @@
             if add {
                 found.others += load.runs;
                 found.foreign += load.tokens;
+                found.foreign_unread += load.unread;
             } else {
                 found.others = found.others.saturating_sub(load.runs);
                 found.foreign = found.foreign.saturating_sub(load.tokens);
+                found.foreign_unread = found.foreign_unread.saturating_sub(load.unread);
             }
         }
     }
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -8,7 +8,7 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, State, Upstream, UpstreamKey};
+use super::{Fleet, Size, State, Upstream, UpstreamKey};
 
 carob_base::plain! {
     /// What an attempt showed of an upstream.
@@ -37,8 +37,8 @@
 pub struct Need {
     /// Service.
     pub service: Box<str>,
-    /// Tokens that it is expected to hold in the end; zero for plain calls.
-    pub tokens: u64,
+    /// What it takes of an upstream.
+    pub size: Size,
     /// Tokens that an engine of the service holds; zero for plain calls.
     pub capacity: u64,
     /// Upstreams that are not to be chosen.
@@ -51,9 +51,19 @@
 /// that not all are at their full size at once. Trials at 0.9 to 1.4 are in docs/design/platform.md.
 const FILL: f64 = 1.15;
 
+/// Unread prompts, as a share of an engine's memory, that count like a full memory.
+///
+/// Engines read prompts one after another in chunks between the steps of what they run, so that each prompt ahead
+/// delays the first event by its whole reading time. With eight answers to an engine, one prompt counts like
+/// three quarters of its memory: prompts are spread first, memory second.
+const UNREAD_SHARE: f64 = 0.15;
+
 /// Requests for each slot of a plain upstream, over which more only wait inside it.
 const BACKLOG: f64 = 3.0;
 
+/// Share of free memory that even a full target counts with, so that every target has a chance.
+const LEAST_FREE: f64 = 0.05;
+
 /// Load that a distant upstream's advantage must exceed, as a share of its capacity: another failure domain.
 const OTHER_DOMAIN: f64 = 0.02;
 
@@ -94,24 +104,41 @@
         }
     }
 
-    /// Chooses where the generation at `from` moves to: the nearest upstream with room, since copies between
-    /// failure domains take twice as long.
-    pub fn refuge(&self, from: UpstreamKey, need: &Need, now: Time) -> Option<UpstreamKey> {
-        let domain = &self.upstreams.get(from)?.entry.domain;
+    /// Chooses where the generation at `from` moves to: an upstream with room in the same failure domain if there
+    /// is one, since copies between domains take twice as long.
+    ///
+    /// All instances learn at the same moment that an upstream leaves. If each took the emptiest target, one target
+    /// would be asked for all copies and turn most of them away; so each draws, with chances as the free memory.
+    /// `draw` is a random number.
+    pub fn refuge(&self, from: UpstreamKey, need: &Need, draw: u64) -> Option<UpstreamKey> {
         let options = self.upstreams.iter().filter(|(key, found)| {
             *key != from
                 && *found.entry.service == *need.service
                 && found.entry.state == State::Ready
                 && !need.except.contains(key)
         });
-        let score = |found: &Upstream| {
-            let apart = if found.entry.domain == *domain { 0.0 } else { 0.3 };
-            let full = if fits(found, need) { 0.0 } else { 1.0 };
-            self.score(found, need, now) + apart + full
+        let rank = |key: UpstreamKey, found: &Upstream| {
+            let free = 1.0 - (found.expected() + need.size.tokens) as f64 / need.capacity.max(1) as f64;
+            let tier = match (free > 0.0, self.near(from, key)) {
+                (true, true) => 0,
+                (true, false) => 1,
+                (false, true) => 2,
+                (false, false) => 3,
+            };
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&draw.to_le_bytes(), self.mark(key));
+            let uniform = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+            (tier, -uniform.ln() / free.max(LEAST_FREE))
         };
         options
-            .min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)))
-            .map(|(key, _)| key)
+            .map(|(key, found)| (rank(key, found), key))
+            .min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_, key)| key)
+    }
+
+    /// Whether two upstreams are in one failure domain.
+    pub fn near(&self, one: UpstreamKey, other: UpstreamKey) -> bool {
+        let domain = |key| self.upstreams.get(key).map(|found| &found.entry.domain);
+        domain(one) == domain(other)
     }
 
     /// The share of the service's upstreams' memory or slots that is taken, from 0; above 1 when overcommitted.
@@ -149,7 +176,7 @@
         return f64::from(found.requests()) < slots * BACKLOG;
     }
     // An idle engine takes anything; whether it is larger than the memory is the engine's to say.
-    let room = (found.expected() + need.tokens) as f64 <= need.capacity as f64 * FILL;
+    let room = (found.expected() + need.size.tokens) as f64 <= need.capacity as f64 * FILL;
     found.requests() == 0 || (room && f64::from(found.requests()) < slots)
 }
 
@@ -157,6 +184,8 @@
     if need.capacity == 0 {
         f64::from(found.requests()) / f64::from(found.entry.slots.max(1))
     } else {
-        found.expected() as f64 / need.capacity as f64
+        let capacity = need.capacity as f64;
+        let unread = found.prompts() as f64 / (capacity * UNREAD_SHARE);
+        found.expected() as f64 / capacity + unread
     }
 }
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -6,7 +6,7 @@
 use carob_base::Time;
 use slotmap::SlotMap;
 
-use super::{Fleet, Need, Place, UpstreamKey, WaitKey};
+use super::{Fleet, Need, Place, Size, UpstreamKey, WaitKey};
 
 /// A request that waits.
 #[derive(Clone, Debug)]
@@ -19,8 +19,8 @@
     pub since: Time,
 }
 
-/// A request that waits no more, where it goes, and the tokens that it is expected to hold.
-pub type Granted = (WaitKey, UpstreamKey, u64);
+/// A request that waits no more, where it goes, and what it takes there.
+pub type Granted = (WaitKey, UpstreamKey, Size);
 
 #[derive(Debug, Default)]
 pub(super) struct Line {
@@ -59,7 +59,7 @@
         let granted = self.waiting.order.iter().find_map(|key| {
             let ticket = &self.waiting.tickets[*key];
             match self.place(&ticket.need, now) {
-                Place::At(upstream) => Some((*key, upstream, ticket.need.tokens)),
+                Place::At(upstream) => Some((*key, upstream, ticket.need.size)),
                 Place::Full | Place::None => None,
             }
         })?;
--- a/crates/carob-dispatch/src/migration.rs
+++ b/crates/carob-dispatch/src/migration.rs
@@ -22,7 +22,7 @@
 pub const FINAL_LATEST: Duration = Duration::from_millis(1_300);
 
 /// Other upstreams that are tried for the copy of one generation.
-pub const TARGETS: u32 = 3;
+pub const TARGETS: u32 = 8;
 
 /// Pause before a call is repeated that found no such generation, or another call in progress.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(60);
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -51,6 +51,9 @@
     /// Tokens that they are expected to hold.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    /// Tokens of their prompts that are not read yet.
+    #[prost(uint64, tag = "4")]
+    pub unread: u64,
 }
 
 /// Asks an instance for what it knows of the store's content.
@@ -115,6 +118,7 @@
             mark: load.mark,
             runs: load.runs,
             tokens: load.tokens,
+            unread: load.unread,
         }
     }
 }
@@ -125,6 +129,7 @@
             mark: load.mark,
             runs: load.runs,
             tokens: load.tokens,
+            unread: load.unread,
         }
     }
 }
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -67,6 +67,7 @@
         mark: *mark,
         runs: 0,
         tokens: 0,
+        unread: 0,
     });
     let changed = loads.values().filter(|load| sent.get(&load.mark) != Some(load)).copied();
     over.chain(changed).collect()
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use carob_dispatch::{
-    fleet::{Need, Place, Quality, Ticket, UpstreamKey},
+    fleet::{Need, Place, Quality, Size, Ticket, UpstreamKey},
     head::Head,
     outcome::{self, Attempt, Next},
     table::{Denial, Engine, Kind, Route},
@@ -82,15 +82,18 @@
         self.arrival.elapsed().as_millis() as u64
     }
 
-    /// Tokens that the request is expected to hold in the end, once `made` tokens are there.
-    pub(super) fn tokens(&self, made: u32) -> u64 {
+    /// What the request takes of an upstream once `made` tokens are there.
+    pub(super) fn size(&self, made: u32) -> Size {
         let Some(usage) = self.head.usage else {
-            return 0;
+            return Size { tokens: 0, unread: 0 };
         };
         // Estimates are right at the median; sizes are spread to the high side.
         let expected = usage.hint.map_or(usage.output / 2, |hint| hint + hint / 4);
         let output = expected.min(usage.output).max(made + made / 4);
-        u64::from(usage.prompt) + u64::from(output)
+        Size {
+            tokens: u64::from(usage.prompt) + u64::from(output),
+            unread: if made == 0 { u64::from(usage.prompt) } else { 0 },
+        }
     }
 
     /// Tokens that the request holds when `made` tokens are there.
@@ -99,10 +102,10 @@
     }
 
     /// What the request asks of an upstream.
-    pub(super) fn need(&self, tokens: u64, except: &[UpstreamKey]) -> Need {
+    pub(super) fn need(&self, size: Size, except: &[UpstreamKey]) -> Need {
         Need {
             service: self.service.clone(),
-            tokens,
+            size,
             capacity: self.engine.as_ref().map_or(0, |engine| engine.capacity),
             except: except.iter().copied().collect(),
         }
@@ -303,13 +306,13 @@
 /// Waits for a place at an upstream.
 async fn acquire(call: &Rc<Call>, tried: &[UpstreamKey]) -> Result<Run, Refusal> {
     let shared = &call.shared;
-    let tokens = call.tokens(0);
-    let need = call.need(tokens, tried);
+    let size = call.size(0);
+    let need = call.need(size, tried);
     let now = shared.now();
     let first = shared.fleet().queued(&call.service) == 0;
     let place = shared.fleet().place(&need, now);
     match place {
-        Place::At(upstream) if first || !tried.is_empty() => return Ok(Run::new(shared, upstream, tokens)),
+        Place::At(upstream) if first || !tried.is_empty() => return Ok(Run::new(shared, upstream, size)),
         Place::None => return Err((Own::Refused(RETRY_NO_UPSTREAM), "no upstream of the service is known")),
         Place::At(_) | Place::Full => {}
     }
@@ -330,7 +333,7 @@
     match outcome {
         Ok(Ok((upstream, run))) => {
             log::info!(request:% = call.id(), age_ms = call.age(); "place found after waiting");
-            Ok(Run::with_key(shared, upstream, run, tokens))
+            Ok(Run::with_key(shared, upstream, run, size))
         }
         Ok(Err(_)) | Err(_) => Err((Own::Refused(RETRY_FULL), "all upstreams stayed full")),
     }
@@ -416,8 +419,8 @@
         return;
     };
     log::info!(
-        request:% = call.id(), route:% = call.route.name, upstream:% = found.entry.id, tokens = run.tokens,
-        upstream_tokens = found.expected(), upstream_requests = found.requests(), attempts_before = before,
+        request:% = call.id(), route:% = call.route.name, upstream:% = found.entry.id, tokens = run.size.tokens,
+        upstream_tokens = found.expected(), upstream_prompts = found.prompts(), upstream_requests = found.requests(), attempts_before = before,
         age_ms = call.age(), version = call.version; "sent to an upstream"
     );
 }
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use carob_dispatch::fleet::{RunKey, UpstreamKey, WaitKey};
+use carob_dispatch::fleet::{RunKey, Size, UpstreamKey, WaitKey};
 
 use super::shared::Shared;
 
@@ -27,31 +27,32 @@
     shared: Rc<Shared>,
     pub(super) upstream: UpstreamKey,
     key: RunKey,
-    pub(super) tokens: u64,
+    pub(super) size: Size,
 }
 
 impl Run {
     /// Takes a place at `upstream`.
-    pub(super) fn new(shared: &Rc<Shared>, upstream: UpstreamKey, tokens: u64) -> Self {
-        let key = shared.fleet_mut().begin(upstream, tokens);
-        Self::with_key(shared, upstream, key, tokens)
+    pub(super) fn new(shared: &Rc<Shared>, upstream: UpstreamKey, size: Size) -> Self {
+        let key = shared.fleet_mut().begin(upstream, size);
+        Self::with_key(shared, upstream, key, size)
     }
 
     /// Keeps a place that was taken before.
-    pub(super) fn with_key(shared: &Rc<Shared>, upstream: UpstreamKey, key: RunKey, tokens: u64) -> Self {
+    pub(super) fn with_key(shared: &Rc<Shared>, upstream: UpstreamKey, key: RunKey, size: Size) -> Self {
         shared.changed.notify_one();
         Self {
             shared: Rc::clone(shared),
             upstream,
             key,
-            tokens,
+            size,
         }
     }
 
-    /// Corrects the expected size.
-    pub(super) fn resize(&mut self, tokens: u64) {
-        self.tokens = tokens;
-        self.shared.fleet_mut().resize(self.key, tokens);
+    /// Corrects what the request takes.
+    pub(super) fn resize(&mut self, size: Size) {
+        self.size = size;
+        self.shared.fleet_mut().resize(self.key, size);
+        self.shared.changed.notify_one();
     }
 }
 
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use carob_dispatch::{
-    fleet::UpstreamKey,
+    fleet::{Size, UpstreamKey},
     migration::{COPY_TIMEOUT, RETRIES, RETRY_PAUSE, TARGETS, finale},
 };
 use carob_platform::engine::{self, Copy};
@@ -50,16 +50,20 @@
         if except.len() as u32 >= TARGETS {
             return Moved::Failed("no upstream has room for the copy");
         }
-        let need = call.need(tokens, &except);
-        let Some(target) = shared.fleet().refuge(from, &need, shared.now()) else {
+        let size = Size { tokens, unread: 0 };
+        let need = call.need(size, &except);
+        let Some(target) = shared.fleet().refuge(from, &need, rand::random()) else {
             return Moved::Failed("no other upstream");
         };
         except.push(target);
-        let place = Run::new(shared, target, tokens);
+        let place = Run::new(shared, target, size);
         let begun = Instant::now();
         let outcome = copy(&call, source, target, false).await;
         log::info!(
             request:% = call.id(), from:% = name(&call, from), to:% = name(&call, target), tokens,
+            target_tokens = shared.fleet().upstream(target).map_or(0, carob_dispatch::fleet::Upstream::expected),
+            target_requests = shared.fleet().upstream(target).map_or(0, carob_dispatch::fleet::Upstream::requests),
+            near = shared.fleet().near(from, target),
             outcome:? = outcome, took_ms = begun.elapsed().as_millis() as u64,
             notice_ms = shared.now().since(left).as_millis() as u64; "memory copied ahead of a move"
         );
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -231,10 +231,10 @@
         loop {
             let now = self.now();
             let mut fleet = self.fleet.borrow_mut();
-            let Some((key, upstream, tokens)) = fleet.grant(now) else {
+            let Some((key, upstream, size)) = fleet.grant(now) else {
                 return;
             };
-            let run = fleet.begin(upstream, tokens);
+            let run = fleet.begin(upstream, size);
             let waiter = self.grants.borrow_mut().remove(key);
             if waiter.is_none_or(|waiter| waiter.send((upstream, run)).is_err()) {
                 fleet.end(run);
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -162,7 +162,7 @@
                     Rc::clone(&self.call),
                     self.run.upstream,
                     Rc::clone(&progress),
-                    self.run.tokens,
+                    self.run.size.tokens,
                 )));
             }
             match self.step(&notice, &mut mover).await {
@@ -274,9 +274,8 @@
         self.events += count;
         if let Some(engine) = &self.call.engine {
             let made = self.events * engine.stride;
-            if self.call.held(made) > self.run.tokens {
-                let tokens = self.call.tokens(made);
-                self.run.resize(tokens);
+            if self.run.size.unread > 0 || self.call.held(made) > self.run.size.tokens {
+                self.run.resize(self.call.size(made));
             }
         }
         let sent = timeout_at(self.call.until, self.client.send(Ok(chunk.freeze()))).await;
@@ -338,7 +337,7 @@
         let copy = progress.borrow_mut().copy.take();
         let stopped = matches!(moved, Moved::Stopped | Moved::Stranded(_));
         if let (Moved::Stranded(handle), _) = (&moved, &copy) {
-            let place = Run::new(&self.call.shared, self.run.upstream, self.run.tokens);
+            let place = Run::new(&self.call.shared, self.run.upstream, self.run.size);
             return self.resume(place, source, handle.clone(), reason).await;
         }
         let Some((place, handle)) = copy else {
@@ -346,7 +345,7 @@
         };
         match self.resume(place, source, handle.clone(), reason).await {
             Err(End::Broken(again)) if stopped => {
-                let place = Run::new(&self.call.shared, self.run.upstream, self.run.tokens);
+                let place = Run::new(&self.call.shared, self.run.upstream, self.run.size);
                 self.resume(place, source, handle, &again).await
             }
             other => other,
