feat: upstreams are asked themselves while news of them does not come

The wait for the end of the process started over with every message of the control thread, so that five processes were killed at the end of the grace.

Change: reports are read for upstreams with own generations while news does not come, and for three candidates of a placement while most peers are silent; seeds are asked at the start; long streams are refused while the instance leaves; the wait for the end is one future.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -39,6 +39,7 @@
             others: 0,
             foreign: 0,
             foreign_unread: 0,
+            observed: None,
             failure: 0.0,
             avoid: Time::ZERO,
             entry,
@@ -72,7 +73,8 @@
         self.marks.retain(|_, key| upstreams.contains_key(*key));
     }
 
-    fn leave(&mut self, key: UpstreamKey, now: Time) -> Option<UpstreamKey> {
+    /// Takes in that an upstream leaves. Returns it if that is news.
+    pub fn leave(&mut self, key: UpstreamKey, now: Time) -> Option<UpstreamKey> {
         let found = self.upstreams.get_mut(key)?;
         found.entry.state = State::Leaving;
         let first = found.left.is_none();
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -76,6 +76,8 @@
     foreign: u64,
     /// Tokens of other instances' prompts that it has not read yet.
     foreign_unread: u64,
+    /// What it said of itself when it was asked.
+    observed: Option<Observed>,
     /// Decaying share of attempts that failed for the upstream's own reasons.
     failure: f64,
     /// No new requests before this, since it could not be reached.
@@ -98,7 +100,7 @@
         self.unread + self.foreign_unread
     }
 
-    /// Tokens that the requests of all instances are expected to hold.
+    /// Tokens that the requests of all instances are expected to hold, as far as instances have told.
     pub const fn expected(&self) -> u64 {
         self.tokens + self.foreign
     }
@@ -121,6 +123,18 @@
     }
 }
 
+carob_base::plain! {
+    /// What an upstream says of its load.
+    pub struct Observed {
+        /// When it said so.
+        pub at: Time,
+        /// Tokens of memory in use.
+        pub used: u64,
+        /// Requests that wait inside it.
+        pub waiting: u32,
+    }
+}
+
 /// Where this instance stands, for the distance to upstreams.
 #[derive(Clone, Debug)]
 pub struct Position {
@@ -209,6 +223,13 @@
         }
     }
 
+    /// Takes in what `upstream` says of its load.
+    pub fn observe(&mut self, upstream: UpstreamKey, observed: Observed) {
+        if let Some(found) = self.upstreams.get_mut(upstream) {
+            found.observed = Some(observed);
+        }
+    }
+
     /// Learns from an attempt whether `upstream` does its work.
     pub fn judge(&mut self, upstream: UpstreamKey, quality: Quality, now: Time) {
         let Some(found) = self.upstreams.get_mut(upstream) else {
--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -90,6 +90,11 @@
         self.peers.insert(peer, known);
     }
 
+    /// Instances that were heard of within `time` before `now`.
+    pub fn heard(&self, time: Duration, now: Time) -> usize {
+        self.peers.values().filter(|known| now.since(known.told) < time).count()
+    }
+
     /// Forgets instances that have been silent for long.
     pub(super) fn forget_peers(&mut self, now: Time) {
         let silent: Vec<SocketAddr> = self
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -104,6 +104,39 @@
         }
     }
 
+    /// Candidates for asking upstreams themselves about their load, by a random draw.
+    pub fn sample(&self, need: &Need, count: usize, draw: u64) -> SmallVec<[UpstreamKey; 4]> {
+        let mut drawn: Vec<(u64, UpstreamKey)> = self
+            .upstreams
+            .iter()
+            .filter(|(key, found)| {
+                *found.entry.service == *need.service
+                    && found.entry.state == State::Ready
+                    && !need.except.contains(key)
+            })
+            .map(|(key, _)| {
+                let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&draw.to_le_bytes(), self.mark(key));
+                (hash, key)
+            })
+            .collect();
+        drawn.sort_unstable();
+        drawn.into_iter().take(count).map(|(_, key)| key).collect()
+    }
+
+    /// Chooses among `candidates` by what they said of themselves since `asked`, and by what this instance has
+    /// placed on them itself.
+    pub fn place_observed(&self, need: &Need, candidates: &[UpstreamKey], asked: Time) -> Option<UpstreamKey> {
+        let load = |key: &UpstreamKey| {
+            let found = self.upstreams.get(*key)?;
+            let observed = found.observed.filter(|observed| observed.at >= asked)?;
+            let tokens = observed.used.max(found.tokens) + need.size.tokens;
+            let waiting = u64::from(observed.waiting) * need.size.unread + found.unread;
+            Some(tokens as f64 + waiting as f64 / UNREAD_SHARE)
+        };
+        let loads = candidates.iter().filter_map(|key| Some((load(key)?, *key)));
+        loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+    }
+
     /// Chooses where the generation at `from` moves to: an upstream with room in the same failure domain if there
     /// is one, since copies between domains take twice as long.
     ///
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -8,11 +8,12 @@
 use super::state::{Control, PREFIXES};
 use crate::socket;
 
-/// How long a watch waits. A silent connection is noticed after this and [`SLACK`]; each watch is a priced call.
-const WATCH: Duration = Duration::from_millis(2_000);
+/// How long a watch waits. A silent connection is noticed after this and [`SLACK`], and upstreams say 1.5 s before
+/// they leave that they do; each watch is a priced call, but few instances watch.
+const WATCH: Duration = Duration::from_millis(800);
 
-/// Time for the store's answer after a watch has ended; ten times the usual one.
-const SLACK: Duration = Duration::from_millis(600);
+/// Time for the store's answer after a watch has ended: ten times the usual one, with the way between regions.
+const SLACK: Duration = Duration::from_millis(500);
 
 /// How often an instance that does not watch looks whether it has to.
 const REST: Duration = Duration::from_millis(300);
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -44,6 +44,7 @@
         let admin = admin::bind(settings.admin).map_err(|error| Error::Listen(settings.admin, error))?;
         tokio::task::spawn_local(follow::run(Rc::clone(&control)));
         tokio::task::spawn_local(register::run(Rc::clone(&control)));
+        tokio::task::spawn_local(share::ask_seeds(Rc::clone(&control)));
         tokio::task::spawn_local(share::serve(Rc::clone(&control), sharing));
         tokio::task::spawn_local(admin::serve(admin, metrics.clone()));
         tokio::task::spawn_local(follow_settings(Rc::clone(&control), path.to_owned()));
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -25,6 +25,9 @@
 /// Time for a whole exchange with a peer.
 const EXCHANGE: Duration = Duration::from_millis(1_000);
 
+/// Pause between rounds of questions to the seeds.
+const SEEDS_PAUSE: Duration = Duration::from_millis(500);
+
 /// Why a peer gave nothing.
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -98,6 +101,24 @@
     });
 }
 
+/// Asks the seeds until anything is known: a store that is away at the start must not keep the instance from serving.
+pub(super) async fn ask_seeds(control: Rc<Control>) {
+    while control.revision() == 0 {
+        let settings = control.settings();
+        for seed in &settings.seeds {
+            let peer = SocketAddr::new(*seed, settings.peers.port());
+            if peer == settings.peers || control.revision() > 0 {
+                continue;
+            }
+            match within(ask(&control, peer)).await {
+                Ok(()) => log::info!(peer:% = peer, revision = control.revision(); "seed asked"),
+                Err(error) => log::debug!(peer:% = peer, error:% = error; "seed could not be asked"),
+            }
+        }
+        tokio::time::sleep(SEEDS_PAUSE).await;
+    }
+}
+
 async fn within(exchange: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
     timeout(EXCHANGE, exchange).await.map_err(|_elapsed| Error::Timeout)?
 }
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -32,6 +32,9 @@
 /// How long a configuration can be taken as current without a word from store or peers: two watches.
 const CURRENT: Duration = Duration::from_millis(4_500);
 
+/// Failing calls for this long mean that news of upstreams does not come; a single call may fail by chance.
+const BLIND: Duration = Duration::from_millis(400);
+
 /// An outage of the store after which removals may only mean that leases ran out meanwhile.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 
@@ -53,8 +56,8 @@
     returned: Cell<Option<Instant>>,
     /// Entries that were removed around an outage and may come back.
     absent: RefCell<HashSet<String>>,
-    /// What the traffic thread was last told: revision, currency, whether this instance watches.
-    known: Cell<(u64, bool, bool)>,
+    /// What the traffic thread was last told: the fields of [`Update::Known`] in their order.
+    known: Cell<(u64, bool, bool, bool)>,
     /// Since when a peer is known to know more.
     behind: Cell<Option<Instant>>,
     /// Instances that watch the store.
@@ -79,7 +82,7 @@
             confirmed: Cell::new(now),
             returned: Cell::new(None),
             absent: RefCell::new(HashSet::new()),
-            known: Cell::new((0, false, false)),
+            known: Cell::new((0, false, false, false)),
             behind: Cell::new(None),
             watchers: RefCell::default(),
             reached: Cell::new(false),
@@ -173,12 +176,14 @@
             self.revision(),
             self.confirmed.get().elapsed() < CURRENT,
             self.watching.get() && self.reached.get() && self.failing.get().is_none(),
+            self.failing.get().is_some() && self.confirmed.get().elapsed() >= BLIND,
         );
         if self.known.replace(known) != known {
             self.tell(Update::Known {
                 revision: known.0,
                 current: known.1,
                 watching: known.2,
+                blind: known.3,
             });
         }
     }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -22,7 +22,7 @@
     answer::{Answer, Own},
     guard::{Active, Run, Wait},
     listen::Count,
-    plain,
+    plain, probe,
     shared::Shared,
     stream,
 };
@@ -50,6 +50,16 @@
 /// When to come back while all upstreams are full: some of the requests that they run have ended by then.
 const RETRY_FULL: Duration = Duration::from_millis(1_500);
 
+/// When to come back to another instance, since this one leaves: at once.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// Time of a step in which an engine makes a token, with several generations running; the site's engines take 7 ms
+/// and more.
+const STEP: Duration = Duration::from_millis(9);
+
+/// Time to the first event of a usual prompt.
+const FIRST: Duration = Duration::from_millis(500);
+
 /// Answers to repeatable requests are waited for this many objectives before another upstream is tried.
 const REPEAT_AFTER: f64 = 2.5;
 
@@ -96,6 +106,15 @@
         }
     }
 
+    /// How long its stream is expected to take; zero for plain calls.
+    fn duration(&self) -> Duration {
+        let Some(usage) = self.head.usage else {
+            return Duration::ZERO;
+        };
+        let output = usage.hint.unwrap_or(usage.output / 2).min(usage.output);
+        FIRST + STEP * output
+    }
+
     /// Tokens that the request holds when `made` tokens are there.
     pub(super) fn held(&self, made: u32) -> u64 {
         self.head.usage.map_or(0, |usage| u64::from(usage.prompt + made))
@@ -308,6 +327,16 @@
     let shared = &call.shared;
     let size = call.size(0);
     let need = call.need(size, tried);
+    if let Some(remaining) = shared.remaining()
+        && remaining < call.duration()
+    {
+        return Err((Own::Refused(RETRY_ELSEWHERE), "the instance leaves before the stream would end"));
+    }
+    if need.capacity > 0 && shared.alone() {
+        if let Some(upstream) = probe::place(shared, &need).await {
+            return Ok(Run::new(shared, upstream, size));
+        }
+    }
     let now = shared.now();
     let first = shared.fleet().queued(&call.service) == 0;
     let place = shared.fleet().place(&need, now);
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod listen;
 mod migrate;
 mod plain;
+mod probe;
 mod shared;
 mod stream;
 
@@ -68,13 +69,15 @@
             return;
         }
         let mut tidy = tokio::time::interval(TIDY_EVERY);
+        let finished = listen::stay(&shared);
+        tokio::pin!(finished);
         loop {
             tokio::select! {
                 update = updates.recv_async() => match update {
                     Ok(update) => shared.update(update),
                     Err(_closed) => break,
                 },
-                () = shared.finished() => break,
+                () = &mut finished => break,
                 _ = tidy.tick() => shared.tidy(),
             }
         }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use carob_base::{Clock, Time};
@@ -28,6 +29,12 @@
 /// Instances that are not known yet must find their share unspent.
 const LEAST_INSTANCES: usize = 10;
 
+/// Instances tell their load once a second; one is silent after missing two messages.
+const SILENT: Duration = Duration::from_millis(2_200);
+
+/// The least number of other instances from which a majority is counted.
+const FEW_PEERS: usize = 3;
+
 /// An upstream for a request that waited, with its run noted.
 pub(super) type Grant = (UpstreamKey, RunKey);
 
@@ -41,6 +48,10 @@
     /// Whether the configuration can be taken as current.
     current: Cell<bool>,
     watching: Cell<bool>,
+    /// Whether news of upstreams does not come.
+    blind: Cell<bool>,
+    /// Told when that changes.
+    pub(super) sight: Notify,
     /// Changes of the store's content that others have not been told of.
     news: RefCell<Option<News>>,
     revision: Cell<u64>,
@@ -50,6 +61,8 @@
     grants: RefCell<SecondaryMap<WaitKey, oneshot::Sender<Grant>>>,
     /// Told when an upstream begins to leave.
     notices: RefCell<SecondaryMap<UpstreamKey, Rc<Notify>>>,
+    /// When upstreams were last asked whether they leave.
+    probed: RefCell<SecondaryMap<UpstreamKey, Time>>,
     /// Requests that are being handled.
     active: Cell<usize>,
     leaving: Cell<Option<Time>>,
@@ -75,12 +88,15 @@
             budgets: RefCell::new(HashMap::new()),
             current: Cell::new(false),
             watching: Cell::new(false),
+            blind: Cell::new(false),
+            sight: Notify::new(),
             news: RefCell::new(None),
             revision: Cell::new(0),
             peers: RefCell::new(Vec::new()),
             reports,
             grants: RefCell::new(SecondaryMap::new()),
             notices: RefCell::new(SecondaryMap::new()),
+            probed: RefCell::new(SecondaryMap::new()),
             active: Cell::new(0),
             leaving: Cell::new(None),
             leave: Notify::new(),
@@ -127,6 +143,37 @@
         self.watching.get()
     }
 
+    /// Whether news of upstreams does not come.
+    pub(super) const fn blind(&self) -> bool {
+        self.blind.get()
+    }
+
+    /// Whether most other instances are silent, so that what they run is not known.
+    pub(super) fn alone(&self) -> bool {
+        let now = self.now();
+        let known = self.peers.borrow().len();
+        // Too few to tell; then there are too few whose load would be missed.
+        known >= FEW_PEERS && self.fleet.borrow().heard(SILENT, now) * 2 < known
+    }
+
+    /// Whether `upstream` has not been asked for `every`; notes that it is asked now.
+    pub(super) fn probe_due(&self, upstream: UpstreamKey, every: Duration) -> bool {
+        let now = self.now();
+        let mut probed = self.probed.borrow_mut();
+        if probed.get(upstream).is_some_and(|asked| now.since(*asked) < every) {
+            return false;
+        }
+        probed.insert(upstream, now);
+        true
+    }
+
+    /// Takes in that an upstream says that it leaves.
+    pub(super) fn leaves(&self, upstream: UpstreamKey) {
+        let now = self.now();
+        let left = self.fleet.borrow_mut().leave(upstream, now);
+        self.notify_leaving(left);
+    }
+
     /// Changes of the store's content that others have not been told of.
     pub(super) fn take_news(&self) -> Option<News> {
         self.news.borrow_mut().take()
@@ -144,6 +191,12 @@
         self.leaving.get()
     }
 
+    /// How long requests can still be served, once the process has begun to leave.
+    pub(super) fn remaining(&self) -> Option<Duration> {
+        let left = self.leaving.get()?;
+        Some(self.settings().grace.saturating_sub(self.now().since(left)))
+    }
+
     /// Takes in a message of the control thread.
     pub(super) fn update(&self, update: Update) {
         let now = self.now();
@@ -168,7 +221,12 @@
                 revision,
                 current,
                 watching,
+                blind,
             } => {
+                if self.blind.replace(blind) != blind {
+                    log::info!(blind, revision; "news of upstreams changed");
+                    self.sight.notify_waiters();
+                }
                 self.revision.set(revision);
                 if self.watching.replace(watching) != watching {
                     self.changed.notify_one();
@@ -280,11 +338,6 @@
         self.active.get()
     }
 
-    /// Returns when the process is leaving and may end.
-    pub(super) async fn finished(&self) {
-        listen::stay(self).await;
-    }
-
     /// Returns when no request is being handled.
     pub(super) async fn quiet(&self) {
         while self.active.get() > 0 {
@@ -298,5 +351,3 @@
         self.fleet.borrow_mut().tidy(now);
     }
 }
-
-use super::listen;
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -22,6 +22,7 @@
     guard::{Active, Run},
     listen::Count,
     migrate::{self, Moved, Progress},
+    probe,
 };
 use crate::{
     events::Splitter,
@@ -42,6 +43,15 @@
 
 type Mover = Pin<Box<dyn Future<Output = Moved>>>;
 
+/// A task that ends with what it serves.
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// A stream that is being passed on.
 struct Stream {
     call: Rc<Call>,
@@ -153,6 +163,8 @@
     async fn at_upstream(&mut self) -> Result<(), End> {
         let notice = self.call.shared.notice(self.run.upstream);
         let progress = Rc::new(RefCell::new(Progress::default()));
+        let probing = tokio::task::spawn_local(probe::follow(Rc::clone(&self.call.shared), self.run.upstream));
+        let _probing = AbortOnDrop(probing);
         let mut mover: Option<Mover> = None;
         let mut may_move = self.call.engine.as_ref().is_some_and(|engine| engine.moves);
         loop {
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -26,6 +26,8 @@
         current: bool,
         /// Whether this instance watches the store itself, and the store answers.
         watching: bool,
+        /// Whether news of upstreams does not come: neither the store nor one that watches it was heard.
+        blind: bool,
     },
     /// Small changes of the store's content, for the other instances.
     News(News),
