feat: targets of moves are asked again until the upstream is about to leave

Cause: with memory three quarters full, eight targets turned a copy away within 450 ms and the generation was given up, though room appears as other requests end.

Change: rounds of six targets until 1.3 s after the notice.

--- a/crates/carob-dispatch/src/migration.rs
+++ b/crates/carob-dispatch/src/migration.rs
@@ -18,11 +18,11 @@
 /// on one link, those of a half-full one under a second.
 pub const FINAL_AFTER: Duration = Duration::from_millis(900);
 
-/// When a final copy begins although bulk copies may still run: less than the shortest notice.
-pub const FINAL_LATEST: Duration = Duration::from_millis(1_300);
+/// Other upstreams that are asked for the copy of one generation before the first ones are asked again.
+pub const TARGETS: usize = 6;
 
-/// Other upstreams that are tried for the copy of one generation.
-pub const TARGETS: u32 = 8;
+/// When no copy is begun any more, after the notice: one takes 0.2 s, and the shortest notice is 1.5 s.
+pub const COPY_LATEST: Duration = Duration::from_millis(1_300);
 
 /// Pause before a call is repeated that found no such generation, or another call in progress.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(60);
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -4,7 +4,7 @@
 
 use carob_dispatch::{
     fleet::{Size, UpstreamKey},
-    migration::{COPY_TIMEOUT, RETRIES, RETRY_PAUSE, TARGETS, finale},
+    migration::{COPY_LATEST, COPY_TIMEOUT, RETRIES, RETRY_PAUSE, TARGETS, finale},
 };
 use carob_platform::engine::{self, Copy};
 use smallvec::SmallVec;
@@ -47,14 +47,18 @@
     };
     let mut except: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     loop {
-        if except.len() as u32 >= TARGETS {
-            return Moved::Failed("no upstream has room for the copy");
-        }
-        let size = Size { tokens, unread: 0 };
-        let need = call.need(size, &except);
-        let Some(target) = shared.fleet().refuge(from, &need, rand::random()) else {
-            return Moved::Failed("no other upstream");
+        let need = call.need(Size { tokens, unread: 0 }, &except);
+        let target = shared.fleet().refuge(from, &need, rand::random());
+        let Some(target) = target.filter(|_| except.len() < TARGETS) else {
+            if shared.now().since(left) >= COPY_LATEST {
+                return Moved::Failed("no upstream has room for the copy");
+            }
+            // Requests that end elsewhere make room.
+            except.clear();
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
         };
+        let size = need.size;
         except.push(target);
         let place = Run::new(shared, target, size);
         let begun = Instant::now();
