style: rustfmt and clippy over the gateway; refusals of moves as text

Cause: pedantic lints had not been run over the new crates. Change: named texts in place of Debug values in log lines, a borrow that was held across an await is dropped before it. No change of behaviour.

--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -92,7 +92,10 @@
 
     /// Instances that were heard of within `time` before `now`.
     pub fn heard(&self, time: Duration, now: Time) -> usize {
-        self.peers.values().filter(|known| now.since(known.told) < time).count()
+        self.peers
+            .values()
+            .filter(|known| now.since(known.told) < time)
+            .count()
     }
 
     /// Forgets instances that have been silent for long.
@@ -124,7 +127,11 @@
     /// Adds loads to those of their upstreams, or takes them away.
     fn count(&mut self, loads: impl Iterator<Item = PeerLoad>, add: bool) {
         for load in loads {
-            let Some(found) = self.marks.get(&load.mark).and_then(|key| self.upstreams.get_mut(*key)) else {
+            let Some(found) = self
+                .marks
+                .get(&load.mark)
+                .and_then(|key| self.upstreams.get_mut(*key))
+            else {
                 continue;
             };
             if add {
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -125,7 +125,12 @@
 
     /// Chooses among `candidates` by what they said of themselves since `asked`, and by what this instance has
     /// placed on them itself.
-    pub fn place_observed(&self, need: &Need, candidates: &[UpstreamKey], asked: Time) -> Option<UpstreamKey> {
+    pub fn place_observed(
+        &self,
+        need: &Need,
+        candidates: &[UpstreamKey],
+        asked: Time,
+    ) -> Option<UpstreamKey> {
         let load = |key: &UpstreamKey| {
             let found = self.upstreams.get(*key)?;
             let observed = found.observed.filter(|observed| observed.at >= asked)?;
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -35,7 +35,9 @@
         let rank = ticket.rank;
         let key = self.waiting.tickets.insert(ticket);
         let line = &mut self.waiting;
-        let at = line.order.partition_point(|other| line.tickets[*other].rank <= rank);
+        let at = line
+            .order
+            .partition_point(|other| line.tickets[*other].rank <= rank);
         line.order.insert(at, key);
         key
     }
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -151,7 +151,9 @@
             );
         }
         control.tell_known();
-        let pause = PAUSE_FIRST.saturating_mul(1 << self.failures.min(4)).min(PAUSE_LAST);
+        let pause = PAUSE_FIRST
+            .saturating_mul(1 << self.failures.min(4))
+            .min(PAUSE_LAST);
         tokio::time::sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
     }
 }
--- a/crates/carob-gateway/src/control/register.rs
+++ b/crates/carob-gateway/src/control/register.rs
@@ -5,7 +5,10 @@
 use carob_platform::store::{self, Lease, Refusal};
 use tokio::time::Instant;
 
-use super::{follow::Error, state::{Control, INSTANCES}};
+use super::{
+    follow::Error,
+    state::{Control, INSTANCES},
+};
 use crate::socket;
 
 /// Life of the lease: instances that are gone drop out of the list after it.
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -23,7 +23,7 @@
 const BEHIND: Duration = Duration::from_millis(150);
 
 /// Time for a whole exchange with a peer.
-const EXCHANGE: Duration = Duration::from_millis(1_000);
+const EXCHANGE: Duration = Duration::from_secs(1);
 
 /// Pause between rounds of questions to the seeds.
 const SEEDS_PAUSE: Duration = Duration::from_millis(500);
@@ -120,7 +120,9 @@
 }
 
 async fn within(exchange: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
-    timeout(EXCHANGE, exchange).await.map_err(|_elapsed| Error::Timeout)?
+    timeout(EXCHANGE, exchange)
+        .await
+        .map_err(|_elapsed| Error::Timeout)?
 }
 
 async fn answer(control: &Control, stream: TcpStream) -> Result<(), Error> {
@@ -155,7 +157,10 @@
     for prefix in PREFIXES {
         control.retain(prefix, content.revision, &present);
     }
-    control.apply(content.items.into_iter().map(Into::into).collect(), content.revision);
+    control.apply(
+        content.items.into_iter().map(Into::into).collect(),
+        content.revision,
+    );
     Ok(())
 }
 
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -191,7 +191,11 @@
     /// Takes in changes and notes that all up to `revision` are known.
     pub(super) fn apply(&self, items: Vec<Item>, revision: u64) {
         let before = self.revision();
-        let small = items.iter().map(|item| item.value.as_ref().map_or(0, Bytes::len)).sum::<usize>() <= NEWS;
+        let small = items
+            .iter()
+            .map(|item| item.value.as_ref().map_or(0, Bytes::len))
+            .sum::<usize>()
+            <= NEWS;
         if small && before > 0 && revision > before && self.watching.get() && !items.is_empty() {
             self.tell(Update::News(News {
                 before,
@@ -239,7 +243,10 @@
 
     /// Removes entries that were absent when the store returned and have not come back.
     fn settle(&self) {
-        let due = self.returned.get().is_some_and(|returned| returned.elapsed() >= COMEBACK);
+        let due = self
+            .returned
+            .get()
+            .is_some_and(|returned| returned.elapsed() >= COMEBACK);
         if !due {
             return;
         }
@@ -253,7 +260,9 @@
 
     /// How long until [`Control::settle`] has something to do.
     pub(super) fn unsettled(&self) -> Option<Duration> {
-        self.returned.get().map(|returned| COMEBACK.saturating_sub(returned.elapsed()))
+        self.returned
+            .get()
+            .map(|returned| COMEBACK.saturating_sub(returned.elapsed()))
     }
 
     fn publish(&self, key: &str, change: Change) {
@@ -271,13 +280,12 @@
 
     fn publish_entry(&self, id: &str, value: &[u8]) {
         self.absent.borrow_mut().remove(id);
-        match directory::decode(id, value) {
-            Some(entry) => self.tell(Update::Entry(entry)),
-            None => {
-                log::warn!(upstream:% = id, bytes = value.len(); "entry in the directory is malformed; not used");
-                self.tell(Update::Removed(id.into()));
-            }
-        }
+        let Some(entry) = directory::decode(id, value) else {
+            log::warn!(upstream:% = id, bytes = value.len(); "entry in the directory is malformed; not used");
+            self.tell(Update::Removed(id.into()));
+            return;
+        };
+        self.tell(Update::Entry(entry));
     }
 
     fn publish_removal(&self, id: &str) {
@@ -317,13 +325,19 @@
     /// Tells the traffic thread who the other instances are.
     pub(super) fn tell_peers(&self) {
         let settings = self.settings();
-        let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(*seed, settings.peers.port()));
+        let seeds = settings
+            .seeds
+            .iter()
+            .map(|seed| SocketAddr::new(*seed, settings.peers.port()));
         let mirror = self.mirror.borrow();
         let listed = mirror
             .items()
             .filter(|(key, _)| key.starts_with(INSTANCES))
             .filter_map(|(_, known)| std::str::from_utf8(&known.value).ok()?.parse().ok());
-        let all: BTreeSet<SocketAddr> = seeds.chain(listed).filter(|peer| *peer != settings.peers).collect();
+        let all: BTreeSet<SocketAddr> = seeds
+            .chain(listed)
+            .filter(|peer| *peer != settings.peers)
+            .collect();
         self.tell(Update::Peers(all.into_iter().collect()));
     }
 }
--- a/crates/carob-gateway/src/settings.rs
+++ b/crates/carob-gateway/src/settings.rs
@@ -130,7 +130,12 @@
     fn settings(&mut self) -> Option<Settings> {
         let name = self.read("instance", "name", "a name", word);
         let domain = self.read("instance", "domain", "a failure domain", word);
-        let regions = self.read("instance", "regions", "`domain:region`, separated by commas", regions);
+        let regions = self.read(
+            "instance",
+            "regions",
+            "`domain:region`, separated by commas",
+            regions,
+        );
         let callers = self.read("callers", "address", "IP:PORT", address);
         let ready = self.read("callers", "ready", "IP:PORT", address);
         let connections = self.read("callers", "connections", "a number above 0", |text| {
@@ -227,7 +232,9 @@
 }
 
 fn number(text: &str) -> Option<f64> {
-    text.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
+    text.parse()
+        .ok()
+        .filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
 
 fn duration(text: &str) -> Option<Duration> {
@@ -248,5 +255,7 @@
 
 fn seeds(text: &str) -> Option<Vec<IpAddr>> {
     let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
-    parts.map(|part| address(part).map(|address| address.ip())).collect()
+    parts
+        .map(|part| address(part).map(|address| address.ip()))
+        .collect()
 }
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -78,7 +78,9 @@
     /// Connects to `address` until `deadline`.
     pub(crate) async fn open(address: SocketAddr, deadline: Instant) -> Result<Self, Error> {
         let connect = async {
-            let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(|error| error.to_string())?;
             watch_over(&stream);
             http1::handshake(TokioIo::new(stream))
                 .await
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -34,9 +34,17 @@
         let watching = shared.watching();
         let news = shared.take_news();
         let whole = Instant::now() >= due;
-        let loads: HashMap<u64, PeerLoad> =
-            shared.fleet().loads().into_iter().map(|load| (load.mark, load)).collect();
-        let changed = if whole { loads.values().copied().collect() } else { changes(&sent, &loads) };
+        let loads: HashMap<u64, PeerLoad> = shared
+            .fleet()
+            .loads()
+            .into_iter()
+            .map(|load| (load.mark, load))
+            .collect();
+        let changed = if whole {
+            loads.values().copied().collect()
+        } else {
+            changes(&sent, &loads)
+        };
         if whole || !changed.is_empty() || news.is_some() || watching != told {
             number += 1;
             let message = Announce {
@@ -63,13 +71,19 @@
 
 /// Loads that differ from those that were sent, with zeros for those that are over.
 fn changes(sent: &HashMap<u64, PeerLoad>, loads: &HashMap<u64, PeerLoad>) -> Vec<PeerLoad> {
-    let over = sent.keys().filter(|mark| !loads.contains_key(mark)).map(|mark| PeerLoad {
-        mark: *mark,
-        runs: 0,
-        tokens: 0,
-        unread: 0,
-    });
-    let changed = loads.values().filter(|load| sent.get(&load.mark) != Some(load)).copied();
+    let over = sent
+        .keys()
+        .filter(|mark| !loads.contains_key(mark))
+        .map(|mark| PeerLoad {
+            mark: *mark,
+            runs: 0,
+            tokens: 0,
+            unread: 0,
+        });
+    let changed = loads
+        .values()
+        .filter(|load| sent.get(&load.mark) != Some(load))
+        .copied();
     over.chain(changed).collect()
 }
 
--- a/crates/carob-gateway/src/traffic/answer.rs
+++ b/crates/carob-gateway/src/traffic/answer.rs
@@ -31,15 +31,12 @@
     type Data = Bytes;
     type Error = Cut;
 
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Self::Pieces(pieces) => pieces
-                .poll_recv(context)
+                .poll_recv(cx)
                 .map(|piece| piece.map(|piece| piece.map(Frame::data))),
         }
     }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -33,7 +33,7 @@
 pub(super) const CONNECT: Duration = Duration::from_millis(350);
 
 /// How long a client waits that says nothing of it.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Bytes of a request's body while no configuration is known.
 const BODY: usize = 4 << 20;
@@ -155,7 +155,9 @@
         let request = request::encode(&parts.method, &parts.uri, &parts.headers, &additions)
             .map_err(|error| socket::Error::Connect(error.to_string()))?;
         metrics::counter!("carobhaven_sends_total").increment(1);
-        connection.send(request.map(|()| self.body.clone()), deadline).await
+        connection
+            .send(request.map(|()| self.body.clone()), deadline)
+            .await
     }
 }
 
@@ -204,7 +206,8 @@
         request:% = String::from_utf8_lossy(&head.id), own:? = own, reason,
         age_ms = arrival.elapsed().as_millis() as u64; "answered by the gateway"
     );
-    metrics::counter!("carobhaven_own_answers_total", "status" => own.status().as_str().to_owned()).increment(1);
+    metrics::counter!("carobhaven_own_answers_total", "status" => own.status().as_str().to_owned())
+        .increment(1);
     own.response(&head.id)
 }
 
@@ -232,7 +235,11 @@
         Ok(found) => found,
         // A newer configuration may have the route or the key.
         Err(_) if !shared.current() => {
-            return Err((head, Own::Refused(RETRY_START), "not permitted by a configuration that may be old"));
+            return Err((
+                head,
+                Own::Refused(RETRY_START),
+                "not permitted by a configuration that may be old",
+            ));
         }
         Err(Denial::NoRoute) => return Err((head, Own::Denied(404), "no such route")),
         Err(Denial::BadKey) => return Err((head, Own::Denied(401), "no account has the key")),
@@ -241,7 +248,7 @@
         return Err((head, Own::Refused(RETRY_NO_UPSTREAM), "the route has no service"));
     };
     let engine = table.service(service).and_then(|service| service.engine.clone());
-    shared.with_budget(service, |budget, now| budget.request(now));
+    shared.with_budget(service, carob_dispatch::budget::Budget::request);
     Ok(Rc::new(Call {
         shared: Rc::clone(shared),
         service: service.into(),
@@ -287,7 +294,13 @@
             }
             Outcome::Whole(response) => {
                 ran += 1;
-                let next = outcome::next(call.route.kind, Attempt::Failed, ran, rejected, call.route.attempts);
+                let next = outcome::next(
+                    call.route.kind,
+                    Attempt::Failed,
+                    ran,
+                    rejected,
+                    call.route.attempts,
+                );
                 if !matches!(next, Next::Again { .. }) || !may_retry(call) {
                     log_ended(call, response.status(), upstream);
                     return Ok(response);
@@ -306,7 +319,10 @@
         match outcome::next(call.route.kind, attempt, ran, rejected, call.route.attempts) {
             Next::Again { paid } if Instant::now() < call.until && (!paid || may_retry(call)) => {}
             Next::Again { .. } | Next::Refuse if ran == 0 => {
-                return Err((Own::Refused(RETRY_FULL), "upstreams rejected the request or cannot be reached"));
+                return Err((
+                    Own::Refused(RETRY_FULL),
+                    "upstreams rejected the request or cannot be reached",
+                ));
             }
             _ if Instant::now() >= call.until => return Err((Own::Late, "no answer in time")),
             _ => return Err((Own::Unclear, "nothing is known of the request after it was sent")),
@@ -315,7 +331,9 @@
 }
 
 fn may_retry(call: &Call) -> bool {
-    let permitted = call.shared.with_budget(&call.service, carob_dispatch::budget::Budget::retry);
+    let permitted = call
+        .shared
+        .with_budget(&call.service, carob_dispatch::budget::Budget::retry);
     if !permitted {
         log::info!(request:% = call.id(), service:% = call.service; "no retry: the budget is spent");
     }
@@ -330,22 +348,33 @@
     if let Some(remaining) = shared.remaining()
         && remaining < call.duration()
     {
-        return Err((Own::Refused(RETRY_ELSEWHERE), "the instance leaves before the stream would end"));
+        return Err((
+            Own::Refused(RETRY_ELSEWHERE),
+            "the instance leaves before the stream would end",
+        ));
     }
-    if need.capacity > 0 && shared.alone() {
-        if let Some(upstream) = probe::place(shared, &need).await {
-            return Ok(Run::new(shared, upstream, size));
-        }
+    if need.capacity > 0
+        && shared.alone()
+        && let Some(upstream) = probe::place(shared, &need).await
+    {
+        return Ok(Run::new(shared, upstream, size));
     }
     let now = shared.now();
     let first = shared.fleet().queued(&call.service) == 0;
     let place = shared.fleet().place(&need, now);
     match place {
         Place::At(upstream) if first || !tried.is_empty() => return Ok(Run::new(shared, upstream, size)),
-        Place::None => return Err((Own::Refused(RETRY_NO_UPSTREAM), "no upstream of the service is known")),
+        Place::None => {
+            return Err((
+                Own::Refused(RETRY_NO_UPSTREAM),
+                "no upstream of the service is known",
+            ));
+        }
         Place::At(_) | Place::Full => {}
     }
-    let latest = call.until.min(call.arrival + call.route.objective.mul_f64(WAIT_SHARE));
+    let latest = call
+        .until
+        .min(call.arrival + call.route.objective.mul_f64(WAIT_SHARE));
     if Instant::now() >= latest {
         return Err((Own::Refused(RETRY_FULL), "all upstreams are full"));
     }
@@ -394,7 +423,8 @@
     let deadline = if last {
         call.until
     } else {
-        call.until.min(Instant::now() + call.route.objective.mul_f64(REPEAT_AFTER))
+        call.until
+            .min(Instant::now() + call.route.objective.mul_f64(REPEAT_AFTER))
     };
     let nothing = |attempt, reason: &dyn std::fmt::Display| {
         log::warn!(
@@ -419,12 +449,19 @@
         Claim::NotRun => return nothing(Attempt::Rejected, &status),
         Claim::Foreign => {
             judge(Quality::Poor);
-            return nothing(Attempt::Unknown, &"the answer is not the upstream's answer to this request");
+            return nothing(
+                Attempt::Unknown,
+                &"the answer is not the upstream's answer to this request",
+            );
         }
         Claim::Ran if promises(status) => return nothing(Attempt::Failed, &status),
         Claim::Ran => {}
     }
-    judge(if failed(status) { Quality::Poor } else { Quality::Good });
+    judge(if failed(status) {
+        Quality::Poor
+    } else {
+        Quality::Good
+    });
     if call.route.kind == Kind::Stream && status.is_success() {
         return Outcome::Stream(response, driver);
     }
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -6,12 +6,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{
-    answer::Answer,
-    exchange,
-    guard::Active,
-    shared::Shared,
-};
+use super::{answer::Answer, exchange, guard::Active, shared::Shared};
 use crate::socket::watch_over;
 
 /// Connections that may wait to be accepted.
@@ -85,7 +80,9 @@
         let (state, counted) = (Rc::clone(&state), Rc::clone(&counted));
         async move { Ok::<_, Infallible>(serve(state, counted, request).await) }
     });
-    let head = shared.table().map_or(HEAD_LEAST, |table| table.limits().head.max(HEAD_LEAST));
+    let head = shared
+        .table()
+        .map_or(HEAD_LEAST, |table| table.limits().head.max(HEAD_LEAST));
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head * 2).preserve_header_case(true);
     let served = builder.serve_connection(TokioIo::new(stream), service);
@@ -158,7 +155,9 @@
             }
         });
         tokio::task::spawn_local(async move {
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let served = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
             if let Err(error) = served {
                 log::debug!(error:% = error; "question whether the instance is ready not answered");
             }
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -1,6 +1,6 @@
 //! Moves a running generation away from an upstream that leaves.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc};
 
 use carob_dispatch::{
     fleet::{Size, UpstreamKey},
@@ -26,7 +26,6 @@
 }
 
 /// How a move ended.
-#[derive(Debug)]
 pub(super) enum Moved {
     /// The generation has stopped, and the other upstream has its memory.
     Stopped,
@@ -38,8 +37,24 @@
     Failed(&'static str),
 }
 
+impl fmt::Display for Moved {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Stopped => "stopped with its memory at the target",
+            Self::Stranded(_) => "stopped with its memory at the source",
+            Self::NotRunning => "the source runs no such generation",
+            Self::Failed(reason) => reason,
+        })
+    }
+}
+
 /// Moves the generation of `call` away from `from`; `progress` shows how far it has come.
-pub(super) async fn run(call: Rc<Call>, from: UpstreamKey, progress: Rc<RefCell<Progress>>, tokens: u64) -> Moved {
+pub(super) async fn run(
+    call: Rc<Call>,
+    from: UpstreamKey,
+    progress: Rc<RefCell<Progress>>,
+    tokens: u64,
+) -> Moved {
     let shared = &call.shared;
     let (source, left) = match shared.fleet().upstream(from) {
         Some(found) => (found.entry.address, found.left.unwrap_or_else(|| shared.now())),
@@ -104,7 +119,12 @@
 
 /// Asks the source to copy, again while it says that another call is under way or that nothing runs yet.
 async fn copy(call: &Call, source: SocketAddr, target: UpstreamKey, last: bool) -> Copy {
-    let Some(address) = call.shared.fleet().upstream(target).map(|found| found.entry.address) else {
+    let Some(address) = call
+        .shared
+        .fleet()
+        .upstream(target)
+        .map(|found| found.entry.address)
+    else {
         return Copy::Malformed;
     };
     let id = call.id().into_owned();
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -37,9 +37,8 @@
 impl Sockets {
     /// Binds the addresses of `settings`.
     pub(crate) fn bind(settings: &Settings) -> Result<Self, Error> {
-        let listen = |address: SocketAddr| {
-            listen::bind(address).map_err(|error| Error::Listen(address, error))
-        };
+        let listen =
+            |address: SocketAddr| listen::bind(address).map_err(|error| Error::Listen(address, error));
         let peers = std::net::UdpSocket::bind(settings.peers)
             .and_then(|socket| socket.set_nonblocking(true).map(|()| socket))
             .map_err(|error| Error::Listen(settings.peers, error))?;
--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -31,7 +31,10 @@
     answer::strip(&mut parts.headers);
     let mut bytes = BytesMut::new();
     loop {
-        match timeout_at(deadline, body.frame()).await.map_err(|_elapsed| Error::Timeout)? {
+        match timeout_at(deadline, body.frame())
+            .await
+            .map_err(|_elapsed| Error::Timeout)?
+        {
             Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Some(Err(error)) => return Err(Error::Broken(error.to_string())),
             None => return Ok(Response::from_parts(parts, Answer::Whole(bytes.freeze()))),
--- a/crates/carob-gateway/src/traffic/probe.rs
+++ b/crates/carob-gateway/src/traffic/probe.rs
@@ -75,7 +75,9 @@
                 waiting: report.waiting,
             },
         ),
-        None => log::info!(upstream:% = address, status = status.as_u16(); "upstream's report cannot be read"),
+        None => {
+            log::info!(upstream:% = address, status = status.as_u16(); "upstream's report cannot be read");
+        }
     }
     report
 }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -160,7 +160,10 @@
     pub(super) fn probe_due(&self, upstream: UpstreamKey, every: Duration) -> bool {
         let now = self.now();
         let mut probed = self.probed.borrow_mut();
-        if probed.get(upstream).is_some_and(|asked| now.since(*asked) < every) {
+        if probed
+            .get(upstream)
+            .is_some_and(|asked| now.since(*asked) < every)
+        {
             return false;
         }
         probed.insert(upstream, now);
@@ -309,11 +312,13 @@
         }
         let settings = self.settings.borrow();
         let instances = (self.peers.borrow().len() + 1).max(LEAST_INSTANCES);
-        let budget = budgets.entry(service.into()).or_insert(Budget::new(budget::Options {
-            window: settings.window,
-            ratio: settings.ratio,
-            extra: settings.extra / instances as f64,
-        }));
+        let budget = budgets
+            .entry(service.into())
+            .or_insert(Budget::new(budget::Options {
+                window: settings.window,
+                ratio: settings.ratio,
+                extra: settings.extra / instances as f64,
+            }));
         act(budget, now)
     }
 
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -144,7 +144,11 @@
             // The client may be gone by now; then there is nobody to tell.
             let _told = self.client.send(Err(Cut)).await;
         }
-        let level = if matches!(end, End::Complete) { log::Level::Info } else { log::Level::Warn };
+        let level = if matches!(end, End::Complete) {
+            log::Level::Info
+        } else {
+            log::Level::Warn
+        };
         metrics::counter!("carobhaven_streams_total", "outcome" => outcome).increment(1);
         let first = self.first.map(|first| first - self.call.arrival);
         if let Some(first) = first {
@@ -163,7 +167,8 @@
     async fn at_upstream(&mut self) -> Result<(), End> {
         let notice = self.call.shared.notice(self.run.upstream);
         let progress = Rc::new(RefCell::new(Progress::default()));
-        let probing = tokio::task::spawn_local(probe::follow(Rc::clone(&self.call.shared), self.run.upstream));
+        let probing =
+            tokio::task::spawn_local(probe::follow(Rc::clone(&self.call.shared), self.run.upstream));
         let _probing = AbortOnDrop(probing);
         let mut mover: Option<Mover> = None;
         let mut may_move = self.call.engine.as_ref().is_some_and(|engine| engine.moves);
@@ -190,9 +195,8 @@
                 }
                 Step::Moved(moved) => {
                     mover = None;
-                    match self.moved(moved, &progress).await? {
-                        true => return Ok(()),
-                        false => {}
+                    if self.moved(moved, &progress).await? {
+                        return Ok(());
                     }
                 }
                 Step::Ended if !progress.borrow().stopping => {
@@ -227,6 +231,12 @@
             .is_none_or(|found| found.left.is_some())
     }
 
+    /// Address of the present upstream.
+    fn source(&self) -> Option<SocketAddr> {
+        let fleet = self.call.shared.fleet();
+        fleet.upstream(self.run.upstream).map(|found| found.entry.address)
+    }
+
     async fn step(&mut self, notice: &Notify, mover: &mut Option<Mover>) -> Step {
         let moving = mover.is_some();
         let moved = async {
@@ -318,7 +328,7 @@
             Moved::NotRunning | Moved::Failed(_) => {
                 log::info!(
                     request:% = self.call.id(), upstream:% = name(&self.call, self.run.upstream),
-                    outcome:? = moved; "generation not moved"
+                    outcome:% = moved; "generation not moved"
                 );
                 Ok(false)
             }
@@ -340,9 +350,7 @@
         progress: &Rc<RefCell<Progress>>,
         reason: &str,
     ) -> Result<(), End> {
-        let fleet = self.call.shared.fleet();
-        let source = fleet.upstream(self.run.upstream).map(|found| found.entry.address);
-        drop(fleet);
+        let source = self.source();
         let Some(source) = source else {
             return Err(End::Broken(reason.to_owned()));
         };
@@ -428,7 +436,7 @@
         let Some((place, handle)) = progress.borrow_mut().copy.take() else {
             return;
         };
-        let source = self.call.shared.fleet().upstream(self.run.upstream).map(|found| found.entry.address);
+        let source = self.source();
         let Some(source) = source else {
             return;
         };
--- a/crates/carob-logs/src/lib.rs
+++ b/crates/carob-logs/src/lib.rs
@@ -64,6 +64,10 @@
 /// # Errors
 ///
 /// Returns an error if the process has a logger already.
+///
+/// # Panics
+///
+/// Panics if no thread can be started.
 pub fn start(level: LevelFilter) -> Result<Writer, log::SetLoggerError> {
     let (ordinary, normal) = flume::bounded(QUEUE);
     let (urgent, first) = flume::bounded(QUEUE);
--- a/crates/carob-logs/src/line.rs
+++ b/crates/carob-logs/src/line.rs
@@ -24,7 +24,10 @@
 pub(crate) fn dropped(start: Instant, count: u64) -> Vec<u8> {
     let mut fields = head(start, "WARN");
     fields.insert("part".to_owned(), Json::from("carob_logs"));
-    fields.insert("msg".to_owned(), Json::from("log lines were dropped to bound their volume"));
+    fields.insert(
+        "msg".to_owned(),
+        Json::from("log lines were dropped to bound their volume"),
+    );
     fields.insert("lines".to_owned(), Json::from(count));
     finish(fields)
 }
--- a/crates/carob-logs/src/rate.rs
+++ b/crates/carob-logs/src/rate.rs
@@ -28,7 +28,11 @@
         let span = now.as_secs() / BURST;
         let most = self.per_second * BURST;
         let step = |state: u64| {
-            let count = if state >> 32 == span { state & 0xffff_ffff } else { 0 };
+            let count = if state >> 32 == span {
+                state & 0xffff_ffff
+            } else {
+                0
+            };
             (count < most).then_some((span << 32) | (count + 1))
         };
         self.state
