--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,410 @@
+//! The gateway as processes before stand-ins of the platform: what callers and upstreams see.
+
+mod fleet;
+
+use std::{thread, time::Duration};
+
+use carob_platform_standin::{
+    Answer, Outage,
+    client::{self, Request},
+    config::{self, Route},
+};
+use fleet::{CLIENT_KEY, Fleet, LONG, ROUTES, draft, request, until};
+
+const SHORT: Duration = Duration::from_millis(10);
+
+#[test]
+fn plain_calls_and_streams_come_whole() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    let _engine = fleet.engine("e1", 20, SHORT);
+    fleet.configure();
+    let order = fleet.send(0, &request("o1", "POST", "/order/1"));
+    assert_eq!((order.status, order.stamped, order.whole), (200, true, true));
+    assert_eq!(order.body, b"done o1");
+    until("the engine is known", || fleet.send(0, &draft("warm")).status == 200);
+    let stream = fleet.send(0, &draft("d1"));
+    assert_eq!((stream.status, stream.whole), (200, true));
+    assert_eq!(stream.events(), (1..=20).collect::<Vec<_>>());
+    let begun = fleet.ledger.begun();
+    let order = begun.iter().find(|begun| begun.id == "o1").expect("it ran");
+    assert_eq!(order.account.as_deref(), Some("parish"));
+    assert!(!order.key, "the client's key is not passed on");
+    assert!(order.left <= 5_000 && order.left > 3_000, "what is left is passed on: {}", order.left);
+}
+
+#[test]
+fn without_a_configuration_requests_are_refused_and_the_gateway_is_not_ready() {
+    let fleet = Fleet::start(1);
+    let gateway = &fleet.gateways[0];
+    until("the gateway listens", || gateway.accepts());
+    assert!(!gateway.is_ready());
+    let refused = fleet.send(0, &request("o1", "POST", "/order/1"));
+    assert_eq!(refused.status, 503);
+    assert!(refused.after.is_some(), "it says when to come back");
+    assert!(!refused.stamped);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    assert_eq!(fleet.send(0, &request("o2", "POST", "/order/1")).status, 200);
+}
+
+#[test]
+fn keys_routes_and_limits_are_kept() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    let status = |request: &Request| fleet.send(0, request).status;
+    assert_eq!(status(&Request::new("a", "GET", "/read/1")), 401);
+    assert_eq!(status(&Request::new("b", "GET", "/read/1").with_key("another")), 401);
+    assert_eq!(status(&Request::new("c", "GET", "/open/1")), 200);
+    assert_eq!(status(&request("d", "GET", "/elsewhere/1")), 404);
+    assert_eq!(status(&request("", "GET", "/read/1")), 400);
+    let begun: Vec<String> = fleet.ledger.begun().into_iter().map(|begun| begun.id).collect();
+    assert_eq!(begun, ["c"]);
+}
+
+#[test]
+fn headers_that_the_gateway_sets_are_not_taken_from_clients() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    let forged = request("f1", "POST", "/order/1")
+        .with_header("Tenant", "another")
+        .with_header("Kv-From", "127.0.0.1:1/h1")
+        .with_header("Expect-Instance", "another");
+    assert_eq!(fleet.send(0, &forged).status, 200);
+    assert_eq!(fleet.ledger.begun()[0].account.as_deref(), Some("parish"));
+}
+
+#[test]
+fn an_order_whose_answer_is_lost_runs_once_and_is_not_said_not_to_have_run() {
+    for answer in [Answer::Reset, Answer::Foreign, Answer::Cut] {
+        let fleet = Fleet::start(1);
+        let upstream = fleet.plain("p1", SHORT);
+        let other = fleet.plain("p2", SHORT);
+        fleet.configure();
+        upstream.set_answer(answer);
+        other.set_answer(answer);
+        let outcome = fleet.send(0, &request("o1", "POST", "/order/1"));
+        assert!(matches!(outcome.status, 0 | 502 | 504), "{answer:?}: {outcome:?}");
+        assert!(!outcome.stamped);
+        assert_eq!(fleet.ledger.runs("o1"), 1, "{answer:?}");
+    }
+}
+
+#[test]
+fn a_rejected_order_goes_to_another_upstream_and_is_refused_truthfully_in_the_end() {
+    let fleet = Fleet::start(1);
+    let upstream = fleet.plain("p1", SHORT);
+    let other = fleet.plain("p2", SHORT);
+    fleet.configure();
+    upstream.set_answer(Answer::Rejection);
+    until("both upstreams are known", || {
+        (0..20).all(|n| fleet.send(0, &request(&format!("o{n}"), "POST", "/order/1")).status == 200)
+    });
+    other.set_answer(Answer::Rejection);
+    let refused = fleet.send(0, &request("last", "POST", "/order/1"));
+    assert_eq!((refused.status, refused.stamped), (503, false));
+    assert!(refused.after.is_some());
+    assert_eq!(fleet.ledger.runs("last"), 0);
+}
+
+#[test]
+fn a_failed_read_is_retried_once_elsewhere() {
+    let fleet = Fleet::start(1);
+    let upstream = fleet.plain("p1", SHORT);
+    let _other = fleet.plain("p2", SHORT);
+    fleet.configure();
+    until("both upstreams are known", || {
+        fleet.send(0, &request("warm", "GET", "/read/1"));
+        fleet.ledger.begun().iter().any(|begun| begun.upstream == "p2")
+    });
+    upstream.set_answer(Answer::Failure);
+    for number in 0..10 {
+        let id = format!("r{number}");
+        assert_eq!(fleet.send(0, &request(&id, "GET", "/read/1")).status, 200);
+        assert!(fleet.ledger.runs(&id) <= 2);
+    }
+}
+
+#[test]
+fn an_order_that_failed_at_its_upstream_is_passed_on_as_it_is() {
+    let fleet = Fleet::start(1);
+    let upstream = fleet.plain("p1", SHORT);
+    fleet.configure();
+    upstream.set_answer(Answer::Failure);
+    let outcome = fleet.send(0, &request("o1", "POST", "/order/1"));
+    assert_eq!((outcome.status, outcome.stamped), (500, true));
+    assert_eq!(fleet.ledger.runs("o1"), 1);
+}
+
+#[test]
+fn a_generation_moves_off_an_upstream_that_leaves_without_loss() {
+    let fleet = Fleet::start(1);
+    let first = fleet.engine("e1", 150, Duration::from_millis(20));
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &draft("d1")));
+    until("the generation runs", || fleet.ledger.runs("d1") == 1);
+    let _second = fleet.engine("e2", 150, Duration::from_millis(20));
+    thread::sleep(Duration::from_millis(300));
+    first.leave(Duration::from_millis(1_600));
+    let outcome = caller.join().expect("the caller ends");
+    assert_eq!((outcome.status, outcome.whole), (200, true));
+    assert_eq!(outcome.events(), (1..=150).collect::<Vec<_>>());
+    assert_eq!(fleet.ledger.runs("d1"), 1, "it is one run");
+    assert_eq!(fleet.ledger.moves(), 1);
+}
+
+#[test]
+fn a_generation_goes_on_from_a_copy_when_its_upstream_ends_before_the_final_copy() {
+    let fleet = Fleet::start(1);
+    let first = fleet.engine("e1", 150, Duration::from_millis(20));
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &draft("d1")));
+    until("the generation runs", || fleet.ledger.runs("d1") == 1);
+    let _second = fleet.engine("e2", 150, Duration::from_millis(20));
+    thread::sleep(Duration::from_millis(300));
+    first.leave(Duration::from_millis(500));
+    let outcome = caller.join().expect("the caller ends");
+    assert!(outcome.whole, "{:?}", outcome.events().last());
+    assert_eq!(outcome.events(), (1..=150).collect::<Vec<_>>());
+    assert_eq!(fleet.ledger.runs("d1"), 1);
+}
+
+#[test]
+fn a_generation_that_cannot_move_goes_on_where_it_is() {
+    let fleet = Fleet::start(1);
+    let first = fleet.engine("e1", 100, Duration::from_millis(20));
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &draft("d1")));
+    until("the generation runs", || fleet.ledger.runs("d1") == 1);
+    let _second = fleet.engine("e2", 100, Duration::from_millis(20));
+    first.set_full(true);
+    first.leave(LONG);
+    let outcome = caller.join().expect("the caller ends");
+    assert!(outcome.whole);
+    assert_eq!(outcome.events(), (1..=100).collect::<Vec<_>>());
+    assert_eq!(fleet.ledger.runs("d1"), 1);
+}
+
+#[test]
+fn a_departure_that_the_store_does_not_tell_is_learned_from_the_upstream() {
+    let fleet = Fleet::start(1);
+    let first = fleet.engine("e1", 300, Duration::from_millis(20));
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &draft("d1")));
+    until("the generation runs", || fleet.ledger.runs("d1") == 1);
+    let _second = fleet.engine("e2", 300, Duration::from_millis(20));
+    thread::sleep(Duration::from_millis(300));
+    fleet.gateways[0].way.set_outage(Some(Outage::Busy));
+    thread::sleep(Duration::from_millis(1_000));
+    first.leave_unannounced();
+    until("the generation has moved", || fleet.ledger.moves() == 1);
+    let outcome = caller.join().expect("the caller ends");
+    assert_eq!(outcome.events(), (1..=300).collect::<Vec<_>>());
+    assert_eq!(fleet.ledger.runs("d1"), 1);
+}
+
+#[test]
+fn a_stream_that_breaks_off_does_not_look_whole() {
+    let fleet = Fleet::start(1);
+    let engine = fleet.engine("e1", 10, SHORT);
+    fleet.configure();
+    engine.set_answer(Answer::Cut);
+    let outcome = fleet.send(0, &draft("d1"));
+    assert!(!outcome.whole);
+    assert_eq!(outcome.events(), (1..=5).collect::<Vec<_>>(), "only whole events are passed on");
+    assert_eq!(fleet.ledger.runs("d1"), 1);
+}
+
+#[test]
+fn the_work_of_a_client_that_has_gone_is_stopped() {
+    let fleet = Fleet::start(1);
+    let _engine = fleet.engine("e1", 1_000, SHORT);
+    let _plain = fleet.plain("p1", LONG);
+    fleet.configure();
+    for (id, request) in [
+        ("d1", draft("d1")),
+        ("o1", request("o1", "POST", "/order/1")),
+    ] {
+        let stream = client::open(fleet.gateways[0].callers, &request).expect("the gateway listens");
+        until("it runs", || fleet.ledger.runs(id) == 1);
+        drop(stream);
+        until("its connection is closed", || fleet.ledger.dropped(id));
+    }
+}
+
+#[test]
+fn sigterm_answers_what_was_read_and_sends_others_elsewhere() {
+    let mut fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", Duration::from_millis(800));
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &request("o1", "POST", "/order/1")));
+    until("the order runs", || fleet.ledger.runs("o1") == 1);
+    fleet.gateways[0].signal("TERM");
+    until("the gateway is not ready", || !fleet.gateways[0].is_ready());
+    let long = fleet.send(0, &draft("d1").with_usage(1_000, 4_000));
+    assert_eq!(long.status, 503, "a stream that would be cut is refused");
+    let outcome = caller.join().expect("the caller ends");
+    assert_eq!((outcome.status, outcome.whole), (200, true));
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn a_gateway_that_the_store_refuses_follows_its_peers() {
+    let fleet = Fleet::start(4);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    fleet.gateways[3].way.set_outage(Some(Outage::Busy));
+    fleet.store.put(config::KEY, &config::config(2, &ROUTES, &["new-key"]));
+    until("the new key is in force", || {
+        fleet.send(3, &Request::new("n", "GET", "/read/1").with_key("new-key")).status == 200
+    });
+    let old = fleet.send(3, &request("old", "GET", "/read/1"));
+    assert!(matches!(old.status, 401 | 503), "a key that was taken away is not served: {}", old.status);
+    assert_eq!(fleet.ledger.runs("old"), 0);
+}
+
+#[test]
+fn a_gateway_that_starts_while_the_store_is_away_learns_from_a_seed() {
+    let mut fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    for outage in [Outage::Busy, Outage::Reset, Outage::Silent] {
+        let number = fleet.add();
+        fleet.gateways[number].way.set_outage(Some(outage));
+        // The process may have read the store before the outage; it starts again without it.
+        fleet.gateways[number].signal("KILL");
+        let _ended = fleet.gateways[number].child.wait();
+        fleet.gateways[number].spawn();
+        until("it is ready", || fleet.gateways[number].is_ready());
+        let id = format!("o-{outage:?}");
+        assert_eq!(fleet.send(number, &request(&id, "POST", "/order/1")).status, 200);
+    }
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    fleet.store.put(config::KEY, &config::config(5, &ROUTES, &["new-key"]));
+    let fresh = Request::new("n", "GET", "/read/1").with_key("new-key");
+    until("version 5 is in force", || fleet.send(0, &fresh).status == 200);
+    fleet.store.put(config::KEY, &config::config(4, &ROUTES, &[CLIENT_KEY]));
+    until("version 4 was seen", || fleet.gateways[0].logged("older configuration ignored"));
+    assert_eq!(fleet.send(0, &request("old", "GET", "/read/1")).status, 401);
+    fleet.store.put_bytes(config::KEY, b"{ not a configuration");
+    until("it was refused", || fleet.gateways[0].logged("configuration cannot be read"));
+    assert_eq!(fleet.send(0, &fresh).status, 200);
+}
+
+#[test]
+fn changes_are_seen_across_dropped_history() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    fleet.gateways[0].way.set_outage(Some(Outage::Reset));
+    until("the outage was noticed", || fleet.gateways[0].logged("the store does not answer"));
+    fleet.store.put(config::KEY, &config::config(2, &ROUTES, &["new-key"]));
+    fleet.store.compact();
+    fleet.gateways[0].way.set_outage(None);
+    let fresh = Request::new("n", "GET", "/read/1").with_key("new-key");
+    until("version 2 is in force", || fleet.send(0, &fresh).status == 200);
+}
+
+#[test]
+fn entries_that_are_malformed_name_no_upstream() {
+    let fleet = Fleet::start(1);
+    for (number, bytes) in [&b"not json"[..], b"{}", b"[1,2]", &[0xff, 0xfe], b"{\"Service\":3}"]
+        .into_iter()
+        .enumerate()
+    {
+        fleet.store.put_bytes(&format!("servers/forged-{number}"), bytes);
+    }
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    for number in 0..10 {
+        let id = format!("o{number}");
+        assert_eq!(fleet.send(0, &request(&id, "POST", "/order/1")).status, 200);
+    }
+}
+
+#[test]
+fn an_entry_that_lapsed_while_the_store_was_away_may_come_back() {
+    let fleet = Fleet::start(1);
+    let plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    fleet.gateways[0].way.set_outage(Some(Outage::Reset));
+    until("the outage was noticed", || fleet.gateways[0].logged("the store does not answer"));
+    thread::sleep(Duration::from_millis(1_700));
+    fleet.store.remove("servers/p1");
+    fleet.gateways[0].way.set_outage(None);
+    until("the lapse was seen", || fleet.gateways[0].logged("lapsed around an outage"));
+    assert_eq!(fleet.send(0, &request("o1", "POST", "/order/1")).status, 200);
+    plain.enter();
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(fleet.send(0, &request("o2", "POST", "/order/1")).status, 200);
+}
+
+#[test]
+fn an_idle_watch_is_no_outage_and_a_removed_upstream_gets_nothing_more() {
+    let fleet = Fleet::start(1);
+    let gone = fleet.plain("p1", SHORT);
+    let _stays = fleet.plain("p2", SHORT);
+    fleet.configure();
+    // Nothing changes for longer than an outage takes to count as one.
+    thread::sleep(Duration::from_millis(1_900));
+    fleet.store.remove(&format!("servers/{}", gone.id()));
+    thread::sleep(Duration::from_millis(300));
+    for number in 0..20 {
+        let id = format!("after{number}");
+        assert_eq!(fleet.send(0, &request(&id, "POST", "/order/1")).status, 200);
+    }
+    let late = fleet.ledger.begun();
+    let late = late.iter().filter(|begun| begun.id.starts_with("after") && begun.upstream == "p1");
+    assert_eq!(late.count(), 0);
+}
+
+#[test]
+fn a_route_gives_up_in_time() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", LONG);
+    let routes = [Route::new("/order/", "unsafe", "plain").with_timeout(400)];
+    fleet.store.put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
+    fleet.wait_ready();
+    let outcome = fleet.send(0, &request("o1", "POST", "/order/1"));
+    assert_eq!(outcome.status, 504);
+    assert_eq!(fleet.ledger.runs("o1"), 1);
+}
+
+#[test]
+fn settings_are_taken_over_and_bad_ones_refused() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    let gateway = &fleet.gateways[0];
+    std::fs::write(gateway.file(), "[instance]\nname =\n").expect("the file is writable");
+    gateway.signal("HUP");
+    until("the bad file is refused", || gateway.logged("settings refused"));
+    assert_eq!(fleet.send(0, &request("o1", "POST", "/order/1")).status, 200);
+    gateway.write_settings(&[], "7s");
+    until("the change is taken over without a signal", || gateway.logged("settings reloaded"));
+}
+
+#[test]
+fn metrics_are_served() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    assert_eq!(fleet.send(0, &request("o1", "POST", "/order/1")).status, 200);
+    let metrics = client::send(fleet.gateways[0].admin, &Request::new("m", "GET", "/metrics"));
+    let text = String::from_utf8(metrics.body).expect("metrics are text");
+    assert!(text.contains("carobhaven_requests_total 1"), "{text}");
+}
