--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -4,7 +4,8 @@
 
 use carob_base::Time;
 use carob_dispatch::fleet::{
-    Entry, Fleet, Need, Observed, PeerLoad, Place, Position, Quality, Size, Stamp, State, Ticket, UpstreamKey,
+    Entry, Fleet, Need, Observed, PeerLoad, Place, Position, Quality, Size, Stamp, State, Ticket, Upstream,
+    UpstreamKey,
 };
 
 const CAPACITY: u64 = 34_000;
@@ -144,13 +145,13 @@
     assert_eq!(placed(&fleet, DRAFT), other);
     // A message that was overtaken changes nothing.
     fleet.told(peer, stamp(1, 1), idle, false, NOW);
-    assert_eq!(fleet.upstream(one).map(|found| found.expected()), Some(20_000));
+    assert_eq!(fleet.upstream(one).map(Upstream::expected), Some(20_000));
     // A new process of the peer begins anew.
     fleet.told(peer, stamp(2, 1), Vec::new(), true, NOW);
-    assert_eq!(fleet.upstream(one).map(|found| found.expected()), Some(0));
+    assert_eq!(fleet.upstream(one).map(Upstream::expected), Some(0));
     fleet.told(peer, stamp(2, 2), busy, false, NOW);
     fleet.tidy(Time::from_millis(9_000));
-    assert_eq!(fleet.upstream(one).map(|found| found.expected()), Some(0));
+    assert_eq!(fleet.upstream(one).map(Upstream::expected), Some(0));
 }
 
 #[test]
@@ -167,7 +168,7 @@
     let peer = "127.0.0.1:9".parse().expect("an address");
     fleet.told(peer, Stamp { life: 1, number: 1 }, vec![load], true, NOW);
     let here = add(&mut fleet, "e1", "a");
-    assert_eq!(fleet.upstream(here).map(|found| found.expected()), Some(4_000));
+    assert_eq!(fleet.upstream(here).map(Upstream::expected), Some(4_000));
 }
 
 #[test]
@@ -182,7 +183,7 @@
     assert_eq!(fleet.refresh(again, NOW), Some(first), "the first one has left");
     let second = placed(&fleet, DRAFT);
     assert_ne!(second, first);
-    assert_eq!(fleet.upstream(second).map(|found| found.requests()), Some(0));
+    assert_eq!(fleet.upstream(second).map(Upstream::requests), Some(0));
 }
 
 #[test]
