--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -53,6 +53,9 @@
 /// When to come back to another instance, since this one leaves: at once.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
+/// Objectives within which almost all plain calls end; they are set to several times the usual duration.
+const USUAL_OBJECTIVES: f64 = 3.0;
+
 /// Time of a step in which an engine makes a token, with several generations running; the site's engines take 7 ms
 /// and more.
 const STEP: Duration = Duration::from_millis(9);
@@ -106,10 +109,13 @@
         }
     }
 
-    /// How long its stream is expected to take; zero for plain calls.
+    /// How long it is expected to take at most times.
     fn duration(&self) -> Duration {
         let Some(usage) = self.head.usage else {
-            return Duration::ZERO;
+            return self
+                .route
+                .timeout
+                .min(self.route.objective.mul_f64(USUAL_OBJECTIVES));
         };
         let output = usage.hint.unwrap_or(usage.output / 2).min(usage.output);
         FIRST + STEP * output
@@ -350,7 +356,7 @@
     {
         return Err((
             Own::Refused(RETRY_ELSEWHERE),
-            "the instance leaves before the stream would end",
+            "the instance leaves before the request would end",
         ));
     }
     if need.capacity > 0
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -41,8 +41,22 @@
     Ok(socket.into())
 }
 
-/// Serves callers.
+/// Serves callers, until the platform sends no more connections to an instance that leaves: one that is taken
+/// later could be cut off at the end of the grace.
 pub(super) async fn callers(shared: Rc<Shared>, listener: TcpListener) {
+    let closing = async {
+        if shared.leaving().is_none() {
+            shared.leave.notified().await;
+        }
+        tokio::time::sleep(STILL_COMING).await;
+    };
+    tokio::select! {
+        () = accept(&shared, &listener) => {}
+        () = closing => log::info!("no more connections are taken"),
+    }
+}
+
+async fn accept(shared: &Rc<Shared>, listener: &TcpListener) {
     let open = Rc::new(Cell::new(0usize));
     loop {
         let stream = match listener.accept().await {
@@ -58,7 +72,7 @@
             continue;
         }
         watch_over(&stream);
-        tokio::task::spawn_local(connection(Rc::clone(&shared), stream, Rc::clone(&open)));
+        tokio::task::spawn_local(connection(Rc::clone(shared), stream, Rc::clone(&open)));
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -271,6 +271,27 @@
     assert!(status.success(), "{status}");
 }
 
+#[test]
+fn a_leaving_gateway_takes_no_connection_that_it_could_not_serve_to_the_end() {
+    let mut fleet = Fleet::start(1);
+    let _engine = fleet.engine("e1", 220, Duration::from_millis(20));
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &draft("d1")));
+    until("the generation runs", || fleet.ledger.runs("d1") == 1);
+    fleet.gateways[0].signal("TERM");
+    assert!(
+        fleet.gateways[0].accepts(),
+        "the balancer still sends connections"
+    );
+    thread::sleep(Duration::from_millis(3_200));
+    assert!(!fleet.gateways[0].accepts());
+    let outcome = caller.join().expect("the caller ends");
+    assert_eq!(outcome.events().len(), 220, "what was read is answered");
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
 #[test]
 fn a_gateway_that_the_store_refuses_follows_its_peers() {
     let fleet = Fleet::start(4);
