--- /dev/null
+++ b/crates/carob-explain/src/conclude.rs
@@ -0,0 +1,118 @@
+//! The outcome of a request and the decision that led to it.
+
+use crate::Record;
+
+/// Explains the outcome of the request whose records are given in their order. `all` are the records of every
+/// instance, which tell what was known of its upstream.
+pub fn conclude(request: &[&Record], all: &[Record]) -> String {
+    let Some(last) = request.last() else {
+        return "No line speaks of this request: it did not reach an instance whose logs are here."
+            .to_owned();
+    };
+    let version = request
+        .iter()
+        .rev()
+        .map(|record| record.text("version"))
+        .find(|text| !text.is_empty());
+    let configuration = version.map_or_else(String::new, |version| {
+        format!(" Configuration {version} decided.")
+    });
+    let sentence = match last.message.as_str() {
+        "answered by the gateway" => own_answer(last, request),
+        "answer passed on" => format!(
+            "The answer of upstream {} (status {}) was passed on after {} ms.",
+            last.text("upstream"),
+            last.text("status"),
+            last.text("age_ms")
+        ),
+        "stream ended" if last.has("outcome", "complete") => format!(
+            "The stream ended whole at upstream {} after {} events and {} moves.",
+            last.text("upstream"),
+            last.text("events"),
+            last.text("moves")
+        ),
+        "stream ended" => cut(last, request, all),
+        other => format!(
+            "The last line is \"{other}\", {} ms after the start of its process: the process ended, or the logs end \
+             there.",
+            last.up
+        ),
+    };
+    format!("{sentence}{configuration}")
+}
+
+fn own_answer(last: &Record, request: &[&Record]) -> String {
+    let sent = request
+        .iter()
+        .filter(|record| record.message == "sent to an upstream")
+        .count();
+    let attempts: Vec<String> = request
+        .iter()
+        .filter(|record| record.message == "attempt without an answer")
+        .map(|record| {
+            format!(
+                "{} at {}: {}",
+                record.text("attempt"),
+                record.text("upstream"),
+                record.text("reason")
+            )
+        })
+        .collect();
+    let attempts = if attempts.is_empty() {
+        String::new()
+    } else {
+        format!(" Attempts: {}.", attempts.join("; "))
+    };
+    format!(
+        "The gateway answered {} after {} ms and {sent} sends, because {}.{attempts}",
+        last.text("own"),
+        last.text("age_ms"),
+        last.text("reason")
+    )
+}
+
+fn cut(last: &Record, request: &[&Record], all: &[Record]) -> String {
+    let upstream = last.text("upstream");
+    let notice = all
+        .iter()
+        .filter(|record| record.has("upstream", &upstream) && record.time <= last.time)
+        .find(|record| {
+            (record.message == "directory entry" && record.has("state", "Leaving"))
+                || record.message == "directory entry removed"
+                || record.message == "upstream says itself that it leaves"
+        });
+    let known = notice.map_or_else(
+        || "No instance knew before that the upstream would leave".to_owned(),
+        |notice| {
+            let ahead = last.time - notice.time;
+            format!(
+                "Instance {} knew {ahead} ms before that the upstream would leave",
+                notice.instance
+            )
+        },
+    );
+    let steps: Vec<String> = request
+        .iter()
+        .filter(|record| {
+            matches!(
+                record.message.as_str(),
+                "memory copied ahead of a move"
+                    | "generation not moved"
+                    | "generation could not continue elsewhere"
+                    | "copy call failed"
+            )
+        })
+        .map(ToString::to_string)
+        .collect();
+    let steps = if steps.is_empty() {
+        "no copy of its memory was finished".to_owned()
+    } else {
+        format!("these steps were taken: {}", steps.join("; "))
+    };
+    format!(
+        "The stream was cut after {} events ({}; {}) at upstream {upstream}. {known}; {steps}.",
+        last.text("events"),
+        last.text("outcome"),
+        last.text("reason")
+    )
+}
--- a/src/args.rs
+++ b/src/args.rs
@@ -23,6 +23,7 @@
 pub enum Command {
     Check(Check),
     Demo(Demo),
+    Explain(Explain),
     Gateway(Gateway),
     Load(Load),
     Replay(Replay),
@@ -41,6 +42,24 @@
     pub settings: PathBuf,
 }
 
+/// Explain a request, an upstream or an instance from the log lines of gateways.
+///
+/// Prints the lines about it in one order, although instances' clocks differ, and for a request the outcome and the
+/// decision that led to it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// what instances knew of this upstream, in place of a request
+    #[argh(option)]
+    pub upstream: Option<String>,
+    /// what this instance believed, in place of a request
+    #[argh(option)]
+    pub instance: Option<String>,
+    /// the request's id, unless --upstream or --instance is given, and log files
+    #[argh(positional)]
+    pub files: Vec<String>,
+}
+
 /// Run a gateway on the users' platform until SIGTERM or SIGINT, then finish open requests and exit.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "gateway")]
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 mod check;
+mod explain;
 mod gateway;
 mod load;
 mod replay;
@@ -21,6 +22,7 @@
     match command {
         Command::Check(args) => check::run(&args),
         Command::Demo(args) => crate::demo::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Gateway(args) => gateway::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Replay(args) => replay::run(&args),
