--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -32,7 +32,8 @@
 /// How long a configuration can be taken as current without a word from store or peers: two watches.
 const CURRENT: Duration = Duration::from_millis(4_500);
 
-/// Failing calls for this long mean that news of upstreams does not come; a single call may fail by chance.
+/// Failing calls for this long, with no peer that watches, mean that news of upstreams does not come; a single call
+/// may fail by chance.
 const BLIND: Duration = Duration::from_millis(400);
 
 /// An outage of the store after which removals may only mean that leases ran out meanwhile.
@@ -176,7 +177,7 @@
             self.revision(),
             self.confirmed.get().elapsed() < CURRENT,
             self.watching.get() && self.reached.get() && self.failing.get().is_none(),
-            self.failing.get().is_some() && self.confirmed.get().elapsed() >= BLIND,
+            self.outage() >= BLIND && !self.watchers.borrow().any(Instant::now()),
         );
         if self.known.replace(known) != known {
             self.tell(Update::Known {
--- a/crates/carob-gateway/src/control/watchers.rs
+++ b/crates/carob-gateway/src/control/watchers.rs
@@ -15,6 +15,10 @@
 /// How long an instance is taken to watch after it said so; instances say it once a second.
 const FRESH: Duration = Duration::from_millis(1_600);
 
+/// How long after its last word an instance is taken to pass news on; a cut shows after this, and upstreams say
+/// 1.5 s before they leave that they do.
+const HEARD: Duration = Duration::from_millis(1_200);
+
 /// Instances that said that they watch.
 #[derive(Debug, Default)]
 pub(super) struct Watchers {
@@ -31,6 +35,11 @@
         }
     }
 
+    /// Whether any other instance watches, so that its news comes.
+    pub(super) fn any(&self, now: Instant) -> bool {
+        self.told.values().any(|told| now - *told < HEARD)
+    }
+
     /// Whether the instance at `own` has to watch.
     pub(super) fn needed(&mut self, own: SocketAddr, now: Instant) -> bool {
         self.told.retain(|_, told| now - *told < FRESH);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -297,17 +297,37 @@
     let fleet = Fleet::start(4);
     let _plain = fleet.plain("p1", SHORT);
     fleet.configure();
-    fleet.gateways[3].way.set_outage(Some(Outage::Busy));
+    thread::sleep(Duration::from_secs(3));
+    // One of those that watch: the others make no calls that could be refused.
+    let watches = |gateway: &fleet::Gateway| {
+        let lines = gateway.lines();
+        let last = lines
+            .iter()
+            .rfind(|line| line.contains("watching the store changed"));
+        last.is_some_and(|line| line.contains("\"watching\":true"))
+    };
+    let refused = fleet.gateways.iter().position(watches).expect("some watch");
+    fleet.gateways[refused].way.set_outage(Some(Outage::Busy));
     fleet
         .store
         .put(config::KEY, &config::config(2, &ROUTES, &["new-key"]));
     until("the new key is in force", || {
         fleet
-            .send(3, &Request::new("n", "GET", "/read/1").with_key("new-key"))
+            .send(refused, &Request::new("n", "GET", "/read/1").with_key("new-key"))
             .status
             == 200
     });
-    let old = fleet.send(3, &request("old", "GET", "/read/1"));
+    thread::sleep(Duration::from_secs(4));
+    let lines = fleet.gateways[refused].lines();
+    let blind = lines
+        .iter()
+        .filter(|line| line.contains("\"blind\":true"))
+        .count();
+    assert!(
+        blind <= 1,
+        "it hears of changes from those that watch: blind {blind} times"
+    );
+    let old = fleet.send(refused, &request("old", "GET", "/read/1"));
     assert!(
         matches!(old.status, 401 | 503),
         "a key that was taken away is not served: {}",
