--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -179,6 +179,16 @@
         self.lines.lock().expect("no thread panics with it").clone()
     }
 
+    /// Whether the last process has written this text since its start.
+    pub fn logged_last(&self, text: &str) -> bool {
+        let lines = self.lines();
+        let start = lines
+            .iter()
+            .rposition(|line| line.contains("\"starting\""))
+            .unwrap_or(0);
+        lines[start..].iter().any(|line| line.contains(text))
+    }
+
     pub fn logged(&self, text: &str) -> bool {
         self.lines().iter().any(|line| line.contains(text))
     }
