feat: final copies follow the bulk of all copies from an upstream

Change: the final copy waits for the time that the memory of all instances' generations at the upstream takes, from 0.45 to 1.3 s; generations about to end are not copied at first.

--- a/crates/carob-dispatch/src/migration.rs
+++ b/crates/carob-dispatch/src/migration.rs
@@ -12,11 +12,15 @@
 
 use crate::table::Engine;
 
-/// When final copies begin, after the notice of leaving, at the earliest.
-///
-/// Notices come 1.5 s or more before the end; bulk copies of a full engine of eight generations take about as long
-/// on one link, those of a half-full one under a second.
-pub const FINAL_AFTER: Duration = Duration::from_millis(900);
+/// When final copies begin, after the notice, at the earliest and at the latest: bulk copies of two generations
+/// take the first, and the shortest notice is 1.5 s.
+pub const FINAL_EARLIEST: Duration = Duration::from_millis(450);
+/// See [`FINAL_EARLIEST`].
+pub const FINAL_LATEST: Duration = Duration::from_millis(1_300);
+
+/// A generation that is expected to end within this time is not copied at first, so that others' copies are not
+/// held up; if it is still there then, it is.
+pub const ENDS_SOON: Duration = Duration::from_millis(700);
 
 /// Other upstreams that are asked for the copy of one generation before the first ones are asked again.
 pub const TARGETS: usize = 6;
@@ -33,10 +37,13 @@
 /// How long a copy call may take: the copies of a full engine on one link, between failure domains, twice over.
 pub const COPY_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// When the final copy of a generation may begin whose upstream was known to leave at `left`.
-pub fn finale(left: Time, copied: Time) -> Time {
-    let earliest = left + FINAL_AFTER;
-    if copied > earliest { copied } else { earliest }
+/// When the final copy of a generation may begin whose own bulk copy ended at `copied`.
+///
+/// Its upstream was known to leave at `left`, with generations of all instances that hold `tokens` together: their
+/// bulk copies queue on its link, and a final copy among them would show as a pause.
+pub fn finale(engine: &Engine, tokens: u64, left: Time, copied: Time) -> Time {
+    let bulk = copy_time(engine, tokens).clamp(FINAL_EARLIEST, FINAL_LATEST);
+    copied.max(left + bulk)
 }
 
 /// How long copying `tokens` takes on an idle link within a failure domain.
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -121,6 +121,15 @@
         FIRST + STEP * output
     }
 
+    /// How long its stream is expected to go on after `events` events.
+    pub(super) fn remaining(&self, events: u32) -> Duration {
+        let stride = self.engine.as_ref().map_or(1, |engine| engine.stride);
+        let expected = self.head.usage.map_or(0, |usage| {
+            usage.hint.unwrap_or(usage.output / 2).min(usage.output)
+        });
+        STEP * expected.saturating_sub(events * stride)
+    }
+
     /// Tokens that the request holds when `made` tokens are there.
     pub(super) fn held(&self, made: u32) -> u64 {
         self.head.usage.map_or(0, |usage| u64::from(usage.prompt + made))
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -1,10 +1,10 @@
 //! Moves a running generation away from an upstream that leaves.
 
-use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, time::Duration};
 
 use carob_dispatch::{
     fleet::{Size, UpstreamKey},
-    migration::{COPY_LATEST, COPY_TIMEOUT, RETRIES, RETRY_PAUSE, TARGETS, finale},
+    migration::{COPY_LATEST, COPY_TIMEOUT, ENDS_SOON, RETRIES, RETRY_PAUSE, TARGETS, finale},
 };
 use carob_platform::engine::{self, Copy};
 use smallvec::SmallVec;
@@ -54,12 +54,20 @@
     from: UpstreamKey,
     progress: Rc<RefCell<Progress>>,
     tokens: u64,
+    remaining: Duration,
 ) -> Moved {
     let shared = &call.shared;
-    let (source, left) = match shared.fleet().upstream(from) {
-        Some(found) => (found.entry.address, found.left.unwrap_or_else(|| shared.now())),
+    let (source, left, held) = match shared.fleet().upstream(from) {
+        Some(found) => (
+            found.entry.address,
+            found.left.unwrap_or_else(|| shared.now()),
+            found.expected(),
+        ),
         None => return Moved::Failed("the upstream is forgotten"),
     };
+    if remaining < ENDS_SOON {
+        tokio::time::sleep(ENDS_SOON).await;
+    }
     let mut except: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     loop {
         let need = call.need(Size { tokens, unread: 0 }, &except);
@@ -96,8 +104,12 @@
             Copy::Busy | Copy::Malformed => return Moved::Failed("the source does not copy"),
         }
     }
-    let pause = finale(left, shared.now()).since(shared.now());
-    tokio::time::sleep(pause).await;
+    let now = shared.now();
+    let due = call
+        .engine
+        .as_ref()
+        .map_or(now, |engine| finale(engine, held, left, now));
+    tokio::time::sleep(due.since(now)).await;
     let target = match &progress.borrow().copy {
         Some((place, _)) => place.upstream,
         None => return Moved::Failed("the copy was used"),
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -180,6 +180,7 @@
                     self.run.upstream,
                     Rc::clone(&progress),
                     self.run.size.tokens,
+                    self.call.remaining(self.events),
                 )));
             }
             match self.step(&notice, &mut mover).await {
