--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -47,8 +47,8 @@
 
 /// Share of an engine's memory that the expected sizes of its generations may fill.
 ///
-/// Sizes are sums of estimates that are right at the median; generations on one engine end at different times, so
-/// that not all are at their full size at once. Trials at 0.9 to 1.4 are in docs/design/platform.md.
+/// Generations on one engine end at different times, so that not all are at their full size at once. Source:
+/// docs/design/platform.md.
 const FILL: f64 = 1.15;
 
 /// Unread prompts, as a share of an engine's memory, that count like a full memory.
