--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, time::Duration};
 
+use carob_base::Time;
 use carob_dispatch::{
     fleet::{Size, UpstreamKey},
     migration::{COPY_LATEST, COPY_TIMEOUT, ENDS_SOON, RETRIES, RETRY_PAUSE, TARGETS, finale},
@@ -48,7 +49,19 @@
     }
 }
 
-/// Moves the generation of `call` away from `from`; `progress` shows how far it has come.
+/// The upstream that a generation leaves.
+#[derive(Clone, Copy)]
+struct Source {
+    key: UpstreamKey,
+    address: SocketAddr,
+    /// When it was known to leave.
+    left: Time,
+    /// Tokens that the generations of all instances hold there.
+    held: u64,
+}
+
+/// Moves the generation of `call` away from `from`; `progress` shows how far it has come. It holds `tokens` and is
+/// expected to go on for `remaining`.
 pub(super) async fn run(
     call: Rc<Call>,
     from: UpstreamKey,
@@ -57,66 +70,34 @@
     remaining: Duration,
 ) -> Moved {
     let shared = &call.shared;
-    let (source, left, held) = match shared.fleet().upstream(from) {
-        Some(found) => (
-            found.entry.address,
-            found.left.unwrap_or_else(|| shared.now()),
-            found.expected(),
-        ),
+    let source = match shared.fleet().upstream(from) {
+        Some(found) => Source {
+            key: from,
+            address: found.entry.address,
+            left: found.left.unwrap_or_else(|| shared.now()),
+            held: found.expected(),
+        },
         None => return Moved::Failed("the upstream is forgotten"),
     };
     if remaining < ENDS_SOON {
         tokio::time::sleep(ENDS_SOON).await;
     }
-    let mut except: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
-    loop {
-        let need = call.need(Size { tokens, unread: 0 }, &except);
-        let target = shared.fleet().refuge(from, &need, rand::random());
-        let Some(target) = target.filter(|_| except.len() < TARGETS) else {
-            if shared.now().since(left) >= COPY_LATEST {
-                return Moved::Failed("no upstream has room for the copy");
-            }
-            // Requests that end elsewhere make room.
-            except.clear();
-            tokio::time::sleep(RETRY_PAUSE).await;
-            continue;
-        };
-        let size = need.size;
-        except.push(target);
-        let place = Run::new(shared, target, size);
-        let begun = Instant::now();
-        let outcome = copy(&call, source, target, false).await;
-        log::info!(
-            request:% = call.id(), from:% = name(&call, from), to:% = name(&call, target), tokens,
-            target_tokens = shared.fleet().upstream(target).map_or(0, carob_dispatch::fleet::Upstream::expected),
-            target_requests = shared.fleet().upstream(target).map_or(0, carob_dispatch::fleet::Upstream::requests),
-            near = shared.fleet().near(from, target),
-            outcome:? = outcome, took_ms = begun.elapsed().as_millis() as u64,
-            notice_ms = shared.now().since(left).as_millis() as u64; "memory copied ahead of a move"
-        );
-        match outcome {
-            Copy::Done(copied) => {
-                progress.borrow_mut().copy = Some((place, copied.handle));
-                break;
-            }
-            Copy::NoRoom(_) => {}
-            Copy::NoRun => return Moved::NotRunning,
-            Copy::Busy | Copy::Malformed => return Moved::Failed("the source does not copy"),
+    let target = match copy_ahead(&call, source, tokens).await {
+        Ok((place, handle)) => {
+            let target = place.upstream;
+            progress.borrow_mut().copy = Some((place, handle));
+            target
         }
-    }
+        Err(moved) => return moved,
+    };
     let now = shared.now();
     let due = call
         .engine
         .as_ref()
-        .map_or(now, |engine| finale(engine, held, left, now));
+        .map_or(now, |engine| finale(engine, source.held, source.left, now));
     tokio::time::sleep(due.since(now)).await;
-    let target = match &progress.borrow().copy {
-        Some((place, _)) => place.upstream,
-        None => return Moved::Failed("the copy was used"),
-    };
     progress.borrow_mut().stopping = true;
-    let outcome = copy(&call, source, target, true).await;
-    match outcome {
+    match copy(&call, source.address, target, true).await {
         Copy::Done(copied) => {
             if let Some((_, handle)) = &mut progress.borrow_mut().copy {
                 *handle = copied.handle;
@@ -129,6 +110,51 @@
     }
 }
 
+/// Copies the memory while the generation goes on, to the first target with room. Returns the place there and the
+/// copy's handle, or how the move ended.
+async fn copy_ahead(call: &Rc<Call>, source: Source, tokens: u64) -> Result<(Run, String), Moved> {
+    let shared = &call.shared;
+    let mut except: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
+    loop {
+        let need = call.need(Size { tokens, unread: 0 }, &except);
+        let target = shared.fleet().refuge(source.key, &need, rand::random());
+        let Some(target) = target.filter(|_| except.len() < TARGETS) else {
+            if shared.now().since(source.left) >= COPY_LATEST {
+                return Err(Moved::Failed("no upstream has room for the copy"));
+            }
+            // Requests that end elsewhere make room.
+            except.clear();
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        except.push(target);
+        let place = Run::new(shared, target, need.size);
+        let begun = Instant::now();
+        let outcome = copy(call, source.address, target, false).await;
+        log_copy(call, source, target, &outcome, begun);
+        match outcome {
+            Copy::Done(copied) => return Ok((place, copied.handle)),
+            Copy::NoRoom(_) => {}
+            Copy::NoRun => return Err(Moved::NotRunning),
+            Copy::Busy | Copy::Malformed => return Err(Moved::Failed("the source does not copy")),
+        }
+    }
+}
+
+fn log_copy(call: &Call, source: Source, target: UpstreamKey, outcome: &Copy, begun: Instant) {
+    let fleet = call.shared.fleet();
+    let Some(found) = fleet.upstream(target) else {
+        return;
+    };
+    log::info!(
+        request:% = call.id(), from:% = name(call, source.key), to:% = found.entry.id,
+        target_tokens = found.expected(), target_requests = found.requests(),
+        near = fleet.near(source.key, target), outcome:% = outcome,
+        took_ms = begun.elapsed().as_millis() as u64,
+        notice_ms = call.shared.now().since(source.left).as_millis() as u64; "memory copied ahead of a move"
+    );
+}
+
 /// Asks the source to copy, again while it says that another call is under way or that nothing runs yet.
 async fn copy(call: &Call, source: SocketAddr, target: UpstreamKey, last: bool) -> Copy {
     let Some(address) = call
