fix: a generation that ends before its final copy is whole

Change: the end of a body whose end is marked is its own, and a source that runs no such generation has not stopped it.

--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -10,7 +10,11 @@
     request::Resume,
 };
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming, header::CONTENT_LENGTH};
+use hyper::{
+    HeaderMap, Response,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use tokio::{
     sync::{Notify, mpsc},
     time::{Instant, timeout, timeout_at},
@@ -59,6 +63,8 @@
     body: Incoming,
     driver: Driver,
     client: mpsc::Sender<Result<Bytes, Cut>>,
+    /// Whether the upstream marks the body's end, so that a body which ends is whole.
+    framed: bool,
     splitter: Splitter,
     /// Id of the last event that the client got.
     last: Option<u64>,
@@ -102,6 +108,7 @@
     count: Count,
 ) -> Response<Answer> {
     let (mut parts, body) = response.into_parts();
+    let framed = framed(&parts.headers);
     answer::strip(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     let (client, pieces) = mpsc::channel(CHUNKS);
@@ -111,6 +118,7 @@
         body,
         driver,
         client,
+        framed,
         splitter: Splitter::new(),
         last: None,
         events: 0,
@@ -126,6 +134,11 @@
     Response::from_parts(parts, Answer::Pieces(pieces))
 }
 
+/// Whether the end of an answer's body is marked, and not only by the end of the connection.
+fn framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 impl Stream {
     async fn pass(mut self) {
         let end = loop {
@@ -196,11 +209,15 @@
                 }
                 Step::Moved(moved) => {
                     mover = None;
+                    // A generation that has ended was not stopped, so that the end of its stream is its own.
+                    if matches!(moved, Moved::NotRunning) {
+                        progress.borrow_mut().stopping = false;
+                    }
                     if self.moved(moved, &progress).await? {
                         return Ok(());
                     }
                 }
-                Step::Ended if !progress.borrow().stopping => {
+                Step::Ended if self.framed || !progress.borrow().stopping => {
                     self.give_up(&progress);
                     return self.finish().await;
                 }
@@ -415,6 +432,7 @@
             event = self.last.unwrap_or(0), took_ms = begun.elapsed().as_millis() as u64,
             gap_ms = self.previous.elapsed().as_millis() as u64; "generation continues elsewhere"
         );
+        self.framed = framed(response.headers());
         self.body = response.into_body();
         self.driver = driver;
         self.splitter = Splitter::new();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -204,6 +204,26 @@
     assert_eq!(fleet.ledger.runs("d1"), 1);
 }
 
+/// Found on saarela-tukku, mix with seed 701360881773: the final copy met a generation that had just ended, and the
+/// whole stream was taken for a stopped one.
+#[test]
+fn a_generation_that_ends_before_its_final_copy_is_whole() {
+    let fleet = Fleet::start(1);
+    let first = fleet.engine("e1", 120, Duration::from_millis(20));
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &draft("d1")));
+    until("the generation runs", || fleet.ledger.runs("d1") == 1);
+    let _second = fleet.engine("e2", 120, Duration::from_millis(20));
+    first.set_ending(true);
+    first.leave(LONG);
+    let outcome = caller.join().expect("the caller ends");
+    assert!(outcome.whole, "{:?}", outcome.events().last());
+    assert_eq!(outcome.events(), (1..=120).collect::<Vec<_>>());
+    assert_eq!(fleet.ledger.moves(), 0);
+    assert!(fleet.gateways[0].logged("the source runs no such generation"));
+}
+
 #[test]
 fn a_departure_that_the_store_does_not_tell_is_learned_from_the_upstream() {
     let fleet = Fleet::start(1);
