fix: a process whose standard output blocks ends all the same

Cause: the end of the process waited for the thread that writes logs, which waits as long as nobody reads standard output. Change: the last lines get 250 ms. Tests for a stalled standard output, smuggled requests and addresses that are used again.

--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -11,10 +11,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{
-    exchange::{Call, name},
-    guard::Run,
-};
+use super::{call::Call, exchange::name, guard::Run};
 use crate::socket;
 
 /// How far a move has come; read by whoever passes events on when the source breaks off meanwhile.
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -22,7 +22,8 @@
 
 use super::{
     answer::{Answer, Cut},
-    exchange::{Call, name},
+    call::Call,
+    exchange::name,
     guard::{Active, Run},
     listen::Count,
     migrate::{self, Moved, Progress},
--- a/crates/carob-logs/src/lib.rs
+++ b/crates/carob-logs/src/lib.rs
@@ -28,6 +28,9 @@
 /// Pause after a line in which others gather, so that many are written with one call and one wake-up.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// How long the last lines may take when the process ends; the gateway ends 400 ms before it would be killed.
+const LAST: Duration = Duration::from_millis(250);
+
 /// Lines a second of each queue, on average over [`rate::BURST`] seconds.
 const RATE: u64 = 150;
 
@@ -91,11 +94,16 @@
 }
 
 impl Writer {
-    /// Writes what is queued and ends the thread. Waits as long as standard output blocks.
+    /// Writes what is queued and ends the thread. Gives up on a standard output that blocks for [`LAST`], so that the
+    /// process ends all the same.
     pub fn close(self) {
         self.logger.stopping.store(true, Ordering::Release);
         self.logger.wake();
-        if self.thread.join().is_err() {
+        let end = Instant::now() + LAST;
+        while !self.thread.is_finished() && Instant::now() < end {
+            thread::sleep(LAST / 20);
+        }
+        if self.thread.is_finished() && self.thread.join().is_err() {
             eprintln!("the thread for logs has panicked");
         }
     }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -174,6 +174,16 @@
         self.child = child;
     }
 
+    /// Starts the process with a standard output that nobody reads.
+    pub fn spawn_unread(&mut self) {
+        self.child = Command::new(env!("CARGO_BIN_EXE_carobhaven"))
+            .args(["gateway", "--settings"])
+            .arg(self.file())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the command runs");
+    }
+
     /// Log lines so far.
     pub fn lines(&self) -> Vec<String> {
         self.lines.lock().expect("no thread panics with it").clone()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -553,6 +553,71 @@
     });
 }
 
+#[test]
+fn a_request_inside_anothers_body_runs_as_no_request_without_its_own_key() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    let inner = Request::new("inner", "POST", "/order/2").with_key("another");
+    client::send_smuggled(
+        fleet.gateways[0].callers,
+        &request("outer", "POST", "/order/1"),
+        &inner,
+    );
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(fleet.ledger.runs("inner"), 0);
+    assert!(fleet.ledger.runs("outer") <= 1);
+}
+
+#[test]
+fn an_address_that_is_used_again_runs_nothing_for_its_former_upstream() {
+    let fleet = Fleet::start(1);
+    let plain = fleet.plain("p1", SHORT);
+    plain.enter_as("former");
+    fleet.configure();
+    for number in 0..10 {
+        let id = format!("o{number}");
+        assert_eq!(fleet.send(0, &request(&id, "POST", "/order/1")).status, 200);
+        assert_eq!(fleet.ledger.runs(&id), 1);
+    }
+}
+
+#[test]
+fn a_stalled_standard_output_changes_nothing_for_callers() {
+    let mut fleet = Fleet::start(1);
+    let _plain = fleet.plain("p1", Duration::ZERO);
+    fleet.configure();
+    let gateway = &mut fleet.gateways[0];
+    gateway.signal("KILL");
+    let _ended = gateway.child.wait();
+    gateway.spawn_unread();
+    fleet.wait_ready();
+    // Far more lines than a pipe and the queues hold.
+    let address = fleet.gateways[0].callers;
+    let callers: Vec<_> = (0..8)
+        .map(|caller| {
+            thread::spawn(move || {
+                (0..300)
+                    .filter(|n| {
+                        let id = format!("o{caller}-{n}-{}", "x".repeat(400));
+                        client::send(address, &request(&id, "GET", "/read/1")).status == 200
+                    })
+                    .count()
+            })
+        })
+        .collect();
+    let served: usize = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("callers end"))
+        .sum();
+    assert_eq!(served, 2_400);
+    fleet.gateways[0].signal("TERM");
+    let child = std::cell::RefCell::new(&mut fleet.gateways[0].child);
+    until("the process ends", || {
+        child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_some())
+    });
+}
+
 #[test]
 fn metrics_are_served() {
     let fleet = Fleet::start(1);
