--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -7,7 +7,10 @@
     io::{BufRead as _, BufReader},
     net::{SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -70,7 +73,7 @@
     pub fn add(&mut self) -> usize {
         let seeds: Vec<SocketAddr> = self.gateways.iter().map(|gateway| gateway.peers).collect();
         let number = self.gateways.len();
-        self.gateways.push(Gateway::start(number, &self.store, &seeds));
+        self.gateways.push(Gateway::start(&self.store, &seeds));
         number
     }
 
@@ -111,10 +114,10 @@
     ///
     /// Gateways tell each other apart by address while their ports for each other are alike, so each gets a
     /// loopback address of its own.
-    pub fn start(number: usize, store: &Store, seeds: &[SocketAddr]) -> Self {
+    pub fn start(store: &Store, seeds: &[SocketAddr]) -> Self {
         let way = store.way();
         let settings = tempfile::tempdir().expect("a temporary directory");
-        let ip = format!("127.0.0.{}", number + 2);
+        let ip = own_address();
         let port = seeds.first().map_or_else(|| free_port(&ip), SocketAddr::port);
         let at = |port: u16| format!("{ip}:{port}").parse().expect("an address");
         let (callers, ready, admin) = (at(free_port(&ip)), at(free_port(&ip)), at(free_port(&ip)));
@@ -253,6 +256,19 @@
         .with_patience(LONG)
 }
 
+/// A loopback address that no other gateway of any test has: free ports of a shared one may be taken by another
+/// test between the choice and the start.
+fn own_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    format!(
+        "127.{}.{}.{}",
+        1 + process / 250 % 250,
+        1 + process % 250,
+        1 + number % 250
+    )
+}
+
 fn free_port(ip: &str) -> u16 {
     let listener = TcpListener::bind((ip, 0)).expect("loopback has free ports");
     listener
