--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -83,7 +83,7 @@
 }
 
 /// Watches until the store no longer has the history that is needed; rests while enough others watch.
-async fn watch_all(control: &Control, outage: &mut Outage) {
+async fn watch_all(control: &Rc<Control>, outage: &mut Outage) {
     loop {
         let must = control.must_watch();
         if control.watching.replace(must) != must {
@@ -92,7 +92,10 @@
         }
         if !must {
             control.rest();
-            tokio::time::sleep(REST).await;
+            // A timeout is the usual case: nothing was missed.
+            if tokio::time::timeout(REST, control.lag.notified()).await.is_ok() {
+                catch_up(control).await;
+            }
             control.tell_known();
             continue;
         }
@@ -114,6 +117,26 @@
     }
 }
 
+/// Takes what was missed from the store, or from a peer if the store does not answer.
+///
+/// Changes that are too large for a datagram would otherwise be asked of the instances that watch by all others at
+/// once, over links that are far smaller than the store's.
+async fn catch_up(control: &Rc<Control>) {
+    let revision = control.revision();
+    match ask(control, store::watch("", revision, Duration::ZERO), READ).await {
+        Ok(page) => {
+            control.apply(page.items, page.revision);
+            log::info!(before = revision, revision = control.revision(); "caught up with the store");
+        }
+        Err(error) => {
+            log::info!(error:% = error, revision; "the store does not say what was missed; asking a peer");
+            if let Some(peer) = control.ahead.take() {
+                super::share::ask_peer(control, peer);
+            }
+        }
+    }
+}
+
 /// Makes one read or watch.
 async fn ask(
     control: &Control,
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -84,7 +84,20 @@
         control.confirm();
     }
     let behind = control.behind(revision);
-    if behind < BEHIND || control.asking.replace(true) {
+    if behind < BEHIND {
+        return;
+    }
+    if control.watching.get() {
+        ask_peer(control, peer);
+    } else {
+        control.ahead.set(Some(peer));
+        control.lag.notify_one();
+    }
+}
+
+/// Asks a peer that knows more, unless one is being asked.
+pub(super) fn ask_peer(control: &Rc<Control>, peer: SocketAddr) {
+    if control.asking.replace(true) {
         return;
     }
     let control = Rc::clone(control);
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use carob_platform::{config, directory, store::Item};
 use flume::Sender;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::watchers::Watchers;
 
@@ -67,6 +67,10 @@
     reached: Cell<bool>,
     /// Whether this instance watches.
     pub(super) watching: Cell<bool>,
+    /// A peer that knows more, while this instance is behind and does not watch.
+    pub(super) ahead: Cell<Option<SocketAddr>>,
+    /// Told when that is so.
+    pub(super) lag: Notify,
     /// Whether a peer is being asked.
     pub(super) asking: Cell<bool>,
 }
@@ -88,6 +92,8 @@
             watchers: RefCell::default(),
             reached: Cell::new(false),
             watching: Cell::new(false),
+            ahead: Cell::new(None),
+            lag: Notify::new(),
             asking: Cell::new(false),
         }
     }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -338,7 +338,13 @@
     };
     let status = response.status();
     match answer::claim(status, response.headers(), &call.head.id) {
-        Claim::NotRun => return nothing(Attempt::Rejected, &status),
+        Claim::NotRun => {
+            // Another upstream has the address, so that this one is not there.
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                judge(Quality::Unreachable);
+            }
+            return nothing(Attempt::Rejected, &status);
+        }
         Claim::Foreign => {
             judge(Quality::Poor);
             return nothing(
