fix: an instance stays behind until it knows the newest revision

Cause: an instance that does not watch the store counted how long others had known more, and began anew whenever any other said that it knew no more. Ruled out: the store (it answered), the watch (both watching instances had the version after 60 ms), frozen instances (none of those named).

Change: the lag is measured against the newest revision that any instance has named; those that watch tell a new revision at once instead of with their next load; an instance asks only when it is behind.

Test: a_large_configuration_reaches_instances_that_do_not_watch failed three times in three before (20 s and not in force), passes three times in three; tests/lag.rs of carob-gateway holds the rule itself.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -93,7 +93,8 @@
         if !must {
             control.rest();
             // A timeout is the usual case: nothing was missed.
-            if tokio::time::timeout(REST, control.lag.notified()).await.is_ok() {
+            let told = tokio::time::timeout(REST, control.lag.notified()).await;
+            if told.is_ok() && control.is_behind() {
                 catch_up(control).await;
             }
             control.tell_known();
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -84,7 +84,7 @@
         control.confirm();
     }
     let behind = control.behind(revision);
-    if behind < BEHIND {
+    if behind < BEHIND || revision <= control.revision() {
         return;
     }
     if control.watching.get() {
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -16,7 +16,7 @@
 use super::watchers::Watchers;
 
 use crate::{
-    Change, Mirror, Settings,
+    Change, Lag, Mirror, Settings,
     update::{News, Update},
 };
 
@@ -59,8 +59,8 @@
     absent: RefCell<HashSet<String>>,
     /// What the traffic thread was last told: the fields of [`Update::Known`] in their order.
     known: Cell<(u64, bool, bool, bool)>,
-    /// Since when a peer is known to know more.
-    behind: Cell<Option<Instant>>,
+    /// How long peers have known more.
+    behind: RefCell<Lag>,
     /// Instances that watch the store.
     watchers: RefCell<Watchers>,
     /// Whether the store has answered at all.
@@ -88,7 +88,7 @@
             away: Cell::new(None),
             absent: RefCell::new(HashSet::new()),
             known: Cell::new((0, false, false, false)),
-            behind: Cell::new(None),
+            behind: RefCell::new(Lag::new()),
             watchers: RefCell::default(),
             reached: Cell::new(false),
             watching: Cell::new(false),
@@ -174,13 +174,13 @@
 
     /// How long a peer has known more than this instance, now that one says that it knows `revision`.
     pub(super) fn behind(&self, revision: u64) -> Duration {
-        if revision <= self.revision() {
-            self.behind.set(None);
-            return Duration::ZERO;
-        }
-        let since = self.behind.get().unwrap_or_else(Instant::now);
-        self.behind.set(Some(since));
-        since.elapsed()
+        let now = Instant::now().into_std();
+        self.behind.borrow_mut().told(revision, self.revision(), now)
+    }
+
+    /// Whether a peer knows more than this instance.
+    pub(super) fn is_behind(&self) -> bool {
+        self.behind.borrow().is_behind(self.revision())
     }
 
     /// Tells the traffic thread how current its knowledge is.
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -7,10 +7,12 @@
 //! * [`run`]: runs a gateway until it is asked to leave.
 //! * [`Settings`]: the settings file.
 //! * [`Mirror`]: what the store holds, as far as this instance knows.
+//! * [`Lag`]: how far that is behind what other instances know.
 //! * [`events`]: whole events out of a stream's bytes.
 
 mod control;
 pub mod events;
+mod lag;
 mod mirror;
 mod peer;
 mod run;
@@ -19,6 +21,7 @@
 mod traffic;
 mod update;
 
+pub use lag::Lag;
 pub use mirror::{Change, Known, Mirror};
 pub use run::{Error, run};
 pub use settings::{Errors, Settings};
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -29,9 +29,11 @@
     let mut sent: HashMap<u64, PeerLoad> = HashMap::new();
     let mut number = 0;
     let mut due = Instant::now();
-    let mut told = false;
+    let mut told = (false, 0);
     loop {
         let watching = shared.watching();
+        // Those that rest learn from those that watch that there is more to know.
+        let word = (watching, if watching { shared.revision() } else { 0 });
         let news = shared.take_news();
         let whole = Instant::now() >= due;
         let loads: HashMap<u64, PeerLoad> = shared
@@ -45,7 +47,7 @@
         } else {
             changes(&sent, &loads)
         };
-        if whole || !changed.is_empty() || news.is_some() || watching != told {
+        if whole || !changed.is_empty() || news.is_some() || word != told {
             number += 1;
             let message = Announce {
                 life,
@@ -58,7 +60,7 @@
                 news: news.map_or_else(Vec::new, |news| news.items.into_iter().map(Item::from).collect()),
             };
             tell(&shared, &socket, &message).await;
-            (sent, told) = (loads, watching);
+            (sent, told) = (loads, word);
         }
         if whole {
             due = Instant::now() + WHOLE;
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -230,8 +230,8 @@
                     log::info!(blind, revision; "news of upstreams changed");
                     self.sight.notify_waiters();
                 }
-                self.revision.set(revision);
-                if self.watching.replace(watching) != watching {
+                let newer = self.revision.replace(revision) != revision;
+                if self.watching.replace(watching) != watching || (watching && newer) {
                     self.changed.notify_one();
                 }
                 if self.current.replace(current) != current {
--- /dev/null
+++ b/crates/carob-gateway/tests/lag.rs
@@ -0,0 +1,33 @@
+//! An instance that is behind notices it, whatever those say that are behind as well.
+
+use std::time::{Duration, Instant};
+
+use carob_gateway::Lag;
+
+const STEP: Duration = Duration::from_millis(50);
+
+#[test]
+fn others_that_are_behind_as_well_do_not_end_the_lag() {
+    let mut lag = Lag::new();
+    let mut now = Instant::now();
+    assert_eq!(lag.told(7, 7, now), Duration::ZERO);
+    lag.told(9, 7, now);
+    for _ in 0..10 {
+        now += STEP;
+        lag.told(7, 7, now);
+    }
+    assert_eq!(lag.told(9, 7, now), STEP * 10);
+    assert!(lag.is_behind(7));
+}
+
+#[test]
+fn the_lag_ends_with_the_newest_revision_and_begins_anew() {
+    let mut lag = Lag::new();
+    let start = Instant::now();
+    lag.told(9, 7, start);
+    assert_eq!(lag.told(8, 8, start + STEP), STEP, "8 is not the newest");
+    assert_eq!(lag.told(8, 9, start + STEP * 2), Duration::ZERO);
+    assert!(!lag.is_behind(9));
+    assert_eq!(lag.told(10, 9, start + STEP * 3), Duration::ZERO);
+    assert_eq!(lag.told(8, 9, start + STEP * 4), STEP);
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -2,7 +2,10 @@
 
 mod fleet;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use carob_platform_standin::{
     Answer, Outage,
@@ -13,6 +16,9 @@
 
 const SHORT: Duration = Duration::from_millis(10);
 
+/// The platform's bound for a configuration to be in force on every instance.
+const APPLY: Duration = Duration::from_millis(2_500);
+
 #[test]
 fn plain_calls_and_streams_come_whole() {
     let fleet = Fleet::start(1);
@@ -356,6 +362,23 @@
     assert_eq!(fleet.ledger.runs("old"), 0);
 }
 
+/// Most instances do not watch the store; a change that is too large for their peers' datagrams reaches them too.
+#[test]
+fn a_large_configuration_reaches_instances_that_do_not_watch() {
+    let fleet = Fleet::start(10);
+    let _plain = fleet.plain("p1", SHORT);
+    fleet.configure();
+    thread::sleep(Duration::from_secs(3));
+    let keys: Vec<String> = (0..1_000).map(|number| format!("large-key-{number}")).collect();
+    let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+    let written = Instant::now();
+    fleet.store.put(config::KEY, &config::config(2, &ROUTES, &keys));
+    for gateway in &fleet.gateways {
+        until("version 2 is in force", || gateway.logged_last("\"version\":2"));
+        assert!(written.elapsed() < APPLY, "{:?}", written.elapsed());
+    }
+}
+
 #[test]
 fn a_gateway_that_starts_while_the_store_is_away_learns_from_a_seed() {
     let mut fleet = Fleet::start(1);
