feat: generations move while they go on; no pause for a final copy

Cause: a generation whose upstream leaves was copied, stopped, copied again and continued.

Change: what is new is copied while the generation goes on until that takes under 0.1 s; the other upstream is asked to continue; the source's stream is passed on until the first event comes from there. The source is then told to stop, for engines that ignore closed connections. A copy that was rejected is tried again when the source ends. The final copy and its timing are gone.

Fixture: the ports of a gateway are bound together; metrics_are_served failed once in a full run because its gateway never became ready, 400 runs alone did not repeat it; a gateway's last log lines are now shown when a test fails.

--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -24,6 +24,7 @@
     guard::{Active, Run, Wait},
     listen::Count,
     plain, probe,
+    resume::Opened,
     shared::Shared,
     stream,
 };
@@ -178,7 +179,13 @@
         let outcome = attempt(call, &run, last).await;
         let attempt = match outcome {
             Outcome::Stream(response, driver) => {
-                return Ok(stream::start(call, run, response, driver, active, count));
+                let opened = Opened {
+                    run,
+                    response,
+                    driver,
+                    early: None,
+                };
+                return Ok(stream::start(call, opened, active, count));
             }
             Outcome::Whole(response) if !failed(response.status()) => {
                 log_ended(call, response.status(), upstream);
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -5,41 +5,53 @@
 use carob_base::Time;
 use carob_dispatch::{
     fleet::{Size, UpstreamKey},
-    migration::{COPY_LATEST, COPY_TIMEOUT, ENDS_SOON, RETRIES, RETRY_PAUSE, TARGETS, finale},
+    migration::{
+        CATCH_UP_LATEST, CAUGHT_UP, COPY_LATEST, COPY_TIMEOUT, ENDS_SOON, RETRIES, RETRY_PAUSE, TARGETS,
+    },
+};
+use carob_platform::{
+    engine::{self, Copy},
+    request::Resume,
 };
-use carob_platform::engine::{self, Copy};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{call::Call, exchange::name, guard::Run};
+use super::{
+    call::Call,
+    exchange::name,
+    guard::Run,
+    resume::{self, Opened},
+};
 use crate::socket;
 
-/// How far a move has come; read by whoever passes events on when the source breaks off meanwhile.
+/// Time for giving up a copy that is not used.
+const RELEASE: Duration = Duration::from_secs(1);
+
+/// How far a move and the stream of its generation have come; the two share it.
 #[derive(Default)]
 pub(super) struct Progress {
     /// The place at the other upstream, and the handle of the copy there.
     pub(super) copy: Option<(Run, String)>,
-    /// Whether the source was asked to stop.
-    pub(super) stopping: bool,
+    /// Whether the other upstream was asked to continue.
+    pub(super) switching: bool,
+    /// Id of the last event that the client got.
+    pub(super) event: Option<u64>,
 }
 
 /// How a move ended.
 pub(super) enum Moved {
-    /// The generation has stopped, and the other upstream has its memory.
-    Stopped,
-    /// The generation has stopped, but its memory is only at the source, under this handle.
-    Stranded(String),
+    /// The generation runs at the other upstream.
+    Continued(Box<Opened>),
     /// The source runs no such generation.
     NotRunning,
-    /// There is no place for it, or the source cannot be asked.
+    /// It has not moved.
     Failed(&'static str),
 }
 
 impl fmt::Display for Moved {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Stopped => "stopped with its memory at the target",
-            Self::Stranded(_) => "stopped with its memory at the source",
+            Self::Continued(_) => "continues at the other upstream",
             Self::NotRunning => "the source runs no such generation",
             Self::Failed(reason) => reason,
         })
@@ -53,8 +65,6 @@
     address: SocketAddr,
     /// When it was known to leave.
     left: Time,
-    /// Tokens that the generations of all instances hold there.
-    held: u64,
 }
 
 /// Moves the generation of `call` away from `from`; `progress` shows how far it has come. It holds `tokens` and is
@@ -72,38 +82,78 @@
             key: from,
             address: found.entry.address,
             left: found.left.unwrap_or_else(|| shared.now()),
-            held: found.expected(),
         },
         None => return Moved::Failed("the upstream is forgotten"),
     };
     if remaining < ENDS_SOON {
         tokio::time::sleep(ENDS_SOON).await;
     }
-    let target = match copy_ahead(&call, source, tokens).await {
+    let (place, handle) = match copy_ahead(&call, source, tokens).await {
         Ok((place, handle)) => {
-            let target = place.upstream;
-            progress.borrow_mut().copy = Some((place, handle));
-            target
+            let handle = catch_up(&call, source, &place, handle).await;
+            (place, handle)
         }
         Err(moved) => return moved,
     };
-    let now = shared.now();
-    let due = call
-        .engine
-        .as_ref()
-        .map_or(now, |engine| finale(engine, source.held, source.left, now));
-    tokio::time::sleep(due.since(now)).await;
-    progress.borrow_mut().stopping = true;
-    match copy(&call, source.address, target, true).await {
-        Copy::Done(copied) => {
-            if let Some((_, handle)) = &mut progress.borrow_mut().copy {
-                *handle = copied.handle;
-            }
-            Moved::Stopped
+    let memory = Resume {
+        engine: source.address,
+        handle,
+        event: progress.borrow().event,
+    };
+    let target = place.upstream;
+    progress.borrow_mut().switching = true;
+    let outcome = match resume::at(&call, place, &memory).await {
+        Ok(opened) => opened.begun().await,
+        Err(failure) => Err(failure),
+    };
+    progress.borrow_mut().switching = false;
+    match outcome {
+        Ok(opened) => {
+            tokio::task::spawn_local(stop(Rc::clone(&call), source.address, target));
+            Moved::Continued(Box::new(opened))
+        }
+        Err(failure) => {
+            progress.borrow_mut().copy = Some((failure.place, memory.handle));
+            Moved::Failed("the other upstream does not continue")
         }
-        Copy::NoRoom(Some(handle)) => Moved::Stranded(handle),
-        Copy::NoRun => Moved::NotRunning,
-        Copy::NoRoom(None) | Copy::Busy | Copy::Malformed => Moved::Failed("the final copy failed"),
+    }
+}
+
+/// Copies what the generation has made during the copy before, until that is little. Returns the copy's handle.
+async fn catch_up(call: &Call, source: Source, place: &Run, mut handle: String) -> String {
+    while call.shared.now().since(source.left) < CATCH_UP_LATEST {
+        let begun = Instant::now();
+        let Copy::Done(copied) = copy(call, source.address, place.upstream, false).await else {
+            break;
+        };
+        handle = copied.handle;
+        if begun.elapsed() < CAUGHT_UP {
+            break;
+        }
+    }
+    handle
+}
+
+/// Stops the generation at `source`, now that it runs at `target`.
+///
+/// Most upstreams drop a request when its connection closes, but not all do. A final copy stops it for certain; what
+/// it copies is not needed.
+async fn stop(call: Rc<Call>, source: SocketAddr, target: UpstreamKey) {
+    let handle = match copy(&call, source, target, true).await {
+        Copy::Done(copied) => copied.handle,
+        Copy::NoRoom(Some(handle)) => handle,
+        // It has been dropped, or the source has gone.
+        Copy::NoRun | Copy::NoRoom(None) | Copy::Busy | Copy::Malformed => return,
+    };
+    log::info!(request:% = call.id(), source:% = source; "the source still ran the generation and was stopped");
+    release(source, &handle).await;
+}
+
+/// Gives up a copy that is not needed, so that it does not hold memory.
+pub(super) async fn release(source: SocketAddr, handle: &str) {
+    let released = socket::call(source, engine::release(handle), Instant::now() + RELEASE).await;
+    if let Err(error) = released {
+        log::info!(source:% = source, error:% = error; "an unused copy was not given up");
     }
 }
 
@@ -154,12 +204,12 @@
 
 /// Asks the source to copy, again while it says that another call is under way or that nothing runs yet.
 async fn copy(call: &Call, source: SocketAddr, target: UpstreamKey, last: bool) -> Copy {
-    let Some(address) = call
+    let address = call
         .shared
         .fleet()
         .upstream(target)
-        .map(|found| found.entry.address)
-    else {
+        .map(|found| found.entry.address);
+    let Some(address) = address else {
         return Copy::Malformed;
     };
     let id = call.id().into_owned();
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod migrate;
 mod plain;
 mod probe;
+mod resume;
 mod shared;
 mod stream;
 
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -3,12 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use carob_dispatch::fleet::Quality;
-use carob_platform::{
-    answer::{self, Claim},
-    engine,
-    request::Resume,
-};
+use carob_platform::{answer, request::Resume};
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response,
@@ -17,7 +12,7 @@
 };
 use tokio::{
     sync::{Notify, mpsc},
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout_at},
 };
 
 use super::{
@@ -28,24 +23,13 @@
     listen::Count,
     migrate::{self, Moved, Progress},
     probe,
+    resume::{self, Opened},
 };
-use crate::{
-    events::Splitter,
-    socket::{self, Driver},
-};
+use crate::{events::Splitter, socket::Driver};
 
 /// Chunks that a slow client may be behind before the upstream is read no further.
 const CHUNKS: usize = 16;
 
-/// How long the end of a stopped stream is waited for, once its upstream has said that it stopped.
-const DRAIN: Duration = Duration::from_millis(250);
-
-/// How long the answer of an upstream that continues a generation is waited for.
-const CONTINUE: Duration = Duration::from_secs(3);
-
-/// Time for giving up a copy that is not used.
-const RELEASE: Duration = Duration::from_secs(1);
-
 type Mover = Pin<Box<dyn Future<Output = Moved>>>;
 
 /// A task that ends with what it serves.
@@ -63,6 +47,8 @@
     run: Run,
     body: Incoming,
     driver: Driver,
+    /// Bytes of the stream that were read already.
+    early: Option<Bytes>,
     client: mpsc::Sender<Result<Bytes, Cut>>,
     /// Whether the upstream marks the body's end, so that a body which ends is whole.
     framed: bool,
@@ -100,24 +86,18 @@
 }
 
 /// Passes on a stream whose head has come.
-pub(super) fn start(
-    call: &Rc<Call>,
-    run: Run,
-    response: Response<Incoming>,
-    driver: Driver,
-    active: Active,
-    count: Count,
-) -> Response<Answer> {
-    let (mut parts, body) = response.into_parts();
+pub(super) fn start(call: &Rc<Call>, opened: Opened, active: Active, count: Count) -> Response<Answer> {
+    let (mut parts, body) = opened.response.into_parts();
     let framed = framed(&parts.headers);
     answer::strip(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     let (client, pieces) = mpsc::channel(CHUNKS);
     let stream = Stream {
         call: Rc::clone(call),
-        run,
+        run: opened.run,
         body,
-        driver,
+        driver: opened.driver,
+        early: opened.early,
         client,
         framed,
         splitter: Splitter::new(),
@@ -180,12 +160,18 @@
     /// Passes events on until the stream ends, or continues at another upstream.
     async fn at_upstream(&mut self) -> Result<(), End> {
         let notice = self.call.shared.notice(self.run.upstream);
-        let progress = Rc::new(RefCell::new(Progress::default()));
+        let progress = Rc::new(RefCell::new(Progress {
+            event: self.last,
+            ..Progress::default()
+        }));
         let probing =
             tokio::task::spawn_local(probe::follow(Rc::clone(&self.call.shared), self.run.upstream));
         let _probing = AbortOnDrop(probing);
         let mut mover: Option<Mover> = None;
         let mut may_move = self.call.engine.as_ref().is_some_and(|engine| engine.moves);
+        if let Some(bytes) = self.early.take() {
+            self.forward(&bytes).await?;
+        }
         loop {
             if may_move && mover.is_none() && self.leaving() {
                 may_move = false;
@@ -197,48 +183,68 @@
                     self.call.remaining(self.events),
                 )));
             }
-            match self.step(&notice, &mut mover).await {
-                Step::Bytes(bytes) => self.forward(&bytes).await?,
-                Step::Leaving => {}
-                Step::ClientGone => {
-                    self.give_up(&progress);
-                    return Err(End::ClientGone);
-                }
-                Step::Late => {
-                    self.give_up(&progress);
-                    return Err(End::Late);
-                }
-                Step::Moved(moved) => {
-                    mover = None;
-                    // A generation that has ended was not stopped, so that the end of its stream is its own.
-                    if matches!(moved, Moved::NotRunning) {
-                        progress.borrow_mut().stopping = false;
-                    }
-                    if self.moved(moved, &progress).await? {
-                        return Ok(());
-                    }
-                }
-                Step::Ended if self.framed || !progress.borrow().stopping => {
-                    self.give_up(&progress);
-                    return self.finish().await;
-                }
-                Step::Ended => {
-                    // A stream without a length ends alike whether it is whole or was stopped: only the answer to
-                    // the final copy tells.
-                    return match self.outcome(&mut mover).await {
-                        Moved::NotRunning => self.finish().await,
-                        moved => self.resume_after(moved, &progress, "ended").await,
-                    };
-                }
-                Step::Failed(reason) => {
-                    let stopping = progress.borrow().stopping;
-                    let moved = if stopping {
-                        self.outcome(&mut mover).await
-                    } else {
-                        Moved::Failed("the source broke off")
-                    };
-                    return self.resume_after(moved, &progress, &reason).await;
+            let step = self.step(&notice, &mut mover).await;
+            if self.advance(step, &progress, &mut mover).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Handles what has happened; says whether the stream goes on from another upstream.
+    async fn advance(
+        &mut self,
+        step: Step,
+        progress: &Rc<RefCell<Progress>>,
+        mover: &mut Option<Mover>,
+    ) -> Result<bool, End> {
+        match step {
+            Step::Bytes(bytes) => {
+                self.forward(&bytes).await?;
+                progress.borrow_mut().event = self.last;
+                Ok(false)
+            }
+            Step::Leaving => Ok(false),
+            Step::ClientGone => {
+                self.give_up(progress);
+                Err(End::ClientGone)
+            }
+            Step::Late => {
+                self.give_up(progress);
+                Err(End::Late)
+            }
+            Step::Moved(Moved::Continued(opened)) => {
+                self.adopt(*opened, "its upstream leaves");
+                Ok(true)
+            }
+            Step::Moved(moved) => {
+                *mover = None;
+                log::info!(
+                    request:% = self.call.id(), upstream:% = name(&self.call, self.run.upstream),
+                    outcome:% = moved; "generation not moved"
+                );
+                Ok(false)
+            }
+            Step::Ended if self.framed || !progress.borrow().switching => {
+                self.give_up(progress);
+                self.finish().await
+            }
+            // A stream without a length ends alike whether it is whole or was stopped for the move. If the other
+            // upstream goes on, it has what is left, if anything.
+            Step::Ended => match self.outcome(mover).await {
+                Moved::Continued(opened) => {
+                    self.adopt(*opened, "its upstream leaves");
+                    Ok(true)
                 }
+                Moved::NotRunning | Moved::Failed(_) => self.finish().await,
+            },
+            Step::Failed(reason) => {
+                let switching = progress.borrow().switching;
+                let moved = if switching {
+                    self.outcome(mover).await
+                } else {
+                    Moved::Failed("the source broke off")
+                };
+                self.resume_after(moved, progress, &reason).await.map(|()| true)
             }
         }
     }
@@ -278,13 +284,13 @@
         }
     }
 
-    /// Waits for the answer to a final copy that is under way.
+    /// Waits for the outcome of a move while the other upstream is asked to continue.
     async fn outcome(&self, mover: &mut Option<Mover>) -> Moved {
         match mover.take() {
             Some(mover) => timeout_at(self.call.until, mover)
                 .await
-                .unwrap_or(Moved::Failed("no answer to the final copy in time")),
-            None => Moved::Failed("no copy is under way"),
+                .unwrap_or(Moved::Failed("no outcome of the move in time")),
+            None => Moved::Failed("no move is under way"),
         }
     }
 
@@ -328,7 +334,7 @@
     }
 
     /// Ends a stream whose upstream has ended it.
-    async fn finish(&mut self) -> Result<(), End> {
+    async fn finish(&mut self) -> Result<bool, End> {
         let rest = Bytes::copy_from_slice(self.splitter.rest());
         if !rest.is_empty() && self.client.send(Ok(rest)).await.is_err() {
             return Err(End::ClientGone);
@@ -336,136 +342,60 @@
         Err(End::Complete)
     }
 
-    /// Handles the end of a move while the stream is still open; says whether another upstream goes on.
-    async fn moved(&mut self, moved: Moved, progress: &Rc<RefCell<Progress>>) -> Result<bool, End> {
-        match moved {
-            Moved::Stopped | Moved::Stranded(_) => {
-                self.drain().await?;
-                self.resume_after(moved, progress, "stopped").await?;
-                Ok(true)
-            }
-            Moved::NotRunning | Moved::Failed(_) => {
-                log::info!(
-                    request:% = self.call.id(), upstream:% = name(&self.call, self.run.upstream),
-                    outcome:% = moved; "generation not moved"
-                );
-                Ok(false)
-            }
-        }
-    }
-
-    /// Reads what a stopped stream still brings.
-    async fn drain(&mut self) -> Result<(), End> {
-        while let Ok(Some(Ok(frame))) = timeout(DRAIN, self.body.frame()).await {
-            self.forward(&frame.into_data().unwrap_or_default()).await?;
-        }
-        Ok(())
-    }
-
-    /// Continues after the source has stopped or broken off, from whatever memory there is.
+    /// Continues after the source has broken off, from the copy of its memory if there is one.
     async fn resume_after(
         &mut self,
         moved: Moved,
         progress: &Rc<RefCell<Progress>>,
         reason: &str,
     ) -> Result<(), End> {
-        let source = self.source();
-        let Some(source) = source else {
-            return Err(End::Broken(reason.to_owned()));
-        };
-        let copy = progress.borrow_mut().copy.take();
-        let stopped = matches!(moved, Moved::Stopped | Moved::Stranded(_));
-        if let (Moved::Stranded(handle), _) = (&moved, &copy) {
-            let place = Run::new(&self.call.shared, self.run.upstream, self.run.size);
-            return self.resume(place, source, handle.clone(), reason).await;
+        if let Moved::Continued(opened) = moved {
+            self.adopt(*opened, reason);
+            return Ok(());
         }
-        let Some((place, handle)) = copy else {
+        let copy = progress.borrow_mut().copy.take();
+        let Some(((place, handle), engine)) = copy.zip(self.source()) else {
             return Err(End::Broken(reason.to_owned()));
         };
-        match self.resume(place, source, handle.clone(), reason).await {
-            Err(End::Broken(again)) if stopped => {
-                let place = Run::new(&self.call.shared, self.run.upstream, self.run.size);
-                self.resume(place, source, handle, &again).await
-            }
-            other => other,
-        }
-    }
-
-    /// Sends the request to the upstream of `place`, to continue from the memory `handle` of `source`.
-    async fn resume(
-        &mut self,
-        place: Run,
-        source: SocketAddr,
-        handle: String,
-        reason: &str,
-    ) -> Result<(), End> {
-        let resume = Resume {
-            engine: source,
+        let memory = Resume {
+            engine,
             handle,
             event: self.last,
         };
-        let begun = Instant::now();
-        let deadline = self.call.until.min(begun + CONTINUE);
-        let outcome = self.call.send(&place, Some(&resume), deadline).await;
-        let target = name(&self.call, place.upstream);
-        let (response, driver) = match outcome {
-            Ok(answered) => answered,
-            Err(error) => {
-                log::warn!(
-                    request:% = self.call.id(), to:% = target, reason, error:% = error;
-                    "generation could not continue elsewhere"
-                );
-                self.blame(&place, &error);
-                return Err(End::Broken(error.to_string()));
+        match resume::at(&self.call, place, &memory).await {
+            Ok(opened) => {
+                self.adopt(opened, reason);
+                Ok(())
             }
-        };
-        let status = response.status();
-        let claim = answer::claim(status, response.headers(), &self.call.head.id);
-        if claim != Claim::Ran || !status.is_success() {
-            log::warn!(
-                request:% = self.call.id(), to:% = target, reason, status = status.as_u16(), claim:? = claim;
-                "generation could not continue elsewhere"
-            );
-            return Err(End::Broken(format!("{target} answered {status}")));
+            Err(failure) => Err(End::Broken(failure.reason)),
         }
+    }
+
+    /// Goes on with the stream of another upstream.
+    fn adopt(&mut self, opened: Opened, reason: &str) {
         log::info!(
-            request:% = self.call.id(), from:% = name(&self.call, self.run.upstream), to:% = target, reason,
-            event = self.last.unwrap_or(0), took_ms = begun.elapsed().as_millis() as u64,
-            gap_ms = self.previous.elapsed().as_millis() as u64; "generation continues elsewhere"
+            request:% = self.call.id(), from:% = name(&self.call, self.run.upstream),
+            to:% = name(&self.call, opened.run.upstream), reason,
+            gap_ms = self.previous.elapsed().as_millis() as u64; "stream goes on from another upstream"
         );
-        self.framed = framed(response.headers());
-        self.body = response.into_body();
-        self.driver = driver;
+        self.framed = framed(opened.response.headers());
+        self.body = opened.response.into_body();
+        self.driver = opened.driver;
+        self.early = opened.early;
         self.splitter = Splitter::new();
-        self.run = place;
+        self.run = opened.run;
         self.moves += 1;
-        Ok(())
-    }
-
-    fn blame(&self, place: &Run, error: &socket::Error) {
-        let quality = match error {
-            socket::Error::Connect(_) => Quality::Unreachable,
-            socket::Error::Broken(_) | socket::Error::Timeout => Quality::Poor,
-        };
-        let shared = &self.call.shared;
-        shared.fleet_mut().judge(place.upstream, quality, shared.now());
     }
 
-    /// Gives up a copy that is not needed, so that it does not hold memory.
+    /// Gives up a copy that is not needed.
     fn give_up(&self, progress: &Rc<RefCell<Progress>>) {
-        let Some((place, handle)) = progress.borrow_mut().copy.take() else {
-            return;
-        };
-        let source = self.source();
-        let Some(source) = source else {
+        let copy = progress.borrow_mut().copy.take();
+        let Some(((place, handle), source)) = copy.zip(self.source()) else {
             return;
         };
         tokio::task::spawn_local(async move {
             let _held = place;
-            let released = socket::call(source, engine::release(&handle), Instant::now() + RELEASE).await;
-            if let Err(error) = released {
-                log::info!(source:% = source, error:% = error; "an unused copy was not given up");
-            }
+            migrate::release(source, &handle).await;
         });
     }
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -24,6 +24,9 @@
 /// Long enough for any step on a busy machine.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// Log lines of a gateway that are shown when its test fails.
+const LAST_LINES: usize = 15;
+
 /// Key of the client account in every configuration of [`Fleet::configure`].
 pub const CLIENT_KEY: &str = "parish-key";
 
@@ -118,9 +121,10 @@
         let way = store.way();
         let settings = tempfile::tempdir().expect("a temporary directory");
         let ip = own_address();
-        let port = seeds.first().map_or_else(|| free_port(&ip), SocketAddr::port);
+        let [callers, ready, admin, own] = free_ports(&ip);
+        let port = seeds.first().map_or(own, SocketAddr::port);
         let at = |port: u16| format!("{ip}:{port}").parse().expect("an address");
-        let (callers, ready, admin) = (at(free_port(&ip)), at(free_port(&ip)), at(free_port(&ip)));
+        let (callers, ready, admin) = (at(callers), at(ready), at(admin));
         let mut gateway = Self {
             child: Command::new("true").spawn().expect("a placeholder runs"),
             callers,
@@ -227,6 +231,11 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
+        if thread::panicking() {
+            let lines = self.lines();
+            let last = &lines[lines.len().saturating_sub(LAST_LINES)..];
+            eprintln!("gateway at {} last wrote:\n{}", self.callers, last.join("\n"));
+        }
         let _killed = self.child.kill();
         let _ended = self.child.wait();
     }
@@ -269,10 +278,12 @@
     )
 }
 
-fn free_port(ip: &str) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("loopback has free ports");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
-        .port()
+/// Free ports, each another: they are bound together, since a port that was closed may be given out again.
+fn free_ports<const N: usize>(ip: &str) -> [u16; N] {
+    let bound: [TcpListener; N] =
+        std::array::from_fn(|_| TcpListener::bind((ip, 0)).expect("loopback has free ports"));
+    bound.map(|listener| {
+        let address = listener.local_addr();
+        address.expect("a bound listener has an address").port()
+    })
 }
