fix: a copy is kept while what is new is copied

Change: the first copy is noted before further ones are made.

Test: the_first_copy_is_used_when_the_source_ends_during_the_second failed before (cut after 77 of 150 events), passes.

--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -88,12 +88,17 @@
     if remaining < ENDS_SOON {
         tokio::time::sleep(ENDS_SOON).await;
     }
-    let (place, handle) = match copy_ahead(&call, source, tokens).await {
-        Ok((place, handle)) => {
-            let handle = catch_up(&call, source, &place, handle).await;
-            (place, handle)
+    match copy_ahead(&call, source, tokens).await {
+        Ok(copied) => {
+            let target = copied.0.upstream;
+            progress.borrow_mut().copy = Some(copied);
+            catch_up(&call, source, target, &progress).await;
         }
         Err(moved) => return moved,
+    }
+    let copied = progress.borrow_mut().copy.take();
+    let Some((place, handle)) = copied else {
+        return Moved::Failed("the copy was used already");
     };
     let memory = Resume {
         engine: source.address,
@@ -119,19 +124,20 @@
     }
 }
 
-/// Copies what the generation has made during the copy before, until that is little. Returns the copy's handle.
-async fn catch_up(call: &Call, source: Source, place: &Run, mut handle: String) -> String {
+/// Copies what the generation has made during the copy before, until that is little.
+async fn catch_up(call: &Call, source: Source, target: UpstreamKey, progress: &RefCell<Progress>) {
     while call.shared.now().since(source.left) < CATCH_UP_LATEST {
         let begun = Instant::now();
-        let Copy::Done(copied) = copy(call, source.address, place.upstream, false).await else {
-            break;
+        let Copy::Done(copied) = copy(call, source.address, target, false).await else {
+            return;
         };
-        handle = copied.handle;
+        if let Some((_, handle)) = &mut progress.borrow_mut().copy {
+            *handle = copied.handle;
+        }
         if begun.elapsed() < CAUGHT_UP {
-            break;
+            return;
         }
     }
-    handle
 }
 
 /// Stops the generation at `source`, now that it runs at `target`.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -260,6 +260,25 @@
     assert_eq!(fleet.ledger.runs("d1"), 1);
 }
 
+/// Found on saarela-tukku-grown, scale-1: the second copy waited on the link until the source ended, and the first
+/// one was not used.
+#[test]
+fn the_first_copy_is_used_when_the_source_ends_during_the_second() {
+    let fleet = Fleet::start(1);
+    let first = fleet.engine("e1", 150, Duration::from_millis(20));
+    first.set_queue(LONG);
+    fleet.configure();
+    let address = fleet.gateways[0].callers;
+    let caller = thread::spawn(move || client::send(address, &draft("d1")));
+    until("the generation runs", || fleet.ledger.runs("d1") == 1);
+    let _second = fleet.engine("e2", 150, Duration::from_millis(20));
+    first.leave(Duration::from_millis(1_600));
+    let outcome = caller.join().expect("the caller ends");
+    assert!(outcome.whole, "{:?}", outcome.events().last());
+    assert_eq!(outcome.events(), (1..=150).collect::<Vec<_>>());
+    assert_eq!(fleet.ledger.runs("d1"), 1);
+}
+
 /// Most engines drop a generation when its connection closes; one that does not must not work on it while another
 /// does.
 #[test]
