--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -64,6 +64,11 @@
 /// Share of free memory that even a full target counts with, so that every target has a chance.
 const LEAST_FREE: f64 = 0.05;
 
+/// Share of its memory by which a target in the same failure domain may be overcommitted before a move goes farther.
+///
+/// Sizes are those expected in the end, and copies between domains hold the leaving upstream's link twice as long.
+const NEAR_OVERCOMMIT: f64 = 0.25;
+
 /// Load that a distant upstream's advantage must exceed, as a share of its capacity: another failure domain.
 const OTHER_DOMAIN: f64 = 0.02;
 
@@ -160,11 +165,12 @@
         });
         let rank = |key: UpstreamKey, found: &Upstream| {
             let free = 1.0 - (found.expected() + need.size.tokens) as f64 / need.capacity.max(1) as f64;
-            let tier = match (free > 0.0, self.near(from, key)) {
-                (true, true) => 0,
-                (true, false) => 1,
-                (false, true) => 2,
-                (false, false) => 3,
+            let tier = match self.near(from, key) {
+                true if free > 0.0 => 0,
+                true if free > -NEAR_OVERCOMMIT => 1,
+                false if free > 0.0 => 2,
+                true => 3,
+                false => 4,
             };
             (tier, -self.uniform(key, draw).ln() / free.max(LEAST_FREE))
         };
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -267,6 +267,25 @@
     );
 }
 
+/// With the rest of its domain expected to fill up, copies went to other domains, took twice as long, and those of
+/// the last drafts were not there when the engine ended.
+#[test]
+fn a_move_stays_in_its_domain_while_that_is_little_overcommitted() {
+    let mut fleet = fleet();
+    let source = add(&mut fleet, "e0", "a");
+    let near = add(&mut fleet, "e1", "a");
+    let far = add(&mut fleet, "far", "c");
+    let target = |fleet: &Fleet| fleet.refuge(source, &need(GROWING), 1);
+    for _ in 0..9 {
+        fleet.begin(near, GROWING);
+    }
+    assert_eq!(target(&fleet), Some(near));
+    for _ in 0..3 {
+        fleet.begin(near, GROWING);
+    }
+    assert_eq!(target(&fleet), Some(far));
+}
+
 #[test]
 fn a_placement_without_news_of_others_goes_by_what_upstreams_say() {
     let mut fleet = fleet();
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -26,6 +26,9 @@
 /// How often the settings file is read again; it may change without a signal.
 const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 
+/// How often recorded values are counted into the histograms; until then each takes memory of its own.
+const METRICS_EVERY: Duration = Duration::from_secs(5);
+
 /// Runs until the traffic thread has answered every request after a signal to leave.
 pub(crate) fn run(
     path: &Path,
@@ -47,6 +50,7 @@
         tokio::task::spawn_local(share::ask_seeds(Rc::clone(&control)));
         tokio::task::spawn_local(share::serve(Rc::clone(&control), sharing));
         tokio::task::spawn_local(admin::serve(admin, metrics.clone()));
+        tokio::task::spawn_local(count(metrics.clone()));
         tokio::task::spawn_local(follow_settings(Rc::clone(&control), path.to_owned()));
         let start = |kind| signal(kind).map_err(|error| Error::Start("signals", error.to_string()));
         let mut terminate = start(SignalKind::terminate())?;
@@ -72,6 +76,14 @@
     control.tell(Update::Leave);
 }
 
+/// Counts recorded values into the histograms.
+async fn count(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(METRICS_EVERY).await;
+        metrics.run_upkeep();
+    }
+}
+
 /// Takes over settings that have changed, on SIGHUP or when the file differs; a bad file changes nothing.
 async fn follow_settings(control: Rc<Control>, path: std::path::PathBuf) {
     let mut hangup = match signal(SignalKind::hangup()) {
--- a/crates/carob-gateway/src/run.rs
+++ b/crates/carob-gateway/src/run.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, thread};
 
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
+
 use crate::{Settings, control, settings::Errors, traffic};
 
 /// Why a gateway could not run.
@@ -21,6 +23,12 @@
 /// Messages that a thread may be behind; beyond them the sender waits.
 const QUEUE: usize = 4_096;
 
+/// Upper bounds of the histograms' buckets, in seconds: from a plain call within a failure domain to the longest
+/// stream, with the users' objectives of 0.15, 0.2, 0.69, 1.5 and 1.8 s and their longest pause of 0.18 s.
+const BUCKETS: [f64; 16] = [
+    0.005, 0.02, 0.05, 0.1, 0.15, 0.18, 0.2, 0.3, 0.5, 0.69, 1.0, 1.5, 1.8, 3.0, 10.0, 40.0,
+];
+
 /// Runs a gateway with the settings at `path` until SIGTERM or SIGINT, and until its requests are answered then.
 ///
 /// # Errors
@@ -34,8 +42,9 @@
     );
     let (updates, received) = flume::bounded(QUEUE);
     let (reports, reported) = flume::bounded(QUEUE);
-    let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
-        .install_recorder()
+    let metrics = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &BUCKETS)
+        .and_then(PrometheusBuilder::install_recorder)
         .map_err(|error| Error::Start("metrics", error.to_string()))?;
     let sockets = traffic::Sockets::bind(&settings)?;
     let initial = Arc::clone(&settings);
--- a/crates/carob-gateway/src/settings.rs
+++ b/crates/carob-gateway/src/settings.rs
@@ -6,6 +6,7 @@
 //! | | `regions` | `domain:region` for each failure domain, separated by commas |
 //! | `callers` | `address`, `ready` | listeners for requests and for questions whether the instance is ready |
 //! | | `connections` | most connections of callers at once |
+//! | | `bodies` | most bytes of all bodies in memory together |
 //! | `admin` | `address` | listener for metrics |
 //! | `peers` | `address` | datagrams and transfers between instances |
 //! | | `seeds` | other instances to begin with, separated by commas; their port is that of `address` |
@@ -39,6 +40,8 @@
     pub ready: SocketAddr,
     /// Most connections of callers at once.
     pub connections: usize,
+    /// Most bytes of requests' bodies and of buffered answers, all together.
+    pub bodies: usize,
     /// Where metrics are served.
     pub admin: SocketAddr,
     /// Datagrams and transfers between instances.
@@ -138,9 +141,9 @@
         );
         let callers = self.read("callers", "address", "IP:PORT", address);
         let ready = self.read("callers", "ready", "IP:PORT", address);
-        let connections = self.read("callers", "connections", "a number above 0", |text| {
-            text.parse().ok().filter(|count| *count > 0)
-        });
+        let count = |text: &str| text.parse().ok().filter(|count| *count > 0);
+        let connections = self.read("callers", "connections", "a number above 0", count);
+        let bodies = self.read("callers", "bodies", "a number of bytes above 0", count);
         let admin = self.read("admin", "address", "IP:PORT", address);
         let peers = self.read("peers", "address", "IP:PORT", address);
         let seeds = self.read("peers", "seeds", "IP:PORT, separated by commas", seeds);
@@ -161,6 +164,7 @@
             callers: callers?,
             ready: ready?,
             connections: connections?,
+            bodies: bodies?,
             admin: admin?,
             peers: peers?,
             seeds: seeds?,
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -12,7 +12,7 @@
 use hyper::{Response, body::Incoming, http::request::Parts};
 use tokio::time::Instant;
 
-use super::{guard::Run, shared::Shared};
+use super::{body::Held, guard::Run, shared::Shared};
 use crate::socket::{self, Connection, Driver};
 
 /// Time for a connection to an upstream. A lost opening packet is sent again after a second, so that another
@@ -35,6 +35,8 @@
     pub(super) head: Head,
     pub(super) parts: Parts,
     pub(super) body: Bytes,
+    /// Counts the body.
+    pub(super) _held: Held,
     pub(super) route: Route,
     pub(super) service: Box<str>,
     pub(super) engine: Option<Engine>,
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -13,13 +13,13 @@
     answer::{self, Claim},
     request,
 };
-use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use super::{
     answer::{Answer, Own},
+    body::{self, Held},
     call::Call,
     guard::{Active, Run, Wait},
     listen::Count,
@@ -68,12 +68,22 @@
     metrics::counter!("carobhaven_requests_total").increment(1);
     let patience = arrival + head.patience.unwrap_or(PATIENCE);
     let limit = shared.table().map_or(BODY, |table| table.limits().body);
-    let body = match timeout_at(patience, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    let body = match timeout_at(patience, body::read(shared, body, limit)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(body::Error::TooLong)) => {
             return refuse(&head, Own::Denied(413), "body over the limit", arrival);
         }
-        Ok(Err(_)) | Err(_) => return refuse(&head, Own::Denied(400), "body not whole", arrival),
+        Ok(Err(body::Error::Full)) => {
+            return refuse(
+                &head,
+                Own::Refused(RETRY_FULL),
+                "bodies hold all their memory",
+                arrival,
+            );
+        }
+        Ok(Err(body::Error::Broken)) | Err(_) => {
+            return refuse(&head, Own::Denied(400), "body not whole", arrival);
+        }
     };
     let call = match admit(shared, head, parts, body, arrival, patience) {
         Ok(call) => call,
@@ -109,7 +119,7 @@
     shared: &Rc<Shared>,
     head: Head,
     parts: Parts,
-    body: Bytes,
+    (body, held): (Bytes, Held),
     arrival: Instant,
     patience: Instant,
 ) -> Result<Rc<Call>, (Head, Own, &'static str)> {
@@ -157,6 +167,7 @@
         head,
         parts,
         body,
+        _held: held,
         arrival,
     }))
 }
@@ -370,7 +381,7 @@
     if call.route.kind == Kind::Stream && status.is_success() {
         return Outcome::Stream(response, driver);
     }
-    match plain::collect(response, driver, deadline).await {
+    match plain::collect(shared, response, driver, deadline).await {
         Ok(response) => Outcome::Whole(response),
         Err(error) => nothing(Attempt::Unknown, &error),
     }
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod answer;
+mod body;
 mod call;
 mod exchange;
 mod guard;
--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -3,6 +3,8 @@
 //! A short answer is read whole before its head is passed on, so that one that breaks off can still be repeated
 //! or failed with a status of its own. A long one is passed on as it comes.
 
+use std::rc::Rc;
+
 use bytes::{Bytes, BytesMut};
 use carob_platform::answer;
 use http_body_util::BodyExt;
@@ -12,7 +14,11 @@
     time::{Instant, timeout_at},
 };
 
-use super::answer::{Answer, Cut};
+use super::{
+    answer::{Answer, Cut},
+    body::Held,
+    shared::Shared,
+};
 use crate::socket::{Driver, Error};
 
 /// Bytes of an answer that are read before its head is passed on.
@@ -23,6 +29,7 @@
 
 /// Reads an answer, whole if it is short, until `deadline`.
 pub(super) async fn collect(
+    shared: &Rc<Shared>,
     response: Response<Incoming>,
     driver: Driver,
     deadline: Instant,
@@ -30,12 +37,17 @@
     let (mut parts, mut body) = response.into_parts();
     answer::strip(&mut parts.headers);
     let mut bytes = BytesMut::new();
+    let mut held = Held::new(shared);
     loop {
         match timeout_at(deadline, body.frame())
             .await
             .map_err(|_elapsed| Error::Timeout)?
         {
-            Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Some(Ok(frame)) => {
+                let data = frame.into_data().unwrap_or_default();
+                held.grow(data.len());
+                bytes.extend_from_slice(&data);
+            }
             Some(Err(error)) => return Err(Error::Broken(error.to_string())),
             None => return Ok(Response::from_parts(parts, Answer::Whole(bytes.freeze()))),
         }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -65,6 +65,8 @@
     probed: RefCell<SecondaryMap<UpstreamKey, Time>>,
     /// Requests that are being handled.
     active: Cell<usize>,
+    /// Bytes of bodies that are held.
+    bodies: Cell<usize>,
     leaving: Cell<Option<Time>>,
     /// Told when the process begins to leave.
     pub(super) leave: Notify,
@@ -98,6 +100,7 @@
             notices: RefCell::new(SecondaryMap::new()),
             probed: RefCell::new(SecondaryMap::new()),
             active: Cell::new(0),
+            bodies: Cell::new(0),
             leaving: Cell::new(None),
             leave: Notify::new(),
             idle: Notify::new(),
@@ -328,6 +331,21 @@
         }
     }
 
+    /// Whether bodies may hold `bytes` more.
+    pub(super) fn has_room(&self, bytes: usize) -> bool {
+        self.bodies.get().saturating_add(bytes) <= self.settings.borrow().bodies
+    }
+
+    pub(super) fn hold(&self, bytes: usize) {
+        self.bodies.set(self.bodies.get() + bytes);
+        metrics::gauge!("carobhaven_bodies_bytes").set(self.bodies.get() as f64);
+    }
+
+    pub(super) fn release(&self, bytes: usize) {
+        self.bodies.set(self.bodies.get().saturating_sub(bytes));
+        metrics::gauge!("carobhaven_bodies_bytes").set(self.bodies.get() as f64);
+    }
+
     pub(super) fn begin(&self) {
         self.active.set(self.active.get() + 1);
     }
--- a/crates/carob-gateway/tests/settings.rs
+++ b/crates/carob-gateway/tests/settings.rs
@@ -3,7 +3,7 @@
 use carob_gateway::Settings;
 
 const GOOD: &str = "[instance]\nname = n\ndomain = a\nregions = a:north,b:south\n[callers]\n\
-    address = 10.0.0.1:1\nready = 10.0.0.1:2\nconnections = 5\n[admin]\naddress = 10.0.0.1:3\n[peers]\n\
+    address = 10.0.0.1:1\nready = 10.0.0.1:2\nconnections = 5\nbodies = 9000\n[admin]\naddress = 10.0.0.1:3\n[peers]\n\
     address = 10.0.0.1:4\nseeds = 10.0.0.2:9, 10.0.0.3:9\n[store]\naddress = 10.0.0.9:5\n[leaving]\n\
     upstream = 2500ms\ngrace = 8s\n[retries]\nratio = 0.2\nextra = 54\nwindow = 10s\n";
 
--- a/crates/carob-logs/src/lib.rs
+++ b/crates/carob-logs/src/lib.rs
@@ -26,7 +26,7 @@
 const QUEUE: usize = 1_500;
 
 /// Pause after a line in which others gather, so that many are written with one call and one wake-up.
-const GATHER: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(150);
 
 /// How long the last lines may take when the process ends; the gateway ends 400 ms before it would be killed.
 const LAST: Duration = Duration::from_millis(250);
@@ -115,7 +115,10 @@
         if !stopping {
             thread::sleep(GATHER);
         }
-        let mut batch: Vec<u8> = queues.iter().flat_map(Receiver::try_iter).flatten().collect();
+        let mut batch = Vec::new();
+        for line in queues.iter().flat_map(Receiver::try_iter) {
+            batch.extend_from_slice(&line);
+        }
         let dropped = logger.urgent.take_dropped() + logger.ordinary.take_dropped();
         if dropped > 0 {
             batch.extend(line::dropped(logger.start, dropped));
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -11,7 +11,7 @@
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
@@ -24,6 +24,9 @@
 /// Long enough for any step on a busy machine.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// Bytes of all bodies together that a gateway holds.
+pub const BODIES: usize = 200_000;
+
 /// Log lines of a gateway that are shown when its test fails.
 const LAST_LINES: usize = 15;
 
@@ -107,6 +110,14 @@
         Upstream::start(&self.store, &self.ledger, id, "plain", Work::Plain(time))
     }
 
+    /// Sends a request for a generation to the first gateway and waits until it runs.
+    pub fn start_draft(&self, id: &str) -> JoinHandle<Outcome> {
+        let (address, request) = (self.gateways[0].callers, draft(id));
+        let caller = thread::spawn(move || client::send(address, &request));
+        until("the generation runs", || self.ledger.runs(id) == 1);
+        caller
+    }
+
     pub fn send(&self, gateway: usize, request: &Request) -> Outcome {
         client::send(self.gateways[gateway].callers, request)
     }
@@ -146,7 +157,7 @@
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let text = format!(
             "[instance]\nname = {}\ndomain = a\nregions = a:north, b:south\n[callers]\naddress = {}\nready = {}\n\
-             connections = 500\n[admin]\naddress = {}\n[peers]\naddress = {}\nseeds = {}\n[store]\naddress = {}\n\
+             connections = 500\nbodies = {BODIES}\n[admin]\naddress = {}\n[peers]\naddress = {}\nseeds = {}\n[store]\naddress = {}\n\
              [leaving]\nupstream = 2500ms\ngrace = {grace}\n[retries]\nratio = 0.2\nextra = 54\nwindow = 10s\n",
             self.peers.ip(),
             self.callers,
