fix: instances that rest know at once that news does not come

The two instances that watch it knew after 1.3 s; the others asked upstreams themselves only after calls of their own had failed, 1.8 to 2.2 s later, when the engines had gone: 31 drafts cut. Ruled out: probes that fail (none was made), moves without room.

Change: news does not come when no instance says that it watches and the store has not answered this one for the time of a watch.

--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -36,6 +36,9 @@
 /// may fail by chance.
 const BLIND: Duration = Duration::from_millis(400);
 
+/// So does no answer of the store for this long: a whole watch, with the time for its answer.
+const UNANSWERED: Duration = Duration::from_millis(1_400);
+
 /// An outage of the store after which removals may only mean that leases ran out meanwhile.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 
@@ -63,8 +66,8 @@
     behind: RefCell<Lag>,
     /// Instances that watch the store.
     watchers: RefCell<Watchers>,
-    /// Whether the store has answered at all.
-    reached: Cell<bool>,
+    /// When the store last answered this instance.
+    reached: Cell<Option<Instant>>,
     /// Whether this instance watches.
     pub(super) watching: Cell<bool>,
     /// A peer that knows more, while this instance is behind and does not watch.
@@ -90,7 +93,7 @@
             known: Cell::new((0, false, false, false)),
             behind: RefCell::new(Lag::new()),
             watchers: RefCell::default(),
-            reached: Cell::new(false),
+            reached: Cell::new(None),
             watching: Cell::new(false),
             ahead: Cell::new(None),
             lag: Notify::new(),
@@ -137,7 +140,7 @@
             log::info!(outage_ms = outage.as_millis() as u64; "the store answers again after an outage");
         }
         self.confirmed.set(Instant::now());
-        self.reached.set(true);
+        self.reached.set(Some(Instant::now()));
     }
 
     /// Notes that a call failed that was made at `begun`.
@@ -189,8 +192,8 @@
         let known = (
             self.revision(),
             self.confirmed.get().elapsed() < CURRENT,
-            self.watching.get() && self.reached.get() && self.failing.get().is_none(),
-            self.outage() >= BLIND && !self.watchers.borrow().any(Instant::now()),
+            self.watching.get() && self.reached.get().is_some() && self.failing.get().is_none(),
+            self.blind(),
         );
         if self.known.replace(known) != known {
             self.tell(Update::Known {
@@ -202,6 +205,18 @@
         }
     }
 
+    /// Whether news of upstreams does not come: from no peer, since none says that it watches, nor from the store.
+    ///
+    /// Upstreams leave two seconds after they say so, so that this may not wait for calls of this instance to fail
+    /// when those that watch say that theirs do.
+    fn blind(&self) -> bool {
+        let unanswered = self
+            .reached
+            .get()
+            .is_some_and(|reached| reached.elapsed() >= UNANSWERED);
+        (self.outage() >= BLIND || unanswered) && !self.watchers.borrow().any(Instant::now())
+    }
+
     /// Takes in changes and notes that all up to `revision` are known.
     pub(super) fn apply(&self, items: Vec<Item>, revision: u64) {
         let before = self.revision();
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -112,7 +112,12 @@
 
     /// Sends a request for a generation to the first gateway and waits until it runs.
     pub fn start_draft(&self, id: &str) -> JoinHandle<Outcome> {
-        let (address, request) = (self.gateways[0].callers, draft(id));
+        self.start_draft_at(0, id)
+    }
+
+    /// The same for any gateway.
+    pub fn start_draft_at(&self, gateway: usize, id: &str) -> JoinHandle<Outcome> {
+        let (address, request) = (self.gateways[gateway].callers, draft(id));
         let caller = thread::spawn(move || client::send(address, &request));
         until("the generation runs", || self.ledger.runs(id) == 1);
         caller
@@ -221,6 +226,15 @@
         self.lines().iter().any(|line| line.contains(text))
     }
 
+    /// Whether it watches the store itself.
+    pub fn watches(&self) -> bool {
+        let lines = self.lines();
+        let last = lines
+            .iter()
+            .rfind(|line| line.contains("watching the store changed"));
+        last.is_some_and(|line| line.contains("\"watching\":true"))
+    }
+
     pub fn is_ready(&self) -> bool {
         let request = Request::new("ready", "GET", "/").with_patience(Duration::from_secs(1));
         client::send(self.ready, &request).status == 200
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -22,14 +22,8 @@
     fleet.configure();
     thread::sleep(Duration::from_secs(3));
     // One of those that watch: the others make no calls that could be refused.
-    let watches = |gateway: &fleet::Gateway| {
-        let lines = gateway.lines();
-        let last = lines
-            .iter()
-            .rfind(|line| line.contains("watching the store changed"));
-        last.is_some_and(|line| line.contains("\"watching\":true"))
-    };
-    let refused = fleet.gateways.iter().position(watches).expect("some watch");
+    let refused = fleet.gateways.iter().position(fleet::Gateway::watches);
+    let refused = refused.expect("some watch");
     fleet.gateways[refused].way.set_outage(Some(Outage::Busy));
     fleet
         .store
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -151,3 +151,26 @@
     assert_eq!(outcome.events(), (1..=200).collect::<Vec<_>>());
     assert_eq!(fleet.ledger.runs("d1"), 1);
 }
+
+/// Found on tandyr-enrol-grown, inc-2b73: engines left just after the store went silent. Instances that do not watch
+/// it noticed that news did not come only after calls of their own had failed, and their drafts were cut.
+#[test]
+fn a_departure_just_after_the_store_went_silent_is_learned_in_time() {
+    let fleet = Fleet::start(4);
+    let first = fleet.engine("e1", 200, Duration::from_millis(20));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(3));
+    let rests = fleet.gateways.iter().position(|gateway| !gateway.watches());
+    let caller = fleet.start_draft_at(rests.expect("two watch"), "d1");
+    let _second = fleet.engine("e2", 200, Duration::from_millis(20));
+    thread::sleep(Duration::from_millis(300));
+    for gateway in &fleet.gateways {
+        gateway.way.set_outage(Some(Outage::Silent));
+    }
+    first.leave_unannounced();
+    thread::sleep(Duration::from_millis(2_500));
+    first.kill();
+    let outcome = caller.join().expect("the caller ends");
+    assert!(outcome.whole, "{:?}", outcome.events().last());
+    assert_eq!(outcome.events(), (1..=200).collect::<Vec<_>>());
+}
