refactor: the switch to the upstream that has the copy is a function of its own

Cause: the function that moves a generation held three steps in 53 lines.

Change: the last step, asking the other upstream and stopping the source, is a function; nothing else differs.

--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -88,14 +88,19 @@
     if remaining < ENDS_SOON {
         tokio::time::sleep(ENDS_SOON).await;
     }
-    match copy_ahead(&call, source, tokens).await {
-        Ok(copied) => {
-            let target = copied.0.upstream;
-            progress.borrow_mut().copy = Some(copied);
-            catch_up(&call, source, target, &progress).await;
-        }
+    let copied = match copy_ahead(&call, source, tokens).await {
+        Ok(copied) => copied,
         Err(moved) => return moved,
-    }
+    };
+    let target = copied.0.upstream;
+    // It is used if the source ends from now on.
+    progress.borrow_mut().copy = Some(copied);
+    catch_up(&call, source, target, &progress).await;
+    switch(&call, source, &progress).await
+}
+
+/// Lets the upstream that has the copy go on, while the source still does.
+async fn switch(call: &Rc<Call>, source: Source, progress: &RefCell<Progress>) -> Moved {
     let copied = progress.borrow_mut().copy.take();
     let Some((place, handle)) = copied else {
         return Moved::Failed("the copy was used already");
@@ -107,14 +112,14 @@
     };
     let target = place.upstream;
     progress.borrow_mut().switching = true;
-    let outcome = match resume::at(&call, place, &memory).await {
+    let outcome = match resume::at(call, place, &memory).await {
         Ok(opened) => opened.begun().await,
         Err(failure) => Err(failure),
     };
     progress.borrow_mut().switching = false;
     match outcome {
         Ok(opened) => {
-            tokio::task::spawn_local(stop(Rc::clone(&call), source.address, target));
+            tokio::task::spawn_local(stop(Rc::clone(call), source.address, target));
             Moved::Continued(Box::new(opened))
         }
         Err(failure) => {
