--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -49,8 +49,8 @@
     plain: Vec<Upstream>,
     version: u64,
     number: u32,
-    /// Gateways that are stopped or ending, until then.
-    paused: Vec<(usize, Instant)>,
+    /// Gateways that were stopped, with the time at which they go on, or that were told to end.
+    paused: Vec<(usize, Option<Instant>)>,
     /// Outages and spoiled paths end at these times.
     restore: Instant,
     log: Vec<String>,
@@ -188,7 +188,7 @@
         let Some(victim) = self.victim(rng) else { return };
         self.fleet.gateways[victim].signal("STOP");
         let time = Duration::from_millis(rng.random_range(100..2_500));
-        self.paused.push((victim, Instant::now() + time));
+        self.paused.push((victim, Some(Instant::now() + time)));
     }
 
     fn kill(&mut self, rng: &mut StdRng) {
@@ -199,7 +199,7 @@
         if rng.random_bool(0.3) && gateway.child.try_wait().is_ok_and(|ended| ended.is_none()) {
             gateway.signal("HUP");
         }
-        self.paused.push((victim, Instant::now()));
+        self.paused.push((victim, None));
     }
 
     /// Continues paused gateways whose time is over and starts ended ones again.
@@ -209,14 +209,10 @@
             let gateway = &mut self.fleet.gateways[number];
             if gateway.child.try_wait().is_ok_and(|ended| ended.is_some()) {
                 gateway.spawn();
+            } else if until.is_some_and(|until| now >= until) {
+                gateway.signal("CONT");
             } else {
-                if now >= until {
-                    gateway.signal("CONT");
-                }
-                let leaving = now < until || gateway.logged_last("leaving");
-                if leaving {
-                    self.paused.push((number, until));
-                }
+                self.paused.push((number, until));
             }
         }
     }
