--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     Change, Lag, Mirror, Settings,
+    reach::{OUTAGE, Reach},
     update::{News, Update},
 };
 
@@ -32,19 +33,6 @@
 /// How long a configuration can be taken as current without a word from store or peers: two watches.
 const CURRENT: Duration = Duration::from_millis(4_500);
 
-/// Failing calls for this long, with no peer that watches, mean that news of upstreams does not come; a single call
-/// may fail by chance.
-const BLIND: Duration = Duration::from_millis(400);
-
-/// So does no answer of the store for this long: a whole watch, with the time for its answer.
-const UNANSWERED: Duration = Duration::from_millis(1_400);
-
-/// An outage of the store after which removals may only mean that leases ran out meanwhile.
-const OUTAGE: Duration = Duration::from_millis(1_500);
-
-/// How long after the store's return such an entry may come back, as the platform promises.
-const COMEBACK: Duration = Duration::from_secs(2);
-
 /// The control thread's state.
 pub(super) struct Control {
     updates: Sender<Update>,
@@ -52,12 +40,10 @@
     mirror: RefCell<Mirror>,
     /// Version of the configuration in force.
     version: Cell<u64>,
-    /// When the first of the calls was made that the store has not answered since it last did.
-    failing: Cell<Option<Instant>>,
+    /// Whether the store can be reached.
+    reach: RefCell<Reach>,
     /// When the store or a peer last confirmed what is known.
     confirmed: Cell<Instant>,
-    /// When the store was last known to be away for all: calls failed, and no peer said that it watches.
-    away: Cell<Option<Instant>>,
     /// Entries that were removed around an outage and may come back.
     absent: RefCell<HashSet<String>>,
     /// What the traffic thread was last told: the fields of [`Update::Known`] in their order.
@@ -66,8 +52,6 @@
     behind: RefCell<Lag>,
     /// Instances that watch the store.
     watchers: RefCell<Watchers>,
-    /// When the store last answered this instance.
-    reached: Cell<Option<Instant>>,
     /// Whether this instance watches.
     pub(super) watching: Cell<bool>,
     /// A peer that knows more, while this instance is behind and does not watch.
@@ -86,14 +70,12 @@
             settings: RefCell::new(settings),
             mirror: RefCell::new(Mirror::new()),
             version: Cell::new(0),
-            failing: Cell::new(None),
+            reach: RefCell::new(Reach::new()),
             confirmed: Cell::new(now),
-            away: Cell::new(None),
             absent: RefCell::new(HashSet::new()),
             known: Cell::new((0, false, false, false)),
             behind: RefCell::new(Lag::new()),
             watchers: RefCell::default(),
-            reached: Cell::new(None),
             watching: Cell::new(false),
             ahead: Cell::new(None),
             lag: Notify::new(),
@@ -129,43 +111,33 @@
 
     /// How long calls to the store have failed.
     pub(super) fn outage(&self) -> Duration {
-        self.failing.get().map_or(Duration::ZERO, |since| since.elapsed())
+        self.reach.borrow().outage(now())
     }
 
     /// Notes that the store answered.
     pub(super) fn answered(&self) {
-        let outage = self.outage();
+        let outage = self.reach.borrow_mut().answered(now(), self.heard());
         if outage >= OUTAGE {
-            // The last failing call may have come well before this answer.
-            self.note_away();
             log::info!(outage_ms = outage.as_millis() as u64; "the store answers again after an outage");
         }
-        self.failing.set(None);
         self.confirmed.set(Instant::now());
-        self.reached.set(Some(Instant::now()));
     }
 
     /// Notes that a call failed that was made at `begun`.
     pub(super) fn failed(&self, begun: Instant) {
-        if self.failing.get().is_none() {
-            self.failing.set(Some(begun));
-        }
-        if self.outage() >= OUTAGE {
-            self.note_away();
-        }
+        self.reach
+            .borrow_mut()
+            .failed(begun.into_std(), now(), self.heard());
     }
 
-    /// Notes that the store is away for all, unless a peer says that it watches.
-    fn note_away(&self) {
-        let now = Instant::now();
-        if !self.watchers.borrow().any(now) {
-            self.away.set(Some(now));
-        }
+    /// Notes that this instance makes no calls, since others watch.
+    pub(super) fn rest(&self) {
+        self.reach.borrow_mut().rest();
     }
 
-    /// Notes that this instance makes no calls, since others watch; what its last call met says nothing any more.
-    pub(super) fn rest(&self) {
-        self.failing.set(None);
+    /// Whether a peer passes on what it hears of the store.
+    fn heard(&self) -> bool {
+        self.watchers.borrow().any(Instant::now())
     }
 
     /// Takes in whether `peer` watches the store.
@@ -186,8 +158,7 @@
 
     /// How long a peer has known more than this instance, now that one says that it knows `revision`.
     pub(super) fn behind(&self, revision: u64) -> Duration {
-        let now = Instant::now().into_std();
-        self.behind.borrow_mut().told(revision, self.revision(), now)
+        self.behind.borrow_mut().told(revision, self.revision(), now())
     }
 
     /// Whether a peer knows more than this instance.
@@ -201,8 +172,8 @@
         let known = (
             self.revision(),
             self.confirmed.get().elapsed() < CURRENT,
-            self.watching.get() && self.reached.get().is_some() && self.failing.get().is_none(),
-            self.blind(),
+            self.watching.get() && self.reach.borrow().answers(),
+            self.reach.borrow().is_blind(now(), self.heard()),
         );
         if self.known.replace(known) != known {
             self.tell(Update::Known {
@@ -214,18 +185,6 @@
         }
     }
 
-    /// Whether news of upstreams does not come: from no peer, since none says that it watches, nor from the store.
-    ///
-    /// Upstreams leave two seconds after they say so, so that this may not wait for calls of this instance to fail
-    /// when those that watch say that theirs do.
-    fn blind(&self) -> bool {
-        let unanswered = self
-            .reached
-            .get()
-            .is_some_and(|reached| reached.elapsed() >= UNANSWERED);
-        (self.outage() >= BLIND || unanswered) && !self.watchers.borrow().any(Instant::now())
-    }
-
     /// Takes in changes and notes that all up to `revision` are known.
     pub(super) fn apply(&self, items: Vec<Item>, revision: u64) {
         let before = self.revision();
@@ -284,7 +243,7 @@
         if self.unsettled().is_none_or(|left| !left.is_zero()) {
             return;
         }
-        self.away.set(None);
+        self.reach.borrow_mut().settle();
         let absent: Vec<String> = self.absent.borrow_mut().drain().collect();
         for id in absent {
             log::info!(upstream:% = id; "upstream did not come back after the store's outage");
@@ -294,9 +253,7 @@
 
     /// How long until [`Control::settle`] has something to do.
     pub(super) fn unsettled(&self) -> Option<Duration> {
-        self.away
-            .get()
-            .map(|away| COMEBACK.saturating_sub(away.elapsed()))
+        self.reach.borrow().unsettled(now())
     }
 
     fn publish(&self, key: &str, change: Change) {
@@ -323,7 +280,7 @@
     }
 
     fn publish_removal(&self, id: &str) {
-        if self.away.get().is_some() {
+        if self.unsettled().is_some() {
             log::info!(upstream:% = id; "entry lapsed around an outage of the store; it may come back");
             self.absent.borrow_mut().insert(id.to_owned());
         } else {
@@ -371,3 +328,8 @@
         self.tell(Update::Peers(all.into_iter().collect()));
     }
 }
+
+/// The time, for state that is tested without a runtime.
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`run`]: runs a gateway until it is asked to leave.
 //! * [`Settings`]: the settings file.
 //! * [`Mirror`]: what the store holds, as far as this instance knows.
+//! * [`reach`]: whether the store can be reached.
 //! * [`Lag`]: how far that is behind what other instances know.
 //! * [`events`]: whole events out of a stream's bytes.
 
@@ -15,13 +16,15 @@
 mod lag;
 mod mirror;
 mod peer;
+pub mod reach;
 mod run;
 mod settings;
 mod socket;
 mod traffic;
 mod update;
 
+pub use carob_ini::Errors;
 pub use lag::Lag;
 pub use mirror::{Change, Known, Mirror};
 pub use run::{Error, run};
-pub use settings::{Errors, Settings};
+pub use settings::Settings;
--- a/crates/carob-gateway/src/run.rs
+++ b/crates/carob-gateway/src/run.rs
@@ -4,7 +4,7 @@
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
 
-use crate::{Settings, control, settings::Errors, traffic};
+use crate::{Errors, Settings, control, traffic};
 
 /// Why a gateway could not run.
 #[derive(Debug, thiserror::Error)]
--- a/crates/carob-gateway/src/settings.rs
+++ b/crates/carob-gateway/src/settings.rs
@@ -17,13 +17,12 @@
 
 use std::{
     collections::HashMap,
-    fmt,
     net::{IpAddr, SocketAddr},
     path::Path,
     time::Duration,
 };
 
-use carob_ini::Error;
+use carob_ini::{Error, Errors};
 
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,24 +61,6 @@
     pub window: Duration,
 }
 
-/// Everything that is wrong with a settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Errors(pub Vec<Error>);
-
-impl fmt::Display for Errors {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (at, error) in self.0.iter().enumerate() {
-            if at > 0 {
-                f.write_str("; ")?;
-            }
-            write!(f, "{error}")?;
-        }
-        Ok(())
-    }
-}
-
-impl std::error::Error for Errors {}
-
 struct Reader<'a> {
     file: &'a str,
     sections: Vec<carob_ini::Section>,
--- a/crates/carob-ini/src/lib.rs
+++ b/crates/carob-ini/src/lib.rs
@@ -58,6 +58,24 @@
 
 impl std::error::Error for Error {}
 
+/// Everything that is wrong with a file, in the order of its lines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Errors(pub Vec<Error>);
+
+impl fmt::Display for Errors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, error) in self.0.iter().enumerate() {
+            if at > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{error}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Errors {}
+
 const LINE: &str = "a [section], a `key = value` line or a comment";
 const SECTION_FIRST: &str = "a [section] before the first key";
 
--- a/crates/carob-settings/src/lib.rs
+++ b/crates/carob-settings/src/lib.rs
@@ -14,8 +14,7 @@
 mod settings;
 mod value;
 
-pub use carob_ini::Error;
-pub use load::Errors;
+pub use carob_ini::{Error, Errors};
 pub use reference::reference;
 pub use secret::Secret;
 pub use settings::{Admin, Answers, Instance, List, Log, Peers, Settings, Store, Upstreams};
--- a/crates/carob-settings/src/load.rs
+++ b/crates/carob-settings/src/load.rs
@@ -1,32 +1,14 @@
 //! Reads a settings file.
 
-use std::{fmt, fs, path::Path};
+use std::{fs, path::Path};
 
-use carob_ini::{Error, Pair, Section};
+use carob_ini::{Error, Errors, Pair, Section};
 
 use crate::{
     Settings,
     keys::{Absent, KEYS, Key},
 };
 
-/// Everything that is wrong with a settings file, in the order of its lines.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Errors(pub Vec<Error>);
-
-impl fmt::Display for Errors {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (at, error) in self.0.iter().enumerate() {
-            if at > 0 {
-                f.write_str("\n")?;
-            }
-            write!(f, "{error}")?;
-        }
-        Ok(())
-    }
-}
-
-impl std::error::Error for Errors {}
-
 impl Settings {
     /// Reads and checks the file at `path`. Paths in it are taken from its directory.
     ///
