--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -68,6 +68,7 @@
     let (parts, body) = request.into_parts();
     let head = request::decode(&parts.headers);
     let id = head.id.clone();
+    shared.name_request(active.key, &id);
     metrics::counter!("carobhaven_requests_total").increment(1);
     let client_deadline = arrival + head.client_timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
     let limit = shared
@@ -199,7 +200,7 @@
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let (mut ran, mut rejected) = (0, 0);
     loop {
-        let reservation = match reserve(call, &tried).await {
+        let reservation = match reserve(call, &tried, &active).await {
             Ok(reservation) => reservation,
             Err(refusal) if ran == 0 => return Err(refusal),
             Err(_) => return Err((LocalAnswer::Unclear, "no other upstream for a retry")),
@@ -278,17 +279,23 @@
 }
 
 /// Reserves capacity at an upstream, after waiting in the queue if all are full.
-async fn reserve(call: &Rc<Call>, tried: &[UpstreamKey]) -> Result<Reservation, Refusal> {
+async fn reserve(
+    call: &Rc<Call>,
+    tried: &[UpstreamKey],
+    active: &ActiveRequest,
+) -> Result<Reservation, Refusal> {
     let shared = &call.shared;
     let size = call.size(0);
     let requirements = call.requirements(size, tried);
-    if let Some(remaining) = shared.grace_left()
-        && remaining < call.expected_duration()
-    {
-        return Err((
-            LocalAnswer::Refused(RETRY_OTHER_INSTANCE),
-            "the instance leaves before the request would end",
-        ));
+    if let Some(remaining) = shared.grace_left() {
+        let accepted = remaining >= call.expected_duration();
+        log_shutdown_decision(call, active, remaining, accepted);
+        if !accepted {
+            return Err((
+                LocalAnswer::Refused(RETRY_OTHER_INSTANCE),
+                "the instance leaves before the request would end",
+            ));
+        }
     }
     if requirements.capacity > 0
         && shared.is_isolated()
@@ -444,6 +451,30 @@
     );
 }
 
+/// Logs whether a request is accepted although the process shuts down, with what the decision rests on.
+fn log_shutdown_decision(call: &Call, active: &ActiveRequest, remaining: Duration, accepted: bool) {
+    let shared = &call.shared;
+    let now = shared.now();
+    let usage = call.head.usage;
+    let all = shared.active();
+    let Some(request) = all.get(active.key) else {
+        return;
+    };
+    let decision = if accepted { "accepted" } else { "refused" };
+    metrics::counter!("carobhaven_shutdown_requests_total", "decision" => decision).increment(1);
+    log::info!(
+        request:% = call.id(), decision,
+        signal_ms = shared.shutdown_at().map_or(0, |since| now.since(since).as_millis() as u64),
+        left_ms = remaining.as_millis() as u64,
+        expected_ms = call.expected_duration().as_millis() as u64,
+        deadline_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+        hint = usage.and_then(|usage| usage.length_hint).unwrap_or(0),
+        max_output = usage.map_or(0, |usage| usage.max_output),
+        connection_ms = now.since(request.connected).as_millis() as u64, earlier = request.earlier,
+        arrival_ms = now.since(request.arrival).as_millis() as u64; "request during the shutdown"
+    );
+}
+
 fn log_answered(call: &Call, status: StatusCode, upstream: UpstreamKey) {
     metrics::histogram!("carobhaven_answer_seconds").record(call.arrival.elapsed().as_secs_f64());
     log::info!(
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -2,23 +2,53 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
+use carob_base::Time;
 use carob_dispatch::fleet::{RequestSize, RunKey, UpstreamKey, WaitKey};
 
 use super::shared::Shared;
 
+slotmap::new_key_type! {
+    /// Key of a request that is being handled.
+    pub(super) struct ActiveKey;
+}
+
+/// What is known of a request that is being handled, for log lines about it.
+pub(super) struct Active {
+    /// Empty until the head is decoded.
+    pub(super) id: Bytes,
+    pub(super) arrival: Time,
+    /// When the connection of the request was accepted.
+    pub(super) connected: Time,
+    /// Number of requests that arrived on the connection before.
+    pub(super) earlier: u32,
+}
+
 /// Guard that counts a request as active until the guard is dropped.
-pub(super) struct ActiveRequest(Rc<Shared>);
+pub(super) struct ActiveRequest {
+    shared: Rc<Shared>,
+    pub(super) key: ActiveKey,
+}
 
 impl ActiveRequest {
-    pub(super) fn new(shared: &Rc<Shared>) -> Self {
-        shared.request_started();
-        Self(Rc::clone(shared))
+    /// Counts a request that has arrived now, on a connection accepted at `connected` after `earlier` others.
+    pub(super) fn new(shared: &Rc<Shared>, connected: Time, earlier: u32) -> Self {
+        let key = shared.request_started(Active {
+            id: Bytes::new(),
+            arrival: shared.now(),
+            connected,
+            earlier,
+        });
+        Self {
+            shared: Rc::clone(shared),
+            key,
+        }
     }
 }
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.0.request_ended();
+        self.shared.request_ended(self.key);
     }
 }
 
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
+use carob_base::Time;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
@@ -79,14 +80,19 @@
 /// Activity of one client connection.
 struct Connection {
     active_requests: Cell<u32>,
+    /// Number of requests that have arrived on it.
+    requests: Cell<u32>,
+    accepted: Time,
     /// When its last request ended, or when it was accepted.
-    idle_since: Cell<carob_base::Time>,
+    idle_since: Cell<Time>,
 }
 
 async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, open: Rc<Cell<usize>>) {
     open.set(open.get() + 1);
     let activity = Rc::new(Connection {
         active_requests: Cell::new(0),
+        requests: Cell::new(0),
+        accepted: shared.now(),
         idle_since: Cell::new(shared.now()),
     });
     let counted = Rc::clone(&activity);
@@ -134,7 +140,8 @@
     activity: Rc<Connection>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let active = ActiveRequest::new(&shared);
+    let earlier = activity.requests.replace(activity.requests.get() + 1);
+    let active = ActiveRequest::new(&shared, activity.accepted, earlier);
     activity.active_requests.set(activity.active_requests.get() + 1);
     let count = RequestCount(Rc::clone(&activity), Rc::clone(&shared));
     let mut response = exchange::handle(&shared, request, active, count).await;
@@ -203,6 +210,22 @@
         shared.wait_idle().await;
     };
     if tokio::time::timeout(grace, finish).await.is_err() {
-        log::warn!(requests = shared.active_requests(); "requests are cut off: the grace is over");
+        log_cut_requests(shared);
+    }
+}
+
+/// Logs the requests that end with the process, each with its age.
+fn log_cut_requests(shared: &Shared) {
+    let now = shared.now();
+    let active = shared.active();
+    log::warn!(requests = active.len(); "requests are cut off: the grace is over");
+    metrics::counter!("carobhaven_shutdown_cut_total").increment(active.len() as u64);
+    for request in active.values() {
+        log::warn!(
+            request:% = String::from_utf8_lossy(&request.id),
+            age_ms = now.since(request.arrival).as_millis() as u64,
+            signal_ms = shared.shutdown_at().map_or(0, |since| now.since(since).as_millis() as u64),
+            connection_ms = now.since(request.connected).as_millis() as u64; "request cut off by the shutdown"
+        );
     }
 }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use carob_base::{Clock, Time};
 use carob_dispatch::{
     budget::{self, RetryBudget},
@@ -16,9 +17,10 @@
     table::RoutingTable,
 };
 use flume::Sender;
-use slotmap::SecondaryMap;
+use slotmap::{SecondaryMap, SlotMap};
 use tokio::sync::{Notify, oneshot};
 
+use super::guard::{Active, ActiveKey};
 use crate::{
     Settings,
     update::{Report, StoreUpdate, Update},
@@ -68,8 +70,8 @@
     leaving_notices: RefCell<SecondaryMap<UpstreamKey, Rc<Notify>>>,
     /// When a report of the upstream was last requested to learn whether it leaves.
     last_probes: RefCell<SecondaryMap<UpstreamKey, Time>>,
-    /// Number of requests that are being handled.
-    active_requests: Cell<usize>,
+    /// Requests that are being handled.
+    active: RefCell<SlotMap<ActiveKey, Active>>,
     /// Bytes of bodies that are held in memory.
     body_bytes: Cell<usize>,
     /// When the process received the signal to shut down.
@@ -106,7 +108,7 @@
             waiters: RefCell::new(SecondaryMap::new()),
             leaving_notices: RefCell::new(SecondaryMap::new()),
             last_probes: RefCell::new(SecondaryMap::new()),
-            active_requests: Cell::new(0),
+            active: RefCell::new(SlotMap::with_key()),
             body_bytes: Cell::new(0),
             shutdown_at: Cell::new(None),
             shutdown: Notify::new(),
@@ -358,25 +360,33 @@
         metrics::gauge!("carobhaven_bodies_bytes").set(self.body_bytes.get() as f64);
     }
 
-    pub(super) fn request_started(&self) {
-        self.active_requests.set(self.active_requests.get() + 1);
+    pub(super) fn request_started(&self, request: Active) -> ActiveKey {
+        self.active.borrow_mut().insert(request)
     }
 
-    pub(super) fn request_ended(&self) {
-        self.active_requests
-            .set(self.active_requests.get().saturating_sub(1));
-        if self.active_requests.get() == 0 {
+    pub(super) fn request_ended(&self, key: ActiveKey) {
+        let mut active = self.active.borrow_mut();
+        active.remove(key);
+        if active.is_empty() {
             self.idle.notify_waiters();
         }
     }
 
-    pub(super) const fn active_requests(&self) -> usize {
-        self.active_requests.get()
+    /// Records the id of an active request, for log lines.
+    pub(super) fn name_request(&self, key: ActiveKey, id: &Bytes) {
+        if let Some(request) = self.active.borrow_mut().get_mut(key) {
+            request.id = id.clone();
+        }
+    }
+
+    /// Requests that are being handled.
+    pub(super) fn active(&self) -> Ref<'_, SlotMap<ActiveKey, Active>> {
+        self.active.borrow()
     }
 
     /// Waits until no request is being handled.
     pub(super) async fn wait_idle(&self) {
-        while self.active_requests.get() > 0 {
+        while !self.active.borrow().is_empty() {
             self.idle.notified().await;
         }
     }
