fix: a request is taken long after SIGTERM and given up

What callers saw: a client sent a draft on a connection that it had kept, 3.66 s after the instance's SIGTERM. The instance passed it on and cut the answer off 3.95 s later, when it exited. A draft is not repeated, so it was lost.

Cause: an estimate was used as a bound. After the signal a request was accepted if 0.5 s plus 9 ms for each token of its length hint fitted into the grace. The hint is right at the median: half of the answers are longer, by any factor. A second fault made it likely: the listener was closed 2.6 s after the signal, but a connection that was open by then stayed open until the next check for idle ones, up to 2 s later, and what arrived on it was judged as if the load balancer still had no better choice.

The test's lines say decision=accepted left_ms=1699 expected_ms=1400 hint=100 signal_ms=3300 connection_ms=3320, then cut off.

During the notice the longest answer that the request permits counts, not its hint. Idle connections close with the listener. The rest of the grace is taken to the exit of the process, not to the end of the grace, and both are fixed at the signal, so that a reload cannot move one and not the other. A queued request is judged again when it gets its place, and refused at once when the signal makes it hopeless.

--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -88,19 +88,15 @@
         }
     }
 
-    /// How long the request is expected to take in most cases.
-    pub(super) fn expected_duration(&self) -> Duration {
+    /// How long the longest answer that the request permits takes at the usual speed of the upstreams.
+    pub(super) fn longest_duration(&self) -> Duration {
         let Some(usage) = self.head.usage else {
             return self
                 .route
                 .timeout
                 .min(self.route.target_latency.mul_f64(PLAIN_DURATION_FACTOR));
         };
-        let output = usage
-            .length_hint
-            .unwrap_or(usage.max_output / 2)
-            .min(usage.max_output);
-        FIRST_EVENT_TIME + STEP_TIME * output
+        FIRST_EVENT_TIME + STEP_TIME * usage.max_output
     }
 
     /// How long the stream is expected to continue after `events` events.
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -13,6 +13,7 @@
     answer::{self, AnswerKind},
     request,
 };
+use carob_shutdown::{Bounds, Shutdown};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
@@ -287,16 +288,7 @@
     let shared = &call.shared;
     let size = call.size(0);
     let requirements = call.requirements(size, tried);
-    if let Some(remaining) = shared.grace_left() {
-        let accepted = remaining >= call.expected_duration();
-        log_shutdown_decision(call, active, remaining, accepted);
-        if !accepted {
-            return Err((
-                LocalAnswer::Refused(RETRY_OTHER_INSTANCE),
-                "the instance leaves before the request would end",
-            ));
-        }
-    }
+    check_shutdown(call, active)?;
     if requirements.capacity > 0
         && shared.is_isolated()
         && let Some(upstream) = probe::place(shared, &requirements).await
@@ -332,12 +324,19 @@
     let entry = QueueEntry::new(shared, key);
     let grant = shared.register_waiter(key);
     shared.grant_waiting();
-    let outcome = timeout_at(queue_deadline, grant).await;
+    let outcome = tokio::select! {
+        biased;
+        outcome = timeout_at(queue_deadline, grant) => outcome,
+        refusal = refused_by_shutdown(call, active) => return Err(refusal),
+    };
     drop(entry);
     match outcome {
         Ok(Ok((upstream, run))) => {
+            let reservation = Reservation::adopt(shared, upstream, run, size);
             log::info!(request:% = call.id(), age_ms = call.age_ms(); "place found after waiting");
-            Ok(Reservation::adopt(shared, upstream, run, size))
+            // The rest of the grace may have become too short while the request waited.
+            check_shutdown(call, active)?;
+            Ok(reservation)
         }
         Ok(Err(_)) | Err(_) => Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams stayed full")),
     }
@@ -451,8 +450,45 @@
     );
 }
 
+/// Refuses a request that could be cut off by the shutdown.
+fn check_shutdown(call: &Call, active: &ActiveRequest) -> Result<(), Refusal> {
+    let Some(shutdown) = call.shared.shutdown() else {
+        return Ok(());
+    };
+    let bounds = Bounds {
+        deadline: call.deadline.saturating_duration_since(Instant::now()),
+        longest: call.longest_duration(),
+    };
+    let accepted = shutdown.admits(call.shared.now(), bounds);
+    log_shutdown_decision(call, active, shutdown, bounds, accepted);
+    if accepted {
+        Ok(())
+    } else {
+        Err((
+            LocalAnswer::Refused(RETRY_OTHER_INSTANCE),
+            "the instance leaves before the request would end",
+        ))
+    }
+}
+
+/// Waits for the signal to shut down and returns the refusal of a request that could be cut off by the
+/// shutdown; never returns for others.
+async fn refused_by_shutdown(call: &Call, active: &ActiveRequest) -> Refusal {
+    let _begun = call.shared.wait_shutdown().await;
+    match check_shutdown(call, active) {
+        Err(refusal) => refusal,
+        Ok(()) => std::future::pending().await,
+    }
+}
+
 /// Logs whether a request is accepted although the process shuts down, with what the decision rests on.
-fn log_shutdown_decision(call: &Call, active: &ActiveRequest, remaining: Duration, accepted: bool) {
+fn log_shutdown_decision(
+    call: &Call,
+    active: &ActiveRequest,
+    shutdown: Shutdown,
+    bounds: Bounds,
+    accepted: bool,
+) {
     let shared = &call.shared;
     let now = shared.now();
     let usage = call.head.usage;
@@ -464,10 +500,10 @@
     metrics::counter!("carobhaven_shutdown_requests_total", "decision" => decision).increment(1);
     log::info!(
         request:% = call.id(), decision,
-        signal_ms = shared.shutdown_at().map_or(0, |since| now.since(since).as_millis() as u64),
-        left_ms = remaining.as_millis() as u64,
-        expected_ms = call.expected_duration().as_millis() as u64,
-        deadline_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+        signal_ms = now.since(shutdown.signal()).as_millis() as u64,
+        left_ms = shutdown.left(now).as_millis() as u64,
+        longest_ms = bounds.longest.as_millis() as u64,
+        deadline_ms = bounds.deadline.as_millis() as u64,
         hint = usage.and_then(|usage| usage.length_hint).unwrap_or(0),
         max_output = usage.map_or(0, |usage| usage.max_output),
         connection_ms = now.since(request.connected).as_millis() as u64, earlier = request.earlier,
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -52,6 +52,22 @@
     }
 }
 
+/// Guard that counts a client connection as open until the guard is dropped.
+pub(super) struct OpenConnection(Rc<Shared>);
+
+impl OpenConnection {
+    pub(super) fn new(shared: &Rc<Shared>) -> Self {
+        shared.connection_opened();
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connection_closed();
+    }
+}
+
 /// Capacity of an upstream that is reserved for a request; dropping this guard frees it.
 pub(super) struct Reservation {
     shared: Rc<Shared>,
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -7,7 +7,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{answer::ResponseBody, exchange, guard::ActiveRequest, shared::Shared};
+use super::{
+    answer::ResponseBody,
+    exchange,
+    guard::{ActiveRequest, OpenConnection},
+    shared::Shared,
+};
 use crate::socket::set_tcp_options;
 
 /// Connections that the kernel queues until they are accepted.
@@ -25,13 +30,6 @@
 /// Pause after a connection could not be accepted, which happens when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// How long the platform still sends new connections to an instance that reports not ready: it takes two
-/// consecutive readiness checks, one a second, and the time of connections already on their way.
-const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
-
-/// The process exits by itself this long before the end of the grace period, so that its logs are written.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-
 /// Listens on `address`.
 pub(super) fn bind(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
@@ -45,35 +43,28 @@
 /// Serves client connections. After the signal to shut down, connections are accepted only for as long as the
 /// platform still sends them; one accepted later could be cut off at the end of the grace period.
 pub(super) async fn serve_callers(shared: Rc<Shared>, listener: TcpListener) {
-    let closing = async {
-        if shared.shutdown_at().is_none() {
-            shared.shutdown.notified().await;
-        }
-        tokio::time::sleep(DEREGISTRATION_DELAY).await;
-    };
     tokio::select! {
         () = accept(&shared, &listener) => {}
-        () = closing => log::info!("no more connections are taken"),
+        () = shared.wait_closing() => log::info!("no more connections are taken"),
     }
 }
 
 async fn accept(shared: &Rc<Shared>, listener: &TcpListener) {
-    let open = Rc::new(Cell::new(0usize));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!(error:% = error, open = open.get(); "client connection not accepted");
+                log::warn!(error:% = error, open = shared.connections(); "client connection not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        if open.get() >= shared.settings().max_connections {
-            log::warn!(open = open.get(); "client connection closed: too many are open");
+        if shared.connections() >= shared.settings().max_connections {
+            log::warn!(open = shared.connections(); "client connection closed: too many are open");
             continue;
         }
         set_tcp_options(&stream);
-        tokio::task::spawn_local(serve_connection(Rc::clone(shared), stream, Rc::clone(&open)));
+        tokio::task::spawn_local(serve_connection(Rc::clone(shared), stream));
     }
 }
 
@@ -87,8 +78,8 @@
     idle_since: Cell<Time>,
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, open: Rc<Cell<usize>>) {
-    open.set(open.get() + 1);
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) {
+    let _open = OpenConnection::new(&shared);
     let activity = Rc::new(Connection {
         active_requests: Cell::new(0),
         requests: Cell::new(0),
@@ -108,6 +99,9 @@
     builder.max_buf_size(head * 2).preserve_header_case(true);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
+    let closing = shared.wait_closing();
+    tokio::pin!(closing);
+    let mut closes = false;
     let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     loop {
         tokio::select! {
@@ -117,22 +111,22 @@
                 }
                 break;
             }
+            () = closing.as_mut(), if !closes => {
+                closes = true;
+                served.as_mut().graceful_shutdown();
+            }
             _ = check.tick() => {
                 let timeout = shared
                     .table()
                     .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits().idle_timeout);
-                let deregistered = shared
-                    .shutdown_at()
-                    .is_some_and(|since| shared.now().since(since) > DEREGISTRATION_DELAY);
                 let idle = activity.active_requests.get() == 0
                     && shared.now().since(activity.idle_since.get()) > timeout;
-                if idle || deregistered {
+                if idle {
                     served.as_mut().graceful_shutdown();
                 }
             }
         }
     }
-    open.set(open.get() - 1);
 }
 
 async fn serve_request(
@@ -145,7 +139,7 @@
     activity.active_requests.set(activity.active_requests.get() + 1);
     let count = RequestCount(Rc::clone(&activity), Rc::clone(&shared));
     let mut response = exchange::handle(&shared, request, active, count).await;
-    if shared.shutdown_at().is_some() {
+    if shared.shutdown().is_some() {
         let close = hyper::header::HeaderValue::from_static("close");
         response.headers_mut().insert(hyper::header::CONNECTION, close);
     }
@@ -201,15 +195,9 @@
 /// Waits for the signal to shut down, and then until the process may end: no more requests arrive and all are
 /// answered, or the grace period is almost over.
 pub(super) async fn wait_until_finished(shared: &Shared) {
-    if shared.shutdown_at().is_none() {
-        shared.shutdown.notified().await;
-    }
-    let grace = shared.settings().grace.saturating_sub(EXIT_MARGIN);
-    let finish = async {
-        tokio::time::sleep(DEREGISTRATION_DELAY.min(grace)).await;
-        shared.wait_idle().await;
-    };
-    if tokio::time::timeout(grace, finish).await.is_err() {
+    let shutdown = shared.wait_shutdown().await;
+    shared.wait_finished(shutdown).await;
+    if !shared.active().is_empty() {
         log_cut_requests(shared);
     }
 }
@@ -224,7 +212,7 @@
         log::warn!(
             request:% = String::from_utf8_lossy(&request.id),
             age_ms = now.since(request.arrival).as_millis() as u64,
-            signal_ms = shared.shutdown_at().map_or(0, |since| now.since(since).as_millis() as u64),
+            signal_ms = shared.shutdown().map_or(0, |shutdown| now.since(shutdown.signal()).as_millis() as u64),
             connection_ms = now.since(request.connected).as_millis() as u64; "request cut off by the shutdown"
         );
     }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -16,6 +16,7 @@
     fleet::{Fleet, RunKey, Topology, UpstreamKey, WaitKey},
     table::RoutingTable,
 };
+use carob_shutdown::{Shutdown, Stage};
 use flume::Sender;
 use slotmap::{SecondaryMap, SlotMap};
 use tokio::sync::{Notify, oneshot};
@@ -34,6 +35,10 @@
 /// Instances send their load at least once a second; one counts as unresponsive after two missed messages.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// How long the platform still sends new connections to an instance that reports not ready: it takes two
+/// consecutive readiness checks, one a second, and the time of connections already on their way.
+const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
+
 /// Minimum number of other instances for which a majority of unresponsive ones is meaningful.
 const MIN_PEERS: usize = 3;
 
@@ -74,11 +79,13 @@
     active: RefCell<SlotMap<ActiveKey, Active>>,
     /// Bytes of bodies that are held in memory.
     body_bytes: Cell<usize>,
-    /// When the process received the signal to shut down.
-    shutdown_at: Cell<Option<Time>>,
+    /// Number of open client connections.
+    connections: Cell<usize>,
+    /// Absent until the process receives the signal to shut down.
+    shutdown: Cell<Option<Shutdown>>,
     /// Notified when the process receives the signal to shut down.
-    pub(super) shutdown: Notify,
-    /// Notified when the last active request has ended.
+    shutdown_begun: Notify,
+    /// Notified when the last active request or the last client connection has ended.
     idle: Notify,
     /// Notified when this instance's load or its state of the store has changed, which other instances are to
     /// learn.
@@ -110,8 +117,9 @@
             last_probes: RefCell::new(SecondaryMap::new()),
             active: RefCell::new(SlotMap::with_key()),
             body_bytes: Cell::new(0),
-            shutdown_at: Cell::new(None),
-            shutdown: Notify::new(),
+            connections: Cell::new(0),
+            shutdown: Cell::new(None),
+            shutdown_begun: Notify::new(),
             idle: Notify::new(),
             load_changed: Notify::new(),
         }
@@ -198,20 +206,31 @@
     /// Whether new connections are wanted: a configuration and an upstream are known, and the process does
     /// not shut down.
     pub(super) fn is_ready(&self) -> bool {
-        self.shutdown_at.get().is_none()
+        self.shutdown.get().is_none()
             && self.table.borrow().is_some()
             && self.fleet.borrow().upstreams().next().is_some()
     }
 
-    /// When the process received the signal to shut down, if it has.
-    pub(super) const fn shutdown_at(&self) -> Option<Time> {
-        self.shutdown_at.get()
+    /// The shutdown in progress, if the process has received the signal.
+    pub(super) const fn shutdown(&self) -> Option<Shutdown> {
+        self.shutdown.get()
+    }
+
+    /// Waits for the signal to shut down.
+    pub(super) async fn wait_shutdown(&self) -> Shutdown {
+        loop {
+            let begun = self.shutdown_begun.notified();
+            if let Some(shutdown) = self.shutdown.get() {
+                return shutdown;
+            }
+            begun.await;
+        }
     }
 
-    /// How long requests can still be served once the process shuts down; `None` before.
-    pub(super) fn grace_left(&self) -> Option<Duration> {
-        let since = self.shutdown_at.get()?;
-        Some(self.settings().grace.saturating_sub(self.now().since(since)))
+    /// Waits for the signal to shut down, and then until the listener and idle connections are closed.
+    pub(super) async fn wait_closing(&self) {
+        let shutdown = self.wait_shutdown().await;
+        tokio::time::sleep(shutdown.closes().since(self.now())).await;
     }
 
     /// Applies a message of the control thread.
@@ -265,9 +284,11 @@
             }
             Update::Settings(settings) => *self.settings.borrow_mut() = settings,
             Update::Shutdown => {
-                if self.shutdown_at.get().is_none() {
-                    self.shutdown_at.set(Some(now));
-                    self.shutdown.notify_waiters();
+                if self.shutdown.get().is_none() {
+                    let options =
+                        carob_shutdown::Options::new(DEREGISTRATION_DELAY).with_grace(self.settings().grace);
+                    self.shutdown.set(Some(Shutdown::new(now, options)));
+                    self.shutdown_begun.notify_waiters();
                 }
             }
         }
@@ -365,9 +386,30 @@
     }
 
     pub(super) fn request_ended(&self, key: ActiveKey) {
-        let mut active = self.active.borrow_mut();
-        active.remove(key);
-        if active.is_empty() {
+        self.active.borrow_mut().remove(key);
+        self.notify_idle();
+    }
+
+    pub(super) fn connection_opened(&self) {
+        self.connections.set(self.connections.get() + 1);
+    }
+
+    pub(super) fn connection_closed(&self) {
+        self.connections.set(self.connections.get().saturating_sub(1));
+    }
+
+    /// Number of open client connections.
+    pub(super) const fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Number of requests that are not finished.
+    fn open(&self) -> usize {
+        self.active.borrow().len()
+    }
+
+    fn notify_idle(&self) {
+        if self.open() == 0 {
             self.idle.notify_waiters();
         }
     }
@@ -384,10 +426,22 @@
         self.active.borrow()
     }
 
-    /// Waits until no request is being handled.
-    pub(super) async fn wait_idle(&self) {
-        while !self.active.borrow().is_empty() {
-            self.idle.notified().await;
+    /// Waits until the process may exit; `shutdown` has begun.
+    pub(super) async fn wait_finished(&self, shutdown: Shutdown) {
+        loop {
+            let idle = self.idle.notified();
+            let now = self.now();
+            if shutdown.may_exit(now, self.open()) {
+                return;
+            }
+            let next = match shutdown.stage(now) {
+                Stage::Notice => shutdown.closes(),
+                Stage::Drain | Stage::Over => shutdown.exit(),
+            };
+            tokio::select! {
+                () = idle => {}
+                () = tokio::time::sleep(next.since(now)) => {}
+            }
         }
     }
 
