fix: a short grace cuts answers off too early

What callers saw: nothing on the deployments known, whose grace is 8 s. With a grace below 2.4 s an answer would be cut off before the last sixth of the grace.

Cause: the process exits a fixed 400 ms before the end of its grace, whatever its length; with a grace of 400 ms or less at the signal. Found when the decision was put into a state machine and checked for any grace.

Fix: the margin is at most an eighth of the grace. The property test fails without it (minimal case: grace 1 ms).

--- a/crates/carob-shutdown/src/lib.rs
+++ b/crates/carob-shutdown/src/lib.rs
@@ -18,6 +18,10 @@
 /// leaves the machine.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Largest part of the grace that [`EXIT_MARGIN`] may take; a longer margin would cut off requests that a
+/// short grace leaves enough time for.
+const MAX_MARGIN_SHARE: u32 = 8;
+
 carob_base::plain! {
     /// Times that apply to a shutdown.
     pub struct Options {
@@ -75,9 +79,9 @@
 impl Shutdown {
     /// A shutdown whose signal arrived at `signal`.
     pub fn new(signal: Time, options: Options) -> Self {
-        let exit = options
-            .grace
-            .map_or(Time::NEVER, |grace| signal + grace.saturating_sub(EXIT_MARGIN));
+        let exit = options.grace.map_or(Time::NEVER, |grace| {
+            signal + grace.saturating_sub(EXIT_MARGIN.min(grace / MAX_MARGIN_SHARE))
+        });
         Self {
             signal,
             closes: (signal + options.notice).min(exit),
--- a/crates/carob-shutdown/tests/shutdown.rs
+++ b/crates/carob-shutdown/tests/shutdown.rs
@@ -4,6 +4,7 @@
 
 use carob_base::Time;
 use carob_shutdown::{Bounds, Options, Shutdown, Stage};
+use proptest::prelude::*;
 
 const NOTICE: Duration = Duration::from_millis(2_600);
 const GRACE: Duration = Duration::from_secs(8);
@@ -60,3 +61,16 @@
     assert!(!shutdown.may_exit(after(100_000), 1));
     assert!(shutdown.may_exit(after(2_600), 0));
 }
+
+proptest! {
+    /// An answer may be cut off only in the last sixth of the grace.
+    #[test]
+    fn the_margin_leaves_five_sixths_of_any_grace(grace in 1u64..3_600_000, notice in 0u64..10_000) {
+        let options = Options::new(Duration::from_millis(notice)).with_grace(Duration::from_millis(grace));
+        let shutdown = Shutdown::new(SIGNAL, options);
+        let used = shutdown.exit().since(SIGNAL);
+        prop_assert!(used <= Duration::from_millis(grace));
+        prop_assert!(used * 6 >= Duration::from_millis(grace) * 5);
+        prop_assert!(shutdown.closes() <= shutdown.exit());
+    }
+}
