test: a long answer that its upstream still sends is cut off at the exit (fails)

An answer of more than 256 KiB is passed on by a task that holds no `ActiveRequest`, so that a gateway that shuts down exits while an upstream is still sending to a client that keeps up.

--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -16,6 +16,9 @@
 /// does not hold it.
 const BUFFERED_ANSWER: usize = 250_000;
 
+/// Size of an answer that the gateway passes on as it arrives, in bytes.
+const LONG_ANSWER: usize = 800_000;
+
 /// A plain answer counts as passed on when its head is, and its body may still wait in the gateway.
 #[test]
 fn a_plain_answer_that_a_slow_client_still_reads_is_not_cut_off() {
@@ -39,6 +42,29 @@
     assert!(status.success(), "{status}");
 }
 
+/// A long answer is passed on by a task of its own.
+#[test]
+fn a_long_answer_that_its_upstream_still_sends_is_not_cut_off() {
+    let mut fleet = Fleet::start(1);
+    let plain = fleet.start_plain("p1", SHORT);
+    plain.set_answer_bytes(LONG_ANSWER);
+    plain.set_answer_pause(PAST_EXIT);
+    fleet.configure();
+    let order = request("o1", "POST", "/order/1");
+    let mut client = client::open(fleet.gateways[0].caller_address, &order).expect("the gateway listens");
+    wait_until("the first part is passed on", || {
+        fleet.gateways[0].logged("answer passed on")
+    });
+    fleet.gateways[0].signal("TERM");
+    let outcome = client::read(&mut client, Instant::now() + LONG);
+    assert_eq!(
+        (outcome.status, outcome.complete, outcome.body.len()),
+        (200, true, LONG_ANSWER)
+    );
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
 /// A stream ends in the gateway when its last event is queued for the client.
 #[test]
 fn the_last_events_that_a_slow_client_still_reads_are_not_cut_off() {
