--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use carob_platform_standin::client;
-use fleet::{Fleet, LONG, generation_request, request, wait_until};
+use fleet::{Fleet, Gateway, LONG, generation_request, request, wait_until};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -19,6 +19,21 @@
 /// Size of an answer that the gateway passes on as it arrives, in bytes.
 const LONG_ANSWER: usize = 800_000;
 
+/// Puts a grace into force that differs from the present one.
+fn set_grace(gateway: &Gateway, grace: &str) {
+    let reloads = || {
+        let lines = gateway.log_lines();
+        lines
+            .iter()
+            .filter(|line| line.contains("settings reloaded"))
+            .count()
+    };
+    let before = reloads();
+    gateway.write_settings(&[], grace);
+    gateway.signal("HUP");
+    wait_until("the grace is in force", || reloads() > before);
+}
+
 /// A plain answer counts as passed on when its head is, and its body may still wait in the gateway.
 #[test]
 fn a_plain_answer_that_a_slow_client_still_reads_is_not_cut_off() {
@@ -89,3 +104,25 @@
     let status = fleet.gateways[0].child.wait().expect("it ends");
     assert!(status.success(), "{status}");
 }
+
+/// What is left of the grace when a request is taken, and the time of the exit, follow from the same settings.
+#[test]
+fn a_grace_that_is_changed_during_a_shutdown_cuts_no_request_that_was_taken() {
+    let mut fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 120, Duration::from_millis(40));
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "4s");
+    fleet.gateways[0].signal("TERM");
+    wait_until("the gateway leaves", || fleet.gateways[0].logged("leaving"));
+    set_grace(&fleet.gateways[0], "30s");
+    let outcome = fleet.send(0, &generation_request("d1"));
+    let runs = fleet.ledger.run_count("d1");
+    assert!(
+        outcome.complete || runs == 0,
+        "status {}, {} of 120 events, then cut off; {runs} runs",
+        outcome.status,
+        outcome.events().len()
+    );
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
