fix: answers that are not yet written are lost when a leaving instance exits

What callers saw: after SIGTERM, an answer that was ready ended in the middle: the rest of a plain answer or the last events of a stream for a client that reads slowly, and any answer over 256 KiB that its upstream was still sending. The instance had logged "answer passed on" or "stream ended: complete".

Cause: the exit waited until no request was active. A request stops being active when the head of a plain answer is returned, or when the last chunk of a stream is queued; what the connection has yet to write was lost with the runtime.

Evidence: three tests of tests/shutdown_edges.rs fail before (250,000 and 800,000 bytes and 18 events expected, cut at the exit 2.6 s after SIGTERM) and pass now.

Fix: the exit waits for the client connections, which end once their last response is written, and for the requests. Both are bounded by the grace, as before.

--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -197,7 +197,7 @@
 pub(super) async fn wait_until_finished(shared: &Shared) {
     let shutdown = shared.wait_shutdown().await;
     shared.wait_finished(shutdown).await;
-    if !shared.active().is_empty() {
+    if shared.open() > 0 {
         log_cut_requests(shared);
     }
 }
@@ -206,7 +206,10 @@
 fn log_cut_requests(shared: &Shared) {
     let now = shared.now();
     let active = shared.active();
-    log::warn!(requests = active.len(); "requests are cut off: the grace is over");
+    log::warn!(
+        requests = active.len(), connections = shared.connections();
+        "requests are cut off: the grace is over"
+    );
     metrics::counter!("carobhaven_shutdown_cut_total").increment(active.len() as u64);
     for request in active.values() {
         log::warn!(
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -396,6 +396,7 @@
 
     pub(super) fn connection_closed(&self) {
         self.connections.set(self.connections.get().saturating_sub(1));
+        self.notify_idle();
     }
 
     /// Number of open client connections.
@@ -403,9 +404,10 @@
         self.connections.get()
     }
 
-    /// Number of requests that are not finished.
-    fn open(&self) -> usize {
-        self.active.borrow().len()
+    /// Number of client connections and requests that are not finished. A connection is finished once its
+    /// last response is written, and a request once nothing runs for it any more.
+    pub(super) fn open(&self) -> usize {
+        self.connections.get() + self.active.borrow().len()
     }
 
     fn notify_idle(&self) {
