fix: a draining listener sends its last responses whole

Callers saw: a response cut off in its middle, 250 ms after a listener has begun to drain. It hits each caller that is still reading then and whose connection closes after the response, which after SIGTERM is every response. Cause: the connection was driven by `poll_without_shutdown`. Once the connection is to end and the response has been encoded, that is finished, whatever the library still has to write; the socket was then closed and the rest dropped. Change: the connection is polled as a future, which flushes before it shuts the socket down. Shutting down is under the send timeout like every write, so that a caller that reads nothing delays the exit by no more than that.

--- a/crates/carob-http/src/listen/connection.rs
+++ b/crates/carob-http/src/listen/connection.rs
@@ -1,6 +1,12 @@
 //! One caller's connection, from the first request to the close.
 
-use std::{fmt::Write as _, future::poll_fn, pin::Pin, sync::Arc, time::Duration};
+use std::{
+    fmt::Write as _,
+    future::{Future as _, poll_fn},
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
+};
 
 use carob_wire::{Code, Problem};
 use hyper::{server::conn::http1, service::service_fn};
@@ -51,7 +57,8 @@
                 shutdown_begun = true;
                 Pin::new(&mut connection).graceful_shutdown();
             }
-            connection.poll_without_shutdown(cx)
+            // Also sends what the library still buffers of the last response, and shuts the socket down.
+            Pin::new(&mut connection).poll(cx)
         })
         .await
     };
--- a/crates/carob-http/src/listen/socket.rs
+++ b/crates/carob-http/src/listen/socket.rs
@@ -249,6 +249,8 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().inner).poll_shutdown(cx)
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.inner).poll_shutdown(cx);
+        this.limit_write(cx, result)
     }
 }
--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -305,6 +305,32 @@
     drain.join().expect("drained");
 }
 
+/// A response that the caller had not yet read was cut off as soon as its connection was to end.
+#[test]
+fn drain_sends_the_last_response_whole() {
+    const BODY_BYTES: usize = 32 << 20;
+    let handler = |exchange: Exchange| exchange.respond(200, &Headers::new(), vec![b'x'; BODY_BYTES]);
+    let listener = bind(|_| {}, handler);
+    listener.disable_keep_alive();
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    stream.read_exact(&mut [0]).expect("the listener answers");
+    let drain = std::thread::spawn(move || listener.drain());
+    // Longer than a draining connection waits for a request.
+    std::thread::sleep(Duration::from_millis(600));
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).expect("the listener closes");
+    let body = rest
+        .windows(4)
+        .position(|part| part == b"\r\n\r\n")
+        .map(|at| rest.len() - at - 4);
+    assert_eq!(body, Some(BODY_BYTES));
+    drain.join().expect("drained");
+}
+
 #[test]
 fn close_reports_what_it_cut_off() {
     let (release, wait) = flume::bounded::<()>(0);
