fix: a drain waits for handlers whose caller has gone

Callers saw: after an order whose caller had disconnected before SIGTERM, "a call with this idempotency key is in progress; ask again" at every other instance, for an order that had run and whose outcome nobody would store. Cause: the exit was decided on open connections. A call that runs at most once continues without its caller, for up to two minutes a try, but only connections were waited for, and then the store for at most 30 s. The instance exited while the order ran at its upstream. Change: `Listener::drain` also waits until every handler has returned, which counts them already. Each handler has its own time limits. Measured: `drain_waits_for_handlers_without_callers` fails before ("the handler still runs") and passes now.

--- a/crates/carob-http/src/listen.rs
+++ b/crates/carob-http/src/listen.rs
@@ -129,10 +129,17 @@
         self.advance(Phase::NoKeepAlive);
     }
 
-    /// Stops accepting connections and returns when every open one has ended, however long that takes.
+    /// Stops accepting connections and returns when every open one has ended and every handler has returned,
+    /// however long that takes.
+    ///
+    /// A handler may run on after its caller has disconnected.
     pub fn drain(self) {
         self.advance(Phase::Draining);
+        let pool = self.pool.clone();
         self.join();
+        while pool.in_progress() > 0 {
+            std::thread::sleep(POLL_INTERVAL);
+        }
     }
 
     /// Stops accepting connections, waits up to `grace` for open ones to end, then aborts the rest.
@@ -175,7 +182,8 @@
     }
 }
 
-/// Interval at which [`Listener::close`] checks whether the network thread has ended.
+/// Interval at which [`Listener::close`] checks whether the network thread has ended, and [`Listener::drain`]
+/// whether the handlers have returned.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum number of established connections that wait in the operating system to be accepted.
 const BACKLOG: u32 = 1024;
--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -331,6 +331,44 @@
     drain.join().expect("drained");
 }
 
+/// A drain ended while a handler still worked on the request of a caller that had disconnected.
+#[test]
+fn drain_waits_for_handlers_without_callers() {
+    let (release, wait) = flume::bounded::<()>(0);
+    let (report, noticed) = mpsc::channel();
+    let handler = move |exchange: Exchange| {
+        while !exchange.is_disconnected() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        report.send(()).expect("the test waits");
+        let _released = wait.recv();
+    };
+    let listener = bind(|_| {}, handler);
+    let address = listener.local_addr();
+    let mut stream = TcpStream::connect(address).expect("the listener accepts");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    while listener.open_requests() == 0 {
+        std::thread::yield_now();
+    }
+    drop(stream);
+    noticed.recv_timeout(LONG).expect("the handler notices");
+    let (drained, end) = mpsc::channel();
+    let drain = std::thread::spawn(move || {
+        listener.drain();
+        drained.send(()).expect("the test waits");
+    });
+    // Longer than a drain without any request takes.
+    assert!(
+        end.recv_timeout(Duration::from_secs(1)).is_err(),
+        "the handler still runs"
+    );
+    drop(release);
+    end.recv_timeout(LONG).expect("drained");
+    drain.join().expect("drained");
+}
+
 #[test]
 fn close_reports_what_it_cut_off() {
     let (release, wait) = flume::bounded::<()>(0);
