fix: a closing instance repeats its cancellations until they are confirmed

Callers saw: "the engine has not confirmed; the cancellation is repeated", from an instance that was then shut down and did not repeat it. The generation went on to its end, in the engine's memory and on the client account. Cause: the exit was decided on open requests and unstored outcomes. The canceller's work was left out, and it ended within 50 ms of the instance being closed, with whatever the engine had not confirmed. The same held for answers whose caller had gone, if the first try to cancel them failed. Change: every task of the canceller holds a counter until it is over, and a closing instance waits for them together with the outcomes, within the 30 s that it has for these. If something is left, the log line says how much of what.

--- a/crates/carob-entry/src/instance.rs
+++ b/crates/carob-entry/src/instance.rs
@@ -20,10 +20,11 @@
     threads, traffic,
 };
 
-/// Interval at which a closing instance checks whether the outcomes of its last calls are stored.
+/// Interval at which a closing instance checks whether its last calls are settled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum time for which a closing instance waits for the store to take the outcomes of its last calls.
-const OUTCOMES_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum time for which a closing instance waits until the store has taken the outcomes of its last calls and
+/// engines have confirmed its cancellations.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A failure to start an instance.
 #[derive(Debug, thiserror::Error)]
@@ -141,7 +142,7 @@
         self.listener.disable_keep_alive();
         thread::sleep(self.shared.options.leave_delay);
         self.listener.drain();
-        self.shared.wait_for_outcomes();
+        self.shared.settle();
         self.shared.advance(Phase::Closed);
         self.shared.send_event(Event::Stop);
         self.admin.close();
@@ -156,24 +157,32 @@
 }
 
 impl Shared {
-    /// Waits until the outcomes of the last calls are stored, for at most [`OUTCOMES_TIMEOUT`].
-    fn wait_for_outcomes(&self) {
-        let end = self.now() + OUTCOMES_TIMEOUT;
-        while self.now() < end {
+    /// Waits until the outcomes of the last calls are stored and the cancellations are confirmed, for at most
+    /// [`SETTLE_TIMEOUT`].
+    fn settle(&self) {
+        let end = self.now() + SETTLE_TIMEOUT;
+        loop {
             let (reply, status) = flume::bounded(1);
             self.send_event(Event::Status { reply });
             let Ok(status) = status.recv() else {
                 return;
             };
-            if status.requests == 0 && status.claims == 0 {
+            // Read after the status, since the end of a request may start a cancellation.
+            let cancellations = self.open_cancellations();
+            if status.requests == 0 && status.claims == 0 && cancellations == 0 {
+                return;
+            }
+            if self.now() >= end {
+                log::warn!(
+                    "entry: not settled within {} s: requests={} claims={} cancellations={cancellations}",
+                    SETTLE_TIMEOUT.as_secs(),
+                    status.requests,
+                    status.claims,
+                );
                 return;
             }
             thread::sleep(POLL_INTERVAL);
         }
-        log::warn!(
-            "entry: not every outcome was stored within {} s",
-            OUTCOMES_TIMEOUT.as_secs()
-        );
     }
 }
 
--- a/crates/carob-entry/src/io/cancel.rs
+++ b/crates/carob-entry/src/io/cancel.rs
@@ -23,6 +23,17 @@
 /// Time limit of one cancellation attempt.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Held by a task until it is over. Clones count each other.
+#[derive(Clone, Debug, Default)]
+pub struct Hold(Arc<()>);
+
+impl Hold {
+    /// Number of other clones.
+    pub fn others(&self) -> usize {
+        Arc::strong_count(&self.0) - 1
+    }
+}
+
 /// Work for the canceller.
 #[derive(Debug)]
 pub struct Task {
@@ -83,10 +94,11 @@
     cancellation: Cancellation,
     /// The call in progress.
     attempt: Option<PendingResponse>,
+    _hold: Hold,
 }
 
 /// Runs until the instance is closed.
-pub fn run(shared: &Arc<Shared>, tasks: &Receiver<Task>) {
+pub fn run(shared: &Arc<Shared>, tasks: &Receiver<(Task, Hold)>) {
     let mut canceller = Canceller {
         shared,
         abandoned: Vec::new(),
@@ -94,7 +106,7 @@
     };
     loop {
         match tasks.recv_timeout(POLL_INTERVAL) {
-            Ok(task) => canceller.accept(task),
+            Ok((task, hold)) => canceller.accept(task, hold),
             Err(RecvTimeoutError::Timeout) if shared.phase() == Phase::Closed => return,
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
@@ -105,20 +117,23 @@
 
 struct Canceller<'a> {
     shared: &'a Shared,
-    abandoned: Vec<(SocketAddr, carob_base::Name, Abandoned)>,
+    abandoned: Vec<(SocketAddr, carob_base::Name, Abandoned, Hold)>,
     pending: Vec<PendingCancellation>,
 }
 
 impl Canceller<'_> {
-    fn accept(&mut self, task: Task) {
+    fn accept(&mut self, task: Task, hold: Hold) {
         match task.kind {
-            TaskKind::Cancel(generation) => self.start(task.address, task.upstream, generation),
-            TaskKind::Abandon(abandoned) => self.abandoned.push((task.address, task.upstream, *abandoned)),
+            TaskKind::Cancel(generation) => self.start(task.address, task.upstream, generation, hold),
+            TaskKind::Abandon(abandoned) => {
+                self.abandoned
+                    .push((task.address, task.upstream, *abandoned, hold));
+            }
         }
     }
 
     /// Starts a cancellation; without an answer id there is nothing that the engine could cancel.
-    fn start(&mut self, address: SocketAddr, upstream: carob_base::Name, generation: Generation) {
+    fn start(&mut self, address: SocketAddr, upstream: carob_base::Name, generation: Generation, hold: Hold) {
         if generation.answer_id.is_none() {
             return;
         }
@@ -129,6 +144,7 @@
             upstream,
             cancellation,
             attempt: None,
+            _hold: hold,
         });
     }
 
@@ -145,7 +161,7 @@
     fn poll_abandoned(&mut self) {
         let now = self.shared.now();
         for index in (0..self.abandoned.len()).rev() {
-            let (_, _, abandoned) = &mut self.abandoned[index];
+            let (_, _, abandoned, _) = &mut self.abandoned[index];
             let actions = if abandoned.handle.check_resumed_elsewhere() {
                 abandoned.delivery.on_resumed_elsewhere()
             } else if now >= abandoned.delivery.deadline() {
@@ -160,14 +176,14 @@
     }
 
     fn finish(&mut self, index: usize, actions: Actions) {
-        let (address, upstream, abandoned) = self.abandoned.swap_remove(index);
+        let (address, upstream, abandoned, hold) = self.abandoned.swap_remove(index);
         let tokens = abandoned.tokens;
         abandoned
             .handle
             .finish(End::Cancelled { tokens }, Some(abandoned.delivery.intervals()));
         for action in actions {
             if let Action::Cancel(generation) = action {
-                self.start(address, upstream.clone(), generation);
+                self.start(address, upstream.clone(), generation, hold.clone());
             }
         }
     }
--- a/crates/carob-entry/src/shared.rs
+++ b/crates/carob-entry/src/shared.rs
@@ -12,7 +12,11 @@
 use carob_config::Config;
 use flume::Sender;
 
-use crate::{control, io::cancel::Task, options::Options};
+use crate::{
+    control,
+    io::cancel::{Hold, Task},
+    options::Options,
+};
 
 carob_base::plain! {
     /// The phase of an instance's life. The names are written into the status for operators.
@@ -35,7 +39,9 @@
     pub options: Options,
     pub clock: Clock,
     pub control: Sender<control::Event>,
-    canceller: Sender<Task>,
+    canceller: Sender<(Task, Hold)>,
+    /// Held by every task of the canceller that is not over.
+    cancellations: Hold,
     config: RwLock<Arc<Config>>,
     /// Upstreams that this instance polls for load reports.
     polled: RwLock<Arc<HashSet<Name>>>,
@@ -44,12 +50,13 @@
 }
 
 impl Shared {
-    pub fn new(options: Options, control: Sender<control::Event>, canceller: Sender<Task>) -> Self {
+    pub fn new(options: Options, control: Sender<control::Event>, canceller: Sender<(Task, Hold)>) -> Self {
         Self {
             options,
             clock: Clock::new(),
             control,
             canceller,
+            cancellations: Hold::default(),
             config: RwLock::default(),
             polled: RwLock::default(),
             phase: AtomicU8::new(Phase::Starting as u8),
@@ -71,11 +78,16 @@
 
     /// Hands a generation whose caller has gone, or that is to be cancelled, to the canceller.
     pub fn cancel(&self, task: Task) {
-        if self.canceller.send(task).is_err() {
+        if self.canceller.send((task, self.cancellations.clone())).is_err() {
             log::debug!("entry: the canceller has ended");
         }
     }
 
+    /// Number of the canceller's tasks that are not over.
+    pub fn open_cancellations(&self) -> usize {
+        self.cancellations.others()
+    }
+
     /// The configuration in force; a request keeps the one under which it was admitted.
     pub fn config(&self) -> Arc<Config> {
         let guard = self.config.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/carob-entry/tests/lifecycle.rs
+++ b/crates/carob-entry/tests/lifecycle.rs
@@ -4,8 +4,9 @@
 
 use std::{thread, time::Duration};
 
+use carob_base::Name;
 use carob_http::client::{self, Request};
-use carob_standin::{Store, store};
+use carob_standin::{Store, engine::Status, store};
 use carob_wire::{Code, Execution};
 use common::{
     OULU, Platform, Reader, call, draft, fresh_key, open, refusal, request, start, start_configured, submit,
@@ -124,3 +125,35 @@
     );
     platform.close();
 }
+
+/// An instance that shut down forgot the cancellations that it had promised to repeat.
+#[test]
+fn closing_repeats_cancellations_until_they_are_confirmed() {
+    let (platform, instance) = start_configured(1, |_| {});
+    let other = start(platform.store.address(), |options| {
+        options.name = Name::new("entry-2").expect("a valid name");
+    });
+    wait_in_force(&other, 1);
+    let mut reader = Reader::new(open(&instance, OULU, &draft("x", 1_000_000)));
+    let first = reader.next().expect("no break").expect("no end");
+    let id = first.head.answer_id.expect("the first event has the id");
+    platform.engines[0].refuse_connections();
+    let path = format!("/v1/responses/{id}/cancel");
+    let problem = refusal(&call(&request(&other, OULU, "POST", &path)));
+    assert_eq!(
+        (problem.code, problem.outcome),
+        (Code::UpstreamFailed, Execution::Unknown)
+    );
+    let closing = thread::spawn(move || other.close());
+    // Longer than the shutdown of an instance without any request takes.
+    thread::sleep(Duration::from_secs(1));
+    platform.engines[0]
+        .accept_connections()
+        .expect("the port is free");
+    closing.join().expect("closed");
+    wait_until("the generation ends", || platform.open_count() == 0);
+    assert_eq!(platform.engines[0].records()[0].status, Status::Cancelled);
+    reader.read_to_end();
+    instance.close();
+    platform.close();
+}
