--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -305,6 +305,70 @@
     drain.join().expect("drained");
 }
 
+/// A response that the caller had not yet read was cut off as soon as its connection was to end.
+#[test]
+fn drain_sends_the_last_response_whole() {
+    const BODY_BYTES: usize = 32 << 20;
+    let handler = |exchange: Exchange| exchange.respond(200, &Headers::new(), vec![b'x'; BODY_BYTES]);
+    let listener = bind(|_| {}, handler);
+    listener.disable_keep_alive();
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    stream.read_exact(&mut [0]).expect("the listener answers");
+    let drain = std::thread::spawn(move || listener.drain());
+    // Longer than a draining connection waits for a request.
+    std::thread::sleep(Duration::from_millis(600));
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).expect("the listener closes");
+    let body = rest
+        .windows(4)
+        .position(|part| part == b"\r\n\r\n")
+        .map(|at| rest.len() - at - 4);
+    assert_eq!(body, Some(BODY_BYTES));
+    drain.join().expect("drained");
+}
+
+/// A drain ended while a handler still worked on the request of a caller that had disconnected.
+#[test]
+fn drain_waits_for_handlers_without_callers() {
+    let (release, wait) = flume::bounded::<()>(0);
+    let (report, noticed) = mpsc::channel();
+    let handler = move |exchange: Exchange| {
+        while !exchange.is_disconnected() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        report.send(()).expect("the test waits");
+        let _released = wait.recv();
+    };
+    let listener = bind(|_| {}, handler);
+    let address = listener.local_addr();
+    let mut stream = TcpStream::connect(address).expect("the listener accepts");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    while listener.open_requests() == 0 {
+        std::thread::yield_now();
+    }
+    drop(stream);
+    noticed.recv_timeout(LONG).expect("the handler notices");
+    let (drained, end) = mpsc::channel();
+    let drain = std::thread::spawn(move || {
+        listener.drain();
+        drained.send(()).expect("the test waits");
+    });
+    // Longer than a drain without any request takes.
+    assert!(
+        end.recv_timeout(Duration::from_secs(1)).is_err(),
+        "the handler still runs"
+    );
+    drop(release);
+    end.recv_timeout(LONG).expect("drained");
+    drain.join().expect("drained");
+}
+
 #[test]
 fn close_reports_what_it_cut_off() {
     let (release, wait) = flume::bounded::<()>(0);
