test: the preemption test made its moment by luck

Cause: the engine generates a token each millisecond from the moment that the first request arrives, so a pause before the second is posted takes away the overlap that fills the memory.

The engine now runs no steps until both requests have arrived.

--- a/crates/carob-standin/src/engine.rs
+++ b/crates/carob-standin/src/engine.rs
@@ -134,6 +134,8 @@
     orders: Orders,
     faults: VecDeque<Fault>,
     leaving: bool,
+    /// Whether no steps are run.
+    paused: bool,
     /// Recent load reports with their times, oldest first. The first one is returned to callers; the later
     /// ones are still younger than [`Options::report_lag`].
     reports: VecDeque<(std::time::Instant, Report)>,
@@ -184,6 +186,7 @@
             orders: Orders::new(&options),
             faults: VecDeque::new(),
             leaving: false,
+            paused: false,
             reports: VecDeque::new(),
             past_records: Vec::new(),
             closed: false,
@@ -261,6 +264,16 @@
         lock(&self.shared.state).leaving = true;
     }
 
+    /// Runs no steps until [`resume`](Self::resume). Requests are accepted meanwhile.
+    pub fn pause(&self) {
+        lock(&self.shared.state).paused = true;
+    }
+
+    /// Runs steps again.
+    pub fn resume(&self) {
+        lock(&self.shared.state).paused = false;
+    }
+
     /// Queues a fault for the next stream that is opened or resumed. Each stream takes one fault from the
     /// queue.
     pub fn inject(&self, fault: Fault) {
@@ -350,9 +363,9 @@
     }
 }
 
-/// Runs one step, unless the process is not running. Returns whether a prompt crashed the engine.
+/// Runs one step, unless the process is not running or paused. Returns whether a prompt crashed the engine.
 fn step(state: &mut State, options: &Options) -> bool {
-    if state.incarnation == 0 {
+    if state.incarnation == 0 || state.paused {
         return false;
     }
     let now = std::time::Instant::now();
--- a/crates/carob-standin/tests/engine.rs
+++ b/crates/carob-standin/tests/engine.rs
@@ -217,11 +217,29 @@
 fn full_memory_preempts_the_latest_and_still_completes_all() {
     let engine = start_engine(|options| options.memory_tokens = 60);
     let bodies = [request_body("a", 40), request_body("b", 40)];
-    let streams: Vec<_> = bodies.iter().map(|body| post(&engine, body)).collect();
-    for (stream, body) in streams.iter().zip(&bodies) {
-        let (events, is_clean) = read_events(stream);
+    // Neither may generate before the other has arrived.
+    engine.pause();
+    let answers = std::thread::scope(|scope| {
+        let readers: Vec<_> = bodies
+            .iter()
+            .zip(1..)
+            .map(|(body, count)| {
+                let reader = scope.spawn(|| read_events(&post(&engine, body)));
+                while engine.open_count() < count {
+                    std::thread::yield_now();
+                }
+                reader
+            })
+            .collect();
+        engine.resume();
+        readers
+            .into_iter()
+            .map(|reader| reader.join().expect("the reader ends"))
+            .collect::<Vec<_>>()
+    });
+    for ((events, is_clean), body) in answers.iter().zip(&bodies) {
         assert!(is_clean);
-        assert_eq!(answer_text(&events), engine.expected_answer(body.as_bytes()));
+        assert_eq!(answer_text(events), engine.expected_answer(body.as_bytes()));
     }
     let preemptions: Vec<u32> = engine.records().iter().map(|record| record.preemptions).collect();
     assert_eq!(preemptions[0], 0);
