test: what a gateway that shuts down owes to its clients

A queued request that the grace is too short for is refused and never runs; idle connections end with the listener; a short grace is used up to its last sixth; further signals cut nothing off; SIGTERM before a configuration is known is answered and obeyed; a body that is sent slowly is read to its end; every answer during a shutdown ends its connection.

--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -2,10 +2,18 @@
 
 mod fleet;
 
-use std::time::{Duration, Instant};
+use std::{
+    io::Write as _,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
-use carob_platform_standin::client;
-use fleet::{Fleet, Gateway, LONG, generation_request, request, wait_until};
+use carob_platform_standin::{
+    client::{self, Request},
+    config::{self, Route},
+};
+use fleet::{CLIENT_KEY, Fleet, Gateway, LONG, generation_request, request, wait_until};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -126,3 +134,172 @@
     let status = fleet.gateways[0].child.wait().expect("it ends");
     assert!(status.success(), "{status}");
 }
+
+/// A request that could not end in time is refused before it has run, wherever it waits when the signal comes.
+#[test]
+fn a_queued_request_that_the_grace_is_too_short_for_is_not_sent_to_an_upstream() {
+    let mut fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 1_000, SHORT);
+    // Requests wait for a place for longer than the test takes.
+    let routes = [Route::new("/draft/", "streaming", "engines")
+        .with_timeout(60_000)
+        .with_target_latency(60_000)];
+    fleet
+        .store
+        .put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
+    fleet.wait_ready();
+    let gateway = &fleet.gateways[0];
+    let whole_memory = generation_request("d1").with_usage(30_000, 800);
+    let running = client::open(gateway.caller_address, &whole_memory).expect("the gateway listens");
+    wait_until("the first generation runs", || fleet.ledger.run_count("d1") == 1);
+    let queued = generation_request("d2").with_usage(30_000, 4_000);
+    let mut waiting = client::open(gateway.caller_address, &queued).expect("the gateway listens");
+    wait_until("the second request has arrived", || {
+        let metrics = client::send(gateway.admin_address, &Request::new("m", "GET", "/metrics"));
+        String::from_utf8_lossy(&metrics.body).contains("carobhaven_requests_total 2")
+    });
+    gateway.signal("TERM");
+    wait_until("the gateway leaves", || !gateway.is_ready());
+    drop(running);
+    let outcome = client::read(&mut waiting, Instant::now() + LONG);
+    assert_eq!((outcome.status, fleet.ledger.run_count("d2")), (503, 0));
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
+/// A signal that comes again changes neither the grace nor what is under way.
+#[test]
+fn further_signals_during_a_shutdown_cut_nothing_off() {
+    let mut fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 200, Duration::from_millis(20));
+    fleet.configure();
+    let client = fleet.start_generation(0, "d1");
+    for signal in ["INT", "TERM", "HUP", "TERM", "INT"] {
+        fleet.gateways[0].signal(signal);
+    }
+    let outcome = client.join().expect("the client ends");
+    assert_eq!((outcome.complete, outcome.events().len()), (true, 200));
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn sigterm_before_a_configuration_is_known_refuses_requests_and_ends_the_process() {
+    let mut fleet = Fleet::start(1);
+    wait_until("the gateway listens", || fleet.gateways[0].accepts_connections());
+    wait_until("it handles signals", || {
+        fleet.gateways[0].logged("watching the store changed")
+    });
+    fleet.gateways[0].signal("TERM");
+    let refused = fleet.send(0, &request("o1", "POST", "/order/1"));
+    assert_eq!((refused.status, refused.retry_after.is_some()), (503, true));
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn a_body_that_a_client_sends_slowly_is_read_to_its_end_and_the_request_is_answered() {
+    let mut fleet = Fleet::start(1);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    let order = request("o1", "POST", "/order/1").with_body(2_000);
+    let (mut client, rest) =
+        client::open_half(fleet.gateways[0].caller_address, &order).expect("the gateway listens");
+    fleet.gateways[0].signal("TERM");
+    thread::sleep(PAST_EXIT);
+    client.write_all(&rest).expect("the connection is open");
+    let outcome = client::read(&mut client, Instant::now() + LONG);
+    assert_eq!((outcome.status, outcome.complete), (200, true));
+    assert!(
+        client::is_closed(&mut client, Instant::now() + LONG),
+        "the connection ends after its last answer"
+    );
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
+/// A client that keeps its connection learns with each answer that it has to open another one.
+#[test]
+fn answers_and_refusals_during_a_shutdown_end_their_connections() {
+    let mut fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 20, SHORT);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "5s");
+    let address = fleet.gateways[0].caller_address;
+    fleet.gateways[0].signal("TERM");
+    wait_until("the gateway leaves", || !fleet.gateways[0].is_ready());
+    let requests = [
+        (request("o1", "POST", "/order/1"), 200),
+        (request("n1", "GET", "/nowhere"), 404),
+        (generation_request("d1").with_usage(1_000, 40), 200),
+        (generation_request("d2").with_usage(1_000, 4_000), 503),
+    ];
+    for (request, status) in requests {
+        let mut client = client::open(address, &request).expect("the gateway listens");
+        let outcome = client::read(&mut client, Instant::now() + LONG);
+        assert_eq!(
+            (outcome.status, outcome.complete),
+            (status, true),
+            "{}",
+            request.id
+        );
+        assert!(
+            client::is_closed(&mut client, Instant::now() + Duration::from_secs(1)),
+            "{}",
+            request.id
+        );
+    }
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
+/// Runners that are still at work in the last sixth of the grace may be cut off, but not before.
+#[test]
+fn an_answer_is_not_cut_off_before_the_last_sixth_of_a_short_grace() {
+    const GRACE: Duration = Duration::from_secs(1);
+    let fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 1_000, SHORT);
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "1s");
+    let client = fleet.start_generation(0, "d1");
+    let signalled = Instant::now();
+    fleet.gateways[0].signal("TERM");
+    let outcome = client.join().expect("the client ends");
+    let cut = signalled.elapsed();
+    assert!(
+        outcome.complete || cut >= GRACE * 5 / 6,
+        "cut off {cut:?} after SIGTERM, {} events",
+        outcome.events().len()
+    );
+}
+
+/// Connections without a request end with the listener, so that they neither bring requests later nor hold the
+/// process up.
+#[test]
+fn idle_connections_do_not_outlive_the_listener() {
+    let mut fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 200, Duration::from_millis(20));
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "60s");
+    let address = fleet.gateways[0].caller_address;
+    let generation = fleet.start_generation(0, "d1");
+    let read = request("r1", "GET", "/read/1");
+    let mut used = client::open(address, &read).expect("the gateway listens");
+    assert!(client::read(&mut used, Instant::now() + LONG).complete);
+    let mut unused = TcpStream::connect(address).expect("the gateway listens");
+    fleet.gateways[0].signal("TERM");
+    wait_until("the listener is closed", || {
+        fleet.gateways[0].logged("no more connections are taken")
+    });
+    let soon = Instant::now() + Duration::from_millis(500);
+    assert!(client::is_closed(&mut used, soon), "the connection that was used");
+    assert!(client::is_closed(&mut unused, soon), "the one that was not");
+    let outcome = generation.join().expect("the client ends");
+    assert_eq!((outcome.complete, outcome.events().len()), (true, 200));
+    let child = std::cell::RefCell::new(&mut fleet.gateways[0].child);
+    wait_until("the process ends well before its grace", || {
+        child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_some())
+    });
+}
