test: connections that wait for a stalled gateway are reset (fails)

A gateway that stalls while it leaves, for instance on a machine without processor time, finds the end of the notice and the connections that the kernel has accepted in the meantime in the same turn of its event loop. The process exits at once since no connection is counted, or the listener is dropped with its queue, or a connection that was just accepted is closed before it was read. The clients are reset and have to try again.

--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -27,6 +27,9 @@
 /// Size of an answer that the gateway passes on as it arrives, in bytes.
 const LONG_ANSWER: usize = 800_000;
 
+/// Gateways that are stalled at the same time. What a single one does first when it goes on is left to chance.
+const STALLED_GATEWAYS: usize = 4;
+
 /// Puts a grace into force that differs from the present one.
 fn set_grace(gateway: &Gateway, grace: &str) {
     let reloads = || {
@@ -42,6 +45,23 @@
     wait_until("the grace is in force", || reloads() > before);
 }
 
+/// Sends SIGTERM to a gateway, and stops its process once it leaves.
+fn stall_while_leaving(gateway: &Gateway) {
+    gateway.signal("TERM");
+    wait_until("the gateway leaves", || !gateway.is_ready());
+    gateway.signal("STOP");
+}
+
+/// Continues the gateways and returns how many clients receive a complete answer.
+fn count_answers(fleet: &Fleet, clients: &mut [TcpStream]) -> usize {
+    for gateway in &fleet.gateways {
+        gateway.signal("CONT");
+    }
+    let deadline = Instant::now() + LONG;
+    let outcomes = clients.iter_mut().map(|client| client::read(client, deadline));
+    outcomes.filter(|outcome| outcome.complete).count()
+}
+
 /// A plain answer counts as passed on when its head is, and its body may still wait in the gateway.
 #[test]
 fn a_plain_answer_that_a_slow_client_still_reads_is_not_cut_off() {
@@ -303,3 +323,29 @@
         child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_some())
     });
 }
+
+/// Connections that the kernel has established are the gateway's to serve. A stall makes them wait until the
+/// listener is due to close.
+#[test]
+fn connections_that_wait_for_a_stalled_gateway_are_answered() {
+    const CLIENTS: usize = 25;
+    let mut fleet = Fleet::start(STALLED_GATEWAYS);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    for gateway in &fleet.gateways {
+        stall_while_leaving(gateway);
+    }
+    let mut clients = Vec::new();
+    for gateway in &fleet.gateways {
+        for number in 0..CLIENTS {
+            let read = request(&format!("r{number}"), "GET", "/read/1").with_timeout(LONG);
+            clients.push(client::open(gateway.caller_address, &read).expect("the kernel accepts"));
+        }
+    }
+    thread::sleep(PAST_EXIT);
+    assert_eq!(count_answers(&fleet, &mut clients), clients.len());
+    for gateway in &mut fleet.gateways {
+        let status = gateway.child.wait().expect("it ends");
+        assert!(status.success(), "{status}");
+    }
+}
