test: requests that wait on kept connections of a stalled gateway are dropped (fails)

The same for requests that have arrived on connections that are open: at the end of the notice a connection is closed as idle though a request waits in its socket.

--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -349,3 +349,34 @@
         assert!(status.success(), "{status}");
     }
 }
+
+/// A request that has arrived on an open connection is not dropped because the connection is due to close.
+#[test]
+fn requests_that_wait_on_kept_connections_of_a_stalled_gateway_are_answered() {
+    const CLIENTS: usize = 10;
+    let mut fleet = Fleet::start(STALLED_GATEWAYS);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    let read = |id: &str| request(id, "GET", "/read/1").with_timeout(LONG);
+    let mut clients = Vec::new();
+    for gateway in &fleet.gateways {
+        for _ in 0..CLIENTS {
+            let mut client =
+                client::open(gateway.caller_address, &read("first")).expect("the gateway listens");
+            assert!(client::read(&mut client, Instant::now() + LONG).complete);
+            clients.push(client);
+        }
+    }
+    for gateway in &fleet.gateways {
+        stall_while_leaving(gateway);
+    }
+    for client in &mut clients {
+        client::write(client, &read("next")).expect("the connection is open");
+    }
+    thread::sleep(PAST_EXIT);
+    assert_eq!(count_answers(&fleet, &mut clients), clients.len());
+    for gateway in &mut fleet.gateways {
+        let status = gateway.child.wait().expect("it ends");
+        assert!(status.success(), "{status}");
+    }
+}
