--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -3,7 +3,7 @@
 mod fleet;
 
 use std::{
-    io::Write as _,
+    io::{Read as _, Write as _},
     net::TcpStream,
     thread,
     time::{Duration, Instant},
@@ -380,3 +380,25 @@
         assert!(status.success(), "{status}");
     }
 }
+
+/// An HTTP/1.0 client knows the end of a stream by the end of its connection.
+#[test]
+fn a_stream_without_chunks_that_is_cut_off_does_not_look_whole() {
+    let fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 1_000, SHORT);
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "1s");
+    let generation = generation_request("d1").with_http_1_0();
+    let mut client =
+        client::open(fleet.gateways[0].caller_address, &generation).expect("the gateway listens");
+    wait_until("the generation runs", || fleet.ledger.run_count("d1") == 1);
+    fleet.gateways[0].signal("TERM");
+    client.set_read_timeout(Some(LONG)).expect("a timeout can be set");
+    let mut answer = Vec::new();
+    let end = client.read_to_end(&mut answer);
+    assert!(
+        end.is_err(),
+        "{} bytes, then the end of the connection without a reset",
+        answer.len()
+    );
+}
