fix: a leaving instance resets clients whose requests have arrived

What callers saw: a reset or a closed connection instead of an answer, when an instance stalled while it was leaving, for instance without processor time: on connections that the kernel had established, and on kept connections with a request in their socket.

Cause: after the stall the end of the notice and what had arrived meanwhile are found in the same turn of the event loop. The listener was dropped with its queue, a connection without a request that was read counted as idle, and the process exited at once as nothing was counted as open.

Fix: the listener accepts what the kernel has established before it is dropped, and counts as open until then.

--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -40,12 +40,37 @@
     Ok(socket.into())
 }
 
+/// Time for which a connection still takes a request once it is due to close, since one may be on its way.
+const CLOSE_DELAY: Duration = Duration::from_millis(250);
+
 /// Serves client connections. After the signal to shut down, connections are accepted only for as long as the
 /// platform still sends them; one accepted later could be cut off at the end of the grace period.
 pub(super) async fn serve_callers(shared: Rc<Shared>, listener: TcpListener) {
     tokio::select! {
         () = accept(&shared, &listener) => {}
-        () = shared.wait_closing() => log::info!("no more connections are taken"),
+        () = shared.wait_closing() => {}
+    }
+    if let Err(error) = accept_established(&shared, listener) {
+        log::warn!(error:% = error; "established client connections not accepted");
+    }
+    log::info!("no more connections are taken");
+    shared.listener_closed();
+}
+
+/// Accepts the connections that the kernel has established already, and closes the listener. Clients of
+/// connections that are not accepted would be reset.
+fn accept_established(shared: &Rc<Shared>, listener: TcpListener) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                start_connection(shared, TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
     }
 }
 
@@ -59,13 +84,19 @@
                 continue;
             }
         };
-        if shared.connections() >= shared.settings().max_connections {
-            log::warn!(open = shared.connections(); "client connection closed: too many are open");
-            continue;
-        }
-        set_tcp_options(&stream);
-        tokio::task::spawn_local(serve_connection(Rc::clone(shared), stream));
+        start_connection(shared, stream);
+    }
+}
+
+/// Serves a connection in a task of its own; closes it if too many are open.
+fn start_connection(shared: &Rc<Shared>, stream: TcpStream) {
+    if shared.connections() >= shared.settings().max_connections {
+        log::warn!(open = shared.connections(); "client connection closed: too many are open");
+        return;
     }
+    set_tcp_options(&stream);
+    let open = OpenConnection::new(shared);
+    tokio::task::spawn_local(serve_connection(Rc::clone(shared), stream, open));
 }
 
 /// Activity of one client connection.
@@ -78,8 +109,7 @@
     idle_since: Cell<Time>,
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) {
-    let _open = OpenConnection::new(&shared);
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _open: OpenConnection) {
     let activity = Rc::new(Connection {
         active_requests: Cell::new(0),
         requests: Cell::new(0),
@@ -99,7 +129,10 @@
     builder.max_buf_size(head * 2).preserve_header_case(true);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
-    let closing = shared.wait_closing();
+    let closing = async {
+        shared.wait_closing().await;
+        tokio::time::sleep(CLOSE_DELAY).await;
+    };
     tokio::pin!(closing);
     let mut closes = false;
     let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -81,6 +81,8 @@
     body_bytes: Cell<usize>,
     /// Number of open client connections.
     connections: Cell<usize>,
+    /// Whether connections may still be accepted.
+    listening: Cell<bool>,
     /// Absent until the process receives the signal to shut down.
     shutdown: Cell<Option<Shutdown>>,
     /// Notified when the process receives the signal to shut down.
@@ -118,6 +120,7 @@
             active: RefCell::new(SlotMap::with_key()),
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
+            listening: Cell::new(true),
             shutdown: Cell::new(None),
             shutdown_begun: Notify::new(),
             idle: Notify::new(),
@@ -399,15 +402,21 @@
         self.notify_idle();
     }
 
+    pub(super) fn listener_closed(&self) {
+        self.listening.set(false);
+        self.notify_idle();
+    }
+
     /// Number of open client connections.
     pub(super) const fn connections(&self) -> usize {
         self.connections.get()
     }
 
-    /// Number of client connections and requests that are not finished. A connection is finished once its
-    /// last response is written, and a request once nothing runs for it any more.
+    /// Number of client connections and requests that are not finished, and 1 for a listener that may still
+    /// bring some. A connection is finished once its last response is written, and a request once nothing runs
+    /// for it any more.
     pub(super) fn open(&self) -> usize {
-        self.connections.get() + self.active.borrow().len()
+        self.connections.get() + self.active.borrow().len() + usize::from(self.listening.get())
     }
 
     fn notify_idle(&self) {
