fix: an answer that is cut off looks whole to an HTTP/1.0 client

What callers saw: a stream to a client that speaks HTTP/1.0 ends with its connection. When the exit of the instance, a deadline or the upstream cut it off, the connection was closed in the usual way, and what had arrived looked complete.

Cause: hyper and the runtime close a socket with FIN whether its response is whole or not; with chunks the missing last one tells, without them nothing does.

Fix: a connection whose response has neither length nor chunks is reset when the response is cut off, also at the exit.

--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -3,7 +3,9 @@
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use carob_base::Time;
-use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response, StatusCode, Version, body::Incoming, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -105,6 +107,8 @@
     /// Number of requests that have arrived on it.
     requests: Cell<u32>,
     accepted: Time,
+    /// Whether the end of the connection is the end of the present response, as for HTTP/1.0 clients.
+    unframed: Cell<bool>,
     /// When its last request ended, or when it was accepted.
     idle_since: Cell<Time>,
 }
@@ -114,6 +118,7 @@
         active_requests: Cell::new(0),
         requests: Cell::new(0),
         accepted: shared.now(),
+        unframed: Cell::new(false),
         idle_since: Cell::new(shared.now()),
     });
     let counted = Rc::clone(&activity);
@@ -127,8 +132,7 @@
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head * 2).preserve_header_case(true);
-    let served = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
+    let mut served = builder.serve_connection(TokioIo::new(stream), service);
     let closing = async {
         shared.wait_closing().await;
         tokio::time::sleep(CLOSE_DELAY).await;
@@ -136,17 +140,18 @@
     tokio::pin!(closing);
     let mut closes = false;
     let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
-    loop {
+    let cut = loop {
         tokio::select! {
-            outcome = served.as_mut() => {
-                if let Err(error) = outcome {
+            outcome = &mut served => {
+                if let Err(error) = &outcome {
                     log::debug!(error:% = error; "client connection ended with an error");
                 }
-                break;
+                break outcome.is_err();
             }
+            () = shared.aborted.notified() => break true,
             () = closing.as_mut(), if !closes => {
                 closes = true;
-                served.as_mut().graceful_shutdown();
+                std::pin::Pin::new(&mut served).graceful_shutdown();
             }
             _ = check.tick() => {
                 let timeout = shared
@@ -155,10 +160,20 @@
                 let idle = activity.active_requests.get() == 0
                     && shared.now().since(activity.idle_since.get()) > timeout;
                 if idle {
-                    served.as_mut().graceful_shutdown();
+                    std::pin::Pin::new(&mut served).graceful_shutdown();
                 }
             }
         }
+    };
+    if cut && activity.unframed.get() {
+        reset(&served.into_parts().io.into_inner());
+    }
+}
+
+/// Makes the connection end with a reset, so that a response without a length does not look complete.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!(error:% = error; "connection with an incomplete response not reset");
     }
 }
 
@@ -171,7 +186,11 @@
     let active = ActiveRequest::new(&shared, activity.accepted, earlier);
     activity.active_requests.set(activity.active_requests.get() + 1);
     let count = RequestCount(Rc::clone(&activity), Rc::clone(&shared));
+    let is_old = request.version() < Version::HTTP_11;
     let mut response = exchange::handle(&shared, request, active, count).await;
+    activity
+        .unframed
+        .set(is_old && matches!(response.body(), ResponseBody::Chunks(_)));
     if shared.shutdown().is_some() {
         let close = hyper::header::HeaderValue::from_static("close");
         response.headers_mut().insert(hyper::header::CONNECTION, close);
@@ -232,6 +251,9 @@
     shared.wait_finished(shutdown).await;
     if shared.open() > 0 {
         log_cut_requests(shared);
+        shared.aborted.notify_waiters();
+        // Lets the tasks of the connections run once more.
+        tokio::task::yield_now().await;
     }
 }
 
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -87,6 +87,8 @@
     shutdown: Cell<Option<Shutdown>>,
     /// Notified when the process receives the signal to shut down.
     shutdown_begun: Notify,
+    /// Notified when client connections are to be aborted because the process exits.
+    pub(super) aborted: Notify,
     /// Notified when the last active request or the last client connection has ended.
     idle: Notify,
     /// Notified when this instance's load or its state of the store has changed, which other instances are to
@@ -123,6 +125,7 @@
             listening: Cell::new(true),
             shutdown: Cell::new(None),
             shutdown_begun: Notify::new(),
+            aborted: Notify::new(),
             idle: Notify::new(),
             load_changed: Notify::new(),
         }
