test: the soak covers shutdowns with kept connections, and checks their ends

The soak missed that an instance took a request later than three seconds after SIGTERM and cut it off. Its clients opened a connection for each request, so none was left when the listener had been closed; all generations took three seconds, and engines were replaced so often that hardly a longer one would have ended untouched.

Clients now keep connections over many requests, hold idle ones and use them late in a shutdown, send bodies slowly and pipeline. Lengths and hints are log-normal. SIGTERM, SIGINT, SIGHUP, settings and configurations come in series that overlap, and calm times alternate with faults. New checks: no answer is cut off unless a fault touched it, its deadline was reached, or it was sent up to three seconds after the signal and cut off in the last sixth of the grace; no 503 for a request that ran; no answer to another request and no bytes that nobody asked for; every process ends by itself within its grace, and soon if it is idle.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code, reason = "each target uses a part of this module")]
 
 use std::{
-    fs,
-    io::{BufRead as _, BufReader},
+    fs::File,
+    io::{BufRead as _, BufReader, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
     sync::{
@@ -176,7 +176,18 @@
             seeds.join(","),
             self.store_endpoint.address,
         );
-        fs::write(self.settings_path(), text).expect("the directory is writable");
+        // Some file systems write a file to disk at once if it is truncated to nothing and filled again, which
+        // may take seconds while other processes write.
+        let file = File::options()
+            .create(true)
+            .write(true)
+            .truncate(false)
+            .open(self.settings_path());
+        file.and_then(|mut file| {
+            file.write_all(text.as_bytes())?;
+            file.set_len(text.len() as u64)
+        })
+        .expect("the directory is writable");
     }
 
     /// Path of the settings file.
--- /dev/null
+++ b/tests/soak/checks.rs
@@ -0,0 +1,168 @@
+//! The promises, checked against what clients and upstreams saw.
+//!
+//! Times come from the platform's rules, not from measurements.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::Ledger;
+
+use crate::{
+    faults::{Harm, ROUTES},
+    operator::Operator,
+    traffic::{Kind, Observation},
+};
+
+/// How long after SIGTERM the platform still sends requests; a request sent later must not be cut off at all.
+const ARRIVAL_TIME: Duration = Duration::from_secs(3);
+/// Share of the grace after which requests may be cut off: its last sixth.
+const CUT_SHARE: f64 = 5.0 / 6.0;
+/// A connection that ends so soon after a request (`LossSlackMs`) was closed before the request was read.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
+/// What the upstreams saw of all requests.
+pub struct Evidence<'a> {
+    /// How often each request ran.
+    runs: HashMap<String, usize>,
+    /// Upstreams that ran or continued a request, or received a copy of its memory.
+    involved: HashMap<String, Vec<SocketAddr>>,
+    broken_off: HashSet<String>,
+    harms: &'a [Harm],
+    operator: &'a Operator,
+}
+
+impl<'a> Evidence<'a> {
+    pub fn new(ledger: &Ledger, harms: &'a [Harm], operator: &'a Operator) -> Self {
+        let mut runs = HashMap::new();
+        for started in ledger.started() {
+            *runs.entry(started.id).or_default() += 1;
+        }
+        let mut involved: HashMap<String, Vec<SocketAddr>> = HashMap::new();
+        for (id, address) in ledger.involved() {
+            involved.entry(id).or_default().push(address);
+        }
+        Self {
+            runs,
+            involved,
+            broken_off: ledger.broken_off().into_iter().collect(),
+            harms,
+            operator,
+        }
+    }
+
+    /// Returns how many requests were sent later than three seconds after the signal to shut down, and how many
+    /// of them an upstream ran.
+    pub fn count_late(&self, observations: &[Observation]) -> (usize, usize) {
+        let late = observations.iter().filter(|observation| {
+            let life = self.operator.life_at(observation.gateway, observation.opened);
+            let leave = life.leave.zip(observation.sent);
+            leave.is_some_and(|((_, after), sent)| sent > after + ARRIVAL_TIME)
+        });
+        let ran = late
+            .clone()
+            .filter(|observation| self.runs.contains_key(&observation.request.id));
+        (late.clone().count(), ran.count())
+    }
+
+    /// The promise that an outcome violates, if any.
+    pub fn violation(&self, observation: &Observation) -> Option<String> {
+        let (id, outcome) = (&observation.request.id, &observation.outcome);
+        let runs = self.runs.get(id).copied().unwrap_or(0);
+        let max_runs = if observation.kind == Kind::Safe { 2 } else { 1 };
+        if runs > max_runs {
+            return Some(format!("ran {runs} times"));
+        }
+        if outcome.id.as_ref().is_some_and(|answered| answered != id) {
+            return Some(format!("got the answer to {:?}", outcome.id));
+        }
+        if matches!(outcome.status, 408 | 421 | 429 | 503) && runs > 0 {
+            return Some(format!("answered {} and ran", outcome.status));
+        }
+        if matches!(outcome.status, 400..=407 | 409..=420 | 422..=428 | 430..=499) {
+            return Some(format!("refused with {}", outcome.status));
+        }
+        if let Some(reason) = self.unfinished(observation, runs > 0) {
+            return Some(reason);
+        }
+        if outcome.status != 200 {
+            let forged = outcome.from_upstream && outcome.status != 500;
+            return forged.then(|| "a stamp on another status".to_owned());
+        }
+        if !outcome.from_upstream {
+            return Some("a success without a stamp".to_owned());
+        }
+        if let Kind::Stream(length) = observation.kind {
+            let events = outcome.events();
+            let expected: Vec<u64> = (1..=events.len() as u64).collect();
+            if events != expected {
+                return Some(format!("events out of order: {events:?}"));
+            }
+            return (outcome.complete && events.len() as u64 != length)
+                .then(|| "ended early but looks complete".to_owned());
+        }
+        let body = format!("done {id}");
+        (outcome.complete && outcome.body != body.as_bytes()).then(|| "another body".to_owned())
+    }
+
+    /// Why a request should have got a complete answer, if it got none and nothing excuses that.
+    fn unfinished(&self, observation: &Observation, has_run: bool) -> Option<String> {
+        let Observation { begun, ended, .. } = *observation;
+        let sent = observation.sent?;
+        let route = ROUTES
+            .iter()
+            .find(|route| observation.request.path.starts_with(route.prefix))?;
+        let time_limit = observation
+            .request
+            .timeout
+            .min(Duration::from_millis(route.timeout_ms));
+        if observation.outcome.complete || observation.given_up || ended - begun >= time_limit {
+            return None;
+        }
+        if !has_run && (ended - sent <= LOSS_SLACK || observation.position > 0) {
+            return None;
+        }
+        if self.is_broken_off(observation, has_run) {
+            return None;
+        }
+        let life = self.operator.life_at(observation.gateway, observation.opened);
+        let from = life.leave.map_or(begun, |(before, _)| before.min(begun));
+        if life.killed.is_some_and(|killed| killed <= ended) || life.was_frozen(from, ended) {
+            return None;
+        }
+        let passed_on = if has_run { "passed on" } else { "read" };
+        let Some((before, after)) = life.leave.filter(|(before, _)| *before <= ended) else {
+            return Some(format!("{passed_on} and not answered, without a shutdown"));
+        };
+        let is_late = sent > after + ARRIVAL_TIME;
+        if has_run && !is_late && ended >= before + life.grace.0.mul_f64(CUT_SHARE) {
+            return None;
+        }
+        let since = |time: Instant| time.saturating_duration_since(before);
+        let what = if is_late {
+            "late"
+        } else {
+            "before the last sixth of the grace"
+        };
+        Some(format!(
+            "cut off {what}: sent {:?} after the signal to shut down, {passed_on}, cut off {:?} after it, grace {:?}",
+            since(sent),
+            since(ended),
+            life.grace
+        ))
+    }
+
+    /// Whether an upstream of the request broke it off, or was killed or had a harmed link meanwhile. A request
+    /// that reached no upstream may have been meant for any.
+    fn is_broken_off(&self, observation: &Observation, has_run: bool) -> bool {
+        let involved = self.involved.get(&observation.request.id);
+        let mut harms = self
+            .harms
+            .iter()
+            .filter(|harm| harm.touches(observation.begun, observation.ended));
+        self.broken_off.contains(&observation.request.id)
+            || harms.any(|harm| !has_run || involved.is_some_and(|involved| involved.contains(&harm.address)))
+    }
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,486 @@
+//! Faults that are injected into a fleet, and planned work on its gateways.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::{
+    AnswerMode, Link, Outage, Upstream,
+    client::Connection,
+    config::{self, Route},
+};
+use rand::{
+    RngExt, SeedableRng,
+    rngs::StdRng,
+    seq::{IndexedRandom, SliceRandom},
+};
+
+use crate::{
+    EVENT_INTERVAL, POLL_INTERVAL,
+    fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
+    operator::Operator,
+    traffic::Clients,
+};
+
+/// Routes of the configurations in a soak.
+pub const ROUTES: [Route; 4] = [
+    Route::new("/draft/", "streaming", "engines").with_timeout(20_000),
+    Route::new("/order/", "unsafe", "plain"),
+    Route::new("/read/", "safe", "plain").with_max_attempts(2),
+    Route::new("/open/", "safe", "plain").with_anonymous(),
+];
+
+/// Grace that each gateway starts with, according to [`Fleet::start`].
+const FIRST_GRACE: Duration = Duration::from_secs(10);
+/// Grace of all gateways before any other change.
+const GRACE: Duration = Duration::from_secs(8);
+/// Values that the grace is changed to, in milliseconds.
+const GRACES: [u64; 4] = [5_000, 6_500, 8_000, 10_000];
+
+/// Time within which a gateway ends that is idle when it is told to shut down: clients still send requests for
+/// 3 s, and it has 1 s beyond that.
+const IDLE_END: Duration = Duration::from_secs(4);
+
+/// Maximum number of gateways that one series of signals goes through.
+const MAX_SERIES: usize = 8;
+
+/// Number of clients for each engine and for each plain upstream.
+const CLIENTS_PER_ENGINE: usize = 10;
+const CLIENTS_PER_PLAIN: usize = 15;
+
+/// A step of planned work on a gateway.
+enum Work {
+    Signal(usize, &'static str),
+    /// Changes the settings file, without a signal.
+    Grace(usize, Duration),
+    Restart(usize),
+    /// Writes a new version of the configuration.
+    Configure,
+}
+
+/// An upstream or its link that was harmed, with the times of the harm.
+pub struct Harm {
+    pub address: SocketAddr,
+    from: Instant,
+    to: Option<Instant>,
+}
+
+impl Harm {
+    /// Whether the harm lasted at any time from `from` to `to`.
+    pub fn touches(&self, from: Instant, to: Instant) -> bool {
+        self.from <= to && self.to.is_none_or(|end| end >= from)
+    }
+}
+
+/// Injects faults into a fleet and ends them, and does planned work on its gateways.
+pub struct Injector {
+    pub fleet: Fleet,
+    pub operator: Operator,
+    clients: Arc<Clients>,
+    engines: Vec<Upstream>,
+    plain: Vec<Upstream>,
+    /// Version of the configuration in the store.
+    version: u64,
+    /// Number of the next engine.
+    next_engine: u32,
+    /// Planned work that is still to be done.
+    work: Vec<(Instant, Work)>,
+    /// Draws planned work, so that it does not change the sequence of the faults.
+    work_rng: StdRng,
+    /// When outages, network faults and bad answers end.
+    heal_at: Instant,
+    pub harms: Vec<Harm>,
+    /// Faults and planned work so far; printed if the test fails.
+    pub log: Vec<String>,
+    start: Instant,
+}
+
+impl Injector {
+    pub fn new(gateways: usize, clients: usize, seed: u64) -> Self {
+        let fleet = Fleet::start(gateways);
+        let engines = (0..3.max(clients / CLIENTS_PER_ENGINE))
+            .map(|n| fleet.start_engine(&format!("e{n}"), 1, EVENT_INTERVAL))
+            .collect();
+        let plain = (0..2.max(clients / CLIENTS_PER_PLAIN))
+            .map(|n| fleet.start_plain(&format!("p{n}"), Duration::from_millis(15)))
+            .collect();
+        let mut operator = Operator::new(&fleet, FIRST_GRACE);
+        for gateway in 0..gateways {
+            operator.set_grace(&fleet, gateway, GRACE);
+        }
+        let addresses = fleet.gateways.iter().map(|gateway| gateway.caller_address);
+        let ready_addresses = fleet.gateways.iter().map(|gateway| gateway.ready_address);
+        let clients = Clients::new(addresses.collect(), ready_addresses.collect());
+        let mut injector = Self {
+            fleet,
+            operator,
+            clients,
+            engines,
+            plain,
+            version: 0,
+            next_engine: 1_000,
+            work: Vec::new(),
+            work_rng: StdRng::seed_from_u64(seed.rotate_left(17)),
+            heal_at: Instant::now(),
+            harms: Vec::new(),
+            log: Vec::new(),
+            start: Instant::now(),
+        };
+        injector.configure(1);
+        injector.fleet.wait_ready();
+        injector.start = Instant::now();
+        injector
+    }
+
+    /// Clients that send to the gateways.
+    pub fn clients(&self) -> Arc<Clients> {
+        Arc::clone(&self.clients)
+    }
+
+    fn note(&mut self, text: &str) {
+        let elapsed = self.start.elapsed().as_secs_f64();
+        self.log.push(format!("{elapsed:.2} {text}"));
+    }
+
+    /// Injects a random fault.
+    pub fn inject(&mut self, rng: &mut StdRng) {
+        let fault = rng.random_range(0..13);
+        self.note(&format!("fault {fault}"));
+        match fault {
+            0 | 1 => self.start_outage(rng),
+            2 | 3 => {
+                let index = rng.random_range(0..self.engines.len());
+                let notice = Duration::from_millis(rng.random_range(600..2_000));
+                self.engines[index].leave(notice);
+                self.harm(self.engines[index].address(), Instant::now() + notice);
+                self.replace_engine(index);
+            }
+            4 => {
+                let index = rng.random_range(0..self.engines.len());
+                self.harm(self.engines[index].address(), Instant::now());
+                self.engines[index].kill();
+                self.replace_engine(index);
+            }
+            5 => {
+                let modes = [
+                    AnswerMode::Failure,
+                    AnswerMode::Rejection,
+                    AnswerMode::Reset,
+                    AnswerMode::Foreign,
+                    AnswerMode::Truncated,
+                ];
+                let mode = *modes.choose(rng).expect("there are modes");
+                self.choose_upstream(rng).set_answer_mode(mode);
+                self.schedule_heal(rng);
+            }
+            6 | 7 => {
+                let time = Duration::from_millis(rng.random_range(5..200));
+                let links = [Link::Delayed(time), Link::Reset, Link::OneWay, Link::Silent];
+                let link = *links.choose(rng).expect("there are links");
+                let upstream = self.choose_upstream(rng);
+                self.harm(upstream.address(), Instant::now());
+                upstream.set_link(link);
+                self.schedule_heal(rng);
+            }
+            8 => self.pause(rng),
+            9 => self.kill(rng),
+            10 => {
+                let version = self.version + rng.random_range(1..4);
+                self.configure(version);
+            }
+            11 => self.fleet.store.compact(),
+            _ => {
+                let engine = self.engines.choose(rng).expect("there are engines");
+                engine.set_rejects_copies(rng.random_bool(0.5));
+            }
+        }
+    }
+
+    fn configure(&mut self, version: u64) {
+        self.version = version;
+        let content = config::config(version, &ROUTES, &[CLIENT_KEY, "another-key"]);
+        self.fleet.store.put(config::KEY, &content);
+    }
+
+    fn choose_upstream(&self, rng: &mut StdRng) -> Upstream {
+        let upstreams = if rng.random_bool(0.5) {
+            &self.plain
+        } else {
+            &self.engines
+        };
+        upstreams.choose(rng).expect("there are upstreams").clone()
+    }
+
+    fn harm(&mut self, address: SocketAddr, from: Instant) {
+        self.harms.push(Harm {
+            address,
+            from,
+            to: None,
+        });
+    }
+
+    /// Ends all faults, and begins planned work on every gateway.
+    pub fn calm_down(&mut self) {
+        self.note("calm");
+        self.heal();
+        self.plan_shutdowns();
+    }
+
+    /// Makes the store unavailable for one gateway or for all.
+    fn start_outage(&mut self, rng: &mut StdRng) {
+        let kinds = [Outage::Busy, Outage::Reset, Outage::Silent, Outage::Lost];
+        let kind = *kinds.choose(rng).expect("there are kinds");
+        let all = rng.random_bool(0.4);
+        let one = rng.random_range(0..self.fleet.gateways.len());
+        for (number, gateway) in self.fleet.gateways.iter().enumerate() {
+            gateway
+                .store_endpoint
+                .set_outage((all || number == one).then_some(kind));
+        }
+        self.schedule_heal(rng);
+    }
+
+    /// Chooses when the present faults end.
+    fn schedule_heal(&mut self, rng: &mut StdRng) {
+        self.heal_at = Instant::now() + Duration::from_millis(rng.random_range(300..2_500));
+    }
+
+    /// Ends outages, network faults and bad answers.
+    fn heal(&mut self) {
+        for gateway in &self.fleet.gateways {
+            gateway.store_endpoint.set_outage(None);
+        }
+        let running: Vec<SocketAddr> = self
+            .engines
+            .iter()
+            .chain(&self.plain)
+            .map(|upstream| {
+                upstream.set_link(Link::Open);
+                upstream.set_answer_mode(AnswerMode::Normal);
+                upstream.address()
+            })
+            .collect();
+        let now = Instant::now();
+        for harm in &mut self.harms {
+            if running.contains(&harm.address) {
+                harm.to.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Starts a new engine in the place of one that leaves or was killed.
+    fn replace_engine(&mut self, index: usize) {
+        let id = format!("e{}", self.next_engine);
+        self.next_engine += 1;
+        self.engines[index] = self.fleet.start_engine(&id, 1, EVENT_INTERVAL);
+    }
+
+    /// A random undisturbed gateway, if there is another one.
+    fn victim(&self, rng: &mut StdRng) -> Option<usize> {
+        let undisturbed: Vec<usize> = (0..self.fleet.gateways.len())
+            .filter(|number| self.operator.is_undisturbed(*number))
+            .collect();
+        (undisturbed.len() > 1).then(|| *undisturbed.choose(rng).expect("some run"))
+    }
+
+    fn pause(&mut self, rng: &mut StdRng) {
+        let Some(victim) = self.victim(rng) else { return };
+        let time = Duration::from_millis(rng.random_range(100..2_500));
+        self.note(&format!("gateway {victim}: suspended for {time:?}"));
+        self.operator.pause(&mut self.fleet, victim, time);
+    }
+
+    fn kill(&mut self, rng: &mut StdRng) {
+        let Some(victim) = self.victim(rng) else { return };
+        self.signal(victim, if rng.random_bool(0.5) { "KILL" } else { "TERM" });
+        // A SIGHUP may arrive while the process ends.
+        if rng.random_bool(0.3) {
+            self.signal(victim, "HUP");
+        }
+    }
+
+    fn signal(&mut self, gateway: usize, name: &'static str) {
+        let first = self.operator.is_undisturbed(gateway);
+        self.operator.signal(&mut self.fleet, gateway, name);
+        if first && matches!(name, "TERM" | "INT") {
+            self.clients.note_leave(gateway);
+        }
+        self.note(&format!("gateway {gateway}: SIG{name}"));
+    }
+
+    /// Ends what is over, does the planned work that is due, and starts gateways again that have ended.
+    pub fn poll(&mut self) {
+        if Instant::now() >= self.heal_at {
+            self.heal();
+        }
+        self.operator.poll(&mut self.fleet);
+        for gateway in 0..self.fleet.gateways.len() {
+            let restarts =
+                |work: &(Instant, Work)| matches!(work.1, Work::Restart(other) if other == gateway);
+            if self.operator.life(gateway).ended.is_some() && !self.work.iter().any(restarts) {
+                let delay = self.work_rng.random_range(0..600);
+                self.plan(Duration::from_millis(delay), Work::Restart(gateway));
+            }
+        }
+        let now = Instant::now();
+        let due: Vec<_> = self.work.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, work) in due {
+            match work {
+                Work::Signal(gateway, name) => self.signal(gateway, name),
+                Work::Grace(gateway, grace) => {
+                    self.operator.set_grace(&self.fleet, gateway, grace);
+                    self.note(&format!("gateway {gateway}: grace {grace:?}"));
+                }
+                Work::Restart(gateway) => {
+                    self.operator.restart(&mut self.fleet, gateway);
+                    self.note(&format!("gateway {gateway}: started"));
+                }
+                Work::Configure => self.configure(self.version + 1),
+            }
+        }
+    }
+
+    fn plan(&mut self, delay: Duration, work: Work) {
+        self.work.push((Instant::now() + delay, work));
+    }
+
+    /// A random time within `millis`.
+    fn delay(&mut self, millis: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.work_rng.random_range(millis))
+    }
+
+    fn random_grace(&mut self) -> Duration {
+        Duration::from_millis(*GRACES.choose(&mut self.work_rng).expect("there are values"))
+    }
+
+    /// Plans a series of signals or changes, which may overlap with those that are under way. Returns when the
+    /// next one is to start.
+    pub fn plan_series(&mut self) -> Instant {
+        match self.work_rng.random_range(0..6) {
+            0..3 => self.plan_shutdowns(),
+            3 => {
+                for _ in 0..4 {
+                    let gateway = self.work_rng.random_range(0..self.fleet.gateways.len());
+                    let delay = self.delay(0..3_000);
+                    let is_signalled = self.work_rng.random_bool(0.5);
+                    self.plan_grace(gateway, delay, is_signalled);
+                }
+            }
+            4 => {
+                let gap = self.delay(50..500);
+                for number in 0..8 {
+                    self.plan(gap * number, Work::Configure);
+                }
+            }
+            _ => {
+                let gateway = self.work_rng.random_range(0..self.fleet.gateways.len());
+                for number in 0..5 {
+                    self.plan(Duration::from_millis(80) * number, Work::Signal(gateway, "HUP"));
+                }
+            }
+        }
+        Instant::now() + self.delay(1_500..5_000)
+    }
+
+    /// Plans that gateways shut down one after the other. Some get further signals or another grace meanwhile.
+    fn plan_shutdowns(&mut self) {
+        let mut gateways: Vec<usize> = (0..self.fleet.gateways.len()).collect();
+        gateways.shuffle(&mut self.work_rng);
+        let gap = self.delay(700..2_200);
+        for (number, gateway) in gateways.into_iter().take(MAX_SERIES).enumerate() {
+            let start = gap * number as u32;
+            let signal = if self.work_rng.random_bool(0.8) {
+                "TERM"
+            } else {
+                "INT"
+            };
+            self.plan(start, Work::Signal(gateway, signal));
+            if self.work_rng.random_bool(0.4) {
+                let signals = ["TERM", "INT", "HUP"];
+                let signal = *signals.choose(&mut self.work_rng).expect("there are signals");
+                let delay = self.delay(50..5_000);
+                self.plan(start + delay, Work::Signal(gateway, signal));
+            }
+            if self.work_rng.random_bool(0.3) {
+                let delay = self.delay(100..4_000);
+                self.plan_grace(gateway, start + delay, true);
+            }
+        }
+    }
+
+    fn plan_grace(&mut self, gateway: usize, delay: Duration, is_signalled: bool) {
+        let grace = self.random_grace();
+        self.plan(delay, Work::Grace(gateway, grace));
+        if is_signalled {
+            self.plan(delay, Work::Signal(gateway, "HUP"));
+        }
+    }
+
+    /// Ends every fault, waits until the planned work is done and all gateways serve.
+    pub fn recover(&mut self) {
+        self.heal();
+        self.engines
+            .iter()
+            .for_each(|engine| engine.set_rejects_copies(false));
+        let end = Instant::now() + fleet::LONG;
+        let is_done = |injector: &Self| {
+            let count = injector.fleet.gateways.len();
+            injector.work.is_empty() && (0..count).all(|gateway| injector.operator.is_undisturbed(gateway))
+        };
+        while !is_done(self) && Instant::now() < end {
+            self.poll();
+            thread::sleep(POLL_INTERVAL);
+        }
+        self.fleet.wait_ready();
+        for number in 0..self.fleet.gateways.len() {
+            wait_until("a gateway serves again", || {
+                let id = format!("recover-{number}-{}", self.fleet.ledger.started().len());
+                self.fleet.send(number, &request(&id, "GET", "/read/1")).status == 200
+            });
+        }
+    }
+
+    /// Tells every gateway to shut down while its connections are idle, and checks that each ends soon, also if
+    /// it gets further signals.
+    pub fn shut_down_idle(&mut self) {
+        let idle: Vec<_> = self
+            .fleet
+            .gateways
+            .iter()
+            .flat_map(|gateway| [gateway.caller_address; 3])
+            .map(Connection::open)
+            .collect();
+        let count = self.fleet.gateways.len();
+        for gateway in 0..count {
+            self.signal(gateway, if gateway % 3 == 2 { "INT" } else { "TERM" });
+        }
+        let again = Instant::now() + self.delay(100..2_000);
+        let mut is_signalled_again = false;
+        while (0..count).any(|gateway| self.operator.life(gateway).ended.is_none()) {
+            self.operator.poll(&mut self.fleet);
+            if Instant::now() >= again && !is_signalled_again {
+                is_signalled_again = true;
+                for gateway in 0..count {
+                    self.signal(gateway, ["TERM", "HUP", "INT"][gateway % 3]);
+                }
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        drop(idle);
+        for gateway in 0..count {
+            let life = self.operator.life(gateway);
+            let taken = life
+                .leave
+                .zip(life.ended)
+                .map(|((_, leave), ended)| ended - leave);
+            if taken.is_none_or(|taken| taken > IDLE_END) {
+                self.operator.violations.push(format!(
+                    "gateway {gateway} was idle and ended {taken:?} after the signal to shut down, expected {IDLE_END:?}"
+                ));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/traffic.rs
@@ -0,0 +1,408 @@
+//! Clients: what they send, how they use their connections, and what they observe.
+
+use std::{
+    net::SocketAddr,
+    ops::Range,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::client::{self, Connection, IdleState, Outcome, Request};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+use rand_distr::{Distribution, LogNormal};
+
+use crate::{
+    EVENT_TOKENS, MAX_EVENTS,
+    fleet::{LONG, request},
+};
+
+/// Timeout of requests other than long generations.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of short generations.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Median number of events of a short generation, of a long one, and the spread (sigma) of both.
+const ANSWER_EVENTS: f64 = 3.0;
+const DRAFT_EVENTS: f64 = 75.0;
+const EVENTS_SPREAD: f64 = 1.1;
+/// Spread (sigma) of a length hint around the length.
+const HINT_SPREAD: f64 = 1.0;
+
+/// Maximum time that a slow client takes to send a body, and the size of the body.
+const MAX_SLOW_TIME: Duration = Duration::from_secs(5);
+const SLOW_BODY_BYTES: usize = 400;
+
+/// Number of idle connections that a [`hold_connections`] client keeps.
+const HELD_CONNECTIONS: usize = 6;
+/// Milliseconds after the signal to shut down at which a held connection is used once more: around the time
+/// until which the platform sends requests, and at any time of the shutdown.
+const NEAR_BOUND: Range<u64> = 2_500..5_000;
+const ANY_TIME: Range<u64> = 0..9_000;
+/// How long a client uses an idle connection again: four fifths of the configured idle timeout of 15 s.
+const MAX_IDLE: Duration = Duration::from_secs(12);
+/// Interval of the readiness checks; two in a row without a 200 take a gateway out of rotation.
+const READY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Unsafe,
+    Safe,
+    /// A generation with this number of events.
+    Stream(u64),
+}
+
+/// A request and its outcome as the client saw it.
+pub struct Observation {
+    pub request: Request,
+    pub kind: Kind,
+    pub outcome: Outcome,
+    pub gateway: usize,
+    /// When the client began to open the connection.
+    pub opened: Instant,
+    /// When the first byte was sent.
+    pub begun: Instant,
+    /// When the last byte was sent; `None` if the connection ended before.
+    pub sent: Option<Instant>,
+    /// When the answer or the connection ended.
+    pub ended: Instant,
+    /// Whether the client closed the connection before the answer, because a request that it had sent before on
+    /// it was not answered in time.
+    pub given_up: bool,
+    /// Position among the requests that were sent together.
+    pub position: usize,
+}
+
+/// State that the clients of a run share.
+pub struct Clients {
+    addresses: Vec<SocketAddr>,
+    ready_addresses: Vec<SocketAddr>,
+    /// Gateways that new connections are sent to, according to their readiness checks.
+    in_rotation: Vec<AtomicBool>,
+    /// When each gateway was last told to shut down, in milliseconds after `start`; 0 if never.
+    leaves: Vec<AtomicU64>,
+    start: Instant,
+    stop: AtomicBool,
+    next_id: AtomicU64,
+    observations: Mutex<Vec<Observation>>,
+    /// Gateways that sent bytes which no request asked for.
+    unrequested: Mutex<Vec<String>>,
+}
+
+impl Clients {
+    pub fn new(addresses: Vec<SocketAddr>, ready_addresses: Vec<SocketAddr>) -> Arc<Self> {
+        let count = addresses.len();
+        Arc::new(Self {
+            addresses,
+            ready_addresses,
+            in_rotation: (0..count).map(|_| AtomicBool::new(true)).collect(),
+            leaves: (0..count).map(|_| AtomicU64::new(0)).collect(),
+            start: Instant::now(),
+            stop: AtomicBool::new(false),
+            next_id: AtomicU64::new(0),
+            observations: Mutex::default(),
+            unrequested: Mutex::default(),
+        })
+    }
+
+    /// Starts `count` clients and the readiness checks.
+    pub fn spawn(self: &Arc<Self>, count: usize, seed: u64) -> Vec<JoinHandle<()>> {
+        let checks = (0..self.addresses.len()).map(|gateway| {
+            let clients = Arc::clone(self);
+            thread::spawn(move || clients.check_readiness(gateway))
+        });
+        let checks: Vec<_> = checks.collect();
+        let senders = (0..count).map(|number| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed ^ (number as u64) << 32);
+            thread::spawn(move || match number % 6 {
+                0 => clients.send_on_new_connections(&mut rng),
+                1 => clients.send_on_one_connection(&mut rng, Sending::AtOnce),
+                2 => clients.send_on_one_connection(&mut rng, Sending::Slow),
+                3 => clients.send_on_one_connection(&mut rng, Sending::Pipelined),
+                _ => clients.hold_connections(&mut rng),
+            })
+        });
+        senders.chain(checks).collect()
+    }
+
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that a gateway was told to shut down.
+    pub fn note_leave(&self, gateway: usize) {
+        let millis = self.start.elapsed().as_millis() as u64;
+        self.leaves[gateway].store(millis.max(1), Ordering::Relaxed);
+    }
+
+    /// Takes all observations, and the descriptions of bytes that no request asked for.
+    pub fn take_observations(&self) -> (Vec<Observation>, Vec<String>) {
+        let observations = std::mem::take(&mut *lock(&self.observations));
+        (observations, std::mem::take(&mut *lock(&self.unrequested)))
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    fn check_readiness(&self, gateway: usize) {
+        let mut misses = 0;
+        while !self.is_stopped() {
+            let check = Request::new("ready", "GET", "/").with_timeout(READY_INTERVAL);
+            let ready = client::send(self.ready_addresses[gateway], &check).status == 200;
+            misses = if ready { 0 } else { misses + 1 };
+            self.in_rotation[gateway].store(misses < 2, Ordering::Relaxed);
+            thread::sleep(READY_INTERVAL);
+        }
+    }
+
+    /// A gateway in rotation, or any one if none is.
+    fn pick_gateway(&self, rng: &mut StdRng) -> usize {
+        let in_rotation: Vec<usize> = (0..self.addresses.len())
+            .filter(|gateway| self.in_rotation[*gateway].load(Ordering::Relaxed))
+            .collect();
+        let chosen = in_rotation.choose(rng).copied();
+        chosen.unwrap_or_else(|| rng.random_range(0..self.addresses.len()))
+    }
+
+    /// Draws a request; `draft_share` is the share of long generations.
+    fn draw(&self, rng: &mut StdRng, draft_share: f64) -> (Kind, Request) {
+        let id = format!("q{}", self.next_id.fetch_add(1, Ordering::Relaxed));
+        if rng.random_bool(draft_share) {
+            return draw_generation(rng, &id, DRAFT_EVENTS, MAX_EVENTS);
+        }
+        match rng.random_range(0..3) {
+            0 => (
+                Kind::Unsafe,
+                request(&id, "POST", "/order/1").with_timeout(SHORT_TIMEOUT),
+            ),
+            1 => (
+                Kind::Safe,
+                request(&id, "GET", "/read/1").with_timeout(SHORT_TIMEOUT),
+            ),
+            _ => draw_generation(rng, &id, ANSWER_EVENTS, MAX_EVENTS / 10),
+        }
+    }
+
+    fn record(&self, observation: Observation) {
+        lock(&self.observations).push(observation);
+    }
+
+    /// Opens a new connection for each request, to a random gateway.
+    fn send_on_new_connections(&self, rng: &mut StdRng) {
+        while !self.is_stopped() {
+            let gateway = rng.random_range(0..self.addresses.len());
+            let (kind, request) = self.draw(rng, 0.1);
+            let opened = Instant::now();
+            let mut held = self.open(gateway);
+            let (mut sent, mut outcome) = (None, Outcome::default());
+            if let Some(held) = &mut held {
+                sent = held
+                    .connection
+                    .write(std::slice::from_ref(&request))
+                    .then(Instant::now);
+                outcome = held.connection.read(opened + request.timeout);
+            }
+            self.record(Observation {
+                request,
+                kind,
+                outcome,
+                gateway,
+                opened,
+                begun: opened,
+                sent,
+                ended: Instant::now(),
+                given_up: false,
+                position: 0,
+            });
+            thread::sleep(Duration::from_millis(rng.random_range(5..60)));
+        }
+    }
+
+    /// Sends request after request on one connection, and opens another one when it ends.
+    fn send_on_one_connection(&self, rng: &mut StdRng, sending: Sending) {
+        let mut held = None;
+        while !self.is_stopped() {
+            let Some(mut present) = held
+                .take()
+                .and_then(|held| self.still_open(held))
+                .or_else(|| self.open(self.pick_gateway(rng)))
+            else {
+                thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            let count = match sending {
+                Sending::Pipelined => rng.random_range(1..5),
+                Sending::AtOnce | Sending::Slow => 1,
+            };
+            let mut requests: Vec<_> = (0..count).map(|_| self.draw(rng, 0.15)).collect();
+            let mut slow_time = Duration::ZERO;
+            if let Sending::Slow = sending {
+                let (kind, request) = requests.remove(0);
+                slow_time = request
+                    .timeout
+                    .min(MAX_SLOW_TIME)
+                    .mul_f64(rng.random_range(0.05..0.8));
+                requests.push((kind, request.with_body(SLOW_BODY_BYTES)));
+            }
+            if self.exchange(&mut present, requests, slow_time) {
+                held = Some(present);
+            }
+            thread::sleep(Duration::from_millis(rng.random_range(5..200)));
+        }
+    }
+
+    /// Holds several connections, each idle most of the time, and uses those to a gateway that shuts down once
+    /// more, at a random time after the signal.
+    fn hold_connections(&self, rng: &mut StdRng) {
+        let mut pool: Vec<Held> = Vec::new();
+        while !self.is_stopped() {
+            if pool.len() < HELD_CONNECTIONS
+                && let Some(held) = self.open(self.pick_gateway(rng))
+            {
+                pool.push(held);
+            }
+            for held in &mut pool {
+                let leave = self.leaves[held.gateway].load(Ordering::Relaxed);
+                let leave = self.start + Duration::from_millis(leave);
+                if leave > held.opened && held.use_at.is_none() {
+                    let delays = if rng.random_bool(0.5) {
+                        NEAR_BOUND
+                    } else {
+                        ANY_TIME
+                    };
+                    held.use_at = Some(leave + Duration::from_millis(rng.random_range(delays)));
+                }
+            }
+            let now = Instant::now();
+            let due = |held: &Held| held.use_at.is_some_and(|at| now >= at);
+            let usual =
+                |held: &Held| held.use_at.is_none() && now - held.idle_since > Duration::from_millis(2_500);
+            let chosen = pool.iter().position(due);
+            if let Some(index) = chosen.or_else(|| pool.iter().position(usual)) {
+                let held = pool.swap_remove(index);
+                let draft_share = if held.use_at.is_some() { 0.7 } else { 0.15 };
+                if let Some(mut held) = self.still_open(held) {
+                    let requests = vec![self.draw(rng, draft_share)];
+                    if self.exchange(&mut held, requests, Duration::ZERO) {
+                        pool.push(held);
+                    }
+                }
+            }
+            thread::sleep(Duration::from_millis(rng.random_range(20..200)));
+        }
+    }
+
+    fn open(&self, gateway: usize) -> Option<Held> {
+        let opened = Instant::now();
+        Some(Held {
+            connection: Connection::open(self.addresses[gateway])?,
+            gateway,
+            opened,
+            idle_since: Instant::now(),
+            use_at: None,
+        })
+    }
+
+    /// Returns an idle connection if it can carry another request.
+    fn still_open(&self, held: Held) -> Option<Held> {
+        match held.connection.idle_state() {
+            IdleState::Open if held.idle_since.elapsed() < MAX_IDLE => Some(held),
+            IdleState::Open | IdleState::Closed => None,
+            IdleState::Unrequested => {
+                let address = self.addresses[held.gateway];
+                lock(&self.unrequested).push(format!("{address} sent bytes that no request asked for"));
+                None
+            }
+        }
+    }
+
+    /// Sends requests together and reads their answers. Returns whether the connection can be used again.
+    fn exchange(&self, held: &mut Held, requests: Vec<(Kind, Request)>, slow_time: Duration) -> bool {
+        let begun = Instant::now();
+        let sent = if slow_time.is_zero() {
+            let requests: Vec<Request> = requests.iter().map(|(_, request)| request.clone()).collect();
+            held.connection.write(&requests)
+        } else {
+            held.connection.write_slowly(&requests[0].1, slow_time)
+        };
+        let sent = sent.then(Instant::now);
+        let (mut open, mut given_up) = (true, false);
+        for (position, (kind, request)) in requests.into_iter().enumerate() {
+            let outcome = if open {
+                held.connection.read(begun + request.timeout)
+            } else {
+                Outcome::default()
+            };
+            let is_late = open && !outcome.complete && begun.elapsed() >= request.timeout;
+            open = open && outcome.complete && !outcome.closes;
+            self.record(Observation {
+                request,
+                kind,
+                outcome,
+                gateway: held.gateway,
+                opened: held.opened,
+                begun,
+                sent,
+                ended: Instant::now(),
+                given_up,
+                position,
+            });
+            given_up |= is_late;
+        }
+        held.idle_since = Instant::now();
+        open && sent.is_some()
+    }
+}
+
+/// How a client sends requests on its connection.
+#[derive(Clone, Copy, Debug)]
+enum Sending {
+    AtOnce,
+    /// The body takes up to several seconds.
+    Slow,
+    /// Several requests are sent before the first answer.
+    Pipelined,
+}
+
+/// An open connection.
+struct Held {
+    connection: Connection,
+    gateway: usize,
+    /// When the client began to open it.
+    opened: Instant,
+    idle_since: Instant,
+    /// When it is used next, if its gateway shuts down.
+    use_at: Option<Instant>,
+}
+
+/// Draws a generation of about `median` events, at most `max`, with a length hint that is right at the median.
+fn draw_generation(rng: &mut StdRng, id: &str, median: f64, max: u64) -> (Kind, Request) {
+    let events = (log_normal(rng, median, EVENTS_SPREAD) as u64).clamp(1, max);
+    let max_tokens = max as u32 * EVENT_TOKENS;
+    let tokens = events as f64 * f64::from(EVENT_TOKENS);
+    let hint = (log_normal(rng, tokens, HINT_SPREAD) as u32).clamp(1, max_tokens);
+    let prompt = rng.random_range(300..1_500);
+    let generation = request(id, "POST", "/draft/x")
+        .with_usage(prompt, max_tokens)
+        .with_length_hint(hint)
+        .with_events(events)
+        .with_timeout(if max == MAX_EVENTS { LONG } else { ANSWER_TIMEOUT });
+    (Kind::Stream(events), generation)
+}
+
+fn log_normal(rng: &mut StdRng, median: f64, spread: f64) -> f64 {
+    let Ok(distribution) = LogNormal::new(median.ln(), spread) else {
+        unreachable!("the spread is a finite constant");
+    };
+    distribution.sample(rng)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().expect("no thread panics while it holds the lock")
+}
