fix: a stalled operator's connection does not keep a closed instance alive

Operators saw: after SIGTERM, with every request finished, a process that does not end, until the operator's connection ends or somebody sends SIGKILL. Cause: the last step of the shutdown joins the threads of the operators' listener. The library has no time limits there, so one request whose body does not arrive, or whose response is not read, holds its thread for as long as the connection is open. Change: `AdminListener::close` takes a grace and returns the number of threads that still serve a request; an instance gives 10 s and logs the rest.

--- a/crates/carob-entry/src/instance.rs
+++ b/crates/carob-entry/src/instance.rs
@@ -25,6 +25,8 @@
 /// Maximum time for which a closing instance waits until the store has taken the outcomes of its last calls and
 /// engines have confirmed its cancellations.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum time for which a closing instance waits for operators' requests in progress.
+const ADMIN_GRACE: Duration = Duration::from_secs(10);
 
 /// A failure to start an instance.
 #[derive(Debug, thiserror::Error)]
@@ -145,7 +147,10 @@
         self.shared.settle();
         self.shared.advance(Phase::Closed);
         self.shared.send_event(Event::Stop);
-        self.admin.close();
+        let stalled = self.admin.close(ADMIN_GRACE);
+        if stalled > 0 {
+            log::warn!("entry: operators' requests are cut off, requests={stalled}");
+        }
         for thread in self.threads {
             if thread.join().is_err() {
                 log::error!("entry: a thread panicked");
--- a/crates/carob-http/src/admin.rs
+++ b/crates/carob-http/src/admin.rs
@@ -8,6 +8,7 @@
     net::SocketAddr,
     sync::Arc,
     thread::{self, JoinHandle},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -17,6 +18,8 @@
 const MAX_BODY_BYTES: u64 = 1024 * 1024;
 /// Number of threads that serve requests.
 const WORKER_THREADS: usize = 2;
+/// Interval at which [`AdminListener::close`] checks whether the threads have ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 carob_base::value! {
     /// An operator's request.
@@ -101,14 +104,21 @@
         self.address
     }
 
-    /// Stops serving and waits for the requests in progress.
-    pub fn close(self) {
+    /// Stops serving and waits up to `grace` for the requests in progress.
+    ///
+    /// Returns the number of threads that still serve one: the library limits neither the time for which a
+    /// request may arrive nor that for which its response may be read.
+    pub fn close(mut self, grace: Duration) -> usize {
         for _ in &self.threads {
             self.server.unblock();
         }
-        for thread in self.threads {
-            // The panic hook has already reported a handler's panic.
-            drop(thread.join());
+        let end = Instant::now() + grace;
+        loop {
+            self.threads.retain(|thread| !thread.is_finished());
+            if self.threads.is_empty() || Instant::now() >= end {
+                return self.threads.len();
+            }
+            thread::sleep(POLL_INTERVAL);
         }
     }
 }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -2,9 +2,16 @@
 
 mod process;
 
-use std::{fs, path::Path};
+use std::{
+    fs,
+    io::Write as _,
+    net::TcpStream,
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
 
-use carob_http::client::Chunk;
+use carob_http::client::{self, Chunk, Request};
 use carob_standin::{Engine, Store, engine, store};
 use process::{Process, STEP_TIMEOUT, carobhaven, open, ticket};
 
@@ -40,6 +47,36 @@
     store.close();
 }
 
+/// An operator's connection on which nothing more came kept a process alive that had nothing left to do.
+#[test]
+fn stalled_operator_does_not_keep_a_closed_instance_alive() {
+    let store = Store::start(&store::Options::default()).expect("loopback is free");
+    let mut process = Process::start(store.address());
+    let mut stalled = TcpStream::connect(process.admin_address).expect("the instance accepts");
+    stalled
+        .write_all(b"POST /tickets HTTP/1.1\r\nhost: x\r\ncontent-length: 5000\r\n\r\n[ticket]")
+        .expect("the instance reads");
+    // Answered after the stalled request has been taken up, since requests are taken up in order.
+    let alive = client::call(&Request::get(process.admin_address, "/healthz"));
+    assert_eq!(alive.map(|response| response.status), Ok(200));
+    process.terminate();
+    let end = Instant::now() + STEP_TIMEOUT;
+    let exited = loop {
+        match process.child.try_wait().expect("the process can be waited for") {
+            None if Instant::now() < end => thread::sleep(Duration::from_millis(10)),
+            status => break status,
+        }
+    };
+    drop(stalled);
+    let code = process.child.wait().expect("it ends").code();
+    assert!(
+        exited.is_some(),
+        "the process ran until the operator's connection ended"
+    );
+    assert_eq!(code, Some(0));
+    store.close();
+}
+
 #[test]
 fn bad_settings_start_nothing() {
     let dir = tempfile::tempdir().expect("a temporary directory");
