fix: an instance that leaves before its first configuration refuses as not ready

Callers saw: 401 "the key belongs to no account", for a valid key, from an instance that got SIGTERM before it had a configuration. A caller does not repeat a call after 401. Cause: whether requests are refused as not ready depended on the phase. Leaving takes the place of starting there, so the request was looked up in the empty configuration. Change: whether there has been a configuration that can be served is kept apart from the phase. If one arrives during the leave delay, requests are served by it as before. Measured: `instance_without_configuration_refuses_as_not_ready_while_it_leaves` got `Unauthorized` before and gets `NotReady` with a retry delay now. The tests of lifecycle, instances and requests pass.

--- a/crates/carob-entry/src/control/config.rs
+++ b/crates/carob-entry/src/control/config.rs
@@ -12,10 +12,7 @@
 use flume::Sender;
 
 use super::{Control, stored::Component};
-use crate::{
-    io::{fetch, store, watch},
-    shared::Phase,
-};
+use crate::io::{fetch, store, watch};
 
 /// The state machine that follows the configuration.
 #[derive(Debug)]
@@ -51,7 +48,7 @@
         // Revision 0 is the empty configuration, such as that of a new store; no request can be served by it.
         let configured = self.config.follower.config().revision > Revision::default();
         if configured && self.config.follower.is_ready() {
-            self.shared.advance(Phase::Ready);
+            self.shared.set_ready();
         }
     }
 
--- a/crates/carob-entry/src/shared.rs
+++ b/crates/carob-entry/src/shared.rs
@@ -4,7 +4,7 @@
     collections::HashSet,
     sync::{
         Arc, PoisonError, RwLock,
-        atomic::{AtomicU8, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
 };
 
@@ -46,6 +46,8 @@
     /// Upstreams that this instance polls for load reports.
     polled: RwLock<Arc<HashSet<Name>>>,
     phase: AtomicU8,
+    /// Whether it has been ready; an instance may leave before.
+    configured: AtomicBool,
     next_id: AtomicU64,
 }
 
@@ -60,6 +62,7 @@
             config: RwLock::default(),
             polled: RwLock::default(),
             phase: AtomicU8::new(Phase::Starting as u8),
+            configured: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
         }
     }
@@ -124,6 +127,17 @@
         self.phase.fetch_max(phase as u8, Ordering::AcqRel);
     }
 
+    /// Advances to [`Phase::Ready`]: the configuration in force can be served from now on.
+    pub fn set_ready(&self) {
+        self.configured.store(true, Ordering::Release);
+        self.advance(Phase::Ready);
+    }
+
+    /// Whether the configuration in force can be served.
+    pub fn is_configured(&self) -> bool {
+        self.configured.load(Ordering::Acquire)
+    }
+
     /// A request number, unique within this process.
     pub fn next_id(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed)
--- a/crates/carob-entry/src/traffic.rs
+++ b/crates/carob-entry/src/traffic.rs
@@ -26,11 +26,11 @@
 use carob_http::listen::Exchange;
 use carob_wire::{Code, Problem};
 
-use crate::shared::{Phase, Shared};
+use crate::shared::Shared;
 
 /// Serves one caller's request, on a worker thread.
 pub fn serve(shared: &Arc<Shared>, exchange: Exchange) {
-    if shared.phase() == Phase::Starting {
+    if !shared.is_configured() {
         let problem = Problem::not_run(Code::NotReady, "this instance has no configuration yet");
         return exchange.refuse(&problem.with_retry_after(admit::NOT_READY_RETRY));
     }
--- a/crates/carob-entry/tests/lifecycle.rs
+++ b/crates/carob-entry/tests/lifecycle.rs
@@ -157,3 +157,24 @@
     instance.close();
     platform.close();
 }
+
+/// An instance that was shut down before its first configuration told callers that their key was wrong.
+#[test]
+fn instance_without_configuration_refuses_as_not_ready_while_it_leaves() {
+    let platform = Platform::start(1);
+    let instance = start(platform.store.address(), |options| {
+        options.leave_delay = Duration::from_secs(1);
+    });
+    let stock = request(&instance, OULU, "GET", "/stock");
+    let ready = Request::get(instance.admin_address(), "/readyz");
+    let closing = thread::spawn(move || instance.close());
+    wait_until("the instance leaves", || {
+        let answer = client::call(&ready).expect("the instance answers");
+        &answer.body[..] == b"leaving\n"
+    });
+    let early = refusal(&call(&stock));
+    assert_eq!((early.code, early.outcome), (Code::NotReady, Execution::NotRun));
+    assert!(early.retry_after.is_some());
+    closing.join().expect("closed");
+    platform.close();
+}
