fix: a draining listener answers a head that has begun to arrive

Callers saw: on a kept connection, the end of the connection without an answer in the middle of sending a request, 250 ms after a listener has begun to drain. A caller cannot tell whether the request ran. Cause: the library closes a connection that is idle between two requests at once, and takes one as idle until the next head is complete. Bytes that had arrived and were not read yet did not count either. Change: what has arrived is read before a connection is ended, and once a part of a head has been read the connection ends after that request. The head timeout limits how long that takes; after it the caller gets its typed refusal.

--- a/crates/carob-http/src/listen/connection.rs
+++ b/crates/carob-http/src/listen/connection.rs
@@ -5,6 +5,7 @@
     future::{Future as _, poll_fn},
     pin::Pin,
     sync::Arc,
+    task::Poll,
     time::Duration,
 };
 
@@ -40,7 +41,8 @@
 {
     let options = Arc::clone(&context.options);
     let mut phase = context.phase.clone();
-    let socket = Socket::new(stream, context.counter.clone(), &options);
+    let counter = context.counter.clone();
+    let socket = Socket::new(stream, counter.clone(), &options);
     let context = Arc::new(context);
     let service = service_fn(move |request| Box::pin(serve(Arc::clone(&context), request)));
     let mut connection = http1::Builder::new()
@@ -51,13 +53,20 @@
             wait_for_phase(&mut phase, Phase::Draining).await;
             tokio::time::sleep(DRAIN_DELAY).await;
         });
-        let mut shutdown_begun = false;
+        let (mut shutdown_due, mut shutdown_begun) = (false, false);
         poll_fn(|cx| {
-            if !shutdown_begun && draining.as_mut().poll(cx).is_ready() {
-                shutdown_begun = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
             // Also sends what the library still buffers of the last response, and shuts the socket down.
+            let outcome = Pin::new(&mut connection).poll(cx);
+            if outcome.is_ready() || shutdown_begun {
+                return outcome;
+            }
+            shutdown_due = shutdown_due || draining.as_mut().poll(cx).is_ready();
+            // The library would close a kept connection at once, even if a part of the next head has arrived.
+            if !shutdown_due || counter.is_reading_head() {
+                return Poll::Pending;
+            }
+            shutdown_begun = true;
+            Pin::new(&mut connection).graceful_shutdown();
             Pin::new(&mut connection).poll(cx)
         })
         .await
--- a/crates/carob-http/src/listen/socket.rs
+++ b/crates/carob-http/src/listen/socket.rs
@@ -11,7 +11,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
     time::Duration,
@@ -43,20 +43,32 @@
 }
 
 /// Counts the starts and ends of requests on a connection. It is shared with the code that serves them.
-///
-/// An odd count means that a request is open.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RequestCounter(Arc<AtomicU64>);
+pub(super) struct RequestCounter(Arc<Counts>);
+
+#[derive(Debug, Default)]
+struct Counts {
+    /// Starts and ends; odd while a request is open.
+    requests: AtomicU64,
+    /// Whether a part of the next head has been read.
+    head_begun: AtomicBool,
+}
 
 impl RequestCounter {
     /// Counts the start of a request. Its end is counted when the returned guard is dropped.
     pub(super) fn begin(&self) -> RequestGuard {
-        self.0.fetch_add(1, Ordering::AcqRel);
+        self.0.head_begun.store(false, Ordering::Release);
+        self.0.requests.fetch_add(1, Ordering::AcqRel);
         RequestGuard(self.clone())
     }
 
+    /// Whether a request's head has arrived in part.
+    pub(super) fn is_reading_head(&self) -> bool {
+        self.0.head_begun.load(Ordering::Acquire)
+    }
+
     fn count(&self) -> u64 {
-        self.0.load(Ordering::Acquire)
+        self.0.requests.load(Ordering::Acquire)
     }
 }
 
@@ -66,7 +78,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.0.fetch_add(1, Ordering::AcqRel);
+        self.0.0.requests.fetch_add(1, Ordering::AcqRel);
     }
 }
 
@@ -166,6 +178,7 @@
         if self.head_bytes == 0 && count > 0 {
             // The idle timeout is replaced by the head's timeout.
             self.read_timer = None;
+            self.counter.0.head_begun.store(true, Ordering::Release);
         }
         self.head_bytes += count;
     }
--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -331,6 +331,36 @@
     drain.join().expect("drained");
 }
 
+/// A kept connection was closed without an answer in the middle of a head that arrived slowly.
+#[test]
+fn drain_answers_a_head_that_has_begun_to_arrive() {
+    let listener = bind(|_| {}, echo);
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    stream
+        .write_all(b"GET /first HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the listener answers");
+        seen.push(byte[0]);
+    }
+    stream
+        .write_all(b"GET /second HTTP/1.1\r\nho")
+        .expect("the listener reads");
+    let drain = std::thread::spawn(move || listener.drain());
+    // Longer than a draining connection waits for a request.
+    std::thread::sleep(Duration::from_millis(600));
+    stream.write_all(b"st: x\r\n\r\n").expect("the listener reads");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the listener closes");
+    assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{text:?}");
+    assert!(text.contains("x-path: /second\r\n"), "{text:?}");
+    assert!(text.contains("connection: close\r\n"), "{text:?}");
+    drain.join().expect("drained");
+}
+
 /// A drain ended while a handler still worked on the request of a caller that had disconnected.
 #[test]
 fn drain_waits_for_handlers_without_callers() {
