fix: a refusal for lack of workers closes its connection before a drain

Callers saw: after SIGTERM, a 503 "too many requests are in progress" without `connection: close`. Their next request went to the same instance, and the connection ended under it when the drain began. Cause: this refusal was returned before the place where responses get `connection: close`. Change: it passes through that place too. docs/OPERATORS.md has promised it for each response.

--- a/crates/carob-http/src/listen/request.rs
+++ b/crates/carob-http/src/listen/request.rs
@@ -21,7 +21,7 @@
     outgoing::Body,
     socket::{RequestCounter, RequestGuard},
 };
-use crate::pool::Pool;
+use crate::pool::{Full, Pool};
 
 /// `Retry-After` of requests that are refused because all workers are busy.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -56,10 +56,10 @@
     let options = Arc::clone(&context.options);
     let exchange = Exchange::new(&parts, body, context.peer, reply, guard, options);
     let handler = Arc::clone(&context.handler);
-    if context.pool.submit(Box::new(move || handler(exchange))).is_err() {
-        return Ok(refuse(&busy(), context.counter.begin()));
-    }
-    let response = outcome.await.map_err(|_closed| Dropped)?;
+    let response = match context.pool.submit(Box::new(move || handler(exchange))) {
+        Ok(()) => outcome.await.map_err(|_closed| Dropped)?,
+        Err(Full) => refuse(&busy(), context.counter.begin()),
+    };
     if *context.phase.borrow() >= Phase::NoKeepAlive {
         return Ok(close_after(response));
     }
--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -331,6 +331,28 @@
     drain.join().expect("drained");
 }
 
+/// A caller that was refused for lack of workers kept its connection to a listener that was about to close.
+#[test]
+fn refusal_closes_its_connection_while_keep_alive_is_disabled() {
+    let (release, wait) = flume::bounded::<()>(0);
+    let handler = move |exchange: Exchange| {
+        let _released = wait.recv();
+        exchange.respond(200, &Headers::new(), "late");
+    };
+    let listener = bind(|options| options.max_requests = 1, handler);
+    let first = client::start(&Request::get(listener.local_addr(), "/"));
+    while listener.open_requests() == 0 {
+        std::thread::yield_now();
+    }
+    listener.disable_keep_alive();
+    let text = send_raw(listener.local_addr(), b"GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    assert_refused(&text, 503, "overloaded");
+    assert!(text.contains("connection: close\r\n"), "{text}");
+    drop(release);
+    first.wait(LONG).expect("in time").expect("a response").close();
+    listener.drain();
+}
+
 /// A kept connection was closed without an answer in the middle of a head that arrived slowly.
 #[test]
 fn drain_answers_a_head_that_has_begun_to_arrive() {
