fix: SIGHUP does not kill an entry instance

Callers saw: streams cut off at once, without a last event, when an entry instance got SIGHUP, also when it was already finishing them after SIGTERM. A gateway of the same binary reloads its settings on this signal. Cause: only SIGTERM and SIGINT were handled; the default action of SIGHUP ends the process. Change: SIGHUP is handled and logged, and has no effect. It is not taken as a signal to shut down, since an instance started with `nohup` must go on. What repeated signals do is written down and tested.

--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -3,7 +3,7 @@
 use carob_entry::{Instance, Options};
 use carob_settings::Settings;
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
@@ -12,15 +12,19 @@
     exit::{Exit, failure},
 };
 
-/// Runs an entry instance until SIGTERM or SIGINT, then finishes its open requests.
+/// Runs an entry instance until SIGTERM or SIGINT, then finishes its open requests. Later signals change nothing.
+///
+/// SIGHUP, by which a gateway reloads its settings, has no effect; unhandled, it would end the process at once.
 pub fn run(args: &Serve) -> eyre::Result<Exit> {
     let settings = super::check::load(&args.settings)?;
     log::set_max_level(settings.log.level.min(log::max_level()));
     let mut signals =
-        Signals::new([SIGINT, SIGTERM]).map_err(|error| failure(Exit::Usage, error.to_string()))?;
+        Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(|error| failure(Exit::Usage, error.to_string()))?;
     let instance =
         Instance::start(options(settings)).map_err(|error| failure(Exit::Usage, error.to_string()))?;
-    signals.forever().next();
+    while signals.forever().next() == Some(SIGHUP) {
+        log::info!("entry: SIGHUP has no effect; settings are read at the start");
+    }
     instance.close();
     Ok(Exit::Done)
 }
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -106,8 +106,16 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let killed = Command::new("kill").arg(self.child.id().to_string()).status();
-        assert!(killed.expect("kill runs").success());
+        self.signal("TERM");
+    }
+
+    /// Sends the signal with this name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .args(["-s", name])
+            .arg(self.child.id().to_string())
+            .status();
+        assert!(sent.expect("kill runs").success());
     }
 
     /// Sends SIGTERM, waits for the process to end and returns its exit code.
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -19,6 +19,32 @@
 
 #[test]
 fn sigterm_cuts_no_stream_off() {
+    assert_stream_survives(&["TERM"]);
+}
+
+/// A SIGHUP after SIGTERM killed an instance in the middle of its streams.
+#[test]
+fn repeated_signals_cut_no_stream_off() {
+    assert_stream_survives(&["TERM", "HUP", "INT", "TERM"]);
+}
+
+/// SIGHUP, by which a gateway reloads its settings, killed an instance.
+#[test]
+fn sighup_ends_no_instance() {
+    let store = Store::start(&store::Options::default()).expect("loopback is free");
+    let engine = Engine::start(engine::Options::default()).expect("loopback is free");
+    let process = Process::start(store.address());
+    process.signal("HUP");
+    // Longer than the shutdown of an instance without any request takes.
+    thread::sleep(Duration::from_secs(2));
+    process.configure(&ticket(engine.address(), None, 16, 16_384));
+    assert_eq!(process.close(), Some(0));
+    engine.close();
+    store.close();
+}
+
+/// Sends the signals during a stream and checks that the stream is whole and the exit code 0.
+fn assert_stream_survives(signals: &[&str]) {
     let store = Store::start(&store::Options::default()).expect("loopback is free");
     let engine = Engine::start(engine::Options::default()).expect("loopback is free");
     let process = Process::start(store.address());
@@ -28,7 +54,9 @@
     let Chunk::Data(first) = stream.next(STEP_TIMEOUT) else {
         panic!("the stream did not begin");
     };
-    process.terminate();
+    for signal in signals {
+        process.signal(signal);
+    }
     let mut text = first.to_vec();
     loop {
         match stream.next(STEP_TIMEOUT) {
