fix: a truncated response to an HTTP/1.0 caller does not look whole

Callers saw: a stream to a caller that speaks HTTP/1.0 ends with its connection. When it was given up, because the caller read too slowly or had resumed the answer elsewhere, or because a worker panicked, the connection was closed in the usual way, and what had arrived looked complete. Over TLS it was closed with a notice. Cause: with chunks the missing last one tells; without a length or chunks only the way in which the connection ends does. Change: a connection that fails during such a response is reset.

--- a/crates/carob-http/src/listen/connection.rs
+++ b/crates/carob-http/src/listen/connection.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt::Write as _,
     future::{Future as _, poll_fn},
+    io,
     pin::Pin,
     sync::Arc,
     task::Poll,
@@ -14,9 +15,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _},
+    net::TcpStream,
     sync::watch,
     time::timeout,
 };
+use tokio_rustls::server::TlsStream;
 
 use super::{
     Options, Phase,
@@ -37,7 +40,7 @@
 /// Serves the requests of a connection until either side closes it.
 pub(super) async fn run<S>(stream: S, context: Context)
 where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    S: AsyncRead + AsyncWrite + Reset + Unpin + Send + 'static,
 {
     let options = Arc::clone(&context.options);
     let mut phase = context.phase.clone();
@@ -74,10 +77,38 @@
     let socket = connection.into_parts().io.into_inner();
     if let Err(error) = outcome {
         log::debug!("http: connection failed: {error}");
+        if counter.is_unframed() {
+            return reset(&socket.into_inner());
+        }
     }
     close(socket, &options).await;
 }
 
+/// A socket that can be closed with a reset.
+pub(super) trait Reset {
+    /// Has the socket reset when it is dropped.
+    fn set_reset(&self) -> io::Result<()>;
+}
+
+impl Reset for TcpStream {
+    fn set_reset(&self) -> io::Result<()> {
+        self.set_zero_linger()
+    }
+}
+
+impl Reset for TlsStream<TcpStream> {
+    fn set_reset(&self) -> io::Result<()> {
+        self.get_ref().0.set_zero_linger()
+    }
+}
+
+/// Has the connection reset, so that a truncated response without a length does not look complete.
+fn reset(stream: &impl Reset) {
+    if let Err(error) = stream.set_reset() {
+        log::warn!("http: a connection with a truncated response is not reset: {error}");
+    }
+}
+
 /// Waits until `phase` has reached `target` or its sender has been dropped.
 pub(super) async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, target: Phase) {
     // The sender is dropped together with the listener, which is then not in use any more.
@@ -100,7 +131,7 @@
 }
 
 /// Sends `refusal` as the connection's last response, without the HTTP library.
-pub(super) async fn send_refusal<S>(stream: &mut S, refusal: &Problem) -> std::io::Result<()>
+pub(super) async fn send_refusal<S>(stream: &mut S, refusal: &Problem) -> io::Result<()>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
--- a/crates/carob-http/src/listen/request.rs
+++ b/crates/carob-http/src/listen/request.rs
@@ -6,7 +6,7 @@
 use carob_wire::{Code, Problem};
 use http_body_util::BodyExt as _;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body as _, Incoming},
     header::{CONNECTION, HeaderValue},
 };
@@ -48,6 +48,7 @@
 ) -> Result<Response<Body>, Dropped> {
     let guard = context.counter.begin();
     let (parts, body) = request.into_parts();
+    let has_chunks = parts.version >= Version::HTTP_11;
     let body = match read_body(body, &context.options).await {
         Ok(body) => body,
         Err(refusal) => return Ok(close_after(refuse(&refusal, guard))),
@@ -60,6 +61,9 @@
         Ok(()) => outcome.await.map_err(|_closed| Dropped)?,
         Err(Full) => refuse(&busy(), context.counter.begin()),
     };
+    if !has_chunks && response.body().size_hint().exact().is_none() {
+        context.counter.set_unframed();
+    }
     if *context.phase.borrow() >= Phase::NoKeepAlive {
         return Ok(close_after(response));
     }
--- a/crates/carob-http/src/listen/socket.rs
+++ b/crates/carob-http/src/listen/socket.rs
@@ -52,6 +52,8 @@
     requests: AtomicU64,
     /// Whether a part of the next head has been read.
     head_begun: AtomicBool,
+    /// Whether only the end of the connection ends the present response.
+    unframed: AtomicBool,
 }
 
 impl RequestCounter {
@@ -67,6 +69,16 @@
         self.0.head_begun.load(Ordering::Acquire)
     }
 
+    /// Records that only the end of the connection ends the present response, which is then its last.
+    pub(super) fn set_unframed(&self) {
+        self.0.unframed.store(true, Ordering::Release);
+    }
+
+    /// Whether only the end of the connection ends the present response.
+    pub(super) fn is_unframed(&self) -> bool {
+        self.0.unframed.load(Ordering::Acquire)
+    }
+
     fn count(&self) -> u64 {
         self.0.requests.load(Ordering::Acquire)
     }
--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -1,7 +1,7 @@
 //! The callers' listener, over sockets: limits, timeouts, streamed responses and shutdown.
 
 use std::{
-    io::{Read as _, Write as _},
+    io::{ErrorKind, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
     sync::mpsc,
     time::Duration,
@@ -207,6 +207,26 @@
     assert_eq!(listener.close(LONG), 0);
 }
 
+/// A truncated response without framing ended like a whole one.
+#[test]
+fn dropped_writer_is_no_clean_end_for_http_1_0() {
+    let handler = |exchange: Exchange| {
+        let mut writer = exchange.stream(200, &Headers::new());
+        writer.send(Bytes::from("part")).expect("the caller reads");
+    };
+    let listener = bind(|_| {}, handler);
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    stream
+        .write_all(b"GET / HTTP/1.0\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    let mut seen = Vec::new();
+    let end = stream.read_to_end(&mut seen).map_err(|error| error.kind());
+    let text = String::from_utf8_lossy(&seen);
+    assert_eq!(end, Err(ErrorKind::ConnectionReset), "{text}");
+    assert_eq!(listener.close(LONG), 0);
+}
+
 #[test]
 fn panicking_handler_aborts_one_request_only() {
     let handler = |exchange: Exchange| {
