--- a/crates/carob-http/src/listen/connection.rs
+++ b/crates/carob-http/src/listen/connection.rs
@@ -3,8 +3,10 @@
 use std::{
     fmt::Write as _,
     future::{Future as _, poll_fn},
+    io,
     pin::Pin,
     sync::Arc,
+    task::Poll,
     time::Duration,
 };
 
@@ -13,9 +15,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _},
+    net::TcpStream,
     sync::watch,
     time::timeout,
 };
+use tokio_rustls::server::TlsStream;
 
 use super::{
     Options, Phase,
@@ -36,11 +40,12 @@
 /// Serves the requests of a connection until either side closes it.
 pub(super) async fn run<S>(stream: S, context: Context)
 where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    S: AsyncRead + AsyncWrite + Reset + Unpin + Send + 'static,
 {
     let options = Arc::clone(&context.options);
     let mut phase = context.phase.clone();
-    let socket = Socket::new(stream, context.counter.clone(), &options);
+    let counter = context.counter.clone();
+    let socket = Socket::new(stream, counter.clone(), &options);
     let context = Arc::new(context);
     let service = service_fn(move |request| Box::pin(serve(Arc::clone(&context), request)));
     let mut connection = http1::Builder::new()
@@ -51,13 +56,20 @@
             wait_for_phase(&mut phase, Phase::Draining).await;
             tokio::time::sleep(DRAIN_DELAY).await;
         });
-        let mut shutdown_begun = false;
+        let (mut shutdown_due, mut shutdown_begun) = (false, false);
         poll_fn(|cx| {
-            if !shutdown_begun && draining.as_mut().poll(cx).is_ready() {
-                shutdown_begun = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
             // Also sends what the library still buffers of the last response, and shuts the socket down.
+            let outcome = Pin::new(&mut connection).poll(cx);
+            if outcome.is_ready() || shutdown_begun {
+                return outcome;
+            }
+            shutdown_due = shutdown_due || draining.as_mut().poll(cx).is_ready();
+            // The library would close a kept connection at once, even if a part of the next head has arrived.
+            if !shutdown_due || counter.is_reading_head() {
+                return Poll::Pending;
+            }
+            shutdown_begun = true;
+            Pin::new(&mut connection).graceful_shutdown();
             Pin::new(&mut connection).poll(cx)
         })
         .await
@@ -65,10 +77,38 @@
     let socket = connection.into_parts().io.into_inner();
     if let Err(error) = outcome {
         log::debug!("http: connection failed: {error}");
+        if counter.is_unframed() {
+            return reset(&socket.into_inner());
+        }
     }
     close(socket, &options).await;
 }
 
+/// A socket that can be closed with a reset.
+pub(super) trait Reset {
+    /// Has the socket reset when it is dropped.
+    fn set_reset(&self) -> io::Result<()>;
+}
+
+impl Reset for TcpStream {
+    fn set_reset(&self) -> io::Result<()> {
+        self.set_zero_linger()
+    }
+}
+
+impl Reset for TlsStream<TcpStream> {
+    fn set_reset(&self) -> io::Result<()> {
+        self.get_ref().0.set_zero_linger()
+    }
+}
+
+/// Has the connection reset, so that a truncated response without a length does not look complete.
+fn reset(stream: &impl Reset) {
+    if let Err(error) = stream.set_reset() {
+        log::warn!("http: a connection with a truncated response is not reset: {error}");
+    }
+}
+
 /// Waits until `phase` has reached `target` or its sender has been dropped.
 pub(super) async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, target: Phase) {
     // The sender is dropped together with the listener, which is then not in use any more.
@@ -91,7 +131,7 @@
 }
 
 /// Sends `refusal` as the connection's last response, without the HTTP library.
-pub(super) async fn send_refusal<S>(stream: &mut S, refusal: &Problem) -> std::io::Result<()>
+pub(super) async fn send_refusal<S>(stream: &mut S, refusal: &Problem) -> io::Result<()>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
--- a/crates/carob-http/src/listen/request.rs
+++ b/crates/carob-http/src/listen/request.rs
@@ -6,7 +6,7 @@
 use carob_wire::{Code, Problem};
 use http_body_util::BodyExt as _;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body as _, Incoming},
     header::{CONNECTION, HeaderValue},
 };
@@ -21,7 +21,7 @@
     outgoing::Body,
     socket::{RequestCounter, RequestGuard},
 };
-use crate::pool::Pool;
+use crate::pool::{Full, Pool};
 
 /// `Retry-After` of requests that are refused because all workers are busy.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -48,6 +48,7 @@
 ) -> Result<Response<Body>, Dropped> {
     let guard = context.counter.begin();
     let (parts, body) = request.into_parts();
+    let has_chunks = parts.version >= Version::HTTP_11;
     let body = match read_body(body, &context.options).await {
         Ok(body) => body,
         Err(refusal) => return Ok(close_after(refuse(&refusal, guard))),
@@ -56,10 +57,13 @@
     let options = Arc::clone(&context.options);
     let exchange = Exchange::new(&parts, body, context.peer, reply, guard, options);
     let handler = Arc::clone(&context.handler);
-    if context.pool.submit(Box::new(move || handler(exchange))).is_err() {
-        return Ok(refuse(&busy(), context.counter.begin()));
+    let response = match context.pool.submit(Box::new(move || handler(exchange))) {
+        Ok(()) => outcome.await.map_err(|_closed| Dropped)?,
+        Err(Full) => refuse(&busy(), context.counter.begin()),
+    };
+    if !has_chunks && response.body().size_hint().exact().is_none() {
+        context.counter.set_unframed();
     }
-    let response = outcome.await.map_err(|_closed| Dropped)?;
     if *context.phase.borrow() >= Phase::NoKeepAlive {
         return Ok(close_after(response));
     }
--- a/crates/carob-http/tests/listener.rs
+++ b/crates/carob-http/tests/listener.rs
@@ -1,7 +1,7 @@
 //! The callers' listener, over sockets: limits, timeouts, streamed responses and shutdown.
 
 use std::{
-    io::{Read as _, Write as _},
+    io::{ErrorKind, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
     sync::mpsc,
     time::Duration,
@@ -207,6 +207,26 @@
     assert_eq!(listener.close(LONG), 0);
 }
 
+/// A truncated response without framing ended like a whole one.
+#[test]
+fn dropped_writer_is_no_clean_end_for_http_1_0() {
+    let handler = |exchange: Exchange| {
+        let mut writer = exchange.stream(200, &Headers::new());
+        writer.send(Bytes::from("part")).expect("the caller reads");
+    };
+    let listener = bind(|_| {}, handler);
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    stream
+        .write_all(b"GET / HTTP/1.0\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    let mut seen = Vec::new();
+    let end = stream.read_to_end(&mut seen).map_err(|error| error.kind());
+    let text = String::from_utf8_lossy(&seen);
+    assert_eq!(end, Err(ErrorKind::ConnectionReset), "{text}");
+    assert_eq!(listener.close(LONG), 0);
+}
+
 #[test]
 fn panicking_handler_aborts_one_request_only() {
     let handler = |exchange: Exchange| {
@@ -331,6 +351,58 @@
     drain.join().expect("drained");
 }
 
+/// A caller that was refused for lack of workers kept its connection to a listener that was about to close.
+#[test]
+fn refusal_closes_its_connection_while_keep_alive_is_disabled() {
+    let (release, wait) = flume::bounded::<()>(0);
+    let handler = move |exchange: Exchange| {
+        let _released = wait.recv();
+        exchange.respond(200, &Headers::new(), "late");
+    };
+    let listener = bind(|options| options.max_requests = 1, handler);
+    let first = client::start(&Request::get(listener.local_addr(), "/"));
+    while listener.open_requests() == 0 {
+        std::thread::yield_now();
+    }
+    listener.disable_keep_alive();
+    let text = send_raw(listener.local_addr(), b"GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    assert_refused(&text, 503, "overloaded");
+    assert!(text.contains("connection: close\r\n"), "{text}");
+    drop(release);
+    first.wait(LONG).expect("in time").expect("a response").close();
+    listener.drain();
+}
+
+/// A kept connection was closed without an answer in the middle of a head that arrived slowly.
+#[test]
+fn drain_answers_a_head_that_has_begun_to_arrive() {
+    let listener = bind(|_| {}, echo);
+    let mut stream = TcpStream::connect(listener.local_addr()).expect("the listener accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a valid timeout");
+    stream
+        .write_all(b"GET /first HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("the listener reads");
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the listener answers");
+        seen.push(byte[0]);
+    }
+    stream
+        .write_all(b"GET /second HTTP/1.1\r\nho")
+        .expect("the listener reads");
+    let drain = std::thread::spawn(move || listener.drain());
+    // Longer than a draining connection waits for a request.
+    std::thread::sleep(Duration::from_millis(600));
+    stream.write_all(b"st: x\r\n\r\n").expect("the listener reads");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the listener closes");
+    assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{text:?}");
+    assert!(text.contains("x-path: /second\r\n"), "{text:?}");
+    assert!(text.contains("connection: close\r\n"), "{text:?}");
+    drain.join().expect("drained");
+}
+
 /// A drain ended while a handler still worked on the request of a caller that had disconnected.
 #[test]
 fn drain_waits_for_handlers_without_callers() {
