test: a model of the shutdown, in virtual time

Connections, requests whose duration is independent of their deadline and of their longest permitted answer, signals, changes of the settings and time, in any order. The oracle states what holds in terms of the signal, the notice and the grace.

--- /dev/null
+++ b/crates/carob-shutdown/tests/model/main.rs
@@ -0,0 +1,100 @@
+//! Model test of the shutdown of an instance, in virtual time: connections, requests, upstreams that take any
+//! time, signals and changes of the settings, in any order.
+//!
+//! `CAROB_MODEL_CASES` and `CAROB_MODEL_SEED` set the number of cases and the seed of a long run; with
+//! `--nocapture` the counts are printed.
+
+mod instance;
+mod oracle;
+mod steps;
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+use instance::{Instance, Limits};
+use oracle::Oracle;
+use steps::Step;
+
+/// Seed of the run in CI.
+const SEED: u64 = 20_261_204;
+/// Cases of the run in CI, of 30 steps on average.
+const CASES: u32 = 400;
+
+/// The reference holds the limits of the case; the oracle checks what the instance does.
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = Limits;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Limits> {
+        steps::limits().boxed()
+    }
+
+    fn transitions(_: &Limits) -> BoxedStrategy<Step> {
+        steps::step().boxed()
+    }
+
+    fn apply(state: Limits, _: &Step) -> Limits {
+        state
+    }
+}
+
+/// Runs the steps on an instance, and checks after each of them.
+struct Model;
+
+impl StateMachineTest for Model {
+    type SystemUnderTest = (Instance, Oracle);
+    type Reference = Reference;
+
+    fn init_test(ref_state: &Limits) -> (Instance, Oracle) {
+        (Instance::new(*ref_state), Oracle::default())
+    }
+
+    fn apply(
+        (mut instance, mut oracle): Self::SystemUnderTest,
+        _: &Limits,
+        transition: Step,
+    ) -> Self::SystemUnderTest {
+        transition.apply(&mut instance, &mut |now| oracle.check(now));
+        (instance, oracle)
+    }
+
+    fn teardown((mut instance, mut oracle): Self::SystemUnderTest, _: Limits) {
+        Step::Signal.apply(&mut instance, &mut |now| oracle.check(now));
+        Step::Pass(steps::FOREVER).apply(&mut instance, &mut |now| oracle.check(now));
+        oracle.count(&instance);
+    }
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    let text = std::env::var(variable).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Runs the cases on instances with the limits that `change` makes of the generated ones.
+fn run(change: fn(Limits) -> Limits) {
+    let config = Config {
+        cases: number("CAROB_MODEL_CASES", CASES.into()) as u32,
+        rng_seed: RngSeed::Fixed(number("CAROB_MODEL_SEED", SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let strategy = Reference::sequential_strategy(10..50);
+    let run = TestRunner::new(config.clone()).run(&strategy, |(limits, steps, seen)| {
+        Model::test_sequential(config.clone(), change(limits), steps, seen);
+        Ok(())
+    });
+    oracle::print_counts();
+    if let Err(error) = run {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn a_request_is_lost_in_a_shutdown_or_the_exit_is_early_or_late() {
+    run(|limits| limits);
+}
