test: a long plain response is cut off at the end of the notice (fails)

What callers see: a plain response of more than 256 KiB that is still being passed on when the notice is over ends in the middle, long before the last sixth of the grace.

Cause: run_attempts drops its guard of the active request when it returns the response's head. The rest of a long response is passed on by a task without a guard, so the instance counts no open request and exits.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,10 +2,16 @@
 
 mod fleet;
 
-use std::{thread, time::Duration};
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener},
+    thread,
+    time::{Duration, Instant},
+};
 
 use carob_platform_standin::client;
-use fleet::{Fleet, generation_request, request};
+use fleet::{Fleet, LONG, generation_request, request};
+use serde_json::json;
 
 /// Interval between two events of a generation.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -27,7 +33,7 @@
     });
     let first = request("r1", "GET", "/read/1");
     let mut kept = client::open(fleet.gateways[0].caller_address, &first).expect("the gateway listens");
-    let answer = client::read(&mut kept, std::time::Instant::now() + first.timeout);
+    let answer = client::read(&mut kept, Instant::now() + first.timeout);
     assert_eq!((answer.status, answer.complete), (200, true));
     let _keeps_running = fleet.start_generation(0, "d0");
     fleet.gateways[0].signal("TERM");
@@ -44,3 +50,63 @@
     let status = fleet.gateways[0].child.wait().expect("it ends");
     assert!(status.success(), "{status}");
 }
+
+/// Size of a response that is passed on while it arrives.
+const LONG_RESPONSE: usize = 600_000;
+
+/// Starts an upstream that sends half of a response of [`LONG_RESPONSE`] bytes, and the rest after `pause`.
+fn start_slow_sender(pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut head = [0; 4_096];
+            let length = stream.read(&mut head).unwrap_or(0);
+            let text = String::from_utf8_lossy(&head[..length]).to_lowercase();
+            let id = text.lines().find_map(|line| line.strip_prefix("request-id: "));
+            let Some(id) = id else {
+                continue;
+            };
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: {LONG_RESPONSE}\r\n\r\n"
+            );
+            let half = vec![b'x'; LONG_RESPONSE / 2];
+            let _sent = stream.write_all(&[answer.as_bytes(), &half].concat());
+            thread::sleep(pause);
+            let _sent = stream.write_all(&half);
+        }
+    });
+    address
+}
+
+/// A plain response that is passed on while it arrives is not counted as an open request.
+#[test]
+fn a_long_plain_response_is_cut_off_when_the_notice_is_over() {
+    let mut fleet = Fleet::start(1);
+    let address = start_slow_sender(Duration::from_secs(4));
+    fleet.store.put(
+        "servers/p1",
+        &json!({
+            "Service": "plain", "Address": address.to_string(), "Zone": "a", "Version": "v1", "Slots": 24,
+            "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1,
+        }),
+    );
+    fleet.configure();
+    let mut client = client::open(
+        fleet.gateways[0].caller_address,
+        &request("o1", "POST", "/order/1"),
+    )
+    .expect("the gateway listens");
+    let mut first = [0; 1];
+    client.peek(&mut first).expect("the response has begun");
+    fleet.gateways[0].signal("TERM");
+    let outcome = client::read(&mut client, Instant::now() + LONG);
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+    assert!(
+        outcome.complete,
+        "status {}, {} of {LONG_RESPONSE} bytes",
+        outcome.status,
+        outcome.body.len()
+    );
+}
