test: a request in the queue is cut off at the exit (fails)

What callers see: a request that was read and never sent to an upstream ends without an answer when the process exits. It happens where a request may wait in the queue until the exit: a target latency of 13 s or more with a grace of 8 s, less with a shorter grace.

Cause: a queued request is judged at the signal, when its longest answer counts, and again only when it gets its place. From the end of the notice on it could not be accepted any more, but it goes on waiting. The model shows the same.

--- a/crates/carob-shutdown/tests/model/main.rs
+++ b/crates/carob-shutdown/tests/model/main.rs
@@ -98,3 +98,12 @@
 fn a_request_is_lost_in_a_shutdown_or_the_exit_is_early_or_late() {
     run(|limits| limits);
 }
+
+/// A request that was read has to be answered unless an upstream works on it.
+#[test]
+fn a_request_in_the_queue_is_unanswered_at_the_exit() {
+    run(|limits| Limits {
+        answers_queued: true,
+        ..limits
+    });
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -9,8 +9,8 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::client;
-use fleet::{Fleet, LONG, generation_request, request};
+use carob_platform_standin::{client, config};
+use fleet::{CLIENT_KEY, Fleet, LONG, ROUTES, generation_request, request, wait_until};
 use serde_json::json;
 
 /// Interval between two events of a generation.
@@ -110,3 +110,31 @@
         outcome.body.len()
     );
 }
+
+/// A request that was read and never sent to an upstream ends without an answer.
+#[test]
+fn a_request_in_the_queue_when_sigterm_comes_is_cut_off_at_the_exit() {
+    let fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 1_000, EVENT_INTERVAL);
+    let _plain = fleet.start_plain("p1", Duration::from_millis(5));
+    let routes = ROUTES.map(|route| route.with_timeout(LONG.as_millis() as u64));
+    let mut patient = config::config(1, &routes, &[CLIENT_KEY]);
+    patient["Routes"][0]["TargetLatencyMs"] = json!(15_000);
+    fleet.store.put(config::KEY, &patient);
+    fleet.wait_ready();
+    let address = fleet.gateways[0].caller_address;
+    let large = |id| generation_request(id).with_usage(33_000, 100);
+    let _running = client::open(address, &large("d0")).expect("the gateway listens");
+    wait_until("the generation runs", || fleet.ledger.run_count("d0") == 1);
+    fleet.gateways[0].write_settings(&[], "5s");
+    fleet.gateways[0].signal("HUP");
+    wait_until("the grace is in force", || {
+        fleet.gateways[0].logged("settings reloaded")
+    });
+    let mut queued = client::open(address, &large("d1")).expect("the gateway listens");
+    thread::sleep(Duration::from_millis(200));
+    fleet.gateways[0].signal("TERM");
+    let outcome = client::read(&mut queued, Instant::now() + LONG);
+    let runs = fleet.ledger.run_count("d1");
+    assert_eq!((outcome.status, runs), (503, 0));
+}
