test: a final answer at a deadline just before the exit comes too late (fails)

What callers see: a request accepted after the notice ends without an answer if its deadline is a moment before the exit.

Cause: a request is accepted if its deadline is before the exit, by however little. Timers have a resolution of 1 ms and are late when the process gets no processor time; then the deadline and the exit are due in the same turn of the event loop, and the exit goes first.

The test stops the gateway for the 10 ms before the exit.

--- a/crates/carob-shutdown/tests/model/main.rs
+++ b/crates/carob-shutdown/tests/model/main.rs
@@ -8,6 +8,8 @@
 mod oracle;
 mod steps;
 
+use std::time::Duration;
+
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed, TestRunner},
@@ -22,6 +24,8 @@
 const SEED: u64 = 20_261_204;
 /// Cases of the run in CI, of 30 steps on average.
 const CASES: u32 = 400;
+/// Resolution of the timers of the runtime.
+const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
 
 /// The reference holds the limits of the case; the oracle checks what the instance does.
 struct Reference;
@@ -107,3 +111,12 @@
         ..limits
     });
 }
+
+/// The deadline of a request and the exit may be a microsecond apart, and timers have a resolution of 1 ms.
+#[test]
+fn a_final_answer_a_millisecond_after_its_deadline_is_too_late_for_the_exit() {
+    run(|limits| Limits {
+        lag: TIMER_RESOLUTION,
+        ..limits
+    });
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -3,13 +3,14 @@
 mod fleet;
 
 use std::{
+    collections::BTreeMap,
     io::{Read as _, Write as _},
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::{client, config};
+use carob_platform_standin::{AnswerMode, client, config};
 use fleet::{CLIENT_KEY, Fleet, LONG, ROUTES, generation_request, request, wait_until};
 use serde_json::json;
 
@@ -138,3 +139,62 @@
     let runs = fleet.ledger.run_count("d1");
     assert_eq!((outcome.status, runs), (503, 0));
 }
+
+/// Number of requests whose deadlines are a millisecond apart; the latest is after the exit.
+const REQUESTS: u32 = 100;
+
+/// How long before the exit the gateway gets no processor time.
+const STALL: Duration = Duration::from_millis(10);
+
+/// Time from the signal to the exit with a grace of 4 s.
+const EXIT: Duration = Duration::from_millis(3_600);
+
+/// The final answer of a request whose deadline is just before the exit comes too late, if timers are.
+#[test]
+fn a_deadline_a_moment_before_the_exit_is_accepted_and_not_answered() {
+    let fleet = Fleet::start(1);
+    let plain = fleet.start_plain("p1", Duration::from_millis(5));
+    fleet.configure();
+    plain.set_answer_mode(AnswerMode::Silence);
+    let gateway = &fleet.gateways[0];
+    gateway.write_settings(&[], "4s");
+    gateway.signal("HUP");
+    wait_until("the grace is in force", || gateway.logged("settings reloaded"));
+    let address = gateway.caller_address;
+    let mut clients: Vec<TcpStream> = (0..REQUESTS)
+        .map(|_| TcpStream::connect(address).expect("the gateway listens"))
+        .collect();
+    gateway.signal("TERM");
+    let signalled = Instant::now();
+    // The last bytes of the bodies arrive after the notice, when only the deadline counts.
+    for (number, client) in (0..REQUESTS).zip(&mut clients) {
+        let deadline = signalled + (EXIT + STALL).saturating_sub(Duration::from_millis(1) * number);
+        let head = format!(
+            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: o{number}\r\nDeadline-Ms: {}\r\n\
+             X-Api-Key: {CLIENT_KEY}\r\nContent-Length: 2\r\n\r\n{{",
+            deadline.saturating_duration_since(Instant::now()).as_millis()
+        );
+        client.write_all(head.as_bytes()).expect("the connection is open");
+    }
+    let wait_for = |time: Instant| thread::sleep(time.saturating_duration_since(Instant::now()));
+    wait_for(signalled + Duration::from_millis(2_800));
+    for client in &mut clients {
+        client.write_all(b"}").expect("the request is not answered yet");
+    }
+    wait_for(signalled + EXIT.saturating_sub(STALL));
+    gateway.signal("STOP");
+    wait_for(signalled + EXIT + STALL);
+    gateway.signal("CONT");
+    let statuses = clients
+        .iter_mut()
+        .map(|client| client::read(client, Instant::now() + LONG).status);
+    let mut counts = BTreeMap::new();
+    for status in statuses {
+        *counts.entry(status).or_insert(0) += 1;
+    }
+    assert!(
+        counts.contains_key(&503) && counts.contains_key(&504),
+        "none around the exit: {counts:?}"
+    );
+    assert!(!counts.contains_key(&0), "ended without an answer: {counts:?}");
+}
