--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,10 +2,17 @@
 
 mod fleet;
 
-use std::{thread, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
 
-use carob_platform_standin::client;
-use fleet::{Fleet, generation_request, request};
+use carob_platform_standin::{AnswerMode, client, config};
+use fleet::{CLIENT_KEY, Fleet, LONG, ROUTES, generation_request, request, wait_until};
+use serde_json::json;
 
 /// Interval between two events of a generation.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -27,7 +34,7 @@
     });
     let first = request("r1", "GET", "/read/1");
     let mut kept = client::open(fleet.gateways[0].caller_address, &first).expect("the gateway listens");
-    let answer = client::read(&mut kept, std::time::Instant::now() + first.timeout);
+    let answer = client::read(&mut kept, Instant::now() + first.timeout);
     assert_eq!((answer.status, answer.complete), (200, true));
     let _keeps_running = fleet.start_generation(0, "d0");
     fleet.gateways[0].signal("TERM");
@@ -44,3 +51,150 @@
     let status = fleet.gateways[0].child.wait().expect("it ends");
     assert!(status.success(), "{status}");
 }
+
+/// Size of a response that is passed on while it arrives.
+const LONG_RESPONSE: usize = 600_000;
+
+/// Starts an upstream that sends half of a response of [`LONG_RESPONSE`] bytes, and the rest after `pause`.
+fn start_slow_sender(pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut head = [0; 4_096];
+            let length = stream.read(&mut head).unwrap_or(0);
+            let text = String::from_utf8_lossy(&head[..length]).to_lowercase();
+            let id = text.lines().find_map(|line| line.strip_prefix("request-id: "));
+            let Some(id) = id else {
+                continue;
+            };
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: {LONG_RESPONSE}\r\n\r\n"
+            );
+            let half = vec![b'x'; LONG_RESPONSE / 2];
+            let _sent = stream.write_all(&[answer.as_bytes(), &half].concat());
+            thread::sleep(pause);
+            let _sent = stream.write_all(&half);
+        }
+    });
+    address
+}
+
+/// A plain response that is passed on while it arrives is not counted as an open request.
+#[test]
+fn a_long_plain_response_is_cut_off_when_the_notice_is_over() {
+    let mut fleet = Fleet::start(1);
+    let address = start_slow_sender(Duration::from_secs(4));
+    fleet.store.put(
+        "servers/p1",
+        &json!({
+            "Service": "plain", "Address": address.to_string(), "Zone": "a", "Version": "v1", "Slots": 24,
+            "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1,
+        }),
+    );
+    fleet.configure();
+    let mut client = client::open(
+        fleet.gateways[0].caller_address,
+        &request("o1", "POST", "/order/1"),
+    )
+    .expect("the gateway listens");
+    let mut first = [0; 1];
+    client.peek(&mut first).expect("the response has begun");
+    fleet.gateways[0].signal("TERM");
+    let outcome = client::read(&mut client, Instant::now() + LONG);
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+    assert!(
+        outcome.complete,
+        "status {}, {} of {LONG_RESPONSE} bytes",
+        outcome.status,
+        outcome.body.len()
+    );
+}
+
+/// A request that was read and never sent to an upstream ends without an answer.
+#[test]
+fn a_request_in_the_queue_when_sigterm_comes_is_cut_off_at_the_exit() {
+    let fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 1_000, EVENT_INTERVAL);
+    let _plain = fleet.start_plain("p1", Duration::from_millis(5));
+    let routes = ROUTES.map(|route| route.with_timeout(LONG.as_millis() as u64));
+    let mut patient = config::config(1, &routes, &[CLIENT_KEY]);
+    patient["Routes"][0]["TargetLatencyMs"] = json!(15_000);
+    fleet.store.put(config::KEY, &patient);
+    fleet.wait_ready();
+    let address = fleet.gateways[0].caller_address;
+    let large = |id| generation_request(id).with_usage(33_000, 100);
+    let _running = client::open(address, &large("d0")).expect("the gateway listens");
+    wait_until("the generation runs", || fleet.ledger.run_count("d0") == 1);
+    fleet.gateways[0].write_settings(&[], "5s");
+    fleet.gateways[0].signal("HUP");
+    wait_until("the grace is in force", || {
+        fleet.gateways[0].logged("settings reloaded")
+    });
+    let mut queued = client::open(address, &large("d1")).expect("the gateway listens");
+    thread::sleep(Duration::from_millis(200));
+    fleet.gateways[0].signal("TERM");
+    let outcome = client::read(&mut queued, Instant::now() + LONG);
+    let runs = fleet.ledger.run_count("d1");
+    assert_eq!((outcome.status, runs), (503, 0));
+}
+
+/// Number of requests whose deadlines are a millisecond apart; the latest is after the exit.
+const REQUESTS: u32 = 100;
+
+/// How long before the exit the gateway gets no processor time.
+const STALL: Duration = Duration::from_millis(10);
+
+/// Time from the signal to the exit with a grace of 4 s.
+const EXIT: Duration = Duration::from_millis(3_600);
+
+/// The final answer of a request whose deadline is just before the exit comes too late, if timers are.
+#[test]
+fn a_deadline_a_moment_before_the_exit_is_accepted_and_not_answered() {
+    let fleet = Fleet::start(1);
+    let plain = fleet.start_plain("p1", Duration::from_millis(5));
+    fleet.configure();
+    plain.set_answer_mode(AnswerMode::Silence);
+    let gateway = &fleet.gateways[0];
+    gateway.write_settings(&[], "4s");
+    gateway.signal("HUP");
+    wait_until("the grace is in force", || gateway.logged("settings reloaded"));
+    let address = gateway.caller_address;
+    let mut clients: Vec<TcpStream> = (0..REQUESTS)
+        .map(|_| TcpStream::connect(address).expect("the gateway listens"))
+        .collect();
+    gateway.signal("TERM");
+    let signalled = Instant::now();
+    // The last bytes of the bodies arrive after the notice, when only the deadline counts.
+    for (number, client) in (0..REQUESTS).zip(&mut clients) {
+        let deadline = signalled + (EXIT + STALL).saturating_sub(Duration::from_millis(1) * number);
+        let head = format!(
+            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: o{number}\r\nDeadline-Ms: {}\r\n\
+             X-Api-Key: {CLIENT_KEY}\r\nContent-Length: 2\r\n\r\n{{",
+            deadline.saturating_duration_since(Instant::now()).as_millis()
+        );
+        client.write_all(head.as_bytes()).expect("the connection is open");
+    }
+    let wait_for = |time: Instant| thread::sleep(time.saturating_duration_since(Instant::now()));
+    wait_for(signalled + Duration::from_millis(2_800));
+    for client in &mut clients {
+        client.write_all(b"}").expect("the request is not answered yet");
+    }
+    wait_for(signalled + EXIT.saturating_sub(STALL));
+    gateway.signal("STOP");
+    wait_for(signalled + EXIT + STALL);
+    gateway.signal("CONT");
+    let statuses = clients
+        .iter_mut()
+        .map(|client| client::read(client, Instant::now() + LONG).status);
+    let mut counts = BTreeMap::new();
+    for status in statuses {
+        *counts.entry(status).or_insert(0) += 1;
+    }
+    assert!(
+        counts.contains_key(&503) && counts.contains_key(&504),
+        "none around the exit: {counts:?}"
+    );
+    assert!(!counts.contains_key(&0), "ended without an answer: {counts:?}");
+}
