test: a place granted to a client that leaves is never free again (fails)

What callers see: requests are refused because no upstream has room, though one has.

Cause: a place is granted to a queued request through a channel. If the client disconnects before its task takes the place, the channel is dropped with the place inside, and nothing ends the run in the fleet. That happens when a client process ends that has a running and a queued request: both connections end in the same turn of the event loop. It does not need a shutdown.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -338,3 +338,33 @@
         assert_eq!(fleet.ledger.run_count(&id), 1);
     }
 }
+
+/// Two clients leave at the same time: one whose request runs, and one whose request is granted its place.
+#[test]
+fn a_place_granted_to_a_client_that_leaves_is_never_free_again() {
+    let fleet = Fleet::start(1);
+    let engine = fleet.start_engine("e1", 5, SHORT);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    wait_until("the gateway knows the engine", || {
+        fleet.send(0, &generation_request("warm")).status == 200
+    });
+    let gateway = &fleet.gateways[0];
+    // Two of them do not fit on the engine.
+    let large = |id| generation_request(id).with_usage(33_000, 100);
+    engine.set_answer_mode(AnswerMode::Silence);
+    let runs = client::open(gateway.caller_address, &large("d0")).expect("the gateway listens");
+    wait_until("the generation runs", || fleet.ledger.run_count("d0") == 1);
+    let queued = client::open(gateway.caller_address, &large("d1")).expect("the gateway listens");
+    thread::sleep(Duration::from_millis(200));
+    // The gateway notices both ends in the same turn of its event loop.
+    gateway.signal("STOP");
+    drop(runs);
+    drop(queued);
+    gateway.signal("CONT");
+    engine.set_answer_mode(AnswerMode::Normal);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(fleet.ledger.run_count("d1"), 0);
+    let next = fleet.send(0, &large("d2"));
+    assert_eq!((next.status, next.complete), (200, true));
+}
