fix: a request in the queue is cut off at the exit

What callers saw: a request that was read and never sent to an upstream ended without an answer when the process exited. It needs a route whose requests may wait in the queue until then: a target latency of 13 s or more with a grace of 8 s. On routes with less, such a request was held for up to about a second after it had become hopeless.

Cause: a queued request was judged at the signal, when its longest answer counts, and again only when it got its place.

Fix: it is judged again when its longest answer no longer ends in time, at the latest at the end of the notice, and refused then.

--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -471,10 +471,15 @@
     }
 }
 
-/// Waits for the signal to shut down and returns the refusal of a request that could be cut off by the
-/// shutdown; never returns for others.
+/// Judges a queued request at the signal to shut down, and again when its longest answer counts no more.
+/// Returns the refusal if the shutdown could cut it off, and never returns otherwise.
 async fn refused_by_shutdown(call: &Call, active: &ActiveRequest) -> Refusal {
-    let _begun = call.shared.wait_shutdown().await;
+    let shutdown = call.shared.wait_shutdown().await;
+    if let Err(refusal) = check_shutdown(call, active) {
+        return refusal;
+    }
+    let recheck = shutdown.recheck(call.longest_duration());
+    tokio::time::sleep(recheck.since(call.shared.now())).await;
     match check_shutdown(call, active) {
         Err(refusal) => refusal,
         Ok(()) => std::future::pending().await,
--- a/crates/carob-shutdown/src/lib.rs
+++ b/crates/carob-shutdown/src/lib.rs
@@ -134,6 +134,12 @@
         needed < self.left(now)
     }
 
+    /// When a queued request whose longest answer takes `longest` is to be judged again: from then on its
+    /// longest answer does not end in time, or does not count any more.
+    pub fn recheck(self, longest: Duration) -> Time {
+        self.closes.min(self.exit - longest)
+    }
+
     /// Whether the process may exit at `now`, with `open` connections and requests that are not finished.
     pub fn may_exit(self, now: Time, open: usize) -> bool {
         match self.stage(now) {
--- a/crates/carob-shutdown/tests/model/instance.rs
+++ b/crates/carob-shutdown/tests/model/instance.rs
@@ -208,7 +208,7 @@
     pub fn next_event(&self) -> Time {
         let requests = self.requests.iter().map(|request| match request.phase {
             Phase::Body(until) => until.min(request.deadline + self.limits.lag),
-            Phase::Queue { granted, gives_up } => granted.min(gives_up),
+            Phase::Queue { granted, gives_up } => granted.min(gives_up).min(self.recheck(request)),
             Phase::Sent { ends, .. } => ends.min(request.deadline + self.limits.lag),
             Phase::Flush(until) => until,
             Phase::Answered => Time::NEVER,
@@ -287,6 +287,9 @@
                         self.refuse_or_unclear(index, Answer::Refused);
                     }
                 }
+                Phase::Queue { .. } if self.is_hopeless(request) => {
+                    self.refuse_or_unclear(index, Answer::Refused);
+                }
                 Phase::Queue { gives_up, .. } if gives_up <= self.now => {
                     self.refuse_or_unclear(index, Answer::NotRun);
                 }
@@ -308,6 +311,19 @@
         false
     }
 
+    /// When a queued request is judged again, if that is still to come.
+    fn recheck(&self, request: &Request) -> Time {
+        let time = self
+            .shutdown
+            .map_or(Time::NEVER, |shutdown| shutdown.recheck(request.plan.longest));
+        if time > self.now { time } else { Time::NEVER }
+    }
+
+    fn is_hopeless(&self, request: &Request) -> bool {
+        let hopeless = |shutdown: Shutdown| !shutdown.admits(self.now, request.bounds(self.now));
+        self.shutdown.is_some_and(hopeless)
+    }
+
     /// Asks whether the request may be sent now.
     fn admits(&mut self, index: usize) -> bool {
         let Some(shutdown) = self.shutdown else {
