--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -141,7 +141,7 @@
 }
 
 /// Number of requests whose deadlines are a millisecond apart; the latest is after the exit.
-const REQUESTS: u32 = 100;
+const REQUESTS: u32 = 400;
 
 /// How long before the exit the gateway gets no processor time.
 const STALL: Duration = Duration::from_millis(10);
