fix: a deadline a moment before the exit is accepted and not answered

What callers saw: a request that was accepted after the notice, because its deadline was before the exit, ended without an answer.

Cause: it was accepted if its deadline was before the exit by however little. Timers have a resolution of 1 ms, and are late when the process gets no processor time; then the deadline and the exit are due in the same turn of the event loop.

Fix: the deadline has to be 100 ms before the exit.

--- a/crates/carob-shutdown/src/lib.rs
+++ b/crates/carob-shutdown/src/lib.rs
@@ -22,6 +22,10 @@
 /// short grace leaves enough time for.
 const MAX_MARGIN_SHARE: u32 = 8;
 
+/// Least time from a request's deadline to the exit: timers may be late, and the final answer at the deadline
+/// has to leave the process.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 carob_base::plain! {
     /// Times that apply to a shutdown.
     pub struct Options {
@@ -131,13 +135,13 @@
             Stage::Drain => bounds.deadline,
             Stage::Over => return false,
         };
-        needed < self.left(now)
+        needed + ANSWER_MARGIN < self.left(now)
     }
 
     /// When a queued request whose longest answer takes `longest` is to be judged again: from then on its
     /// longest answer does not end in time, or does not count any more.
     pub fn recheck(self, longest: Duration) -> Time {
-        self.closes.min(self.exit - longest)
+        self.closes.min(self.exit - longest - ANSWER_MARGIN)
     }
 
     /// Whether the process may exit at `now`, with `open` connections and requests that are not finished.
