test: most HTTP/1.0 streams look whole when the exit cuts many off (fails)

The exit resets such connections in the tasks that serve them, and lets the tasks run once. One turn of the event loop polls only some of many tasks, and the others are dropped with the runtime, which closes their sockets in the usual way.

--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -410,3 +410,34 @@
         answer.len()
     );
 }
+
+/// The exit cuts off more connections than one turn of the event loop gets to.
+#[test]
+fn many_streams_without_chunks_that_are_cut_off_together_do_not_look_whole() {
+    const ENGINES: usize = 8;
+    const CLIENTS: usize = 150;
+    let fleet = Fleet::start(1);
+    let _engines: Vec<_> = (0..ENGINES)
+        .map(|number| fleet.start_engine(&format!("e{number}"), 1_000, SHORT))
+        .collect();
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "2s");
+    let mut clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let generation = generation_request(&format!("d{number}"))
+                .with_usage(100, 100)
+                .with_http_1_0();
+            client::open(fleet.gateways[0].caller_address, &generation).expect("the gateway listens")
+        })
+        .collect();
+    wait_until("the generations run", || fleet.ledger.started().len() == CLIENTS);
+    fleet.gateways[0].signal("TERM");
+    let resets = clients
+        .iter_mut()
+        .filter_map(|client| {
+            client.set_read_timeout(Some(LONG)).expect("a timeout can be set");
+            client.read_to_end(&mut Vec::new()).err()
+        })
+        .count();
+    assert_eq!(resets, CLIENTS);
+}
