test: half a request head holds a gateway that shuts down up to its exit (fails)

The exit waits for the client connections. One on which a client has sent only a part of its first request head is not closed as idle, and `HeaderTimeoutMs` of the configuration is not applied, so that a client that has stopped keeps the process until the grace is over. Nothing is lost, but each such instance takes the whole grace.

--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -411,6 +411,26 @@
     );
 }
 
+/// A client that stops in the middle of a request head has no request that the process has to wait for.
+#[test]
+fn a_client_that_never_finishes_its_request_head_does_not_hold_the_process_up() {
+    let mut fleet = Fleet::start(1);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "60s");
+    let mut client = TcpStream::connect(fleet.gateways[0].caller_address).expect("the gateway listens");
+    client
+        .write_all(b"GET /read/1 HTTP/1.1\r\nHost: shop")
+        .expect("the connection is open");
+    // An answer on a later connection tells that the gateway has read what came before.
+    assert_eq!(fleet.send(0, &request("r1", "GET", "/read/1")).status, 200);
+    fleet.gateways[0].signal("TERM");
+    let child = std::cell::RefCell::new(&mut fleet.gateways[0].child);
+    wait_until("the process ends well before its grace", || {
+        child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_some())
+    });
+}
+
 /// The exit cuts off more connections than one turn of the event loop gets to.
 #[test]
 fn many_streams_without_chunks_that_are_cut_off_together_do_not_look_whole() {
