--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -410,3 +410,54 @@
         answer.len()
     );
 }
+
+/// A client that stops in the middle of a request head has no request that the process has to wait for.
+#[test]
+fn a_client_that_never_finishes_its_request_head_does_not_hold_the_process_up() {
+    let mut fleet = Fleet::start(1);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "60s");
+    let mut client = TcpStream::connect(fleet.gateways[0].caller_address).expect("the gateway listens");
+    client
+        .write_all(b"GET /read/1 HTTP/1.1\r\nHost: shop")
+        .expect("the connection is open");
+    // An answer on a later connection tells that the gateway has read what came before.
+    assert_eq!(fleet.send(0, &request("r1", "GET", "/read/1")).status, 200);
+    fleet.gateways[0].signal("TERM");
+    let child = std::cell::RefCell::new(&mut fleet.gateways[0].child);
+    wait_until("the process ends well before its grace", || {
+        child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_some())
+    });
+}
+
+/// The exit cuts off more connections than one turn of the event loop gets to.
+#[test]
+fn many_streams_without_chunks_that_are_cut_off_together_do_not_look_whole() {
+    const ENGINES: usize = 8;
+    const CLIENTS: usize = 150;
+    let fleet = Fleet::start(1);
+    let _engines: Vec<_> = (0..ENGINES)
+        .map(|number| fleet.start_engine(&format!("e{number}"), 1_000, SHORT))
+        .collect();
+    fleet.configure();
+    set_grace(&fleet.gateways[0], "2s");
+    let mut clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let generation = generation_request(&format!("d{number}"))
+                .with_usage(100, 100)
+                .with_http_1_0();
+            client::open(fleet.gateways[0].caller_address, &generation).expect("the gateway listens")
+        })
+        .collect();
+    wait_until("the generations run", || fleet.ledger.started().len() == CLIENTS);
+    fleet.gateways[0].signal("TERM");
+    let resets = clients
+        .iter_mut()
+        .filter_map(|client| {
+            client.set_read_timeout(Some(LONG)).expect("a timeout can be set");
+            client.read_to_end(&mut Vec::new()).err()
+        })
+        .count();
+    assert_eq!(resets, CLIENTS);
+}
