fix: a place granted to a client that leaves is never free again

What callers saw: 503 "all upstreams stayed full" while the upstream was idle, for as long as the instance lived.

Cause: the grant of a queued request goes through a channel. If the client's connection ends in the same turn of the event loop, the request is dropped with the grant unread, and its run never ends in the instance's books and in the load that it sends to its peers. Found with the model of the shutdown; it needs no shutdown.

Fix: the queue entry owns the channel, and a grant that is in it when the entry is dropped is given back.

--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -321,12 +321,11 @@
         priority: call.priority,
         queued_at: now,
     });
-    let entry = QueueEntry::new(shared, key);
-    let grant = shared.register_waiter(key);
+    let mut entry = QueueEntry::new(shared, key);
     shared.grant_waiting();
     let outcome = tokio::select! {
         biased;
-        outcome = timeout_at(queue_deadline, grant) => outcome,
+        outcome = timeout_at(queue_deadline, &mut entry.grant) => outcome,
         refusal = refused_by_shutdown(call, active) => return Err(refusal),
     };
     drop(entry);
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -6,7 +6,9 @@
 use carob_base::Time;
 use carob_dispatch::fleet::{RequestSize, RunKey, UpstreamKey, WaitKey};
 
-use super::shared::Shared;
+use tokio::sync::oneshot;
+
+use super::shared::{Grant, Shared};
 
 slotmap::new_key_type! {
     /// Key of a request that is being handled.
@@ -114,6 +116,7 @@
 pub(super) struct QueueEntry {
     shared: Rc<Shared>,
     key: WaitKey,
+    pub(super) grant: oneshot::Receiver<Grant>,
 }
 
 impl QueueEntry {
@@ -121,6 +124,7 @@
         Self {
             shared: Rc::clone(shared),
             key,
+            grant: shared.register_waiter(key),
         }
     }
 }
@@ -128,5 +132,11 @@
 impl Drop for QueueEntry {
     fn drop(&mut self) {
         self.shared.cancel_wait(self.key);
+        // A place that was granted and not taken is free again.
+        if let Ok((_, run)) = self.grant.try_recv() {
+            self.shared.fleet_mut().finish_request(run);
+            self.shared.load_changed.notify_one();
+            self.shared.grant_waiting();
+        }
     }
 }
