fix: of many streams to HTTP/1.0 clients that the exit cuts off, some look whole

Cause: the exit let the tasks of the connections run once, which does not reach all of them.

Evidence: many_streams_without_chunks_that_are_cut_off_together_do_not_look_whole, 12 to 31 of 150 were reset, five of five; passes, two of two.

Fix: the exit waits until every connection is aborted, for at most 50 ms.

--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -45,6 +45,9 @@
 /// Time for which a connection still takes a request once it is due to close, since one may be on its way.
 const CLOSE_DELAY: Duration = Duration::from_millis(250);
 
+/// How long the exit waits until all connections are aborted; well within the margin that is left of the grace.
+const ABORT_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Serves client connections. After the signal to shut down, connections are accepted only for as long as the
 /// platform still sends them; one accepted later could be cut off at the end of the grace period.
 pub(super) async fn serve_callers(shared: Rc<Shared>, listener: TcpListener) {
@@ -252,8 +255,12 @@
     if shared.open() > 0 {
         log_cut_requests(shared);
         shared.aborted.notify_waiters();
-        // Lets the tasks of the connections run once more.
-        tokio::task::yield_now().await;
+        let aborted = async {
+            while shared.connections() > 0 {
+                tokio::task::yield_now().await;
+            }
+        };
+        let _late = tokio::time::timeout(ABORT_TIMEOUT, aborted).await;
     }
 }
 
