fix: a client that never finishes a head holds a leaving process up

Nothing was lost, but the process stayed for the whole grace, since the exit waits for connections.

Fix: a connection on which no request has arrived is closed when the configured time limit of a head has passed after the notice.

--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -45,6 +45,9 @@
 /// Time for which a connection still takes a request once it is due to close, since one may be on its way.
 const CLOSE_DELAY: Duration = Duration::from_millis(250);
 
+/// Time limit of a request's head while no configuration is known.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How long the exit waits until all connections are aborted; well within the margin that is left of the grace.
 const ABORT_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -141,6 +144,15 @@
         tokio::time::sleep(CLOSE_DELAY).await;
     };
     tokio::pin!(closing);
+    // A connection on which no request has ever arrived does not hold the process up.
+    let head_late = async {
+        shared.wait_closing().await;
+        let limit = shared
+            .table()
+            .map_or(DEFAULT_HEAD_TIMEOUT, |table| table.limits().head_timeout);
+        tokio::time::sleep(CLOSE_DELAY + limit).await;
+    };
+    tokio::pin!(head_late);
     let mut closes = false;
     let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     let cut = loop {
@@ -152,6 +164,7 @@
                 break outcome.is_err();
             }
             () = shared.aborted.notified() => break true,
+            () = head_late.as_mut(), if activity.requests.get() == 0 => break false,
             () = closing.as_mut(), if !closes => {
                 closes = true;
                 std::pin::Pin::new(&mut served).graceful_shutdown();
