fix: a read that may have run is not retried during a shutdown

What callers saw: a read that was accepted before the signal, or during the notice, got 502 instead of an answer when its first upstream was silent, although seconds of the grace were left.

Cause: each attempt was judged like a new request. After the notice the whole deadline has to fit, which was not asked of this request when it was accepted.

Fix: a request that may have run cannot be refused any more and is not judged again.

--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -128,6 +128,16 @@
         }
     }
 
+    /// When the request gets its final answer at the latest: its deadline, or shortly before the process exits.
+    pub(super) fn answer_deadline(&self) -> Instant {
+        self.shared.shutdown().map_or(self.deadline, |shutdown| {
+            let left = shutdown.answer_by().since(self.shared.now());
+            Instant::now()
+                .checked_add(left)
+                .map_or(self.deadline, |end| end.min(self.deadline))
+        })
+    }
+
     /// Sends the request to the upstream of `reservation` and reads the head of its response. With `resume`,
     /// the upstream continues a generation from the copy of its memory.
     pub(super) async fn send(
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -201,7 +201,8 @@
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let (mut ran, mut rejected) = (0, 0);
     loop {
-        let reservation = match reserve(call, &tried, &active).await {
+        // A request that may have run cannot be refused any more; what is left of the grace limits its attempt.
+        let reservation = match reserve(call, &tried, (ran == 0).then_some(&active)).await {
             Ok(reservation) => reservation,
             Err(refusal) if ran == 0 => return Err(refusal),
             Err(_) => return Err((LocalAnswer::Unclear, "no other upstream for a retry")),
@@ -250,24 +251,30 @@
         tried.push(upstream);
         match outcome::next_action(call.route.kind, attempt, ran, rejected, call.route.max_attempts) {
             NextAction::Retry { budgeted }
-                if Instant::now() < call.deadline && (!budgeted || may_retry(call)) => {}
+                if Instant::now() < call.answer_deadline() && (!budgeted || may_retry(call)) => {}
             NextAction::Retry { .. } | NextAction::Refuse if ran == 0 => {
                 return Err((
                     LocalAnswer::Refused(RETRY_FULL),
                     "upstreams rejected the request or cannot be reached",
                 ));
             }
-            _ if Instant::now() >= call.deadline => return Err((LocalAnswer::Late, "no answer in time")),
-            _ => {
-                return Err((
-                    LocalAnswer::Unclear,
-                    "nothing is known of the request after it was sent",
-                ));
-            }
+            _ => return Err(unanswered(call)),
         }
     }
 }
 
+/// The answer to a request that was sent and not answered.
+fn unanswered(call: &Call) -> Refusal {
+    if Instant::now() >= call.answer_deadline() {
+        (LocalAnswer::Late, "no answer in time")
+    } else {
+        (
+            LocalAnswer::Unclear,
+            "nothing is known of the request after it was sent",
+        )
+    }
+}
+
 /// Withdraws a retry from the budget of the request's service; returns whether it was permitted.
 fn may_retry(call: &Call) -> bool {
     let permitted = call
@@ -283,7 +290,7 @@
 async fn reserve(
     call: &Rc<Call>,
     tried: &[UpstreamKey],
-    active: &ActiveRequest,
+    active: Option<&ActiveRequest>,
 ) -> Result<Reservation, Refusal> {
     let shared = &call.shared;
     let size = call.size(0);
@@ -311,7 +318,7 @@
         Placement::Upstream(_) | Placement::Full => {}
     }
     let queue_deadline = call
-        .deadline
+        .answer_deadline()
         .min(call.arrival + call.route.target_latency.mul_f64(QUEUE_SHARE));
     if Instant::now() >= queue_deadline {
         return Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams are full"));
@@ -372,9 +379,9 @@
             .record_attempt(reservation.upstream, health, shared.now());
     };
     let deadline = if last {
-        call.deadline
+        call.answer_deadline()
     } else {
-        call.deadline
+        call.answer_deadline()
             .min(Instant::now() + call.route.target_latency.mul_f64(ATTEMPT_FACTOR))
     };
     let no_answer = |attempt, reason: &dyn std::fmt::Display| {
@@ -450,8 +457,8 @@
 }
 
 /// Refuses a request that could be cut off by the shutdown.
-fn check_shutdown(call: &Call, active: &ActiveRequest) -> Result<(), Refusal> {
-    let Some(shutdown) = call.shared.shutdown() else {
+fn check_shutdown(call: &Call, active: Option<&ActiveRequest>) -> Result<(), Refusal> {
+    let Some((shutdown, active)) = call.shared.shutdown().zip(active) else {
         return Ok(());
     };
     let bounds = Bounds {
@@ -472,7 +479,7 @@
 
 /// Judges a queued request at the signal to shut down, and again when its longest answer counts no more.
 /// Returns the refusal if the shutdown could cut it off, and never returns otherwise.
-async fn refused_by_shutdown(call: &Call, active: &ActiveRequest) -> Refusal {
+async fn refused_by_shutdown(call: &Call, active: Option<&ActiveRequest>) -> Refusal {
     let shutdown = call.shared.wait_shutdown().await;
     if let Err(refusal) = check_shutdown(call, active) {
         return refusal;
--- a/crates/carob-shutdown/src/lib.rs
+++ b/crates/carob-shutdown/src/lib.rs
@@ -108,6 +108,11 @@
         self.exit
     }
 
+    /// When an accepted request gets its final answer at the latest, so that the answer leaves before the exit.
+    pub fn answer_by(self) -> Time {
+        self.exit - ANSWER_MARGIN
+    }
+
     /// Time until the process exits at the latest.
     pub const fn left(self, now: Time) -> Duration {
         self.exit.since(now)
@@ -141,7 +146,7 @@
     /// When a queued request whose longest answer takes `longest` is to be judged again: from then on its
     /// longest answer does not end in time, or does not count any more.
     pub fn recheck(self, longest: Duration) -> Time {
-        self.closes.min(self.exit - longest - ANSWER_MARGIN)
+        self.closes.min(self.answer_by() - longest)
     }
 
     /// Whether the process may exit at `now`, with `open` connections and requests that are not finished.
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -140,6 +140,35 @@
     assert_eq!((outcome.status, runs), (503, 0));
 }
 
+/// A read that was accepted before the signal has more time left than the process, but not its second attempt.
+#[test]
+fn a_read_whose_upstream_is_silent_is_not_retried_during_a_shutdown() {
+    let mut fleet = Fleet::start(1);
+    let silent = fleet.start_plain("p1", Duration::from_millis(5));
+    silent.set_answer_mode(AnswerMode::Silence);
+    // The first attempt is given up after the end of the notice.
+    let routes = ROUTES.map(|route| {
+        route
+            .with_timeout(LONG.as_millis() as u64)
+            .with_target_latency(1_500)
+    });
+    fleet
+        .store
+        .put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
+    fleet.wait_ready();
+    let address = fleet.gateways[0].caller_address;
+    let read = request("r1", "GET", "/read/1").with_timeout(LONG);
+    let mut client = client::open(address, &read).expect("the gateway listens");
+    wait_until("the first attempt runs", || fleet.ledger.run_count("r1") == 1);
+    let _other = fleet.start_plain("p2", Duration::from_millis(5));
+    thread::sleep(Duration::from_millis(300));
+    fleet.gateways[0].signal("TERM");
+    let outcome = client::read(&mut client, Instant::now() + LONG);
+    assert_eq!((outcome.status, outcome.complete), (200, true));
+    let status = fleet.gateways[0].child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
+
 /// Number of requests whose deadlines are a millisecond apart; the latest is after the exit.
 const REQUESTS: u32 = 400;
 
