--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -23,6 +23,7 @@
 
 use checks::Evidence;
 use faults::Injector;
+use fleet::Gateway;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const GATEWAYS: usize = 3;
@@ -108,7 +109,10 @@
 
 fn check(seed: u64, injector: &Injector) {
     let (observations, mut violations) = injector.clients().take_observations();
-    violations.extend(injector.operator.violations.iter().cloned());
+    for (gateway, violation) in &injector.operator.violations {
+        print_log(&injector.fleet.gateways[*gateway], None);
+        violations.push(format!("gateway {gateway} {violation}"));
+    }
     let served = observations
         .iter()
         .filter(|observation| observation.outcome.status == 200 && observation.outcome.complete)
@@ -126,12 +130,7 @@
         };
         let id = &observation.request.id;
         if violations.len() < PRINTED_VIOLATIONS {
-            let gateway = &injector.fleet.gateways[observation.gateway];
-            for line in gateway.log_lines() {
-                if line.contains(id.as_str()) || PROCESS_PARTS.iter().any(|part| line.contains(part)) {
-                    eprintln!("{} {line}", gateway.caller_address);
-                }
-            }
+            print_log(&injector.fleet.gateways[observation.gateway], Some(id));
             eprintln!("{:?}; {:?}", observation.request, observation.outcome);
         }
         violations.push(format!(
@@ -153,6 +152,16 @@
     );
 }
 
+/// Prints the log lines of a gateway that are about its processes or the request `id`.
+fn print_log(gateway: &Gateway, id: Option<&str>) {
+    for line in gateway.log_lines() {
+        let is_about_request = id.is_some_and(|id| line.contains(id));
+        if is_about_request || PROCESS_PARTS.iter().any(|part| line.contains(part)) {
+            eprintln!("{} {line}", gateway.caller_address);
+        }
+    }
+}
+
 #[test]
 fn promises_hold_under_random_faults() {
     let parse = |name: &str| env::var(name).ok().and_then(|text| text.parse().ok());
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -477,9 +477,8 @@
                 .zip(life.ended)
                 .map(|((_, leave), ended)| ended - leave);
             if taken.is_none_or(|taken| taken > IDLE_END) {
-                self.operator.violations.push(format!(
-                    "gateway {gateway} was idle and ended {taken:?} after the signal to shut down, expected {IDLE_END:?}"
-                ));
+                let text = format!("was idle and ended after {taken:?}, expected {IDLE_END:?} at most");
+                self.operator.violations.push((gateway, text));
             }
         }
     }
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -10,6 +10,9 @@
 /// Time within which a change of the settings file is in force (`ConfigApplyMs`).
 const APPLY_TIME: Duration = Duration::from_millis(2_500);
 
+/// Number of log lines that are kept of a process that outlives its grace.
+const LAST_LINES: usize = 5;
+
 /// Numbers of signals.
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
@@ -64,8 +67,8 @@
     graces: Vec<Vec<(Instant, Duration)>>,
     /// When suspended gateways continue.
     resume_at: Vec<(usize, Instant)>,
-    /// Processes that broke a promise about their end.
-    pub violations: Vec<String>,
+    /// Gateways that broke a promise about the end of their process, with what was seen.
+    pub violations: Vec<(usize, String)>,
 }
 
 impl Operator {
@@ -191,7 +194,6 @@
     }
 
     fn poll_gateway(&mut self, fleet: &mut Fleet, gateway: usize) {
-        let address = fleet.gateways[gateway].caller_address;
         let ended = fleet.gateways[gateway].child.try_wait().ok().flatten();
         let now = Instant::now();
         let life = self.life_mut(gateway);
@@ -204,9 +206,8 @@
                 status.success() || (is_default && after - started < START_TIME)
             });
             if life.killed.is_none() && !expected {
-                self.violations.push(format!(
-                    "the gateway at {address} ended with {status}, {since_leave:?} after the signal to shut down"
-                ));
+                let text = format!("ended with {status}, {since_leave:?} after the signal to shut down");
+                self.violations.push((gateway, text));
             }
             return;
         }
@@ -216,9 +217,12 @@
         }
         if !life.was_frozen(before, now) {
             let grace = life.grace.1;
-            self.violations.push(format!(
-                "the gateway at {address} runs {since_leave:?} after the signal to shut down; its grace is {grace:?}"
-            ));
+            let lines = fleet.gateways[gateway].log_lines();
+            let last = &lines[lines.len().saturating_sub(LAST_LINES)..];
+            let text = format!(
+                "runs {since_leave:?} after the signal to shut down; its grace is {grace:?}; last lines {last:#?}"
+            );
+            self.violations.push((gateway, text));
         }
         self.signal(fleet, gateway, "KILL");
     }
