test: the settings file of a test's gateway keeps its length

A gateway that starts while its settings are written could read a mixture of two texts and refuse to start, once in a run of the soak. The soak now changes the grace only once all gateways are ready.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -167,7 +167,7 @@
         let text = format!(
             "[instance]\nname = {}\ndomain = a\nregions = a:north, b:south\n[callers]\naddress = {}\nready = {}\n\
              connections = 500\nbodies = {BODY_MEMORY}\n[admin]\naddress = {}\n[peers]\naddress = {}\nseeds = {}\n[store]\naddress = {}\n\
-             [leaving]\nupstream = 2500ms\ngrace = {grace}\n[retries]\nratio = 0.2\nextra = 54\nwindow = 10s\n",
+             [leaving]\nupstream = 2500ms\ngrace = {grace:<8}\n[retries]\nratio = 0.2\nextra = 54\nwindow = 10s\n",
             self.peer_address.ip(),
             self.caller_address,
             self.ready_address,
@@ -177,7 +177,8 @@
             self.store_endpoint.address,
         );
         // Some file systems write a file to disk at once if it is truncated to nothing and filled again, which
-        // may take seconds while other processes write.
+        // may take seconds while other processes write. The text keeps its length, so that a gateway that reads
+        // it meanwhile finds no mixture of two texts.
         let file = File::options()
             .create(true)
             .write(true)
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -107,10 +107,7 @@
         let plain = (0..2.max(clients / CLIENTS_PER_PLAIN))
             .map(|n| fleet.start_plain(&format!("p{n}"), Duration::from_millis(15)))
             .collect();
-        let mut operator = Operator::new(&fleet, FIRST_GRACE);
-        for gateway in 0..gateways {
-            operator.set_grace(&fleet, gateway, GRACE);
-        }
+        let operator = Operator::new(&fleet, FIRST_GRACE);
         let addresses = fleet.gateways.iter().map(|gateway| gateway.caller_address);
         let ready_addresses = fleet.gateways.iter().map(|gateway| gateway.ready_address);
         let clients = Clients::new(addresses.collect(), ready_addresses.collect());
@@ -131,6 +128,9 @@
         };
         injector.configure(1);
         injector.fleet.wait_ready();
+        for gateway in 0..gateways {
+            injector.operator.set_grace(&injector.fleet, gateway, GRACE);
+        }
         injector.start = Instant::now();
         injector
     }
