test: tests of the shutdown use the stand-in instead of the platform's names

names_of_the_platform_stand_in_its_folder_only failed: three tests spelled headers and fields of the platform outside its folder. They now use the stand-in's functions for long and paused answers, target latencies and halves of requests.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -4,15 +4,14 @@
 
 use std::{
     collections::BTreeMap,
-    io::{Read as _, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream},
+    io::Write as _,
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
 
 use carob_platform_standin::{AnswerMode, client, config};
 use fleet::{CLIENT_KEY, Fleet, LONG, ROUTES, generation_request, request, wait_until};
-use serde_json::json;
 
 /// Interval between two events of a generation.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -55,43 +54,13 @@
 /// Size of a response that is passed on while it arrives.
 const LONG_RESPONSE: usize = 600_000;
 
-/// Starts an upstream that sends half of a response of [`LONG_RESPONSE`] bytes, and the rest after `pause`.
-fn start_slow_sender(pause: Duration) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    let address = listener.local_addr().expect("a bound listener has an address");
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let mut head = [0; 4_096];
-            let length = stream.read(&mut head).unwrap_or(0);
-            let text = String::from_utf8_lossy(&head[..length]).to_lowercase();
-            let id = text.lines().find_map(|line| line.strip_prefix("request-id: "));
-            let Some(id) = id else {
-                continue;
-            };
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: {LONG_RESPONSE}\r\n\r\n"
-            );
-            let half = vec![b'x'; LONG_RESPONSE / 2];
-            let _sent = stream.write_all(&[answer.as_bytes(), &half].concat());
-            thread::sleep(pause);
-            let _sent = stream.write_all(&half);
-        }
-    });
-    address
-}
-
 /// A plain response that is passed on while it arrives is not counted as an open request.
 #[test]
 fn a_long_plain_response_is_cut_off_when_the_notice_is_over() {
     let mut fleet = Fleet::start(1);
-    let address = start_slow_sender(Duration::from_secs(4));
-    fleet.store.put(
-        "servers/p1",
-        &json!({
-            "Service": "plain", "Address": address.to_string(), "Zone": "a", "Version": "v1", "Slots": 24,
-            "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1,
-        }),
-    );
+    let plain = fleet.start_plain("p1", Duration::from_millis(5));
+    plain.set_answer_bytes(LONG_RESPONSE);
+    plain.set_answer_pause(Duration::from_secs(4));
     fleet.configure();
     let mut client = client::open(
         fleet.gateways[0].caller_address,
@@ -118,10 +87,14 @@
     let fleet = Fleet::start(1);
     let _engine = fleet.start_engine("e1", 1_000, EVENT_INTERVAL);
     let _plain = fleet.start_plain("p1", Duration::from_millis(5));
-    let routes = ROUTES.map(|route| route.with_timeout(LONG.as_millis() as u64));
-    let mut patient = config::config(1, &routes, &[CLIENT_KEY]);
-    patient["Routes"][0]["TargetLatencyMs"] = json!(15_000);
-    fleet.store.put(config::KEY, &patient);
+    let routes = ROUTES.map(|route| {
+        route
+            .with_timeout(LONG.as_millis() as u64)
+            .with_target_latency(15_000)
+    });
+    fleet
+        .store
+        .put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
     fleet.wait_ready();
     let address = fleet.gateways[0].caller_address;
     let large = |id| generation_request(id).with_usage(33_000, 100);
@@ -190,25 +163,21 @@
     gateway.signal("HUP");
     wait_until("the grace is in force", || gateway.logged("settings reloaded"));
     let address = gateway.caller_address;
-    let mut clients: Vec<TcpStream> = (0..REQUESTS)
-        .map(|_| TcpStream::connect(address).expect("the gateway listens"))
-        .collect();
     gateway.signal("TERM");
     let signalled = Instant::now();
     // The last bytes of the bodies arrive after the notice, when only the deadline counts.
-    for (number, client) in (0..REQUESTS).zip(&mut clients) {
-        let deadline = signalled + (EXIT + STALL).saturating_sub(Duration::from_millis(1) * number);
-        let head = format!(
-            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: o{number}\r\nDeadline-Ms: {}\r\n\
-             X-Api-Key: {CLIENT_KEY}\r\nContent-Length: 2\r\n\r\n{{",
-            deadline.saturating_duration_since(Instant::now()).as_millis()
-        );
-        client.write_all(head.as_bytes()).expect("the connection is open");
-    }
+    let mut clients: Vec<(TcpStream, Vec<u8>)> = (0..REQUESTS)
+        .map(|number| {
+            let deadline = signalled + (EXIT + STALL).saturating_sub(Duration::from_millis(1) * number);
+            let order = request(&format!("o{number}"), "POST", "/order/1")
+                .with_timeout(deadline.saturating_duration_since(Instant::now()));
+            client::open_half(address, &order).expect("the gateway listens")
+        })
+        .collect();
     let wait_for = |time: Instant| thread::sleep(time.saturating_duration_since(Instant::now()));
     wait_for(signalled + Duration::from_millis(2_800));
-    for client in &mut clients {
-        client.write_all(b"}").expect("the request is not answered yet");
+    for (client, rest) in &mut clients {
+        client.write_all(rest).expect("the request is not answered yet");
     }
     wait_for(signalled + EXIT.saturating_sub(STALL));
     gateway.signal("STOP");
@@ -216,7 +185,7 @@
     gateway.signal("CONT");
     let statuses = clients
         .iter_mut()
-        .map(|client| client::read(client, Instant::now() + LONG).status);
+        .map(|(client, _)| client::read(client, Instant::now() + LONG).status);
     let mut counts = BTreeMap::new();
     for status in statuses {
         *counts.entry(status).or_insert(0) += 1;
