refactor: judging requests during a shutdown has a module of its own

Cause: exchange.rs had grown to 531 lines with a second job, the judging of requests between the signal and the exit. Change: that code moves to traffic/shutdown.rs as it is; exchange.rs has 461 lines. No decision changes.

--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -13,7 +13,6 @@
     answer::{self, AnswerKind},
     request,
 };
-use carob_shutdown::{Bounds, Shutdown};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
@@ -27,7 +26,7 @@
     plain, probe,
     resume::OpenStream,
     shared::Shared,
-    stream,
+    shutdown, stream,
 };
 use crate::socket::{self, ConnectionTask};
 
@@ -55,9 +54,6 @@
 /// requests that they run have ended by then.
 const RETRY_FULL: Duration = Duration::from_millis(1_500);
 
-/// Suggested retry delay when this instance shuts down; another one can take the request at once.
-const RETRY_OTHER_INSTANCE: Duration = Duration::from_millis(50);
-
 /// Handles a request up to the head of its response. `active` and `count` are kept until the end of a stream.
 pub(super) async fn handle(
     shared: &Rc<Shared>,
@@ -190,7 +186,7 @@
 }
 
 /// The gateway's own answer to a request, and the reason for it in the log.
-type Refusal = (LocalAnswer, &'static str);
+pub(super) type Refusal = (LocalAnswer, &'static str);
 
 /// Sends the request to upstreams until one answers or no further attempt is permitted.
 async fn run_attempts(
@@ -295,7 +291,7 @@
     let shared = &call.shared;
     let size = call.size(0);
     let requirements = call.requirements(size, tried);
-    check_shutdown(call, active)?;
+    shutdown::check(call, active)?;
     if requirements.capacity > 0
         && shared.is_isolated()
         && let Some(upstream) = probe::place(shared, &requirements).await
@@ -333,7 +329,7 @@
     let outcome = tokio::select! {
         biased;
         outcome = timeout_at(queue_deadline, &mut entry.grant) => outcome,
-        refusal = refused_by_shutdown(call, active) => return Err(refusal),
+        refusal = shutdown::refusal(call, active) => return Err(refusal),
     };
     drop(entry);
     match outcome {
@@ -341,7 +337,7 @@
             let reservation = Reservation::adopt(shared, upstream, run, size);
             log::info!(request:% = call.id(), age_ms = call.age_ms(); "place found after waiting");
             // The rest of the grace may have become too short while the request waited.
-            check_shutdown(call, active)?;
+            shutdown::check(call, active)?;
             Ok(reservation)
         }
         Ok(Err(_)) | Err(_) => Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams stayed full")),
@@ -456,72 +452,6 @@
     );
 }
 
-/// Refuses a request that could be cut off by the shutdown.
-fn check_shutdown(call: &Call, active: Option<&ActiveRequest>) -> Result<(), Refusal> {
-    let Some((shutdown, active)) = call.shared.shutdown().zip(active) else {
-        return Ok(());
-    };
-    let bounds = Bounds {
-        deadline: call.deadline.saturating_duration_since(Instant::now()),
-        longest: call.longest_duration(),
-    };
-    let accepted = shutdown.admits(call.shared.now(), bounds);
-    log_shutdown_decision(call, active, shutdown, bounds, accepted);
-    if accepted {
-        Ok(())
-    } else {
-        Err((
-            LocalAnswer::Refused(RETRY_OTHER_INSTANCE),
-            "the instance leaves before the request would end",
-        ))
-    }
-}
-
-/// Judges a queued request at the signal to shut down, and again when its longest answer counts no more.
-/// Returns the refusal if the shutdown could cut it off, and never returns otherwise.
-async fn refused_by_shutdown(call: &Call, active: Option<&ActiveRequest>) -> Refusal {
-    let shutdown = call.shared.wait_shutdown().await;
-    if let Err(refusal) = check_shutdown(call, active) {
-        return refusal;
-    }
-    let recheck = shutdown.recheck(call.longest_duration());
-    tokio::time::sleep(recheck.since(call.shared.now())).await;
-    match check_shutdown(call, active) {
-        Err(refusal) => refusal,
-        Ok(()) => std::future::pending().await,
-    }
-}
-
-/// Logs whether a request is accepted although the process shuts down, with what the decision rests on.
-fn log_shutdown_decision(
-    call: &Call,
-    active: &ActiveRequest,
-    shutdown: Shutdown,
-    bounds: Bounds,
-    accepted: bool,
-) {
-    let shared = &call.shared;
-    let now = shared.now();
-    let usage = call.head.usage;
-    let all = shared.active();
-    let Some(request) = all.get(active.key) else {
-        return;
-    };
-    let decision = if accepted { "accepted" } else { "refused" };
-    metrics::counter!("carobhaven_shutdown_requests_total", "decision" => decision).increment(1);
-    log::info!(
-        request:% = call.id(), decision,
-        signal_ms = now.since(shutdown.signal()).as_millis() as u64,
-        left_ms = shutdown.left(now).as_millis() as u64,
-        longest_ms = bounds.longest.as_millis() as u64,
-        deadline_ms = bounds.deadline.as_millis() as u64,
-        hint = usage.and_then(|usage| usage.length_hint).unwrap_or(0),
-        max_output = usage.map_or(0, |usage| usage.max_output),
-        connection_ms = now.since(request.connected).as_millis() as u64, earlier = request.earlier,
-        arrival_ms = now.since(request.arrival).as_millis() as u64; "request during the shutdown"
-    );
-}
-
 fn log_answered(call: &Call, status: StatusCode, upstream: UpstreamKey) {
     metrics::histogram!("carobhaven_answer_seconds").record(call.arrival.elapsed().as_secs_f64());
     log::info!(
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod probe;
 mod resume;
 mod shared;
+mod shutdown;
 mod stream;
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
