test: the soak blamed a process for a request that its successor took

Cause: a connection was filed under the process that ran when the client began to open it. Beside load a client's thread may be held up before the connection is made, and a process of the gateway may end and the next one start meanwhile. Change: the time until the connection is open counts too, and a request counts as cut off if no process to which the connection may lead is excused.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     faults::{Harm, ROUTES},
-    operator::Operator,
+    operator::{Life, Operator},
     traffic::{Kind, Observation},
 };
 
@@ -57,8 +57,8 @@
     /// of them an upstream ran.
     pub fn count_late(&self, observations: &[Observation]) -> (usize, usize) {
         let late = observations.iter().filter(|observation| {
-            let life = self.operator.life_at(observation.gateway, observation.opened);
-            let leave = life.leave.zip(observation.sent);
+            let lives = self.operator.lives_at(observation.gateway, observation.opened);
+            let leave = lives.last().and_then(|life| life.leave).zip(observation.sent);
             leave.is_some_and(|((_, after), sent)| sent > after + ARRIVAL_TIME)
         });
         let ran = late
@@ -127,31 +127,12 @@
         if self.is_broken_off(observation, has_run) {
             return None;
         }
-        let life = self.operator.life_at(observation.gateway, observation.opened);
-        let from = life.leave.map_or(begun, |(before, _)| before.min(begun));
-        if life.killed.is_some_and(|killed| killed <= ended) || life.was_frozen(from, ended) {
-            return None;
-        }
-        let passed_on = if has_run { "passed on" } else { "read" };
-        let Some((before, after)) = life.leave.filter(|(before, _)| *before <= ended) else {
-            return Some(format!("{passed_on} and not answered, without a shutdown"));
-        };
-        let is_late = sent > after + ARRIVAL_TIME;
-        if has_run && !is_late && ended >= before + life.grace.0.mul_f64(CUT_SHARE) {
-            return None;
-        }
-        let since = |time: Instant| time.saturating_duration_since(before);
-        let what = if is_late {
-            "late"
-        } else {
-            "before the last sixth of the grace"
-        };
-        Some(format!(
-            "cut off {what}: sent {:?} after the signal to shut down, {passed_on}, cut off {:?} after it, grace {:?}",
-            since(sent),
-            since(ended),
-            life.grace
-        ))
+        let lives = self.operator.lives_at(observation.gateway, observation.opened);
+        let reasons: Option<Vec<String>> = lives
+            .iter()
+            .map(|life| cut_off_by(life, observation, sent, has_run))
+            .collect();
+        reasons?.pop()
     }
 
     /// Whether an upstream of the request broke it off, or was killed or had a harmed link meanwhile. A request
@@ -166,3 +147,32 @@
             || harms.any(|harm| !has_run || involved.is_some_and(|involved| involved.contains(&harm.address)))
     }
 }
+
+/// Why the process `life` should have answered a request, unless what happened to it excuses that.
+fn cut_off_by(life: &Life, observation: &Observation, sent: Instant, has_run: bool) -> Option<String> {
+    let Observation { begun, ended, .. } = *observation;
+    let from = life.leave.map_or(begun, |(before, _)| before.min(begun));
+    if life.killed.is_some_and(|killed| killed <= ended) || life.was_frozen(from, ended) {
+        return None;
+    }
+    let passed_on = if has_run { "passed on" } else { "read" };
+    let Some((before, after)) = life.leave.filter(|(before, _)| *before <= ended) else {
+        return Some(format!("{passed_on} and not answered, without a shutdown"));
+    };
+    let is_late = sent > after + ARRIVAL_TIME;
+    if has_run && !is_late && ended >= before + life.grace.0.mul_f64(CUT_SHARE) {
+        return None;
+    }
+    let since = |time: Instant| time.saturating_duration_since(before);
+    let what = if is_late {
+        "late"
+    } else {
+        "before the last sixth of the grace"
+    };
+    Some(format!(
+        "cut off {what}: sent {:?} after the signal to shut down, {passed_on}, cut off {:?} after it, grace {:?}",
+        since(sent),
+        since(ended),
+        life.grace
+    ))
+}
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -92,12 +92,12 @@
         self.lives[gateway].last_mut().expect("each gateway was started")
     }
 
-    /// The process of a gateway that a connection opened from `start` on leads to.
-    pub fn life_at(&self, gateway: usize, start: Instant) -> &Life {
-        let mut lives = self.lives[gateway].iter().rev();
-        lives
-            .find(|life| life.started <= start)
-            .unwrap_or(&self.lives[gateway][0])
+    /// The processes of a gateway to which a connection may lead that was opened between the two times; the
+    /// client's thread may have been held up in between.
+    pub fn lives_at(&self, gateway: usize, opened: (Instant, Instant)) -> &[Life] {
+        let lives = &self.lives[gateway];
+        let at = |time: Instant| lives.iter().rposition(|life| life.started <= time).unwrap_or(0);
+        &lives[at(opened.0)..=at(opened.1)]
     }
 
     /// Whether a gateway runs and was neither suspended nor told to end.
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -62,8 +62,8 @@
     pub kind: Kind,
     pub outcome: Outcome,
     pub gateway: usize,
-    /// When the client began to open the connection.
-    pub opened: Instant,
+    /// When the client began to open the connection, and when it was open.
+    pub opened: (Instant, Instant),
     /// When the first byte was sent.
     pub begun: Instant,
     /// When the last byte was sent; `None` if the connection ended before.
@@ -200,6 +200,7 @@
             let (kind, request) = self.draw(rng, 0.1);
             let opened = Instant::now();
             let mut held = self.open(gateway);
+            let connected = Instant::now();
             let (mut sent, mut outcome) = (None, Outcome::default());
             if let Some(held) = &mut held {
                 sent = held
@@ -213,7 +214,7 @@
                 kind,
                 outcome,
                 gateway,
-                opened,
+                opened: (opened, connected),
                 begun: opened,
                 sent,
                 ended: Instant::now(),
@@ -270,7 +271,7 @@
             for held in &mut pool {
                 let leave = self.leaves[held.gateway].load(Ordering::Relaxed);
                 let leave = self.start + Duration::from_millis(leave);
-                if leave > held.opened && held.use_at.is_none() {
+                if leave > held.opened.0 && held.use_at.is_none() {
                     let delays = if rng.random_bool(0.5) {
                         NEAR_BOUND
                     } else {
@@ -299,11 +300,11 @@
     }
 
     fn open(&self, gateway: usize) -> Option<Held> {
-        let opened = Instant::now();
+        let begun = Instant::now();
         Some(Held {
             connection: Connection::open(self.addresses[gateway])?,
             gateway,
-            opened,
+            opened: (begun, Instant::now()),
             idle_since: Instant::now(),
             use_at: None,
         })
@@ -374,8 +375,8 @@
 struct Held {
     connection: Connection,
     gateway: usize,
-    /// When the client began to open it.
-    opened: Instant,
+    /// When the client began to open it, and when it was open.
+    opened: (Instant, Instant),
     idle_since: Instant,
     /// When it is used next, if its gateway shuts down.
     use_at: Option<Instant>,
