fix: a body that comes too late is called malformed

What callers saw: 400 for a proper request whose body had not arrived when its deadline passed, for instance because the instance was frozen meanwhile. Clients do not send a request again after 400. Cause: the end of the time for the body was answered like a body that breaks off. Change: 408, which says truly that the request has not run. Result: the test passes with the rest of tests/gateway.rs.

--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -84,9 +84,10 @@
                 arrival,
             );
         }
-        Ok(Err(body::Error::Incomplete)) | Err(_) => {
+        Ok(Err(body::Error::Incomplete)) => {
             return refuse(&head, LocalAnswer::Denied(400), "body not whole", arrival);
         }
+        Err(_elapsed) => return refuse(&head, LocalAnswer::Denied(408), "body not whole in time", arrival),
     };
     let call = match admit(shared, head, parts, body, arrival, client_deadline) {
         Ok(call) => call,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -254,6 +254,19 @@
     assert!(status.success(), "{status}");
 }
 
+/// A request whose body does not arrive in time has not run, and may be sent again.
+#[test]
+fn a_body_that_comes_too_late_is_not_called_malformed() {
+    let fleet = Fleet::start(1);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    let order = request("o1", "POST", "/order/1").with_timeout(Duration::from_millis(700));
+    let (mut client, _rest) =
+        client::open_half(fleet.gateways[0].caller_address, &order).expect("the gateway listens");
+    let outcome = client::read(&mut client, std::time::Instant::now() + LONG);
+    assert_eq!((outcome.status, fleet.ledger.run_count("o1")), (408, 0));
+}
+
 #[test]
 fn all_bodies_together_have_a_bound_and_the_newest_request_is_refused() {
     const BODY_BYTES: usize = 60_000;
