log: a long answer that breaks off says why

A plain answer above 256 KiB is passed on as it arrives. When it broke off, no line and no metric said who had ended it: the upstream, the request's deadline or the client.

The line "long answer cut off" has the reason with its causes, the bytes that were passed on and the request's age; `carobhaven_answers_cut_total` counts them. What is passed on is unchanged.

--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -121,6 +121,17 @@
     }
 }
 
+/// The error and its causes, in one line.
+pub(crate) fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
+
 /// Maximum size of a response body read by [`call`]; the largest is a page of the store's items.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -426,7 +426,7 @@
     if call.route.kind == RouteKind::Stream && status.is_success() {
         return Outcome::Stream(response, driver);
     }
-    match plain::collect(shared, response, driver, deadline).await {
+    match plain::collect(call, reservation.upstream, response, driver, deadline).await {
         Ok(response) => Outcome::Complete(response),
         Err(error) => no_answer(AttemptResult::Unknown, &error),
     }
--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use carob_dispatch::fleet::UpstreamKey;
 use carob_platform::answer;
 use http_body_util::BodyExt;
 use hyper::{Response, body::Incoming};
@@ -17,9 +18,10 @@
 use super::{
     answer::{ResponseBody, Truncated},
     body::HeldBytes,
-    shared::Shared,
+    call::Call,
+    exchange::upstream_name,
 };
-use crate::socket::{ConnectionTask, Error};
+use crate::socket::{ConnectionTask, Error, describe};
 
 /// A response body longer than this many bytes is passed on as it arrives.
 const MAX_BUFFERED: usize = 256 << 10;
@@ -29,7 +31,8 @@
 
 /// Reads a response until `deadline`: completely if it is short, else its first part.
 pub(super) async fn collect(
-    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    upstream: UpstreamKey,
     response: Response<Incoming>,
     driver: ConnectionTask,
     deadline: Instant,
@@ -37,7 +40,7 @@
     let (mut parts, mut body) = response.into_parts();
     answer::strip_hop_headers(&mut parts.headers);
     let mut bytes = BytesMut::new();
-    let mut held = HeldBytes::new(shared);
+    let mut held = HeldBytes::new(&call.shared);
     loop {
         match timeout_at(deadline, body.frame())
             .await
@@ -57,7 +60,7 @@
             }
         }
         if bytes.len() > MAX_BUFFERED {
-            let chunks = forward(bytes.freeze(), body, driver, deadline);
+            let chunks = forward(Rc::clone(call), upstream, bytes.freeze(), body, driver, deadline);
             return Ok(Response::from_parts(parts, ResponseBody::Chunks(chunks)));
         }
     }
@@ -65,6 +68,8 @@
 
 /// Passes on a response body that starts with `first`.
 fn forward(
+    call: Rc<Call>,
+    upstream: UpstreamKey,
     first: Bytes,
     mut body: Incoming,
     driver: ConnectionTask,
@@ -73,19 +78,27 @@
     let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
     tokio::task::spawn_local(async move {
         let _connection = driver;
-        let mut next = Some(Ok(first));
-        while let Some(chunk) = next {
-            // Sending fails if the client has disconnected.
-            let truncated = chunk.is_err();
-            if sender.send(chunk).await.is_err() || truncated {
-                return;
+        let mut chunk = first;
+        let mut passed_on = 0;
+        let reason = loop {
+            passed_on += chunk.len();
+            if sender.send(Ok(chunk)).await.is_err() {
+                break "the client has disconnected".to_owned();
             }
-            next = match timeout_at(deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => Some(Ok(frame.into_data().unwrap_or_default())),
-                Ok(Some(Err(_))) | Err(_) => Some(Err(Truncated)),
-                Ok(None) => None,
+            chunk = match timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Err(error))) => break describe(&error),
+                Err(_elapsed) => break Error::Timeout.to_string(),
+                Ok(None) => return,
             };
-        }
+        };
+        metrics::counter!("carobhaven_answers_cut_total").increment(1);
+        log::warn!(
+            request:% = call.id(), upstream:% = upstream_name(&call, upstream), reason, bytes = passed_on,
+            age_ms = call.age_ms(); "long answer cut off"
+        );
+        // Fails only if the client has disconnected.
+        let _sent = sender.send(Err(Truncated)).await;
     });
     receiver
 }
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -2,10 +2,18 @@
 
 mod fleet;
 
-use std::{collections::HashSet, thread, time::Duration};
+use std::{
+    collections::HashSet,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
-use carob_platform_standin::client::{self, Request};
-use fleet::{Fleet, request, wait_until};
+use carob_platform_standin::{
+    Link,
+    client::{self, Request},
+};
+use fleet::{Fleet, LONG, request, wait_until};
 use prometheus_parse::{Scrape, Value};
 
 const SHORT: Duration = Duration::from_millis(10);
@@ -53,6 +61,54 @@
     });
 }
 
+/// Size of an answer that is passed on as it arrives, in bytes.
+const LONG_ANSWER: usize = 600_000;
+
+/// Time for which a long answer stops halfway.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// A long answer that broke off left no line about who ended it.
+#[test]
+fn a_long_answer_that_breaks_off_is_logged_with_its_reason() {
+    let fleet = Fleet::start(1);
+    let plain = fleet.start_plain("p1", SHORT);
+    plain.set_answer_bytes(LONG_ANSWER);
+    plain.set_answer_pause(PAUSE);
+    fleet.configure();
+    let begin = |order: &Request| -> TcpStream {
+        let client = client::open(fleet.gateways[0].caller_address, order).expect("the gateway listens");
+        client.peek(&mut [0]).expect("the answer has begun");
+        client
+    };
+    let expect_line = |id: &str, reason: &str| {
+        let is_expected = |line: &String| {
+            line.contains("\"long answer cut off\"") && line.contains(id) && line.contains(reason)
+        };
+        wait_until(&format!("{id} is logged with {reason}"), || {
+            fleet.gateways[0].log_lines().iter().any(is_expected)
+        });
+    };
+
+    let mut late = begin(&request("o1", "POST", "/order/1").with_timeout(PAUSE / 2));
+    assert!(!client::read(&mut late, Instant::now() + LONG).complete);
+    expect_line("o1", "no answer in time");
+
+    drop(begin(&request("o2", "POST", "/order/2")));
+    expect_line("o2", "the client has disconnected");
+
+    let mut broken = begin(&request("o3", "POST", "/order/3"));
+    plain.set_link(Link::Reset);
+    assert!(!client::read(&mut broken, Instant::now() + LONG).complete);
+    expect_line("o3", "reset by peer");
+
+    let metrics = client::send(
+        fleet.gateways[0].admin_address,
+        &Request::new("m", "GET", "/metrics"),
+    );
+    let text = String::from_utf8(metrics.body).expect("metrics are text");
+    assert!(text.contains("carobhaven_answers_cut_total 3"), "{text}");
+}
+
 #[test]
 fn lines_of_failures_survive_when_those_of_served_requests_are_thinned() {
     let fleet = Fleet::start(1);
