log: how late a signal to shut down is learned, and what a process waits for that outlives its grace

In two of five large soak runs a process ran longer than its grace and had written no line of its exit; nothing said when it had learned of the signal, nor what it was doing.

* A thread of its own reads the signals to shut down and notes the time.
"shutdown begun" says how much later the traffic thread learned of it, "stopped" how long the process ran since, how long its end took after the requests were finished, and by how much a timer of the traffic thread was late at most.
When the process exits is unchanged.
* The soak prints the longest of these times, and for a process that outlives its grace each thread's state, processor time, time waiting for a processor and kernel stack, with the load average.

--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -20,6 +20,7 @@
 use crate::{
     Settings,
     run::Error,
+    signals::ShutdownSignal,
     update::{Report, Update},
 };
 use state::Control;
@@ -37,6 +38,7 @@
     settings: &Arc<Settings>,
     updates: Sender<Update>,
     reports: &Receiver<Report>,
+    signals: &Receiver<ShutdownSignal>,
     metrics: &PrometheusHandle,
 ) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -56,13 +58,9 @@
         tokio::task::spawn_local(admin::serve(admin, metrics.clone()));
         tokio::task::spawn_local(run_upkeep(metrics.clone()));
         tokio::task::spawn_local(reload_settings(Rc::clone(&control), path.to_owned()));
-        let start = |kind| signal(kind).map_err(|error| Error::Start("signals", error.to_string()));
-        let mut terminate = start(SignalKind::terminate())?;
-        let mut interrupt = start(SignalKind::interrupt())?;
         loop {
             tokio::select! {
-                _ = terminate.recv() => shut_down(&control, "SIGTERM"),
-                _ = interrupt.recv() => shut_down(&control, "SIGINT"),
+                Ok(signal) = signals.recv_async() => shut_down(&control, signal),
                 report = reports.recv_async() => match report {
                     Ok(Report::Peer { address, revision, update, watching }) => {
                         control.record_watcher(address, watching);
@@ -75,9 +73,12 @@
     })
 }
 
-fn shut_down(control: &Control, signal: &str) {
-    log::info!(signal; "leaving: not ready any more, requests are finished");
-    control.send(Update::Shutdown);
+fn shut_down(control: &Control, signal: ShutdownSignal) {
+    log::info!(
+        signal = signal.name, read_ms = signal.at.elapsed().as_millis() as u64;
+        "leaving: not ready any more, requests are finished"
+    );
+    control.send(Update::Shutdown(signal));
 }
 
 /// Merges recorded values into the histograms at regular intervals.
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! The gateway: forwards callers' requests unchanged to upstreams of the platform.
 //!
-//! The gateway runs two threads: *control* follows the platform's store and the other instances, and
+//! The gateway runs two main threads: *control* follows the platform's store and the other instances, and
 //! *traffic* handles requests. They exchange typed messages ([`update`]). Placement and retry decisions are
 //! made by [`carob_dispatch`]; the names and formats of the platform's interfaces are defined in
 //! [`carob_platform`].
@@ -20,6 +20,7 @@
 pub mod reach;
 mod run;
 mod settings;
+mod signals;
 mod socket;
 mod traffic;
 mod update;
--- a/crates/carob-gateway/src/run.rs
+++ b/crates/carob-gateway/src/run.rs
@@ -4,7 +4,7 @@
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
 
-use crate::{Errors, Settings, control, traffic};
+use crate::{Errors, Settings, control, signals, traffic};
 
 /// Why a gateway could not start or has failed.
 #[derive(Debug, thiserror::Error)]
@@ -38,6 +38,7 @@
 ///
 /// Returns an [`Error`] if the gateway cannot start or its traffic thread has panicked.
 pub fn run(path: &Path) -> Result<(), Error> {
+    let signals = signals::start()?;
     let settings = Arc::new(Settings::load(path)?);
     log::info!(
         instance:% = settings.name, domain:% = settings.domain, callers:% = settings.caller_address,
@@ -55,10 +56,15 @@
         .name("traffic".to_owned())
         .spawn(move || traffic::run(sockets, initial, &received, reports))
         .map_err(|error| Error::Start("a thread", error.to_string()))?;
-    let outcome = control::run(path, &settings, updates, &reported, &metrics);
-    if traffic.join().is_err() {
+    let outcome = control::run(path, &settings, updates, &reported, &signals, &metrics);
+    let Ok(summary) = traffic.join() else {
         return Err(Error::Start("traffic", "its thread has panicked".to_owned()));
-    }
-    log::info!(instance:% = settings.name; "stopped");
+    };
+    log::info!(
+        instance:% = settings.name,
+        signal_ms = summary.signal.map_or(0, |signal| signal.elapsed().as_millis() as u64),
+        finished_ms = summary.finished.elapsed().as_millis() as u64,
+        stall_ms = summary.longest_stall.as_millis() as u64; "stopped"
+    );
     outcome
 }
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -70,9 +70,12 @@
         if complete {
             due = Instant::now() + COMPLETE_INTERVAL;
         }
-        tokio::time::sleep(MIN_INTERVAL).await;
+        let pause_end = Instant::now() + MIN_INTERVAL;
+        tokio::time::sleep_until(pause_end).await;
+        shared.record_stall(pause_end.elapsed());
         // A timeout is the usual case: nothing has changed.
         let _changed = tokio::time::timeout_at(due, shared.load_changed.notified()).await;
+        shared.record_stall(due.elapsed());
     }
 }
 
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -15,7 +15,12 @@
 mod shutdown;
 mod stream;
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use flume::{Receiver, Sender};
 use tokio::task::LocalSet;
@@ -55,6 +60,17 @@
     }
 }
 
+/// What the traffic thread leaves behind when it ends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Summary {
+    /// When the signal to shut down was read.
+    pub(crate) signal: Option<Instant>,
+    /// When the requests were finished or cut off.
+    pub(crate) finished: Instant,
+    /// Longest time by which a timer of the thread fired late.
+    pub(crate) longest_stall: Duration,
+}
+
 /// Serves requests until a signal to shut down, and then until every request is answered or the grace period
 /// is over.
 pub(crate) fn run(
@@ -62,7 +78,7 @@
     settings: Arc<Settings>,
     updates: &Receiver<Update>,
     reports: Sender<Report>,
-) {
+) -> Summary {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -88,6 +104,11 @@
         }
         shared.report(Report::Finished);
     });
+    Summary {
+        signal: shared.signal(),
+        finished: Instant::now(),
+        longest_stall: shared.longest_stall(),
+    }
 }
 
 fn start(shared: &Rc<Shared>, sockets: Sockets) -> std::io::Result<()> {
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -83,6 +83,10 @@
     connections: Cell<usize>,
     /// Whether connections may still be accepted.
     listening: Cell<bool>,
+    /// When the signal to shut down was read.
+    signal: Cell<Option<Instant>>,
+    /// Longest time by which a timer of this thread fired late.
+    longest_stall: Cell<Duration>,
     /// Absent until the process receives the signal to shut down.
     shutdown: Cell<Option<Shutdown>>,
     /// Notified when the process receives the signal to shut down.
@@ -123,6 +127,8 @@
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
             listening: Cell::new(true),
+            signal: Cell::new(None),
+            longest_stall: Cell::new(Duration::ZERO),
             shutdown: Cell::new(None),
             shutdown_begun: Notify::new(),
             aborted: Notify::new(),
@@ -217,6 +223,21 @@
             && self.fleet.borrow().upstreams().next().is_some()
     }
 
+    /// When the signal to shut down was read, if the process has received it.
+    pub(super) const fn signal(&self) -> Option<Instant> {
+        self.signal.get()
+    }
+
+    /// Records that a timer of this thread fired `late` after its time.
+    pub(super) fn record_stall(&self, late: Duration) {
+        self.longest_stall.set(self.longest_stall.get().max(late));
+    }
+
+    /// Longest time by which a timer of this thread fired late.
+    pub(super) const fn longest_stall(&self) -> Duration {
+        self.longest_stall.get()
+    }
+
     /// The shutdown in progress, if the process has received the signal.
     pub(super) const fn shutdown(&self) -> Option<Shutdown> {
         self.shutdown.get()
@@ -289,8 +310,13 @@
                 self.load_changed.notify_one();
             }
             Update::Settings(settings) => *self.settings.borrow_mut() = settings,
-            Update::Shutdown => {
+            Update::Shutdown(signal) => {
                 if self.shutdown.get().is_none() {
+                    log::info!(
+                        signal_ms = signal.at.elapsed().as_millis() as u64,
+                        stall_ms = self.longest_stall.get().as_millis() as u64; "shutdown begun"
+                    );
+                    self.signal.set(Some(signal.at));
                     let options =
                         carob_shutdown::Options::new(DEREGISTRATION_DELAY).with_grace(self.settings().grace);
                     self.shutdown.set(Some(Shutdown::new(now, options)));
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -5,7 +5,7 @@
 use carob_dispatch::{fleet::DirectoryEntry, table::RoutingTable};
 use carob_platform::store::Item;
 
-use crate::Settings;
+use crate::{Settings, signals::ShutdownSignal};
 
 /// Message of the control thread to the traffic thread.
 #[derive(Debug)]
@@ -35,7 +35,7 @@
     /// The settings file was changed.
     Settings(Arc<Settings>),
     /// The process received a signal to shut down.
-    Shutdown,
+    Shutdown(ShutdownSignal),
 }
 
 /// All changes of the store's content between two revisions.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,8 @@
 mod fleet;
 #[path = "soak/operator.rs"]
 mod operator;
+#[path = "soak/process.rs"]
+mod process;
 #[path = "soak/traffic.rs"]
 mod traffic;
 
@@ -55,9 +57,11 @@
 const PRINTED_VIOLATIONS: usize = 5;
 
 /// Parts of the gateway whose log lines are about the process.
-const PROCESS_PARTS: [&str; 3] = [
+const PROCESS_PARTS: [&str; 5] = [
     "carob_gateway::run\"",
     "carob_gateway::control\"",
+    "carob_gateway::signals\"",
+    "traffic::shared\"",
     "traffic::listen\"",
 ];
 
@@ -124,6 +128,7 @@
         observations.len(),
         injector.fleet.ledger.migrations()
     );
+    print_slowest_shutdowns(injector);
     for observation in &observations {
         let Some(reason) = evidence.violation(observation) else {
             continue;
@@ -152,6 +157,26 @@
     );
 }
 
+/// Prints how late a signal to shut down was read at most, how long a traffic thread was stalled, and how long the
+/// end of a process took after its requests were finished.
+fn print_slowest_shutdowns(injector: &Injector) {
+    let gateways = &injector.fleet.gateways;
+    let lines: Vec<String> = gateways.iter().flat_map(Gateway::log_lines).collect();
+    let longest = |message: &str, field: &str| {
+        let lines = lines
+            .iter()
+            .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+            .filter(|line| line["msg"] == message);
+        lines.filter_map(|line| line[field].as_u64()).max().unwrap_or(0)
+    };
+    eprintln!(
+        "longest times in ms: from a signal to the traffic thread {}, stall {}, end {}",
+        longest("shutdown begun", "signal_ms"),
+        longest("stopped", "stall_ms"),
+        longest("stopped", "finished_ms")
+    );
+}
+
 /// Prints the log lines of a gateway that are about its processes or the request `id`.
 fn print_log(gateway: &Gateway, id: Option<&str>) {
     for line in gateway.log_lines() {
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use crate::fleet::Fleet;
+use crate::{fleet::Fleet, process};
 
 /// Time within which a change of the settings file is in force (`ConfigApplyMs`).
 const APPLY_TIME: Duration = Duration::from_millis(2_500);
@@ -219,8 +219,10 @@
             let grace = life.grace.1;
             let lines = fleet.gateways[gateway].log_lines();
             let last = &lines[lines.len().saturating_sub(LAST_LINES)..];
+            let threads = process::describe(fleet.gateways[gateway].child.id());
             let text = format!(
-                "runs {since_leave:?} after the signal to shut down; its grace is {grace:?}; last lines {last:#?}"
+                "runs {since_leave:?} after the signal to shut down; its grace is {grace:?}; last lines {last:#?}; \
+                 process {threads:#?}"
             );
             self.violations.push((gateway, text));
         }
