fix: the exit is timed from where the traffic thread learns of the signal

The signal was read at once; the traffic thread learned of it 0.2 s later and timed the exit from there, so that it came 7.78 s after the signal. The end took another 0.25 s: the process had run for 116 ms in its life and waited 3,060 ms for a processor. The margin of 0.4 s was used up, and the operator's SIGKILL was due.

* The times of a shutdown count from when the signal was read.
The thread that reads it tells the traffic thread itself; the control thread, which passed it on, also read the settings file.
* The same thread ends the process at three quarters of the margin, whatever the others do.
* The settings file is read on a thread that nothing waits for.
While it could not be read (a pipe without a writer), the signal was not read at all and the process ran until it was killed.

The property of the margin holds for the new times as well.

--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -20,7 +20,7 @@
 use crate::{
     Settings,
     run::Error,
-    signals::ShutdownSignal,
+    signals::Grace,
     update::{Report, Update},
 };
 use state::Control;
@@ -37,16 +37,16 @@
     path: &Path,
     settings: &Arc<Settings>,
     updates: Sender<Update>,
+    grace: Arc<Grace>,
     reports: &Receiver<Report>,
-    signals: &Receiver<ShutdownSignal>,
     metrics: &PrometheusHandle,
 ) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| Error::Start("a runtime", error.to_string()))?;
-    let control = Rc::new(Control::new(Arc::clone(settings), updates));
-    LocalSet::new().block_on(&runtime, async {
+    let control = Rc::new(Control::new(Arc::clone(settings), updates, grace));
+    let outcome = LocalSet::new().block_on(&runtime, async {
         let sharing = share::bind(settings.peer_address)
             .map_err(|error| Error::Listen(settings.peer_address, error))?;
         let admin = admin::bind(settings.admin_address)
@@ -59,26 +59,23 @@
         tokio::task::spawn_local(run_upkeep(metrics.clone()));
         tokio::task::spawn_local(reload_settings(Rc::clone(&control), path.to_owned()));
         loop {
-            tokio::select! {
-                Ok(signal) = signals.recv_async() => shut_down(&control, signal),
-                report = reports.recv_async() => match report {
-                    Ok(Report::Peer { address, revision, update, watching }) => {
-                        control.record_watcher(address, watching);
-                        share::handle_peer_report(&control, address, revision, update, watching);
-                    }
-                    Ok(Report::Finished) | Err(_) => return Ok(()),
-                },
+            match reports.recv_async().await {
+                Ok(Report::Peer {
+                    address,
+                    revision,
+                    update,
+                    watching,
+                }) => {
+                    control.record_watcher(address, watching);
+                    share::handle_peer_report(&control, address, revision, update, watching);
+                }
+                Ok(Report::Finished) | Err(_) => return Ok(()),
             }
         }
-    })
-}
-
-fn shut_down(control: &Control, signal: ShutdownSignal) {
-    log::info!(
-        signal = signal.name, read_ms = signal.at.elapsed().as_millis() as u64;
-        "leaving: not ready any more, requests are finished"
-    );
-    control.send(Update::Shutdown(signal));
+    });
+    // A read of the settings file may take long, and is not waited for.
+    runtime.shutdown_background();
+    outcome
 }
 
 /// Merges recorded values into the histograms at regular intervals.
@@ -105,7 +102,14 @@
             _ = hangup.recv() => true,
             () = tokio::time::sleep(SETTINGS_INTERVAL) => false,
         };
-        match Settings::load(&path) {
+        // Reading may take seconds while the disk is busy.
+        let file = path.clone();
+        let loaded = tokio::task::spawn_blocking(move || Settings::load(&file)).await;
+        let Ok(loaded) = loaded else {
+            log::error!("settings not read: the thread for it has panicked");
+            continue;
+        };
+        match loaded {
             Ok(settings) if settings != *control.settings() => {
                 log::info!(file:% = path.display(), asked; "settings reloaded");
                 refused = None;
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -18,6 +18,7 @@
 use crate::{
     Change, Lag, Mirror, Settings,
     reach::{MIN_OUTAGE, Reachability},
+    signals::Grace,
     update::{StoreUpdate, Update},
 };
 
@@ -39,6 +40,8 @@
 pub(super) struct Control {
     updates: Sender<Update>,
     settings: RefCell<Arc<Settings>>,
+    /// The grace of `settings`, for the thread that reads the signals.
+    grace: Arc<Grace>,
     mirror: RefCell<Mirror>,
     /// Version of the configuration in force.
     version: Cell<u64>,
@@ -62,11 +65,12 @@
 }
 
 impl Control {
-    pub(super) fn new(settings: Arc<Settings>, updates: Sender<Update>) -> Self {
+    pub(super) fn new(settings: Arc<Settings>, updates: Sender<Update>, grace: Arc<Grace>) -> Self {
         let now = Instant::now();
         Self {
             updates,
             settings: RefCell::new(settings),
+            grace,
             mirror: RefCell::new(Mirror::new()),
             version: Cell::new(0),
             reachability: RefCell::new(Reachability::new()),
@@ -96,6 +100,7 @@
 
     /// Replaces the settings and passes them on to the traffic thread.
     pub(super) fn apply_settings(&self, settings: Arc<Settings>) {
+        self.grace.set(settings.grace);
         *self.settings.borrow_mut() = Arc::clone(&settings);
         self.send(Update::Settings(settings));
         self.send_peers();
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`carob_platform`].
 //!
 //! * [`run()`]: runs a gateway until it is asked to shut down.
+//! * [`force_exit()`]: ends a process that does not end by itself in time.
 //! * [`Settings`]: the settings file.
 //! * [`Mirror`]: this instance's copy of the store's content.
 //! * [`reach`]: whether the store can be reached.
@@ -30,3 +31,4 @@
 pub use mirror::{Change, Mirror, Versioned};
 pub use run::{Error, run};
 pub use settings::Settings;
+pub use signals::force_exit;
--- a/crates/carob-gateway/src/run.rs
+++ b/crates/carob-gateway/src/run.rs
@@ -4,7 +4,11 @@
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
 
-use crate::{Errors, Settings, control, signals, traffic};
+use crate::{
+    Errors, Settings, control,
+    signals::{self, Grace},
+    traffic,
+};
 
 /// Why a gateway could not start or has failed.
 #[derive(Debug, thiserror::Error)]
@@ -32,13 +36,13 @@
 ];
 
 /// Runs a gateway with the settings file at `path` until SIGTERM or SIGINT; returns once the requests in
-/// progress are answered or the grace period is over.
+/// progress are answered or the grace period is over. Ends the process if that does not succeed in time.
 ///
 /// # Errors
 ///
 /// Returns an [`Error`] if the gateway cannot start or its traffic thread has panicked.
 pub fn run(path: &Path) -> Result<(), Error> {
-    let signals = signals::start()?;
+    let signals = signals::catch()?;
     let settings = Arc::new(Settings::load(path)?);
     log::info!(
         instance:% = settings.name, domain:% = settings.domain, callers:% = settings.caller_address,
@@ -56,7 +60,10 @@
         .name("traffic".to_owned())
         .spawn(move || traffic::run(sockets, initial, &received, reports))
         .map_err(|error| Error::Start("a thread", error.to_string()))?;
-    let outcome = control::run(path, &settings, updates, &reported, &signals, &metrics);
+    let grace = Arc::new(Grace::default());
+    grace.set(settings.grace);
+    signals.spawn(Arc::clone(&grace), updates.clone())?;
+    let outcome = control::run(path, &settings, updates, grace, &reported, &metrics);
     let Ok(summary) = traffic.join() else {
         return Err(Error::Start("traffic", "its thread has panicked".to_owned()));
     };
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -317,9 +317,9 @@
                         stall_ms = self.longest_stall.get().as_millis() as u64; "shutdown begun"
                     );
                     self.signal.set(Some(signal.at));
-                    let options =
-                        carob_shutdown::Options::new(DEREGISTRATION_DELAY).with_grace(self.settings().grace);
-                    self.shutdown.set(Some(Shutdown::new(now, options)));
+                    let options = carob_shutdown::Options::new(DEREGISTRATION_DELAY).with_grace(signal.grace);
+                    self.shutdown
+                        .set(Some(Shutdown::new(now - signal.at.elapsed(), options)));
                     self.shutdown_begun.notify_waiters();
                 }
             }
--- a/crates/carob-shutdown/src/lib.rs
+++ b/crates/carob-shutdown/src/lib.rs
@@ -77,19 +77,24 @@
         signal: Time,
         closes: Time,
         exit: Time,
+        margin: Duration,
     }
 }
 
 impl Shutdown {
     /// A shutdown whose signal arrived at `signal`.
     pub fn new(signal: Time, options: Options) -> Self {
-        let exit = options.grace.map_or(Time::NEVER, |grace| {
-            signal + grace.saturating_sub(EXIT_MARGIN.min(grace / MAX_MARGIN_SHARE))
-        });
+        let margin = options
+            .grace
+            .map_or(EXIT_MARGIN, |grace| EXIT_MARGIN.min(grace / MAX_MARGIN_SHARE));
+        let exit = options
+            .grace
+            .map_or(Time::NEVER, |grace| signal + grace.saturating_sub(margin));
         Self {
             signal,
             closes: (signal + options.notice).min(exit),
             exit,
+            margin,
         }
     }
 
@@ -108,6 +113,16 @@
         self.exit
     }
 
+    /// When a process that still runs has failed to exit by itself.
+    pub fn overdue(self) -> Time {
+        self.exit + self.margin / 4
+    }
+
+    /// When a process that has failed to exit by itself is ended, whatever its threads do.
+    pub fn forced(self) -> Time {
+        self.exit + self.margin * 3 / 4
+    }
+
     /// When an accepted request gets its final answer at the latest, so that the answer leaves before the exit.
     pub fn answer_by(self) -> Time {
         self.exit - ANSWER_MARGIN
--- a/crates/carob-shutdown/tests/shutdown.rs
+++ b/crates/carob-shutdown/tests/shutdown.rs
@@ -72,5 +72,7 @@
         prop_assert!(used <= Duration::from_millis(grace));
         prop_assert!(used * 6 >= Duration::from_millis(grace) * 5);
         prop_assert!(shutdown.closes() <= shutdown.exit());
+        prop_assert!(shutdown.exit() <= shutdown.overdue() && shutdown.overdue() <= shutdown.forced());
+        prop_assert!(shutdown.forced().since(SIGNAL) <= Duration::from_millis(grace));
     }
 }
--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -5,6 +5,7 @@
 use std::{
     io::{Read as _, Write as _},
     net::TcpStream,
+    process::Command,
     thread,
     time::{Duration, Instant},
 };
@@ -461,3 +462,31 @@
         .count();
     assert_eq!(resets, CLIENTS);
 }
+
+/// How often a gateway looks at its settings file, and some time to spare.
+const PAST_RELOAD: Duration = Duration::from_millis(2_500);
+
+/// The thread that read the signals also read the settings file, which takes seconds while the disk is busy. Here
+/// reading never ends.
+#[test]
+fn a_signal_is_not_read_while_the_settings_file_is() {
+    let mut fleet = Fleet::start(1);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    let path = fleet.gateways[0].settings_path();
+    std::fs::remove_file(&path).expect("the file exists");
+    let made = Command::new("mkfifo").arg(&path).status();
+    assert!(made.is_ok_and(|status| status.success()), "the pipe is made");
+    thread::sleep(PAST_RELOAD);
+    fleet.gateways[0].signal("TERM");
+    let signalled = Instant::now();
+    let child = std::cell::RefCell::new(&mut fleet.gateways[0].child);
+    wait_until("the process ends", || {
+        child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_some())
+    });
+    let took = signalled.elapsed();
+    assert!(
+        took < PAST_EXIT,
+        "ended {took:?} after the signal without any work"
+    );
+}
