logs: repeats are told by service and reason, for the sum over all instances

Added, on unchanged logic: the field `service` on "sent to an upstream"; the line "request sent again" for each repeat, moves and resumes included, with reason, what is left, share, instances and requests; the same fields on "no retry: the budget is spent"; carobhaven_repeats_total, carobhaven_repeats_denied_total, carobhaven_service_requests_total and the gauge carobhaven_budget_left_repeats. Services become metric labels; there are as many values as services in the configuration. The line "no retry: the budget is spent" now has the part carob_gateway::traffic::repeats. Tests: repeats_are_told_by_service_and_reason compares lines and metrics with what clients sent (nothing of it exists before this commit); repeats_of_all_instances_and_processes_are_added_up. The list of units that a metric's name may end with gets `_repeats`, as the gauge counts neither seconds nor bytes; the bound on label sets is unchanged.

--- a/crates/carob-dispatch/src/budget.rs
+++ b/crates/carob-dispatch/src/budget.rs
@@ -9,9 +9,54 @@
 
 use carob_base::Time;
 
+use crate::outcome::AttemptResult;
+
 /// Number of buckets that a window is divided into; counts are dropped a whole bucket at a time.
 const BUCKETS: u32 = 4;
 
+carob_base::plain! {
+    /// Why an upstream gets a request that was sent before.
+    pub enum Reason {
+        /// The send before it ended without a connection.
+        Unsent,
+        /// The upstream before rejected the request.
+        Rejected,
+        /// The upstream before ran the request, and it failed.
+        Failed,
+        /// Nothing is known of the request after it was sent.
+        Unknown,
+        /// A generation continues at another upstream because its own leaves.
+        Move,
+        /// A generation continues at another upstream after its own failed.
+        Resume,
+    }
+}
+
+impl Reason {
+    /// The reason in log lines and metric labels.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+            Self::Unknown => "unknown",
+            Self::Move => "move",
+            Self::Resume => "resume",
+        }
+    }
+}
+
+impl From<AttemptResult> for Reason {
+    fn from(result: AttemptResult) -> Self {
+        match result {
+            AttemptResult::Unsent => Self::Unsent,
+            AttemptResult::Rejected => Self::Rejected,
+            AttemptResult::Failed => Self::Failed,
+            AttemptResult::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// Limits of one retry budget.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -47,20 +92,35 @@
 
     /// Counts a retry and returns `true` if the budget permits it, else returns `false`.
     pub fn try_retry(&mut self, now: Time) -> bool {
-        self.current_bucket(now);
-        // The buckets cover one more than a window, because a window that ends in the current bucket starts
-        // within the oldest one. Retries there count, but requests do not, since they may be older than the
-        // window.
-        let requests: u32 = self.buckets.iter().skip(1).map(|bucket| bucket.1).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.2).sum();
-        let permitted = f64::from(requests).mul_add(self.options.ratio, self.options.extra);
-        let within_budget = f64::from(retries) + 1.0 <= permitted;
+        let within_budget = self.left(now) >= 1.0;
         if within_budget {
             self.current_bucket(now).2 += 1;
         }
         within_budget
     }
 
+    /// Retries that are permitted at `now`; may be fractional, and negative.
+    pub fn left(&mut self, now: Time) -> f64 {
+        let requests = self.requests(now);
+        let retries: u32 = self.buckets.iter().map(|bucket| bucket.2).sum();
+        let permitted = f64::from(requests).mul_add(self.options.ratio, self.options.extra);
+        permitted - f64::from(retries)
+    }
+
+    /// Number of requests that the permitted retries are counted from.
+    pub fn requests(&mut self, now: Time) -> u32 {
+        self.current_bucket(now);
+        // The buckets cover one more than a window, because a window that ends in the current bucket starts
+        // within the oldest one. Retries there count, but requests do not, since they may be older than the
+        // window.
+        self.buckets.iter().skip(1).map(|bucket| bucket.1).sum()
+    }
+
+    /// Retries permitted in a window without any request.
+    pub const fn share(&self) -> f64 {
+        self.options.extra
+    }
+
     /// The bucket of `now`, created if needed. Drops buckets that no window ending at `now` overlaps.
     fn current_bucket(&mut self, now: Time) -> &mut (u64, u32, u32) {
         let length = (self.options.window / BUCKETS).as_micros().max(1) as u64;
--- a/crates/carob-explain/tests/explain.rs
+++ b/crates/carob-explain/tests/explain.rs
@@ -1,6 +1,6 @@
 //! Log lines are parsed, put in one order and explained, although clocks differ and some lines are malformed.
 
-use carob_explain::{Record, align, conclude, parse};
+use carob_explain::{Record, align, conclude, dropped_lines, parse, windows};
 
 fn line(instance: &str, time: i64, message: &str, fields: &str) -> String {
     format!(
@@ -240,3 +240,60 @@
         );
     }
 }
+
+/// Start of the first process in the following test, in Unix milliseconds.
+const FIRST_START_MS: i64 = 1_000_000;
+
+/// A line about service `s`, with times since the first start.
+fn service_line(instance: &str, process: i64, time: i64, message: &str, fields: &str) -> String {
+    format!(
+        "{instance} {{\"ts\":{},\"up\":{},\"level\":\"INFO\",\"part\":\"p\",\"msg\":\"{message}\",\"service\":\"s\"{fields}}}\n",
+        FIRST_START_MS + time,
+        time - process
+    )
+}
+
+/// Two instances, of which one starts again between the repeats; each instance alone says too little about the
+/// service's budget.
+#[test]
+fn repeats_of_all_instances_and_processes_are_added_up() {
+    let again = |instance, process, time, reason: &str, instances| {
+        let fields = format!(",\"reason\":\"{reason}\",\"instances\":{instances}");
+        service_line(instance, process, time, "request sent again", &fields)
+    };
+    let first = |time| service_line("n1", 0, time, "sent to an upstream", ",\"attempts_before\":0");
+    let denied = ",\"reason\":\"unknown\",\"instances\":12";
+    let dropped = "log lines were dropped to bound their volume";
+    let text = [
+        // An earlier window with fewer repeats.
+        again("n1", 0, 2_000, "failed", 10),
+        // The window with the most: from 20 s up to 30 s, exclusive.
+        first(19_999),
+        again("n1", 0, 20_000, "rejected", 10),
+        first(20_500),
+        again("n2", 0, 21_000, "rejected", 12),
+        service_line("n2", 0, 22_000, "no retry: the budget is spent", denied),
+        again("n1", 25_000, 29_999, "move", 10),
+        first(30_000),
+        again("n1", 25_000, 30_000, "resume", 10),
+        again("n2", 0, 30_001, "failed", 10).replace("\"service\":\"s\"", "\"service\":\"other\""),
+        service_line("n2", 0, 40_000, dropped, ",\"lines\":7"),
+    ]
+    .concat();
+    let mut records = parse(&text, "file").records;
+    align(&mut records);
+    let found = windows(&records, "s", 10_000, 3);
+    let starts: Vec<i64> = found
+        .iter()
+        .map(|window| window.start_ms - FIRST_START_MS)
+        .collect();
+    assert_eq!(starts, [20_000, 2_000, 30_000]);
+    assert_eq!(
+        found[0].to_string(),
+        "first sends 1; repeats 3 (move 1, rejected 2); denied 1 (unknown 1); share of 10 to 12 instances\n    \
+         n1                       2 (process 1: 1, process 2: 1)\n    \
+         n2                       1 (process 1: 1)"
+    );
+    assert_eq!(dropped_lines(&records), 7);
+    assert!(windows(&records, "absent", 10_000, 3).is_empty());
+}
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use carob_dispatch::{
+    budget::Reason,
     fleet::{RequestSize, Requirements, UpstreamKey},
     head::Head,
     table::{Engine, Route},
@@ -12,7 +13,7 @@
 use hyper::{Response, body::Incoming, http::request::Parts};
 use tokio::time::Instant;
 
-use super::{body::HeldBytes, guard::Reservation, shared::Shared};
+use super::{body::HeldBytes, guard::Reservation, repeats, shared::Shared};
 use crate::socket::{self, Connection, ConnectionTask};
 
 /// Time limit for a connection to an upstream. The longest round trip takes 30 ms. A lost SYN packet is
@@ -144,11 +145,13 @@
         })
     }
 
-    /// Sends the request to the upstream of `reservation` and reads the head of its response. With `resume`,
-    /// the upstream continues a generation from the copy of its memory.
+    /// Sends the request to the upstream of `reservation` and reads the head of its response. `again` is why a
+    /// request is sent that was sent before. With `resume`, the upstream continues a generation from the copy
+    /// of its memory.
     pub(super) async fn send(
         &self,
         reservation: &Reservation,
+        again: Option<Reason>,
         resume: Option<&Resume>,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, ConnectionTask), socket::Error> {
@@ -170,6 +173,9 @@
         let request = request::encode(&parts.method, &parts.uri, &parts.headers, &added)
             .map_err(|error| socket::Error::Connect(error.to_string()))?;
         metrics::counter!("carobhaven_sends_total").increment(1);
+        if let Some(reason) = again {
+            repeats::record_repeat(self, reason);
+        }
         connection
             .send(request.map(|()| self.body.clone()), deadline)
             .await
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use carob_dispatch::{
+    budget::Reason,
     fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey},
     head::Head,
     outcome::{self, AttemptResult, NextAction},
@@ -23,7 +24,7 @@
     call::Call,
     guard::{ActiveRequest, QueueEntry, Reservation},
     listen::RequestCount,
-    plain, probe,
+    plain, probe, repeats,
     resume::OpenStream,
     shared::Shared,
     shutdown, stream,
@@ -165,7 +166,7 @@
         ));
     };
     let engine = table.service(service).and_then(|service| service.engine.clone());
-    shared.with_budget(service, carob_dispatch::budget::RetryBudget::record_request);
+    shared.record_request(service);
     Ok(Rc::new(Call {
         shared: Rc::clone(shared),
         service: service.into(),
@@ -197,6 +198,7 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let (mut ran, mut rejected) = (0, 0);
+    let mut again = None;
     loop {
         // A request that may have run cannot be refused any more; what is left of the grace limits its attempt.
         let reservation = match reserve(call, &tried, (ran == 0).then_some(&active)).await {
@@ -207,7 +209,7 @@
         let upstream = reservation.upstream;
         log_sent(call, &reservation, ran + rejected);
         let last = ran + 1 >= call.route.max_attempts || call.route.kind != RouteKind::Safe;
-        let outcome = attempt(call, &reservation, last).await;
+        let outcome = attempt(call, &reservation, again, last).await;
         let attempt = match outcome {
             Outcome::Stream(response, driver) => {
                 let opened = OpenStream {
@@ -231,10 +233,11 @@
                     rejected,
                     call.route.max_attempts,
                 );
-                if !matches!(next, NextAction::Retry { .. }) || !may_retry(call) {
+                if !matches!(next, NextAction::Retry { .. }) || !repeats::may_repeat(call, Reason::Failed) {
                     log_answered(call, response.status(), upstream);
                     return Ok(response);
                 }
+                again = Some(Reason::Failed);
                 tried.push(upstream);
                 continue;
             }
@@ -246,9 +249,12 @@
             AttemptResult::Failed | AttemptResult::Unknown => ran += 1,
         }
         tried.push(upstream);
+        let reason = Reason::from(attempt);
+        again = Some(reason);
         match outcome::next_action(call.route.kind, attempt, ran, rejected, call.route.max_attempts) {
             NextAction::Retry { budgeted }
-                if Instant::now() < call.answer_deadline() && (!budgeted || may_retry(call)) => {}
+                if Instant::now() < call.answer_deadline()
+                    && (!budgeted || repeats::may_repeat(call, reason)) => {}
             NextAction::Retry { .. } | NextAction::Refuse if ran == 0 => {
                 return Err((
                     LocalAnswer::Refused(RETRY_FULL),
@@ -272,17 +278,6 @@
     }
 }
 
-/// Withdraws a retry from the budget of the request's service; returns whether it was permitted.
-fn may_retry(call: &Call) -> bool {
-    let permitted = call
-        .shared
-        .with_budget(&call.service, carob_dispatch::budget::RetryBudget::try_retry);
-    if !permitted {
-        log::info!(request:% = call.id(), service:% = call.service; "no retry: the budget is spent");
-    }
-    permitted
-}
-
 /// Reserves capacity at an upstream, after waiting in the queue if all are full.
 async fn reserve(
     call: &Rc<Call>,
@@ -366,9 +361,9 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// Sends the request to the reserved upstream. An attempt that is not the `last` one has a time limit of its
-/// own.
-async fn attempt(call: &Rc<Call>, reservation: &Reservation, last: bool) -> Outcome {
+/// Sends the request to the reserved upstream, `again` if it was sent before. An attempt that is not the `last`
+/// one has a time limit of its own.
+async fn attempt(call: &Rc<Call>, reservation: &Reservation, again: Option<Reason>, last: bool) -> Outcome {
     let shared = &call.shared;
     let record = |health| {
         shared
@@ -388,7 +383,7 @@
         );
         Outcome::NoAnswer(attempt)
     };
-    let (response, driver) = match call.send(reservation, None, deadline).await {
+    let (response, driver) = match call.send(reservation, again, None, deadline).await {
         Ok(answered) => answered,
         Err(error @ socket::Error::Connect(_)) => {
             record(UpstreamHealth::Unreachable);
@@ -446,7 +441,7 @@
         return;
     };
     log::info!(
-        request:% = call.id(), route:% = call.route.name, upstream:% = found.entry.id,
+        request:% = call.id(), route:% = call.route.name, service:% = call.service, upstream:% = found.entry.id,
         tokens = reservation.size.tokens, upstream_tokens = found.expected_tokens(),
         upstream_prompts = found.pending_prefill(), upstream_requests = found.total_requests(),
         attempts_before, age_ms = call.age_ms(), version = call.version; "sent to an upstream"
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -4,6 +4,7 @@
 
 use carob_base::Time;
 use carob_dispatch::{
+    budget::Reason,
     fleet::{RequestSize, UpstreamKey},
     migration::{
         CATCH_UP_CUTOFF, CAUGHT_UP_THRESHOLD, COPY_ATTEMPTS, COPY_CUTOFF, COPY_TIMEOUT, MAX_TARGETS,
@@ -115,7 +116,7 @@
     };
     let target = reservation.upstream;
     progress.borrow_mut().switching = true;
-    let outcome = match resume::resume_at(call, reservation, &memory).await {
+    let outcome = match resume::resume_at(call, reservation, Reason::Move, &memory).await {
         Ok(opened) => opened.await_first_bytes().await,
         Err(failure) => Err(failure),
     };
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod migrate;
 mod plain;
 mod probe;
+mod repeats;
 mod resume;
 mod shared;
 mod shutdown;
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use carob_dispatch::{fleet::UpstreamHealth, migration::OVERLAP};
+use carob_dispatch::{budget::Reason, fleet::UpstreamHealth, migration::OVERLAP};
 use carob_platform::{
     answer::{self, AnswerKind},
     request::Resume,
@@ -63,12 +63,16 @@
 pub(super) async fn resume_at(
     call: &Rc<Call>,
     reservation: Reservation,
+    reason: Reason,
     memory: &Resume,
 ) -> Result<OpenStream, Failure> {
     let started = Instant::now();
     let deadline = call.deadline.min(started + RESUME_TIMEOUT);
     let target = upstream_name(call, reservation.upstream);
-    let (response, driver) = match call.send(&reservation, Some(memory), deadline).await {
+    let (response, driver) = match call
+        .send(&reservation, Some(reason), Some(memory), deadline)
+        .await
+    {
         Ok(answered) => answered,
         Err(error) => {
             log::warn!(
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, Ref, RefCell, RefMut},
-    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -12,7 +11,6 @@
 use bytes::Bytes;
 use carob_base::{Clock, Time};
 use carob_dispatch::{
-    budget::{self, RetryBudget},
     fleet::{Fleet, RunKey, Topology, UpstreamKey, WaitKey},
     table::RoutingTable,
 };
@@ -21,17 +19,15 @@
 use slotmap::{SecondaryMap, SlotMap};
 use tokio::sync::{Notify, oneshot};
 
-use super::guard::{Active, ActiveKey};
+use super::{
+    guard::{Active, ActiveKey},
+    repeats::Repeats,
+};
 use crate::{
     Settings,
     update::{Report, StoreUpdate, Update},
 };
 
-/// The fixed part of a retry budget is divided among at least this many instances.
-///
-/// An instance that does not know all others yet must not spend their shares.
-const MIN_INSTANCES: usize = 10;
-
 /// Instances send their load at least once a second; one counts as unresponsive after two missed messages.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_200);
 
@@ -53,7 +49,7 @@
     table: RefCell<Option<Arc<RoutingTable>>>,
     fleet: RefCell<Fleet>,
     /// Retry budgets by service.
-    budgets: RefCell<HashMap<Box<str>, RetryBudget>>,
+    pub(super) repeats: Repeats,
     /// Whether the configuration can be taken as current.
     current: Cell<bool>,
     /// Whether this instance watches the store itself, and the store answers.
@@ -107,7 +103,7 @@
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(topology, rand::random())),
-            budgets: RefCell::new(HashMap::new()),
+            repeats: Repeats::default(),
             current: Cell::new(false),
             watching: Cell::new(false),
             uninformed: Cell::new(false),
@@ -345,23 +341,11 @@
         }
     }
 
-    /// Calls `act` with the retry budget of `service`, which is created on first use.
-    pub(super) fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget, Time) -> T) -> T {
-        let now = self.now();
-        let mut budgets = self.budgets.borrow_mut();
-        if let Some(budget) = budgets.get_mut(service) {
-            return act(budget, now);
-        }
-        let settings = self.settings.borrow();
-        let instances = (self.peers.borrow().len() + 1).max(MIN_INSTANCES);
-        let budget = budgets
-            .entry(service.into())
-            .or_insert(RetryBudget::new(budget::Options {
-                window: settings.retry_window,
-                ratio: settings.retry_ratio,
-                extra: settings.extra_retries / instances as f64,
-            }));
-        act(budget, now)
+    /// Counts a client's request to `service` for its retry budget.
+    pub(super) fn record_request(&self, service: &str) {
+        let peers = self.peers.borrow().len();
+        self.repeats
+            .record_request(service, &self.settings.borrow(), peers, self.now());
     }
 
     /// Sends a report to the control thread; drops it if the queue is full, so that requests are never held
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use carob_dispatch::budget::Reason;
 use carob_platform::{answer, request::Resume};
 use http_body_util::BodyExt;
 use hyper::{
@@ -388,7 +389,7 @@
             handle,
             last_event: self.last_event,
         };
-        match resume::resume_at(&self.call, reservation, &memory).await {
+        match resume::resume_at(&self.call, reservation, Reason::Resume, &memory).await {
             Ok(opened) => {
                 self.continue_with(opened, reason);
                 Ok(())
--- a/src/args.rs
+++ b/src/args.rs
@@ -1,9 +1,12 @@
 //! Command-line arguments. The doc comments of types and fields are the `--help` texts.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, num::NonZeroU32, path::PathBuf};
 
 use argh::FromArgs;
 
+/// Window over which the repeats of a service are counted, in seconds.
+const DEFAULT_WINDOW_S: NonZeroU32 = NonZeroU32::new(10).unwrap();
+
 /// Serving system for model generations of unknown length on heavily loaded engines.
 ///
 /// Exit codes: 0 success; 1 a request or ticket was refused, or a checked outcome was wrong; 2 invalid
@@ -43,10 +46,11 @@
     pub settings: PathBuf,
 }
 
-/// Explain what happened to a request, an upstream or an instance, from the logs of gateways.
+/// Explain what happened to a request, an upstream, an instance or a service, from the logs of gateways.
 ///
 /// Prints the log lines about it in one order, corrected for the differences between the instances' clocks,
-/// and for a request also its outcome and the decision that led to it.
+/// and for a request also its outcome and the decision that led to it. For a service, prints instead what was
+/// sent to its upstreams in the windows with the most repeats.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct Explain {
@@ -56,7 +60,13 @@
     /// show what this instance knew, instead of a request
     #[argh(option)]
     pub instance: Option<String>,
-    /// request id (omitted with --upstream or --instance), followed by log files
+    /// count the requests to this service that upstreams got more than once, instead of a request
+    #[argh(option)]
+    pub service: Option<String>,
+    /// length of the sliding windows of --service, in seconds (default 10)
+    #[argh(option, default = "DEFAULT_WINDOW_S")]
+    pub window: NonZeroU32,
+    /// request id (omitted with --upstream, --instance or --service), followed by log files
     #[argh(positional)]
     pub files: Vec<String>,
 }
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -2,9 +2,12 @@
 
 mod fleet;
 
-use std::{collections::HashSet, thread, time::Duration};
+use std::{cell::Cell, collections::HashSet, thread, time::Duration};
 
-use carob_platform_standin::client::{self, Request};
+use carob_platform_standin::{
+    AnswerMode,
+    client::{self, Request},
+};
 use fleet::{Fleet, request, wait_until};
 use prometheus_parse::{Scrape, Value};
 
@@ -83,6 +86,84 @@
     );
 }
 
+/// Reads the metrics of the first gateway.
+fn scrape(fleet: &Fleet) -> Scrape {
+    let answer = client::send(
+        fleet.gateways[0].admin_address,
+        &Request::new("m", "GET", "/metrics"),
+    );
+    let text = String::from_utf8(answer.body).expect("metrics are text");
+    Scrape::parse(text.lines().map(|line| Ok(line.to_owned())))
+        .expect("the metrics are in the Prometheus text format")
+}
+
+/// The value of a metric of the plain service and, unless it is empty, a reason.
+fn service_value(scrape: &Scrape, name: &str, reason: &str) -> f64 {
+    let found = scrape.samples.iter().find(|sample| {
+        sample.metric == name
+            && sample.labels.get("service") == Some("plain")
+            && sample.labels.get("reason").unwrap_or_default() == reason
+    });
+    match found.map(|sample| &sample.value) {
+        Some(Value::Counter(value) | Value::Gauge(value)) => *value,
+        _ => 0.0,
+    }
+}
+
+/// Operators ran a fleet whose upstreams saw more repeats than the budget allows, and no line or metric said
+/// how many, for which service, or why.
+#[test]
+fn repeats_are_told_by_service_and_reason() {
+    let fleet = Fleet::start(1);
+    let upstreams = ["p1", "p2"].map(|id| fleet.start_plain(id, Duration::ZERO));
+    fleet.configure();
+    let gateway = &fleet.gateways[0];
+    let sent = Cell::new(0);
+    // A process may have to learn of the others and get requests before it may repeat any.
+    wait_until("the budget permits a repeat", || {
+        sent.set(sent.get() + 1);
+        fleet.send(0, &request(&format!("ok-{}", sent.get()), "GET", "/read/1"));
+        service_value(&scrape(&fleet), "carobhaven_budget_left_repeats", "") >= 1.0
+    });
+    for upstream in &upstreams {
+        upstream.set_answer_mode(AnswerMode::Rejection);
+    }
+    for number in 0..30 {
+        let refused = fleet.send(0, &request(&format!("again-{number}"), "GET", "/read/1"));
+        assert_eq!(refused.status, 503);
+    }
+    wait_until("the last request is logged", || gateway.logged("\"again-29\""));
+    let values = scrape(&fleet);
+    let lines = gateway.log_lines();
+    let count = |message: &str| {
+        let has = |line: &&String| {
+            line.contains(message)
+                && line.contains("\"service\":\"plain\"")
+                && line.contains("\"reason\":\"rejected\"")
+                && ["left", "share", "instances", "requests"]
+                    .iter()
+                    .all(|field| line.contains(&format!("\"{field}\":")))
+        };
+        lines.iter().filter(has).count()
+    };
+    let repeats = service_value(&values, "carobhaven_repeats_total", "rejected") as usize;
+    let denied = service_value(&values, "carobhaven_repeats_denied_total", "rejected") as usize;
+    assert!(repeats >= 1 && denied >= 1, "{repeats} repeats, {denied} denied");
+    assert_eq!(count("\"request sent again\""), repeats);
+    assert_eq!(count("\"no retry: the budget is spent\""), denied);
+    assert_eq!(
+        service_value(&values, "carobhaven_service_requests_total", "") as u32,
+        sent.get() + 30
+    );
+    assert!(service_value(&values, "carobhaven_budget_left_repeats", "") < 1.0);
+    let first_sends = lines.iter().filter(|line| {
+        line.contains("\"sent to an upstream\"")
+            && line.contains("\"service\":\"plain\"")
+            && line.contains("\"attempts_before\":0")
+    });
+    assert_eq!(first_sends.count() as u32, sent.get() + 30);
+}
+
 #[test]
 fn metrics_are_read_by_a_parser_and_their_labels_are_bounded() {
     let fleet = Fleet::start(1);
@@ -94,13 +175,7 @@
         let unknown = request(&format!("u{number}"), "GET", &format!("/unknown/{number}"));
         assert_eq!(fleet.send(0, &unknown).status, 404);
     }
-    let answer = client::send(
-        fleet.gateways[0].admin_address,
-        &Request::new("m", "GET", "/metrics"),
-    );
-    let text = String::from_utf8(answer.body).expect("metrics are text");
-    let scrape = Scrape::parse(text.lines().map(|line| Ok(line.to_owned())))
-        .expect("the metrics are in the Prometheus text format");
+    let scrape = scrape(&fleet);
     let value = |name: &str| {
         let found = scrape.samples.iter().find(|sample| sample.metric == name);
         found.map(|sample| sample.value.clone())
@@ -112,7 +187,7 @@
     ));
     assert!(matches!(value("carobhaven_bodies_bytes"), Some(Value::Gauge(_))));
     for sample in &scrape.samples {
-        let has_unit = ["_total", "_seconds", "_bytes"].iter().any(|unit| {
+        let has_unit = ["_total", "_seconds", "_bytes", "_repeats"].iter().any(|unit| {
             sample
                 .metric
                 .trim_end_matches("_count")
