--- /dev/null
+++ b/tests/endless.rs
@@ -0,0 +1,306 @@
+//! Bytes without end in the place of an answer or a request: memory, time and answers stay within their limits.
+//!
+//! The bounds follow from the limits of the configuration, the settings and the deadlines of requests.
+
+mod fleet;
+
+use std::{
+    fs, thread,
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::{
+    AnswerMode, Flood, FloodRecord, Upstream,
+    client::{self, Connection, Outcome, Request},
+};
+use fleet::{Fleet, Gateway, LONG, generation_request, request, wait_until};
+
+const SHORT: Duration = Duration::from_millis(10);
+
+/// Requests that get bytes without end at the same time.
+const PARALLEL: usize = 8;
+
+/// Timeout of the clients; below the time limit of the routes, 5 s.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time after which an answer counts as late, beyond the deadline or limit.
+const SLACK: Duration = Duration::from_millis(700);
+
+/// Time limit of a call whose upstream exceeds a limit in bytes; far below [`TIMEOUT`].
+const CUT_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time within which a connection is closed whose call has ended.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
+/// Memory that a gateway may take for [`PARALLEL`] answers, in bytes: for each the 256 KiB that are kept
+/// for another attempt, 512 KiB that wait for the client and 256 KiB of a head or an event, and as much again
+/// for the parts that run for the first time.
+const MAX_GROWTH: usize = 2 * PARALLEL * (1 << 20);
+
+/// Returns a field of the process's status, such as `VmHWM`, in bytes.
+fn memory(gateway: &Gateway, field: &str) -> usize {
+    let path = format!("/proc/{}/status", gateway.child.id());
+    let status = fs::read_to_string(path).expect("the process runs");
+    let line = status.lines().find(|line| line.starts_with(field));
+    let size = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<usize>().ok());
+    size.expect("a size in KiB") << 10
+}
+
+fn expect_small_growth(gateway: &Gateway, before: usize, what: &str) {
+    let peak = memory(gateway, "VmHWM");
+    let growth = peak.saturating_sub(before);
+    eprintln!("{what}: memory grew by {growth} bytes, from {before}");
+    assert!(
+        growth <= MAX_GROWTH,
+        "{what}: memory grew by {growth} bytes, expected {MAX_GROWTH} at most"
+    );
+}
+
+/// Sends requests at once; returns their outcomes and how long each took.
+fn send_all(fleet: &Fleet, count: usize, make: impl Fn(usize) -> Request) -> Vec<(Outcome, Duration)> {
+    let address = fleet.gateways[0].caller_address;
+    let clients: Vec<_> = (0..count)
+        .map(|number| {
+            let request = make(number);
+            thread::spawn(move || {
+                let started = Instant::now();
+                (
+                    client::send(address, &request.with_timeout(TIMEOUT)),
+                    started.elapsed(),
+                )
+            })
+        })
+        .collect();
+    clients
+        .into_iter()
+        .map(|client| client.join().expect("a client ends"))
+        .collect()
+}
+
+/// Waits until every flood was closed by the gateway, which has to be soon after `ended`.
+fn expect_closed(fleet: &Fleet, ended: Instant, what: &str) -> Vec<FloodRecord> {
+    let floods = fleet.ledger.floods();
+    while !floods.are_closed() && ended.elapsed() < LONG {
+        thread::sleep(SHORT);
+    }
+    let records = floods.records();
+    for record in &records {
+        let open = record
+            .closed
+            .map(|closed| closed.saturating_duration_since(ended));
+        assert!(
+            open.is_some_and(|open| open <= CLOSE_TIME),
+            "{what}: the connection was open for {open:?} after the answers, expected {CLOSE_TIME:?} at most"
+        );
+    }
+    records
+}
+
+/// Starts a gateway, a plain upstream and an engine, all of which work.
+fn start() -> (Fleet, Upstream, Upstream) {
+    let fleet = Fleet::start(1);
+    let plain = fleet.start_plain("p1", SHORT);
+    let engine = fleet.start_engine("e1", 20, SHORT);
+    fleet.configure();
+    wait_until("both upstreams are known", || {
+        fleet.send(0, &generation_request("warm")).status == 200
+            && fleet.send(0, &request("warm", "POST", "/order/1")).status == 200
+    });
+    (fleet, plain, engine)
+}
+
+/// Sends orders to a plain upstream that answers with `flood`, and generations to a sound engine meanwhile.
+fn flood_orders(flood: Flood) -> Vec<(Outcome, Duration)> {
+    let what = format!("orders, {flood:?}");
+    let (fleet, plain, _engine) = start();
+    let before = memory(&fleet.gateways[0], "VmHWM");
+    plain.set_answer_mode(AnswerMode::Flood(flood));
+    let other = thread::spawn({
+        let address = fleet.gateways[0].caller_address;
+        move || client::send(address, &generation_request("other").with_events(100))
+    });
+    let outcomes = send_all(&fleet, PARALLEL, |number| {
+        request(&format!("o{number}"), "POST", "/order/1")
+    });
+    let ended = Instant::now();
+    let records = expect_closed(&fleet, ended, &what);
+    report(&what, &outcomes, &records);
+    assert_eq!(records.len(), PARALLEL, "{what}: each order ran once");
+    expect_small_growth(&fleet.gateways[0], before, &what);
+    let other = other.join().expect("the client ends");
+    assert!(
+        other.complete && other.events().len() == 100,
+        "{what}: others are served meanwhile"
+    );
+    for (outcome, took) in &outcomes {
+        assert!(
+            *took <= TIMEOUT + SLACK,
+            "{what}: answered after {took:?}, limit {TIMEOUT:?}"
+        );
+        assert!(
+            !matches!(outcome.status, 408 | 421 | 429 | 503),
+            "{what}: {} although it ran",
+            outcome.status
+        );
+    }
+    plain.set_answer_mode(AnswerMode::Normal);
+    let next = fleet.send(0, &request("next", "POST", "/order/1"));
+    assert_eq!(
+        (next.status, next.body),
+        (200, b"done next".to_vec()),
+        "{what}: the next request"
+    );
+    outcomes
+}
+
+/// Sends generations to an engine that answers with `flood`, and orders to a sound upstream meanwhile.
+fn flood_streams(flood: Flood) -> Vec<(Outcome, Duration)> {
+    let what = format!("generations, {flood:?}");
+    let (fleet, _plain, engine) = start();
+    let before = memory(&fleet.gateways[0], "VmHWM");
+    engine.set_answer_mode(AnswerMode::Flood(flood));
+    let other = thread::spawn({
+        let address = fleet.gateways[0].caller_address;
+        move || {
+            let send = |number| client::send(address, &request(&format!("r{number}"), "GET", "/read/1"));
+            (0..50)
+                .map(send)
+                .filter(|outcome| outcome.status == 200 && outcome.complete)
+                .count()
+        }
+    });
+    let outcomes = send_all(&fleet, PARALLEL, |number| {
+        generation_request(&format!("d{number}"))
+    });
+    let ended = Instant::now();
+    let records = expect_closed(&fleet, ended, &what);
+    report(&what, &outcomes, &records);
+    assert!(!records.is_empty(), "{what}: some ran");
+    expect_small_growth(&fleet.gateways[0], before, &what);
+    assert_eq!(
+        other.join().expect("the client ends"),
+        50,
+        "{what}: others are served meanwhile"
+    );
+    let ran: Vec<String> = fleet
+        .ledger
+        .started()
+        .into_iter()
+        .map(|started| started.id)
+        .collect();
+    for (number, (outcome, took)) in outcomes.iter().enumerate() {
+        assert!(
+            *took <= TIMEOUT + SLACK,
+            "{what}: answered after {took:?}, limit {TIMEOUT:?}"
+        );
+        let has_run = ran.contains(&format!("d{number}"));
+        let is_refusal = matches!(outcome.status, 408 | 421 | 429 | 503);
+        assert!(
+            !(has_run && is_refusal),
+            "{what}: {} although it ran",
+            outcome.status
+        );
+    }
+    outcomes
+}
+
+fn report(what: &str, outcomes: &[(Outcome, Duration)], records: &[FloodRecord]) {
+    let bytes: u64 = records.iter().map(|record| record.bytes).sum();
+    let slowest = outcomes.iter().map(|(_, took)| *took).max().unwrap_or_default();
+    let statuses: Vec<_> = outcomes
+        .iter()
+        .map(|(outcome, _)| (outcome.status, outcome.complete))
+        .collect();
+    eprintln!(
+        "{what}: {} floods, {bytes} bytes, slowest answer {slowest:?}, {statuses:?}",
+        records.len()
+    );
+}
+
+/// Checks that no outcome is a success that looks whole.
+fn expect_no_success(outcomes: &[(Outcome, Duration)], what: &str) {
+    for (outcome, _) in outcomes {
+        assert!(
+            !(outcome.status == 200 && outcome.complete),
+            "{what}: looks whole"
+        );
+    }
+}
+
+/// Checks that each request was answered early with the status for an unknown outcome.
+#[test]
+fn a_plain_body_without_end_never_looks_whole() {
+    for flood in [Flood::Body, Flood::Event] {
+        expect_no_success(&flood_orders(flood), &format!("orders, {flood:?}"));
+    }
+}
+
+#[test]
+fn bytes_beyond_a_plain_body_belong_to_no_request() {
+    for (number, (outcome, took)) in flood_orders(Flood::Excess).iter().enumerate() {
+        assert_eq!((outcome.status, outcome.complete), (200, true));
+        assert_eq!(outcome.body, format!("done o{number}").into_bytes());
+        assert!(*took <= CUT_TIME, "answered after {took:?}");
+    }
+}
+
+#[test]
+fn a_plain_answer_that_drips_ends_at_its_deadline() {
+    for flood in [Flood::HeadDrip, Flood::BodyDrip] {
+        for (outcome, _) in flood_orders(flood) {
+            assert_eq!((outcome.status, outcome.complete), (504, true), "{flood:?}");
+        }
+    }
+}
+
+#[test]
+fn a_stream_without_end_or_that_drips_ends_at_its_deadline_and_never_looks_whole() {
+    for flood in [Flood::Body, Flood::HeadDrip, Flood::BodyDrip] {
+        expect_no_success(&flood_streams(flood), &format!("generations, {flood:?}"));
+    }
+}
+
+#[test]
+fn bytes_beyond_a_streams_body_belong_to_no_request() {
+    for (number, (outcome, took)) in flood_streams(Flood::Excess).iter().enumerate() {
+        assert_eq!((outcome.status, outcome.complete), (200, true));
+        assert_eq!(outcome.body, format!("done d{number}").into_bytes());
+        assert!(*took <= CUT_TIME, "answered after {took:?}");
+    }
+}
+
+#[test]
+fn a_client_that_reads_nothing_of_a_body_without_end_takes_little_memory() {
+    for flood in [Flood::Body, Flood::Event] {
+        let (fleet, plain, _engine) = start();
+        let before = memory(&fleet.gateways[0], "VmHWM");
+        plain.set_answer_mode(AnswerMode::Flood(flood));
+        let open: Vec<_> = (0..PARALLEL)
+            .map(|number| {
+                let order = request(&format!("o{number}"), "POST", "/order/1").with_timeout(TIMEOUT);
+                client::open_narrow(fleet.gateways[0].caller_address, &order).expect("it connects")
+            })
+            .collect();
+        thread::sleep(TIMEOUT);
+        expect_closed(&fleet, Instant::now(), &format!("{flood:?}"));
+        expect_small_growth(&fleet.gateways[0], before, &format!("{flood:?}"));
+        drop(open);
+    }
+}
+
+#[test]
+fn a_kept_connection_goes_on_after_bytes_beyond_a_body() {
+    let (fleet, plain, _engine) = start();
+    plain.set_answer_mode(AnswerMode::Flood(Flood::Excess));
+    let mut connection = Connection::open(fleet.gateways[0].caller_address).expect("it connects");
+    for number in 0..10 {
+        let order = request(&format!("o{number}"), "POST", "/order/1");
+        assert!(connection.write(&[order]));
+        let outcome = connection.read(Instant::now() + LONG);
+        assert_eq!(
+            (outcome.status, outcome.body),
+            (200, format!("done o{number}").into_bytes())
+        );
+        assert_eq!(connection.idle_state(), client::IdleState::Open);
+    }
+}
