fix: interim answers and chunk sizes without end are read until long after the deadline

Callers saw the 8 orders and 8 generations whose upstream sent interim answers, or zeros before the size of a chunk, hold their connections: 20 s after the answers the gateway still read from all of them, while other requests waited for its thread.

The HTTP library limits the size of a head, of chunk extensions and of trailers, but reads any number of interim answers, and of zeros and spaces around a chunk's size. With a read buffer of up to 408 KiB and 128 reads in a row, one poll of a connection took up to 51 MiB.

A connection now fails once 128 KiB have arrived without a head or a piece of a body, and its read buffer, which also bounds the head and each piece, is 64 KiB. Reasons of failures in the log contain their causes.

--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod events;
 mod lag;
 mod mirror;
+mod overhead;
 mod peer;
 pub mod reach;
 mod run;
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming, client::conn::http1};
+use hyper::{Request, Response, StatusCode, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -18,6 +18,8 @@
     time::{Instant, timeout_at},
 };
 
+use crate::overhead::{CountedStream, MAX_HEAD, Overhead, ReceivedBody};
+
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -48,6 +50,7 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: ConnectionTask,
+    overhead: Overhead,
 }
 
 /// Handle of the task that performs a connection's I/O; dropping it closes the connection.
@@ -80,12 +83,16 @@
 impl Connection {
     /// Connects to `address`, by `deadline` at the latest.
     pub(crate) async fn open(address: SocketAddr, deadline: Instant) -> Result<Self, Error> {
+        let overhead = Overhead::default();
         let connect = async {
             let stream = TcpStream::connect(address)
                 .await
                 .map_err(|error| error.to_string())?;
             set_tcp_options(&stream);
-            http1::handshake(TokioIo::new(stream))
+            let io = TokioIo::new(CountedStream::new(stream, overhead.clone()));
+            http1::Builder::new()
+                .max_buf_size(MAX_HEAD)
+                .handshake(io)
                 .await
                 .map_err(|error| error.to_string())
         };
@@ -100,6 +107,7 @@
         Ok(Self {
             sender,
             task: ConnectionTask(task.abort_handle()),
+            overhead,
         })
     }
 
@@ -108,19 +116,35 @@
         mut self,
         request: Request<Bytes>,
         deadline: Instant,
-    ) -> Result<(Response<Incoming>, ConnectionTask), Error> {
+    ) -> Result<(Response<ReceivedBody>, ConnectionTask), Error> {
         let request = request.map(Full::new);
         match timeout_at(deadline, self.sender.try_send_request(request)).await {
-            Ok(Ok(response)) => Ok((response, self.task)),
+            Ok(Ok(response)) => {
+                self.overhead.reset();
+                let response = response.map(|body| ReceivedBody::new(body, self.overhead));
+                Ok((response, self.task))
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 Some(_unsent) => Err(Error::Connect("closed before the request was sent".to_owned())),
-                None => Err(Error::Broken(error.into_error().to_string())),
+                None => Err(Error::Broken(describe(&error.into_error()))),
             },
             Err(_elapsed) => Err(Error::Timeout),
         }
     }
 }
 
+/// Describes an error with its causes.
+pub(crate) fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
+
 /// Maximum size of a response body read by [`call`]; the largest is a page of the store's items.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -142,6 +166,6 @@
     )
     .await
     .map_err(|_elapsed| Error::Timeout)?
-    .map_err(|error| Error::Broken(error.to_string()))?;
+    .map_err(|error| Error::Broken(describe(&*error)))?;
     Ok((status, body.to_bytes()))
 }
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -9,11 +9,14 @@
     table::{Engine, Route},
 };
 use carob_platform::request::{self, AddedHeaders, Resume};
-use hyper::{Response, body::Incoming, http::request::Parts};
+use hyper::{Response, http::request::Parts};
 use tokio::time::Instant;
 
 use super::{body::HeldBytes, guard::Reservation, shared::Shared};
-use crate::socket::{self, Connection, ConnectionTask};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{self, Connection, ConnectionTask},
+};
 
 /// Time limit for a connection to an upstream. The longest round trip takes 30 ms. A lost SYN packet is
 /// retransmitted only after a second, and well before that another upstream is the better choice.
@@ -151,7 +154,7 @@
         reservation: &Reservation,
         resume: Option<&Resume>,
         deadline: Instant,
-    ) -> Result<(Response<Incoming>, ConnectionTask), socket::Error> {
+    ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
         let (address, name) = match self.shared.fleet().upstream(reservation.upstream) {
             Some(found) => (found.entry.address, found.entry.id.clone()),
             None => return Err(socket::Error::Connect("the upstream is forgotten".to_owned())),
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -28,7 +28,10 @@
     shared::Shared,
     shutdown, stream,
 };
-use crate::socket::{self, ConnectionTask};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{self, ConnectionTask},
+};
 
 /// Time limit of an attempt that may be followed by another, as a multiple of the route's target latency.
 const ATTEMPT_FACTOR: f64 = 2.5;
@@ -348,7 +351,7 @@
 /// How an attempt ended.
 enum Outcome {
     /// A stream whose head has arrived.
-    Stream(Response<Incoming>, ConnectionTask),
+    Stream(Response<ReceivedBody>, ConnectionTask),
     /// A complete response, or a long one that is passed on as it arrives.
     Complete(Response<ResponseBody>),
     /// No usable response.
--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use carob_platform::answer;
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use tokio::{
     sync::mpsc,
     time::{Instant, timeout_at},
@@ -19,7 +19,10 @@
     body::HeldBytes,
     shared::Shared,
 };
-use crate::socket::{ConnectionTask, Error};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{self, ConnectionTask, Error},
+};
 
 /// A response body longer than this many bytes is passed on as it arrives.
 const MAX_BUFFERED: usize = 256 << 10;
@@ -30,7 +33,7 @@
 /// Reads a response until `deadline`: completely if it is short, else its first part.
 pub(super) async fn collect(
     shared: &Rc<Shared>,
-    response: Response<Incoming>,
+    response: Response<ReceivedBody>,
     driver: ConnectionTask,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, Error> {
@@ -48,7 +51,7 @@
                 held.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            Some(Err(error)) => return Err(Error::Broken(error.to_string())),
+            Some(Err(error)) => return Err(Error::Broken(socket::describe(&error))),
             None => {
                 return Ok(Response::from_parts(
                     parts,
@@ -66,7 +69,7 @@
 /// Passes on a response body that starts with `first`.
 fn forward(
     first: Bytes,
-    mut body: Incoming,
+    mut body: ReceivedBody,
     driver: ConnectionTask,
     deadline: Instant,
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -9,11 +9,14 @@
     request::Resume,
 };
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use tokio::time::{Instant, timeout};
 
 use super::{call::Call, exchange::upstream_name, guard::Reservation};
-use crate::socket::{self, ConnectionTask};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{self, ConnectionTask},
+};
 
 /// Time limit for the response head of an upstream that is to continue a generation.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
@@ -22,7 +25,7 @@
 pub(super) struct OpenStream {
     pub(super) reservation: Reservation,
     /// Head and unread body of the response.
-    pub(super) response: Response<Incoming>,
+    pub(super) response: Response<ReceivedBody>,
     /// Keeps the connection open.
     pub(super) driver: ConnectionTask,
     /// First bytes of the body, if they were read already.
@@ -42,7 +45,7 @@
             Ok(Some(Err(error))) => {
                 return Err(Failure {
                     reservation: self.reservation,
-                    reason: error.to_string(),
+                    reason: socket::describe(&error),
                 });
             }
             // The stream has ended, or its first bytes come later.
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -7,7 +7,6 @@
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response,
-    body::Incoming,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use tokio::{
@@ -25,7 +24,11 @@
     probe,
     resume::{self, OpenStream},
 };
-use crate::{events::Splitter, socket::ConnectionTask};
+use crate::{
+    events::Splitter,
+    overhead::ReceivedBody,
+    socket::{self, ConnectionTask},
+};
 
 /// Chunks that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 16;
@@ -45,7 +48,7 @@
 struct Stream {
     call: Rc<Call>,
     reservation: Reservation,
-    body: Incoming,
+    body: ReceivedBody,
     driver: ConnectionTask,
     /// First bytes of the body, if they were read already.
     first_bytes: Option<Bytes>,
@@ -298,7 +301,7 @@
             () = self.client.closed() => StreamEvent::ClientGone,
             frame = self.body.frame() => match frame {
                 Some(Ok(frame)) => StreamEvent::Bytes(frame.into_data().unwrap_or_default()),
-                Some(Err(error)) => StreamEvent::BodyFailed(error.to_string()),
+                Some(Err(error)) => StreamEvent::BodyFailed(socket::describe(&error)),
                 None => StreamEvent::BodyEnded,
             },
             outcome = migrated => StreamEvent::MigrationEnded(outcome),
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -228,6 +228,38 @@
 }
 
 /// Checks that each request was answered early with the status for an unknown outcome.
+fn expect_cut_early(outcomes: &[(Outcome, Duration)], what: &str) {
+    for (outcome, took) in outcomes {
+        assert_eq!((outcome.status, outcome.complete), (502, true), "{what}");
+        assert!(
+            *took <= CUT_TIME,
+            "{what}: answered after {took:?}, expected {CUT_TIME:?} at most"
+        );
+    }
+}
+
+const HEADS: [Flood; 5] = [
+    Flood::StatusLine,
+    Flood::HeaderLines,
+    Flood::Header,
+    Flood::Interim,
+    Flood::Noise,
+];
+
+#[test]
+fn a_plain_answers_head_without_end_is_cut_off_early() {
+    for flood in HEADS {
+        expect_cut_early(&flood_orders(flood), &format!("orders, {flood:?}"));
+    }
+}
+
+#[test]
+fn a_plain_answers_framing_without_end_is_cut_off_early() {
+    for flood in [Flood::ChunkSize, Flood::ChunkExtension, Flood::Trailers] {
+        expect_cut_early(&flood_orders(flood), &format!("orders, {flood:?}"));
+    }
+}
+
 #[test]
 fn a_plain_body_without_end_never_looks_whole() {
     for flood in [Flood::Body, Flood::Event] {
@@ -253,6 +285,24 @@
     }
 }
 
+#[test]
+fn a_streams_head_without_end_is_cut_off_early() {
+    for flood in HEADS {
+        expect_cut_early(&flood_streams(flood), &format!("generations, {flood:?}"));
+    }
+}
+
+#[test]
+fn a_streams_framing_without_end_is_cut_off_early() {
+    for flood in [Flood::ChunkSize, Flood::ChunkExtension, Flood::Trailers] {
+        let outcomes = flood_streams(flood);
+        expect_no_success(&outcomes, &format!("generations, {flood:?}"));
+        for (_, took) in outcomes {
+            assert!(took <= CUT_TIME, "generations, {flood:?}: cut off after {took:?}");
+        }
+    }
+}
+
 #[test]
 fn a_stream_without_end_or_that_drips_ends_at_its_deadline_and_never_looks_whole() {
     for flood in [Flood::Body, Flood::HeadDrip, Flood::BodyDrip] {
