--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -9,7 +9,7 @@
 use carob_dispatch::fleet::UpstreamKey;
 use carob_platform::answer;
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use tokio::{
     sync::mpsc,
     time::{Instant, timeout_at},
@@ -21,7 +21,10 @@
     call::Call,
     exchange::upstream_name,
 };
-use crate::socket::{ConnectionTask, Error, describe};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{ConnectionTask, Error, describe},
+};
 
 /// A response body longer than this many bytes is passed on as it arrives.
 const MAX_BUFFERED: usize = 256 << 10;
@@ -33,7 +36,7 @@
 pub(super) async fn collect(
     call: &Rc<Call>,
     upstream: UpstreamKey,
-    response: Response<Incoming>,
+    response: Response<ReceivedBody>,
     driver: ConnectionTask,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, Error> {
@@ -51,7 +54,7 @@
                 held.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            Some(Err(error)) => return Err(Error::Broken(error.to_string())),
+            Some(Err(error)) => return Err(Error::Broken(describe(&error))),
             None => {
                 return Ok(Response::from_parts(
                     parts,
@@ -71,7 +74,7 @@
     call: Rc<Call>,
     upstream: UpstreamKey,
     first: Bytes,
-    mut body: Incoming,
+    mut body: ReceivedBody,
     driver: ConnectionTask,
     deadline: Instant,
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
