fix: the end of a process waits for further log lines

The thread that writes log lines waits 150 ms for further ones, also when the process ends: closing it took up to that long, of the 400 ms between the exit and the end of the grace. It is now told to write at once. `flush` of the logger does the same without a close, for the line of a process that is ended by force.

--- a/crates/carob-gateway/src/signals.rs
+++ b/crates/carob-gateway/src/signals.rs
@@ -98,7 +98,7 @@
     };
     wait_until(shutdown.overdue());
     log::error!(signal_ms = signal.elapsed().as_millis() as u64; "the process has not ended by itself");
-    // The line is written meanwhile.
+    log::logger().flush();
     wait_until(shutdown.forced());
     end();
 }
--- a/crates/carob-logs/src/lib.rs
+++ b/crates/carob-logs/src/lib.rs
@@ -51,6 +51,8 @@
     urgent: Queue,
     /// Wakes the writer thread.
     wake: Sender<()>,
+    /// Ends the delay of the writer thread.
+    hurry: Sender<()>,
     stopping: AtomicBool,
 }
 
@@ -79,6 +81,7 @@
     let (ordinary, ordinary_lines) = flume::bounded(QUEUE_CAPACITY);
     let (urgent, urgent_lines) = flume::bounded(QUEUE_CAPACITY);
     let (wake, wakeups) = flume::bounded(1);
+    let (hurry, hurries) = flume::bounded(1);
     // The process has only this logger and uses it until it ends, so it is never freed.
     let logger: &'static Logger = Box::leak(Box::new(Logger {
         start: Instant::now(),
@@ -86,13 +89,14 @@
         ordinary: Queue::new(ordinary),
         urgent: Queue::new(urgent),
         wake,
+        hurry,
         stopping: AtomicBool::new(false),
     }));
     log::set_logger(logger)?;
     log::set_max_level(level);
     let thread = thread::Builder::new()
         .name("logs".to_owned())
-        .spawn(move || run_writer(logger, &[urgent_lines, ordinary_lines], &wakeups))
+        .spawn(move || run_writer(logger, &[urgent_lines, ordinary_lines], &wakeups, &hurries))
         .expect("a thread can be started while the process starts");
     Ok(Writer { logger, thread })
 }
@@ -102,7 +106,7 @@
     /// that the process can still end.
     pub fn close(self) {
         self.logger.stopping.store(true, Ordering::Release);
-        self.logger.wake();
+        self.logger.flush();
         let end = Instant::now() + CLOSE_TIMEOUT;
         while !self.thread.is_finished() && Instant::now() < end {
             thread::sleep(CLOSE_TIMEOUT / 20);
@@ -113,12 +117,11 @@
     }
 }
 
-fn run_writer(logger: &Logger, queues: &[Receiver<Vec<u8>>], wakeups: &Receiver<()>) {
+fn run_writer(logger: &Logger, queues: &[Receiver<Vec<u8>>], wakeups: &Receiver<()>, hurries: &Receiver<()>) {
     while wakeups.recv().is_ok() {
+        // A timeout is the usual case.
+        let _hurried = hurries.recv_timeout(BATCH_DELAY);
         let stopping = logger.stopping.load(Ordering::Acquire);
-        if !stopping {
-            thread::sleep(BATCH_DELAY);
-        }
         let mut batch = Vec::new();
         for line in queues.iter().flat_map(Receiver::try_iter) {
             batch.extend_from_slice(&line);
@@ -186,5 +189,10 @@
         self.wake();
     }
 
-    fn flush(&self) {}
+    /// Makes the writer thread write the queued lines at once; does not wait for it.
+    fn flush(&self) {
+        // If the channel is full, the thread writes without a delay anyway.
+        let _hurried = self.hurry.try_send(());
+        self.wake();
+    }
 }
--- a/crates/carob-logs/tests/lines.rs
+++ b/crates/carob-logs/tests/lines.rs
@@ -4,7 +4,12 @@
 //! A process has one logger and one standard output: each test starts its own executable again, with
 //! [`CHILD`] set, to run only that test's part which writes lines, and reads what this process printed.
 
-use std::{env, fmt, process::Command};
+use std::{
+    env, fmt,
+    process::Command,
+    thread,
+    time::{Duration, Instant},
+};
 
 use log::{
     Level, LevelFilter, Record,
@@ -111,6 +116,47 @@
     );
 }
 
+/// How long a writer that is closed may take; it usually waits 150 ms for further lines.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
+/// Times that a writer is closed; the machine may hold up some.
+const CLOSES: usize = 5;
+
+/// The end of a process waited for further lines.
+#[test]
+fn a_writer_that_is_closed_waits_for_further_lines() {
+    const NAME: &str = "a_writer_that_is_closed_waits_for_further_lines";
+    if env::var_os(CHILD).is_some() {
+        let writer = carob_logs::start(LevelFilter::Trace).expect("the process has no logger");
+        let none: [(&str, Value<'_>); 0] = [];
+        write(Level::Info, format_args!("last"), &&none[..]);
+        // The thread that writes has begun to wait.
+        thread::sleep(Duration::from_millis(20));
+        let closing = Instant::now();
+        writer.close();
+        assert!(
+            closing.elapsed() < CLOSE_TIME,
+            "closed after {:?}",
+            closing.elapsed()
+        );
+        return;
+    }
+    let is_quick = |_| {
+        let started = Command::new(env::current_exe().expect("a running test has a path"))
+            .args([NAME, "--exact", "--nocapture"])
+            .env(CHILD, "1")
+            .output();
+        let output = started.expect("the test can be started again");
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert!(text.contains("\"msg\":\"last\""), "{text}");
+        output.status.success()
+    };
+    assert!(
+        (0..CLOSES).any(is_quick),
+        "no close was quicker than {CLOSE_TIME:?}"
+    );
+}
+
 /// Lines of warnings and errors have a queue of their own, which is written first.
 #[test]
 fn levels_and_messages_are_written_as_given() {
