--- a/crates/carob-shutdown/src/lib.rs
+++ b/crates/carob-shutdown/src/lib.rs
@@ -118,9 +118,10 @@
         self.exit + self.margin / 4
     }
 
-    /// When a process that has failed to exit by itself is ended, whatever its threads do.
+    /// When a process that has failed to exit by itself is ended, whatever its threads do. On a machine that has
+    /// more work than processors, its end takes a part of the margin too.
     pub fn forced(self) -> Time {
-        self.exit + self.margin * 3 / 4
+        self.exit + self.margin / 2
     }
 
     /// When an accepted request gets its final answer at the latest, so that the answer leaves before the exit.
