fix: instances that begin to watch a silent store vouch for it to each other

An instance that begins to watch reported at once that it watches and that the store answers, since its last call, long ago, had been answered. Two that begin at the same time take each other's word for it until their first calls fail, 1.3 s later. The upstream is gone by then.

An instance vouches for the store once it has answered a call since the instance began to watch. So that this takes no longer than an answer does, the first call does not wait for changes.

The unit test failed before (1 of 1).

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -96,7 +96,8 @@
 async fn watch_all(control: &Rc<Control>, outage: &mut Outage) {
     loop {
         let must_watch = control.must_watch();
-        if control.watching.replace(must_watch) != must_watch {
+        let was_watching = control.watching.replace(must_watch);
+        if was_watching != must_watch {
             log::info!(watching = must_watch, revision = control.revision(); "watching the store changed");
             control.send_status();
         }
@@ -112,9 +113,12 @@
             continue;
         }
         let revision = control.revision();
-        let wait = control
+        let longest = control
             .reappearance_left()
             .map_or(WATCH_TIMEOUT, |left| WATCH_TIMEOUT.min(left + REMOVAL_MARGIN));
+        // An instance that begins to watch learns at once whether the store answers, and tells its peers.
+        let begins = must_watch && !was_watching && !control.is_answering();
+        let wait = if begins { Duration::ZERO } else { longest };
         match call_store(control, store::watch("", revision, wait), wait + ANSWER_MARGIN).await {
             Ok(page) => {
                 outage.record_success();
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -174,13 +174,18 @@
         self.lag.borrow().is_behind(self.revision())
     }
 
+    /// Whether the store has answered the last call.
+    pub(super) fn is_answering(&self) -> bool {
+        self.reachability.borrow().is_answering()
+    }
+
     /// Sends the traffic thread the [`Update::StoreStatus`] if it has changed.
     pub(super) fn send_status(&self) {
         self.remove_lapsed();
         let status = (
             self.revision(),
             self.confirmed_at.get().elapsed() < MAX_STALENESS,
-            self.watching.get() && self.reachability.borrow().is_answering(),
+            self.watching.get() && self.is_answering(),
             self.reachability
                 .borrow()
                 .is_uninformed(now(), self.peer_watches()),
--- a/crates/carob-gateway/src/reach.rs
+++ b/crates/carob-gateway/src/reach.rs
@@ -26,6 +26,8 @@
     /// Start of the first failed call since the store last answered.
     failing_since: Option<Instant>,
     last_answer: Option<Instant>,
+    /// Whether the last call since [`Reachability::suspend`] was answered.
+    answering: bool,
     /// When the store was last known to be unreachable for all instances.
     last_outage: Option<Instant>,
 }
@@ -36,6 +38,7 @@
         Self {
             failing_since: None,
             last_answer: None,
+            answering: false,
             last_outage: None,
         }
     }
@@ -49,12 +52,14 @@
         self.record_outage(now, peer_watches);
         self.failing_since = None;
         self.last_answer = Some(now);
+        self.answering = true;
         outage
     }
 
     /// Records the failure of a call that was made at `started`.
     pub fn record_failure(&mut self, started: Instant, now: Instant, peer_watches: bool) {
         self.failing_since.get_or_insert(started);
+        self.answering = false;
         self.record_outage(now, peer_watches);
     }
 
@@ -62,6 +67,7 @@
     /// counts.
     pub const fn suspend(&mut self) {
         self.failing_since = None;
+        self.answering = false;
     }
 
     /// How long calls have failed without an answer; zero if the last call succeeded or none is made.
@@ -70,9 +76,10 @@
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    /// Whether the store has answered before and no call has failed since.
+    /// Whether the store has answered the last call. False until the first answer after this instance made no
+    /// calls: peers must not rely on an instance that only begins to watch.
     pub const fn is_answering(&self) -> bool {
-        self.last_answer.is_some() && self.failing_since.is_none()
+        self.answering
     }
 
     /// Whether directory updates no longer arrive: neither from the store nor from a peer, since none
--- a/crates/carob-gateway/tests/reach.rs
+++ b/crates/carob-gateway/tests/reach.rs
@@ -72,3 +72,20 @@
     assert!(!reach.is_uninformed(start + STEP * 2, false));
     assert!(reach.is_uninformed(start + STEP * 6, false));
 }
+
+/// Two instances that began to watch when the store had just gone silent each took the other's word for it that the
+/// store answers, and did not learn that an upstream left.
+#[test]
+fn an_instance_that_begins_to_watch_vouches_for_the_store_before_it_has_answered() {
+    let start = Instant::now();
+    let mut reach = Reachability::new();
+    assert!(!reach.is_answering());
+    reach.record_answer(start, false);
+    assert!(reach.is_answering());
+    reach.suspend();
+    assert!(!reach.is_answering());
+    reach.record_answer(start + STEP, false);
+    assert!(reach.is_answering());
+    reach.record_failure(start + STEP, start + STEP * 2, false);
+    assert!(!reach.is_answering());
+}
