fix: an instance that begins to watch learns late that nobody watches

When the watchers report that their calls fail, another instance begins to watch. It now asks every 50 ms during that call.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -20,6 +20,9 @@
 /// How often an instance that does not watch checks whether it has to.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How often an instance that begins to watch checks whether directory updates still arrive.
+const STATUS_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a watch may continue after the end of the time in which entries may reappear after an outage of
 /// the store. The watch is ended then, so that entries which did not reappear are removed.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(20);
@@ -119,7 +122,13 @@
         // An instance that begins to watch learns at once whether the store answers, and tells its peers.
         let begins = must_watch && !was_watching && !control.is_answering();
         let wait = if begins { Duration::ZERO } else { longest };
-        match call_store(control, store::watch("", revision, wait), wait + ANSWER_MARGIN).await {
+        let call = call_store(control, store::watch("", revision, wait), wait + ANSWER_MARGIN);
+        let answer = if begins {
+            with_status(control, call).await
+        } else {
+            call.await
+        };
+        match answer {
             Ok(page) => {
                 outage.record_success();
                 control.apply(page.items, page.revision);
@@ -133,6 +142,18 @@
     }
 }
 
+/// Waits for a call, and tells the traffic thread meanwhile if directory updates no longer arrive: the store may
+/// have answered a call of this instance just before the peers lost it.
+async fn with_status<T>(control: &Control, call: impl Future<Output = T>) -> T {
+    tokio::pin!(call);
+    loop {
+        tokio::select! {
+            outcome = &mut call => return outcome,
+            () = tokio::time::sleep(STATUS_INTERVAL) => control.send_status(),
+        }
+    }
+}
+
 /// Fetches missed changes from the store, or from a peer if the store does not answer.
 ///
 /// The store is asked first: a change too large for a datagram is missed by all instances that do not watch.
