fix: an event without end takes as much memory as its upstream sends

An engine that sent a line of an event without end to 8 generations made the gateway grow by 101,675,008 bytes in 3 s, just what it had sent, and would have gone on until the deadline of the stream: the splitter keeps an event until its end.

An event has 256 KiB at most. A stream whose event is larger counts as broken off: it continues from a copy if there is one, and else ends without looking whole.

--- a/crates/carob-gateway/src/events.rs
+++ b/crates/carob-gateway/src/events.rs
@@ -14,6 +14,17 @@
     pub id: Option<u64>,
 }
 
+/// Maximum size of an event in bytes.
+pub const MAX_EVENT: usize = 256 << 10;
+
+/// An event is larger than [`MAX_EVENT`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("expected an event of at most {MAX_EVENT} bytes, received {received} of one")]
+pub struct TooLarge {
+    /// Bytes of the event that were received.
+    pub received: usize,
+}
+
 /// Incremental splitter of a byte stream into events.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
@@ -42,6 +53,19 @@
         Some(Event { bytes, id })
     }
 
+    /// Checks the size of the event that is being received; to be called once all complete ones were taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is over the limit.
+    pub fn check_size(&self) -> Result<(), TooLarge> {
+        let received = self.buffer.len();
+        if received > MAX_EVENT {
+            return Err(TooLarge { received });
+        }
+        Ok(())
+    }
+
     /// The buffered bytes after the last event that was taken.
     pub fn remainder(&self) -> &[u8] {
         &self.buffer
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -223,7 +223,10 @@
             StreamEvent::Bytes(bytes) => {
                 self.forward(&bytes).await?;
                 progress.borrow_mut().last_event = self.last_event;
-                Ok(false)
+                match self.splitter.check_size() {
+                    Ok(()) => Ok(false),
+                    Err(error) => self.fail_over(&error.to_string(), progress, migration).await,
+                }
             }
             StreamEvent::Leaving => Ok(false),
             StreamEvent::ClientGone => {
@@ -260,18 +263,26 @@
                 }
                 MigrationOutcome::NotRunning | MigrationOutcome::Failed(_) => self.finish().await,
             },
-            StreamEvent::BodyFailed(reason) => {
-                let switching = progress.borrow().switching;
-                let outcome = if switching {
-                    self.await_migration(migration).await
-                } else {
-                    MigrationOutcome::Failed("the source broke off")
-                };
-                self.resume_after(outcome, progress, &reason).await.map(|()| true)
-            }
+            StreamEvent::BodyFailed(reason) => self.fail_over(&reason, progress, migration).await,
         }
     }
 
+    /// Continues at another upstream after the present one has broken off for `reason`.
+    async fn fail_over(
+        &mut self,
+        reason: &str,
+        progress: &Rc<RefCell<Progress>>,
+        migration: &mut Option<Migration>,
+    ) -> Result<bool, StreamEnd> {
+        let switching = progress.borrow().switching;
+        let outcome = if switching {
+            self.await_migration(migration).await
+        } else {
+            MigrationOutcome::Failed("the source broke off")
+        };
+        self.resume_after(outcome, progress, reason).await.map(|()| true)
+    }
+
     fn is_upstream_leaving(&self) -> bool {
         let fleet = self.call.shared.fleet();
         fleet
--- a/crates/carob-gateway/tests/events.rs
+++ b/crates/carob-gateway/tests/events.rs
@@ -1,6 +1,6 @@
 //! Events come out complete, however their bytes are cut into chunks.
 
-use carob_gateway::events::Splitter;
+use carob_gateway::events::{MAX_EVENT, Splitter, TooLarge};
 use proptest::prelude::*;
 
 proptest! {
@@ -42,3 +42,16 @@
     assert_eq!(splitter.next_event(), None);
     assert_eq!(splitter.remainder(), b"id: 2\nda");
 }
+
+#[test]
+fn an_event_without_end_is_over_the_limit() {
+    let mut splitter = Splitter::new();
+    splitter.push(b"id: 1\ndata: a\n\ndata: ");
+    assert!(splitter.next_event().is_some());
+    splitter.push(&vec![b'e'; MAX_EVENT - 6]);
+    assert_eq!((splitter.next_event(), splitter.check_size()), (None, Ok(())));
+    splitter.push(b"e");
+    let received = MAX_EVENT + 1;
+    assert_eq!(splitter.next_event(), None);
+    assert_eq!(splitter.check_size(), Err(TooLarge { received }));
+}
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -303,6 +303,18 @@
     }
 }
 
+#[test]
+fn an_event_without_end_is_cut_off_early() {
+    let outcomes = flood_streams(Flood::Event);
+    expect_no_success(&outcomes, "generations, Event");
+    for (_, took) in outcomes {
+        assert!(
+            took <= CUT_TIME,
+            "cut off after {took:?}, expected {CUT_TIME:?} at most"
+        );
+    }
+}
+
 #[test]
 fn a_stream_without_end_or_that_drips_ends_at_its_deadline_and_never_looks_whole() {
     for flood in [Flood::Body, Flood::HeadDrip, Flood::BodyDrip] {
