fix: a body without end outlasts its deadline if its client reads slowly

Clients that read 8 KiB every half second from a body without end got it long after their deadline of 3 s: the connections to the upstream were open for another 11.0 s (plain) and 5.0 s (streams), until the client left.

A timeout polls what it limits first, and the loop of a stream prefers its body. If pieces are always there, neither sees the deadline. Passing a piece of a long plain body on to the client had no deadline at all, and the connection to the upstream was kept until the client had taken the sign that the body was cut off.

The deadline is now checked before each piece, limits the wait for the client too, and the connection to the upstream is closed at once.

--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -42,16 +42,11 @@
     let mut bytes = BytesMut::new();
     let mut held = HeldBytes::new(shared);
     loop {
-        match timeout_at(deadline, body.frame())
-            .await
-            .map_err(|_elapsed| Error::Timeout)?
-        {
-            Some(Ok(frame)) => {
-                let data = frame.into_data().unwrap_or_default();
+        match next_data(&mut body, deadline).await? {
+            Some(data) => {
                 held.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            Some(Err(error)) => return Err(Error::Broken(socket::describe(&error))),
             None => {
                 return Ok(Response::from_parts(
                     parts,
@@ -66,6 +61,21 @@
     }
 }
 
+/// Reads the next piece of a body; `None` is its end.
+async fn next_data(body: &mut ReceivedBody, deadline: Instant) -> Result<Option<Bytes>, Error> {
+    // A piece that is there already is returned before a timeout, so a body that comes faster than its
+    // client reads would never time out.
+    if Instant::now() >= deadline {
+        return Err(Error::Timeout);
+    }
+    match timeout_at(deadline, body.frame()).await {
+        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Ok(Some(Err(error))) => Err(Error::Broken(socket::describe(&error))),
+        Ok(None) => Ok(None),
+        Err(_elapsed) => Err(Error::Timeout),
+    }
+}
+
 /// Passes on a response body that starts with `first`.
 fn forward(
     first: Bytes,
@@ -75,20 +85,20 @@
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
     let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
     tokio::task::spawn_local(async move {
-        let _connection = driver;
-        let mut next = Some(Ok(first));
-        while let Some(chunk) = next {
-            // Sending fails if the client has disconnected.
-            let truncated = chunk.is_err();
-            if sender.send(chunk).await.is_err() || truncated {
-                return;
-            }
-            next = match timeout_at(deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => Some(Ok(frame.into_data().unwrap_or_default())),
-                Ok(Some(Err(_))) | Err(_) => Some(Err(Truncated)),
-                Ok(None) => None,
+        let mut next = Ok(Some(first));
+        while let Ok(Some(chunk)) = next {
+            next = match timeout_at(deadline, sender.send(Ok(chunk))).await {
+                Ok(Ok(())) => next_data(&mut body, deadline).await,
+                Ok(Err(_)) => return,
+                Err(_elapsed) => Err(Error::Timeout),
             };
         }
+        if next.is_err() {
+            // The client may take long to read what it was sent before.
+            drop((driver, body));
+            // Fails only if the client has disconnected.
+            let _sent = sender.send(Err(Truncated)).await;
+        }
     });
     receiver
 }
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -148,6 +148,9 @@
             StreamEnd::Late => ("cut: time is over", String::new()),
             StreamEnd::Broken(reason) => ("cut: upstream broke off", reason.clone()),
         };
+        let upstream = self.reservation.upstream;
+        // The client may take long to read what it was sent before.
+        drop((self.driver, self.body, self.reservation));
         if !matches!(end, StreamEnd::Complete | StreamEnd::ClientGone) {
             // Fails only if the client has disconnected meanwhile.
             let _sent = self.client.send(Err(Truncated)).await;
@@ -165,7 +168,7 @@
         metrics::histogram!("carobhaven_longest_pause_seconds").record(self.longest_pause.as_secs_f64());
         log::log!(
             level, request:% = self.call.id(),
-            upstream:% = upstream_name(&self.call, self.reservation.upstream), outcome, reason,
+            upstream:% = upstream_name(&self.call, upstream), outcome, reason,
             events = self.events, moves = self.migrations,
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
             pause_ms = self.longest_pause.as_millis() as u64, age_ms = self.call.age_ms(); "stream ended"
@@ -310,6 +313,8 @@
         tokio::select! {
             biased;
             () = self.client.closed() => StreamEvent::ClientGone,
+            // Before the body, which may have a frame ready at any time.
+            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
             frame = self.body.frame() => match frame {
                 Some(Ok(frame)) => StreamEvent::Bytes(frame.into_data().unwrap_or_default()),
                 Some(Err(error)) => StreamEvent::BodyFailed(socket::describe(&error)),
@@ -317,7 +322,6 @@
             },
             outcome = migrated => StreamEvent::MigrationEnded(outcome),
             () = notice.notified(), if !migrating => StreamEvent::Leaving,
-            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
         }
     }
 
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -366,3 +366,44 @@
         assert_eq!(connection.idle_state(), client::IdleState::Open);
     }
 }
+
+/// Sends requests of clients that read slowly all the time to upstreams that answer with `flood`, and checks
+/// that each ends at its deadline.
+fn flood_slow_clients(flood: Flood, make: impl Fn(usize) -> Request) {
+    let (fleet, plain, engine) = start();
+    let before = memory(&fleet.gateways[0], "VmHWM");
+    for upstream in [&plain, &engine] {
+        upstream.set_answer_mode(AnswerMode::Flood(flood));
+    }
+    let started = Instant::now();
+    let clients: Vec<_> = (0..PARALLEL)
+        .map(|number| {
+            let request = make(number).with_timeout(TIMEOUT);
+            let mut stream =
+                client::open_narrow(fleet.gateways[0].caller_address, &request).expect("it connects");
+            let end = started + LONG;
+            thread::spawn(move || client::read_slowly(&mut stream, end, end))
+        })
+        .collect();
+    thread::sleep(TIMEOUT);
+    let what = format!("slow clients, {flood:?}");
+    let records = expect_closed(&fleet, Instant::now(), &what);
+    assert_eq!(records.len(), PARALLEL, "{what}");
+    expect_small_growth(&fleet.gateways[0], before, &what);
+    for client in clients {
+        let outcome = client.join().expect("a client ends");
+        assert!(!outcome.complete, "{what}: looks whole");
+    }
+}
+
+#[test]
+fn a_plain_body_without_end_ends_at_its_deadline_also_if_its_client_is_slow() {
+    flood_slow_clients(Flood::Body, |number| {
+        request(&format!("o{number}"), "POST", "/order/1")
+    });
+}
+
+#[test]
+fn a_stream_without_end_ends_at_its_deadline_also_if_its_client_is_slow() {
+    flood_slow_clients(Flood::Body, |number| generation_request(&format!("d{number}")));
+}
