--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use carob_dispatch::fleet::UpstreamKey;
 use carob_platform::answer;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -17,11 +18,12 @@
 use super::{
     answer::{ResponseBody, Truncated},
     body::HeldBytes,
-    shared::Shared,
+    call::Call,
+    exchange::upstream_name,
 };
 use crate::{
     overhead::ReceivedBody,
-    socket::{self, ConnectionTask, Error},
+    socket::{ConnectionTask, Error, describe},
 };
 
 /// A response body longer than this many bytes is passed on as it arrives.
@@ -32,7 +34,8 @@
 
 /// Reads a response until `deadline`: completely if it is short, else its first part.
 pub(super) async fn collect(
-    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    upstream: UpstreamKey,
     response: Response<ReceivedBody>,
     driver: ConnectionTask,
     deadline: Instant,
@@ -40,7 +43,7 @@
     let (mut parts, mut body) = response.into_parts();
     answer::strip_hop_headers(&mut parts.headers);
     let mut bytes = BytesMut::new();
-    let mut held = HeldBytes::new(shared);
+    let mut held = HeldBytes::new(&call.shared);
     loop {
         match next_data(&mut body, deadline).await? {
             Some(data) => {
@@ -55,7 +58,7 @@
             }
         }
         if bytes.len() > MAX_BUFFERED {
-            let chunks = forward(bytes.freeze(), body, driver, deadline);
+            let chunks = forward(Rc::clone(call), upstream, bytes.freeze(), body, driver, deadline);
             return Ok(Response::from_parts(parts, ResponseBody::Chunks(chunks)));
         }
     }
@@ -70,7 +73,7 @@
     }
     match timeout_at(deadline, body.frame()).await {
         Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
-        Ok(Some(Err(error))) => Err(Error::Broken(socket::describe(&error))),
+        Ok(Some(Err(error))) => Err(Error::Broken(describe(&error))),
         Ok(None) => Ok(None),
         Err(_elapsed) => Err(Error::Timeout),
     }
@@ -78,6 +81,8 @@
 
 /// Passes on a response body that starts with `first`.
 fn forward(
+    call: Rc<Call>,
+    upstream: UpstreamKey,
     first: Bytes,
     mut body: ReceivedBody,
     driver: ConnectionTask,
@@ -85,20 +90,30 @@
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
     let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
     tokio::task::spawn_local(async move {
-        let mut next = Ok(Some(first));
-        while let Ok(Some(chunk)) = next {
-            next = match timeout_at(deadline, sender.send(Ok(chunk))).await {
-                Ok(Ok(())) => next_data(&mut body, deadline).await,
-                Ok(Err(_)) => return,
-                Err(_elapsed) => Err(Error::Timeout),
+        let mut chunk = first;
+        let mut passed_on = 0;
+        let reason = loop {
+            passed_on += chunk.len();
+            match timeout_at(deadline, sender.send(Ok(chunk))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => break "the client has disconnected".to_owned(),
+                Err(_elapsed) => break "the client did not take the answer in time".to_owned(),
+            }
+            chunk = match next_data(&mut body, deadline).await {
+                Ok(Some(data)) => data,
+                Ok(None) => return,
+                Err(error) => break error.to_string(),
             };
-        }
-        if next.is_err() {
-            // The client may take long to read what it was sent before.
-            drop((driver, body));
-            // Fails only if the client has disconnected.
-            let _sent = sender.send(Err(Truncated)).await;
-        }
+        };
+        // The client may take long to read what it was sent before.
+        drop((driver, body));
+        metrics::counter!("carobhaven_answers_cut_total").increment(1);
+        log::warn!(
+            request:% = call.id(), upstream:% = upstream_name(&call, upstream), reason, bytes = passed_on,
+            age_ms = call.age_ms(); "long answer cut off"
+        );
+        // Fails only if the client has disconnected.
+        let _sent = sender.send(Err(Truncated)).await;
     });
     receiver
 }
