fix: answers that come slowly keep all other requests out

With 200,000 bytes for bodies, 8 answers of that size that stopped halfway held all of it for 3 s, and every other request was refused with 503: an answer of up to 256 KiB is kept for another attempt, and counts like a request's body, but nothing bounds all of them.

Once bodies hold more than half of their memory, an answer of more than 16 KiB is passed on as it arrives, as a long one is. The other half is for requests.

--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -1,7 +1,8 @@
 //! Responses of plain (non-streaming) services.
 //!
 //! A short response is read completely before its head is passed on, so that the request can still be retried
-//! or answered with an error status if the response breaks off. A long one is passed on as it arrives.
+//! or answered with an error status if the response breaks off. A long one is passed on as it arrives, and so is
+//! one of medium length while bodies hold much of their memory.
 
 use std::rc::Rc;
 
@@ -29,6 +30,9 @@
 /// A response body longer than this many bytes is passed on as it arrives.
 const MAX_BUFFERED: usize = 256 << 10;
 
+/// A response body of at most this many bytes is read completely also if bodies hold much memory.
+const MIN_COUNTED: usize = 16 << 10;
+
 /// Chunks of a long response that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 8;
 
@@ -57,7 +61,8 @@
                 ));
             }
         }
-        if bytes.len() > MAX_BUFFERED {
+        let is_short_of_room = bytes.len() > MIN_COUNTED && !call.shared.has_answer_room();
+        if bytes.len() > MAX_BUFFERED || is_short_of_room {
             let chunks = forward(Rc::clone(call), upstream, bytes.freeze(), body, driver, deadline);
             return Ok(Response::from_parts(parts, ResponseBody::Chunks(chunks)));
         }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -35,6 +35,9 @@
 /// consecutive readiness checks, one a second, and the time of connections already on their way.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
 
+/// Share of the memory for bodies beyond which answers are passed on as they arrive.
+const ANSWER_SHARE: f64 = 0.5;
+
 /// Minimum number of other instances for which a majority of unresponsive ones is meaningful.
 const MIN_PEERS: usize = 3;
 
@@ -361,6 +364,12 @@
         self.body_bytes.get().saturating_add(bytes) <= self.settings.borrow().body_memory
     }
 
+    /// Whether answers may hold more memory; the rest of it is for the bodies of requests.
+    pub(super) fn has_answer_room(&self) -> bool {
+        let limit = self.settings.borrow().body_memory as f64 * ANSWER_SHARE;
+        self.body_bytes.get() as f64 <= limit
+    }
+
     pub(super) fn add_body_bytes(&self, bytes: usize) {
         self.body_bytes.set(self.body_bytes.get() + bytes);
         metrics::gauge!("carobhaven_bodies_bytes").set(self.body_bytes.get() as f64);
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -13,7 +13,7 @@
     AnswerMode, Flood, FloodRecord, Upstream,
     client::{self, Connection, Outcome, Request},
 };
-use fleet::{Fleet, Gateway, LONG, generation_request, request, wait_until};
+use fleet::{BODY_MEMORY, Fleet, Gateway, LONG, generation_request, request, wait_until};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -406,3 +406,34 @@
 fn a_stream_without_end_ends_at_its_deadline_also_if_its_client_is_slow() {
     flood_slow_clients(Flood::Body, |number| generation_request(&format!("d{number}")));
 }
+
+/// Answers that are kept for another attempt count like bodies of requests.
+#[test]
+fn answers_that_come_slowly_leave_memory_for_requests() {
+    let (fleet, plain, _engine) = start();
+    plain.set_answer_bytes(BODY_MEMORY);
+    plain.set_answer_pause(TIMEOUT);
+    let slow: Vec<_> = (0..PARALLEL)
+        .map(|number| {
+            let order = request(&format!("o{number}"), "POST", "/order/1").with_timeout(LONG);
+            client::open(fleet.gateways[0].caller_address, &order).expect("it connects")
+        })
+        .collect();
+    wait_until("the orders run", || fleet.ledger.started().len() >= PARALLEL + 2);
+    thread::sleep(TIMEOUT / 6);
+    for number in 0..5 {
+        let other = fleet.send(0, &generation_request(&format!("d{number}")));
+        assert_eq!(
+            (other.status, other.complete),
+            (200, true),
+            "others are served meanwhile"
+        );
+    }
+    for mut stream in slow {
+        let outcome = client::read(&mut stream, Instant::now() + LONG);
+        assert_eq!(
+            (outcome.status, outcome.complete, outcome.body.len()),
+            (200, true, BODY_MEMORY)
+        );
+    }
+}
