test: the retry budget over restarts, growth, standstills and moving load

Real gateway processes, upstreams that reject everything, and the checker on what upstreams received.

--- a/tests/budget/mod.rs
+++ b/tests/budget/mod.rs
@@ -55,7 +55,8 @@
     repeated.map(|arrival| arrival.at).collect()
 }
 
-/// Returns the window with the greatest excess among all windows, wherever they start. `requests` are the times
+/// Returns the window with the greatest excess among all that hold a repeat, wherever they start; `None` if there
+/// is no repeat. `requests` are the times
 /// at which clients sent requests on a route to the service. A window's budget rests on its own requests, those
 /// of the window before it or those of the window half a length before it, whichever are most.
 pub fn worst_window(limits: Limits, requests: &[Instant], repeats: &[Instant]) -> Option<Worst> {
@@ -85,6 +86,7 @@
             excess: repeats as f64 - allowed,
         }
     });
+    let worst = worst.filter(|window| window.repeats > 0);
     worst.max_by(|one, other| one.excess.total_cmp(&other.excess))
 }
 
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -131,10 +131,17 @@
 
 impl Gateway {
     /// Starts a gateway whose connection to `store` has faults of its own.
+    pub fn start(store: &Store, seeds: &[SocketAddr]) -> Self {
+        let mut gateway = Self::prepare(store, seeds);
+        gateway.spawn();
+        gateway
+    }
+
+    /// Writes the settings file of a gateway, but does not start its process.
     ///
     /// The gateways of a fleet use the same port for peers and tell each other apart by IP address, so each
     /// gets its own loopback address.
-    pub fn start(store: &Store, seeds: &[SocketAddr]) -> Self {
+    pub fn prepare(store: &Store, seeds: &[SocketAddr]) -> Self {
         let store_endpoint = store.open_endpoint();
         let directory = tempfile::tempdir().expect("a temporary directory");
         let ip = unique_loopback_address();
@@ -156,7 +163,6 @@
         };
         gateway.write_settings(seeds, "10s");
         let _placeholder = gateway.child.wait();
-        gateway.spawn();
         gateway
     }
 
--- a/tests/retries/checker.rs
+++ b/tests/retries/checker.rs
@@ -52,8 +52,9 @@
 }
 
 #[test]
-fn no_events_have_no_window() {
+fn without_repeats_there_is_no_worst_window() {
     assert_eq!(worst_window(LIMITS, &[], &[]), None);
+    assert_eq!(worst_window(LIMITS, &[Instant::now()], &[]), None);
 }
 
 #[test]
