--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -4,16 +4,20 @@
 
 use bytes::Bytes;
 use carob_dispatch::{
+    budget::Reason,
     fleet::{RequestSize, Requirements, UpstreamKey},
     head::Head,
     table::{Engine, Route},
 };
 use carob_platform::request::{self, AddedHeaders, Resume};
-use hyper::{Response, body::Incoming, http::request::Parts};
+use hyper::{Response, http::request::Parts};
 use tokio::time::Instant;
 
-use super::{body::HeldBytes, guard::Reservation, shared::Shared};
-use crate::socket::{self, Connection, ConnectionTask};
+use super::{body::HeldBytes, guard::Reservation, repeats, shared::Shared};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{self, Connection, ConnectionTask},
+};
 
 /// Time limit for a connection to an upstream. The longest round trip takes 30 ms. A lost SYN packet is
 /// retransmitted only after a second, and well before that another upstream is the better choice.
@@ -144,14 +148,16 @@
         })
     }
 
-    /// Sends the request to the upstream of `reservation` and reads the head of its response. With `resume`,
-    /// the upstream continues a generation from the copy of its memory.
+    /// Sends the request to the upstream of `reservation` and reads the head of its response. `again` is why a
+    /// request is sent that was sent before. With `resume`, the upstream continues a generation from the copy
+    /// of its memory.
     pub(super) async fn send(
         &self,
         reservation: &Reservation,
+        again: Option<Reason>,
         resume: Option<&Resume>,
         deadline: Instant,
-    ) -> Result<(Response<Incoming>, ConnectionTask), socket::Error> {
+    ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
         let (address, name) = match self.shared.fleet().upstream(reservation.upstream) {
             Some(found) => (found.entry.address, found.entry.id.clone()),
             None => return Err(socket::Error::Connect("the upstream is forgotten".to_owned())),
@@ -170,6 +176,9 @@
         let request = request::encode(&parts.method, &parts.uri, &parts.headers, &added)
             .map_err(|error| socket::Error::Connect(error.to_string()))?;
         metrics::counter!("carobhaven_sends_total").increment(1);
+        if let Some(reason) = again {
+            repeats::record_repeat(self, reason);
+        }
         connection
             .send(request.map(|()| self.body.clone()), deadline)
             .await
