--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -45,16 +45,11 @@
     let mut bytes = BytesMut::new();
     let mut held = HeldBytes::new(&call.shared);
     loop {
-        match timeout_at(deadline, body.frame())
-            .await
-            .map_err(|_elapsed| Error::Timeout)?
-        {
-            Some(Ok(frame)) => {
-                let data = frame.into_data().unwrap_or_default();
+        match next_data(&mut body, deadline).await? {
+            Some(data) => {
                 held.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            Some(Err(error)) => return Err(Error::Broken(describe(&error))),
             None => {
                 return Ok(Response::from_parts(
                     parts,
@@ -69,6 +64,21 @@
     }
 }
 
+/// Reads the next piece of a body; `None` is its end.
+async fn next_data(body: &mut ReceivedBody, deadline: Instant) -> Result<Option<Bytes>, Error> {
+    // A piece that is there already is returned before a timeout, so a body that comes faster than its
+    // client reads would never time out.
+    if Instant::now() >= deadline {
+        return Err(Error::Timeout);
+    }
+    match timeout_at(deadline, body.frame()).await {
+        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Ok(Some(Err(error))) => Err(Error::Broken(describe(&error))),
+        Ok(None) => Ok(None),
+        Err(_elapsed) => Err(Error::Timeout),
+    }
+}
+
 /// Passes on a response body that starts with `first`.
 fn forward(
     call: Rc<Call>,
@@ -80,21 +90,23 @@
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
     let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
     tokio::task::spawn_local(async move {
-        let _connection = driver;
         let mut chunk = first;
         let mut passed_on = 0;
         let reason = loop {
             passed_on += chunk.len();
-            if sender.send(Ok(chunk)).await.is_err() {
-                break "the client has disconnected".to_owned();
+            match timeout_at(deadline, sender.send(Ok(chunk))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => break "the client has disconnected".to_owned(),
+                Err(_elapsed) => break "the client did not take the answer in time".to_owned(),
             }
-            chunk = match timeout_at(deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(error))) => break describe(&error),
-                Err(_elapsed) => break Error::Timeout.to_string(),
+            chunk = match next_data(&mut body, deadline).await {
+                Ok(Some(data)) => data,
                 Ok(None) => return,
+                Err(error) => break error.to_string(),
             };
         };
+        // The client may take long to read what it was sent before.
+        drop((driver, body));
         metrics::counter!("carobhaven_answers_cut_total").increment(1);
         log::warn!(
             request:% = call.id(), upstream:% = upstream_name(&call, upstream), reason, bytes = passed_on,
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -149,6 +149,9 @@
             StreamEnd::Late => ("cut: time is over", String::new()),
             StreamEnd::Broken(reason) => ("cut: upstream broke off", reason.clone()),
         };
+        let upstream = self.reservation.upstream;
+        // The client may take long to read what it was sent before.
+        drop((self.driver, self.body, self.reservation));
         if !matches!(end, StreamEnd::Complete | StreamEnd::ClientGone) {
             // Fails only if the client has disconnected meanwhile.
             let _sent = self.client.send(Err(Truncated)).await;
@@ -166,7 +169,7 @@
         metrics::histogram!("carobhaven_longest_pause_seconds").record(self.longest_pause.as_secs_f64());
         log::log!(
             level, request:% = self.call.id(),
-            upstream:% = upstream_name(&self.call, self.reservation.upstream), outcome, reason,
+            upstream:% = upstream_name(&self.call, upstream), outcome, reason,
             events = self.events, moves = self.migrations,
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
             pause_ms = self.longest_pause.as_millis() as u64, age_ms = self.call.age_ms(); "stream ended"
@@ -224,7 +227,10 @@
             StreamEvent::Bytes(bytes) => {
                 self.forward(&bytes).await?;
                 progress.borrow_mut().last_event = self.last_event;
-                Ok(false)
+                match self.splitter.check_size() {
+                    Ok(()) => Ok(false),
+                    Err(error) => self.fail_over(&error.to_string(), progress, migration).await,
+                }
             }
             StreamEvent::Leaving => Ok(false),
             StreamEvent::ClientGone => {
@@ -261,18 +267,26 @@
                 }
                 MigrationOutcome::NotRunning | MigrationOutcome::Failed(_) => self.finish().await,
             },
-            StreamEvent::BodyFailed(reason) => {
-                let switching = progress.borrow().switching;
-                let outcome = if switching {
-                    self.await_migration(migration).await
-                } else {
-                    MigrationOutcome::Failed("the source broke off")
-                };
-                self.resume_after(outcome, progress, &reason).await.map(|()| true)
-            }
+            StreamEvent::BodyFailed(reason) => self.fail_over(&reason, progress, migration).await,
         }
     }
 
+    /// Continues at another upstream after the present one has broken off for `reason`.
+    async fn fail_over(
+        &mut self,
+        reason: &str,
+        progress: &Rc<RefCell<Progress>>,
+        migration: &mut Option<Migration>,
+    ) -> Result<bool, StreamEnd> {
+        let switching = progress.borrow().switching;
+        let outcome = if switching {
+            self.await_migration(migration).await
+        } else {
+            MigrationOutcome::Failed("the source broke off")
+        };
+        self.resume_after(outcome, progress, reason).await.map(|()| true)
+    }
+
     fn is_upstream_leaving(&self) -> bool {
         let fleet = self.call.shared.fleet();
         fleet
@@ -300,6 +314,8 @@
         tokio::select! {
             biased;
             () = self.client.closed() => StreamEvent::ClientGone,
+            // Before the body, which may have a frame ready at any time.
+            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
             frame = self.body.frame() => match frame {
                 Some(Ok(frame)) => StreamEvent::Bytes(frame.into_data().unwrap_or_default()),
                 Some(Err(error)) => StreamEvent::BodyFailed(socket::describe(&error)),
@@ -307,7 +323,6 @@
             },
             outcome = migrated => StreamEvent::MigrationEnded(outcome),
             () = notice.notified(), if !migrating => StreamEvent::Leaving,
-            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
         }
     }
 
