--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -20,6 +20,7 @@
 use crate::{
     Settings,
     run::Error,
+    signals::Grace,
     update::{Report, Update},
 };
 use state::Control;
@@ -36,6 +37,7 @@
     path: &Path,
     settings: &Arc<Settings>,
     updates: Sender<Update>,
+    grace: Arc<Grace>,
     reports: &Receiver<Report>,
     metrics: &PrometheusHandle,
 ) -> Result<(), Error> {
@@ -43,8 +45,8 @@
         .enable_all()
         .build()
         .map_err(|error| Error::Start("a runtime", error.to_string()))?;
-    let control = Rc::new(Control::new(Arc::clone(settings), updates));
-    LocalSet::new().block_on(&runtime, async {
+    let control = Rc::new(Control::new(Arc::clone(settings), updates, grace));
+    let outcome = LocalSet::new().block_on(&runtime, async {
         let sharing = share::bind(settings.peer_address)
             .map_err(|error| Error::Listen(settings.peer_address, error))?;
         let admin = admin::bind(settings.admin_address)
@@ -56,28 +58,24 @@
         tokio::task::spawn_local(admin::serve(admin, metrics.clone()));
         tokio::task::spawn_local(run_upkeep(metrics.clone()));
         tokio::task::spawn_local(reload_settings(Rc::clone(&control), path.to_owned()));
-        let start = |kind| signal(kind).map_err(|error| Error::Start("signals", error.to_string()));
-        let mut terminate = start(SignalKind::terminate())?;
-        let mut interrupt = start(SignalKind::interrupt())?;
         loop {
-            tokio::select! {
-                _ = terminate.recv() => shut_down(&control, "SIGTERM"),
-                _ = interrupt.recv() => shut_down(&control, "SIGINT"),
-                report = reports.recv_async() => match report {
-                    Ok(Report::Peer { address, revision, update, watching }) => {
-                        control.record_watcher(address, watching);
-                        share::handle_peer_report(&control, address, revision, update, watching);
-                    }
-                    Ok(Report::Finished) | Err(_) => return Ok(()),
-                },
+            match reports.recv_async().await {
+                Ok(Report::Peer {
+                    address,
+                    revision,
+                    update,
+                    watching,
+                }) => {
+                    control.record_watcher(address, watching);
+                    share::handle_peer_report(&control, address, revision, update, watching);
+                }
+                Ok(Report::Finished) | Err(_) => return Ok(()),
             }
         }
-    })
-}
-
-fn shut_down(control: &Control, signal: &str) {
-    log::info!(signal; "leaving: not ready any more, requests are finished");
-    control.send(Update::Shutdown);
+    });
+    // A read of the settings file may take long, and is not waited for.
+    runtime.shutdown_background();
+    outcome
 }
 
 /// Merges recorded values into the histograms at regular intervals.
@@ -104,7 +102,14 @@
             _ = hangup.recv() => true,
             () = tokio::time::sleep(SETTINGS_INTERVAL) => false,
         };
-        match Settings::load(&path) {
+        // Reading may take seconds while the disk is busy.
+        let file = path.clone();
+        let loaded = tokio::task::spawn_blocking(move || Settings::load(&file)).await;
+        let Ok(loaded) = loaded else {
+            log::error!("settings not read: the thread for it has panicked");
+            continue;
+        };
+        match loaded {
             Ok(settings) if settings != *control.settings() => {
                 log::info!(file:% = path.display(), asked; "settings reloaded");
                 refused = None;
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -1,11 +1,12 @@
 //! The gateway: forwards callers' requests unchanged to upstreams of the platform.
 //!
-//! The gateway runs two threads: *control* follows the platform's store and the other instances, and
+//! The gateway runs two main threads: *control* follows the platform's store and the other instances, and
 //! *traffic* handles requests. They exchange typed messages ([`update`]). Placement and retry decisions are
 //! made by [`carob_dispatch`]; the names and formats of the platform's interfaces are defined in
 //! [`carob_platform`].
 //!
 //! * [`run()`]: runs a gateway until it is asked to shut down.
+//! * [`force_exit()`]: ends a process that does not end by itself in time.
 //! * [`Settings`]: the settings file.
 //! * [`Mirror`]: this instance's copy of the store's content.
 //! * [`reach`]: whether the store can be reached.
@@ -21,6 +22,7 @@
 pub mod reach;
 mod run;
 mod settings;
+mod signals;
 mod socket;
 mod traffic;
 mod update;
@@ -30,3 +32,4 @@
 pub use mirror::{Change, Mirror, Versioned};
 pub use run::{Error, run};
 pub use settings::Settings;
+pub use signals::force_exit;
