fix: an upstream whose body breaks off or does not end keeps its good standing

Of 12 requests after a sound one, 3 orders and 7 generations went to the upstream that sent zeros before the size of a chunk, and up to 5 orders to one with an endless chunk extension, while another upstream was idle: a head was recorded as a sound answer, and what became of its body was not recorded.

A plain answer now counts once its body is there, and one that breaks off or comes late as a failure. So does a stream that breaks off, that has sent nothing until its deadline, or that sends more events than the request permits tokens, which also ends it.

--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -416,17 +416,24 @@
         AnswerKind::Ran if implies_not_run(status) => return no_answer(AttemptResult::Failed, &status),
         AnswerKind::Ran => {}
     }
-    record(if is_failure(status) {
+    let health = if is_failure(status) {
         UpstreamHealth::Failing
     } else {
         UpstreamHealth::Healthy
-    });
+    };
     if call.route.kind == RouteKind::Stream && status.is_success() {
+        record(health);
         return Outcome::Stream(response, driver);
     }
     match plain::collect(call, reservation.upstream, response, driver, deadline).await {
-        Ok(response) => Outcome::Complete(response),
-        Err(error) => no_answer(AttemptResult::Unknown, &error),
+        Ok(response) => {
+            record(health);
+            Outcome::Complete(response)
+        }
+        Err(error) => {
+            record(UpstreamHealth::Failing);
+            no_answer(AttemptResult::Unknown, &error)
+        }
     }
 }
 
--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use carob_dispatch::fleet::UpstreamKey;
+use carob_dispatch::fleet::{UpstreamHealth, UpstreamKey};
 use carob_platform::answer;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -107,7 +107,14 @@
             chunk = match next_data(&mut body, deadline).await {
                 Ok(Some(data)) => data,
                 Ok(None) => return,
-                Err(error) => break error.to_string(),
+                Err(error) => {
+                    call.shared.fleet_mut().record_attempt(
+                        upstream,
+                        UpstreamHealth::Failing,
+                        call.shared.now(),
+                    );
+                    break error.to_string();
+                }
             };
         };
         // The client may take long to read what it was sent before.
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use carob_dispatch::budget::Reason;
+use carob_dispatch::{budget::Reason, fleet::UpstreamHealth};
 use carob_platform::{answer, request::Resume};
 use http_body_util::BodyExt;
 use hyper::{
@@ -34,6 +34,9 @@
 /// Chunks that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 16;
 
+/// Events beyond one for each token that a request permits.
+const SPARE_EVENTS: u32 = 16;
+
 type Migration = Pin<Box<dyn Future<Output = MigrationOutcome>>>;
 
 /// Aborts the task when it is dropped.
@@ -227,9 +230,9 @@
             StreamEvent::Bytes(bytes) => {
                 self.forward(&bytes).await?;
                 progress.borrow_mut().last_event = self.last_event;
-                match self.splitter.check_size() {
+                match self.check_limits() {
                     Ok(()) => Ok(false),
-                    Err(error) => self.fail_over(&error.to_string(), progress, migration).await,
+                    Err(reason) => self.fail_over(&reason, progress, migration).await,
                 }
             }
             StreamEvent::Leaving => Ok(false),
@@ -238,6 +241,9 @@
                 Err(StreamEnd::ClientGone)
             }
             StreamEvent::Late => {
+                if self.first_event.is_none() {
+                    self.record_failing();
+                }
                 self.release_copy(progress);
                 Err(StreamEnd::Late)
             }
@@ -278,6 +284,7 @@
         progress: &Rc<RefCell<Progress>>,
         migration: &mut Option<Migration>,
     ) -> Result<bool, StreamEnd> {
+        self.record_failing();
         let switching = progress.borrow().switching;
         let outcome = if switching {
             self.await_migration(migration).await
@@ -287,6 +294,31 @@
         self.resume_after(outcome, progress, reason).await.map(|()| true)
     }
 
+    /// Records that the present upstream did not answer properly or not in time.
+    fn record_failing(&self) {
+        let shared = &self.call.shared;
+        shared
+            .fleet_mut()
+            .record_attempt(self.reservation.upstream, UpstreamHealth::Failing, shared.now());
+    }
+
+    /// Checks that the upstream keeps to the limits of a stream.
+    fn check_limits(&self) -> Result<(), String> {
+        self.splitter.check_size().map_err(|error| error.to_string())?;
+        let expected = self
+            .call
+            .head
+            .usage
+            .map_or(u32::MAX, |usage| usage.max_output.saturating_add(SPARE_EVENTS));
+        if self.events > expected {
+            return Err(format!(
+                "expected {expected} events at most, received {}",
+                self.events
+            ));
+        }
+        Ok(())
+    }
+
     fn is_upstream_leaving(&self) -> bool {
         let fleet = self.call.shared.fleet();
         fleet
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -5,7 +5,10 @@
 mod fleet;
 
 use std::{
-    fs, thread,
+    collections::BTreeSet,
+    fs,
+    net::SocketAddr,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -23,6 +26,12 @@
 /// Timeout of the clients; below the time limit of the routes, 5 s.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Timeout of requests that only show which upstream they go to.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How many of 12 requests may go to an upstream that answers each with bytes without end, while another is idle.
+const MAX_STRAY: usize = 2;
+
 /// Time after which an answer counts as late, beyond the deadline or limit.
 const SLACK: Duration = Duration::from_millis(700);
 
@@ -56,6 +65,12 @@
     );
 }
 
+/// Sends a request with a deadline after `timeout`, and waits on beyond it.
+fn send_patiently(address: SocketAddr, request: Request, timeout: Duration) -> Outcome {
+    let mut stream = client::open(address, &request.with_timeout(timeout)).expect("it connects");
+    client::read(&mut stream, Instant::now() + LONG)
+}
+
 /// Sends requests at once, with a deadline after [`TIMEOUT`] beyond which the clients wait; returns their
 /// outcomes and how long each took.
 fn send_all(fleet: &Fleet, count: usize, make: impl Fn(usize) -> Request) -> Vec<(Outcome, Duration)> {
@@ -65,8 +80,7 @@
             let request = make(number);
             thread::spawn(move || {
                 let started = Instant::now();
-                let mut stream = client::open(address, &request.with_timeout(TIMEOUT)).expect("it connects");
-                (client::read(&mut stream, started + LONG), started.elapsed())
+                (send_patiently(address, request, TIMEOUT), started.elapsed())
             })
         })
         .collect();
@@ -330,6 +344,68 @@
     }
 }
 
+/// Makes the upstream answer with `flood` that gets the requests of `make` while all upstreams are idle and
+/// sound, and returns how many of 12 further requests go to it.
+fn count_at_flooding(
+    fleet: &Fleet,
+    upstreams: &[Upstream],
+    flood: Flood,
+    make: impl Fn(&str) -> Request,
+) -> usize {
+    let upstream_of = |id: &str| {
+        let started = fleet.ledger.started();
+        let found = started.into_iter().rfind(|started| started.id == make(id).id);
+        found.map(|started| started.upstream)
+    };
+    wait_until("the upstreams are known", || {
+        let outcomes = send_all(fleet, 2 * upstreams.len(), |number| {
+            make(&format!("warm-{number}"))
+        });
+        let names = (0..outcomes.len()).filter_map(|number| upstream_of(&format!("warm-{number}")));
+        names.collect::<BTreeSet<_>>().len() == upstreams.len()
+    });
+    fleet.send(0, &make("sound"));
+    let name = upstream_of("sound").expect("it ran");
+    let preferred = upstreams.iter().find(|upstream| upstream.id() == name);
+    preferred
+        .expect("it is one of them")
+        .set_answer_mode(AnswerMode::Flood(flood));
+    for number in 0..12 {
+        let address = fleet.gateways[0].caller_address;
+        send_patiently(address, make(&format!("next-{number}")), SHORT_TIMEOUT);
+    }
+    (0..12)
+        .filter(|number| upstream_of(&format!("next-{number}")).as_ref() == Some(&name))
+        .count()
+}
+
+#[test]
+fn requests_prefer_other_upstreams_after_bytes_without_end() {
+    for flood in Flood::ALL.into_iter().filter(|flood| *flood != Flood::Excess) {
+        let fleet = Fleet::start(1);
+        let plain = ["p1", "p2"].map(|id| fleet.start_plain(id, 2 * SHORT));
+        let engines = ["e1", "e2"].map(|id| fleet.start_engine(id, 2, SHORT));
+        fleet.configure();
+        let orders = count_at_flooding(&fleet, &plain, flood, |id| {
+            request(&format!("o-{id}"), "POST", "/order/1")
+        });
+        let generations = count_at_flooding(&fleet, &engines, flood, |id| {
+            generation_request(&format!("d-{id}"))
+        });
+        eprintln!(
+            "{flood:?}: {orders} of 12 orders and {generations} of 12 generations went to the upstream"
+        );
+        assert!(
+            orders <= MAX_STRAY,
+            "{flood:?}: {orders} of 12 orders went to the upstream"
+        );
+        assert!(
+            generations <= MAX_STRAY,
+            "{flood:?}: {generations} of 12 generations went to the upstream"
+        );
+    }
+}
+
 #[test]
 fn a_client_that_reads_nothing_of_a_body_without_end_takes_little_memory() {
     for flood in [Flood::Body, Flood::Event] {
