test: the soak checks the retry budget, with a service in trouble over kills in series

For 4 s of every other cycle all upstreams of one service reject or fail everything, and all gateways are killed every 0.3 to 0.7 s and started again. What drew faults and planned work before draws the same. After the run the checker of tests/budget judges each service; both countings of continued generations are printed.

The moves test compares the repeats that upstreams saw with the lines "request sent again" of all gateways.

--- a/tests/budget/mod.rs
+++ b/tests/budget/mod.rs
@@ -19,6 +19,13 @@
     pub extra: f64,
 }
 
+/// The budget in the settings of [`Gateway::prepare`](crate::fleet::Gateway::prepare).
+pub const LIMITS: Limits = Limits {
+    window: Duration::from_secs(10),
+    ratio: 0.2,
+    extra: 54.0,
+};
+
 /// Which arrivals count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Counting {
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -16,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use budget::{Counting, Limits, Worst};
+use budget::{Counting, LIMITS, Limits, Worst};
 use carob_platform_standin::{
     AnswerMode, Ledger, Link, Outage, Store, Upstream,
     client::{self, Outcome},
@@ -24,10 +24,7 @@
 };
 use fleet::{CLIENT_KEY, Fleet, Gateway, generation_request, request, wait_until};
 
-/// Window and ratio in the settings of [`Gateway::prepare`].
-const WINDOW: Duration = Duration::from_secs(10);
-const RATIO: f64 = 0.2;
-/// Line of those settings that a test may replace.
+/// Line in the settings of [`Gateway::prepare`] that a test may replace.
 const EXTRA_LINE: &str = "extra = 54\n";
 
 /// An attempt that may be followed by another is given up after two and a half times the target latency.
@@ -142,9 +139,8 @@
     /// Repeats at the upstreams of `service`, whose clients sent requests at the times `sent`, and its worst window.
     fn judge(&self, service: &str, sent: &[Instant], counting: Counting) -> (usize, Option<Worst>) {
         let limits = Limits {
-            window: WINDOW,
-            ratio: RATIO,
             extra: f64::from(self.extra),
+            ..LIMITS
         };
         let repeats = budget::repeats(&self.fleet.ledger.arrivals(), service, counting);
         (repeats.len(), budget::worst_window(limits, sent, &repeats))
@@ -179,7 +175,7 @@
 #[test]
 fn restarts_in_series_spend_the_retry_budget_anew() {
     let mut rig = Rig::start(10, 54);
-    thread::sleep(WINDOW);
+    thread::sleep(LIMITS.window);
     rig.set_plain(AnswerMode::Rejection);
     let (next_id, sent) = (&rig.next_id, &rig.sent);
     thread::scope(|scope| {
@@ -206,7 +202,7 @@
 #[test]
 fn kills_in_series_spend_the_retry_budget_anew() {
     let mut rig = Rig::start(4, 54);
-    thread::sleep(WINDOW);
+    thread::sleep(LIMITS.window);
     rig.set_plain(AnswerMode::Rejection);
     let (next_id, sent) = (&rig.next_id, &rig.sent);
     thread::scope(|scope| {
@@ -239,7 +235,7 @@
     rig.send_steadily(&[0, 1], interval, Duration::from_secs(8));
     rig.set_plain(AnswerMode::Rejection);
     rig.set_links(Link::Open);
-    rig.send_steadily(&[0, 1], interval, WINDOW);
+    rig.send_steadily(&[0, 1], interval, LIMITS.window);
     rig.expect_within_budget();
 }
 
@@ -279,7 +275,7 @@
         rig.fleet.wait_ready();
         rig.send_plain(address);
     }
-    thread::sleep(WINDOW);
+    thread::sleep(LIMITS.window);
     rig.set_plain(AnswerMode::Rejection);
     for gateway in &rig.fleet.gateways {
         for _ in 0..2 {
@@ -299,7 +295,7 @@
     rig.set_plain(AnswerMode::Rejection);
     rig.send_steadily(&[0], interval, Duration::from_secs(1));
     rig.fleet.gateways[0].signal("TERM");
-    rig.send_steadily(&[1], interval, WINDOW);
+    rig.send_steadily(&[1], interval, LIMITS.window);
     rig.expect_within_budget();
 }
 
@@ -353,6 +349,14 @@
         rig.fleet.ledger.migrations()
     );
     expect_no_excess(worst);
+    let told = |gateway: &Gateway| {
+        let lines = gateway.log_lines();
+        lines
+            .iter()
+            .filter(|line| line.contains("request sent again"))
+            .count()
+    };
+    assert_eq!(rig.fleet.gateways.iter().map(told).sum::<usize>(), all.0);
 }
 
 /// A budget that is never used would be kept as well.
@@ -362,7 +366,7 @@
     rig.set_plain(AnswerMode::Rejection);
     rig.send_steadily(&[0, 1, 2], Duration::from_millis(25), Duration::from_secs(15));
     let (requests, repeats) = rig.expect_within_budget();
-    let expected = requests as f64 * RATIO / 2.0;
+    let expected = requests as f64 * LIMITS.ratio / 2.0;
     assert!(
         repeats as f64 >= expected,
         "{repeats} repeats of {requests} requests, expected {expected} at least"
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,6 +6,7 @@
 //! `SOAK_SEEDS=failed` runs every seed that ever failed; `SOAK_GATEWAYS` and `SOAK_CLIENTS` set the size of the
 //! fleet.
 
+mod budget;
 #[path = "soak/checks.rs"]
 mod checks;
 #[path = "soak/faults.rs"]
@@ -49,6 +50,9 @@
 /// hold only for requests that no fault has touched.
 const CYCLE_TIME: Duration = Duration::from_secs(12);
 const CALM_TIME: Duration = Duration::from_secs(7);
+/// Time at the end of every other cycle for which upstreams of a service reject or fail everything and gateways are
+/// killed in series.
+const TROUBLE_TIME: Duration = Duration::from_secs(4);
 /// How often processes are checked for their end.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of violations that are printed with the log lines about them.
@@ -78,6 +82,7 @@
     let start = Instant::now();
     let end = start + Duration::from_secs(options.seconds);
     let (mut next_calm, mut next_fault, mut next_series) = (start, start, start);
+    let mut next_trouble = start + CYCLE_TIME.saturating_sub(TROUBLE_TIME);
     while Instant::now() < end {
         if Instant::now() >= next_calm {
             injector.calm_down();
@@ -88,6 +93,10 @@
             injector.inject(&mut rng);
             next_fault = Instant::now() + Duration::from_millis(rng.random_range(100..600));
         }
+        if Instant::now() >= next_trouble {
+            injector.start_trouble(next_calm);
+            next_trouble += 2 * CYCLE_TIME;
+        }
         if Instant::now() >= next_series {
             next_series = injector.plan_series();
         }
@@ -113,6 +122,7 @@
         print_log(&injector.fleet.gateways[*gateway], None);
         violations.push(format!("gateway {gateway} {violation}"));
     }
+    violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
     let served = observations
         .iter()
         .filter(|observation| observation.outcome.status == 200 && observation.outcome.complete)
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -11,6 +11,7 @@
 use carob_platform_standin::Ledger;
 
 use crate::{
+    budget::{self, Counting, LIMITS},
     faults::{Harm, ROUTES},
     operator::{Life, Operator},
     traffic::{Kind, Observation},
@@ -148,6 +149,39 @@
     }
 }
 
+/// Returns how upstreams of each service received more repeats than its budget allows, if they did. Requests that
+/// the clients could not send whole do not add to the budget.
+pub fn budget_violations(ledger: &Ledger, observations: &[Observation]) -> Vec<String> {
+    let mut arrivals = ledger.arrivals();
+    let ids: HashSet<&String> = observations.iter().map(|seen| &seen.request.id).collect();
+    arrivals.retain(|arrival| ids.contains(&arrival.id));
+    let mut violations = Vec::new();
+    for service in ["engines", "plain"] {
+        let routes = ROUTES.iter().filter(|route| route.service == service);
+        let prefixes: Vec<&str> = routes.map(|route| route.prefix).collect();
+        let sent: Vec<Instant> = observations
+            .iter()
+            .filter(|seen| seen.sent.is_some())
+            .filter(|seen| {
+                prefixes
+                    .iter()
+                    .any(|prefix| seen.request.path.starts_with(prefix))
+            })
+            .map(|seen| seen.begun)
+            .collect();
+        let worst = |counting| {
+            let repeats = budget::repeats(&arrivals, service, counting);
+            budget::worst_window(LIMITS, &sent, &repeats)
+        };
+        let (all, counted) = (worst(Counting::All), worst(Counting::WithoutContinued));
+        eprintln!("{service}: worst window {counted:?}; with continued generations {all:?}");
+        if counted.is_some_and(|worst| worst.excess > 0.0) {
+            violations.push(format!("{service}: repeats beyond the budget, {counted:?}"));
+        }
+    }
+    violations
+}
+
 /// Why the process `life` should have answered a request, unless what happened to it excuses that.
 fn cut_off_by(life: &Life, observation: &Observation, sent: Instant, has_run: bool) -> Option<String> {
     let Observation { begun, ended, .. } = *observation;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -47,6 +47,9 @@
 /// Maximum number of gateways that one series of signals goes through.
 const MAX_SERIES: usize = 8;
 
+/// Time between two kills of all gateways while a service is in trouble, in milliseconds.
+const KILL_GAP: std::ops::Range<u64> = 300..700;
+
 /// Number of clients for each engine and for each plain upstream.
 const CLIENTS_PER_ENGINE: usize = 10;
 const CLIENTS_PER_PLAIN: usize = 15;
@@ -75,6 +78,16 @@
     }
 }
 
+/// A service whose upstreams all reject or fail requests, while all gateways are killed again and again.
+struct Trouble {
+    /// Draws trouble, so that it does not change the sequences of the faults and of planned work.
+    rng: StdRng,
+    is_plain: bool,
+    mode: AnswerMode,
+    until: Option<Instant>,
+    next_kill: Instant,
+}
+
 /// Injects faults into a fleet and ends them, and does planned work on its gateways.
 pub struct Injector {
     pub fleet: Fleet,
@@ -90,6 +103,7 @@
     work: Vec<(Instant, Work)>,
     /// Draws planned work, so that it does not change the sequence of the faults.
     work_rng: StdRng,
+    trouble: Trouble,
     /// When outages, network faults and bad answers end.
     heal_at: Instant,
     pub harms: Vec<Harm>,
@@ -121,6 +135,13 @@
             next_engine: 1_000,
             work: Vec::new(),
             work_rng: StdRng::seed_from_u64(seed.rotate_left(17)),
+            trouble: Trouble {
+                rng: StdRng::seed_from_u64(seed.rotate_left(34)),
+                is_plain: false,
+                mode: AnswerMode::Normal,
+                until: None,
+                next_kill: Instant::now(),
+            },
             heal_at: Instant::now(),
             harms: Vec::new(),
             log: Vec::new(),
@@ -229,6 +250,48 @@
         self.plan_shutdowns();
     }
 
+    /// Begins trouble at a service, which lasts until `until`.
+    pub fn start_trouble(&mut self, until: Instant) {
+        let trouble = &mut self.trouble;
+        trouble.is_plain = trouble.rng.random_bool(0.5);
+        trouble.mode = if trouble.rng.random_bool(0.7) {
+            AnswerMode::Rejection
+        } else {
+            AnswerMode::Failure
+        };
+        trouble.until = Some(until);
+        let text = format!("trouble: {:?}, plain: {}", trouble.mode, trouble.is_plain);
+        self.note(&text);
+    }
+
+    fn poll_trouble(&mut self) {
+        let now = Instant::now();
+        let Trouble {
+            is_plain,
+            mode,
+            until,
+            next_kill,
+            ..
+        } = self.trouble;
+        let Some(until) = until else { return };
+        let is_over = now >= until;
+        // A new engine takes part, and other faults that end do not end this one.
+        let upstreams = if is_plain { &self.plain } else { &self.engines };
+        let mode = if is_over { AnswerMode::Normal } else { mode };
+        for upstream in upstreams {
+            upstream.set_answer_mode(mode);
+        }
+        if is_over {
+            self.trouble.until = None;
+        } else if now >= next_kill {
+            let gap = self.trouble.rng.random_range(KILL_GAP);
+            self.trouble.next_kill = now + Duration::from_millis(gap);
+            for gateway in 0..self.fleet.gateways.len() {
+                self.signal(gateway, "KILL");
+            }
+        }
+    }
+
     /// Makes the store unavailable for one gateway or for all.
     fn start_outage(&mut self, rng: &mut StdRng) {
         let kinds = [Outage::Busy, Outage::Reset, Outage::Silent, Outage::Lost];
@@ -316,12 +379,16 @@
         if Instant::now() >= self.heal_at {
             self.heal();
         }
+        self.poll_trouble();
         self.operator.poll(&mut self.fleet);
         for gateway in 0..self.fleet.gateways.len() {
             let restarts =
                 |work: &(Instant, Work)| matches!(work.1, Work::Restart(other) if other == gateway);
             if self.operator.life(gateway).ended.is_some() && !self.work.iter().any(restarts) {
-                let delay = self.work_rng.random_range(0..600);
+                let mut delay = self.work_rng.random_range(0..600);
+                if self.trouble.until.is_some() {
+                    delay /= 10;
+                }
                 self.plan(Duration::from_millis(delay), Work::Restart(gateway));
             }
         }
