--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -124,7 +124,9 @@
         }
         let before = Instant::now();
         match name {
-            "KILL" => self.life_mut(gateway).killed = Some(before),
+            "KILL" => {
+                self.life_mut(gateway).killed.get_or_insert(before);
+            }
             "STOP" => self.life_mut(gateway).frozen.push((before, None)),
             _ => {}
         }
