--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -1,12 +1,13 @@
 //! Responses of plain (non-streaming) services.
 //!
 //! A short response is read completely before its head is passed on, so that the request can still be retried
-//! or answered with an error status if the response breaks off. A long one is passed on as it arrives.
+//! or answered with an error status if the response breaks off. A long one is passed on as it arrives, and so is
+//! one of medium length while bodies hold much of their memory.
 
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use carob_dispatch::fleet::UpstreamKey;
+use carob_dispatch::fleet::{UpstreamHealth, UpstreamKey};
 use carob_platform::answer;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -29,6 +30,9 @@
 /// A response body longer than this many bytes is passed on as it arrives.
 const MAX_BUFFERED: usize = 256 << 10;
 
+/// A response body of at most this many bytes is read completely also if bodies hold much memory.
+const MIN_COUNTED: usize = 16 << 10;
+
 /// Chunks of a long response that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 8;
 
@@ -45,16 +49,11 @@
     let mut bytes = BytesMut::new();
     let mut held = HeldBytes::new(&call.shared);
     loop {
-        match timeout_at(deadline, body.frame())
-            .await
-            .map_err(|_elapsed| Error::Timeout)?
-        {
-            Some(Ok(frame)) => {
-                let data = frame.into_data().unwrap_or_default();
+        match next_data(&mut body, deadline).await? {
+            Some(data) => {
                 held.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            Some(Err(error)) => return Err(Error::Broken(describe(&error))),
             None => {
                 return Ok(Response::from_parts(
                     parts,
@@ -62,13 +61,29 @@
                 ));
             }
         }
-        if bytes.len() > MAX_BUFFERED {
+        let is_short_of_room = bytes.len() > MIN_COUNTED && !call.shared.has_answer_room();
+        if bytes.len() > MAX_BUFFERED || is_short_of_room {
             let chunks = forward(Rc::clone(call), upstream, bytes.freeze(), body, driver, deadline);
             return Ok(Response::from_parts(parts, ResponseBody::Chunks(chunks)));
         }
     }
 }
 
+/// Reads the next piece of a body; `None` is its end.
+async fn next_data(body: &mut ReceivedBody, deadline: Instant) -> Result<Option<Bytes>, Error> {
+    // A piece that is there already is returned before a timeout, so a body that comes faster than its
+    // client reads would never time out.
+    if Instant::now() >= deadline {
+        return Err(Error::Timeout);
+    }
+    match timeout_at(deadline, body.frame()).await {
+        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Ok(Some(Err(error))) => Err(Error::Broken(describe(&error))),
+        Ok(None) => Ok(None),
+        Err(_elapsed) => Err(Error::Timeout),
+    }
+}
+
 /// Passes on a response body that starts with `first`.
 fn forward(
     call: Rc<Call>,
@@ -80,21 +95,30 @@
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
     let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
     tokio::task::spawn_local(async move {
-        let _connection = driver;
         let mut chunk = first;
         let mut passed_on = 0;
         let reason = loop {
             passed_on += chunk.len();
-            if sender.send(Ok(chunk)).await.is_err() {
-                break "the client has disconnected".to_owned();
+            match timeout_at(deadline, sender.send(Ok(chunk))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => break "the client has disconnected".to_owned(),
+                Err(_elapsed) => break "the client did not take the answer in time".to_owned(),
             }
-            chunk = match timeout_at(deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(error))) => break describe(&error),
-                Err(_elapsed) => break Error::Timeout.to_string(),
+            chunk = match next_data(&mut body, deadline).await {
+                Ok(Some(data)) => data,
                 Ok(None) => return,
+                Err(error) => {
+                    call.shared.fleet_mut().record_attempt(
+                        upstream,
+                        UpstreamHealth::Failing,
+                        call.shared.now(),
+                    );
+                    break error.to_string();
+                }
             };
         };
+        // The client may take long to read what it was sent before.
+        drop((driver, body));
         metrics::counter!("carobhaven_answers_cut_total").increment(1);
         log::warn!(
             request:% = call.id(), upstream:% = upstream_name(&call, upstream), reason, bytes = passed_on,
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use carob_dispatch::budget::Reason;
+use carob_dispatch::{budget::Reason, fleet::UpstreamHealth};
 use carob_platform::{answer, request::Resume};
 use http_body_util::BodyExt;
 use hyper::{
@@ -34,6 +34,9 @@
 /// Chunks that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 16;
 
+/// Events beyond one for each token that a request permits.
+const SPARE_EVENTS: u32 = 16;
+
 type Migration = Pin<Box<dyn Future<Output = MigrationOutcome>>>;
 
 /// Aborts the task when it is dropped.
@@ -149,6 +152,9 @@
             StreamEnd::Late => ("cut: time is over", String::new()),
             StreamEnd::Broken(reason) => ("cut: upstream broke off", reason.clone()),
         };
+        let upstream = self.reservation.upstream;
+        // The client may take long to read what it was sent before.
+        drop((self.driver, self.body, self.reservation));
         if !matches!(end, StreamEnd::Complete | StreamEnd::ClientGone) {
             // Fails only if the client has disconnected meanwhile.
             let _sent = self.client.send(Err(Truncated)).await;
@@ -166,7 +172,7 @@
         metrics::histogram!("carobhaven_longest_pause_seconds").record(self.longest_pause.as_secs_f64());
         log::log!(
             level, request:% = self.call.id(),
-            upstream:% = upstream_name(&self.call, self.reservation.upstream), outcome, reason,
+            upstream:% = upstream_name(&self.call, upstream), outcome, reason,
             events = self.events, moves = self.migrations,
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
             pause_ms = self.longest_pause.as_millis() as u64, age_ms = self.call.age_ms(); "stream ended"
@@ -224,7 +230,10 @@
             StreamEvent::Bytes(bytes) => {
                 self.forward(&bytes).await?;
                 progress.borrow_mut().last_event = self.last_event;
-                Ok(false)
+                match self.check_limits() {
+                    Ok(()) => Ok(false),
+                    Err(reason) => self.fail_over(&reason, progress, migration).await,
+                }
             }
             StreamEvent::Leaving => Ok(false),
             StreamEvent::ClientGone => {
@@ -232,6 +241,9 @@
                 Err(StreamEnd::ClientGone)
             }
             StreamEvent::Late => {
+                if self.first_event.is_none() {
+                    self.record_failing();
+                }
                 self.release_copy(progress);
                 Err(StreamEnd::Late)
             }
@@ -261,16 +273,50 @@
                 }
                 MigrationOutcome::NotRunning | MigrationOutcome::Failed(_) => self.finish().await,
             },
-            StreamEvent::BodyFailed(reason) => {
-                let switching = progress.borrow().switching;
-                let outcome = if switching {
-                    self.await_migration(migration).await
-                } else {
-                    MigrationOutcome::Failed("the source broke off")
-                };
-                self.resume_after(outcome, progress, &reason).await.map(|()| true)
-            }
+            StreamEvent::BodyFailed(reason) => self.fail_over(&reason, progress, migration).await,
+        }
+    }
+
+    /// Continues at another upstream after the present one has broken off for `reason`.
+    async fn fail_over(
+        &mut self,
+        reason: &str,
+        progress: &Rc<RefCell<Progress>>,
+        migration: &mut Option<Migration>,
+    ) -> Result<bool, StreamEnd> {
+        self.record_failing();
+        let switching = progress.borrow().switching;
+        let outcome = if switching {
+            self.await_migration(migration).await
+        } else {
+            MigrationOutcome::Failed("the source broke off")
+        };
+        self.resume_after(outcome, progress, reason).await.map(|()| true)
+    }
+
+    /// Records that the present upstream did not answer properly or not in time.
+    fn record_failing(&self) {
+        let shared = &self.call.shared;
+        shared
+            .fleet_mut()
+            .record_attempt(self.reservation.upstream, UpstreamHealth::Failing, shared.now());
+    }
+
+    /// Checks that the upstream keeps to the limits of a stream.
+    fn check_limits(&self) -> Result<(), String> {
+        self.splitter.check_size().map_err(|error| error.to_string())?;
+        let expected = self
+            .call
+            .head
+            .usage
+            .map_or(u32::MAX, |usage| usage.max_output.saturating_add(SPARE_EVENTS));
+        if self.events > expected {
+            return Err(format!(
+                "expected {expected} events at most, received {}",
+                self.events
+            ));
         }
+        Ok(())
     }
 
     fn is_upstream_leaving(&self) -> bool {
@@ -300,6 +346,8 @@
         tokio::select! {
             biased;
             () = self.client.closed() => StreamEvent::ClientGone,
+            // Before the body, which may have a frame ready at any time.
+            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
             frame = self.body.frame() => match frame {
                 Some(Ok(frame)) => StreamEvent::Bytes(frame.into_data().unwrap_or_default()),
                 Some(Err(error)) => StreamEvent::BodyFailed(socket::describe(&error)),
@@ -307,7 +355,6 @@
             },
             outcome = migrated => StreamEvent::MigrationEnded(outcome),
             () = notice.notified(), if !migrating => StreamEvent::Leaving,
-            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
         }
     }
 
