fix: a stream without chunks looks whole when its process is killed

The client of such a stream (HTTP/1.0) takes the end of the connection for its end. The exit made cut streams end with a reset, and only the exit did: a process that was killed, or ended by force, left it to the kernel to close its connections, with a regular end.

The kernel is now told before the first byte of such an answer that the connection ends with a reset, and otherwise only once the answer is complete. So it holds however the process ends.

--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -11,6 +11,7 @@
 
 use super::{
     answer::ResponseBody,
+    client::ClientStream,
     exchange,
     guard::{ActiveRequest, OpenConnection},
     shared::Shared,
@@ -114,7 +115,7 @@
     requests: Cell<u32>,
     accepted: Time,
     /// Whether the end of the connection is the end of the present response, as for HTTP/1.0 clients.
-    unframed: Cell<bool>,
+    unframed: Rc<Cell<bool>>,
     /// When its last request ended, or when it was accepted.
     idle_since: Cell<Time>,
 }
@@ -124,7 +125,7 @@
         active_requests: Cell::new(0),
         requests: Cell::new(0),
         accepted: shared.now(),
-        unframed: Cell::new(false),
+        unframed: Rc::default(),
         idle_since: Cell::new(shared.now()),
     });
     let counted = Rc::clone(&activity);
@@ -138,6 +139,7 @@
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head * 2).preserve_header_case(true);
+    let stream = ClientStream::new(stream, Rc::clone(&activity.unframed));
     let mut served = builder.serve_connection(TokioIo::new(stream), service);
     let closing = async {
         shared.wait_closing().await;
@@ -181,15 +183,8 @@
             }
         }
     };
-    if cut && activity.unframed.get() {
-        reset(&served.into_parts().io.into_inner());
-    }
-}
-
-/// Makes the connection end with a reset, so that a response without a length does not look complete.
-fn reset(stream: &TcpStream) {
-    if let Err(error) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::warn!(error:% = error; "connection with an incomplete response not reset");
+    if !cut {
+        served.into_parts().io.into_inner().close();
     }
 }
 
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod body;
 mod call;
+mod client;
 mod exchange;
 mod guard;
 mod listen;
--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -412,6 +412,53 @@
     );
 }
 
+/// The kernel closes the connections of a process that is killed.
+#[test]
+fn a_stream_without_chunks_whose_process_is_killed_does_not_look_whole() {
+    let fleet = Fleet::start(1);
+    let _engine = fleet.start_engine("e1", 1_000, SHORT);
+    fleet.configure();
+    let generation = generation_request("d1").with_http_1_0();
+    let mut client =
+        client::open(fleet.gateways[0].caller_address, &generation).expect("the gateway listens");
+    client.peek(&mut [0]).expect("the answer has begun");
+    fleet.gateways[0].signal("KILL");
+    client.set_read_timeout(Some(LONG)).expect("a timeout can be set");
+    let mut answer = Vec::new();
+    let end = client.read_to_end(&mut answer);
+    assert!(
+        end.is_err(),
+        "{} bytes, then the end of the connection without a reset",
+        answer.len()
+    );
+}
+
+/// What the client has not read yet when the gateway closes a connection is not lost by a reset.
+#[test]
+fn a_whole_stream_without_chunks_ends_without_a_reset() {
+    const EVENTS: u64 = 20;
+    let fleet = Fleet::start(1);
+    let engine = fleet.start_engine("e1", EVENTS, SHORT);
+    engine.set_answer_bytes(BUFFERED_ANSWER / EVENTS as usize);
+    fleet.configure();
+    let generation = generation_request("d1").with_http_1_0();
+    let mut client =
+        client::open_narrow(fleet.gateways[0].caller_address, &generation).expect("the gateway listens");
+    wait_until("the stream has ended in the gateway", || {
+        fleet.gateways[0].logged("stream ended")
+    });
+    thread::sleep(SHORT);
+    client.set_read_timeout(Some(LONG)).expect("a timeout can be set");
+    let mut answer = Vec::new();
+    client.read_to_end(&mut answer).expect("it ends without a reset");
+    let last = format!("id: {EVENTS}\n");
+    assert!(
+        String::from_utf8_lossy(&answer).contains(&last),
+        "{} bytes",
+        answer.len()
+    );
+}
+
 /// A client that stops in the middle of a request head has no request that the process has to wait for.
 #[test]
 fn a_client_that_never_finishes_its_request_head_does_not_hold_the_process_up() {
