test: signals to a reading client could reach another process

a_signal_to_a_reading_client_ends_its_answer sends signals to the number of a thread. When the machine held the test up, the reader could end before the last signal, and its number could be another's by then. The server now sends the second half only after the last signal, and no signal is sent to a reader that has ended.

--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -19,8 +19,8 @@
 const SIGNALS: u32 = 10;
 const INTERVAL: Duration = Duration::from_millis(30);
 
-/// Answers one request in two halves, and waits before the second until all signals were sent.
-fn start_server() -> SocketAddr {
+/// Answers one request in two halves, the second once `signals` ends.
+fn start_server(signals: mpsc::Receiver<()>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
     let address = listener.local_addr().expect("a bound listener has an address");
     thread::spawn(move || {
@@ -28,7 +28,7 @@
         let _request = stream.read(&mut [0; 1024]).expect("the client sends a request");
         let first = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst";
         stream.write_all(first).expect("the client reads");
-        thread::sleep(INTERVAL * (SIGNALS + 5));
+        let _ended = signals.recv();
         // The test decides what it means if the client has gone.
         let _sent = stream.write_all(b"other");
     });
@@ -40,7 +40,8 @@
 #[test]
 fn a_signal_to_a_reading_client_ends_its_answer() {
     flag::register(SIGUSR1, Arc::new(AtomicBool::new(false))).expect("the signal can be handled");
-    let address = start_server();
+    let (signalling, signals) = mpsc::channel();
+    let address = start_server(signals);
     let (sender, received) = mpsc::channel();
     let reader = thread::spawn(move || {
         let path = fs::read_link("/proc/thread-self").expect("the thread has a number");
@@ -52,9 +53,13 @@
     let number = received.recv().expect("the reader has started");
     for _ in 0..SIGNALS {
         thread::sleep(INTERVAL);
-        // Fails if the reader has ended too early, which its outcome shows.
+        // The number of a thread that has ended may be another's.
+        if reader.is_finished() {
+            break;
+        }
         let _sent = Command::new("kill").arg("-USR1").arg(&number).status();
     }
+    drop(signalling);
     let outcome = reader.join().expect("the reader does not panic");
     assert_eq!(
         (outcome.complete, outcome.body.as_slice()),
