fix: services get more repeats than the budget of the fleet, over restarts, growth and moving load

Cause: each process compared its retries with its own last window, and had its whole share when it started (B1); a retry after an attempt that found no connection was never charged, whatever had arrived before it (B2); the share was taken when a budget was first used and never changed (B4); one process counted requests of a window in which another had the same load already (B5). Change: one budget for all paths. In every span up to 1.25 windows, a process repeats at most its share plus the ratio of its requests in that very span. A process that starts takes its share as spent for a span. The share follows joins and reloads, with a quarter for instances not heard of. What may have arrived decides whether a send is a repeat; it is reserved for the time of the connection and counted when it is written. Moves and resumes are counted and not limited. Why it works: spans start anywhere, so those of all processes can be laid over one window and their requests add up. Tests changed: a process that has just started may only repeat what its requests have earned, so four tests that need a repeat right after the start send reads before (Fleet::earn_repeats, all of which have to be served); what they check is unchanged. an_address_that_is_used_again_... registers the second entry after that and waits until it is known. NextAction::Retry has no `budgeted`; only_an_unsent_request_has_not_arrived checks what it said. The property test is as it was; retries_are_permitted_again_after_the_window starts 20 s after the process.

--- a/crates/carob-dispatch/src/budget.rs
+++ b/crates/carob-dispatch/src/budget.rs
@@ -1,9 +1,13 @@
 //! This instance's share of a retry budget that holds for all instances together.
 //!
-//! In every sliding window, a service permits retries up to a fraction of its requests plus a fixed number.
-//! Each instance counts only its own requests and retries, and the fixed number is divided by the maximum
-//! number of instances. The sum over all instances therefore stays within the service's budget without any
-//! messages between them, even while peers and the platform are unreachable.
+//! In every sliding window, a service permits repeats up to a fraction of its requests plus a fixed number. The
+//! sum over all instances and processes is kept without messages between them, because each process keeps to
+//! its share in every span of time up to a window, with the requests of that very span:
+//!
+//! * The fixed number is divided among the instances ([`Divisor`]).
+//! * Spans start and end at any time, so sums over instances never mix requests of different windows.
+//! * A process that starts takes its share as spent, since the process before it may have done so. Until that
+//!   is a window ago it may repeat only what its own requests have earned.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -11,8 +15,22 @@
 
 use crate::outcome::AttemptResult;
 
-/// Number of buckets that a window is divided into; counts are dropped a whole bucket at a time.
-const BUCKETS: u32 = 4;
+/// Spans up to this multiple of a window are checked, as repeats may arrive somewhat later than they are sent.
+const HORIZON_FACTOR: f64 = 1.25;
+
+/// Parts that a repeat is counted in, so that sums of what requests earn are exact.
+const PARTS: f64 = 1e6;
+
+/// A repeat, in parts.
+const REPEAT: i64 = PARTS as i64;
+
+/// The fixed part is divided among at least this many instances.
+///
+/// An instance that does not know all others yet must not spend their shares.
+const MIN_INSTANCES: f64 = 10.0;
+
+/// Instances that are counted for each one that is known, so that those not known yet have a share.
+const MARGIN: f64 = 1.25;
 
 carob_base::plain! {
     /// Why an upstream gets a request that was sent before.
@@ -44,6 +62,12 @@
             Self::Resume => "resume",
         }
     }
+
+    /// Whether the budget limits repeats for this reason. Generations that continue from a copy of their memory
+    /// are not limited: operators count them apart from retries.
+    pub const fn is_limited(self) -> bool {
+        !matches!(self, Self::Move | Self::Resume)
+    }
 }
 
 impl From<AttemptResult> for Reason {
@@ -57,81 +81,177 @@
     }
 }
 
+/// Number of instances that the fixed part of a budget is divided among.
+///
+/// It never falls while a process runs, since an instance whose registration has lapsed may still serve.
+#[derive(Clone, Copy, Debug)]
+pub struct Divisor {
+    /// Largest number of instances that was known at a time.
+    known: usize,
+}
+
+impl Divisor {
+    /// Creates a divisor for an instance that knows no others.
+    pub const fn new() -> Self {
+        Self { known: 1 }
+    }
+
+    /// Takes note that `known` instances exist, this one included. Returns whether shares become smaller.
+    pub const fn observe(&mut self, known: usize) -> bool {
+        let grows = known > self.known;
+        if grows {
+            self.known = known;
+        }
+        grows
+    }
+
+    /// Largest number of instances that was known at a time, this one included.
+    pub const fn known(self) -> usize {
+        self.known
+    }
+
+    /// This instance's share of `extra` repeats.
+    ///
+    /// A share below one permits no repeat at all. Where the margin for instances not known yet would lead to
+    /// that, the share is one as long as each known instance can have it.
+    pub fn share(self, extra: f64) -> f64 {
+        let known = self.known as f64;
+        let divisor = (known * MARGIN).max(MIN_INSTANCES);
+        (extra / divisor).max((extra / known).min(1.0))
+    }
+}
+
+impl Default for Divisor {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// Limits of one retry budget.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
     /// Length of the sliding window.
     pub window: Duration,
-    /// Retries permitted per request, from 0 to 1.
+    /// Repeats permitted per request, from 0 to 1.
     pub ratio: f64,
-    /// Retries that this instance may send in a window on top of those from `ratio`.
+    /// Repeats that this instance may send in a window on top of those from `ratio`; its [`Divisor::share`].
     pub extra: f64,
 }
 
-/// Requests and retries of one service in the current window.
+impl Options {
+    fn horizon(&self) -> Duration {
+        self.window.mul_f64(HORIZON_FACTOR)
+    }
+}
+
+/// Requests and repeats of one service at this instance.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     options: Options,
-    /// Bucket number, requests and retries, oldest bucket first.
-    buckets: VecDeque<(u64, u32, u32)>,
+    /// Number of requests since the start.
+    requests: u64,
+    /// Repeats that were sent, less what requests have earned, in parts.
+    balance: i64,
+    /// Repeats that are permitted and not sent yet.
+    reserved: u32,
+    /// Times of repeats within the horizon, and the balance before each. Both ascend: a repeat after which the
+    /// balance was lower permits less than all before it.
+    marks: VecDeque<(Time, i64)>,
+    /// When the process started, and the balance at that time.
+    start: (Time, i64),
 }
 
 impl RetryBudget {
-    /// Creates a budget with no requests or retries counted.
-    pub const fn new(options: Options) -> Self {
+    /// Creates a budget for a process that started at `start`.
+    pub const fn new(options: Options, start: Time) -> Self {
         Self {
             options,
-            buckets: VecDeque::new(),
+            requests: 0,
+            balance: 0,
+            reserved: 0,
+            marks: VecDeque::new(),
+            start: (start, 0),
+        }
+    }
+
+    /// Changes the limits at `now`.
+    pub fn set_options(&mut self, options: Options, now: Time) {
+        if options.window > self.options.window {
+            // Repeats that the longer window contains may be forgotten.
+            self.start = (now, self.balance);
         }
+        self.options = options;
+    }
+
+    /// Counts a client's request, which earns `ratio` repeats.
+    pub fn record_request(&mut self) {
+        self.requests += 1;
+        self.balance -= parts(self.options.ratio);
+    }
+
+    /// Whether a further repeat is permitted at `now`.
+    pub fn permits(&mut self, now: Time) -> bool {
+        self.parts_left(now) >= REPEAT
     }
 
-    /// Counts a client's request, which earns `ratio` retries.
-    pub fn record_request(&mut self, now: Time) {
-        self.current_bucket(now).1 += 1;
+    /// Reserves a repeat if a further one is permitted at `now`; returns whether it was. Either
+    /// [`Self::commit`] or [`Self::release`] must follow.
+    pub fn reserve(&mut self, now: Time) -> bool {
+        let permitted = self.permits(now);
+        self.reserved += u32::from(permitted);
+        permitted
     }
 
-    /// Counts a retry and returns `true` if the budget permits it, else returns `false`.
-    pub fn try_retry(&mut self, now: Time) -> bool {
-        let within_budget = self.left(now) >= 1.0;
-        if within_budget {
-            self.current_bucket(now).2 += 1;
+    /// Counts a reserved repeat, which is sent at `now`.
+    pub fn commit(&mut self, now: Time) {
+        self.reserved = self.reserved.saturating_sub(1);
+        while self.marks.back().is_some_and(|mark| mark.1 >= self.balance) {
+            self.marks.pop_back();
         }
-        within_budget
+        self.marks.push_back((now, self.balance));
+        self.balance += REPEAT;
     }
 
-    /// Retries that are permitted at `now`; may be fractional, and negative.
+    /// Gives back a reserved repeat that is not sent.
+    pub const fn release(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Repeats that are permitted at `now`; may be fractional, and negative.
     pub fn left(&mut self, now: Time) -> f64 {
-        let requests = self.requests(now);
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.2).sum();
-        let permitted = f64::from(requests).mul_add(self.options.ratio, self.options.extra);
-        permitted - f64::from(retries)
+        self.parts_left(now) as f64 / PARTS
     }
 
-    /// Number of requests that the permitted retries are counted from.
-    pub fn requests(&mut self, now: Time) -> u32 {
-        self.current_bucket(now);
-        // The buckets cover one more than a window, because a window that ends in the current bucket starts
-        // within the oldest one. Retries there count, but requests do not, since they may be older than the
-        // window.
-        self.buckets.iter().skip(1).map(|bucket| bucket.1).sum()
+    /// Number of requests since the start of the process.
+    pub const fn requests(&self) -> u64 {
+        self.requests
     }
 
-    /// Retries permitted in a window without any request.
+    /// Repeats permitted in a window without any request.
     pub const fn share(&self) -> f64 {
         self.options.extra
     }
 
-    /// The bucket of `now`, created if needed. Drops buckets that no window ending at `now` overlaps.
-    fn current_bucket(&mut self, now: Time) -> &mut (u64, u32, u32) {
-        let length = (self.options.window / BUCKETS).as_micros().max(1) as u64;
-        let number = now.as_micros() / length;
-        let oldest = number.saturating_sub(u64::from(BUCKETS));
-        while self.buckets.front().is_some_and(|bucket| bucket.0 < oldest) {
-            self.buckets.pop_front();
+    fn parts_left(&mut self, now: Time) -> i64 {
+        let horizon = self.options.horizon();
+        while self.marks.front().is_some_and(|mark| now.since(mark.0) > horizon) {
+            self.marks.pop_front();
         }
-        if self.buckets.back().is_none_or(|bucket| bucket.0 < number) {
-            self.buckets.push_back((number, 0, 0));
+        // The span whose repeats exceed their requests' earnings the most.
+        let least = self
+            .marks
+            .front()
+            .map_or(self.balance, |mark| mark.1.min(self.balance));
+        let mut left = parts(self.options.extra) - (self.balance - least);
+        let (start, before) = self.start;
+        if now.since(start) <= horizon {
+            left = left.min(before - self.balance);
         }
-        self.buckets.back_mut().expect("a bucket was pushed above")
+        left - i64::from(self.reserved) * REPEAT
     }
 }
+
+/// Converts a number of repeats to parts, rounded down.
+fn parts(repeats: f64) -> i64 {
+    (repeats * PARTS).floor() as i64
+}
--- a/crates/carob-dispatch/src/outcome.rs
+++ b/crates/carob-dispatch/src/outcome.rs
@@ -18,12 +18,8 @@
 
     /// What to do after an attempt.
     pub enum NextAction {
-        /// Send the request to another upstream.
-        Retry {
-            /// Whether the send is charged to the retry budget; not if the upstream never received the
-            /// request.
-            budgeted: bool,
-        },
+        /// Send the request to another upstream, if the retry budget permits it.
+        Retry,
         /// Answer that the request has not run.
         Refuse,
         /// Forward the upstream's failure to the client.
@@ -33,6 +29,13 @@
     }
 }
 
+impl AttemptResult {
+    /// Whether the upstream may have got the request, so that sending it again makes a repeat.
+    pub const fn may_have_arrived(self) -> bool {
+        !matches!(self, Self::Unsent)
+    }
+}
+
 /// Maximum number of attempts that were rejected or found no connection before a request is refused.
 ///
 /// Each one costs a round trip; more of them would multiply the load while all upstreams are overloaded.
@@ -51,10 +54,9 @@
 ) -> NextAction {
     let repeatable = matches!(kind, RouteKind::Safe) && ran < attempts;
     match attempt {
-        AttemptResult::Unsent if rejected <= MAX_REJECTIONS => NextAction::Retry { budgeted: false },
-        AttemptResult::Rejected if rejected <= MAX_REJECTIONS => NextAction::Retry { budgeted: true },
+        AttemptResult::Unsent | AttemptResult::Rejected if rejected <= MAX_REJECTIONS => NextAction::Retry,
         AttemptResult::Unsent | AttemptResult::Rejected if ran == 0 => NextAction::Refuse,
-        AttemptResult::Failed | AttemptResult::Unknown if repeatable => NextAction::Retry { budgeted: true },
+        AttemptResult::Failed | AttemptResult::Unknown if repeatable => NextAction::Retry,
         AttemptResult::Failed => NextAction::ForwardFailure,
         AttemptResult::Unsent | AttemptResult::Rejected | AttemptResult::Unknown => {
             NextAction::OutcomeUnknown
--- a/crates/carob-dispatch/tests/budget.rs
+++ b/crates/carob-dispatch/tests/budget.rs
@@ -3,17 +3,40 @@
 use std::time::Duration;
 
 use carob_base::Time;
-use carob_dispatch::budget::{Options, RetryBudget};
+use carob_dispatch::budget::{Divisor, Options, RetryBudget};
 use proptest::prelude::*;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
+/// Repeats that operators permit in a window, apart from the ratio.
+const EXTRA: f64 = 54.0;
+
 fn options(instances: f64) -> Options {
     Options {
         window: WINDOW,
         ratio: 0.2,
-        extra: 54.0 / instances,
+        extra: EXTRA / instances,
+    }
+}
+
+fn try_repeat(budget: &mut RetryBudget, now: Time) -> bool {
+    let permitted = budget.reserve(now);
+    if permitted {
+        budget.commit(now);
     }
+    permitted
+}
+
+/// Repeats as often as is permitted at `now`; returns how often.
+fn spend(budget: &mut RetryBudget, now: Time) -> usize {
+    std::iter::repeat_with(|| try_repeat(budget, now))
+        .take_while(|permitted| *permitted)
+        .count()
+}
+
+/// Seconds since the process of a test's budget started.
+fn at(seconds: f64) -> Time {
+    Time::ZERO + Duration::from_secs_f64(seconds)
 }
 
 proptest! {
@@ -24,14 +47,14 @@
     fn the_sum_over_instances_keeps_to_the_whole(
         steps in prop::collection::vec((0..3usize, 0..400u64, prop::bool::ANY), 1..400),
     ) {
-        let mut budgets = vec![RetryBudget::new(options(3.0)); 3];
+        let mut budgets = vec![RetryBudget::new(options(3.0), Time::ZERO); 3];
         let (mut now, mut requests, mut retries) = (0, Vec::new(), Vec::new());
         for (instance, pause, request) in steps {
             now += pause;
             if request {
-                budgets[instance].record_request(Time::from_millis(now));
+                budgets[instance].record_request();
                 requests.push(now);
-            } else if budgets[instance].try_retry(Time::from_millis(now)) {
+            } else if try_repeat(&mut budgets[instance], Time::from_millis(now)) {
                 retries.push(now);
             }
         }
@@ -47,12 +70,126 @@
             prop_assert!(count(&retries, *start) <= 0.2f64.mul_add(requests, 54.0));
         }
     }
+
+    /// Shares of instances that know each other add up to what operators permit, and leave each a whole repeat
+    /// if there is one for each.
+    #[test]
+    fn shares_add_up(known in 1..400usize, extra in 0.0..500.0f64) {
+        let mut divisor = Divisor::new();
+        divisor.observe(known);
+        let share = divisor.share(extra);
+        prop_assert!(share * known as f64 <= extra * (1.0 + 1e-9));
+        prop_assert!(share >= 1.0 || extra < known as f64);
+    }
 }
 
 #[test]
 fn retries_are_permitted_again_after_the_window() {
-    let mut budget = RetryBudget::new(options(54.0));
-    assert!(budget.try_retry(Time::ZERO));
-    assert!(!budget.try_retry(Time::from_millis(9_000)));
-    assert!(budget.try_retry(Time::from_millis(13_000)));
+    let mut budget = RetryBudget::new(options(54.0), at(0.0));
+    assert!(try_repeat(&mut budget, at(20.0)));
+    assert!(!try_repeat(&mut budget, at(29.0)));
+    assert!(try_repeat(&mut budget, at(33.0)));
+}
+
+/// Incident inc2: a process that started had its whole share, which the process before had just spent.
+#[test]
+fn a_process_that_starts_has_the_share_of_the_one_before_again() {
+    let mut budget = RetryBudget::new(options(10.0), at(0.0));
+    assert_eq!(spend(&mut budget, at(0.0)), 0);
+    for _ in 0..12 {
+        budget.record_request();
+    }
+    assert_eq!(
+        spend(&mut budget, at(1.0)),
+        2,
+        "what its own requests have earned"
+    );
+    assert_eq!(spend(&mut budget, at(9.9)), 0);
+    assert_eq!(spend(&mut budget, at(14.0)), 5, "its share, a window later");
+}
+
+/// Incident inc2: an instance counted requests that were older than the window in which others had the same
+/// load already.
+#[test]
+fn a_share_grows_by_requests_of_another_window() {
+    let mut budget = RetryBudget::new(options(10.0), at(0.0));
+    for _ in 0..100 {
+        budget.record_request();
+    }
+    assert_eq!(
+        spend(&mut budget, at(21.0)),
+        5,
+        "the span may start after the requests"
+    );
+    for _ in 0..100 {
+        budget.record_request();
+    }
+    assert_eq!(
+        spend(&mut budget, at(22.0)),
+        5,
+        "nothing can be saved beyond the share"
+    );
+}
+
+#[test]
+fn repeats_within_a_window_are_earned_by_requests() {
+    let mut budget = RetryBudget::new(options(10.0), at(0.0));
+    assert_eq!(spend(&mut budget, at(20.0)), 5);
+    let repeats: usize = (1..=100)
+        .map(|number| {
+            let now = at(20.0 + 0.1 * f64::from(number));
+            budget.record_request();
+            spend(&mut budget, now)
+        })
+        .sum();
+    assert_eq!(repeats, 20);
+}
+
+/// A fleet of eighty whose instances had not heard of each other took eighty tenths.
+#[test]
+fn a_share_is_not_reduced_when_the_fleet_grows() {
+    let mut divisor = Divisor::new();
+    let mut budget = RetryBudget::new(options(10.0), at(0.0));
+    let limits = |divisor: Divisor| Options {
+        extra: divisor.share(206.0),
+        ..options(1.0)
+    };
+    budget.set_options(limits(divisor), at(0.0));
+    assert_eq!(spend(&mut budget, at(20.0)), 20);
+    assert!(divisor.observe(80));
+    budget.set_options(limits(divisor), at(21.0));
+    assert_eq!(spend(&mut budget, at(21.0)), 0);
+    assert_eq!(spend(&mut budget, at(40.0)), 2);
+    assert!(!divisor.observe(7), "entries lapse while their instances serve");
+    assert_eq!(divisor.known(), 80);
+}
+
+#[test]
+fn a_reserved_repeat_is_given_back_if_it_is_not_sent() {
+    let mut budget = RetryBudget::new(options(54.0), at(0.0));
+    assert!(budget.reserve(at(20.0)));
+    assert!(!budget.reserve(at(20.0)));
+    budget.release();
+    assert!(budget.reserve(at(20.1)));
+    budget.commit(at(20.4));
+    assert!(
+        !budget.reserve(at(32.0)),
+        "it counts from the time at which it was sent"
+    );
+    assert!(budget.reserve(at(33.0)));
+}
+
+#[test]
+fn a_longer_window_counts_what_may_be_forgotten_as_spent() {
+    let mut budget = RetryBudget::new(options(10.0), at(0.0));
+    assert_eq!(spend(&mut budget, at(20.0)), 5);
+    budget.set_options(
+        Options {
+            window: 2 * WINDOW,
+            ..options(10.0)
+        },
+        at(40.0),
+    );
+    assert_eq!(spend(&mut budget, at(41.0)), 0);
+    assert_eq!(spend(&mut budget, at(66.0)), 5);
 }
--- a/crates/carob-dispatch/tests/outcome.rs
+++ b/crates/carob-dispatch/tests/outcome.rs
@@ -32,7 +32,7 @@
             let max_runs = if kind == RouteKind::Safe { attempts } else { 1 };
             prop_assert!(ran <= max_runs);
             match next_action(kind, attempt, ran, rejected, attempts) {
-                NextAction::Retry { .. } => {}
+                NextAction::Retry => {}
                 NextAction::Refuse => {
                     prop_assert_eq!(ran, 0);
                     return Ok(());
@@ -50,11 +50,23 @@
     }
 }
 
+/// Whether a send counts for the retry budget depends on what arrived before, whatever comes next.
+#[test]
+fn only_an_unsent_request_has_not_arrived() {
+    assert!(!AttemptResult::Unsent.may_have_arrived());
+    for attempt in [
+        AttemptResult::Rejected,
+        AttemptResult::Failed,
+        AttemptResult::Unknown,
+    ] {
+        assert!(attempt.may_have_arrived());
+    }
+}
+
 #[test]
 fn attempts_end() {
     let mut rejected = 0;
-    while let NextAction::Retry { .. } = next_action(RouteKind::Safe, AttemptResult::Rejected, 0, rejected, 9)
-    {
+    while let NextAction::Retry = next_action(RouteKind::Safe, AttemptResult::Rejected, 0, rejected, 9) {
         rejected += 1;
         assert!(rejected < 10, "retries after rejections must end");
     }
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use carob_dispatch::{
-    budget::Reason,
     fleet::{RequestSize, Requirements, UpstreamKey},
     head::Head,
     table::{Engine, Route},
@@ -13,7 +12,7 @@
 use hyper::{Response, http::request::Parts};
 use tokio::time::Instant;
 
-use super::{body::HeldBytes, guard::Reservation, repeats, shared::Shared};
+use super::{body::HeldBytes, guard::Reservation, repeats::Repeat, shared::Shared};
 use crate::{
     overhead::ReceivedBody,
     socket::{self, Connection, ConnectionTask},
@@ -148,13 +147,13 @@
         })
     }
 
-    /// Sends the request to the upstream of `reservation` and reads the head of its response. `again` is why a
-    /// request is sent that was sent before. With `resume`, the upstream continues a generation from the copy
-    /// of its memory.
+    /// Sends the request to the upstream of `reservation` and reads the head of its response. `repeat` is
+    /// present if another upstream may have got it before. With `resume`, the upstream continues a generation
+    /// from the copy of its memory.
     pub(super) async fn send(
         &self,
         reservation: &Reservation,
-        again: Option<Reason>,
+        repeat: Option<Repeat>,
         resume: Option<&Resume>,
         deadline: Instant,
     ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
@@ -176,8 +175,8 @@
         let request = request::encode(&parts.method, &parts.uri, &parts.headers, &added)
             .map_err(|error| socket::Error::Connect(error.to_string()))?;
         metrics::counter!("carobhaven_sends_total").increment(1);
-        if let Some(reason) = again {
-            repeats::record_repeat(self, reason);
+        if let Some(repeat) = repeat {
+            repeat.commit(self);
         }
         connection
             .send(request.map(|()| self.body.clone()), deadline)
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -24,7 +24,8 @@
     call::Call,
     guard::{ActiveRequest, QueueEntry, Reservation},
     listen::RequestCount,
-    plain, probe, repeats,
+    plain, probe,
+    repeats::{self, BUDGET_SPENT, Repeat},
     resume::OpenStream,
     shared::Shared,
     shutdown, stream,
@@ -193,27 +194,85 @@
 /// The gateway's own answer to a request, and the reason for it in the log.
 pub(super) type Refusal = (LocalAnswer, &'static str);
 
+/// What came of the attempts of a request so far.
+#[derive(Default)]
+struct Attempts {
+    tried: SmallVec<[UpstreamKey; 4]>,
+    /// Attempts that may have run.
+    ran: u32,
+    /// Attempts that have not run.
+    rejected: u32,
+    /// Whether an upstream may have got the request, so that the next one makes a repeat.
+    arrived: bool,
+    /// How the last attempt ended; absent before the first.
+    last: Option<AttemptResult>,
+}
+
+impl Attempts {
+    /// Records that the attempt at `upstream` ended with `result`; returns what to do next.
+    fn record(&mut self, call: &Call, upstream: UpstreamKey, result: AttemptResult) -> NextAction {
+        match result {
+            AttemptResult::Unsent | AttemptResult::Rejected => self.rejected += 1,
+            AttemptResult::Failed | AttemptResult::Unknown => self.ran += 1,
+        }
+        self.tried.push(upstream);
+        self.arrived |= result.may_have_arrived();
+        self.last = Some(result);
+        outcome::next_action(
+            call.route.kind,
+            result,
+            self.ran,
+            self.rejected,
+            call.route.max_attempts,
+        )
+    }
+
+    /// Why the next send makes a repeat, if it does.
+    fn repeat_reason(&self) -> Option<Reason> {
+        self.last.filter(|_| self.arrived).map(Reason::from)
+    }
+
+    /// Whether the budget permits the next send; it does if that makes no repeat.
+    fn is_permitted(&self, call: &Call) -> bool {
+        self.repeat_reason()
+            .is_none_or(|reason| repeats::is_permitted(call, reason))
+    }
+
+    /// Reserves a repeat if the next send makes one.
+    fn reserve_repeat(&self, call: &Call) -> Result<Option<Repeat>, Refusal> {
+        let Some(reason) = self.repeat_reason() else {
+            return Ok(None);
+        };
+        match Repeat::reserve(call, reason) {
+            Some(repeat) => Ok(Some(repeat)),
+            // It was spent while this request waited.
+            None if self.ran == 0 => Err((LocalAnswer::Refused(RETRY_FULL), BUDGET_SPENT)),
+            None => Err((LocalAnswer::Unclear, BUDGET_SPENT)),
+        }
+    }
+}
+
 /// Sends the request to upstreams until one answers or no further attempt is permitted.
 async fn run_attempts(
     call: &Rc<Call>,
     active: ActiveRequest,
     count: RequestCount,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
-    let (mut ran, mut rejected) = (0, 0);
-    let mut again = None;
+    let mut attempts = Attempts::default();
     loop {
         // A request that may have run cannot be refused any more; what is left of the grace limits its attempt.
-        let reservation = match reserve(call, &tried, (ran == 0).then_some(&active)).await {
+        let unrun = (attempts.ran == 0).then_some(&active);
+        let reservation = match reserve(call, &attempts.tried, unrun).await {
             Ok(reservation) => reservation,
-            Err(refusal) if ran == 0 => return Err(refusal),
+            Err(refusal) if attempts.ran == 0 => return Err(refusal),
             Err(_) => return Err((LocalAnswer::Unclear, "no other upstream for a retry")),
         };
+        let repeat = attempts.reserve_repeat(call)?;
         let upstream = reservation.upstream;
-        log_sent(call, &reservation, ran + rejected);
-        let last = ran + 1 >= call.route.max_attempts || call.route.kind != RouteKind::Safe;
-        let outcome = attempt(call, &reservation, again, last).await;
-        let attempt = match outcome {
+        log_sent(call, &reservation, attempts.ran + attempts.rejected);
+        let last = attempts.ran + 1 >= call.route.max_attempts || call.route.kind != RouteKind::Safe;
+        let outcome = attempt(call, &reservation, repeat, last).await;
+        let result = match outcome {
             Outcome::Stream(response, driver) => {
                 let opened = OpenStream {
                     reservation,
@@ -228,37 +287,19 @@
                 return Ok(response);
             }
             Outcome::Complete(response) => {
-                ran += 1;
-                let next = outcome::next_action(
-                    call.route.kind,
-                    AttemptResult::Failed,
-                    ran,
-                    rejected,
-                    call.route.max_attempts,
-                );
-                if !matches!(next, NextAction::Retry { .. }) || !repeats::may_repeat(call, Reason::Failed) {
+                let next = attempts.record(call, upstream, AttemptResult::Failed);
+                if next != NextAction::Retry || !attempts.is_permitted(call) {
                     log_answered(call, response.status(), upstream);
                     return Ok(response);
                 }
-                again = Some(Reason::Failed);
-                tried.push(upstream);
                 continue;
             }
-            Outcome::NoAnswer(attempt) => attempt,
+            Outcome::NoAnswer(result) => result,
         };
         drop(reservation);
-        match attempt {
-            AttemptResult::Unsent | AttemptResult::Rejected => rejected += 1,
-            AttemptResult::Failed | AttemptResult::Unknown => ran += 1,
-        }
-        tried.push(upstream);
-        let reason = Reason::from(attempt);
-        again = Some(reason);
-        match outcome::next_action(call.route.kind, attempt, ran, rejected, call.route.max_attempts) {
-            NextAction::Retry { budgeted }
-                if Instant::now() < call.answer_deadline()
-                    && (!budgeted || repeats::may_repeat(call, reason)) => {}
-            NextAction::Retry { .. } | NextAction::Refuse if ran == 0 => {
+        match attempts.record(call, upstream, result) {
+            NextAction::Retry if Instant::now() < call.answer_deadline() && attempts.is_permitted(call) => {}
+            NextAction::Retry | NextAction::Refuse if attempts.ran == 0 => {
                 return Err((
                     LocalAnswer::Refused(RETRY_FULL),
                     "upstreams rejected the request or cannot be reached",
@@ -364,9 +405,9 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// Sends the request to the reserved upstream, `again` if it was sent before. An attempt that is not the `last`
-/// one has a time limit of its own.
-async fn attempt(call: &Rc<Call>, reservation: &Reservation, again: Option<Reason>, last: bool) -> Outcome {
+/// Sends the request to the reserved upstream, as a `repeat` if another may have got it before. An attempt that
+/// is not the `last` one has a time limit of its own.
+async fn attempt(call: &Rc<Call>, reservation: &Reservation, repeat: Option<Repeat>, last: bool) -> Outcome {
     let shared = &call.shared;
     let record = |health| {
         shared
@@ -386,7 +427,7 @@
         );
         Outcome::NoAnswer(attempt)
     };
-    let (response, driver) = match call.send(reservation, again, None, deadline).await {
+    let (response, driver) = match call.send(reservation, repeat, None, deadline).await {
         Ok(answered) => answered,
         Err(error @ socket::Error::Connect(_)) => {
             record(UpstreamHealth::Unreachable);
--- a/crates/carob-gateway/src/traffic/repeats.rs
+++ b/crates/carob-gateway/src/traffic/repeats.rs
@@ -1,44 +1,50 @@
 //! Repeats, which are requests that an upstream gets after another one got them: the budget of each service,
 //! and what logs and metrics tell about it.
 
-use std::{cell::RefCell, collections::HashMap};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
 
 use carob_base::Time;
-use carob_dispatch::budget::{Options, Reason, RetryBudget};
+use carob_dispatch::budget::{Divisor, Options, Reason, RetryBudget};
 use metrics::{Counter, Gauge};
 
-use super::call::Call;
+use super::{call::Call, shared::Shared};
 use crate::Settings;
 
-/// The fixed part of a retry budget is divided among at least this many instances.
-///
-/// An instance that does not know all others yet must not spend their shares.
-const MIN_INSTANCES: usize = 10;
+/// Why a request is not sent again, in log lines.
+pub(super) const BUDGET_SPENT: &str = "the retry budget is spent";
 
 /// The budget of one service.
 struct Account {
     budget: RetryBudget,
-    /// Number of instances that the fixed part is divided among.
-    instances: usize,
     requests: Counter,
     left: Gauge,
 }
 
 /// The budgets of all services.
 #[derive(Default)]
-pub(super) struct Repeats(RefCell<HashMap<Box<str>, Account>>);
+pub(super) struct Repeats {
+    accounts: RefCell<HashMap<Box<str>, Account>>,
+    divisor: Cell<Divisor>,
+}
+
+/// A repeat that the budget permits. It is given back when this is dropped before the repeat is sent.
+pub(super) struct Repeat {
+    shared: Rc<Shared>,
+    service: Box<str>,
+    reason: Reason,
+    sent: bool,
+}
 
 impl Account {
-    fn new(service: &str, settings: &Settings, peers: usize) -> Self {
-        let instances = (peers + 1).max(MIN_INSTANCES);
-        let budget = RetryBudget::new(Options {
-            window: settings.retry_window,
-            ratio: settings.retry_ratio,
-            extra: settings.extra_retries / instances as f64,
-        });
+    fn new(service: &str, options: Options) -> Self {
         Self {
-            budget,
-            instances,
+            // All budgets start with the process, whose clock starts at zero: what the process before may
+            // have spent lies before that.
+            budget: RetryBudget::new(options, Time::ZERO),
             requests: metrics::counter!("carobhaven_service_requests_total", "service" => service.to_owned()),
             left: metrics::gauge!("carobhaven_budget_left_repeats", "service" => service.to_owned()),
         }
@@ -51,61 +57,130 @@
 
 impl Repeats {
     /// Counts a client's request to `service`, whose budget is created on first use.
-    pub(super) fn record_request(&self, service: &str, settings: &Settings, peers: usize, now: Time) {
-        let mut accounts = self.0.borrow_mut();
+    pub(super) fn record_request(&self, service: &str, settings: &Settings, now: Time) {
+        let mut accounts = self.accounts.borrow_mut();
         if !accounts.contains_key(service) {
-            accounts.insert(service.into(), Account::new(service, settings, peers));
+            accounts.insert(service.into(), Account::new(service, self.options(settings)));
         }
         let Some(account) = accounts.get_mut(service) else {
             return;
         };
-        account.budget.record_request(now);
+        account.budget.record_request();
         account.requests.increment(1);
         account.update_gauge(now);
     }
+
+    /// Takes note of `known` instances, this one included.
+    pub(super) fn observe_instances(&self, known: usize, settings: &Settings, now: Time) {
+        let mut divisor = self.divisor.get();
+        let grows = divisor.observe(known);
+        self.divisor.set(divisor);
+        if grows {
+            self.apply_settings(settings, now);
+        }
+    }
+
+    /// Applies the limits of `settings` to all budgets.
+    pub(super) fn apply_settings(&self, settings: &Settings, now: Time) {
+        let options = self.options(settings);
+        for account in self.accounts.borrow_mut().values_mut() {
+            account.budget.set_options(options, now);
+            account.update_gauge(now);
+        }
+    }
+
+    fn options(&self, settings: &Settings) -> Options {
+        Options {
+            window: settings.retry_window,
+            ratio: settings.retry_ratio,
+            extra: self.divisor.get().share(settings.extra_retries),
+        }
+    }
+
+    /// Logs `message` about a repeat, with what its service's budget rests on.
+    fn log(&self, call: &Call, account: &mut Account, reason: Reason, message: &str) {
+        log::info!(
+            request:% = call.id(), service:% = call.service, reason = reason.name(),
+            left = hundredths(account.budget.left(call.shared.now())), share = hundredths(account.budget.share()),
+            instances = self.divisor.get().known(), requests = account.budget.requests();
+            "{message}"
+        );
+    }
 }
 
-/// Withdraws a repeat from the budget of the request's service; returns whether it was permitted.
-pub(super) fn may_repeat(call: &Call, reason: Reason) -> bool {
-    let now = call.shared.now();
-    let mut accounts = call.shared.repeats.0.borrow_mut();
+/// Whether the budget of the request's service permits to send it again; logs a denial.
+pub(super) fn is_permitted(call: &Call, reason: Reason) -> bool {
+    let repeats = &call.shared.repeats;
+    let mut accounts = repeats.accounts.borrow_mut();
     let Some(account) = accounts.get_mut(&call.service) else {
         return false;
     };
-    if account.budget.try_retry(now) {
-        account.update_gauge(now);
+    if !reason.is_limited() || account.budget.permits(call.shared.now()) {
         return true;
     }
     metrics::counter!(
         "carobhaven_repeats_denied_total", "service" => call.service.clone().into_string(), "reason" => reason.name()
     )
     .increment(1);
-    log::info!(
-        request:% = call.id(), service:% = call.service, reason = reason.name(),
-        left = hundredths(account.budget.left(now)), share = hundredths(account.budget.share()),
-        instances = account.instances, requests = account.budget.requests(now);
-        "no retry: the budget is spent"
-    );
+    repeats.log(call, account, reason, "no retry: the budget is spent");
     false
 }
 
-/// Records that a repeat is being written to a connection.
-pub(super) fn record_repeat(call: &Call, reason: Reason) {
-    let now = call.shared.now();
-    let mut accounts = call.shared.repeats.0.borrow_mut();
-    let Some(account) = accounts.get_mut(&call.service) else {
-        return;
-    };
-    metrics::counter!(
-        "carobhaven_repeats_total", "service" => call.service.clone().into_string(), "reason" => reason.name()
-    )
-    .increment(1);
-    log::info!(
-        request:% = call.id(), service:% = call.service, reason = reason.name(),
-        left = hundredths(account.budget.left(now)), share = hundredths(account.budget.share()),
-        instances = account.instances, requests = account.budget.requests(now);
-        "request sent again"
-    );
+impl Repeat {
+    /// Reserves a repeat of the request in the budget of its service, for a send that follows at once. Returns
+    /// `None` and logs it if the budget does not permit one.
+    pub(super) fn reserve(call: &Call, reason: Reason) -> Option<Self> {
+        if !is_permitted(call, reason) {
+            return None;
+        }
+        let shared = &call.shared;
+        if reason.is_limited() {
+            let mut accounts = shared.repeats.accounts.borrow_mut();
+            let account = accounts.get_mut(&call.service)?;
+            if !account.budget.reserve(shared.now()) {
+                return None;
+            }
+        }
+        Some(Self {
+            shared: Rc::clone(shared),
+            service: call.service.clone(),
+            reason,
+            sent: false,
+        })
+    }
+
+    /// Records that the request is being written to a connection. From now on it may arrive, so the repeat is
+    /// not given back.
+    pub(super) fn commit(mut self, call: &Call) {
+        self.sent = true;
+        let now = self.shared.now();
+        let repeats = &self.shared.repeats;
+        let mut accounts = repeats.accounts.borrow_mut();
+        let Some(account) = accounts.get_mut(&self.service) else {
+            return;
+        };
+        if self.reason.is_limited() {
+            account.budget.commit(now);
+            account.update_gauge(now);
+        }
+        metrics::counter!(
+            "carobhaven_repeats_total", "service" => self.service.clone().into_string(), "reason" => self.reason.name()
+        )
+        .increment(1);
+        repeats.log(call, account, self.reason, "request sent again");
+    }
+}
+
+impl Drop for Repeat {
+    fn drop(&mut self) {
+        if self.sent || !self.reason.is_limited() {
+            return;
+        }
+        let mut accounts = self.shared.repeats.accounts.borrow_mut();
+        if let Some(account) = accounts.get_mut(&self.service) {
+            account.budget.release();
+        }
+    }
 }
 
 /// Rounds a number of repeats for a log line.
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -12,7 +12,12 @@
 use hyper::Response;
 use tokio::time::{Instant, timeout};
 
-use super::{call::Call, exchange::upstream_name, guard::Reservation};
+use super::{
+    call::Call,
+    exchange::upstream_name,
+    guard::Reservation,
+    repeats::{BUDGET_SPENT, Repeat},
+};
 use crate::{
     overhead::ReceivedBody,
     socket::{self, ConnectionTask},
@@ -72,8 +77,12 @@
     let started = Instant::now();
     let deadline = call.deadline.min(started + RESUME_TIMEOUT);
     let target = upstream_name(call, reservation.upstream);
+    let Some(repeat) = Repeat::reserve(call, reason) else {
+        let reason = BUDGET_SPENT.to_owned();
+        return Err(Failure { reservation, reason });
+    };
     let (response, driver) = match call
-        .send(&reservation, Some(reason), Some(memory), deadline)
+        .send(&reservation, Some(repeat), Some(memory), deadline)
         .await
     {
         Ok(answered) => answered,
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -275,7 +275,12 @@
                 let leaving = self.fleet.borrow_mut().remove_entry(&id, now);
                 self.notify_leaving(leaving);
             }
-            Update::Peers(peers) => *self.peers.borrow_mut() = peers,
+            Update::Peers(peers) => {
+                let known = peers.len() + 1;
+                self.repeats
+                    .observe_instances(known, &self.settings.borrow(), now);
+                *self.peers.borrow_mut() = peers;
+            }
             Update::StoreStatus {
                 revision,
                 current,
@@ -305,7 +310,10 @@
                 }
                 self.load_changed.notify_one();
             }
-            Update::Settings(settings) => *self.settings.borrow_mut() = settings,
+            Update::Settings(settings) => {
+                self.repeats.apply_settings(&settings, now);
+                *self.settings.borrow_mut() = settings;
+            }
             Update::Shutdown(signal) => {
                 if self.shutdown.get().is_none() {
                     log::info!(
@@ -369,9 +377,8 @@
 
     /// Counts a client's request to `service` for its retry budget.
     pub(super) fn record_request(&self, service: &str) {
-        let peers = self.peers.borrow().len();
         self.repeats
-            .record_request(service, &self.settings.borrow(), peers, self.now());
+            .record_request(service, &self.settings.borrow(), self.now());
     }
 
     /// Sends a report to the control thread; drops it if the queue is full, so that requests are never held
--- a/crates/carob-shutdown/tests/model/instance.rs
+++ b/crates/carob-shutdown/tests/model/instance.rs
@@ -382,8 +382,8 @@
             MAX_ATTEMPTS,
         );
         match next {
-            NextAction::Retry { .. } if self.now < request.deadline => self.reserve(index),
-            NextAction::Retry { .. } | NextAction::Refuse => self.refuse_or_unclear(index, Answer::NotRun),
+            NextAction::Retry if self.now < request.deadline => self.reserve(index),
+            NextAction::Retry | NextAction::Refuse => self.refuse_or_unclear(index, Answer::NotRun),
             NextAction::ForwardFailure => self.answer(index, Answer::Failure),
             NextAction::OutcomeUnknown => self.answer(index, Answer::Unclear),
         }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -31,6 +31,9 @@
 /// Number of log lines of each gateway that are printed when a test fails.
 const FAILURE_LOG_LINES: usize = 15;
 
+/// Requests that earn a repeat, by the settings of the gateways.
+const REQUESTS_PER_REPEAT: u32 = 5;
+
 /// API key of the client account in the configuration of [`Fleet::configure`].
 pub const CLIENT_KEY: &str = "parish-key";
 
@@ -124,6 +127,15 @@
         client
     }
 
+    /// Sends a gateway as many reads as permit it `repeats` repeats, up to its share; after its start it may only
+    /// repeat what its requests have earned. All of them have to be served.
+    pub fn earn_repeats(&self, gateway: usize, repeats: u32) {
+        for number in 0..repeats * REQUESTS_PER_REPEAT {
+            let read = request(&format!("earn-{number}"), "GET", "/read/1");
+            assert_eq!(self.send(gateway, &read).status, 200);
+        }
+    }
+
     pub fn send(&self, gateway: usize, request: &Request) -> Outcome {
         client::send(self.gateways[gateway].caller_address, request)
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -121,6 +121,7 @@
             .iter()
             .all(|id| started.iter().any(|started| started.upstream == *id))
     });
+    fleet.earn_repeats(0, 6);
     upstream.set_answer_mode(AnswerMode::Rejection);
     for number in 0..5 {
         assert_eq!(
@@ -150,6 +151,7 @@
             .iter()
             .any(|started| started.upstream == "p2")
     });
+    fleet.earn_repeats(0, 6);
     upstream.set_answer_mode(AnswerMode::Failure);
     for number in 0..10 {
         let id = format!("r{number}");
@@ -348,8 +350,12 @@
 fn an_address_that_is_used_again_runs_nothing_for_its_former_upstream() {
     let fleet = Fleet::start(1);
     let plain = fleet.start_plain("p1", SHORT);
-    plain.register_as("former");
     fleet.configure();
+    fleet.earn_repeats(0, 6);
+    plain.register_as("former");
+    wait_until("the gateway knows both entries", || {
+        fleet.gateways[0].logged("\"upstream\":\"former\"")
+    });
     for number in 0..10 {
         let id = format!("o{number}");
         assert_eq!(fleet.send(0, &request(&id, "POST", "/order/1")).status, 200);
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -118,7 +118,6 @@
 fn a_read_whose_upstream_is_silent_is_not_retried_during_a_shutdown() {
     let mut fleet = Fleet::start(1);
     let silent = fleet.start_plain("p1", Duration::from_millis(5));
-    silent.set_answer_mode(AnswerMode::Silence);
     // The first attempt is given up after the end of the notice.
     let routes = ROUTES.map(|route| {
         route
@@ -129,6 +128,8 @@
         .store
         .put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
     fleet.wait_ready();
+    fleet.earn_repeats(0, 1);
+    silent.set_answer_mode(AnswerMode::Silence);
     let address = fleet.gateways[0].caller_address;
     let read = request("r1", "GET", "/read/1").with_timeout(LONG);
     let mut client = client::open(address, &read).expect("the gateway listens");
