fix: a client's head that drips holds its connection for as long as it likes

Clients whose heads came one byte in 100 ms had their connections for 20 s and longer, on the addresses for callers, readiness and metrics: HeaderTimeoutMs (3 s) was read from the configuration and used only at shutdown, and a connection in the middle of a head does not end when it has been idle for too long.

A connection of a caller now fails once a head has taken that long from its first byte, and gets 408; time before the first byte still counts as idle. Readiness checks have the idle time limit of 15 s for each head, requests for metrics 3 s.

--- a/crates/carob-gateway/src/control/admin.rs
+++ b/crates/carob-gateway/src/control/admin.rs
@@ -5,10 +5,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
+/// Time limit of a request's head.
+const HEAD_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(3);
+
 const METRICS_PATH: &str = "/metrics";
 
 /// Opens the listener that [`serve`] accepts connections on. Must be called within the runtime.
@@ -38,6 +41,8 @@
         tokio::task::spawn_local(async move {
             let served = http1::Builder::new()
                 .keep_alive(false)
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             if let Err(error) = served {
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -6,13 +6,14 @@
 use hyper::{
     Request, Response, StatusCode, Version, body::Incoming, server::conn::http1, service::service_fn,
 };
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
     answer::ResponseBody,
     exchange,
     guard::{ActiveRequest, OpenConnection},
+    head::{CallerStream, Requests},
     shared::Shared,
 };
 use crate::socket::set_tcp_options;
@@ -48,6 +49,10 @@
 /// Time limit of a request's head while no configuration is known.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Response to a request whose head takes too long.
+const LATE_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// How long the exit waits until all connections are aborted; well within the margin that is left of the grace.
 const ABORT_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -109,9 +114,7 @@
 
 /// Activity of one client connection.
 struct Connection {
-    active_requests: Cell<u32>,
-    /// Number of requests that have arrived on it.
-    requests: Cell<u32>,
+    requests: Rc<Requests>,
     accepted: Time,
     /// Whether the end of the connection is the end of the present response, as for HTTP/1.0 clients.
     unframed: Cell<bool>,
@@ -121,8 +124,7 @@
 
 async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _open: OpenConnection) {
     let activity = Rc::new(Connection {
-        active_requests: Cell::new(0),
-        requests: Cell::new(0),
+        requests: Rc::default(),
         accepted: shared.now(),
         unframed: Cell::new(false),
         idle_since: Cell::new(shared.now()),
@@ -133,9 +135,13 @@
         let (state, counted) = (Rc::clone(&state), Rc::clone(&counted));
         async move { Ok::<_, Infallible>(serve_request(state, counted, request).await) }
     });
-    let head = shared.table().map_or(MIN_HEAD_BUFFER, |table| {
-        table.limits().head_bytes.max(MIN_HEAD_BUFFER)
-    });
+    let (head, head_timeout) = shared
+        .table()
+        .map_or((MIN_HEAD_BUFFER, DEFAULT_HEAD_TIMEOUT), |table| {
+            let limits = table.limits();
+            (limits.head_bytes.max(MIN_HEAD_BUFFER), limits.head_timeout)
+        });
+    let stream = CallerStream::new(stream, Rc::clone(&activity.requests), head_timeout);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head * 2).preserve_header_case(true);
     let mut served = builder.serve_connection(TokioIo::new(stream), service);
@@ -164,7 +170,7 @@
                 break outcome.is_err();
             }
             () = shared.aborted.notified() => break true,
-            () = head_late.as_mut(), if activity.requests.get() == 0 => break false,
+            () = head_late.as_mut(), if activity.requests.count.get() == 0 => break false,
             () = closing.as_mut(), if !closes => {
                 closes = true;
                 std::pin::Pin::new(&mut served).graceful_shutdown();
@@ -173,7 +179,7 @@
                 let timeout = shared
                     .table()
                     .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits().idle_timeout);
-                let idle = activity.active_requests.get() == 0
+                let idle = activity.requests.active.get() == 0
                     && shared.now().since(activity.idle_since.get()) > timeout;
                 if idle {
                     std::pin::Pin::new(&mut served).graceful_shutdown();
@@ -181,8 +187,19 @@
             }
         }
     };
-    if cut && activity.unframed.get() {
-        reset(&served.into_parts().io.into_inner());
+    close(
+        &served.into_parts().io.into_inner(),
+        cut && activity.unframed.get(),
+    );
+}
+
+/// Answers a head that took too long, or resets a connection whose response would look complete.
+fn close(stream: &CallerStream, is_unframed: bool) {
+    if stream.is_late() {
+        // Fails only if the client has disconnected or has not read an earlier response.
+        let _sent = stream.stream().try_write(LATE_HEAD_RESPONSE);
+    } else if is_unframed {
+        reset(stream.stream());
     }
 }
 
@@ -198,9 +215,10 @@
     activity: Rc<Connection>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let earlier = activity.requests.replace(activity.requests.get() + 1);
+    let requests = &activity.requests;
+    let earlier = requests.count.replace(requests.count.get() + 1);
     let active = ActiveRequest::new(&shared, activity.accepted, earlier);
-    activity.active_requests.set(activity.active_requests.get() + 1);
+    requests.active.set(requests.active.get() + 1);
     let count = RequestCount(Rc::clone(&activity), Rc::clone(&shared));
     let is_old = request.version() < Version::HTTP_11;
     let mut response = exchange::handle(&shared, request, active, count).await;
@@ -219,9 +237,8 @@
 
 impl Drop for RequestCount {
     fn drop(&mut self) {
-        self.0
-            .active_requests
-            .set(self.0.active_requests.get().saturating_sub(1));
+        let active = &self.0.requests.active;
+        active.set(active.get().saturating_sub(1));
         self.0.idle_since.set(self.1.now());
     }
 }
@@ -251,6 +268,8 @@
         });
         tokio::task::spawn_local(async move {
             let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             if let Err(error) = served {
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod exchange;
 mod guard;
+mod head;
 mod listen;
 mod migrate;
 mod plain;
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -7,16 +7,17 @@
 use std::{
     collections::BTreeSet,
     fs,
-    net::SocketAddr,
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use carob_platform_standin::{
-    AnswerMode, Flood, FloodRecord, Upstream,
+    AnswerMode, Flood, FloodRecord, Floods, Upstream,
     client::{self, Connection, Outcome, Request},
 };
-use fleet::{BODY_MEMORY, Fleet, Gateway, LONG, generation_request, request, wait_until};
+use fleet::{BODY_MEMORY, CLIENT_KEY, Fleet, Gateway, LONG, generation_request, request, wait_until};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -513,3 +514,147 @@
         );
     }
 }
+
+/// Opens connections that send `start` and then `unit` without end to an address of the gateway, while other
+/// requests are served; checks that each is closed within `limit`.
+fn flood_listener(
+    fleet: &Fleet,
+    address: SocketAddr,
+    flood: Flood,
+    start: &str,
+    unit: &str,
+    limit: Duration,
+) {
+    let what = format!(
+        "{:?} and then {unit:?} to {address}, {flood:?}",
+        start.lines().next_back()
+    );
+    let before = memory(&fleet.gateways[0], "VmHWM");
+    let floods = Floods::new();
+    let clients: Vec<_> = (0..PARALLEL)
+        .map(|_| {
+            let (floods, start, unit) = (floods.clone(), start.to_owned(), unit.to_owned());
+            let stream = TcpStream::connect(address).expect("it connects");
+            thread::spawn(move || floods.send_raw(&stream, flood, "", start.as_bytes(), unit.as_bytes()))
+        })
+        .collect();
+    for number in 0..10 {
+        let other = fleet.send(0, &request(&format!("r{number}"), "GET", "/read/1"));
+        assert_eq!(
+            (other.status, other.complete),
+            (200, true),
+            "{what}: others are served meanwhile"
+        );
+    }
+    let started = Instant::now();
+    while !floods.are_closed() && started.elapsed() < LONG {
+        thread::sleep(SHORT);
+    }
+    let open = floods
+        .records()
+        .into_iter()
+        .map(|record| Some(record.closed? - record.started));
+    let open: Vec<Option<Duration>> = open.collect();
+    eprintln!("{what}: closed after {open:?}");
+    assert!(
+        open.iter().all(|open| open.is_some_and(|open| open <= limit)),
+        "{what}: closed after {open:?}, limit {limit:?}"
+    );
+    for client in clients {
+        client.join().expect("a client ends");
+    }
+    expect_small_growth(&fleet.gateways[0], before, &what);
+}
+
+/// Time limit of a request's head in the configuration.
+const HEAD_TIME: Duration = Duration::from_secs(3);
+
+/// Time limit of an idle connection in the configuration.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
+#[test]
+fn a_clients_head_without_end_is_cut_off() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    for address in [
+        gateway.caller_address,
+        gateway.ready_address,
+        gateway.admin_address,
+    ] {
+        let head = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n";
+        for (start, unit) in [
+            ("GET /", "a"),
+            (head, "X-Filler: f\r\n"),
+            (head, "f"),
+            ("", "\r\n"),
+            ("", "\x7f"),
+        ] {
+            flood_listener(&fleet, address, Flood::Header, start, unit, CUT_TIME);
+        }
+    }
+}
+
+#[test]
+fn a_clients_head_that_drips_is_cut_off_in_time() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    for (address, limit) in [
+        (gateway.caller_address, HEAD_TIME),
+        (gateway.admin_address, HEAD_TIME),
+        (gateway.ready_address, IDLE_TIME),
+    ] {
+        let head = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n";
+        flood_listener(
+            &fleet,
+            address,
+            Flood::HeadDrip,
+            head,
+            "X-Filler: f\r\n",
+            limit + SLACK,
+        );
+    }
+    let mut stream = TcpStream::connect(gateway.caller_address).expect("it connects");
+    stream.write_all(b"GET /read/1 HTTP/1.1\r\n").expect("it is open");
+    let outcome = client::read(&mut stream, Instant::now() + LONG);
+    assert_eq!((outcome.status, outcome.closes), (408, true));
+}
+
+#[test]
+fn a_clients_body_without_end_is_cut_off() {
+    let (fleet, _plain, _engine) = start();
+    let address = fleet.gateways[0].caller_address;
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: {CLIENT_KEY}\r\nRequest-Id: o1\r\n\
+         Deadline-Ms: {}\r\n",
+        TIMEOUT.as_millis()
+    );
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    for (start, unit) in [
+        (format!("{head}Content-Length: 60000\r\n\r\n"), "b"),
+        (format!("{chunked}ffffffffffff\r\n"), "b"),
+        (format!("{chunked}1;"), "e"),
+        (format!("{chunked}0\r\n"), "X-Filler: f\r\n"),
+    ] {
+        flood_listener(&fleet, address, Flood::Body, &start, unit, CUT_TIME);
+    }
+    assert!(
+        fleet.ledger.run_count("o1") <= PARALLEL,
+        "only the body with a length is whole"
+    );
+    for (start, unit) in [
+        (chunked.clone(), "1\r\nb\r\n"),
+        (chunked.clone(), "0"),
+        (format!("{chunked}1"), " "),
+    ] {
+        flood_listener(&fleet, address, Flood::Body, &start, unit, TIMEOUT + SLACK);
+    }
+    flood_listener(
+        &fleet,
+        address,
+        Flood::BodyDrip,
+        &chunked,
+        "1\r\nb\r\n",
+        TIMEOUT + SLACK,
+    );
+    flood_listener(&fleet, address, Flood::BodyDrip, &chunked, "0", TIMEOUT + SLACK);
+}
