--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -14,7 +14,7 @@
 };
 
 use carob_platform_standin::{
-    AnswerMode, Flood, FloodRecord, Floods, Upstream,
+    AnswerMode, Flood, FloodRecord, Floods, Outage, Upstream,
     client::{self, Connection, Outcome, Request},
 };
 use fleet::{BODY_MEMORY, CLIENT_KEY, Fleet, Gateway, LONG, generation_request, request, wait_until};
@@ -658,3 +658,140 @@
     );
     flood_listener(&fleet, address, Flood::BodyDrip, &chunked, "0", TIMEOUT + SLACK);
 }
+
+/// Floods that the store may answer with.
+const STORE_FLOODS: [Flood; 8] = [
+    Flood::Header,
+    Flood::Interim,
+    Flood::ChunkSize,
+    Flood::Trailers,
+    Flood::Body,
+    Flood::Noise,
+    Flood::HeadDrip,
+    Flood::BodyDrip,
+];
+
+#[test]
+fn a_store_without_end_is_an_outage_that_passes() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    let before = memory(gateway, "VmHWM");
+    for (number, flood) in STORE_FLOODS.into_iter().enumerate() {
+        gateway.store_endpoint.set_outage(Some(Outage::Flood(flood)));
+        let end = Instant::now() + TIMEOUT;
+        let mut sent = 0;
+        while Instant::now() < end {
+            sent += 1;
+            let outcome = fleet.send(0, &request(&format!("r{number}-{sent}"), "GET", "/read/1"));
+            assert_eq!(
+                (outcome.status, outcome.complete),
+                (200, true),
+                "{flood:?}: others are served"
+            );
+            thread::sleep(SHORT);
+        }
+        assert!(
+            !gateway.store_endpoint.floods().records().is_empty(),
+            "{flood:?}: calls were made"
+        );
+        gateway.store_endpoint.set_outage(None);
+        let ended = Instant::now();
+        wait_until("calls that began in the outage are closed", || {
+            gateway.store_endpoint.floods().are_closed()
+        });
+        // Time limit of a call to the store.
+        let limit = Duration::from_millis(1_500) + SLACK;
+        assert!(
+            ended.elapsed() <= limit,
+            "{flood:?}: closed after {:?}, limit {limit:?}",
+            ended.elapsed()
+        );
+        let id = format!("p-{number}");
+        let _next = fleet.start_plain(&id, SHORT);
+        wait_until("an upstream that registers after the outage is used", || {
+            send_all(&fleet, 4, |_| request("after", "POST", "/order/1"));
+            fleet
+                .ledger
+                .started()
+                .iter()
+                .any(|started| started.upstream == id)
+        });
+    }
+    let records = gateway.store_endpoint.floods().records();
+    let bytes: u64 = records.iter().map(|record| record.bytes).sum();
+    eprintln!("{} calls to the store, {bytes} bytes", records.len());
+    expect_small_growth(gateway, before, "store");
+}
+
+#[test]
+fn reports_and_copies_without_end_leave_a_generation_as_it_is() {
+    for flood in STORE_FLOODS {
+        let (fleet, _plain, engine) = start();
+        let gateway = &fleet.gateways[0];
+        let before = memory(gateway, "VmHWM");
+        let target = fleet.start_engine("e2", 20, SHORT);
+        let client = {
+            let address = gateway.caller_address;
+            let generation = generation_request("d1").with_events(400);
+            thread::spawn(move || client::send(address, &generation))
+        };
+        wait_until("the generation runs", || fleet.ledger.running_engines("d1") == 1);
+        for upstream in [&engine, &target] {
+            upstream.set_control_flood(Some(flood));
+        }
+        // The gateway asks for reports in an outage, and for copies when an upstream leaves.
+        gateway.store_endpoint.set_outage(Some(Outage::Silent));
+        wait_until("a report is asked for", || {
+            !fleet.ledger.floods().records().is_empty()
+        });
+        gateway.store_endpoint.set_outage(None);
+        engine.leave(LONG);
+        let outcome = client.join().expect("the client ends");
+        assert_eq!((outcome.status, outcome.complete), (200, true), "{flood:?}");
+        assert_eq!(outcome.events(), (1..=400).collect::<Vec<_>>(), "{flood:?}");
+        wait_until("the calls are closed", || fleet.ledger.floods().are_closed());
+        let records = fleet.ledger.floods().records();
+        // Time limit of a copy.
+        let longest = records
+            .iter()
+            .filter_map(|record| Some(record.closed? - record.started))
+            .max();
+        eprintln!("{flood:?}: {} calls, the longest took {longest:?}", records.len());
+        expect_small_growth(gateway, before, &format!("reports and copies, {flood:?}"));
+    }
+}
+
+#[test]
+fn a_target_that_continues_without_end_never_completes_a_stream_it_did_not_send() {
+    for flood in STORE_FLOODS {
+        let (fleet, _plain, engine) = start();
+        let gateway = &fleet.gateways[0];
+        let before = memory(gateway, "VmHWM");
+        let client = {
+            let address = gateway.caller_address;
+            let generation = generation_request("d1").with_events(400);
+            thread::spawn(move || client::send(address, &generation))
+        };
+        wait_until("the generation runs", || fleet.ledger.running_engines("d1") == 1);
+        let target = fleet.start_engine("e2", 20, SHORT);
+        target.set_answer_mode(AnswerMode::Flood(flood));
+        thread::sleep(Duration::from_millis(300));
+        engine.leave(LONG);
+        let outcome = client.join().expect("the client ends");
+        let events = outcome.events();
+        eprintln!(
+            "{flood:?}: {} events, complete {}",
+            events.len(),
+            outcome.complete
+        );
+        assert_eq!(events, (1..=events.len() as u64).collect::<Vec<_>>(), "{flood:?}");
+        assert!(
+            !outcome.complete || events.len() == 400,
+            "{flood:?}: looks whole after {} events",
+            events.len()
+        );
+        let ended = Instant::now();
+        expect_closed(&fleet, ended, &format!("{flood:?}"));
+        expect_small_growth(gateway, before, &format!("target, {flood:?}"));
+    }
+}
