--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -34,9 +34,6 @@
 /// Chunks that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 16;
 
-/// Events beyond one for each token that a request permits.
-const SPARE_EVENTS: u32 = 16;
-
 type Migration = Pin<Box<dyn Future<Output = MigrationOutcome>>>;
 
 /// Aborts the task when it is dropped.
@@ -230,9 +227,9 @@
             StreamEvent::Bytes(bytes) => {
                 self.forward(&bytes).await?;
                 progress.borrow_mut().last_event = self.last_event;
-                match self.check_limits() {
+                match self.splitter.check_size() {
                     Ok(()) => Ok(false),
-                    Err(reason) => self.fail_over(&reason, progress, migration).await,
+                    Err(error) => self.fail_over(&error.to_string(), progress, migration).await,
                 }
             }
             StreamEvent::Leaving => Ok(false),
@@ -241,7 +238,7 @@
                 Err(StreamEnd::ClientGone)
             }
             StreamEvent::Late => {
-                if self.first_event.is_none() {
+                if self.is_unsound() {
                     self.record_failing();
                 }
                 self.release_copy(progress);
@@ -302,21 +299,10 @@
             .record_attempt(self.reservation.upstream, UpstreamHealth::Failing, shared.now());
     }
 
-    /// Checks that the upstream keeps to the limits of a stream.
-    fn check_limits(&self) -> Result<(), String> {
-        self.splitter.check_size().map_err(|error| error.to_string())?;
-        let expected = self
-            .call
-            .head
-            .usage
-            .map_or(u32::MAX, |usage| usage.max_output.saturating_add(SPARE_EVENTS));
-        if self.events > expected {
-            return Err(format!(
-                "expected {expected} events at most, received {}",
-                self.events
-            ));
-        }
-        Ok(())
+    /// Whether the upstream has sent no event yet, or more events than the request permits tokens.
+    fn is_unsound(&self) -> bool {
+        let longest = self.call.head.usage.map_or(u32::MAX, |usage| usage.max_output);
+        self.first_event.is_none() || self.events > longest
     }
 
     fn is_upstream_leaving(&self) -> bool {
