--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod exchange;
 mod guard;
+mod head;
 mod listen;
 mod migrate;
 mod plain;
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -7,16 +7,17 @@
 use std::{
     collections::BTreeSet,
     fs,
-    net::SocketAddr,
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use carob_platform_standin::{
-    AnswerMode, Flood, FloodRecord, Upstream,
+    AnswerMode, Flood, FloodRecord, Floods, Outage, Upstream,
     client::{self, Connection, Outcome, Request},
 };
-use fleet::{BODY_MEMORY, Fleet, Gateway, LONG, generation_request, request, wait_until};
+use fleet::{BODY_MEMORY, CLIENT_KEY, Fleet, Gateway, LONG, generation_request, request, wait_until};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -513,3 +514,284 @@
         );
     }
 }
+
+/// Opens connections that send `start` and then `unit` without end to an address of the gateway, while other
+/// requests are served; checks that each is closed within `limit`.
+fn flood_listener(
+    fleet: &Fleet,
+    address: SocketAddr,
+    flood: Flood,
+    start: &str,
+    unit: &str,
+    limit: Duration,
+) {
+    let what = format!(
+        "{:?} and then {unit:?} to {address}, {flood:?}",
+        start.lines().next_back()
+    );
+    let before = memory(&fleet.gateways[0], "VmHWM");
+    let floods = Floods::new();
+    let clients: Vec<_> = (0..PARALLEL)
+        .map(|_| {
+            let (floods, start, unit) = (floods.clone(), start.to_owned(), unit.to_owned());
+            let stream = TcpStream::connect(address).expect("it connects");
+            thread::spawn(move || floods.send_raw(&stream, flood, "", start.as_bytes(), unit.as_bytes()))
+        })
+        .collect();
+    for number in 0..10 {
+        let other = fleet.send(0, &request(&format!("r{number}"), "GET", "/read/1"));
+        assert_eq!(
+            (other.status, other.complete),
+            (200, true),
+            "{what}: others are served meanwhile"
+        );
+    }
+    let started = Instant::now();
+    while !floods.are_closed() && started.elapsed() < LONG {
+        thread::sleep(SHORT);
+    }
+    let open = floods
+        .records()
+        .into_iter()
+        .map(|record| Some(record.closed? - record.started));
+    let open: Vec<Option<Duration>> = open.collect();
+    eprintln!("{what}: closed after {open:?}");
+    assert!(
+        open.iter().all(|open| open.is_some_and(|open| open <= limit)),
+        "{what}: closed after {open:?}, limit {limit:?}"
+    );
+    for client in clients {
+        client.join().expect("a client ends");
+    }
+    expect_small_growth(&fleet.gateways[0], before, &what);
+}
+
+/// Time limit of a request's head in the configuration.
+const HEAD_TIME: Duration = Duration::from_secs(3);
+
+/// Time limit of an idle connection in the configuration.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
+#[test]
+fn a_clients_head_without_end_is_cut_off() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    for address in [
+        gateway.caller_address,
+        gateway.ready_address,
+        gateway.admin_address,
+    ] {
+        let head = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n";
+        for (start, unit) in [
+            ("GET /", "a"),
+            (head, "X-Filler: f\r\n"),
+            (head, "f"),
+            ("", "\r\n"),
+            ("", "\x7f"),
+        ] {
+            flood_listener(&fleet, address, Flood::Header, start, unit, CUT_TIME);
+        }
+    }
+}
+
+#[test]
+fn a_clients_head_that_drips_is_cut_off_in_time() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    for (address, limit) in [
+        (gateway.caller_address, HEAD_TIME),
+        (gateway.admin_address, HEAD_TIME),
+        (gateway.ready_address, IDLE_TIME),
+    ] {
+        let head = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n";
+        flood_listener(
+            &fleet,
+            address,
+            Flood::HeadDrip,
+            head,
+            "X-Filler: f\r\n",
+            limit + SLACK,
+        );
+    }
+    let mut stream = TcpStream::connect(gateway.caller_address).expect("it connects");
+    stream.write_all(b"GET /read/1 HTTP/1.1\r\n").expect("it is open");
+    let outcome = client::read(&mut stream, Instant::now() + LONG);
+    assert_eq!((outcome.status, outcome.closes), (408, true));
+}
+
+#[test]
+fn a_clients_body_without_end_is_cut_off() {
+    let (fleet, _plain, _engine) = start();
+    let address = fleet.gateways[0].caller_address;
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: {CLIENT_KEY}\r\nRequest-Id: o1\r\n\
+         Deadline-Ms: {}\r\n",
+        TIMEOUT.as_millis()
+    );
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    for (start, unit) in [
+        (format!("{head}Content-Length: 60000\r\n\r\n"), "b"),
+        (format!("{chunked}ffffffffffff\r\n"), "b"),
+        (format!("{chunked}1;"), "e"),
+        (format!("{chunked}0\r\n"), "X-Filler: f\r\n"),
+    ] {
+        flood_listener(&fleet, address, Flood::Body, &start, unit, CUT_TIME);
+    }
+    assert!(
+        fleet.ledger.run_count("o1") <= PARALLEL,
+        "only the body with a length is whole"
+    );
+    for (start, unit) in [
+        (chunked.clone(), "1\r\nb\r\n"),
+        (chunked.clone(), "0"),
+        (format!("{chunked}1"), " "),
+    ] {
+        flood_listener(&fleet, address, Flood::Body, &start, unit, TIMEOUT + SLACK);
+    }
+    flood_listener(
+        &fleet,
+        address,
+        Flood::BodyDrip,
+        &chunked,
+        "1\r\nb\r\n",
+        TIMEOUT + SLACK,
+    );
+    flood_listener(&fleet, address, Flood::BodyDrip, &chunked, "0", TIMEOUT + SLACK);
+}
+
+/// Floods that the store may answer with.
+const STORE_FLOODS: [Flood; 8] = [
+    Flood::Header,
+    Flood::Interim,
+    Flood::ChunkSize,
+    Flood::Trailers,
+    Flood::Body,
+    Flood::Noise,
+    Flood::HeadDrip,
+    Flood::BodyDrip,
+];
+
+#[test]
+fn a_store_without_end_is_an_outage_that_passes() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    let before = memory(gateway, "VmHWM");
+    for (number, flood) in STORE_FLOODS.into_iter().enumerate() {
+        gateway.store_endpoint.set_outage(Some(Outage::Flood(flood)));
+        let end = Instant::now() + TIMEOUT;
+        let mut sent = 0;
+        while Instant::now() < end {
+            sent += 1;
+            let outcome = fleet.send(0, &request(&format!("r{number}-{sent}"), "GET", "/read/1"));
+            assert_eq!(
+                (outcome.status, outcome.complete),
+                (200, true),
+                "{flood:?}: others are served"
+            );
+            thread::sleep(SHORT);
+        }
+        assert!(
+            !gateway.store_endpoint.floods().records().is_empty(),
+            "{flood:?}: calls were made"
+        );
+        gateway.store_endpoint.set_outage(None);
+        let ended = Instant::now();
+        wait_until("calls that began in the outage are closed", || {
+            gateway.store_endpoint.floods().are_closed()
+        });
+        // Time limit of a call to the store.
+        let limit = Duration::from_millis(1_500) + SLACK;
+        assert!(
+            ended.elapsed() <= limit,
+            "{flood:?}: closed after {:?}, limit {limit:?}",
+            ended.elapsed()
+        );
+        let id = format!("p-{number}");
+        let _next = fleet.start_plain(&id, SHORT);
+        wait_until("an upstream that registers after the outage is used", || {
+            send_all(&fleet, 4, |_| request("after", "POST", "/order/1"));
+            fleet
+                .ledger
+                .started()
+                .iter()
+                .any(|started| started.upstream == id)
+        });
+    }
+    let records = gateway.store_endpoint.floods().records();
+    let bytes: u64 = records.iter().map(|record| record.bytes).sum();
+    eprintln!("{} calls to the store, {bytes} bytes", records.len());
+    expect_small_growth(gateway, before, "store");
+}
+
+#[test]
+fn reports_and_copies_without_end_leave_a_generation_as_it_is() {
+    for flood in STORE_FLOODS {
+        let (fleet, _plain, engine) = start();
+        let gateway = &fleet.gateways[0];
+        let before = memory(gateway, "VmHWM");
+        let target = fleet.start_engine("e2", 20, SHORT);
+        let client = {
+            let address = gateway.caller_address;
+            let generation = generation_request("d1").with_events(400);
+            thread::spawn(move || client::send(address, &generation))
+        };
+        wait_until("the generation runs", || fleet.ledger.running_engines("d1") == 1);
+        for upstream in [&engine, &target] {
+            upstream.set_control_flood(Some(flood));
+        }
+        // The gateway asks for reports in an outage, and for copies when an upstream leaves.
+        gateway.store_endpoint.set_outage(Some(Outage::Silent));
+        wait_until("a report is asked for", || {
+            !fleet.ledger.floods().records().is_empty()
+        });
+        gateway.store_endpoint.set_outage(None);
+        engine.leave(LONG);
+        let outcome = client.join().expect("the client ends");
+        assert_eq!((outcome.status, outcome.complete), (200, true), "{flood:?}");
+        assert_eq!(outcome.events(), (1..=400).collect::<Vec<_>>(), "{flood:?}");
+        wait_until("the calls are closed", || fleet.ledger.floods().are_closed());
+        let records = fleet.ledger.floods().records();
+        // Time limit of a copy.
+        let longest = records
+            .iter()
+            .filter_map(|record| Some(record.closed? - record.started))
+            .max();
+        eprintln!("{flood:?}: {} calls, the longest took {longest:?}", records.len());
+        expect_small_growth(gateway, before, &format!("reports and copies, {flood:?}"));
+    }
+}
+
+#[test]
+fn a_target_that_continues_without_end_never_completes_a_stream_it_did_not_send() {
+    for flood in STORE_FLOODS {
+        let (fleet, _plain, engine) = start();
+        let gateway = &fleet.gateways[0];
+        let before = memory(gateway, "VmHWM");
+        let client = {
+            let address = gateway.caller_address;
+            let generation = generation_request("d1").with_events(400);
+            thread::spawn(move || client::send(address, &generation))
+        };
+        wait_until("the generation runs", || fleet.ledger.running_engines("d1") == 1);
+        let target = fleet.start_engine("e2", 20, SHORT);
+        target.set_answer_mode(AnswerMode::Flood(flood));
+        thread::sleep(Duration::from_millis(300));
+        engine.leave(LONG);
+        let outcome = client.join().expect("the client ends");
+        let events = outcome.events();
+        eprintln!(
+            "{flood:?}: {} events, complete {}",
+            events.len(),
+            outcome.complete
+        );
+        assert_eq!(events, (1..=events.len() as u64).collect::<Vec<_>>(), "{flood:?}");
+        assert!(
+            !outcome.complete || events.len() == 400,
+            "{flood:?}: looks whole after {} events",
+            events.len()
+        );
+        let ended = Instant::now();
+        expect_closed(&fleet, ended, &format!("{flood:?}"));
+        expect_small_growth(gateway, before, &format!("target, {flood:?}"));
+    }
+}
