--- a/crates/carob-gateway/src/traffic/client.rs
+++ b/crates/carob-gateway/src/traffic/client.rs
@@ -42,6 +42,11 @@
         self.set_resets(false);
     }
 
+    /// Writes what fits into the send buffer.
+    pub(super) fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.stream.try_write(bytes)
+    }
+
     fn set_resets(&mut self, resets: bool) {
         if self.resets == resets {
             return;
