--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -11,9 +11,10 @@
 
 use super::{
     answer::ResponseBody,
+    client::ClientStream,
     exchange,
     guard::{ActiveRequest, OpenConnection},
-    head::{CallerStream, Requests},
+    head::{Requests, TimedStream},
     shared::Shared,
 };
 use crate::socket::set_tcp_options;
@@ -49,10 +50,6 @@
 /// Time limit of a request's head while no configuration is known.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Response to a request whose head takes too long.
-const LATE_HEAD_RESPONSE: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-
 /// How long the exit waits until all connections are aborted; well within the margin that is left of the grace.
 const ABORT_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -117,7 +114,7 @@
     requests: Rc<Requests>,
     accepted: Time,
     /// Whether the end of the connection is the end of the present response, as for HTTP/1.0 clients.
-    unframed: Cell<bool>,
+    unframed: Rc<Cell<bool>>,
     /// When its last request ended, or when it was accepted.
     idle_since: Cell<Time>,
 }
@@ -126,7 +123,7 @@
     let activity = Rc::new(Connection {
         requests: Rc::default(),
         accepted: shared.now(),
-        unframed: Cell::new(false),
+        unframed: Rc::default(),
         idle_since: Cell::new(shared.now()),
     });
     let counted = Rc::clone(&activity);
@@ -141,9 +138,10 @@
             let limits = table.limits();
             (limits.head_bytes.max(MIN_HEAD_BUFFER), limits.head_timeout)
         });
-    let stream = CallerStream::new(stream, Rc::clone(&activity.requests), head_timeout);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head * 2).preserve_header_case(true);
+    let stream = ClientStream::new(stream, Rc::clone(&activity.unframed));
+    let stream = TimedStream::new(stream, Rc::clone(&activity.requests), head_timeout);
     let mut served = builder.serve_connection(TokioIo::new(stream), service);
     let closing = async {
         shared.wait_closing().await;
@@ -187,27 +185,7 @@
             }
         }
     };
-    close(
-        &served.into_parts().io.into_inner(),
-        cut && activity.unframed.get(),
-    );
-}
-
-/// Answers a head that took too long, or resets a connection whose response would look complete.
-fn close(stream: &CallerStream, is_unframed: bool) {
-    if stream.is_late() {
-        // Fails only if the client has disconnected or has not read an earlier response.
-        let _sent = stream.stream().try_write(LATE_HEAD_RESPONSE);
-    } else if is_unframed {
-        reset(stream.stream());
-    }
-}
-
-/// Makes the connection end with a reset, so that a response without a length does not look complete.
-fn reset(stream: &TcpStream) {
-    if let Err(error) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::warn!(error:% = error; "connection with an incomplete response not reset");
-    }
+    served.into_parts().io.into_inner().close(cut);
 }
 
 async fn serve_request(
