--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -17,7 +17,7 @@
     AnswerMode, Flood, FloodRecord, Floods, Outage, Upstream,
     client::{self, Connection, Outcome, Request},
 };
-use fleet::{BODY_MEMORY, CLIENT_KEY, Fleet, Gateway, LONG, generation_request, request, wait_until};
+use fleet::{BODY_MEMORY, Fleet, Gateway, LONG, generation_request, request, wait_until};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -623,14 +623,10 @@
 fn a_clients_body_without_end_is_cut_off() {
     let (fleet, _plain, _engine) = start();
     let address = fleet.gateways[0].caller_address;
-    let head = format!(
-        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: {CLIENT_KEY}\r\nRequest-Id: o1\r\n\
-         Deadline-Ms: {}\r\n",
-        TIMEOUT.as_millis()
-    );
-    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    let order = request("o1", "POST", "/order/1").with_timeout(TIMEOUT);
+    let chunked = order.head("Transfer-Encoding: chunked");
     for (start, unit) in [
-        (format!("{head}Content-Length: 60000\r\n\r\n"), "b"),
+        (order.head("Content-Length: 60000"), "b"),
         (format!("{chunked}ffffffffffff\r\n"), "b"),
         (format!("{chunked}1;"), "e"),
         (format!("{chunked}0\r\n"), "X-Filler: f\r\n"),
