test: the soak sends bytes without end

Upstreams and the store answer with them among the other faults. Bodies of streams without end are left out, since the clients of the soak keep what they get.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -8,7 +8,7 @@
 };
 
 use carob_platform_standin::{
-    AnswerMode, Link, Outage, Upstream,
+    AnswerMode, Flood, Link, Outage, Upstream,
     client::Connection,
     config::{self, Route},
 };
@@ -44,6 +44,27 @@
 /// 3 s, and it has 1 s beyond that.
 const IDLE_END: Duration = Duration::from_secs(4);
 
+/// Bytes without end that engines answer with. A body without end is left out: clients would keep all of it.
+const ENGINE_FLOODS: [Flood; 6] = [
+    Flood::Header,
+    Flood::Interim,
+    Flood::ChunkSize,
+    Flood::Event,
+    Flood::HeadDrip,
+    Flood::BodyDrip,
+];
+
+/// Bytes without end that plain upstreams answer with.
+const PLAIN_FLOODS: [Flood; 7] = [
+    Flood::Header,
+    Flood::Interim,
+    Flood::ChunkSize,
+    Flood::Trailers,
+    Flood::Excess,
+    Flood::HeadDrip,
+    Flood::BodyDrip,
+];
+
 /// Maximum number of gateways that one series of signals goes through.
 const MAX_SERIES: usize = 8;
 
@@ -186,15 +207,22 @@
                 self.replace_engine(index);
             }
             5 => {
+                let upstream = self.choose_upstream(rng);
+                let is_engine = self.engines.iter().any(|engine| engine.id() == upstream.id());
+                let floods: &[Flood] = if is_engine { &ENGINE_FLOODS } else { &PLAIN_FLOODS };
+                let flood = *floods.choose(rng).expect("there are floods");
                 let modes = [
                     AnswerMode::Failure,
                     AnswerMode::Rejection,
                     AnswerMode::Reset,
                     AnswerMode::Foreign,
                     AnswerMode::Truncated,
+                    AnswerMode::Flood(flood),
+                    AnswerMode::Flood(flood),
                 ];
                 let mode = *modes.choose(rng).expect("there are modes");
-                self.choose_upstream(rng).set_answer_mode(mode);
+                self.note(&format!("{}: {mode:?}", upstream.id()));
+                upstream.set_answer_mode(mode);
                 self.schedule_heal(rng);
             }
             6 | 7 => {
@@ -294,7 +322,15 @@
 
     /// Makes the store unavailable for one gateway or for all.
     fn start_outage(&mut self, rng: &mut StdRng) {
-        let kinds = [Outage::Busy, Outage::Reset, Outage::Silent, Outage::Lost];
+        let kinds = [
+            Outage::Busy,
+            Outage::Reset,
+            Outage::Silent,
+            Outage::Lost,
+            Outage::Flood(Flood::Interim),
+            Outage::Flood(Flood::Body),
+            Outage::Flood(Flood::HeadDrip),
+        ];
         let kind = *kinds.choose(rng).expect("there are kinds");
         let all = rng.random_bool(0.4);
         let one = rng.random_range(0..self.fleet.gateways.len());
