--- a/crates/carob-gateway/src/traffic/client.rs
+++ b/crates/carob-gateway/src/traffic/client.rs
@@ -42,9 +42,11 @@
         self.set_resets(false);
     }
 
-    /// Writes what fits into the send buffer.
-    pub(super) fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.stream.try_write(bytes)
+    /// Sends `response`, if it can be sent at once, and closes the connection, on which no answer is under way.
+    pub(super) fn refuse(self, response: &[u8]) {
+        // Fails only if the client has disconnected or has not read an earlier answer.
+        let _sent = self.stream.try_write(response);
+        self.close();
     }
 
     fn set_resets(&mut self, resets: bool) {
--- a/crates/carob-gateway/src/traffic/head.rs
+++ b/crates/carob-gateway/src/traffic/head.rs
@@ -16,6 +16,10 @@
 
 use super::client::ClientStream;
 
+/// Response to a request whose head takes too long.
+const LATE_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// Progress of the requests on a connection.
 #[derive(Debug, Default)]
 pub(super) struct Requests {
@@ -26,7 +30,7 @@
 }
 
 /// A client's connection that fails when a head takes too long. Its idle time before a head is not limited.
-pub(super) struct CallerStream {
+pub(super) struct TimedStream {
     stream: ClientStream,
     requests: Rc<Requests>,
     /// Value of [`Requests::count`] when bytes were last read.
@@ -37,7 +41,7 @@
     timer: Option<Pin<Box<Sleep>>>,
 }
 
-impl CallerStream {
+impl TimedStream {
     /// Limits each head on `stream` to the time `limit`.
     pub(super) const fn new(stream: ClientStream, requests: Rc<Requests>, limit: Duration) -> Self {
         Self {
@@ -50,13 +54,15 @@
         }
     }
 
-    /// Whether a head took too long.
-    pub(super) fn is_late(&self) -> bool {
-        self.timer.as_ref().is_some_and(|timer| timer.is_elapsed())
-    }
-
-    pub(super) fn into_inner(self) -> ClientStream {
-        self.stream
+    /// Closes the connection, with a response to a head that took too long. If an answer was `cut` off, the
+    /// connection ends as one that is dropped.
+    pub(super) fn close(self, cut: bool) {
+        let is_late = self.timer.as_ref().is_some_and(|timer| timer.is_elapsed());
+        if is_late {
+            self.stream.refuse(LATE_HEAD_RESPONSE);
+        } else if !cut {
+            self.stream.close();
+        }
     }
 
     /// Whether the bytes that are read belong to a head.
@@ -69,7 +75,7 @@
     }
 }
 
-impl AsyncRead for CallerStream {
+impl AsyncRead for TimedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -91,7 +97,7 @@
     }
 }
 
-impl AsyncWrite for CallerStream {
+impl AsyncWrite for TimedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -14,7 +14,7 @@
     client::ClientStream,
     exchange,
     guard::{ActiveRequest, OpenConnection},
-    head::{CallerStream, Requests},
+    head::{Requests, TimedStream},
     shared::Shared,
 };
 use crate::socket::set_tcp_options;
@@ -50,10 +50,6 @@
 /// Time limit of a request's head while no configuration is known.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Response to a request whose head takes too long.
-const LATE_HEAD_RESPONSE: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-
 /// How long the exit waits until all connections are aborted; well within the margin that is left of the grace.
 const ABORT_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -123,16 +119,6 @@
     idle_since: Cell<Time>,
 }
 
-/// Maximum size of a request's head in bytes, and its time limit.
-fn head_limits(shared: &Shared) -> (usize, Duration) {
-    shared
-        .table()
-        .map_or((MIN_HEAD_BUFFER, DEFAULT_HEAD_TIMEOUT), |table| {
-            let limits = table.limits();
-            (limits.head_bytes.max(MIN_HEAD_BUFFER), limits.head_timeout)
-        })
-}
-
 async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _open: OpenConnection) {
     let activity = Rc::new(Connection {
         requests: Rc::default(),
@@ -146,11 +132,16 @@
         let (state, counted) = (Rc::clone(&state), Rc::clone(&counted));
         async move { Ok::<_, Infallible>(serve_request(state, counted, request).await) }
     });
-    let (head, head_timeout) = head_limits(&shared);
-    let stream = ClientStream::new(stream, Rc::clone(&activity.unframed));
-    let stream = CallerStream::new(stream, Rc::clone(&activity.requests), head_timeout);
+    let (head, head_timeout) = shared
+        .table()
+        .map_or((MIN_HEAD_BUFFER, DEFAULT_HEAD_TIMEOUT), |table| {
+            let limits = table.limits();
+            (limits.head_bytes.max(MIN_HEAD_BUFFER), limits.head_timeout)
+        });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head * 2).preserve_header_case(true);
+    let stream = ClientStream::new(stream, Rc::clone(&activity.unframed));
+    let stream = TimedStream::new(stream, Rc::clone(&activity.requests), head_timeout);
     let mut served = builder.serve_connection(TokioIo::new(stream), service);
     let closing = async {
         shared.wait_closing().await;
@@ -194,13 +185,7 @@
             }
         }
     };
-    let stream = served.into_parts().io.into_inner();
-    if stream.is_late() {
-        // Fails only if the client has disconnected or has not read an earlier response.
-        let _sent = stream.into_inner().try_write(LATE_HEAD_RESPONSE);
-    } else if !cut {
-        stream.into_inner().close();
-    }
+    served.into_parts().io.into_inner().close(cut);
 }
 
 async fn serve_request(
