fix: a SIGHUP just after the first log line ends a gateway

Its default action ended the process in the time between the line "starting" and the control thread's first turn, 0.2 s on a busy machine.

SIGHUP is now caught together with the signals to shut down, before the line. One that comes before the control thread handles it changes nothing: the settings have just been read, and their file is checked every 2 s.

--- a/crates/carob-gateway/src/signals.rs
+++ b/crates/carob-gateway/src/signals.rs
@@ -15,7 +15,7 @@
 use carob_shutdown::Shutdown;
 use flume::Sender;
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
@@ -47,9 +47,11 @@
 /// Signals that wait to be read.
 pub(crate) struct Pending(Signals);
 
-/// Catches the signals to shut down, which otherwise end the process at once.
+/// Catches the signals to shut down, which otherwise end the process at once. So does SIGHUP, until the control thread
+/// reads the settings again for it; those that come before change nothing, since the settings have just been read.
 pub(crate) fn catch() -> Result<Pending, Error> {
     let failed = |error: std::io::Error| Error::Start("signals", error.to_string());
+    signal_hook::flag::register(SIGHUP, Arc::default()).map_err(failed)?;
     Signals::new([SIGTERM, SIGINT]).map(Pending).map_err(failed)
 }
 
--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -11,6 +11,7 @@
 };
 
 use carob_platform_standin::{
+    Store,
     client::{self, Request},
     config::{self, Route},
 };
@@ -31,6 +32,9 @@
 /// Gateways that are stalled at the same time. What a single one does first when it goes on is left to chance.
 const STALLED_GATEWAYS: usize = 4;
 
+/// Gateways that start at the same time; only some get a signal before all their threads run.
+const STARTING_GATEWAYS: usize = 32;
+
 /// Puts a grace into force that differs from the present one.
 fn set_grace(gateway: &Gateway, grace: &str) {
     let reloads = || {
@@ -210,6 +214,30 @@
     assert!(status.success(), "{status}");
 }
 
+/// The settings are read again at the next check of the file, if not at once.
+#[test]
+fn sighup_just_after_the_first_log_line_ends_a_gateway() {
+    let store = Store::new();
+    let mut gateways: Vec<Gateway> = (0..STARTING_GATEWAYS)
+        .map(|_| Gateway::start(&store, &[]))
+        .collect();
+    thread::scope(|scope| {
+        for gateway in &gateways {
+            scope.spawn(|| {
+                while !gateway.logged("\"starting\"") {
+                    thread::yield_now();
+                }
+                gateway.signal("HUP");
+            });
+        }
+    });
+    thread::sleep(Duration::from_millis(500));
+    let ended = gateways
+        .iter_mut()
+        .filter_map(|gateway| gateway.child.try_wait().ok()?);
+    assert_eq!(ended.collect::<Vec<_>>(), []);
+}
+
 #[test]
 fn sigterm_before_a_configuration_is_known_refuses_requests_and_ends_the_process() {
     let mut fleet = Fleet::start(1);
