--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -40,6 +40,8 @@
 const PLAIN: usize = 4;
 /// Time that a plain upstream takes for a request.
 const PLAIN_TIME: Duration = Duration::from_millis(5);
+/// Time after which a process has its share of a budget for certain: a window and a half.
+const WARM_UP: Duration = Duration::from_secs(15);
 /// Timeout of a request for the plain service.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -119,6 +121,16 @@
         self.plain.iter().for_each(|upstream| upstream.set_link(link));
     }
 
+    /// Sends a request to each gateway, and waits until all of them have run for longer than a window.
+    fn warm_up(&self) {
+        for gateway in &self.fleet.gateways {
+            wait_until("the gateway serves", || {
+                self.send_plain(gateway.caller_address).status == 200
+            });
+        }
+        thread::sleep(WARM_UP);
+    }
+
     /// Sends a request for the plain service, idempotent or not in turns.
     fn send_plain(&self, gateway: SocketAddr) -> Outcome {
         send_plain(gateway, &self.next_id, &self.sent)
@@ -175,7 +187,7 @@
 #[test]
 fn restarts_in_series_spend_the_retry_budget_anew() {
     let mut rig = Rig::start(10, 54);
-    thread::sleep(LIMITS.window);
+    rig.warm_up();
     rig.set_plain(AnswerMode::Rejection);
     let (next_id, sent) = (&rig.next_id, &rig.sent);
     thread::scope(|scope| {
@@ -202,7 +214,7 @@
 #[test]
 fn kills_in_series_spend_the_retry_budget_anew() {
     let mut rig = Rig::start(4, 54);
-    thread::sleep(LIMITS.window);
+    rig.warm_up();
     rig.set_plain(AnswerMode::Rejection);
     let (next_id, sent) = (&rig.next_id, &rig.sent);
     thread::scope(|scope| {
@@ -275,7 +287,7 @@
         rig.fleet.wait_ready();
         rig.send_plain(address);
     }
-    thread::sleep(LIMITS.window);
+    thread::sleep(WARM_UP);
     rig.set_plain(AnswerMode::Rejection);
     for gateway in &rig.fleet.gateways {
         for _ in 0..2 {
