--- a/crates/carob-dispatch/tests/budget_model/fleet.rs
+++ b/crates/carob-dispatch/tests/budget_model/fleet.rs
@@ -291,10 +291,15 @@
                 self.instances[index].frozen_until = until;
                 self.cut(index, until);
             }
-            // Cut off, with some others.
+            // Cut off, with some others or with all.
             5 => {
                 let until = now + self.random.below(40_000);
-                for next in index..self.instances.len().min(index + 4) {
+                let cut = if self.random.chance(50) {
+                    index..self.instances.len().min(index + 4)
+                } else {
+                    0..self.instances.len()
+                };
+                for next in cut {
                     if self.may_be_deaf(next) {
                         self.cut(next, until);
                     }
