--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -20,6 +20,9 @@
 /// How often an instance that does not watch checks whether it has to.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How often an instance that begins to watch checks whether directory updates still arrive.
+const STATUS_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a watch may continue after the end of the time in which entries may reappear after an outage of
 /// the store. The watch is ended then, so that entries which did not reappear are removed.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(20);
@@ -96,7 +99,8 @@
 async fn watch_all(control: &Rc<Control>, outage: &mut Outage) {
     loop {
         let must_watch = control.must_watch();
-        if control.watching.replace(must_watch) != must_watch {
+        let was_watching = control.watching.replace(must_watch);
+        if was_watching != must_watch {
             log::info!(watching = must_watch, revision = control.revision(); "watching the store changed");
             control.send_status();
         }
@@ -112,10 +116,19 @@
             continue;
         }
         let revision = control.revision();
-        let wait = control
+        let longest = control
             .reappearance_left()
             .map_or(WATCH_TIMEOUT, |left| WATCH_TIMEOUT.min(left + REMOVAL_MARGIN));
-        match call_store(control, store::watch("", revision, wait), wait + ANSWER_MARGIN).await {
+        // An instance that begins to watch learns at once whether the store answers, and tells its peers.
+        let begins = must_watch && !was_watching && !control.is_answering();
+        let wait = if begins { Duration::ZERO } else { longest };
+        let call = call_store(control, store::watch("", revision, wait), wait + ANSWER_MARGIN);
+        let answer = if begins {
+            with_status(control, call).await
+        } else {
+            call.await
+        };
+        match answer {
             Ok(page) => {
                 outage.record_success();
                 control.apply(page.items, page.revision);
@@ -129,6 +142,18 @@
     }
 }
 
+/// Waits for a call, and tells the traffic thread meanwhile if directory updates no longer arrive: the store may
+/// have answered a call of this instance just before the peers lost it.
+async fn with_status<T>(control: &Control, call: impl Future<Output = T>) -> T {
+    tokio::pin!(call);
+    loop {
+        tokio::select! {
+            outcome = &mut call => return outcome,
+            () = tokio::time::sleep(STATUS_INTERVAL) => control.send_status(),
+        }
+    }
+}
+
 /// Fetches missed changes from the store, or from a peer if the store does not answer.
 ///
 /// The store is asked first: a change too large for a datagram is missed by all instances that do not watch.
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use carob_dispatch::budget::Reason;
+use carob_dispatch::{budget::Reason, fleet::UpstreamHealth};
 use carob_platform::{answer, request::Resume};
 use http_body_util::BodyExt;
 use hyper::{
@@ -238,6 +238,9 @@
                 Err(StreamEnd::ClientGone)
             }
             StreamEvent::Late => {
+                if self.is_unsound() {
+                    self.record_failing();
+                }
                 self.release_copy(progress);
                 Err(StreamEnd::Late)
             }
@@ -278,6 +281,7 @@
         progress: &Rc<RefCell<Progress>>,
         migration: &mut Option<Migration>,
     ) -> Result<bool, StreamEnd> {
+        self.record_failing();
         let switching = progress.borrow().switching;
         let outcome = if switching {
             self.await_migration(migration).await
@@ -287,6 +291,20 @@
         self.resume_after(outcome, progress, reason).await.map(|()| true)
     }
 
+    /// Records that the present upstream did not answer properly or not in time.
+    fn record_failing(&self) {
+        let shared = &self.call.shared;
+        shared
+            .fleet_mut()
+            .record_attempt(self.reservation.upstream, UpstreamHealth::Failing, shared.now());
+    }
+
+    /// Whether the upstream has sent no event yet, or more events than the request permits tokens.
+    fn is_unsound(&self) -> bool {
+        let longest = self.call.head.usage.map_or(u32::MAX, |usage| usage.max_output);
+        self.first_event.is_none() || self.events > longest
+    }
+
     fn is_upstream_leaving(&self) -> bool {
         let fleet = self.call.shared.fleet();
         fleet
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -5,15 +5,19 @@
 mod fleet;
 
 use std::{
-    fs, thread,
+    collections::BTreeSet,
+    fs,
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
+    thread,
     time::{Duration, Instant},
 };
 
 use carob_platform_standin::{
-    AnswerMode, Flood, FloodRecord, Upstream,
+    AnswerMode, Flood, FloodRecord, Floods, Outage, Upstream,
     client::{self, Connection, Outcome, Request},
 };
-use fleet::{Fleet, Gateway, LONG, generation_request, request, wait_until};
+use fleet::{BODY_MEMORY, CLIENT_KEY, Fleet, Gateway, LONG, generation_request, request, wait_until};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -23,6 +27,12 @@
 /// Timeout of the clients; below the time limit of the routes, 5 s.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Timeout of requests that only show which upstream they go to.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How many of 12 requests may go to an upstream that answers each with bytes without end, while another is idle.
+const MAX_STRAY: usize = 2;
+
 /// Time after which an answer counts as late, beyond the deadline or limit.
 const SLACK: Duration = Duration::from_millis(700);
 
@@ -56,6 +66,12 @@
     );
 }
 
+/// Sends a request with a deadline after `timeout`, and waits on beyond it.
+fn send_patiently(address: SocketAddr, request: Request, timeout: Duration) -> Outcome {
+    let mut stream = client::open(address, &request.with_timeout(timeout)).expect("it connects");
+    client::read(&mut stream, Instant::now() + LONG)
+}
+
 /// Sends requests at once, with a deadline after [`TIMEOUT`] beyond which the clients wait; returns their
 /// outcomes and how long each took.
 fn send_all(fleet: &Fleet, count: usize, make: impl Fn(usize) -> Request) -> Vec<(Outcome, Duration)> {
@@ -65,8 +81,7 @@
             let request = make(number);
             thread::spawn(move || {
                 let started = Instant::now();
-                let mut stream = client::open(address, &request.with_timeout(TIMEOUT)).expect("it connects");
-                (client::read(&mut stream, started + LONG), started.elapsed())
+                (send_patiently(address, request, TIMEOUT), started.elapsed())
             })
         })
         .collect();
@@ -330,6 +345,68 @@
     }
 }
 
+/// Makes the upstream answer with `flood` that gets the requests of `make` while all upstreams are idle and
+/// sound, and returns how many of 12 further requests go to it.
+fn count_at_flooding(
+    fleet: &Fleet,
+    upstreams: &[Upstream],
+    flood: Flood,
+    make: impl Fn(&str) -> Request,
+) -> usize {
+    let upstream_of = |id: &str| {
+        let started = fleet.ledger.started();
+        let found = started.into_iter().rfind(|started| started.id == make(id).id);
+        found.map(|started| started.upstream)
+    };
+    wait_until("the upstreams are known", || {
+        let outcomes = send_all(fleet, 2 * upstreams.len(), |number| {
+            make(&format!("warm-{number}"))
+        });
+        let names = (0..outcomes.len()).filter_map(|number| upstream_of(&format!("warm-{number}")));
+        names.collect::<BTreeSet<_>>().len() == upstreams.len()
+    });
+    fleet.send(0, &make("sound"));
+    let name = upstream_of("sound").expect("it ran");
+    let preferred = upstreams.iter().find(|upstream| upstream.id() == name);
+    preferred
+        .expect("it is one of them")
+        .set_answer_mode(AnswerMode::Flood(flood));
+    for number in 0..12 {
+        let address = fleet.gateways[0].caller_address;
+        send_patiently(address, make(&format!("next-{number}")), SHORT_TIMEOUT);
+    }
+    (0..12)
+        .filter(|number| upstream_of(&format!("next-{number}")).as_ref() == Some(&name))
+        .count()
+}
+
+#[test]
+fn requests_prefer_other_upstreams_after_bytes_without_end() {
+    for flood in Flood::ALL.into_iter().filter(|flood| *flood != Flood::Excess) {
+        let fleet = Fleet::start(1);
+        let plain = ["p1", "p2"].map(|id| fleet.start_plain(id, 2 * SHORT));
+        let engines = ["e1", "e2"].map(|id| fleet.start_engine(id, 2, SHORT));
+        fleet.configure();
+        let orders = count_at_flooding(&fleet, &plain, flood, |id| {
+            request(&format!("o-{id}"), "POST", "/order/1")
+        });
+        let generations = count_at_flooding(&fleet, &engines, flood, |id| {
+            generation_request(&format!("d-{id}"))
+        });
+        eprintln!(
+            "{flood:?}: {orders} of 12 orders and {generations} of 12 generations went to the upstream"
+        );
+        assert!(
+            orders <= MAX_STRAY,
+            "{flood:?}: {orders} of 12 orders went to the upstream"
+        );
+        assert!(
+            generations <= MAX_STRAY,
+            "{flood:?}: {generations} of 12 generations went to the upstream"
+        );
+    }
+}
+
 #[test]
 fn a_client_that_reads_nothing_of_a_body_without_end_takes_little_memory() {
     for flood in [Flood::Body, Flood::Event] {
@@ -406,3 +483,315 @@
 fn a_stream_without_end_ends_at_its_deadline_also_if_its_client_is_slow() {
     flood_slow_clients(Flood::Body, |number| generation_request(&format!("d{number}")));
 }
+
+/// Answers that are kept for another attempt count like bodies of requests.
+#[test]
+fn answers_that_come_slowly_leave_memory_for_requests() {
+    let (fleet, plain, _engine) = start();
+    plain.set_answer_bytes(BODY_MEMORY);
+    plain.set_answer_pause(TIMEOUT);
+    let slow: Vec<_> = (0..PARALLEL)
+        .map(|number| {
+            let order = request(&format!("o{number}"), "POST", "/order/1").with_timeout(LONG);
+            client::open(fleet.gateways[0].caller_address, &order).expect("it connects")
+        })
+        .collect();
+    wait_until("the orders run", || fleet.ledger.started().len() >= PARALLEL + 2);
+    thread::sleep(TIMEOUT / 6);
+    for number in 0..5 {
+        let other = fleet.send(0, &generation_request(&format!("d{number}")));
+        assert_eq!(
+            (other.status, other.complete),
+            (200, true),
+            "others are served meanwhile"
+        );
+    }
+    for mut stream in slow {
+        let outcome = client::read(&mut stream, Instant::now() + LONG);
+        assert_eq!(
+            (outcome.status, outcome.complete, outcome.body.len()),
+            (200, true, BODY_MEMORY)
+        );
+    }
+}
+
+/// Opens connections that send `start` and then `unit` without end to an address of the gateway, while other
+/// requests are served; checks that each is closed within `limit`.
+fn flood_listener(
+    fleet: &Fleet,
+    address: SocketAddr,
+    flood: Flood,
+    start: &str,
+    unit: &str,
+    limit: Duration,
+) {
+    let what = format!(
+        "{:?} and then {unit:?} to {address}, {flood:?}",
+        start.lines().next_back()
+    );
+    let before = memory(&fleet.gateways[0], "VmHWM");
+    let floods = Floods::new();
+    let clients: Vec<_> = (0..PARALLEL)
+        .map(|_| {
+            let (floods, start, unit) = (floods.clone(), start.to_owned(), unit.to_owned());
+            let stream = TcpStream::connect(address).expect("it connects");
+            thread::spawn(move || floods.send_raw(&stream, flood, "", start.as_bytes(), unit.as_bytes()))
+        })
+        .collect();
+    for number in 0..10 {
+        let other = fleet.send(0, &request(&format!("r{number}"), "GET", "/read/1"));
+        assert_eq!(
+            (other.status, other.complete),
+            (200, true),
+            "{what}: others are served meanwhile"
+        );
+    }
+    let started = Instant::now();
+    while !floods.are_closed() && started.elapsed() < LONG {
+        thread::sleep(SHORT);
+    }
+    let open = floods
+        .records()
+        .into_iter()
+        .map(|record| Some(record.closed? - record.started));
+    let open: Vec<Option<Duration>> = open.collect();
+    eprintln!("{what}: closed after {open:?}");
+    assert!(
+        open.iter().all(|open| open.is_some_and(|open| open <= limit)),
+        "{what}: closed after {open:?}, limit {limit:?}"
+    );
+    for client in clients {
+        client.join().expect("a client ends");
+    }
+    expect_small_growth(&fleet.gateways[0], before, &what);
+}
+
+/// Time limit of a request's head in the configuration.
+const HEAD_TIME: Duration = Duration::from_secs(3);
+
+/// Time limit of an idle connection in the configuration.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
+#[test]
+fn a_clients_head_without_end_is_cut_off() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    for address in [
+        gateway.caller_address,
+        gateway.ready_address,
+        gateway.admin_address,
+    ] {
+        let head = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n";
+        for (start, unit) in [
+            ("GET /", "a"),
+            (head, "X-Filler: f\r\n"),
+            (head, "f"),
+            ("", "\r\n"),
+            ("", "\x7f"),
+        ] {
+            flood_listener(&fleet, address, Flood::Header, start, unit, CUT_TIME);
+        }
+    }
+}
+
+#[test]
+fn a_clients_head_that_drips_is_cut_off_in_time() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    for (address, limit) in [
+        (gateway.caller_address, HEAD_TIME),
+        (gateway.admin_address, HEAD_TIME),
+        (gateway.ready_address, IDLE_TIME),
+    ] {
+        let head = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n";
+        flood_listener(
+            &fleet,
+            address,
+            Flood::HeadDrip,
+            head,
+            "X-Filler: f\r\n",
+            limit + SLACK,
+        );
+    }
+    let mut stream = TcpStream::connect(gateway.caller_address).expect("it connects");
+    stream.write_all(b"GET /read/1 HTTP/1.1\r\n").expect("it is open");
+    let outcome = client::read(&mut stream, Instant::now() + LONG);
+    assert_eq!((outcome.status, outcome.closes), (408, true));
+}
+
+#[test]
+fn a_clients_body_without_end_is_cut_off() {
+    let (fleet, _plain, _engine) = start();
+    let address = fleet.gateways[0].caller_address;
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: {CLIENT_KEY}\r\nRequest-Id: o1\r\n\
+         Deadline-Ms: {}\r\n",
+        TIMEOUT.as_millis()
+    );
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    for (start, unit) in [
+        (format!("{head}Content-Length: 60000\r\n\r\n"), "b"),
+        (format!("{chunked}ffffffffffff\r\n"), "b"),
+        (format!("{chunked}1;"), "e"),
+        (format!("{chunked}0\r\n"), "X-Filler: f\r\n"),
+    ] {
+        flood_listener(&fleet, address, Flood::Body, &start, unit, CUT_TIME);
+    }
+    assert!(
+        fleet.ledger.run_count("o1") <= PARALLEL,
+        "only the body with a length is whole"
+    );
+    for (start, unit) in [
+        (chunked.clone(), "1\r\nb\r\n"),
+        (chunked.clone(), "0"),
+        (format!("{chunked}1"), " "),
+    ] {
+        flood_listener(&fleet, address, Flood::Body, &start, unit, TIMEOUT + SLACK);
+    }
+    flood_listener(
+        &fleet,
+        address,
+        Flood::BodyDrip,
+        &chunked,
+        "1\r\nb\r\n",
+        TIMEOUT + SLACK,
+    );
+    flood_listener(&fleet, address, Flood::BodyDrip, &chunked, "0", TIMEOUT + SLACK);
+}
+
+/// Floods that the store may answer with.
+const STORE_FLOODS: [Flood; 8] = [
+    Flood::Header,
+    Flood::Interim,
+    Flood::ChunkSize,
+    Flood::Trailers,
+    Flood::Body,
+    Flood::Noise,
+    Flood::HeadDrip,
+    Flood::BodyDrip,
+];
+
+#[test]
+fn a_store_without_end_is_an_outage_that_passes() {
+    let (fleet, _plain, _engine) = start();
+    let gateway = &fleet.gateways[0];
+    let before = memory(gateway, "VmHWM");
+    for (number, flood) in STORE_FLOODS.into_iter().enumerate() {
+        gateway.store_endpoint.set_outage(Some(Outage::Flood(flood)));
+        let end = Instant::now() + TIMEOUT;
+        let mut sent = 0;
+        while Instant::now() < end {
+            sent += 1;
+            let outcome = fleet.send(0, &request(&format!("r{number}-{sent}"), "GET", "/read/1"));
+            assert_eq!(
+                (outcome.status, outcome.complete),
+                (200, true),
+                "{flood:?}: others are served"
+            );
+            thread::sleep(SHORT);
+        }
+        assert!(
+            !gateway.store_endpoint.floods().records().is_empty(),
+            "{flood:?}: calls were made"
+        );
+        gateway.store_endpoint.set_outage(None);
+        let ended = Instant::now();
+        wait_until("calls that began in the outage are closed", || {
+            gateway.store_endpoint.floods().are_closed()
+        });
+        // Time limit of a call to the store.
+        let limit = Duration::from_millis(1_500) + SLACK;
+        assert!(
+            ended.elapsed() <= limit,
+            "{flood:?}: closed after {:?}, limit {limit:?}",
+            ended.elapsed()
+        );
+        let id = format!("p-{number}");
+        let _next = fleet.start_plain(&id, SHORT);
+        wait_until("an upstream that registers after the outage is used", || {
+            send_all(&fleet, 4, |_| request("after", "POST", "/order/1"));
+            fleet
+                .ledger
+                .started()
+                .iter()
+                .any(|started| started.upstream == id)
+        });
+    }
+    let records = gateway.store_endpoint.floods().records();
+    let bytes: u64 = records.iter().map(|record| record.bytes).sum();
+    eprintln!("{} calls to the store, {bytes} bytes", records.len());
+    expect_small_growth(gateway, before, "store");
+}
+
+#[test]
+fn reports_and_copies_without_end_leave_a_generation_as_it_is() {
+    for flood in STORE_FLOODS {
+        let (fleet, _plain, engine) = start();
+        let gateway = &fleet.gateways[0];
+        let before = memory(gateway, "VmHWM");
+        let target = fleet.start_engine("e2", 20, SHORT);
+        let client = {
+            let address = gateway.caller_address;
+            let generation = generation_request("d1").with_events(400);
+            thread::spawn(move || client::send(address, &generation))
+        };
+        wait_until("the generation runs", || fleet.ledger.running_engines("d1") == 1);
+        for upstream in [&engine, &target] {
+            upstream.set_control_flood(Some(flood));
+        }
+        // The gateway asks for reports in an outage, and for copies when an upstream leaves.
+        gateway.store_endpoint.set_outage(Some(Outage::Silent));
+        wait_until("a report is asked for", || {
+            !fleet.ledger.floods().records().is_empty()
+        });
+        gateway.store_endpoint.set_outage(None);
+        engine.leave(LONG);
+        let outcome = client.join().expect("the client ends");
+        assert_eq!((outcome.status, outcome.complete), (200, true), "{flood:?}");
+        assert_eq!(outcome.events(), (1..=400).collect::<Vec<_>>(), "{flood:?}");
+        wait_until("the calls are closed", || fleet.ledger.floods().are_closed());
+        let records = fleet.ledger.floods().records();
+        // Time limit of a copy.
+        let longest = records
+            .iter()
+            .filter_map(|record| Some(record.closed? - record.started))
+            .max();
+        eprintln!("{flood:?}: {} calls, the longest took {longest:?}", records.len());
+        expect_small_growth(gateway, before, &format!("reports and copies, {flood:?}"));
+    }
+}
+
+#[test]
+fn a_target_that_continues_without_end_never_completes_a_stream_it_did_not_send() {
+    for flood in STORE_FLOODS {
+        let (fleet, _plain, engine) = start();
+        let gateway = &fleet.gateways[0];
+        let before = memory(gateway, "VmHWM");
+        let client = {
+            let address = gateway.caller_address;
+            let generation = generation_request("d1").with_events(400);
+            thread::spawn(move || client::send(address, &generation))
+        };
+        wait_until("the generation runs", || fleet.ledger.running_engines("d1") == 1);
+        let target = fleet.start_engine("e2", 20, SHORT);
+        target.set_answer_mode(AnswerMode::Flood(flood));
+        thread::sleep(Duration::from_millis(300));
+        engine.leave(LONG);
+        let outcome = client.join().expect("the client ends");
+        let events = outcome.events();
+        eprintln!(
+            "{flood:?}: {} events, complete {}",
+            events.len(),
+            outcome.complete
+        );
+        assert_eq!(events, (1..=events.len() as u64).collect::<Vec<_>>(), "{flood:?}");
+        assert!(
+            !outcome.complete || events.len() == 400,
+            "{flood:?}: looks whole after {} events",
+            events.len()
+        );
+        let ended = Instant::now();
+        expect_closed(&fleet, ended, &format!("{flood:?}"));
+        expect_small_growth(gateway, before, &format!("target, {flood:?}"));
+    }
+}
