fix: sends that were given up arrive in one window, beyond the retry budget

Cause: a repeat was counted when it was sent. The send before it, which was given up without a sign of life, is read when its upstream goes on, and makes the repeat then; by that time the count may be forgotten.

Such a repeat is now held: it counts in every span until its upstream answers anything or is evicted, and from that moment like any other. A repeat that is itself given up is held too. Half of the share at most is held, so that a silent upstream does not use up what others need.

--- a/crates/carob-dispatch/src/budget.rs
+++ b/crates/carob-dispatch/src/budget.rs
@@ -8,6 +8,8 @@
 //! * Spans start and end at any time, so sums over instances never mix requests of different windows.
 //! * A process that starts takes its share as spent, since the process before it may have done so. Until that
 //!   is a window ago it may repeat only what its own requests have earned.
+//! * A send that was given up without a sign of life may arrive long after. The repeat that it makes is held,
+//!   which counts in every span, until its upstream is heard of ([`RetryBudget::hold`]).
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -21,6 +23,9 @@
 /// Parts that a repeat is counted in, so that sums of what requests earn are exact.
 const PARTS: f64 = 1e6;
 
+/// Largest part of a share that is held for sends that may still arrive; the rest is for other repeats.
+const HELD_SHARE: f64 = 0.5;
+
 /// A repeat, in parts.
 const REPEAT: i64 = PARTS as i64;
 
@@ -154,6 +159,8 @@
     balance: i64,
     /// Repeats that are permitted and not sent yet.
     reserved: u32,
+    /// Repeats that may be made at any time by sends that were given up.
+    held: u32,
     /// Times of repeats within the horizon, and the balance before each. Both ascend: a repeat after which the
     /// balance was lower permits less than all before it.
     marks: VecDeque<(Time, i64)>,
@@ -169,6 +176,7 @@
             requests: 0,
             balance: 0,
             reserved: 0,
+            held: 0,
             marks: VecDeque::new(),
             start: (start, 0),
         }
@@ -205,6 +213,28 @@
     /// Counts a reserved repeat, which is sent at `now`.
     pub fn commit(&mut self, now: Time) {
         self.reserved = self.reserved.saturating_sub(1);
+        self.count(now);
+    }
+
+    /// Whether a repeat may be held in addition to those that are.
+    pub fn permits_hold(&self) -> bool {
+        f64::from(self.held) + 1.0 <= (self.options.extra * HELD_SHARE).max(1.0)
+    }
+
+    /// Holds a repeat, since an earlier send of its request may still arrive, until [`Self::settle`].
+    pub const fn hold(&mut self) {
+        self.held += 1;
+    }
+
+    /// Counts `held` repeats at `now`: the sends that they were held for have arrived by now, or never will.
+    pub fn settle(&mut self, held: u32, now: Time) {
+        for _ in 0..held.min(self.held) {
+            self.count(now);
+        }
+        self.held = self.held.saturating_sub(held);
+    }
+
+    fn count(&mut self, now: Time) {
         while self.marks.back().is_some_and(|mark| mark.1 >= self.balance) {
             self.marks.pop_back();
         }
@@ -247,7 +277,7 @@
         if now.since(start) <= horizon {
             left = left.min(before - self.balance);
         }
-        left - i64::from(self.reserved) * REPEAT
+        left - i64::from(self.reserved + self.held) * REPEAT
     }
 }
 
--- a/crates/carob-dispatch/tests/budget.rs
+++ b/crates/carob-dispatch/tests/budget.rs
@@ -193,3 +193,28 @@
     assert_eq!(spend(&mut budget, at(41.0)), 0);
     assert_eq!(spend(&mut budget, at(66.0)), 5);
 }
+
+/// Sends that were given up arrived in one window, long after the repeats that they make had been counted.
+#[test]
+fn a_repeat_is_forgotten_before_the_send_that_it_makes_arrives() {
+    let mut budget = RetryBudget::new(options(10.0), at(0.0));
+    for _ in 0..2 {
+        assert!(budget.permits_hold() && budget.reserve(at(20.0)));
+        budget.release();
+        budget.hold();
+    }
+    assert!(!budget.permits_hold(), "half of the share is for other repeats");
+    assert_eq!(
+        spend(&mut budget, at(60.0)),
+        3,
+        "what is held counts in every span"
+    );
+    budget.settle(2, at(75.0));
+    assert_eq!(
+        spend(&mut budget, at(84.0)),
+        3,
+        "what is settled counts from then on"
+    );
+    assert_eq!(spend(&mut budget, at(88.0)), 2);
+    assert!(budget.permits_hold());
+}
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -12,7 +12,12 @@
 use hyper::{Response, http::request::Parts};
 use tokio::time::Instant;
 
-use super::{body::HeldBytes, guard::Reservation, repeats::Repeat, shared::Shared};
+use super::{
+    body::HeldBytes,
+    guard::Reservation,
+    repeats::{self, Repeat},
+    shared::Shared,
+};
 use crate::{
     overhead::ReceivedBody,
     socket::{self, Connection, ConnectionTask},
@@ -178,8 +183,10 @@
         if let Some(repeat) = repeat {
             repeat.commit(self);
         }
-        connection
+        let answered = connection
             .send(request.map(|()| self.body.clone()), deadline)
-            .await
+            .await?;
+        repeats::record_answer(self, reservation.upstream);
+        Ok(answered)
     }
 }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -25,7 +25,7 @@
     guard::{ActiveRequest, QueueEntry, Reservation},
     listen::RequestCount,
     plain, probe,
-    repeats::{self, BUDGET_SPENT, Repeat},
+    repeats::{self, BUDGET_SPENT, Cause, Repeat},
     resume::OpenStream,
     shared::Shared,
     shutdown, stream,
@@ -206,11 +206,24 @@
     arrived: bool,
     /// How the last attempt ended; absent before the first.
     last: Option<AttemptResult>,
+    /// Upstream of the last attempt, if it was given up without a sign of life.
+    silent: Option<UpstreamKey>,
 }
 
 impl Attempts {
+    /// Records that the attempt at `upstream` was given up without a sign of life; returns what to do next.
+    fn record_silence(&mut self, call: &Call, upstream: UpstreamKey) -> NextAction {
+        if self.arrived {
+            repeats::record_silence(call, upstream);
+        }
+        let next = self.record(call, upstream, AttemptResult::Unknown);
+        self.silent = Some(upstream);
+        next
+    }
+
     /// Records that the attempt at `upstream` ended with `result`; returns what to do next.
     fn record(&mut self, call: &Call, upstream: UpstreamKey, result: AttemptResult) -> NextAction {
+        self.silent = None;
         match result {
             AttemptResult::Unsent | AttemptResult::Rejected => self.rejected += 1,
             AttemptResult::Failed | AttemptResult::Unknown => self.ran += 1,
@@ -228,22 +241,26 @@
     }
 
     /// Why the next send makes a repeat, if it does.
-    fn repeat_reason(&self) -> Option<Reason> {
-        self.last.filter(|_| self.arrived).map(Reason::from)
+    fn repeat_cause(&self) -> Option<Cause> {
+        let last = self.last.filter(|_| self.arrived)?;
+        Some(Cause {
+            reason: Reason::from(last),
+            silent: self.silent,
+        })
     }
 
     /// Whether the budget permits the next send; it does if that makes no repeat.
     fn is_permitted(&self, call: &Call) -> bool {
-        self.repeat_reason()
-            .is_none_or(|reason| repeats::is_permitted(call, reason))
+        self.repeat_cause()
+            .is_none_or(|cause| repeats::is_permitted(call, cause))
     }
 
     /// Reserves a repeat if the next send makes one.
     fn reserve_repeat(&self, call: &Call) -> Result<Option<Repeat>, Refusal> {
-        let Some(reason) = self.repeat_reason() else {
+        let Some(cause) = self.repeat_cause() else {
             return Ok(None);
         };
-        match Repeat::reserve(call, reason) {
+        match Repeat::reserve(call, cause) {
             Some(repeat) => Ok(Some(repeat)),
             // It was spent while this request waited.
             None if self.ran == 0 => Err((LocalAnswer::Refused(RETRY_FULL), BUDGET_SPENT)),
@@ -272,7 +289,7 @@
         log_sent(call, &reservation, attempts.ran + attempts.rejected);
         let last = attempts.ran + 1 >= call.route.max_attempts || call.route.kind != RouteKind::Safe;
         let outcome = attempt(call, &reservation, repeat, last).await;
-        let result = match outcome {
+        let next = match outcome {
             Outcome::Stream(response, driver) => {
                 let opened = OpenStream {
                     reservation,
@@ -294,10 +311,11 @@
                 }
                 continue;
             }
-            Outcome::NoAnswer(result) => result,
+            Outcome::NoAnswer(result) => attempts.record(call, upstream, result),
+            Outcome::Silent => attempts.record_silence(call, upstream),
         };
         drop(reservation);
-        match attempts.record(call, upstream, result) {
+        match next {
             NextAction::Retry if Instant::now() < call.answer_deadline() && attempts.is_permitted(call) => {}
             NextAction::Retry | NextAction::Refuse if attempts.ran == 0 => {
                 return Err((
@@ -392,6 +410,8 @@
     Complete(Response<ResponseBody>),
     /// No usable response.
     NoAnswer(AttemptResult),
+    /// No sign of life until the time limit; the request may still arrive.
+    Silent,
 }
 
 /// Whether a status means that the upstream failed.
@@ -399,6 +419,15 @@
     status.is_server_error()
 }
 
+/// What a status says about the upstream's health.
+fn health_of(status: StatusCode) -> UpstreamHealth {
+    if is_failure(status) {
+        UpstreamHealth::Failing
+    } else {
+        UpstreamHealth::Healthy
+    }
+}
+
 /// Whether a status promises the client that the request has not run. Upstreams state that in a header of
 /// their own ([`AnswerKind::NotRun`]), so a response with such a status but without the header is not passed on.
 fn implies_not_run(status: StatusCode) -> bool {
@@ -429,13 +458,17 @@
     };
     let (response, driver) = match call.send(reservation, repeat, None, deadline).await {
         Ok(answered) => answered,
-        Err(error @ socket::Error::Connect(_)) => {
-            record(UpstreamHealth::Unreachable);
-            return no_answer(AttemptResult::Unsent, &error);
-        }
         Err(error) => {
-            record(UpstreamHealth::Failing);
-            return no_answer(AttemptResult::Unknown, &error);
+            let (health, result) = match error {
+                socket::Error::Connect(_) => (UpstreamHealth::Unreachable, AttemptResult::Unsent),
+                socket::Error::Broken(_) | socket::Error::Timeout => {
+                    (UpstreamHealth::Failing, AttemptResult::Unknown)
+                }
+            };
+            record(health);
+            let outcome = no_answer(result, &error);
+            let is_silent = matches!(error, socket::Error::Timeout);
+            return if is_silent { Outcome::Silent } else { outcome };
         }
     };
     let status = response.status();
@@ -457,11 +490,7 @@
         AnswerKind::Ran if implies_not_run(status) => return no_answer(AttemptResult::Failed, &status),
         AnswerKind::Ran => {}
     }
-    let health = if is_failure(status) {
-        UpstreamHealth::Failing
-    } else {
-        UpstreamHealth::Healthy
-    };
+    let health = health_of(status);
     if call.route.kind == RouteKind::Stream && status.is_success() {
         record(health);
         return Outcome::Stream(response, driver);
--- a/crates/carob-gateway/src/traffic/repeats.rs
+++ b/crates/carob-gateway/src/traffic/repeats.rs
@@ -8,8 +8,12 @@
 };
 
 use carob_base::Time;
-use carob_dispatch::budget::{Divisor, Options, Reason, RetryBudget};
+use carob_dispatch::{
+    budget::{Divisor, Options, Reason, RetryBudget},
+    fleet::{Fleet, UpstreamKey},
+};
 use metrics::{Counter, Gauge};
+use slotmap::SecondaryMap;
 
 use super::{call::Call, shared::Shared};
 use crate::Settings;
@@ -20,6 +24,8 @@
 /// The budget of one service.
 struct Account {
     budget: RetryBudget,
+    /// Repeats that are held, by the upstream at which a send was given up.
+    held: SecondaryMap<UpstreamKey, u32>,
     requests: Counter,
     left: Gauge,
 }
@@ -36,6 +42,7 @@
     shared: Rc<Shared>,
     service: Box<str>,
     reason: Reason,
+    silent: Option<UpstreamKey>,
     sent: bool,
 }
 
@@ -45,11 +52,31 @@
             // All budgets start with the process, whose clock starts at zero: what the process before may
             // have spent lies before that.
             budget: RetryBudget::new(options, Time::ZERO),
+            held: SecondaryMap::new(),
             requests: metrics::counter!("carobhaven_service_requests_total", "service" => service.to_owned()),
             left: metrics::gauge!("carobhaven_budget_left_repeats", "service" => service.to_owned()),
         }
     }
 
+    fn hold(&mut self, upstream: UpstreamKey) {
+        if let Some(entry) = self.held.entry(upstream) {
+            *entry.or_default() += 1;
+            self.budget.hold();
+        }
+    }
+
+    /// Settles what is held for upstreams that have been evicted.
+    fn settle_evicted(&mut self, fleet: &Fleet, now: Time) {
+        let budget = &mut self.budget;
+        self.held.retain(|upstream, held| {
+            let is_known = fleet.upstream(upstream).is_some();
+            if !is_known {
+                budget.settle(*held, now);
+            }
+            is_known
+        });
+    }
+
     fn update_gauge(&mut self, now: Time) {
         self.left.set(self.budget.left(now));
     }
@@ -108,14 +135,44 @@
     }
 }
 
+/// Why a request is sent again.
+#[derive(Clone, Copy)]
+pub(super) struct Cause {
+    pub(super) reason: Reason,
+    /// Upstream at which the last send was given up without a sign of life, so that it may still arrive.
+    pub(super) silent: Option<UpstreamKey>,
+}
+
+/// Records that `upstream` has answered: what it was sent before has arrived.
+pub(super) fn record_answer(call: &Call, upstream: UpstreamKey) {
+    let mut accounts = call.shared.repeats.accounts.borrow_mut();
+    let Some(account) = accounts.get_mut(&call.service) else {
+        return;
+    };
+    if let Some(held) = account.held.remove(upstream) {
+        account.budget.settle(held, call.shared.now());
+    }
+}
+
+/// Records that a repeat was given up at `upstream` without a sign of life.
+pub(super) fn record_silence(call: &Call, upstream: UpstreamKey) {
+    let mut accounts = call.shared.repeats.accounts.borrow_mut();
+    if let Some(account) = accounts.get_mut(&call.service) {
+        account.hold(upstream);
+    }
+}
+
 /// Whether the budget of the request's service permits to send it again; logs a denial.
-pub(super) fn is_permitted(call: &Call, reason: Reason) -> bool {
+pub(super) fn is_permitted(call: &Call, cause: Cause) -> bool {
+    let Cause { reason, silent } = cause;
     let repeats = &call.shared.repeats;
     let mut accounts = repeats.accounts.borrow_mut();
     let Some(account) = accounts.get_mut(&call.service) else {
         return false;
     };
-    if !reason.is_limited() || account.budget.permits(call.shared.now()) {
+    account.settle_evicted(&call.shared.fleet(), call.shared.now());
+    let may_hold = silent.is_none() || account.budget.permits_hold();
+    if !reason.is_limited() || (may_hold && account.budget.permits(call.shared.now())) {
         return true;
     }
     metrics::counter!(
@@ -129,10 +186,11 @@
 impl Repeat {
     /// Reserves a repeat of the request in the budget of its service, for a send that follows at once. Returns
     /// `None` and logs it if the budget does not permit one.
-    pub(super) fn reserve(call: &Call, reason: Reason) -> Option<Self> {
-        if !is_permitted(call, reason) {
+    pub(super) fn reserve(call: &Call, cause: Cause) -> Option<Self> {
+        if !is_permitted(call, cause) {
             return None;
         }
+        let Cause { reason, silent } = cause;
         let shared = &call.shared;
         if reason.is_limited() {
             let mut accounts = shared.repeats.accounts.borrow_mut();
@@ -145,6 +203,7 @@
             shared: Rc::clone(shared),
             service: call.service.clone(),
             reason,
+            silent,
             sent: false,
         })
     }
@@ -160,7 +219,13 @@
             return;
         };
         if self.reason.is_limited() {
-            account.budget.commit(now);
+            match self.silent {
+                None => account.budget.commit(now),
+                Some(upstream) => {
+                    account.budget.release();
+                    account.hold(upstream);
+                }
+            }
             account.update_gauge(now);
         }
         metrics::counter!(
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -16,7 +16,7 @@
     call::Call,
     exchange::upstream_name,
     guard::Reservation,
-    repeats::{BUDGET_SPENT, Repeat},
+    repeats::{BUDGET_SPENT, Cause, Repeat},
 };
 use crate::{
     overhead::ReceivedBody,
@@ -77,7 +77,8 @@
     let started = Instant::now();
     let deadline = call.deadline.min(started + RESUME_TIMEOUT);
     let target = upstream_name(call, reservation.upstream);
-    let Some(repeat) = Repeat::reserve(call, reason) else {
+    let cause = Cause { reason, silent: None };
+    let Some(repeat) = Repeat::reserve(call, cause) else {
         let reason = BUDGET_SPENT.to_owned();
         return Err(Failure { reservation, reason });
     };
