--- a/crates/carob-dispatch/tests/budget.rs
+++ b/crates/carob-dispatch/tests/budget.rs
@@ -91,7 +91,7 @@
     assert!(try_repeat(&mut budget, at(33.0)));
 }
 
-/// Incident inc2: a process that started had its whole share, which the process before had just spent.
+/// A process that started had its whole share, which the process before had just spent.
 #[test]
 fn a_process_that_starts_has_the_share_of_the_one_before_again() {
     let mut budget = RetryBudget::new(options(10.0), at(0.0));
@@ -108,7 +108,7 @@
     assert_eq!(spend(&mut budget, at(14.0)), 5, "its share, a window later");
 }
 
-/// Incident inc2: an instance counted requests that were older than the window in which others had the same
+/// An instance counted requests that were older than the window in which others had the same
 /// load already.
 #[test]
 fn a_share_grows_by_requests_of_another_window() {
--- a/crates/carob-dispatch/tests/budget_model/fleet.rs
+++ b/crates/carob-dispatch/tests/budget_model/fleet.rs
@@ -254,7 +254,8 @@
     /// speed of its own between each two of them.
     fn known_to(&self, index: usize) -> usize {
         let sees = |(other, instance): &(usize, &Instance)| {
-            let delay = Random::new((index * 1_000 + other) as u64 ^ instance.joined).below(NEWS_MS);
+            let pair = ((index * 1_000 + other) as u64).to_le_bytes();
+            let delay = xxhash_rust::xxh3::xxh3_64_with_seed(&pair, instance.joined) % NEWS_MS;
             let lapsed = instance.deaf_until > self.now && instance.deaf_from + LAPSE_MS < self.now;
             *other == index || (instance.joined + delay <= self.now && !lapsed)
         };
--- a/crates/carob-dispatch/tests/budget_model/main.rs
+++ b/crates/carob-dispatch/tests/budget_model/main.rs
@@ -24,7 +24,7 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-/// Incident inc2: services saw more repeats from all instances and their processes than their budgets allow.
+/// Services saw more repeats from all instances and their processes than their budgets allow.
 #[test]
 fn upstreams_get_more_repeats_than_the_budget_of_the_fleet() {
     let first = number("CAROB_MODEL_SEED", SEED);
