--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -9,11 +9,14 @@
     table::{Engine, Route},
 };
 use carob_platform::request::{self, AddedHeaders, Resume};
-use hyper::{Response, body::Incoming, http::request::Parts};
+use hyper::{Response, http::request::Parts};
 use tokio::time::Instant;
 
-use super::{body::HeldBytes, guard::Reservation, shared::Shared};
-use crate::socket::{self, Connection, ConnectionTask};
+use super::{body::HeldBytes, guard::Reservation, repeats::Repeat, shared::Shared};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{self, Connection, ConnectionTask},
+};
 
 /// Time limit for a connection to an upstream. The longest round trip takes 30 ms. A lost SYN packet is
 /// retransmitted only after a second, and well before that another upstream is the better choice.
@@ -144,14 +147,16 @@
         })
     }
 
-    /// Sends the request to the upstream of `reservation` and reads the head of its response. With `resume`,
-    /// the upstream continues a generation from the copy of its memory.
+    /// Sends the request to the upstream of `reservation` and reads the head of its response. `repeat` is
+    /// present if another upstream may have got it before. With `resume`, the upstream continues a generation
+    /// from the copy of its memory.
     pub(super) async fn send(
         &self,
         reservation: &Reservation,
+        repeat: Option<Repeat>,
         resume: Option<&Resume>,
         deadline: Instant,
-    ) -> Result<(Response<Incoming>, ConnectionTask), socket::Error> {
+    ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
         let (address, name) = match self.shared.fleet().upstream(reservation.upstream) {
             Some(found) => (found.entry.address, found.entry.id.clone()),
             None => return Err(socket::Error::Connect("the upstream is forgotten".to_owned())),
@@ -170,6 +175,9 @@
         let request = request::encode(&parts.method, &parts.uri, &parts.headers, &added)
             .map_err(|error| socket::Error::Connect(error.to_string()))?;
         metrics::counter!("carobhaven_sends_total").increment(1);
+        if let Some(repeat) = repeat {
+            repeat.commit(self);
+        }
         connection
             .send(request.map(|()| self.body.clone()), deadline)
             .await
--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -1,14 +1,16 @@
 //! Responses of plain (non-streaming) services.
 //!
 //! A short response is read completely before its head is passed on, so that the request can still be retried
-//! or answered with an error status if the response breaks off. A long one is passed on as it arrives.
+//! or answered with an error status if the response breaks off. A long one is passed on as it arrives, and so is
+//! one of medium length while bodies hold much of their memory.
 
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use carob_dispatch::fleet::{UpstreamHealth, UpstreamKey};
 use carob_platform::answer;
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use tokio::{
     sync::mpsc,
     time::{Instant, timeout_at},
@@ -17,38 +19,41 @@
 use super::{
     answer::{ResponseBody, Truncated},
     body::HeldBytes,
-    shared::Shared,
+    call::Call,
+    exchange::upstream_name,
+};
+use crate::{
+    overhead::ReceivedBody,
+    socket::{ConnectionTask, Error, describe},
 };
-use crate::socket::{ConnectionTask, Error};
 
 /// A response body longer than this many bytes is passed on as it arrives.
 const MAX_BUFFERED: usize = 256 << 10;
 
+/// A response body of at most this many bytes is read completely also if bodies hold much memory.
+const MIN_COUNTED: usize = 16 << 10;
+
 /// Chunks of a long response that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 8;
 
 /// Reads a response until `deadline`: completely if it is short, else its first part.
 pub(super) async fn collect(
-    shared: &Rc<Shared>,
-    response: Response<Incoming>,
+    call: &Rc<Call>,
+    upstream: UpstreamKey,
+    response: Response<ReceivedBody>,
     driver: ConnectionTask,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, Error> {
     let (mut parts, mut body) = response.into_parts();
     answer::strip_hop_headers(&mut parts.headers);
     let mut bytes = BytesMut::new();
-    let mut held = HeldBytes::new(shared);
+    let mut held = HeldBytes::new(&call.shared);
     loop {
-        match timeout_at(deadline, body.frame())
-            .await
-            .map_err(|_elapsed| Error::Timeout)?
-        {
-            Some(Ok(frame)) => {
-                let data = frame.into_data().unwrap_or_default();
+        match next_data(&mut body, deadline).await? {
+            Some(data) => {
                 held.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            Some(Err(error)) => return Err(Error::Broken(error.to_string())),
             None => {
                 return Ok(Response::from_parts(
                     parts,
@@ -56,36 +61,71 @@
                 ));
             }
         }
-        if bytes.len() > MAX_BUFFERED {
-            let chunks = forward(bytes.freeze(), body, driver, deadline);
+        let is_short_of_room = bytes.len() > MIN_COUNTED && !call.shared.has_answer_room();
+        if bytes.len() > MAX_BUFFERED || is_short_of_room {
+            let chunks = forward(Rc::clone(call), upstream, bytes.freeze(), body, driver, deadline);
             return Ok(Response::from_parts(parts, ResponseBody::Chunks(chunks)));
         }
     }
 }
 
+/// Reads the next piece of a body; `None` is its end.
+async fn next_data(body: &mut ReceivedBody, deadline: Instant) -> Result<Option<Bytes>, Error> {
+    // A piece that is there already is returned before a timeout, so a body that comes faster than its
+    // client reads would never time out.
+    if Instant::now() >= deadline {
+        return Err(Error::Timeout);
+    }
+    match timeout_at(deadline, body.frame()).await {
+        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Ok(Some(Err(error))) => Err(Error::Broken(describe(&error))),
+        Ok(None) => Ok(None),
+        Err(_elapsed) => Err(Error::Timeout),
+    }
+}
+
 /// Passes on a response body that starts with `first`.
 fn forward(
+    call: Rc<Call>,
+    upstream: UpstreamKey,
     first: Bytes,
-    mut body: Incoming,
+    mut body: ReceivedBody,
     driver: ConnectionTask,
     deadline: Instant,
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
     let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
     tokio::task::spawn_local(async move {
-        let _connection = driver;
-        let mut next = Some(Ok(first));
-        while let Some(chunk) = next {
-            // Sending fails if the client has disconnected.
-            let truncated = chunk.is_err();
-            if sender.send(chunk).await.is_err() || truncated {
-                return;
+        let mut chunk = first;
+        let mut passed_on = 0;
+        let reason = loop {
+            passed_on += chunk.len();
+            match timeout_at(deadline, sender.send(Ok(chunk))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => break "the client has disconnected".to_owned(),
+                Err(_elapsed) => break "the client did not take the answer in time".to_owned(),
             }
-            next = match timeout_at(deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => Some(Ok(frame.into_data().unwrap_or_default())),
-                Ok(Some(Err(_))) | Err(_) => Some(Err(Truncated)),
-                Ok(None) => None,
+            chunk = match next_data(&mut body, deadline).await {
+                Ok(Some(data)) => data,
+                Ok(None) => return,
+                Err(error) => {
+                    call.shared.fleet_mut().record_attempt(
+                        upstream,
+                        UpstreamHealth::Failing,
+                        call.shared.now(),
+                    );
+                    break error.to_string();
+                }
             };
-        }
+        };
+        // The client may take long to read what it was sent before.
+        drop((driver, body));
+        metrics::counter!("carobhaven_answers_cut_total").increment(1);
+        log::warn!(
+            request:% = call.id(), upstream:% = upstream_name(&call, upstream), reason, bytes = passed_on,
+            age_ms = call.age_ms(); "long answer cut off"
+        );
+        // Fails only if the client has disconnected.
+        let _sent = sender.send(Err(Truncated)).await;
     });
     receiver
 }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -2,17 +2,15 @@
 
 use std::{
     cell::{Cell, Ref, RefCell, RefMut},
-    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use carob_base::{Clock, Time};
 use carob_dispatch::{
-    budget::{self, RetryBudget},
     fleet::{Fleet, RunKey, Topology, UpstreamKey, WaitKey},
     table::RoutingTable,
 };
@@ -21,17 +19,15 @@
 use slotmap::{SecondaryMap, SlotMap};
 use tokio::sync::{Notify, oneshot};
 
-use super::guard::{Active, ActiveKey};
+use super::{
+    guard::{Active, ActiveKey},
+    repeats::Repeats,
+};
 use crate::{
     Settings,
     update::{Report, StoreUpdate, Update},
 };
 
-/// The fixed part of a retry budget is divided among at least this many instances.
-///
-/// An instance that does not know all others yet must not spend their shares.
-const MIN_INSTANCES: usize = 10;
-
 /// Instances send their load at least once a second; one counts as unresponsive after two missed messages.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_200);
 
@@ -39,6 +35,9 @@
 /// consecutive readiness checks, one a second, and the time of connections already on their way.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
 
+/// Share of the memory for bodies beyond which answers are passed on as they arrive.
+const ANSWER_SHARE: f64 = 0.5;
+
 /// Minimum number of other instances for which a majority of unresponsive ones is meaningful.
 const MIN_PEERS: usize = 3;
 
@@ -53,7 +52,7 @@
     table: RefCell<Option<Arc<RoutingTable>>>,
     fleet: RefCell<Fleet>,
     /// Retry budgets by service.
-    budgets: RefCell<HashMap<Box<str>, RetryBudget>>,
+    pub(super) repeats: Repeats,
     /// Whether the configuration can be taken as current.
     current: Cell<bool>,
     /// Whether this instance watches the store itself, and the store answers.
@@ -83,6 +82,10 @@
     connections: Cell<usize>,
     /// Whether connections may still be accepted.
     listening: Cell<bool>,
+    /// When the signal to shut down was read.
+    signal: Cell<Option<Instant>>,
+    /// Longest time by which a timer of this thread fired late.
+    longest_stall: Cell<Duration>,
     /// Absent until the process receives the signal to shut down.
     shutdown: Cell<Option<Shutdown>>,
     /// Notified when the process receives the signal to shut down.
@@ -107,7 +110,7 @@
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(topology, rand::random())),
-            budgets: RefCell::new(HashMap::new()),
+            repeats: Repeats::default(),
             current: Cell::new(false),
             watching: Cell::new(false),
             uninformed: Cell::new(false),
@@ -123,6 +126,8 @@
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
             listening: Cell::new(true),
+            signal: Cell::new(None),
+            longest_stall: Cell::new(Duration::ZERO),
             shutdown: Cell::new(None),
             shutdown_begun: Notify::new(),
             aborted: Notify::new(),
@@ -217,6 +222,21 @@
             && self.fleet.borrow().upstreams().next().is_some()
     }
 
+    /// When the signal to shut down was read, if the process has received it.
+    pub(super) const fn signal(&self) -> Option<Instant> {
+        self.signal.get()
+    }
+
+    /// Records that a timer of this thread fired `late` after its time.
+    pub(super) fn record_stall(&self, late: Duration) {
+        self.longest_stall.set(self.longest_stall.get().max(late));
+    }
+
+    /// Longest time by which a timer of this thread fired late.
+    pub(super) const fn longest_stall(&self) -> Duration {
+        self.longest_stall.get()
+    }
+
     /// The shutdown in progress, if the process has received the signal.
     pub(super) const fn shutdown(&self) -> Option<Shutdown> {
         self.shutdown.get()
@@ -258,7 +278,12 @@
                 let leaving = self.fleet.borrow_mut().remove_entry(&id, now);
                 self.notify_leaving(leaving);
             }
-            Update::Peers(peers) => *self.peers.borrow_mut() = peers,
+            Update::Peers(peers) => {
+                let known = peers.len() + 1;
+                self.repeats
+                    .observe_instances(known, &self.settings.borrow(), now);
+                *self.peers.borrow_mut() = peers;
+            }
             Update::StoreStatus {
                 revision,
                 current,
@@ -288,12 +313,20 @@
                 }
                 self.load_changed.notify_one();
             }
-            Update::Settings(settings) => *self.settings.borrow_mut() = settings,
-            Update::Shutdown => {
+            Update::Settings(settings) => {
+                self.repeats.apply_settings(&settings, now);
+                *self.settings.borrow_mut() = settings;
+            }
+            Update::Shutdown(signal) => {
                 if self.shutdown.get().is_none() {
-                    let options =
-                        carob_shutdown::Options::new(DEREGISTRATION_DELAY).with_grace(self.settings().grace);
-                    self.shutdown.set(Some(Shutdown::new(now, options)));
+                    log::info!(
+                        signal_ms = signal.at.elapsed().as_millis() as u64,
+                        stall_ms = self.longest_stall.get().as_millis() as u64; "shutdown begun"
+                    );
+                    self.signal.set(Some(signal.at));
+                    let options = carob_shutdown::Options::new(DEREGISTRATION_DELAY).with_grace(signal.grace);
+                    self.shutdown
+                        .set(Some(Shutdown::new(now - signal.at.elapsed(), options)));
                     self.shutdown_begun.notify_waiters();
                 }
             }
@@ -345,23 +378,10 @@
         }
     }
 
-    /// Calls `act` with the retry budget of `service`, which is created on first use.
-    pub(super) fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget, Time) -> T) -> T {
-        let now = self.now();
-        let mut budgets = self.budgets.borrow_mut();
-        if let Some(budget) = budgets.get_mut(service) {
-            return act(budget, now);
-        }
-        let settings = self.settings.borrow();
-        let instances = (self.peers.borrow().len() + 1).max(MIN_INSTANCES);
-        let budget = budgets
-            .entry(service.into())
-            .or_insert(RetryBudget::new(budget::Options {
-                window: settings.retry_window,
-                ratio: settings.retry_ratio,
-                extra: settings.extra_retries / instances as f64,
-            }));
-        act(budget, now)
+    /// Counts a client's request to `service` for its retry budget.
+    pub(super) fn record_request(&self, service: &str) {
+        self.repeats
+            .record_request(service, &self.settings.borrow(), self.now());
     }
 
     /// Sends a report to the control thread; drops it if the queue is full, so that requests are never held
@@ -377,6 +397,12 @@
         self.body_bytes.get().saturating_add(bytes) <= self.settings.borrow().body_memory
     }
 
+    /// Whether answers may hold more memory; the rest of it is for the bodies of requests.
+    pub(super) fn has_answer_room(&self) -> bool {
+        let limit = self.settings.borrow().body_memory as f64 * ANSWER_SHARE;
+        self.body_bytes.get() as f64 <= limit
+    }
+
     pub(super) fn add_body_bytes(&self, bytes: usize) {
         self.body_bytes.set(self.body_bytes.get() + bytes);
         metrics::gauge!("carobhaven_bodies_bytes").set(self.body_bytes.get() as f64);
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -3,11 +3,11 @@
 use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use carob_dispatch::{budget::Reason, fleet::UpstreamHealth};
 use carob_platform::{answer, request::Resume};
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response,
-    body::Incoming,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use tokio::{
@@ -25,7 +25,11 @@
     probe,
     resume::{self, OpenStream},
 };
-use crate::{events::Splitter, socket::ConnectionTask};
+use crate::{
+    events::Splitter,
+    overhead::ReceivedBody,
+    socket::{self, ConnectionTask},
+};
 
 /// Chunks that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 16;
@@ -45,7 +49,7 @@
 struct Stream {
     call: Rc<Call>,
     reservation: Reservation,
-    body: Incoming,
+    body: ReceivedBody,
     driver: ConnectionTask,
     /// First bytes of the body, if they were read already.
     first_bytes: Option<Bytes>,
@@ -145,6 +149,9 @@
             StreamEnd::Late => ("cut: time is over", String::new()),
             StreamEnd::Broken(reason) => ("cut: upstream broke off", reason.clone()),
         };
+        let upstream = self.reservation.upstream;
+        // The client may take long to read what it was sent before.
+        drop((self.driver, self.body, self.reservation));
         if !matches!(end, StreamEnd::Complete | StreamEnd::ClientGone) {
             // Fails only if the client has disconnected meanwhile.
             let _sent = self.client.send(Err(Truncated)).await;
@@ -162,7 +169,7 @@
         metrics::histogram!("carobhaven_longest_pause_seconds").record(self.longest_pause.as_secs_f64());
         log::log!(
             level, request:% = self.call.id(),
-            upstream:% = upstream_name(&self.call, self.reservation.upstream), outcome, reason,
+            upstream:% = upstream_name(&self.call, upstream), outcome, reason,
             events = self.events, moves = self.migrations,
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
             pause_ms = self.longest_pause.as_millis() as u64, age_ms = self.call.age_ms(); "stream ended"
@@ -220,7 +227,10 @@
             StreamEvent::Bytes(bytes) => {
                 self.forward(&bytes).await?;
                 progress.borrow_mut().last_event = self.last_event;
-                Ok(false)
+                match self.splitter.check_size() {
+                    Ok(()) => Ok(false),
+                    Err(error) => self.fail_over(&error.to_string(), progress, migration).await,
+                }
             }
             StreamEvent::Leaving => Ok(false),
             StreamEvent::ClientGone => {
@@ -228,6 +238,9 @@
                 Err(StreamEnd::ClientGone)
             }
             StreamEvent::Late => {
+                if self.is_unsound() {
+                    self.record_failing();
+                }
                 self.release_copy(progress);
                 Err(StreamEnd::Late)
             }
@@ -257,18 +270,41 @@
                 }
                 MigrationOutcome::NotRunning | MigrationOutcome::Failed(_) => self.finish().await,
             },
-            StreamEvent::BodyFailed(reason) => {
-                let switching = progress.borrow().switching;
-                let outcome = if switching {
-                    self.await_migration(migration).await
-                } else {
-                    MigrationOutcome::Failed("the source broke off")
-                };
-                self.resume_after(outcome, progress, &reason).await.map(|()| true)
-            }
+            StreamEvent::BodyFailed(reason) => self.fail_over(&reason, progress, migration).await,
         }
     }
 
+    /// Continues at another upstream after the present one has broken off for `reason`.
+    async fn fail_over(
+        &mut self,
+        reason: &str,
+        progress: &Rc<RefCell<Progress>>,
+        migration: &mut Option<Migration>,
+    ) -> Result<bool, StreamEnd> {
+        self.record_failing();
+        let switching = progress.borrow().switching;
+        let outcome = if switching {
+            self.await_migration(migration).await
+        } else {
+            MigrationOutcome::Failed("the source broke off")
+        };
+        self.resume_after(outcome, progress, reason).await.map(|()| true)
+    }
+
+    /// Records that the present upstream did not answer properly or not in time.
+    fn record_failing(&self) {
+        let shared = &self.call.shared;
+        shared
+            .fleet_mut()
+            .record_attempt(self.reservation.upstream, UpstreamHealth::Failing, shared.now());
+    }
+
+    /// Whether the upstream has sent no event yet, or more events than the request permits tokens.
+    fn is_unsound(&self) -> bool {
+        let longest = self.call.head.usage.map_or(u32::MAX, |usage| usage.max_output);
+        self.first_event.is_none() || self.events > longest
+    }
+
     fn is_upstream_leaving(&self) -> bool {
         let fleet = self.call.shared.fleet();
         fleet
@@ -296,14 +332,15 @@
         tokio::select! {
             biased;
             () = self.client.closed() => StreamEvent::ClientGone,
+            // Before the body, which may have a frame ready at any time.
+            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
             frame = self.body.frame() => match frame {
                 Some(Ok(frame)) => StreamEvent::Bytes(frame.into_data().unwrap_or_default()),
-                Some(Err(error)) => StreamEvent::BodyFailed(error.to_string()),
+                Some(Err(error)) => StreamEvent::BodyFailed(socket::describe(&error)),
                 None => StreamEvent::BodyEnded,
             },
             outcome = migrated => StreamEvent::MigrationEnded(outcome),
             () = notice.notified(), if !migrating => StreamEvent::Leaving,
-            () = tokio::time::sleep_until(self.call.deadline) => StreamEvent::Late,
         }
     }
 
@@ -388,7 +425,7 @@
             handle,
             last_event: self.last_event,
         };
-        match resume::resume_at(&self.call, reservation, &memory).await {
+        match resume::resume_at(&self.call, reservation, Reason::Resume, &memory).await {
             Ok(opened) => {
                 self.continue_with(opened, reason);
                 Ok(())
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -31,6 +31,9 @@
 /// Number of log lines of each gateway that are printed when a test fails.
 const FAILURE_LOG_LINES: usize = 15;
 
+/// Requests that earn a repeat, by the settings of the gateways.
+const REQUESTS_PER_REPEAT: u32 = 5;
+
 /// API key of the client account in the configuration of [`Fleet::configure`].
 pub const CLIENT_KEY: &str = "parish-key";
 
@@ -124,6 +127,15 @@
         client
     }
 
+    /// Sends a gateway as many reads as permit it `repeats` repeats, up to its share; after its start it may only
+    /// repeat what its requests have earned. All of them have to be served.
+    pub fn earn_repeats(&self, gateway: usize, repeats: u32) {
+        for number in 0..repeats * REQUESTS_PER_REPEAT {
+            let read = request(&format!("earn-{number}"), "GET", "/read/1");
+            assert_eq!(self.send(gateway, &read).status, 200);
+        }
+    }
+
     pub fn send(&self, gateway: usize, request: &Request) -> Outcome {
         client::send(self.gateways[gateway].caller_address, request)
     }
@@ -131,10 +143,17 @@
 
 impl Gateway {
     /// Starts a gateway whose connection to `store` has faults of its own.
+    pub fn start(store: &Store, seeds: &[SocketAddr]) -> Self {
+        let mut gateway = Self::prepare(store, seeds);
+        gateway.spawn();
+        gateway
+    }
+
+    /// Writes the settings file of a gateway, but does not start its process.
     ///
     /// The gateways of a fleet use the same port for peers and tell each other apart by IP address, so each
     /// gets its own loopback address.
-    pub fn start(store: &Store, seeds: &[SocketAddr]) -> Self {
+    pub fn prepare(store: &Store, seeds: &[SocketAddr]) -> Self {
         let store_endpoint = store.open_endpoint();
         let directory = tempfile::tempdir().expect("a temporary directory");
         let ip = unique_loopback_address();
@@ -156,7 +175,6 @@
         };
         gateway.write_settings(seeds, "10s");
         let _placeholder = gateway.child.wait();
-        gateway.spawn();
         gateway
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,6 +6,7 @@
 //! `SOAK_SEEDS=failed` runs every seed that ever failed; `SOAK_GATEWAYS` and `SOAK_CLIENTS` set the size of the
 //! fleet.
 
+mod budget;
 #[path = "soak/checks.rs"]
 mod checks;
 #[path = "soak/faults.rs"]
@@ -13,6 +14,8 @@
 mod fleet;
 #[path = "soak/operator.rs"]
 mod operator;
+#[path = "soak/process.rs"]
+mod process;
 #[path = "soak/traffic.rs"]
 mod traffic;
 
@@ -49,15 +52,20 @@
 /// hold only for requests that no fault has touched.
 const CYCLE_TIME: Duration = Duration::from_secs(12);
 const CALM_TIME: Duration = Duration::from_secs(7);
+/// Time at the end of every other cycle for which upstreams of a service reject or fail everything and gateways are
+/// killed in series.
+const TROUBLE_TIME: Duration = Duration::from_secs(4);
 /// How often processes are checked for their end.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of violations that are printed with the log lines about them.
 const PRINTED_VIOLATIONS: usize = 5;
 
 /// Parts of the gateway whose log lines are about the process.
-const PROCESS_PARTS: [&str; 3] = [
+const PROCESS_PARTS: [&str; 5] = [
     "carob_gateway::run\"",
     "carob_gateway::control\"",
+    "carob_gateway::signals\"",
+    "traffic::shared\"",
     "traffic::listen\"",
 ];
 
@@ -78,6 +86,7 @@
     let start = Instant::now();
     let end = start + Duration::from_secs(options.seconds);
     let (mut next_calm, mut next_fault, mut next_series) = (start, start, start);
+    let mut next_trouble = start + CYCLE_TIME.saturating_sub(TROUBLE_TIME);
     while Instant::now() < end {
         if Instant::now() >= next_calm {
             injector.calm_down();
@@ -88,6 +97,10 @@
             injector.inject(&mut rng);
             next_fault = Instant::now() + Duration::from_millis(rng.random_range(100..600));
         }
+        if Instant::now() >= next_trouble {
+            injector.start_trouble(next_calm);
+            next_trouble += 2 * CYCLE_TIME;
+        }
         if Instant::now() >= next_series {
             next_series = injector.plan_series();
         }
@@ -113,6 +126,7 @@
         print_log(&injector.fleet.gateways[*gateway], None);
         violations.push(format!("gateway {gateway} {violation}"));
     }
+    violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
     let served = observations
         .iter()
         .filter(|observation| observation.outcome.status == 200 && observation.outcome.complete)
@@ -124,6 +138,7 @@
         observations.len(),
         injector.fleet.ledger.migrations()
     );
+    print_slowest_shutdowns(injector);
     for observation in &observations {
         let Some(reason) = evidence.violation(observation) else {
             continue;
@@ -152,6 +167,26 @@
     );
 }
 
+/// Prints how late a signal to shut down was read at most, how long a traffic thread was stalled, and how long the
+/// end of a process took after its requests were finished.
+fn print_slowest_shutdowns(injector: &Injector) {
+    let gateways = &injector.fleet.gateways;
+    let lines: Vec<String> = gateways.iter().flat_map(Gateway::log_lines).collect();
+    let longest = |message: &str, field: &str| {
+        let lines = lines
+            .iter()
+            .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+            .filter(|line| line["msg"] == message);
+        lines.filter_map(|line| line[field].as_u64()).max().unwrap_or(0)
+    };
+    eprintln!(
+        "longest times in ms: from a signal to the traffic thread {}, stall {}, end {}",
+        longest("shutdown begun", "signal_ms"),
+        longest("stopped", "stall_ms"),
+        longest("stopped", "finished_ms")
+    );
+}
+
 /// Prints the log lines of a gateway that are about its processes or the request `id`.
 fn print_log(gateway: &Gateway, id: Option<&str>) {
     for line in gateway.log_lines() {
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -2,10 +2,19 @@
 
 mod fleet;
 
-use std::{collections::HashSet, thread, time::Duration};
+use std::{
+    cell::Cell,
+    collections::HashSet,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
-use carob_platform_standin::client::{self, Request};
-use fleet::{Fleet, request, wait_until};
+use carob_platform_standin::{
+    AnswerMode, Link,
+    client::{self, Request},
+};
+use fleet::{Fleet, LONG, request, wait_until};
 use prometheus_parse::{Scrape, Value};
 
 const SHORT: Duration = Duration::from_millis(10);
@@ -53,6 +62,54 @@
     });
 }
 
+/// Size of an answer that is passed on as it arrives, in bytes.
+const LONG_ANSWER: usize = 600_000;
+
+/// Time for which a long answer stops halfway.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// A long answer that broke off left no line about who ended it.
+#[test]
+fn a_long_answer_that_breaks_off_is_logged_with_its_reason() {
+    let fleet = Fleet::start(1);
+    let plain = fleet.start_plain("p1", SHORT);
+    plain.set_answer_bytes(LONG_ANSWER);
+    plain.set_answer_pause(PAUSE);
+    fleet.configure();
+    let begin = |order: &Request| -> TcpStream {
+        let client = client::open(fleet.gateways[0].caller_address, order).expect("the gateway listens");
+        client.peek(&mut [0]).expect("the answer has begun");
+        client
+    };
+    let expect_line = |id: &str, reason: &str| {
+        let is_expected = |line: &String| {
+            line.contains("\"long answer cut off\"") && line.contains(id) && line.contains(reason)
+        };
+        wait_until(&format!("{id} is logged with {reason}"), || {
+            fleet.gateways[0].log_lines().iter().any(is_expected)
+        });
+    };
+
+    let mut late = begin(&request("o1", "POST", "/order/1").with_timeout(PAUSE / 2));
+    assert!(!client::read(&mut late, Instant::now() + LONG).complete);
+    expect_line("o1", "no answer in time");
+
+    drop(begin(&request("o2", "POST", "/order/2")));
+    expect_line("o2", "the client has disconnected");
+
+    let mut broken = begin(&request("o3", "POST", "/order/3"));
+    plain.set_link(Link::Reset);
+    assert!(!client::read(&mut broken, Instant::now() + LONG).complete);
+    expect_line("o3", "reset by peer");
+
+    let metrics = client::send(
+        fleet.gateways[0].admin_address,
+        &Request::new("m", "GET", "/metrics"),
+    );
+    let text = String::from_utf8(metrics.body).expect("metrics are text");
+    assert!(text.contains("carobhaven_answers_cut_total 3"), "{text}");
+}
+
 #[test]
 fn lines_of_failures_survive_when_those_of_served_requests_are_thinned() {
     let fleet = Fleet::start(1);
@@ -83,6 +140,84 @@
     );
 }
 
+/// Reads the metrics of the first gateway.
+fn scrape(fleet: &Fleet) -> Scrape {
+    let answer = client::send(
+        fleet.gateways[0].admin_address,
+        &Request::new("m", "GET", "/metrics"),
+    );
+    let text = String::from_utf8(answer.body).expect("metrics are text");
+    Scrape::parse(text.lines().map(|line| Ok(line.to_owned())))
+        .expect("the metrics are in the Prometheus text format")
+}
+
+/// The value of a metric of the plain service and, unless it is empty, a reason.
+fn service_value(scrape: &Scrape, name: &str, reason: &str) -> f64 {
+    let found = scrape.samples.iter().find(|sample| {
+        sample.metric == name
+            && sample.labels.get("service") == Some("plain")
+            && sample.labels.get("reason").unwrap_or_default() == reason
+    });
+    match found.map(|sample| &sample.value) {
+        Some(Value::Counter(value) | Value::Gauge(value)) => *value,
+        _ => 0.0,
+    }
+}
+
+/// Operators ran a fleet whose upstreams saw more repeats than the budget allows, and no line or metric said
+/// how many, for which service, or why.
+#[test]
+fn repeats_are_told_by_service_and_reason() {
+    let fleet = Fleet::start(1);
+    let upstreams = ["p1", "p2"].map(|id| fleet.start_plain(id, Duration::ZERO));
+    fleet.configure();
+    let gateway = &fleet.gateways[0];
+    let sent = Cell::new(0);
+    // A process may have to learn of the others and get requests before it may repeat any.
+    wait_until("the budget permits a repeat", || {
+        sent.set(sent.get() + 1);
+        fleet.send(0, &request(&format!("ok-{}", sent.get()), "GET", "/read/1"));
+        service_value(&scrape(&fleet), "carobhaven_budget_left_repeats", "") >= 1.0
+    });
+    for upstream in &upstreams {
+        upstream.set_answer_mode(AnswerMode::Rejection);
+    }
+    for number in 0..30 {
+        let refused = fleet.send(0, &request(&format!("again-{number}"), "GET", "/read/1"));
+        assert_eq!(refused.status, 503);
+    }
+    wait_until("the last request is logged", || gateway.logged("\"again-29\""));
+    let values = scrape(&fleet);
+    let lines = gateway.log_lines();
+    let count = |message: &str| {
+        let has = |line: &&String| {
+            line.contains(message)
+                && line.contains("\"service\":\"plain\"")
+                && line.contains("\"reason\":\"rejected\"")
+                && ["left", "share", "instances", "requests"]
+                    .iter()
+                    .all(|field| line.contains(&format!("\"{field}\":")))
+        };
+        lines.iter().filter(has).count()
+    };
+    let repeats = service_value(&values, "carobhaven_repeats_total", "rejected") as usize;
+    let denied = service_value(&values, "carobhaven_repeats_denied_total", "rejected") as usize;
+    assert!(repeats >= 1 && denied >= 1, "{repeats} repeats, {denied} denied");
+    assert_eq!(count("\"request sent again\""), repeats);
+    assert_eq!(count("\"no retry: the budget is spent\""), denied);
+    assert_eq!(
+        service_value(&values, "carobhaven_service_requests_total", "") as u32,
+        sent.get() + 30
+    );
+    assert!(service_value(&values, "carobhaven_budget_left_repeats", "") < 1.0);
+    let first_sends = lines.iter().filter(|line| {
+        line.contains("\"sent to an upstream\"")
+            && line.contains("\"service\":\"plain\"")
+            && line.contains("\"attempts_before\":0")
+    });
+    assert_eq!(first_sends.count() as u32, sent.get() + 30);
+}
+
 #[test]
 fn metrics_are_read_by_a_parser_and_their_labels_are_bounded() {
     let fleet = Fleet::start(1);
@@ -94,13 +229,7 @@
         let unknown = request(&format!("u{number}"), "GET", &format!("/unknown/{number}"));
         assert_eq!(fleet.send(0, &unknown).status, 404);
     }
-    let answer = client::send(
-        fleet.gateways[0].admin_address,
-        &Request::new("m", "GET", "/metrics"),
-    );
-    let text = String::from_utf8(answer.body).expect("metrics are text");
-    let scrape = Scrape::parse(text.lines().map(|line| Ok(line.to_owned())))
-        .expect("the metrics are in the Prometheus text format");
+    let scrape = scrape(&fleet);
     let value = |name: &str| {
         let found = scrape.samples.iter().find(|sample| sample.metric == name);
         found.map(|sample| sample.value.clone())
@@ -112,7 +241,7 @@
     ));
     assert!(matches!(value("carobhaven_bodies_bytes"), Some(Value::Gauge(_))));
     for sample in &scrape.samples {
-        let has_unit = ["_total", "_seconds", "_bytes"].iter().any(|unit| {
+        let has_unit = ["_total", "_seconds", "_bytes", "_repeats"].iter().any(|unit| {
             sample
                 .metric
                 .trim_end_matches("_count")
