--- a/crates/carob-dispatch/tests/budget.rs
+++ b/crates/carob-dispatch/tests/budget.rs
@@ -193,3 +193,45 @@
     assert_eq!(spend(&mut budget, at(41.0)), 0);
     assert_eq!(spend(&mut budget, at(66.0)), 5);
 }
+
+/// Each of a fleet with more instances than the fixed part has repeats refused that its own requests have earned.
+/// Fails: a share below one permits no repeat at all, whatever the ratio adds.
+#[test]
+fn a_large_fleet_repeats_nothing_although_its_requests_earn_repeats() {
+    let mut divisor = Divisor::new();
+    divisor.observe(60);
+    let options = Options {
+        window: WINDOW,
+        ratio: 0.2,
+        extra: divisor.share(EXTRA),
+    };
+    let mut budget = RetryBudget::new(options, at(0.0));
+    let mut repeats = 0;
+    for number in 0..1_000 {
+        budget.record_request();
+        repeats += usize::from(try_repeat(&mut budget, at(20.0 + 0.01 * f64::from(number))));
+    }
+    assert!(
+        repeats > 0,
+        "{repeats} repeats of 1000 requests in 10 s, share {}",
+        budget.share()
+    );
+}
+
+/// The same where the budget has no fixed part.
+#[test]
+fn a_budget_without_a_fixed_part_permits_nothing() {
+    let options = Options {
+        window: WINDOW,
+        ratio: 0.2,
+        extra: 0.0,
+    };
+    let mut budget = RetryBudget::new(options, at(0.0));
+    for _ in 0..1_000 {
+        budget.record_request();
+    }
+    assert!(
+        spend(&mut budget, at(11.0)) > 0,
+        "1000 requests earn 200 repeats in each window that holds them"
+    );
+}
--- a/crates/carob-store/tests/client.rs
+++ b/crates/carob-store/tests/client.rs
@@ -191,3 +191,35 @@
     assert_eq!(rest, []);
     store.close();
 }
+
+/// The reply to a watch is read line by line, and a line may be as long as the store likes. Fails: the watch takes
+/// all of it, many times the limit of a reply.
+#[test]
+fn a_line_of_a_watch_without_end_is_read_until_the_store_ends_it() {
+    const LIMIT: u64 = 1 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut options = Options::new(vec![listener.local_addr().expect("it is bound")]);
+    options.reply_limit = LIMIT;
+    let sender = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the watch connects");
+        let mut request = [0; 4096];
+        let _count = stream.read(&mut request).expect("a request");
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("a head");
+        let piece = [b'x'; 64 << 10];
+        let mut sent = 0;
+        while sent < 64 * LIMIT && stream.write_all(&piece).is_ok() {
+            sent += piece.len() as u64;
+        }
+        sent
+    });
+    let mut watch = Client::new(options)
+        .watch(b"/", 1, Duration::from_secs(20))
+        .expect("a head");
+    let _event = watch.next();
+    watch.close();
+    let sent = sender.join().expect("it ends");
+    assert!(
+        sent < 16 * LIMIT,
+        "{sent} bytes of one line were taken, the limit of a reply is {LIMIT}"
+    );
+}
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -264,6 +264,59 @@
     rig.expect_within_budget();
 }
 
+/// The time in which a process has no share runs from its start, also while it cannot know any other. Here the
+/// store answers nobody for that long, so that all gateways hear of each other only when they spend their shares.
+#[test]
+fn gateways_that_wait_for_the_store_take_shares_before_they_know_each_other() {
+    let mut rig = Rig::prepare(0, 20);
+    for _ in 0..24 {
+        let gateway = rig.prepare_gateway();
+        gateway.store_endpoint.set_outage(Some(Outage::Busy));
+        gateway.spawn();
+    }
+    thread::sleep(LIMITS.window.mul_f64(1.25) + Duration::from_secs(1));
+    rig.set_plain(AnswerMode::Rejection);
+    for gateway in &rig.fleet.gateways {
+        gateway.store_endpoint.set_outage(None);
+    }
+    thread::scope(|scope| {
+        for gateway in &rig.fleet.gateways {
+            let rig = &rig;
+            scope.spawn(move || {
+                wait_until("the gateway is ready", || gateway.is_ready());
+                rig.send_plain(gateway.caller_address);
+            });
+        }
+    });
+    rig.expect_within_budget();
+}
+
+/// The same where the store refuses all but the first for longer: they serve with what that one passes on, and
+/// know of no other.
+#[test]
+fn gateways_that_the_store_refuses_from_the_start_take_the_share_of_a_small_fleet() {
+    let mut rig = Rig::start(1, 20);
+    for _ in 0..23 {
+        let gateway = rig.prepare_gateway();
+        gateway.store_endpoint.set_outage(Some(Outage::Busy));
+        gateway.spawn();
+    }
+    rig.fleet.wait_ready();
+    thread::sleep(LIMITS.window.mul_f64(1.25) + Duration::from_secs(1));
+    rig.set_plain(AnswerMode::Rejection);
+    thread::scope(|scope| {
+        for gateway in &rig.fleet.gateways {
+            let rig = &rig;
+            scope.spawn(move || {
+                for _ in 0..2 {
+                    rig.send_plain(gateway.caller_address);
+                }
+            });
+        }
+    });
+    rig.expect_within_budget();
+}
+
 /// The share was taken when a gateway knew few others, and kept.
 #[test]
 fn gateways_of_a_fleet_that_grows_keep_the_share_of_a_small_one() {
