--- a/crates/carob-order/tests/stored_form.rs
+++ b/crates/carob-order/tests/stored_form.rs
@@ -98,3 +98,22 @@
     let (start, call) = limit::reserve_load(Some(&entry), interval, 1_000);
     assert_eq!((start, call), (32_000, swap(Expect::At(5), "62000")));
 }
+
+/// Fails: an instance whose clock is ahead advances the common start time, and the loads of all others wait until
+/// their clocks are there.
+#[test]
+fn a_clock_that_is_ahead_holds_up_the_loads_of_all_instances() {
+    const HOUR_MS: u64 = 3_600_000;
+    let interval = std::time::Duration::from_secs(1);
+    let (_ahead, call) = limit::reserve_load(None, interval, HOUR_MS);
+    let Call::Swap { key, value, .. } = call else {
+        panic!("a swap: {call:?}");
+    };
+    let entry = Entry {
+        key,
+        value,
+        revision: 1,
+    };
+    let (start, _call) = limit::reserve_load(Some(&entry), interval, 0);
+    assert!(start < HOUR_MS / 2, "the next load is {start} ms from now");
+}
--- a/tests/shutdown_edges.rs
+++ b/tests/shutdown_edges.rs
@@ -537,3 +537,36 @@
         "ended {took:?} after the signal without any work"
     );
 }
+
+/// Fails: a gateway whose control thread could not start runs on without it until it is told to end, since the thread
+/// that reads the signals keeps the channel to the traffic thread open.
+#[test]
+fn a_gateway_whose_admin_port_is_taken_does_not_end() {
+    let store = carob_platform_standin::Store::new();
+    let mut gateway = Gateway::prepare(&store, &[]);
+    let _taken = std::net::TcpListener::bind(gateway.admin_address).expect("the port is free");
+    gateway.spawn();
+    thread::sleep(PAST_EXIT);
+    let ended = gateway.child.try_wait().expect("it is a child");
+    assert!(ended.is_some(), "still runs {PAST_EXIT:?} after its start");
+}
+
+/// Fails: a signal that comes while the settings are read at the start is caught, and not read until they are there.
+#[test]
+fn a_signal_is_not_read_while_the_first_settings_are() {
+    let store = carob_platform_standin::Store::new();
+    let mut gateway = Gateway::prepare(&store, &[]);
+    let path = gateway.settings_path();
+    std::fs::remove_file(&path).expect("the file exists");
+    let made = Command::new("mkfifo").arg(&path).status();
+    assert!(made.is_ok_and(|status| status.success()), "the pipe is made");
+    gateway.spawn();
+    thread::sleep(PAST_RELOAD);
+    gateway.signal("TERM");
+    thread::sleep(PAST_EXIT);
+    let ended = gateway.child.try_wait().expect("it is a child");
+    assert!(
+        ended.is_some(),
+        "still runs {PAST_EXIT:?} after the signal without any work"
+    );
+}
