fix: SIGTERM while the first settings are read changes nothing

A gateway that was told to end while it read its settings for the first time ran on until it was killed: the signals were caught before the settings were read, and their reader started after.

Signals are caught once the settings are there, and before the line "starting". Until then a signal ends the process by its default action, with nothing accepted.

a_signal_is_not_read_while_the_first_settings_are failed 2 of 2 and passes.

--- a/crates/carob-gateway/src/run.rs
+++ b/crates/carob-gateway/src/run.rs
@@ -42,8 +42,8 @@
 ///
 /// Returns an [`Error`] if the gateway cannot start or its traffic thread has panicked.
 pub fn run(path: &Path) -> Result<(), Error> {
-    let signals = signals::catch()?;
     let settings = Arc::new(Settings::load(path)?);
+    let signals = signals::catch()?;
     log::info!(
         instance:% = settings.name, domain:% = settings.domain, callers:% = settings.caller_address,
         store:% = settings.store_address; "starting"
