fix: a gateway whose control thread cannot start never ends

With its admin port taken, a gateway served on without configuration updates until it was told to end, and did not say why. The thread that reads the signals keeps a sender of the channel to the traffic thread, so that the end of the control thread no longer closed it, and the main thread waited for the traffic thread for ever.

An error of the control thread now ends the process at once: it comes from the start, before anything was accepted.

a_gateway_whose_admin_port_is_taken_does_not_end failed 2 of 2 and passes.

--- a/crates/carob-gateway/src/run.rs
+++ b/crates/carob-gateway/src/run.rs
@@ -63,7 +63,8 @@
     let grace = Arc::new(Grace::default());
     grace.set(settings.grace);
     signals.spawn(Arc::clone(&grace), updates.clone())?;
-    let outcome = control::run(path, &settings, updates, grace, &reported, &metrics);
+    // The traffic thread ends only after a signal.
+    control::run(path, &settings, updates, grace, &reported, &metrics)?;
     let Ok(summary) = traffic.join() else {
         return Err(Error::Start("traffic", "its thread has panicked".to_owned()));
     };
@@ -73,5 +74,5 @@
         finished_ms = summary.finished.elapsed().as_millis() as u64,
         stall_ms = summary.longest_stall.as_millis() as u64; "stopped"
     );
-    outcome
+    Ok(())
 }
