fix: instances that start while the store is away take shares of a small fleet

The time in which a process has no share ran from its start, and was over before the instances could know of each other.

A process now has no share until it sees itself registered in the store, and for a span from then on; before, no span of it has more than one repeat beyond what its requests have earned.

--- a/crates/carob-dispatch/src/budget.rs
+++ b/crates/carob-dispatch/src/budget.rs
@@ -7,7 +7,8 @@
 //! * The fixed number is divided among the instances ([`Divisor`]).
 //! * Spans start and end at any time, so sums over instances never mix requests of different windows.
 //! * A process that starts takes its share as spent, since the process before it may have done so. Until that
-//!   is a window ago it may repeat only what its own requests have earned.
+//!   is a window ago it may repeat only what its own requests have earned. The same holds until it is registered
+//!   in the store, since it cannot know the others before.
 //! * A send that was given up without a sign of life may arrive long after. The repeat that it makes is held,
 //!   which counts in every span, until its upstream is heard of ([`RetryBudget::hold`]).
 
@@ -164,12 +165,12 @@
     /// Times of repeats within the horizon, and the balance before each. Both ascend: a repeat after which the
     /// balance was lower permits less than all before it.
     marks: VecDeque<(Time, i64)>,
-    /// When the process started, and the balance at that time.
+    /// When the share counts as spent for the last time, and the balance at that time.
     start: (Time, i64),
 }
 
 impl RetryBudget {
-    /// Creates a budget for a process that started at `start`.
+    /// Creates a budget whose share counts as spent at `start`; [`Time::NEVER`] for one without a share yet.
     pub const fn new(options: Options, start: Time) -> Self {
         Self {
             options,
@@ -184,13 +185,18 @@
 
     /// Changes the limits at `now`.
     pub fn set_options(&mut self, options: Options, now: Time) {
-        if options.window > self.options.window {
+        if options.window > self.options.window && self.start.0 <= now {
             // Repeats that the longer window contains may be forgotten.
-            self.start = (now, self.balance);
+            self.restart(now);
         }
         self.options = options;
     }
 
+    /// Counts the share as spent at `now`.
+    pub const fn restart(&mut self, now: Time) {
+        self.start = (now, self.balance);
+    }
+
     /// Counts a client's request, which earns `ratio` repeats.
     pub fn record_request(&mut self) {
         self.requests += 1;
--- a/crates/carob-dispatch/tests/budget.rs
+++ b/crates/carob-dispatch/tests/budget.rs
@@ -260,3 +260,18 @@
         "1000 requests earn 200 repeats in each window that holds them"
     );
 }
+
+/// While the store is away, processes that start do not hear of each other; their shares are those of a small fleet
+/// when it is back.
+#[test]
+fn a_process_has_a_share_before_it_can_know_the_others() {
+    let mut budget = RetryBudget::new(options(10.0), Time::NEVER);
+    assert_eq!(spend(&mut budget, at(60.0)), 0);
+    for _ in 0..10 {
+        budget.record_request();
+    }
+    assert_eq!(spend(&mut budget, at(61.0)), 2, "what its requests have earned");
+    budget.restart(at(62.0));
+    assert_eq!(spend(&mut budget, at(74.0)), 0);
+    assert_eq!(spend(&mut budget, at(75.0)), 5);
+}
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -346,7 +346,12 @@
             .chain(listed)
             .filter(|peer| *peer != settings.peer_address)
             .collect();
-        self.send(Update::Peers(peers.into_iter().collect()));
+        let own_key = format!("{INSTANCE_PREFIX}{}", settings.name);
+        let registered = mirror.items().any(|(key, _)| *key == *own_key);
+        self.send(Update::Peers {
+            addresses: peers.into_iter().collect(),
+            registered,
+        });
     }
 }
 
--- a/crates/carob-gateway/src/traffic/repeats.rs
+++ b/crates/carob-gateway/src/traffic/repeats.rs
@@ -21,6 +21,9 @@
 /// Why a request is not sent again, in log lines.
 pub(super) const BUDGET_SPENT: &str = "the retry budget is spent";
 
+/// Largest share of an instance that is not registered yet, and so cannot know how many others there are.
+const UNREGISTERED_SHARE: f64 = 1.0;
+
 /// The budget of one service.
 struct Account {
     budget: RetryBudget,
@@ -35,6 +38,8 @@
 pub(super) struct Repeats {
     accounts: RefCell<HashMap<Box<str>, Account>>,
     divisor: Cell<Divisor>,
+    /// When this instance was first seen to be registered in the store.
+    registered: Cell<Option<Time>>,
 }
 
 /// A repeat that the budget permits. It is given back when this is dropped before the repeat is sent.
@@ -47,11 +52,9 @@
 }
 
 impl Account {
-    fn new(service: &str, options: Options) -> Self {
+    fn new(service: &str, options: Options, start: Time) -> Self {
         Self {
-            // All budgets start with the process, whose clock starts at zero: what the process before may
-            // have spent lies before that.
-            budget: RetryBudget::new(options, Time::ZERO),
+            budget: RetryBudget::new(options, start),
             held: SecondaryMap::new(),
             requests: metrics::counter!("carobhaven_service_requests_total", "service" => service.to_owned()),
             left: metrics::gauge!("carobhaven_budget_left_repeats", "service" => service.to_owned()),
@@ -87,7 +90,11 @@
     pub(super) fn record_request(&self, service: &str, settings: &Settings, now: Time) {
         let mut accounts = self.accounts.borrow_mut();
         if !accounts.contains_key(service) {
-            accounts.insert(service.into(), Account::new(service, self.options(settings)));
+            let start = self.registered.get().unwrap_or(Time::NEVER);
+            accounts.insert(
+                service.into(),
+                Account::new(service, self.options(settings), start),
+            );
         }
         let Some(account) = accounts.get_mut(service) else {
             return;
@@ -97,12 +104,19 @@
         account.update_gauge(now);
     }
 
-    /// Takes note of `known` instances, this one included.
-    pub(super) fn observe_instances(&self, known: usize, settings: &Settings, now: Time) {
+    /// Takes note of `known` instances, this one included, and of whether this one is `registered` as they are.
+    pub(super) fn observe_instances(&self, known: usize, registered: bool, settings: &Settings, now: Time) {
         let mut divisor = self.divisor.get();
         let grows = divisor.observe(known);
         self.divisor.set(divisor);
-        if grows {
+        let begins = registered && self.registered.get().is_none();
+        if begins {
+            self.registered.set(Some(now));
+            for account in self.accounts.borrow_mut().values_mut() {
+                account.budget.restart(now);
+            }
+        }
+        if grows || begins {
             self.apply_settings(settings, now);
         }
     }
@@ -117,10 +131,14 @@
     }
 
     fn options(&self, settings: &Settings) -> Options {
+        let share = self.divisor.get().share(settings.extra_retries);
         Options {
             window: settings.retry_window,
             ratio: settings.retry_ratio,
-            extra: self.divisor.get().share(settings.extra_retries),
+            extra: match self.registered.get() {
+                Some(_) => share,
+                None => share.min(UNREGISTERED_SHARE),
+            },
         }
     }
 
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -278,12 +278,10 @@
                 let leaving = self.fleet.borrow_mut().remove_entry(&id, now);
                 self.notify_leaving(leaving);
             }
-            Update::Peers(peers) => {
-                let known = peers.len() + 1;
-                self.repeats
-                    .observe_instances(known, &self.settings.borrow(), now);
-                *self.peers.borrow_mut() = peers;
-            }
+            Update::Peers {
+                addresses,
+                registered,
+            } => self.set_peers(addresses, registered),
             Update::StoreStatus {
                 revision,
                 current,
@@ -378,6 +376,13 @@
         }
     }
 
+    fn set_peers(&self, addresses: Vec<SocketAddr>, registered: bool) {
+        let known = addresses.len() + 1;
+        self.repeats
+            .observe_instances(known, registered, &self.settings.borrow(), self.now());
+        *self.peers.borrow_mut() = addresses;
+    }
+
     /// Counts a client's request to `service` for its retry budget.
     pub(super) fn record_request(&self, service: &str) {
         self.repeats
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -16,8 +16,13 @@
     Entry(DirectoryEntry),
     /// The directory entry with this id was removed.
     EntryRemoved(Box<str>),
-    /// Addresses of all other instances; replaces the previous list.
-    Peers(Vec<SocketAddr>),
+    /// The other instances; replaces the previous list.
+    Peers {
+        /// Their addresses.
+        addresses: Vec<SocketAddr>,
+        /// Whether this instance is registered in the store, as the others are.
+        registered: bool,
+    },
     /// How current this instance's copy of the store's content is.
     StoreStatus {
         /// Revision of the store up to which every change is known.
