--- a/crates/carob-dispatch/tests/budget.rs
+++ b/crates/carob-dispatch/tests/budget.rs
@@ -91,7 +91,7 @@
     assert!(try_repeat(&mut budget, at(33.0)));
 }
 
-/// Incident inc2: a process that started had its whole share, which the process before had just spent.
+/// A process that started had its whole share, which the process before had just spent.
 #[test]
 fn a_process_that_starts_has_the_share_of_the_one_before_again() {
     let mut budget = RetryBudget::new(options(10.0), at(0.0));
@@ -108,7 +108,7 @@
     assert_eq!(spend(&mut budget, at(14.0)), 5, "its share, a window later");
 }
 
-/// Incident inc2: an instance counted requests that were older than the window in which others had the same
+/// An instance counted requests that were older than the window in which others had the same
 /// load already.
 #[test]
 fn a_share_grows_by_requests_of_another_window() {
@@ -218,3 +218,60 @@
     assert_eq!(spend(&mut budget, at(88.0)), 2);
     assert!(budget.permits_hold());
 }
+
+/// Each of a fleet with more instances than the fixed part has repeats refused that its own requests have earned.
+/// A share below one permits no repeat at all, whatever the ratio adds.
+#[test]
+fn a_large_fleet_repeats_nothing_although_its_requests_earn_repeats() {
+    let mut divisor = Divisor::new();
+    divisor.observe(60);
+    let options = Options {
+        window: WINDOW,
+        ratio: 0.2,
+        extra: divisor.share(EXTRA),
+    };
+    let mut budget = RetryBudget::new(options, at(0.0));
+    let mut repeats = 0;
+    for number in 0..1_000 {
+        budget.record_request();
+        repeats += usize::from(try_repeat(&mut budget, at(20.0 + 0.01 * f64::from(number))));
+    }
+    assert!(
+        repeats > 0,
+        "{repeats} repeats of 1000 requests in 10 s, share {}",
+        budget.share()
+    );
+}
+
+/// The same where the budget has no fixed part.
+#[test]
+fn a_budget_without_a_fixed_part_permits_nothing() {
+    let options = Options {
+        window: WINDOW,
+        ratio: 0.2,
+        extra: 0.0,
+    };
+    let mut budget = RetryBudget::new(options, at(0.0));
+    for _ in 0..1_000 {
+        budget.record_request();
+    }
+    assert!(
+        spend(&mut budget, at(11.0)) > 0,
+        "1000 requests earn 200 repeats in each window that holds them"
+    );
+}
+
+/// While the store is away, processes that start do not hear of each other; their shares are those of a small fleet
+/// when it is back.
+#[test]
+fn a_process_has_a_share_before_it_can_know_the_others() {
+    let mut budget = RetryBudget::new(options(10.0), Time::NEVER);
+    assert_eq!(spend(&mut budget, at(60.0)), 0);
+    for _ in 0..10 {
+        budget.record_request();
+    }
+    assert_eq!(spend(&mut budget, at(61.0)), 2, "what its requests have earned");
+    budget.restart(at(62.0));
+    assert_eq!(spend(&mut budget, at(74.0)), 0);
+    assert_eq!(spend(&mut budget, at(75.0)), 5);
+}
