--- a/crates/carob-dispatch/src/budget.rs
+++ b/crates/carob-dispatch/src/budget.rs
@@ -118,8 +118,9 @@
 
     /// This instance's share of `extra` repeats.
     ///
-    /// A share below one permits no repeat at all. Where the margin for instances not known yet would lead to
-    /// that, the share is one as long as each known instance can have it.
+    /// A share below one permits no repeat at all, since the span of that repeat alone would exceed it. Where the
+    /// margin for instances not known yet would lead to that, the share is one as long as each known instance can
+    /// have it.
     pub fn share(self, extra: f64) -> f64 {
         let known = self.known as f64;
         let divisor = (known * MARGIN).max(MIN_INSTANCES);
@@ -156,17 +157,19 @@
     options: Options,
     /// Number of requests since the start.
     requests: u64,
-    /// Repeats that were sent, less what requests have earned, in parts.
-    balance: i64,
+    /// Repeats that were sent, less what requests have earned, in parts; negative if more was earned.
+    debt: i64,
     /// Repeats that are permitted and not sent yet.
     reserved: u32,
     /// Repeats that may be made at any time by sends that were given up.
     held: u32,
-    /// Times of repeats within the horizon, and the balance before each. Both ascend: a repeat after which the
-    /// balance was lower permits less than all before it.
+    /// Times of repeats within the horizon, and the debt before each. The debt grows from one to the next: where it
+    /// has not, the spans that start with the earlier repeat are less full than those that start with the later.
     marks: VecDeque<(Time, i64)>,
-    /// When the share counts as spent for the last time, and the balance at that time.
-    start: (Time, i64),
+    /// When the share last counted as spent.
+    spent_at: Time,
+    /// Debt at that time.
+    spent_debt: i64,
 }
 
 impl RetryBudget {
@@ -175,17 +178,18 @@
         Self {
             options,
             requests: 0,
-            balance: 0,
+            debt: 0,
             reserved: 0,
             held: 0,
             marks: VecDeque::new(),
-            start: (start, 0),
+            spent_at: start,
+            spent_debt: 0,
         }
     }
 
     /// Changes the limits at `now`.
     pub fn set_options(&mut self, options: Options, now: Time) {
-        if options.window > self.options.window && self.start.0 <= now {
+        if options.window > self.options.window && self.spent_at <= now {
             // Repeats that the longer window contains may be forgotten.
             self.restart(now);
         }
@@ -194,13 +198,14 @@
 
     /// Counts the share as spent at `now`.
     pub const fn restart(&mut self, now: Time) {
-        self.start = (now, self.balance);
+        self.spent_at = now;
+        self.spent_debt = self.debt;
     }
 
     /// Counts a client's request, which earns `ratio` repeats.
     pub fn record_request(&mut self) {
         self.requests += 1;
-        self.balance -= parts(self.options.ratio);
+        self.debt -= parts(self.options.ratio);
     }
 
     /// Whether a further repeat is permitted at `now`.
@@ -241,11 +246,11 @@
     }
 
     fn count(&mut self, now: Time) {
-        while self.marks.back().is_some_and(|mark| mark.1 >= self.balance) {
+        while self.marks.back().is_some_and(|mark| mark.1 >= self.debt) {
             self.marks.pop_back();
         }
-        self.marks.push_back((now, self.balance));
-        self.balance += REPEAT;
+        self.marks.push_back((now, self.debt));
+        self.debt += REPEAT;
     }
 
     /// Gives back a reserved repeat that is not sent.
@@ -274,14 +279,10 @@
             self.marks.pop_front();
         }
         // The span whose repeats exceed their requests' earnings the most.
-        let least = self
-            .marks
-            .front()
-            .map_or(self.balance, |mark| mark.1.min(self.balance));
-        let mut left = parts(self.options.extra) - (self.balance - least);
-        let (start, before) = self.start;
-        if now.since(start) <= horizon {
-            left = left.min(before - self.balance);
+        let least = self.marks.front().map_or(self.debt, |mark| mark.1.min(self.debt));
+        let mut left = parts(self.options.extra) - (self.debt - least);
+        if now.since(self.spent_at) <= horizon {
+            left = left.min(self.spent_debt - self.debt);
         }
         left - i64::from(self.reserved + self.held) * REPEAT
     }
