--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -4,10 +4,9 @@
 
 use bytes::Bytes;
 use carob_dispatch::{
-    budget::Reason,
     fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey},
     head::Head,
-    outcome::{self, AttemptResult, NextAction},
+    outcome::{AttemptResult, NextAction},
     table::{Denial, RouteKind},
 };
 use carob_platform::{
@@ -15,17 +14,17 @@
     request,
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
-use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use super::{
     answer::{LocalAnswer, ResponseBody},
+    attempts::Attempts,
     body::{self, HeldBytes},
     call::Call,
     guard::{ActiveRequest, QueueEntry, Reservation},
     listen::RequestCount,
     plain, probe,
-    repeats::{self, BUDGET_SPENT, Cause, Repeat},
+    repeats::Repeat,
     resume::OpenStream,
     shared::Shared,
     shutdown, stream,
@@ -57,7 +56,7 @@
 
 /// Suggested retry delay while all upstreams are full, reject the request or cannot be reached; some of the
 /// requests that they run have ended by then.
-const RETRY_FULL: Duration = Duration::from_millis(1_500);
+pub(super) const RETRY_FULL: Duration = Duration::from_millis(1_500);
 
 /// Handles a request up to the head of its response. `active` and `count` are kept until the end of a stream.
 pub(super) async fn handle(
@@ -194,81 +193,6 @@
 /// The gateway's own answer to a request, and the reason for it in the log.
 pub(super) type Refusal = (LocalAnswer, &'static str);
 
-/// What came of the attempts of a request so far.
-#[derive(Default)]
-struct Attempts {
-    tried: SmallVec<[UpstreamKey; 4]>,
-    /// Attempts that may have run.
-    ran: u32,
-    /// Attempts that have not run.
-    rejected: u32,
-    /// Whether an upstream may have got the request, so that the next one makes a repeat.
-    arrived: bool,
-    /// How the last attempt ended; absent before the first.
-    last: Option<AttemptResult>,
-    /// Upstream of the last attempt, if it was given up without a sign of life.
-    silent: Option<UpstreamKey>,
-}
-
-impl Attempts {
-    /// Records that the attempt at `upstream` was given up without a sign of life; returns what to do next.
-    fn record_silence(&mut self, call: &Call, upstream: UpstreamKey) -> NextAction {
-        if self.arrived {
-            repeats::record_silence(call, upstream);
-        }
-        let next = self.record(call, upstream, AttemptResult::Unknown);
-        self.silent = Some(upstream);
-        next
-    }
-
-    /// Records that the attempt at `upstream` ended with `result`; returns what to do next.
-    fn record(&mut self, call: &Call, upstream: UpstreamKey, result: AttemptResult) -> NextAction {
-        self.silent = None;
-        match result {
-            AttemptResult::Unsent | AttemptResult::Rejected => self.rejected += 1,
-            AttemptResult::Failed | AttemptResult::Unknown => self.ran += 1,
-        }
-        self.tried.push(upstream);
-        self.arrived |= result.may_have_arrived();
-        self.last = Some(result);
-        outcome::next_action(
-            call.route.kind,
-            result,
-            self.ran,
-            self.rejected,
-            call.route.max_attempts,
-        )
-    }
-
-    /// Why the next send makes a repeat, if it does.
-    fn repeat_cause(&self) -> Option<Cause> {
-        let last = self.last.filter(|_| self.arrived)?;
-        Some(Cause {
-            reason: Reason::from(last),
-            silent: self.silent,
-        })
-    }
-
-    /// Whether the budget permits the next send; it does if that makes no repeat.
-    fn is_permitted(&self, call: &Call) -> bool {
-        self.repeat_cause()
-            .is_none_or(|cause| repeats::is_permitted(call, cause))
-    }
-
-    /// Reserves a repeat if the next send makes one.
-    fn reserve_repeat(&self, call: &Call) -> Result<Option<Repeat>, Refusal> {
-        let Some(cause) = self.repeat_cause() else {
-            return Ok(None);
-        };
-        match Repeat::reserve(call, cause) {
-            Some(repeat) => Ok(Some(repeat)),
-            // It was spent while this request waited.
-            None if self.ran == 0 => Err((LocalAnswer::Refused(RETRY_FULL), BUDGET_SPENT)),
-            None => Err((LocalAnswer::Unclear, BUDGET_SPENT)),
-        }
-    }
-}
-
 /// Sends the request to upstreams until one answers or no further attempt is permitted.
 async fn run_attempts(
     call: &Rc<Call>,
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod answer;
+mod attempts;
 mod body;
 mod call;
 mod client;
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -183,19 +183,19 @@
     client::send(gateway, &request)
 }
 
-/// The fixed part of the budget is divided among instances, and each process spent its share anew.
-#[test]
-fn restarts_in_series_spend_the_retry_budget_anew() {
-    let mut rig = Rig::start(10, 54);
+/// Starts gateways, has each end by `signal` and start again until it has had `lives` processes, and sends three
+/// requests to each process while upstreams reject everything.
+fn spend_in_each_life(gateways: usize, signal: &'static str, lives: usize) {
+    let mut rig = Rig::start(gateways, 54);
     rig.warm_up();
     rig.set_plain(AnswerMode::Rejection);
     let (next_id, sent) = (&rig.next_id, &rig.sent);
     thread::scope(|scope| {
         for gateway in &mut rig.fleet.gateways {
             scope.spawn(move || {
-                for life in 0..3 {
+                for life in 0..lives {
                     if life > 0 {
-                        gateway.signal("TERM");
+                        gateway.signal(signal);
                         let _ended = gateway.child.wait();
                         gateway.spawn();
                         wait_until("the gateway is ready", || gateway.is_ready());
@@ -210,31 +210,16 @@
     rig.expect_within_budget();
 }
 
+/// The fixed part of the budget is divided among instances, and each process spent its share anew.
+#[test]
+fn restarts_in_series_spend_the_retry_budget_anew() {
+    spend_in_each_life(10, "TERM", 3);
+}
+
 /// The same with kills, which leave a process no time to hand anything over.
 #[test]
 fn kills_in_series_spend_the_retry_budget_anew() {
-    let mut rig = Rig::start(4, 54);
-    rig.warm_up();
-    rig.set_plain(AnswerMode::Rejection);
-    let (next_id, sent) = (&rig.next_id, &rig.sent);
-    thread::scope(|scope| {
-        for gateway in &mut rig.fleet.gateways {
-            scope.spawn(move || {
-                for life in 0..8 {
-                    if life > 0 {
-                        gateway.signal("KILL");
-                        let _ended = gateway.child.wait();
-                        gateway.spawn();
-                        wait_until("the gateway is ready", || gateway.is_ready());
-                    }
-                    for _ in 0..3 {
-                        send_plain(gateway.caller_address, next_id, sent);
-                    }
-                }
-            });
-        }
-    });
-    rig.expect_within_budget();
+    spend_in_each_life(4, "KILL", 8);
 }
 
 /// Requests that were sent to upstreams in one window, and given up, are read in the next one.
