--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the engines which run them, beside sound ones.
+//! Requests that crash the upstreams which run them, beside sound ones.
 
 mod fleet;
 
@@ -13,7 +13,7 @@
     Ledger, Trigger, Upstream,
     client::{self, Outcome, Request},
 };
-use fleet::{Fleet, generation_request, wait_until};
+use fleet::{Fleet, generation_request, request, wait_until};
 
 const GATEWAYS: usize = 3;
 const ENGINES: usize = 8;
@@ -25,6 +25,12 @@
 const SOUND_INTERVAL: Duration = Duration::from_millis(60);
 const RUN_TIME: Duration = Duration::from_secs(8);
 
+/// Plain upstreams, the time that one takes for a request, and the time until one that has crashed is back.
+const PLAIN_UPSTREAMS: usize = 3;
+const PLAIN_TIME: Duration = Duration::from_millis(70);
+const PLAIN_CRASH_TIME: Duration = Duration::from_millis(3_500);
+const PLAIN_RUN_TIME: Duration = Duration::from_secs(14);
+
 /// Time for which a fleet may learn of something (`ContactMs`).
 const CONTACT: Duration = Duration::from_millis(1_500);
 
@@ -44,7 +50,7 @@
 
 struct Rig {
     fleet: Fleet,
-    _engines: Vec<Upstream>,
+    _upstreams: Vec<Upstream>,
     /// When a sound request was sent, and whether it was served whole.
     sound: Mutex<Vec<(Instant, bool)>>,
 }
@@ -58,7 +64,7 @@
         fleet.configure();
         Self {
             fleet,
-            _engines: engines,
+            _upstreams: engines,
             sound: Mutex::default(),
         }
     }
@@ -92,15 +98,43 @@
         });
     }
 
-    /// Sends sound requests and those that `make` returns, beside each other.
+    /// Starts plain upstreams instead of engines. Those that crash are back after 3.5 s.
+    fn start_plain(gateways: usize) -> Self {
+        let fleet = Fleet::start(gateways);
+        let upstreams: Vec<Upstream> = (0..PLAIN_UPSTREAMS)
+            .map(|number| fleet.start_plain(&format!("p{number}"), PLAIN_TIME))
+            .collect();
+        for upstream in &upstreams {
+            upstream.set_crash_time(PLAIN_CRASH_TIME);
+        }
+        fleet.configure();
+        Self {
+            fleet,
+            _upstreams: upstreams,
+            sound: Mutex::default(),
+        }
+    }
+
+    /// Sends sound generations and the requests that `make` returns, beside each other.
     fn run(&self, make: impl Fn(usize) -> Request + Sync) {
-        let end = Instant::now() + RUN_TIME;
+        let sound = |number: usize| generation(&format!("ab{number:x}"), ["f1", "f2", "f3"][number % 3]);
+        let is_whole = |outcome: &Outcome| outcome.complete && outcome.events().len() as u64 == EVENTS;
+        self.run_beside(RUN_TIME, sound, is_whole, make);
+    }
+
+    /// Sends sound requests, with what tells that one was served, and those that `make` returns for `time`.
+    fn run_beside(
+        &self,
+        time: Duration,
+        sound: impl Fn(usize) -> Request + Send + Sync,
+        is_served: impl Fn(&Outcome) -> bool + Send + Sync,
+        make: impl Fn(usize) -> Request + Sync,
+    ) {
+        let end = Instant::now() + time;
         thread::scope(|scope| {
             scope.spawn(|| {
-                let make =
-                    |number: usize| generation(&format!("ab{number:x}"), ["f1", "f2", "f3"][number % 3]);
-                self.send_series(SOUND_INTERVAL, end, make, |sent, outcome| {
-                    let is_whole = outcome.complete && outcome.events().len() as u64 == EVENTS;
+                self.send_series(SOUND_INTERVAL, end, sound, |sent, outcome| {
+                    let is_whole = is_served(outcome);
                     self.sound
                         .lock()
                         .expect("no client panics")
@@ -179,9 +213,10 @@
         let from = self.crash_time(prefix, crashes) + CONTACT;
         let late = self.arrived_after(prefix, from);
         let all = self.ledger().crashes().len();
+        eprintln!("{prefix}: {all} crashes, {late} requests later than {CONTACT:?} after crash {crashes}");
         assert!(
             late <= MAX_LATE,
-            "{late} requests reached engines later than {CONTACT:?} after crash {crashes}; {all} crashes"
+            "{late} requests reached upstreams later than {CONTACT:?} after crash {crashes}; {all} crashes"
         );
     }
 }
@@ -246,3 +281,22 @@
     let sound = rig.fleet.send(added, &generation("ab", "f1"));
     assert!(sound.complete);
 }
+
+/// The same read, or order, comes again and again; the first attempts crash two upstreams each.
+#[test]
+fn a_plain_request_that_crashes_all_upstreams_crashes_them_again_when_they_are_back() {
+    for (method, path) in [("GET", "/read/dead"), ("POST", "/order/dead")] {
+        let rig = Rig::start_plain(GATEWAYS);
+        rig.ledger().set_triggers(&[Trigger::Path(path.to_owned())]);
+        let sound = |number: usize| {
+            request(&format!("ab{number:x}"), "GET", "/read/sound").with_timeout(Duration::from_secs(2))
+        };
+        let is_served = |outcome: &Outcome| outcome.status == 200 && outcome.complete;
+        rig.run_beside(PLAIN_RUN_TIME, sound, is_served, |number| {
+            request(&format!("dd{number:x}"), method, path).with_timeout(Duration::from_secs(2))
+        });
+        rig.expect_few_late("dd", 3);
+        // One that has crashed the last upstream is back after this time.
+        rig.expect_sound_served(rig.crash_time("dd", 3) + PLAIN_CRASH_TIME + CONTACT);
+    }
+}
