--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -16,6 +16,7 @@
 use super::{
     body::HeldBytes,
     guard::Reservation,
+    limit,
     repeats::{self, Repeat},
     shared::Shared,
 };
@@ -205,6 +206,8 @@
             .send(request.map(|()| self.body.clone()), deadline)
             .await?;
         repeats::record_answer(self, reservation.upstream);
+        let (status, headers) = (answered.0.status(), answered.0.headers());
+        limit::record_answer(self, reservation.upstream, status, headers);
         Ok(answered)
     }
 }
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod guard;
 mod head;
+mod limit;
 mod listen;
 mod migrate;
 mod plain;
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -82,6 +82,10 @@
     newcomers: RefCell<Vec<SocketAddr>>,
     /// When a report of the upstream was last requested to learn whether it leaves.
     last_probes: RefCell<SecondaryMap<UpstreamKey, Time>>,
+    /// Limits that upstreams named last.
+    limits: RefCell<SecondaryMap<UpstreamKey, f64>>,
+    /// When it was last logged that a limit cannot be read.
+    limit_logged: Cell<Option<Time>>,
     /// Requests that are being handled.
     active: RefCell<SlotMap<ActiveKey, Active>>,
     /// Bytes of bodies that are held in memory.
@@ -133,6 +137,8 @@
             evidence: RefCell::new(Evidence::new(Options::default())),
             newcomers: RefCell::new(Vec::new()),
             last_probes: RefCell::new(SecondaryMap::new()),
+            limits: RefCell::new(SecondaryMap::new()),
+            limit_logged: Cell::new(None),
             active: RefCell::new(SlotMap::with_key()),
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
@@ -282,6 +288,31 @@
         self.newcomers.take()
     }
 
+    /// Notes the limit that an upstream names, in requests a second; returns the one before.
+    pub(super) fn note_limit(&self, upstream: UpstreamKey, rate: Option<f64>) -> Option<f64> {
+        let mut limits = self.limits.borrow_mut();
+        let before = match rate {
+            Some(rate) => limits.insert(upstream, rate),
+            None => limits.remove(upstream),
+        };
+        metrics::gauge!("carobhaven_limits_in_force").set(limits.len() as f64);
+        before
+    }
+
+    /// Returns whether the last log line about a limit that cannot be read is at least `interval` ago; if so, records one
+    /// at this time.
+    pub(super) fn may_log_limit(&self, interval: Duration) -> bool {
+        let now = self.now();
+        let is_due = self
+            .limit_logged
+            .get()
+            .is_none_or(|logged| now.since(logged) >= interval);
+        if is_due {
+            self.limit_logged.set(Some(now));
+        }
+        is_due
+    }
+
     /// Whether the upstreams of a service are engines.
     pub(super) fn is_engine(&self, service: &str) -> bool {
         let table = self.table.borrow();
