fix: upstreams that name a limit get more requests from all instances together than it permits

Class: news that an upstream gives about itself in its answers reached neither the decisions of the instance that got it nor the other instances.

Now the latest statement about an upstream holds at all instances, by its origin and age, and one instance, chosen by a hash, issues permits for its requests at the rate of the limit. Placement, retries, moves and resumes ask one state machine without I/O. Requests for which no permit is expected are refused at once, with a Retry-After that tells when one is.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -81,6 +81,8 @@
         let upstreams = &self.upstreams;
         self.by_name.retain(|_, key| upstreams.contains_key(*key));
         self.by_hash.retain(|_, key| upstreams.contains_key(*key));
+        let by_hash = &self.by_hash;
+        self.limits.evict_stale(|hash| by_hash.contains_key(&hash), now);
     }
 
     /// Records that an upstream has announced that it leaves. Returns it unless it was known to leave already.
--- /dev/null
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -0,0 +1,135 @@
+//! Upstreams that name a limit on the requests that they take.
+
+use std::time::Duration;
+
+use carob_base::Time;
+
+use super::{Fleet, Requirements, RunKey, Upstream, UpstreamKey, UpstreamState, place::has_room};
+use crate::limits::{Access, Limits};
+
+/// A request that no upstream may get at present, since all of its service name limits.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// The upstream from which most permits are expected.
+    pub upstream: UpstreamKey,
+    /// Time until a request that waits now can expect a permit.
+    pub wait: Duration,
+    /// Whether a permit may come sooner, so that the request is to wait for
+    /// [`ASK_TIME`](crate::limits::ASK_TIME).
+    pub may_ask: bool,
+}
+
+impl Fleet {
+    /// The limits that upstreams name.
+    pub const fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// The limits that upstreams name, to be changed.
+    pub const fn limits_mut(&mut self) -> &mut Limits {
+        &mut self.limits
+    }
+
+    /// Takes a permit for a request whose capacity has been taken, if its upstream names a limit. Without
+    /// [`Self::record_sent`] the permit is given back when the request ends.
+    pub fn take_permit(&mut self, run: RunKey, now: Time) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let Some(running) = self.runs.get_mut(run) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get(running.upstream) {
+            running.permit = self.limits.take_permit(upstream.hash(), now);
+        }
+    }
+
+    /// Records that a request is sent to its upstream; returns whether it had a permit.
+    pub fn record_sent(&mut self, run: RunKey) -> bool {
+        let permit = self.runs.get_mut(run).and_then(|running| running.permit.take());
+        permit.is_some()
+    }
+
+    /// Records that a new request would be sent to upstreams if there were permits: those that name a limit and are a
+    /// better choice than all others with room, and those whose limit has to be confirmed.
+    pub fn record_demand(&mut self, requirements: &Requirements, now: Time) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let mut limited = Vec::new();
+        let mut least = f64::INFINITY;
+        for (key, upstream) in &self.upstreams {
+            if !is_candidate(key, upstream, requirements) || !has_room(upstream, requirements) {
+                continue;
+            }
+            let score = self.score(key, upstream, requirements, now);
+            let hash = upstream.hash();
+            if self.limits.limit(hash).is_some() {
+                limited.push((score, hash));
+            } else {
+                least = least.min(score);
+            }
+        }
+        for (score, hash) in limited {
+            if score < least || self.limits.is_unconfirmed(hash, now) {
+                self.limits.record_demand(hash, now);
+            }
+        }
+    }
+
+    /// Returns how long a request that joins the queue now waits for a permit among `instances`, or `None` unless every
+    /// upstream that could run it names a limit.
+    pub fn held(&self, requirements: &Requirements, instances: usize, now: Time) -> Option<Held> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        let (mut rate, mut is_rare) = (0.0, false);
+        let mut first: Option<(f64, UpstreamKey)> = None;
+        for (key, upstream) in &self.upstreams {
+            if !is_candidate(key, upstream, requirements) {
+                continue;
+            }
+            let hash = upstream.hash();
+            self.limits.limit(hash)?;
+            let expected = self.limits.expected_rate(hash, instances, now);
+            rate += expected;
+            is_rare |= self.limits.is_rarely_wanted(hash);
+            if first.is_none_or(|(most, _)| expected > most) {
+                first = Some((expected, key));
+            }
+        }
+        let (_, upstream) = first?;
+        let ahead = self.queue_length(&requirements.service);
+        let wait = Duration::try_from_secs_f64((ahead as f64 + 1.0) / rate);
+        Some(Held {
+            upstream,
+            wait: wait.unwrap_or(Duration::MAX),
+            may_ask: is_rare && ahead == 0,
+        })
+    }
+
+    /// Records that a request waits in the queue until `until` at most, for a permit of any upstream that could run it.
+    pub fn record_wait(&mut self, requirements: &Requirements, until: Time) {
+        for (key, upstream) in &self.upstreams {
+            if is_candidate(key, upstream, requirements) {
+                self.limits.record_wait(upstream.hash(), until);
+            }
+        }
+    }
+
+    /// Whether a request may be sent to an upstream now, as far as its limit goes.
+    pub(super) fn access(&self, upstream: &Upstream, now: Time) -> Access {
+        if self.limits.is_empty() {
+            Access::Open
+        } else {
+            self.limits.access(upstream.hash(), now)
+        }
+    }
+}
+
+/// Whether an upstream could run a request, were it not for its load or limit.
+fn is_candidate(key: UpstreamKey, upstream: &Upstream, requirements: &Requirements) -> bool {
+    *upstream.entry.service == *requirements.service
+        && upstream.entry.state == UpstreamState::Ready
+        && !requirements.excluded.contains(&key)
+}
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! * [`Fleet::apply_peer_loads`] adds the requests that other instances run.
 
 mod directory;
+mod limited;
 mod peers;
 mod place;
 mod waiting;
@@ -14,6 +15,9 @@
 use carob_base::Time;
 use slotmap::SlotMap;
 
+use crate::limits::{Limits, Options as LimitOptions, Permit};
+
+pub use limited::Held;
 pub use peers::{MessageStamp, PeerLoad};
 pub use place::{Placement, Requirements, UpstreamHealth};
 pub use waiting::{Assignment, QueuedRequest};
@@ -116,6 +120,8 @@
 struct Run {
     upstream: UpstreamKey,
     size: RequestSize,
+    /// Permit of an upstream that names a limit, until the request is sent.
+    permit: Option<Permit>,
 }
 
 carob_base::plain! {
@@ -161,6 +167,7 @@
     runs: SlotMap<RunKey, Run>,
     queue: waiting::Queue,
     peers: HashMap<SocketAddr, peers::Peer>,
+    limits: Limits,
     /// Seed for breaking ties. Changes with every request, so that requests are spread over equal upstreams,
     /// and in another order at each instance.
     tie_seed: u64,
@@ -186,6 +193,7 @@
             runs: SlotMap::with_key(),
             queue: waiting::Queue::default(),
             peers: HashMap::new(),
+            limits: Limits::new(LimitOptions::default(), seed),
             tie_seed: seed,
         }
     }
@@ -208,7 +216,11 @@
             found.local_tokens += size.tokens;
             found.local_prefill += size.prefill;
         }
-        self.runs.insert(Run { upstream, size })
+        self.runs.insert(Run {
+            upstream,
+            size,
+            permit: None,
+        })
     }
 
     /// Updates the size of a running request, as its prompt is prefilled or its answer grows.
@@ -233,6 +245,9 @@
             found.local_tokens = found.local_tokens.saturating_sub(running.size.tokens);
             found.local_prefill = found.local_prefill.saturating_sub(running.size.prefill);
         }
+        if let Some(permit) = running.permit {
+            self.limits.give_back(permit);
+        }
     }
 
     /// Stores the load that `upstream` reports; it replaces the previous report.
--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -119,6 +119,14 @@
             .count()
     }
 
+    /// Instances whose last message came less than `time` ago.
+    pub fn heard_within(&self, time: Duration, now: Time) -> impl Iterator<Item = SocketAddr> {
+        let peers = self.peers.iter();
+        peers
+            .filter(move |(_, known)| now.since(known.last_seen) < time)
+            .map(|(peer, _)| *peer)
+    }
+
     /// Evicts instances that have sent nothing for [`PEER_TIMEOUT`], with their loads.
     pub(super) fn evict_peers(&mut self, now: Time) {
         let unresponsive: Vec<SocketAddr> = self
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState};
+use crate::limits::Access;
 
 carob_base::plain! {
     /// Health of an upstream, as the outcome of one forwarded request showed it.
@@ -95,8 +96,13 @@
 /// Load added to an upstream that recently could not be reached, so that it is chosen last.
 const UNREACHABLE_PENALTY: f64 = 10.0;
 
+/// Load subtracted from an upstream that names a limit while a permit is about to be void or the limit has to be
+/// confirmed, so that it is chosen before others unless it could not be reached lately.
+const PERMIT_BONUS: f64 = 8.0;
+
 impl Fleet {
-    /// Chooses the upstream with the lowest score, its load plus penalties, among those that have room.
+    /// Chooses the upstream with the lowest score, its load plus penalties, among those that have room and, if they name
+    /// a limit, a permit.
     pub fn place(&self, requirements: &Requirements, now: Time) -> Placement {
         let mut best = None;
         let mut any_ready = false;
@@ -111,7 +117,12 @@
             if !has_room(upstream, requirements) {
                 continue;
             }
-            let score = self.score(key, upstream, requirements, now);
+            let bonus = match self.access(upstream, now) {
+                Access::Held => continue,
+                Access::Preferred => PERMIT_BONUS,
+                Access::Open | Access::Permitted => 0.0,
+            };
+            let score = self.score(key, upstream, requirements, now) - bonus;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, key));
             }
@@ -124,7 +135,13 @@
     }
 
     /// Draws up to `count` ready upstreams at random, to query their load. `draw` is a random number.
-    pub fn sample(&self, requirements: &Requirements, count: usize, draw: u64) -> SmallVec<[UpstreamKey; 4]> {
+    pub fn sample(
+        &self,
+        requirements: &Requirements,
+        count: usize,
+        draw: u64,
+        now: Time,
+    ) -> SmallVec<[UpstreamKey; 4]> {
         let mut drawn: Vec<(u64, UpstreamKey)> = self
             .upstreams
             .iter()
@@ -132,6 +149,7 @@
                 *upstream.entry.service == *requirements.service
                     && upstream.entry.state == UpstreamState::Ready
                     && !requirements.excluded.contains(key)
+                    && self.access(upstream, now) != Access::Held
             })
             .map(|(key, _)| {
                 let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&draw.to_le_bytes(), self.upstream_hash(key));
@@ -172,6 +190,7 @@
         from: UpstreamKey,
         requirements: &Requirements,
         draw: u64,
+        now: Time,
     ) -> Option<UpstreamKey> {
         // An upstream that started again under its address runs there what was sent to it since, and a copy to itself
         // would stop that.
@@ -182,6 +201,7 @@
                 && *upstream.entry.service == *requirements.service
                 && upstream.entry.state == UpstreamState::Ready
                 && !requirements.excluded.contains(key)
+                && self.access(upstream, now) != Access::Held
         });
         let rank = |key: UpstreamKey, upstream: &Upstream| {
             let free = 1.0
@@ -225,7 +245,13 @@
     }
 
     /// Load plus penalties, as a share of capacity; the upstream with the lowest score is chosen.
-    fn score(&self, key: UpstreamKey, upstream: &Upstream, requirements: &Requirements, now: Time) -> f64 {
+    pub(super) fn score(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        requirements: &Requirements,
+        now: Time,
+    ) -> f64 {
         let unreachable = if upstream.avoid_until > now {
             UNREACHABLE_PENALTY
         } else {
@@ -259,7 +285,7 @@
 }
 
 /// Whether the upstream can run the request in addition to those that it already runs.
-fn has_room(upstream: &Upstream, requirements: &Requirements) -> bool {
+pub(super) fn has_room(upstream: &Upstream, requirements: &Requirements) -> bool {
     let slots = f64::from(upstream.entry.slots.max(1));
     if requirements.capacity == 0 {
         return f64::from(upstream.total_requests()) < slots * MAX_BACKLOG;
--- a/crates/carob-dispatch/src/lib.rs
+++ b/crates/carob-dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`fleet`]: upstreams, the requests running on them and the requests queued for them.
 //! * [`budget`]: this instance's share of the retry budget.
 //! * [`crashes`]: parts of prompts, and requests, that crash upstreams.
+//! * [`limits`]: request rates that upstreams name for all instances together.
 //! * [`migration`]: limits and timeouts of migrating a generation to another upstream.
 //! * [`outcome`]: what to do after an attempt at an upstream.
 
@@ -17,6 +18,7 @@
 pub mod crashes;
 pub mod fleet;
 pub mod head;
+pub mod limits;
 pub mod migration;
 pub mod outcome;
 pub mod table;
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -275,7 +275,7 @@
     let mut count: HashMap<UpstreamKey, u32> = HashMap::new();
     for draw in 0..600 {
         let target = fleet
-            .migration_target(source, &requirements(PREFILLED), draw)
+            .migration_target(source, &requirements(PREFILLED), draw, Time::ZERO)
             .expect("there are targets");
         *count.entry(target).or_default() += 1;
     }
@@ -300,7 +300,7 @@
     let source = add(&mut fleet, "e0", "a");
     let near = add(&mut fleet, "e1", "a");
     let far = add(&mut fleet, "far", "c");
-    let target = |fleet: &Fleet| fleet.migration_target(source, &requirements(PREFILLED), 1);
+    let target = |fleet: &Fleet| fleet.migration_target(source, &requirements(PREFILLED), 1, Time::ZERO);
     for _ in 0..9 {
         fleet.start_request(near, PREFILLED);
     }
@@ -321,7 +321,10 @@
         ..entry("e0", "a")
     };
     assert_eq!(fleet.update_entry(again, NOW), Some(source));
-    assert_eq!(fleet.migration_target(source, &requirements(PREFILLED), 1), None);
+    assert_eq!(
+        fleet.migration_target(source, &requirements(PREFILLED), 1, Time::ZERO),
+        None
+    );
 }
 
 #[test]
@@ -351,5 +354,10 @@
         None,
         "old reports do not count"
     );
-    assert_eq!(fleet.sample(&requirements(NEW_GENERATION), 2, 5).len(), 2);
+    assert_eq!(
+        fleet
+            .sample(&requirements(NEW_GENERATION), 2, 5, Time::ZERO)
+            .len(),
+        2
+    );
 }
--- a/crates/carob-explain/src/conclude.rs
+++ b/crates/carob-explain/src/conclude.rs
@@ -20,7 +20,8 @@
     let sentence = match last.message.as_str() {
         "answered by the gateway" => {
             let crashes = explain_crashes(last, request, all);
-            format!("{}{crashes}", explain_local_answer(last, request))
+            let limit = explain_limit(last, request, all);
+            format!("{}{crashes}{limit}", explain_local_answer(last, request))
         }
         "answer passed on" => format!(
             "The answer of upstream {} (status {}) was passed on after {} ms.",
@@ -120,6 +121,38 @@
     )
 }
 
+/// Explains a refusal because upstreams limit their requests: which limit was known, and from which answer.
+fn explain_limit(last: &Record, request: &[&Record], all: &[Record]) -> String {
+    let refusal = request
+        .iter()
+        .find(|record| record.message == "request refused: upstreams limit their requests");
+    let Some(refusal) = refusal else {
+        return String::new();
+    };
+    let incarnation = refusal.text("incarnation");
+    let named = all.iter().rfind(|record| {
+        record.message == "upstream changed its limit"
+            && record.time_ms <= last.time_ms
+            && record.field_is("incarnation", &incarnation)
+    });
+    let answer = named.map_or_else(
+        || "an answer whose line is not here".to_owned(),
+        |named| {
+            let ahead = last.time_ms - named.time_ms;
+            format!("the answer to {} {ahead} ms before", named.text("request"))
+        },
+    );
+    format!(
+        " Upstream {} took {} requests a second, according to {answer} (last confirmed {} ms before, source {}); a permit \
+         was expected after {} ms.",
+        refusal.text("upstream"),
+        refusal.text("limit"),
+        refusal.text("limit_ms"),
+        refusal.text("source"),
+        refusal.text("wait_ms")
+    )
+}
+
 /// Explains why a stream was cut: whether an instance knew that the upstream would leave, and what was done
 /// to migrate the generation.
 fn explain_cut(last: &Record, request: &[&Record], all: &[Record]) -> String {
--- a/crates/carob-explain/tests/explain.rs
+++ b/crates/carob-explain/tests/explain.rs
@@ -347,3 +347,35 @@
     let records = parse(&text.concat(), "file").records;
     assert!(explain(&records, "q").starts_with("The gateway answered Refused(1s)"));
 }
+
+#[test]
+fn a_request_that_limits_hold_back_is_not_explained() {
+    let text = [
+        line(
+            "n1",
+            1_000,
+            "upstream changed its limit",
+            ",\"request\":\"r1\",\"upstream\":\"u1\",\"incarnation\":\"00aa\",\"limit\":\"4.5\",\"before\":\"none\"",
+        ),
+        line(
+            "n2",
+            3_000,
+            "request refused: upstreams limit their requests",
+            ",\"request\":\"q\",\"upstream\":\"u1\",\"incarnation\":\"00aa\",\"limit\":\"4.5\",\"limit_ms\":700,\
+             \"source\":\"10.0.0.1:7200\",\"wait_ms\":450",
+        ),
+        line(
+            "n2",
+            3_000,
+            "answered by the gateway",
+            ",\"request\":\"q\",\"own\":\"Refused(600ms)\",\"age_ms\":1,\"reason\":\"upstreams limit their requests\"",
+        ),
+    ];
+    let records = parse(&text.concat(), "file").records;
+    assert_eq!(
+        explain(&records, "q"),
+        "The gateway answered Refused(600ms) after 1 ms and 0 sends, because upstreams limit their requests. Upstream u1 \
+         took 4.5 requests a second, according to the answer to r1 2000 ms before (last confirmed 700 ms before, source \
+         10.0.0.1:7200); a permit was expected after 450 ms."
+    );
+}
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -9,6 +9,7 @@
 use carob_dispatch::{
     crashes::{CrashReport, MAX_SUSPECTS, Part, SoundReport, Suspect, TrialReport, WHOLE_REQUEST},
     fleet::PeerLoad,
+    limits::{Origin, Report as LimitReport},
 };
 use carob_platform::store::Item as StoreItem;
 use prost::Message;
@@ -55,6 +56,53 @@
     /// Latest trials of parts that are refused.
     #[prost(message, repeated, tag = "11")]
     pub trials: Vec<Trial>,
+    /// Limits that upstreams name.
+    #[prost(message, repeated, tag = "12")]
+    pub limits: Vec<Limit>,
+    /// Permits that the sender wants. A message with these or `permits` holds nothing else.
+    #[prost(message, repeated, tag = "13")]
+    pub wants: Vec<Want>,
+    /// Permits that the sender issues to the receiver.
+    #[prost(message, repeated, tag = "14")]
+    pub permits: Vec<Permits>,
+}
+
+/// What an upstream said of its limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct Limit {
+    /// Stable hash that identifies the upstream and its incarnation.
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// Requests a second from all instances together; absent if the upstream names no limit any more.
+    #[prost(double, optional, tag = "2")]
+    pub rate: Option<f64>,
+    /// Milliseconds since then.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Random number drawn at the start of the process that got the answer.
+    #[prost(fixed64, tag = "4")]
+    pub origin: u64,
+    /// Sequence number of the statement within that process.
+    #[prost(uint64, tag = "5")]
+    pub number: u64,
+}
+
+/// Permits for requests to an upstream that an instance wants; replaces what it wanted before.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Want {
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
+/// Permits for requests to an upstream, beyond those sent before.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Permits {
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 /// An upstream that crashed under requests.
@@ -258,3 +306,29 @@
         }
     }
 }
+
+impl From<LimitReport> for Limit {
+    fn from(report: LimitReport) -> Self {
+        Self {
+            upstream_hash: report.incarnation,
+            rate: report.rate,
+            age_ms: report.age.as_millis() as u64,
+            origin: report.origin.boot_id,
+            number: report.origin.number,
+        }
+    }
+}
+
+impl From<Limit> for LimitReport {
+    fn from(limit: Limit) -> Self {
+        Self {
+            incarnation: limit.upstream_hash,
+            rate: limit.rate,
+            age: Duration::from_millis(limit.age_ms),
+            origin: Origin {
+                boot_id: limit.origin,
+                number: limit.number,
+            },
+        }
+    }
+}
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -5,14 +5,15 @@
 use carob_dispatch::{
     crashes::Report as CrashEvidence,
     fleet::{MessageStamp, PeerLoad},
+    limits::Report as LimitReport,
 };
 use prost::Message;
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::shared::Shared;
+use super::{limit, shared::Shared};
 use crate::{
-    peer::{Announcement, Crash, Item, Load, Sound, Trial},
+    peer::{Announcement, Crash, Item, Limit, Load, Sound, Trial},
     update::{Report, StoreUpdate},
 };
 
@@ -49,6 +50,10 @@
         let complete = Instant::now() >= due || (has_peers && !had_peers);
         had_peers = has_peers;
         let news = shared.evidence().take_changes(shared.now());
+        let limits = shared
+            .fleet_mut()
+            .limits_mut()
+            .take_reports(complete, shared.now());
         let loads: HashMap<u64, PeerLoad> = shared
             .fleet()
             .local_loads()
@@ -60,7 +65,8 @@
         } else {
             changed_loads(&sent_loads, &loads)
         };
-        if complete || !changed.is_empty() || update.is_some() || status != sent_status || !news.is_empty() {
+        let has_news = !changed.is_empty() || !news.is_empty() || !limits.is_empty();
+        if complete || has_news || update.is_some() || status != sent_status {
             sequence += 1;
             let message = Announcement {
                 boot_id,
@@ -78,6 +84,8 @@
                 crashes: news.crashes.into_iter().map(Crash::from).collect(),
                 sound: news.sound.into_iter().map(Sound::from).collect(),
                 trials: news.trials.into_iter().map(Trial::from).collect(),
+                limits: limits.into_iter().map(Limit::from).collect(),
+                ..Announcement::default()
             };
             broadcast(&shared, &socket, &message).await;
             (sent_loads, sent_status) = (loads, status);
@@ -186,6 +194,11 @@
             return;
         }
     };
+    if limit::receive(shared, peer, &message) {
+        return;
+    }
+    let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
+    limit::merge(shared, peer, &limits);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
         number: message.sequence,
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -199,6 +199,10 @@
         let request = request::encode(&parts.method, &parts.uri, &parts.headers, &added)
             .map_err(|error| socket::Error::Connect(error.to_string()))?;
         metrics::counter!("carobhaven_sends_total").increment(1);
+        if reservation.record_sent() {
+            limit::count_permits("used", 1);
+        }
+        let sent = Instant::now();
         if let Some(repeat) = repeat {
             repeat.commit(self);
         }
@@ -207,7 +211,7 @@
             .await?;
         repeats::record_answer(self, reservation.upstream);
         let (status, headers) = (answered.0.status(), answered.0.headers());
-        limit::record_answer(self, reservation.upstream, status, headers);
+        limit::record_answer(self, reservation.upstream, (status, headers), sent);
         Ok(answered)
     }
 }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -24,6 +24,7 @@
     call::Call,
     crash,
     guard::{ActiveRequest, QueueEntry, Reservation},
+    limit,
     listen::RequestCount,
     plain, probe,
     repeats::Repeat,
@@ -277,6 +278,7 @@
     let size = call.size(0);
     let requirements = call.requirements(size, tried);
     shutdown::check(call, active)?;
+    limit::record_demand(shared, &requirements);
     if requirements.capacity > 0
         && shared.is_isolated()
         && let Some(upstream) = probe::place(shared, &requirements).await
@@ -304,6 +306,7 @@
     if Instant::now() >= queue_deadline {
         return Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams are full"));
     }
+    let wait = limit::plan_wait(call, &requirements, queue_deadline)?;
     let key = shared.fleet_mut().enqueue(QueuedRequest {
         requirements,
         priority: call.priority,
@@ -313,7 +316,7 @@
     shared.grant_waiting();
     let outcome = tokio::select! {
         biased;
-        outcome = timeout_at(queue_deadline, &mut entry.grant) => outcome,
+        outcome = timeout_at(wait.until, &mut entry.grant) => outcome,
         refusal = shutdown::refusal(call, active) => return Err(refusal),
     };
     drop(entry);
@@ -325,7 +328,7 @@
             shutdown::check(call, active)?;
             Ok(reservation)
         }
-        Ok(Err(_)) | Err(_) => Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams stayed full")),
+        Ok(Err(_)) | Err(_) => Err(wait.refuse(call)),
     }
 }
 
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -81,7 +81,11 @@
 impl Reservation {
     /// Reserves capacity for a request of `size` at `upstream`.
     pub(super) fn new(shared: &Rc<Shared>, upstream: UpstreamKey, size: RequestSize) -> Self {
-        let key = shared.fleet_mut().start_request(upstream, size);
+        let now = shared.now();
+        let mut fleet = shared.fleet_mut();
+        let key = fleet.start_request(upstream, size);
+        fleet.take_permit(key, now);
+        drop(fleet);
         Self::adopt(shared, upstream, key, size)
     }
 
@@ -96,6 +100,12 @@
         }
     }
 
+    /// Records that the request is sent; returns whether it had a permit. Until then its permit is given back when the
+    /// guard is dropped.
+    pub(super) fn record_sent(&self) -> bool {
+        self.shared.fleet_mut().record_sent(self.key)
+    }
+
     /// Corrects the reserved size.
     pub(super) fn resize(&mut self, size: RequestSize) {
         self.size = size;
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -1,18 +1,44 @@
-//! Reads the limits that upstreams name in their answers.
+//! Keeps to the limits that upstreams name: reads them from answers, and exchanges permits with the other instances.
 
-use std::time::Duration;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use carob_dispatch::fleet::UpstreamKey;
+use carob_dispatch::{
+    fleet::{Held, Requirements, UpstreamKey},
+    limits::{ASK_TIME, Content, Members, Message as PermitMessage, Report, Statement},
+};
 use carob_platform::answer::{self, AnswerKind};
 use hyper::{HeaderMap, StatusCode};
+use prost::Message;
+use tokio::{net::UdpSocket, time::Instant};
 
-use super::{call::Call, exchange::upstream_name};
+use super::{
+    answer::LocalAnswer,
+    call::Call,
+    exchange::{RETRY_FULL, Refusal, upstream_name},
+    shared::{PEER_TIMEOUT, Shared},
+};
+use crate::peer::{Announcement, Permits, Want};
+
+/// Minimum time between two rounds of messages.
+const MIN_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Minimum time between two log lines about limits that cannot be read.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reads the limit in the head of an answer, and logs it if it has changed.
-pub(super) fn record_answer(call: &Call, upstream: UpstreamKey, status: StatusCode, headers: &HeaderMap) {
+/// Bounds of the suggested retry delay of a request that finds no permit.
+const MIN_RETRY: Duration = Duration::from_millis(300);
+const MAX_RETRY: Duration = Duration::from_secs(10);
+
+/// Why a request is refused for lack of permits, in log lines.
+const HELD: &str = "upstreams limit their requests";
+
+/// Reads the limit in the head of an answer to a request that was sent at `sent`.
+pub(super) fn record_answer(
+    call: &Call,
+    upstream: UpstreamKey,
+    (status, headers): (StatusCode, &HeaderMap),
+    sent: Instant,
+) {
     // Another upstream has the address now, or the answer is not the upstream's.
     if status == StatusCode::MISDIRECTED_REQUEST
         || answer::classify(status, headers, &call.head.id) == AnswerKind::Foreign
@@ -20,16 +46,8 @@
         return;
     }
     let shared = &call.shared;
-    match answer::named_limit(headers) {
-        Ok(rate) => {
-            let before = shared.note_limit(upstream, rate);
-            if before != rate {
-                log::info!(
-                    request:% = call.id(), upstream:% = upstream_name(call, upstream),
-                    limit:% = rate_text(rate), before:% = rate_text(before); "upstream changed its limit"
-                );
-            }
-        }
+    let rate = match answer::named_limit(headers) {
+        Ok(rate) => rate,
         Err(error) => {
             metrics::counter!("carobhaven_limit_malformed_total").increment(1);
             if shared.may_log_limit(LOG_INTERVAL) {
@@ -38,10 +56,227 @@
                     "limit of an upstream cannot be read"
                 );
             }
+            return;
         }
+    };
+    let now = shared.now();
+    let hash = shared.fleet().upstream_hash(upstream);
+    let before = shared.fleet().limits().limit(hash);
+    let changed = shared
+        .fleet_mut()
+        .limits_mut()
+        .record_answer(hash, rate, now - sent.elapsed(), now);
+    let Some(statement) = changed else { return };
+    log::info!(
+        request:% = call.id(), upstream:% = upstream_name(call, upstream), incarnation:% = format!("{hash:016x}"),
+        limit:% = rate_text(statement.rate), before:% = rate_text(before.and_then(|before| before.rate));
+        "upstream changed its limit"
+    );
+    after_change(shared);
+}
+
+/// Applies what the instance at `peer` tells about limits.
+pub(super) fn merge(shared: &Shared, peer: SocketAddr, reports: &[Report]) {
+    if reports.is_empty() || !shared.peers().contains(&peer) {
+        return;
+    }
+    let now = shared.now();
+    for report in reports {
+        let Some(statement) = shared.fleet_mut().limits_mut().merge(report, peer, now) else {
+            continue;
+        };
+        log::info!(
+            incarnation:% = format!("{:016x}", report.incarnation), peer:% = peer,
+            limit:% = rate_text(statement.rate), heard_ms = report.age.as_millis() as u64;
+            "limit of an upstream heard from another instance"
+        );
+        after_change(shared);
+    }
+}
+
+fn after_change(shared: &Shared) {
+    let in_force = shared.fleet().limits().in_force();
+    metrics::gauge!("carobhaven_limits_in_force").set(in_force as f64);
+    if shared.fleet().limits().has_changes() {
+        shared.load_changed.notify_one();
     }
+    shared.limits_changed.notify_one();
+    shared.grant_waiting();
 }
 
 fn rate_text(rate: Option<f64>) -> String {
     rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
 }
+
+/// Records which upstreams a request that looks for a place would be sent to, if they name limits.
+pub(super) fn record_demand(shared: &Shared, requirements: &Requirements) {
+    let now = shared.now();
+    shared.fleet_mut().record_demand(requirements, now);
+    if !shared.fleet().limits().is_empty() {
+        shared.limits_changed.notify_one();
+    }
+}
+
+/// How long a request waits in the queue.
+pub(super) struct Wait {
+    pub(super) until: Instant,
+    /// Present if it waits for a permit.
+    held: Option<Held>,
+}
+
+/// Decides how long a request that finds no place waits, until `deadline` at most.
+///
+/// # Errors
+///
+/// Returns the gateway's answer if every upstream names a limit, and no permit is expected in time.
+pub(super) fn plan_wait(
+    call: &Call,
+    requirements: &Requirements,
+    deadline: Instant,
+) -> Result<Wait, Refusal> {
+    let shared = &call.shared;
+    let now = Instant::now();
+    let instances = heard(shared).len() + 1;
+    let held = shared.fleet().held(requirements, instances, shared.now());
+    let Some(found) = held else {
+        return Ok(Wait {
+            until: deadline,
+            held,
+        });
+    };
+    let is_expected = now.checked_add(found.wait).is_some_and(|end| end <= deadline);
+    if !is_expected && !found.may_ask {
+        return Err(refuse(call, found));
+    }
+    let until = if is_expected {
+        deadline
+    } else {
+        deadline.min(now + ASK_TIME)
+    };
+    let time = until.saturating_duration_since(now);
+    shared.fleet_mut().record_wait(requirements, shared.now() + time);
+    shared.limits_changed.notify_one();
+    Ok(Wait { until, held })
+}
+
+impl Wait {
+    /// The gateway's answer to a request that has waited in vain.
+    pub(super) fn refuse(&self, call: &Call) -> Refusal {
+        self.held.map_or(
+            (LocalAnswer::Refused(RETRY_FULL), "all upstreams stayed full"),
+            |held| refuse(call, held),
+        )
+    }
+}
+
+fn refuse(call: &Call, held: Held) -> Refusal {
+    let shared = &call.shared;
+    metrics::counter!("carobhaven_limit_refusals_total").increment(1);
+    let fleet = shared.fleet();
+    let hash = fleet.upstream_hash(held.upstream);
+    if let Some(statement) = fleet.limits().limit(hash) {
+        log::info!(
+            request:% = call.id(), upstream:% = upstream_name(call, held.upstream),
+            incarnation:% = format!("{hash:016x}"), limit:% = rate_text(statement.rate),
+            limit_ms = shared.now().since(statement.at).as_millis() as u64, source:% = source_text(&statement),
+            wait_ms = held.wait.min(MAX_RETRY).as_millis() as u64; "request refused: upstreams limit their requests"
+        );
+    }
+    // Requests that are refused in the same moment come back at different times.
+    let delay = held
+        .wait
+        .clamp(MIN_RETRY, MAX_RETRY)
+        .mul_f64(1.0 + rand::random::<f64>());
+    (LocalAnswer::Refused(delay), HELD)
+}
+
+fn source_text(statement: &Statement) -> String {
+    statement
+        .peer
+        .map_or_else(|| "answer".to_owned(), |peer| peer.to_string())
+}
+
+/// Other registered instances that have been heard of lately.
+fn heard(shared: &Shared) -> Vec<SocketAddr> {
+    let registered = shared.peers();
+    let fleet = shared.fleet();
+    fleet
+        .heard_within(PEER_TIMEOUT, shared.now())
+        .filter(|peer| registered.contains(peer))
+        .collect()
+}
+
+/// Issues permits and asks for them, for as long as the process runs.
+pub(super) async fn exchange_permits(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    loop {
+        let next = shared.fleet().limits().next_poll();
+        match next {
+            Some(time) => {
+                // A timeout is the usual case: the next permit is due.
+                let _changed = tokio::time::timeout(time, shared.limits_changed.notified()).await;
+            }
+            None => shared.limits_changed.notified().await,
+        }
+        let heard = heard(&shared);
+        let members = Members {
+            own: shared.settings().peer_address,
+            heard: &heard,
+            registered: shared.peers().len() + 1,
+        };
+        let (messages, issued) = shared.fleet_mut().limits_mut().poll(members, shared.now());
+        if issued > 0 {
+            count_permits("received", issued);
+            shared.grant_waiting();
+        }
+        for message in messages {
+            send(&socket, message).await;
+        }
+        tokio::time::sleep(MIN_INTERVAL).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, message: PermitMessage) {
+    let mut announcement = Announcement::default();
+    let upstream_hash = message.incarnation;
+    match message.content {
+        Content::Want(count) => announcement.wants.push(Want { upstream_hash, count }),
+        Content::Permits(count) => {
+            count_permits("issued", count);
+            announcement.permits.push(Permits { upstream_hash, count });
+        }
+    }
+    let sent = socket.send_to(&announcement.encode_to_vec(), message.to).await;
+    if let Err(error) = sent {
+        log::debug!(peer:% = message.to, error:% = error; "message about permits not sent");
+    }
+}
+
+/// Applies a message about permits of the instance at `peer`; returns whether it is one.
+pub(super) fn receive(shared: &Shared, peer: SocketAddr, message: &Announcement) -> bool {
+    let wants = message
+        .wants
+        .iter()
+        .map(|want| (want.upstream_hash, Content::Want(want.count)));
+    let permits = message
+        .permits
+        .iter()
+        .map(|permits| (permits.upstream_hash, Content::Permits(permits.count)));
+    let now = shared.now();
+    let mut received = 0;
+    for (hash, content) in wants.chain(permits) {
+        received += shared.fleet_mut().limits_mut().receive(peer, hash, content, now);
+    }
+    if received > 0 {
+        count_permits("received", received);
+        shared.grant_waiting();
+    }
+    if !message.wants.is_empty() {
+        shared.limits_changed.notify_one();
+    }
+    !message.wants.is_empty() || !message.permits.is_empty()
+}
+
+/// Counts what became of permits.
+pub(super) fn count_permits(event: &'static str, count: u32) {
+    metrics::counter!("carobhaven_limit_permits_total", "event" => event).increment(u64::from(count));
+}
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -22,6 +22,7 @@
     call::Call,
     exchange::upstream_name,
     guard::Reservation,
+    limit,
     resume::{self, OpenStream},
 };
 use crate::socket;
@@ -188,13 +189,14 @@
         let requirements = call.requirements(RequestSize { tokens, prefill: 0 }, &tried);
         let target = shared
             .fleet()
-            .migration_target(source.key, &requirements, rand::random());
+            .migration_target(source.key, &requirements, rand::random(), shared.now());
         let Some(target) = target.filter(|_| tried.len() < MAX_TARGETS) else {
             if shared.now().since(source.leaving_since) >= COPY_CUTOFF {
                 return Err(MigrationOutcome::Failed("no upstream has room for the copy"));
             }
             // Requests that end at the targets free memory there, so all of them are tried again.
             tried.clear();
+            limit::record_demand(shared, &requirements);
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -126,6 +126,7 @@
     tokio::task::spawn_local(listen::serve_callers(Rc::clone(shared), callers));
     tokio::task::spawn_local(listen::serve_readiness(Rc::clone(shared), ready));
     tokio::task::spawn_local(announce::receive(Rc::clone(shared), Rc::clone(&peers)));
+    tokio::task::spawn_local(limit::exchange_permits(Rc::clone(shared), Rc::clone(&peers)));
     tokio::task::spawn_local(announce::send(Rc::clone(shared), peers));
     Ok(())
 }
--- a/crates/carob-gateway/src/traffic/probe.rs
+++ b/crates/carob-gateway/src/traffic/probe.rs
@@ -56,7 +56,7 @@
     let candidates: SmallVec<[UpstreamKey; 4]> =
         shared
             .fleet()
-            .sample(requirements, MAX_CANDIDATES, rand::random());
+            .sample(requirements, MAX_CANDIDATES, rand::random(), started);
     join_all(candidates.iter().map(|key| fetch_report(shared, *key))).await;
     shared.fleet().place_observed(requirements, &candidates, started)
 }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -31,7 +31,7 @@
 };
 
 /// Instances send their load at least once a second; one counts as unresponsive after two missed messages.
-const PEER_TIMEOUT: Duration = Duration::from_millis(2_200);
+pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(2_200);
 
 /// How long the platform still sends new connections to an instance that reports not ready: it takes two
 /// consecutive readiness checks, one a second, and the time of connections already on their way.
@@ -82,10 +82,6 @@
     newcomers: RefCell<Vec<SocketAddr>>,
     /// When a report of the upstream was last requested to learn whether it leaves.
     last_probes: RefCell<SecondaryMap<UpstreamKey, Time>>,
-    /// Limits that upstreams named last.
-    limits: RefCell<SecondaryMap<UpstreamKey, f64>>,
-    /// When it was last logged that a limit cannot be read.
-    limit_logged: Cell<Option<Time>>,
     /// Requests that are being handled.
     active: RefCell<SlotMap<ActiveKey, Active>>,
     /// Bytes of bodies that are held in memory.
@@ -106,6 +102,10 @@
     pub(super) aborted: Notify,
     /// Notified when the last active request or the last client connection has ended.
     idle: Notify,
+    /// Notified when a limit of an upstream has changed, or permits are wanted.
+    pub(super) limits_changed: Notify,
+    /// When it was last logged that a limit cannot be read.
+    limit_logged: Cell<Option<Time>>,
     /// Notified when this instance's load or its state of the store has changed, which other instances are to
     /// learn.
     pub(super) load_changed: Notify,
@@ -137,8 +137,6 @@
             evidence: RefCell::new(Evidence::new(Options::default())),
             newcomers: RefCell::new(Vec::new()),
             last_probes: RefCell::new(SecondaryMap::new()),
-            limits: RefCell::new(SecondaryMap::new()),
-            limit_logged: Cell::new(None),
             active: RefCell::new(SlotMap::with_key()),
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
@@ -150,6 +148,8 @@
             aborted: Notify::new(),
             idle: Notify::new(),
             load_changed: Notify::new(),
+            limits_changed: Notify::new(),
+            limit_logged: Cell::new(None),
         }
     }
 
@@ -288,17 +288,6 @@
         self.newcomers.take()
     }
 
-    /// Notes the limit that an upstream names, in requests a second; returns the one before.
-    pub(super) fn note_limit(&self, upstream: UpstreamKey, rate: Option<f64>) -> Option<f64> {
-        let mut limits = self.limits.borrow_mut();
-        let before = match rate {
-            Some(rate) => limits.insert(upstream, rate),
-            None => limits.remove(upstream),
-        };
-        metrics::gauge!("carobhaven_limits_in_force").set(limits.len() as f64);
-        before
-    }
-
     /// Returns whether the last log line about a limit that cannot be read is at least `interval` ago; if so, records one
     /// at this time.
     pub(super) fn may_log_limit(&self, interval: Duration) -> bool {
@@ -487,6 +476,7 @@
                 return;
             };
             let placed = fleet.start_request(upstream, size);
+            fleet.take_permit(placed, now);
             let waiter = self.waiters.borrow_mut().remove(key);
             if waiter.is_none_or(|waiter| waiter.send((upstream, placed)).is_err()) {
                 fleet.finish_request(placed);
