test: the soak has upstreams that name limits

Half of the upstreams of each service name limits of 0 to 9 a second at most, which change and end, beside all other faults and signals; four more clients read all the time. The soak judges any 4 s of each limit from 4 s on, from what upstreams saw, but for gateways that had just started or been suspended.

SOAK_LOGS keeps the gateways' logs.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,7 @@
 //! CI runs it briefly with fixed seeds. A longer run:
 //! `SOAK_SEEDS=1..51 SOAK_SECONDS=36 cargo test --release --test soak -- --nocapture`.
 //! `SOAK_SEEDS=failed` runs every seed that ever failed; `SOAK_GATEWAYS` and `SOAK_CLIENTS` set the size of the
-//! fleet.
+//! fleet. `SOAK_LOGS` names a directory for the logs of the gateways.
 
 mod budget;
 #[path = "soak/checks.rs"]
@@ -12,6 +12,8 @@
 #[path = "soak/faults.rs"]
 mod faults;
 mod fleet;
+#[path = "soak/limits.rs"]
+mod limits;
 #[path = "soak/operator.rs"]
 mod operator;
 #[path = "soak/process.rs"]
@@ -20,7 +22,9 @@
 mod traffic;
 
 use std::{
-    env, thread,
+    env, fs,
+    path::Path,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -38,7 +42,7 @@
 /// Seeds of the run in CI.
 const SEEDS: [u64; 2] = [1, 2];
 /// Seeds that once failed, with the cause.
-const FAILED_SEEDS: [(&str, &[u64]); 4] = [
+const FAILED_SEEDS: [(&str, &[u64]); 5] = [
     (
         "a request sent later than three seconds after SIGTERM was passed on and cut off when the grace ended, since \
          its expected duration had been taken for a bound",
@@ -61,6 +65,10 @@
          moved to the upstream that ran it, which stopped it",
         &[3001],
     ),
+    (
+        "upstreams got more requests than the limit that they had named",
+        &[5001, 5002, 5003],
+    ),
 ];
 /// Seconds of planned work and faults for each seed in CI.
 const SECONDS: u64 = 24;
@@ -137,6 +145,7 @@
 }
 
 fn check(seed: u64, injector: &Injector) {
+    keep_logs(seed, injector);
     let (observations, mut violations) = injector.clients().take_observations();
     for (gateway, violation) in &injector.operator.violations {
         print_log(&injector.fleet.gateways[*gateway], None);
@@ -147,6 +156,12 @@
         &observations,
         &injector.operator,
     ));
+    violations.extend(injector.limits.violations(
+        &injector.fleet.ledger,
+        &observations,
+        &injector.operator,
+        &injector.harms,
+    ));
     print_refused(injector);
     violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
     let served = observations
@@ -189,6 +204,17 @@
     );
 }
 
+/// Writes the logs of the gateways to the directory that `SOAK_LOGS` names.
+fn keep_logs(seed: u64, injector: &Injector) {
+    let Some(directory) = env::var_os("SOAK_LOGS") else {
+        return;
+    };
+    for (number, gateway) in injector.fleet.gateways.iter().enumerate() {
+        let path = Path::new(&directory).join(format!("seed-{seed}-gateway-{number}.log"));
+        fs::write(path, gateway.log_lines().join("\n")).expect("the directory is writable");
+    }
+}
+
 /// Prints how many requests were refused because engines crash under a part of them, and how many of them are sound.
 fn print_refused(injector: &Injector) {
     let gateways = &injector.fleet.gateways;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -21,6 +21,7 @@
 use crate::{
     EVENT_INTERVAL, POLL_INTERVAL,
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
+    limits::Limits,
     operator::Operator,
     traffic::{Clients, deadly_part},
 };
@@ -148,6 +149,8 @@
     /// Number of the latest part that crashes engines, and until when it is sent. Each is sent only while not all
     /// gateways are killed at once: what they know would be gone with them.
     deadly: (u64, Instant),
+    /// Limits that upstreams name.
+    pub limits: Limits,
     /// Draws where streams break off, so that it does not change the sequence of the faults.
     cut_rng: StdRng,
     /// When outages, network faults and bad answers end.
@@ -189,6 +192,7 @@
                 next_kill: Instant::now(),
             },
             deadly: (0, Instant::now()),
+            limits: Limits::new(seed.rotate_left(24)),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
             heal_at: Instant::now(),
             harms: Vec::new(),
@@ -474,6 +478,9 @@
             self.clients.set_deadly(0);
         }
         self.poll_trouble();
+        for text in self.limits.poll([&self.engines, &self.plain]) {
+            self.note(&text);
+        }
         self.operator.poll(&mut self.fleet);
         for gateway in 0..self.fleet.gateways.len() {
             let restarts =
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -42,6 +42,10 @@
 /// Number of second parts that the prompts of sound requests have.
 const SOUND_PARTS: usize = 20;
 
+/// Number of clients that only read, and the time between two reads of one, in milliseconds.
+const READERS: u64 = 4;
+const READ_PAUSE: Range<u64> = 30..120;
+
 /// Number of idle connections that a [`hold_connections`] client keeps.
 const HELD_CONNECTIONS: usize = 6;
 /// Milliseconds after the signal to shut down at which a held connection is used once more: around the time
@@ -139,7 +143,13 @@
         let clients = Arc::clone(self);
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(7));
         let deadly = thread::spawn(move || clients.send_deadly(&mut rng));
-        senders.chain(checks).chain([deadly]).collect()
+        let readers = (0..READERS).map(|number| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(11) ^ number << 32);
+            thread::spawn(move || clients.send_reads(&mut rng))
+        });
+        let readers: Vec<_> = readers.collect();
+        senders.chain(checks).chain([deadly]).chain(readers).collect()
     }
 
     pub fn stop(&self) {
@@ -228,6 +238,18 @@
         }
     }
 
+    /// Sends reads to gateways in rotation all the time, so that limits of upstreams are pressed.
+    fn send_reads(&self, rng: &mut StdRng) {
+        while !self.is_stopped() {
+            thread::sleep(Duration::from_millis(rng.random_range(READ_PAUSE)));
+            let id = format!("r{}", self.next_id.fetch_add(1, Ordering::Relaxed));
+            let read = request(&id, "GET", "/read/1").with_timeout(SHORT_TIMEOUT);
+            if let Some(mut held) = self.open(self.pick_gateway(rng)) {
+                self.exchange(&mut held, vec![(Kind::Safe, read)], Duration::ZERO);
+            }
+        }
+    }
+
     /// Opens a new connection for each request, to a random gateway.
     fn send_on_new_connections(&self, rng: &mut StdRng) {
         for number in 0.. {
