fix: a peer's request that drips keeps all other peers of serve out

Peers that asked for the configuration waited behind a connection that had not proved to be a peer: requests are served one after the other, and only each read had a time limit, so that a byte within each kept the listener busy for as long as its sender liked. A request's frame is now at most 16 KiB long and has to arrive within two seconds and one read.

--- a/crates/carob-link/src/exchange.rs
+++ b/crates/carob-link/src/exchange.rs
@@ -16,6 +16,12 @@
     stream::Frames,
 };
 
+/// Maximum length of a request's frame, in bytes.
+const MAX_REQUEST_BYTES: usize = 16 << 10;
+
+/// Time in which a whole request has to arrive. It fits into one segment, and a lost one is sent again within a second.
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+
 /// One side of an exchange.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -55,17 +61,19 @@
 }
 
 /// Serves one request on `stream` with `handler`, which gets the sender's short id and the body. The timeouts
-/// are those that are set on `stream`.
+/// of each step are those that are set on `stream`; the request has to arrive within two seconds and one step.
 ///
 /// # Errors
 ///
-/// Returns an error if the connection breaks or the request is not authentic.
+/// Returns an error if the connection breaks, or the request is too long, takes too long or is not authentic.
 pub fn respond<S: Read + Write>(
     endpoint: &Endpoint,
     stream: S,
     handler: impl FnOnce(u32, Bytes) -> Bytes,
 ) -> io::Result<()> {
-    let mut frames = Frames::new(stream);
+    let mut frames = Frames::new(stream)
+        .with_max_length(MAX_REQUEST_BYTES)
+        .with_read_time(REQUEST_TIME);
     let (from, nonce, body) = endpoint.open(&mut frames)?;
     let response = handler(from, body);
     frames.write(endpoint.seal(from, nonce, &response))
--- a/crates/carob-link/tests/link.rs
+++ b/crates/carob-link/tests/link.rs
@@ -163,8 +163,8 @@
     Frames::new(Cursor::new(long)).read().expect_err("too long");
 }
 
-/// Requests are served one after the other, and only each read has a time limit. Fails: a sender that has not proved
-/// to be a peer, and sends a byte within each limit, keeps all others out for as long as it likes.
+/// Requests are served one after the other. A sender that has not proved to be a peer announces a long request, and sends
+/// a byte within the time limit of each read.
 #[test]
 fn a_request_that_drips_keeps_other_peers_out() {
     const STEP: Duration = Duration::from_millis(200);
@@ -192,3 +192,30 @@
         "served for {took:?}, with a limit of {STEP:?} for a step"
     );
 }
+
+/// The same with a request of a permitted length.
+#[test]
+fn a_short_request_that_drips_keeps_other_peers_out() {
+    const STEP: Duration = Duration::from_millis(200);
+    const LIMIT: Duration = Duration::from_secs(4);
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let server = thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a peer");
+        stream.set_read_timeout(Some(STEP)).expect("a socket");
+        let begun = std::time::Instant::now();
+        let served = exchange::respond(&endpoint(1, b"secret"), stream, |_from, body| body);
+        (begun.elapsed(), served.is_err())
+    });
+    let mut peer = std::net::TcpStream::connect(address).expect("it listens");
+    peer.write_all(&1_000_u32.to_be_bytes()).expect("a length");
+    for _ in 0..200 {
+        thread::sleep(STEP / 4);
+        if peer.write_all(b"x").is_err() {
+            break;
+        }
+    }
+    drop(peer);
+    let (took, failed) = server.join().expect("it ends");
+    assert!(failed && took < LIMIT, "served for {took:?}");
+}
