fix: messages about permits are taken from any sender

A process that is not registered could send permits for as many requests as it liked, or draw the permits of others by its wants. Both are taken from registered instances only, as statements are. The choice of the issuer hashes the bytes of addresses, which do not change with the library, and the gauge of limits follows upstreams that leave.

--- a/crates/carob-dispatch/src/limits/mod.rs
+++ b/crates/carob-dispatch/src/limits/mod.rs
@@ -15,11 +15,12 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     time::Duration,
 };
 
 use carob_base::Time;
+use smallvec::SmallVec;
 
 use issue::Issuer;
 
@@ -542,12 +543,14 @@
 
 /// Returns the instance that issues permits for the upstream, by rendezvous hashing.
 fn issuer_of(incarnation: u64, members: Members<'_>) -> SocketAddr {
+    // Instances of all versions have to agree, so that the bytes are not left to the library.
     let rank = |member: &SocketAddr| {
-        let text = member.to_string();
-        (
-            xxhash_rust::xxh3::xxh3_64_with_seed(text.as_bytes(), incarnation),
-            *member,
-        )
+        let mut bytes: SmallVec<[u8; 18]> = match member.ip() {
+            IpAddr::V4(ip) => SmallVec::from_slice(&ip.octets()),
+            IpAddr::V6(ip) => SmallVec::from_slice(&ip.octets()),
+        };
+        bytes.extend_from_slice(&member.port().to_be_bytes());
+        (xxhash_rust::xxh3::xxh3_64_with_seed(&bytes, incarnation), *member)
     };
     let all = members.heard.iter().copied().chain([members.own]);
     all.max_by_key(rank).unwrap_or(members.own)
--- a/crates/carob-dispatch/tests/limits.rs
+++ b/crates/carob-dispatch/tests/limits.rs
@@ -176,8 +176,9 @@
         heard: &heard,
         registered: 4,
     };
-    let issuer = limits.poll(members, at(1_000)).0;
-    if issuer.iter().any(|message| message.to != address(1)) {
+    limits.record_wait(UPSTREAM, at(1_100));
+    let asked = limits.poll(members, at(1_000)).0;
+    if asked.iter().any(|message| message.to != address(1)) {
         members.own = address(2);
         members.heard = &[];
         members.registered = 2;
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -1,6 +1,6 @@
 //! Keeps to the limits that upstreams name: reads them from answers, and exchanges permits with the other instances.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use carob_dispatch::{
     fleet::{Held, Requirements, UpstreamKey},
@@ -95,8 +95,7 @@
 }
 
 fn after_change(shared: &Shared) {
-    let in_force = shared.fleet().limits().in_force();
-    metrics::gauge!("carobhaven_limits_in_force").set(in_force as f64);
+    update_gauge(shared);
     if shared.fleet().limits().has_changes() {
         shared.load_changed.notify_one();
     }
@@ -104,6 +103,11 @@
     shared.grant_waiting();
 }
 
+fn update_gauge(shared: &Shared) {
+    let in_force = shared.fleet().limits().in_force();
+    metrics::gauge!("carobhaven_limits_in_force").set(in_force as f64);
+}
+
 fn rate_text(rate: Option<f64>) -> String {
     rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
 }
@@ -198,7 +202,7 @@
 
 /// Other registered instances that have been heard of lately.
 fn heard(shared: &Shared) -> Vec<SocketAddr> {
-    let registered = shared.peers();
+    let registered: HashSet<SocketAddr> = shared.peers().into_iter().collect();
     let fleet = shared.fleet();
     fleet
         .heard_within(PEER_TIMEOUT, shared.now())
@@ -224,6 +228,8 @@
             registered: shared.peers().len() + 1,
         };
         let (messages, issued) = shared.fleet_mut().limits_mut().poll(members, shared.now());
+        // Upstreams with limits may have left.
+        update_gauge(&shared);
         if issued > 0 {
             count_permits("received", issued);
             shared.grant_waiting();
@@ -251,8 +257,14 @@
     }
 }
 
-/// Applies a message about permits of the instance at `peer`; returns whether it is one.
+/// Applies a message about permits of the instance at `peer`, if that is registered; returns whether it is one.
 pub(super) fn receive(shared: &Shared, peer: SocketAddr, message: &Announcement) -> bool {
+    if message.wants.is_empty() && message.permits.is_empty() {
+        return false;
+    }
+    if !shared.peers().contains(&peer) {
+        return true;
+    }
     let wants = message
         .wants
         .iter()
@@ -273,7 +285,7 @@
     if !message.wants.is_empty() {
         shared.limits_changed.notify_one();
     }
-    !message.wants.is_empty() || !message.permits.is_empty()
+    true
 }
 
 /// Counts what became of permits.
