fix: sound generations are refused with one that crashes engines and differs in its prompt alone

Cause: a whole request was known by service, method, path, account and body. Generations that differ in their prompts alone were one and the same to it; when three engines crashed before the fleet had answered any generation, this 'request' explained the crashes, was condemned as the one that fewest have, and was tried again after five minutes.

The ids of the prompt belong to the whole request now. One that comes again has the same prompt, so that it is recognised as before (a_request_that_crashes_engines_crashes_one_after_the_other).

Evidence: the fragment of the refusals was in each request at the crashes, of rank 'whole request'. The new test failed before (its first sound request got 503) and passes now, two runs of the file.

--- a/crates/carob-dispatch/src/head.rs
+++ b/crates/carob-dispatch/src/head.rs
@@ -36,5 +36,7 @@
         /// Hashes of the prompt's parts in their order, each once. The last part is left out: it belongs to the
         /// request or its session alone.
         pub parts: SmallVec<[u64; 4]>,
+        /// Hash of the ids of all parts of the prompt, the last one included; zero if the request has none.
+        pub prompt: u64,
     }
 }
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -137,7 +137,7 @@
     }
 
     /// Returns what the request may have in common with others that crash upstreams: the parts of its prompt, and
-    /// all of it, by which a repetition is recognised.
+    /// all of it, by which a repetition is recognised. Generations may differ in their prompts alone.
     pub(super) fn suspect_parts(&self) -> crashes::Parts {
         let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
         let mut parts = self.prompt.clone();
@@ -146,6 +146,7 @@
             self.parts.method.as_str().as_bytes(),
             path.as_bytes(),
             self.account.as_deref().unwrap_or_default().as_bytes(),
+            &self.head.prompt.to_le_bytes(),
             &self.body,
         ]));
         parts
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -262,6 +262,32 @@
     rig.expect_sound_served(rig.crash_time("dd", 3) + 2 * CONTACT);
 }
 
+/// The first requests of a fleet crash engines; later ones have another prompt, and the same path and body.
+#[test]
+fn sound_generations_are_refused_with_those_that_crash_engines_first() {
+    let rig = Rig::start(GATEWAYS);
+    rig.ledger().set_triggers(&[Trigger::Part("dead".to_owned())]);
+    let end = Instant::now() + 2 * CONTACT;
+    rig.send_series(
+        CRASH_INTERVAL,
+        end,
+        |number| generation(&format!("dd{number:x}"), "dead"),
+        |_, _| {},
+    );
+    assert!(rig.ledger().crashes().len() >= 3, "requests have crashed engines");
+    thread::sleep(CONTACT);
+    for number in 0..2 * GATEWAYS {
+        let sound = rig
+            .fleet
+            .send(number % GATEWAYS, &generation(&format!("ab{number:x}"), "f1"));
+        assert!(
+            sound.status == 200 && sound.complete,
+            "sound request {number} got {}",
+            sound.status
+        );
+    }
+}
+
 /// A gateway that starts learns what the others know.
 #[test]
 fn a_gateway_that_starts_sends_requests_to_engines_that_they_crash() {
