fix: an upstream that says in its answers that it leaves gets more requests

Callers whose requests were sent to an upstream after it had said so (Server-Leaving) could be cut off, as could generations held by instances that had no answer from it. Cause: the header was not read; a notice came from the directory or a report only. It is read now from the head of any answer, holds whatever the entry says until another incarnation, and goes to the other registered instances in the next datagram, on the path of the limits.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -17,7 +17,7 @@
     ///
     /// A new incarnation, address or service makes it another upstream; the previous one then counts as
     /// leaving.
-    pub fn update_entry(&mut self, entry: DirectoryEntry, now: Time) -> Option<UpstreamKey> {
+    pub fn update_entry(&mut self, mut entry: DirectoryEntry, now: Time) -> Option<UpstreamKey> {
         let known = self.by_name.get(&entry.id).copied();
         if let Some(key) = known
             && let Some(upstream) = self.upstreams.get_mut(key)
@@ -25,6 +25,9 @@
             && upstream.entry.address == entry.address
             && upstream.entry.service == entry.service
         {
+            if upstream.said_leaving {
+                entry.state = UpstreamState::Leaving;
+            }
             let starts_leaving = entry.state == UpstreamState::Leaving && upstream.leaving_since.is_none();
             upstream.leaving_since = match entry.state {
                 UpstreamState::Ready => None,
@@ -39,6 +42,7 @@
         let key = self.upstreams.insert(Upstream {
             leaving_since,
             announced: leaving_since.is_some(),
+            said_leaving: false,
             local_requests: 0,
             local_tokens: 0,
             local_prefill: 0,
@@ -73,10 +77,14 @@
     /// instances.
     pub fn evict_stale(&mut self, now: Time) {
         self.evict_peers(now);
-        self.upstreams.retain(|_, upstream| {
-            upstream
-                .leaving_since
-                .is_none_or(|left| now.since(left) < LEFT_RETENTION)
+        let by_name = &self.by_name;
+        self.upstreams.retain(|key, upstream| {
+            // It must not come back as another upstream while its entry still says that it is ready.
+            let is_listed = by_name.get(&upstream.entry.id) == Some(&key);
+            (upstream.said_leaving && is_listed)
+                || upstream
+                    .leaving_since
+                    .is_none_or(|left| now.since(left) < LEFT_RETENTION)
         });
         let upstreams = &self.upstreams;
         self.by_name.retain(|_, key| upstreams.contains_key(*key));
@@ -85,12 +93,33 @@
         self.limits.evict_stale(|hash| by_hash.contains_key(&hash), now);
     }
 
-    /// Records that an upstream has announced that it leaves. Returns it unless it was known to leave already.
+    /// Records that an upstream has said itself that it leaves, whatever its entry says. Returns it unless it was known
+    /// to leave already.
     pub fn mark_leaving(&mut self, key: UpstreamKey, now: Time) -> Option<UpstreamKey> {
-        self.upstreams.get_mut(key)?.announced = true;
+        let upstream = self.upstreams.get_mut(key)?;
+        upstream.announced = true;
+        upstream.said_leaving = true;
         self.unlist(key, now)
     }
 
+    /// Whether the upstream has said itself that it leaves.
+    pub fn said_leaving(&self, key: UpstreamKey) -> bool {
+        self.upstreams
+            .get(key)
+            .is_some_and(|upstream| upstream.said_leaving)
+    }
+
+    /// [`Fleet::upstream_hash`]es of the upstreams that have said themselves that they leave.
+    pub fn leaving_hashes(&self) -> Vec<u64> {
+        let leaving = self.upstreams.values().filter(|upstream| upstream.said_leaving);
+        leaving.map(super::Upstream::hash).collect()
+    }
+
+    /// The upstream with this [`Fleet::upstream_hash`].
+    pub fn find_hash(&self, hash: u64) -> Option<UpstreamKey> {
+        self.by_hash.get(&hash).copied()
+    }
+
     /// Records that an upstream accepts no new requests. Returns it unless that was known already.
     fn unlist(&mut self, key: UpstreamKey, now: Time) -> Option<UpstreamKey> {
         let upstream = self.upstreams.get_mut(key)?;
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -72,6 +72,8 @@
     /// Whether it has announced that it leaves. Without that, an upstream that is not listed any more may have
     /// crashed.
     pub announced: bool,
+    /// Whether it has said itself that it leaves, in an answer or a report. Its entry may still say otherwise.
+    said_leaving: bool,
     /// Requests that this instance has running on it.
     pub local_requests: u32,
     /// Tokens that this instance's requests are expected to hold when they end.
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -65,6 +65,9 @@
     /// Permits that the sender issues to the receiver.
     #[prost(message, repeated, tag = "14")]
     pub permits: Vec<Permits>,
+    /// Stable hashes of upstreams that have said themselves that they leave.
+    #[prost(fixed64, repeated, tag = "15")]
+    pub leaving: Vec<u64>,
 }
 
 /// What an upstream said of its limit.
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{limit, shared::Shared};
+use super::{departure, limit, shared::Shared};
 use crate::{
     peer::{Announcement, Crash, Item, Limit, Load, Sound, Trial},
     update::{Report, StoreUpdate},
@@ -40,6 +40,7 @@
     let mut sequence = 0;
     let mut due = Instant::now();
     let mut sent_status = (false, 0);
+    let mut sent_leaving = Vec::new();
     let mut had_peers = false;
     loop {
         let watching = shared.is_watching();
@@ -54,6 +55,8 @@
             .fleet_mut()
             .limits_mut()
             .take_reports(complete, shared.now());
+        let leaving = shared.fleet().leaving_hashes();
+        let has_departures = leaving.iter().any(|hash| !sent_leaving.contains(hash));
         let loads: HashMap<u64, PeerLoad> = shared
             .fleet()
             .local_loads()
@@ -65,7 +68,7 @@
         } else {
             changed_loads(&sent_loads, &loads)
         };
-        let has_news = !changed.is_empty() || !news.is_empty() || !limits.is_empty();
+        let has_news = !changed.is_empty() || !news.is_empty() || !limits.is_empty() || has_departures;
         if complete || has_news || update.is_some() || status != sent_status {
             sequence += 1;
             let message = Announcement {
@@ -85,10 +88,11 @@
                 sound: news.sound.into_iter().map(Sound::from).collect(),
                 trials: news.trials.into_iter().map(Trial::from).collect(),
                 limits: limits.into_iter().map(Limit::from).collect(),
+                leaving: leaving.clone(),
                 ..Announcement::default()
             };
             broadcast(&shared, &socket, &message).await;
-            (sent_loads, sent_status) = (loads, status);
+            (sent_loads, sent_status, sent_leaving) = (loads, status, leaving);
         }
         spread_evidence(&shared, &socket, (boot_id, &mut sequence), complete).await;
         if complete {
@@ -199,6 +203,7 @@
     }
     let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
     limit::merge(shared, peer, &limits);
+    departure::merge(shared, peer, &message.leaving);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
         number: message.sequence,
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -15,6 +15,7 @@
 
 use super::{
     body::HeldBytes,
+    departure,
     guard::Reservation,
     limit,
     repeats::{self, Repeat},
@@ -213,6 +214,7 @@
         repeats::record_answer(self, reservation.upstream);
         let (status, headers) = (answered.0.status(), answered.0.headers());
         limit::record_answer(self, reservation.upstream, (status, headers), sent);
+        departure::record_answer(self, reservation.upstream, (status, headers));
         Ok(answered)
     }
 }
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod call;
 mod client;
 mod crash;
+mod departure;
 mod exchange;
 mod framing;
 mod guard;
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -313,6 +313,7 @@
     pub(super) fn mark_leaving(&self, upstream: UpstreamKey) {
         let now = self.now();
         let leaving = self.fleet.borrow_mut().mark_leaving(upstream, now);
+        self.load_changed.notify_one();
         self.notify_leaving(leaving);
     }
 
