fix: an upstream that rejects requests and wants to be left alone gets more requests

An upstream that answers 503 with Retry-After got requests from the same instance at the usual rate, and callers waited for it although no upstream wanted anything. Cause: the header of a rejection was not read. The upstream is held back now like one without a permit, for that time and up to a tenth more at random; if all are, the caller is refused at once with the time until the first one can be asked. Texts that are no decimal number change nothing but for a log line.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -52,6 +52,7 @@
             load_report: None,
             failure_rate: 0.0,
             avoid_until: Time::ZERO,
+            paused_until: Time::ZERO,
             entry,
         });
         let id = self.upstreams[key].entry.id.clone();
--- a/crates/carob-dispatch/src/fleet/limited.rs
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -1,4 +1,4 @@
-//! Upstreams that name a limit on the requests that they take.
+//! Upstreams that name a limit on the requests that they take, or want to be left alone for a time.
 
 use std::time::Duration;
 
@@ -7,13 +7,15 @@
 use super::{Fleet, Requirements, RunKey, Upstream, UpstreamKey, UpstreamState, place::has_room};
 use crate::limits::{Access, Limits};
 
-/// A request that no upstream may get at present, since all of its service name limits.
+/// A request that no upstream may get at present, since all of its service name limits or want to be left alone.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
-    /// The upstream from which most permits are expected.
+    /// The upstream from which most permits are expected, or that can be asked first.
     pub upstream: UpstreamKey,
-    /// Time until a request that waits now can expect a permit.
+    /// Time until a request that waits now can expect a permit, or until an upstream can be asked again.
     pub wait: Duration,
+    /// Time until the first upstream that wants to be left alone can be asked again, if one does.
+    pub pause: Option<Duration>,
     /// Whether a permit may come sooner, so that the request is to wait for
     /// [`ASK_TIME`](crate::limits::ASK_TIME).
     pub may_ask: bool,
@@ -30,6 +32,13 @@
         &mut self.limits
     }
 
+    /// Sends nothing to an upstream until `until`, since it asked for that; an earlier time changes nothing.
+    pub fn pause(&mut self, key: UpstreamKey, until: Time) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.paused_until = upstream.paused_until.max(until);
+        }
+    }
+
     /// Takes a permit for a request whose capacity has been taken, if its upstream names a limit. Without
     /// [`Self::record_sent`] the permit is given back when the request ends.
     pub fn take_permit(&mut self, run: RunKey, now: Time) {
@@ -59,7 +68,10 @@
         let mut limited = Vec::new();
         let mut least = f64::INFINITY;
         for (key, upstream) in &self.upstreams {
-            if !is_candidate(key, upstream, requirements) || !has_room(upstream, requirements) {
+            if !is_candidate(key, upstream, requirements)
+                || upstream.paused_until > now
+                || !has_room(upstream, requirements)
+            {
                 continue;
             }
             let score = self.score(key, upstream, requirements, now);
@@ -77,18 +89,21 @@
         }
     }
 
-    /// Returns how long a request that joins the queue now waits for a permit among `instances`, or `None` unless every
-    /// upstream that could run it names a limit.
+    /// Returns how long a request that joins the queue now waits for a permit among `instances`, or for an upstream that
+    /// wants to be left alone; `None` unless every upstream that could run it names a limit or is left alone.
     pub fn held(&self, requirements: &Requirements, instances: usize, now: Time) -> Option<Held> {
-        if self.limits.is_empty() {
-            return None;
-        }
         let (mut rate, mut is_rare) = (0.0, false);
         let mut first: Option<(f64, UpstreamKey)> = None;
+        let mut pause: Option<(Duration, UpstreamKey)> = None;
         for (key, upstream) in &self.upstreams {
             if !is_candidate(key, upstream, requirements) {
                 continue;
             }
+            if upstream.paused_until > now {
+                let time = upstream.paused_until.since(now);
+                pause = Some(pause.map_or((time, key), |least| least.min((time, key))));
+                continue;
+            }
             let hash = upstream.hash();
             self.limits.limit(hash)?;
             let expected = self.limits.expected_rate(hash, instances, now);
@@ -98,12 +113,17 @@
                 first = Some((expected, key));
             }
         }
-        let (_, upstream) = first?;
         let ahead = self.queue_length(&requirements.service);
-        let wait = Duration::try_from_secs_f64((ahead as f64 + 1.0) / rate);
+        let permit = Duration::try_from_secs_f64((ahead as f64 + 1.0) / rate).unwrap_or(Duration::MAX);
+        let upstream = match (first, pause) {
+            (Some((_, key)), Some((time, _))) if permit <= time => key,
+            (_, Some((_, key))) | (Some((_, key)), None) => key,
+            (None, None) => return None,
+        };
         Some(Held {
             upstream,
-            wait: wait.unwrap_or(Duration::MAX),
+            wait: pause.map_or(permit, |(time, _)| time.min(permit)),
+            pause: pause.map(|(time, _)| time),
             may_ask: is_rare && ahead == 0,
         })
     }
@@ -117,9 +137,11 @@
         }
     }
 
-    /// Whether a request may be sent to an upstream now, as far as its limit goes.
+    /// Whether a request may be sent to an upstream now, as far as what it says of itself goes.
     pub(super) fn access(&self, upstream: &Upstream, now: Time) -> Access {
-        if self.limits.is_empty() {
+        if upstream.paused_until > now {
+            Access::Held
+        } else if self.limits.is_empty() {
             Access::Open
         } else {
             self.limits.access(upstream.hash(), now)
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -92,6 +92,8 @@
     failure_rate: f64,
     /// Until when it is chosen last, since it could not be reached.
     avoid_until: Time,
+    /// Until when it gets nothing, since it asked for that.
+    paused_until: Time,
 }
 
 impl Upstream {
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -388,6 +388,7 @@
             if status == StatusCode::MISDIRECTED_REQUEST {
                 record(UpstreamHealth::Unreachable);
             }
+            limit::record_rejection(call, upstream, status, response.headers());
             return no_answer(call, upstream, AttemptResult::Rejected, &status);
         }
         AnswerKind::Foreign => {
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -1,4 +1,5 @@
-//! Keeps to the limits that upstreams name: reads them from answers, and exchanges permits with the other instances.
+//! Keeps to the limits that upstreams name, and to the times for which they want to be left alone: reads both from
+//! answers, and exchanges permits with the other instances.
 
 use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -6,7 +7,7 @@
     fleet::{Held, Requirements, UpstreamKey},
     limits::{ASK_TIME, Content, Members, Message as PermitMessage, Report, Statement},
 };
-use carob_platform::answer::{self, AnswerKind};
+use carob_platform::answer::{self, AnswerKind, NumberError};
 use hyper::{HeaderMap, StatusCode};
 use prost::Message;
 use tokio::{net::UdpSocket, time::Instant};
@@ -29,6 +30,9 @@
 const MIN_RETRY: Duration = Duration::from_millis(300);
 const MAX_RETRY: Duration = Duration::from_secs(10);
 
+/// Largest part by which the time for which an upstream is left alone is extended, at random.
+const PAUSE_SPREAD: f64 = 0.1;
+
 /// Why a request is refused for lack of permits, in log lines.
 const HELD: &str = "upstreams limit their requests";
 
@@ -48,16 +52,7 @@
     let shared = &call.shared;
     let rate = match answer::named_limit(headers) {
         Ok(rate) => rate,
-        Err(error) => {
-            metrics::counter!("carobhaven_limit_malformed_total").increment(1);
-            if shared.may_log_limit(LOG_INTERVAL) {
-                log::warn!(
-                    request:% = call.id(), upstream:% = upstream_name(call, upstream), error:% = error;
-                    "limit of an upstream cannot be read"
-                );
-            }
-            return;
-        }
+        Err(error) => return warn_malformed(call, upstream, &error),
     };
     let now = shared.now();
     let hash = shared.fleet().upstream_hash(upstream);
@@ -75,6 +70,27 @@
     after_change(shared);
 }
 
+/// Leaves an upstream alone that has rejected a request, if its answer asks for that. Instances that were told the same
+/// time return one after the other.
+pub(super) fn record_rejection(call: &Call, upstream: UpstreamKey, status: StatusCode, headers: &HeaderMap) {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let shared = &call.shared;
+    match answer::named_pause(headers) {
+        Ok(Some(time)) if !time.is_zero() => {
+            let spread = time.mul_f64(rand::random::<f64>() * PAUSE_SPREAD);
+            shared.fleet_mut().pause(upstream, shared.now() + time + spread);
+            log::info!(
+                request:% = call.id(), upstream:% = upstream_name(call, upstream),
+                pause_ms = (time + spread).as_millis() as u64; "upstream wants to be left alone"
+            );
+        }
+        Ok(_) => {}
+        Err(error) => warn_malformed(call, upstream, &error),
+    }
+}
+
 /// Applies what the instance at `peer` tells about limits.
 pub(super) fn merge(shared: &Shared, peer: SocketAddr, reports: &[Report]) {
     if reports.is_empty() || !shared.peers().contains(&peer) {
@@ -103,6 +119,16 @@
     shared.grant_waiting();
 }
 
+fn warn_malformed(call: &Call, upstream: UpstreamKey, error: &NumberError) {
+    metrics::counter!("carobhaven_limit_malformed_total").increment(1);
+    if call.shared.may_log_limit(LOG_INTERVAL) {
+        log::warn!(
+            request:% = call.id(), upstream:% = upstream_name(call, upstream), error:% = error;
+            "limit of an upstream cannot be read"
+        );
+    }
+}
+
 fn update_gauge(shared: &Shared) {
     let in_force = shared.fleet().limits().in_force();
     metrics::gauge!("carobhaven_limits_in_force").set(in_force as f64);
@@ -157,6 +183,13 @@
     } else {
         deadline.min(now + ASK_TIME)
     };
+    if let Some(pause) = found.pause.filter(|_| is_expected) {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(pause).await;
+            shared.grant_waiting();
+        });
+    }
     let time = until.saturating_duration_since(now);
     shared.fleet_mut().record_wait(requirements, shared.now() + time);
     shared.limits_changed.notify_one();
@@ -185,6 +218,12 @@
             limit_ms = shared.now().since(statement.at).as_millis() as u64, source:% = source_text(&statement),
             wait_ms = held.wait.min(MAX_RETRY).as_millis() as u64; "request refused: upstreams limit their requests"
         );
+    } else {
+        log::info!(
+            request:% = call.id(), upstream:% = upstream_name(call, held.upstream),
+            wait_ms = held.wait.min(MAX_RETRY).as_millis() as u64;
+            "request refused: upstreams want to be left alone"
+        );
     }
     // Requests that are refused in the same moment come back at different times.
     let delay = held
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -18,6 +18,7 @@
     exchange::upstream_name,
     framing::Framing,
     guard::Reservation,
+    limit,
     repeats::{BUDGET_SPENT, Cause, Repeat},
     verdict,
 };
@@ -112,6 +113,7 @@
     let status = response.status();
     let kind = answer::classify(status, response.headers(), &call.head.id);
     if kind != AnswerKind::Ran || !status.is_success() {
+        limit::record_rejection(call, reservation.upstream, status, response.headers());
         log::warn!(
             request:% = call.id(), to:% = target, status = status.as_u16(), claim:? = kind;
             "generation could not continue elsewhere"
