--- a/crates/carob-dispatch/src/limits/mod.rs
+++ b/crates/carob-dispatch/src/limits/mod.rs
@@ -11,10 +11,11 @@
 //! * An issuer that hears of a part of the registered instances only issues that part of the rate, since the others may
 //!   have an issuer of their own.
 
+mod entry;
 mod issue;
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -22,6 +23,7 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
+use entry::Entry;
 use issue::Issuer;
 
 carob_base::plain! {
@@ -71,9 +73,6 @@
 /// Time after which [`Limits::poll`] is to be called again at the latest.
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time over which permits that arrive are counted, to estimate when the next one does.
-const ARRIVAL_TIME: Duration = Duration::from_secs(2);
-
 impl Default for Options {
     /// With permits of 1.5 s, requests of any four seconds are those of 5.5 s of the limit at most. Instances are heard of
     /// once a second; wants that are not repeated for that long are dropped.
@@ -163,23 +162,6 @@
     pub registered: usize,
 }
 
-/// An upstream that names a limit, or did.
-#[derive(Debug)]
-struct Entry {
-    statement: Statement,
-    /// Expiry of each permit that is left, soonest first.
-    permits: VecDeque<Time>,
-    /// Times at which permits arrived within [`ARRIVAL_TIME`].
-    arrivals: VecDeque<(Time, u32)>,
-    /// Times at which requests wanted the upstream within [`Options::demand_time`].
-    demand: VecDeque<Time>,
-    /// Until when requests wait for a permit.
-    waiting: Vec<Time>,
-    /// What was last told to the issuer, and when.
-    told: (u32, Time),
-    issuer: Issuer,
-}
-
 /// The limits that upstreams name, and this instance's permits.
 #[derive(Debug)]
 pub struct Limits {
@@ -441,12 +423,7 @@
         let Some(rate) = entry.statement.rate else {
             return 0.0;
         };
-        let recent = entry
-            .arrivals
-            .iter()
-            .filter(|(at, _)| now.since(*at) <= ARRIVAL_TIME)
-            .map(|(_, count)| f64::from(*count));
-        let arrived = recent.sum::<f64>() / ARRIVAL_TIME.as_secs_f64();
+        let arrived = entry.arrival_rate(now);
         arrived.max(rate.max(MIN_RATE) / instances.max(1) as f64)
     }
 
@@ -481,66 +458,6 @@
     }
 }
 
-impl Entry {
-    fn new(statement: Statement, now: Time) -> Self {
-        Self {
-            statement,
-            permits: VecDeque::new(),
-            arrivals: VecDeque::new(),
-            demand: VecDeque::new(),
-            waiting: Vec::new(),
-            told: (0, now),
-            issuer: Issuer::new(now),
-        }
-    }
-
-    const fn is_limited(&self) -> bool {
-        self.statement.rate.is_some()
-    }
-
-    /// Number of permits that are wanted beyond those that are there: for requests that wait and, if many come, for those
-    /// that are expected next.
-    fn wanted(&self) -> u32 {
-        let expected = if self.demand.len() > RARE_DEMAND {
-            self.demand.len()
-        } else {
-            0
-        };
-        let wanted = expected.max(self.waiting.len()) as u32;
-        wanted.saturating_sub(self.permits.len() as u32)
-    }
-
-    fn add_permits(&mut self, count: u32, options: &Options, now: Time) -> u32 {
-        let room = MAX_WANTED.saturating_sub(self.permits.len() as u32);
-        let added = if self.is_limited() { count.min(room) } else { 0 };
-        let expires = now + options.permit_time;
-        self.permits.extend((0..added).map(|_| expires));
-        self.arrivals.push_back((now, added));
-        added
-    }
-
-    fn expire(&mut self, options: &Options, now: Time) {
-        while self.permits.front().is_some_and(|expires| *expires <= now) {
-            self.permits.pop_front();
-        }
-        while self
-            .arrivals
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > ARRIVAL_TIME)
-        {
-            self.arrivals.pop_front();
-        }
-        while self
-            .demand
-            .front()
-            .is_some_and(|at| now.since(*at) > options.demand_time)
-        {
-            self.demand.pop_front();
-        }
-        self.waiting.retain(|until| *until > now);
-    }
-}
-
 /// Returns the instance that issues permits for the upstream, by rendezvous hashing.
 fn issuer_of(incarnation: u64, members: Members<'_>) -> SocketAddr {
     // Instances of all versions have to agree, so that the bytes are not left to the library.
--- a/crates/carob-link/tests/link.rs
+++ b/crates/carob-link/tests/link.rs
@@ -110,6 +110,9 @@
     assert!(frames.read().expect("read").is_none());
 }
 
+/// Time limit of a read.
+const STEP: Duration = Duration::from_millis(200);
+
 fn endpoint(id: u32, secret: &[u8]) -> Endpoint {
     Endpoint {
         key: Key::new(secret),
@@ -163,11 +166,10 @@
     Frames::new(Cursor::new(long)).read().expect_err("too long");
 }
 
-/// Requests are served one after the other. A sender that has not proved to be a peer announces a long request, and sends
-/// a byte within the time limit of each read.
-#[test]
-fn a_request_that_drips_keeps_other_peers_out() {
-    const STEP: Duration = Duration::from_millis(200);
+/// Serves a request that is announced with `length` and comes one byte at a time, each well within the time limit of a
+/// read. Returns how long that took, and whether it failed.
+fn serve_drip(length: u32) -> (Duration, bool) {
+    const BYTES: usize = 200;
     let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
     let address = listener.local_addr().expect("it is bound");
     let server = thread::spawn(move || {
@@ -178,15 +180,21 @@
         (begun.elapsed(), served.is_err())
     });
     let mut peer = std::net::TcpStream::connect(address).expect("it listens");
-    peer.write_all(&(1_u32 << 20).to_be_bytes()).expect("a length");
-    for _ in 0..60 {
+    peer.write_all(&length.to_be_bytes()).expect("a length");
+    for _ in 0..BYTES {
         thread::sleep(STEP / 4);
         if peer.write_all(b"x").is_err() {
             break;
         }
     }
     drop(peer);
-    let (took, failed) = server.join().expect("it ends");
+    server.join().expect("it ends")
+}
+
+/// Requests are served one after the other. A sender that has not proved to be a peer announces a long request.
+#[test]
+fn a_request_that_drips_keeps_other_peers_out() {
+    let (took, failed) = serve_drip(1 << 20);
     assert!(
         failed && took < STEP * 5,
         "served for {took:?}, with a limit of {STEP:?} for a step"
@@ -196,26 +204,7 @@
 /// The same with a request of a permitted length.
 #[test]
 fn a_short_request_that_drips_keeps_other_peers_out() {
-    const STEP: Duration = Duration::from_millis(200);
     const LIMIT: Duration = Duration::from_secs(4);
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    let address = listener.local_addr().expect("it is bound");
-    let server = thread::spawn(move || {
-        let (stream, _) = listener.accept().expect("a peer");
-        stream.set_read_timeout(Some(STEP)).expect("a socket");
-        let begun = std::time::Instant::now();
-        let served = exchange::respond(&endpoint(1, b"secret"), stream, |_from, body| body);
-        (begun.elapsed(), served.is_err())
-    });
-    let mut peer = std::net::TcpStream::connect(address).expect("it listens");
-    peer.write_all(&1_000_u32.to_be_bytes()).expect("a length");
-    for _ in 0..200 {
-        thread::sleep(STEP / 4);
-        if peer.write_all(b"x").is_err() {
-            break;
-        }
-    }
-    drop(peer);
-    let (took, failed) = server.join().expect("it ends");
+    let (took, failed) = serve_drip(1_000);
     assert!(failed && took < LIMIT, "served for {took:?}");
 }
