test: the model of limits changes them seldom enough for the rule to apply

Limits change and instances are disturbed every ten and every three seconds or so now, and a scenario lasts 32 s.

--- a/crates/carob-dispatch/tests/limit_model/fleet.rs
+++ b/crates/carob-dispatch/tests/limit_model/fleet.rs
@@ -14,6 +14,12 @@
 
 const STEP: Duration = Duration::from_millis(10);
 
+/// Disturbances of instances, and changes of limits, in a thousand steps. Between them there has to be time in which
+/// instances are in touch and limits hold.
+const PER_STEP: u64 = 1_000;
+const DISTURBANCES: u64 = 3;
+const CHANGES: u64 = 1;
+
 /// Numbers of instances, and limits in requests a second.
 const INSTANCES: [usize; 7] = [3, 3, 7, 7, 20, 60, 300];
 const RATES: [f64; 9] = [0.0, 0.2, 0.5, 1.0, 4.0, 4.9, 17.0, 60.0, 200.0];
@@ -187,7 +193,7 @@
 
     fn disturb(&mut self) {
         let (now, count) = (self.now, self.instances.len() as u64);
-        if self.random.chance(1) {
+        if self.random.below(PER_STEP) < DISTURBANCES {
             let victims = 1 + self.random.below(2);
             for _ in 0..victims {
                 let victim = self.random.below(count) as usize;
@@ -214,7 +220,7 @@
                 instance.limits = Limits::new(Options::default(), boot_id);
             }
         }
-        if self.random.chance(1) {
+        if self.random.below(PER_STEP) < CHANGES {
             let index = self.random.below(self.upstreams.len() as u64) as usize;
             let rate = self.random.pick(&RATES);
             let ends = self.random.chance(30);
--- a/crates/carob-dispatch/tests/limit_model/main.rs
+++ b/crates/carob-dispatch/tests/limit_model/main.rs
@@ -12,10 +12,10 @@
 use random::Random;
 
 /// Steps of one scenario.
-const SCENARIO_STEPS: u64 = 1_600;
+const SCENARIO_STEPS: u64 = 3_200;
 
 /// Steps in all scenarios, unless the environment says otherwise.
-const STEPS: u64 = 3_200;
+const STEPS: u64 = 16_000;
 
 const SEED: u64 = 1;
 
