--- a/crates/carob-dispatch/src/fleet/limited.rs
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -1,4 +1,4 @@
-//! Upstreams that name a limit on the requests that they take, or want to be left alone for a time.
+//! Upstreams that name a limit on the requests that they take, or ask for a pause.
 
 use std::time::Duration;
 
@@ -7,14 +7,14 @@
 use super::{Fleet, Requirements, RunKey, Upstream, UpstreamKey, UpstreamState, place::has_room};
 use crate::limits::{Access, Limits};
 
-/// A request that no upstream may get at present, since all of its service name limits or want to be left alone.
+/// A request that no upstream may get at present, since all of its service name limits or ask for a pause.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
     /// The upstream from which most permits are expected, or that can be asked first.
     pub upstream: UpstreamKey,
     /// Time until a request that waits now can expect a permit, or until an upstream can be asked again.
     pub wait: Duration,
-    /// Time until the first upstream that wants to be left alone can be asked again, if one does.
+    /// Time until the first upstream that asks for a pause can be asked again, if one does.
     pub pause: Option<Duration>,
     /// Whether a permit may come sooner, so that the request is to wait for
     /// [`ASK_TIME`](crate::limits::ASK_TIME).
@@ -90,7 +90,7 @@
     }
 
     /// Returns how long a request that joins the queue now waits for a permit among `instances`, or for an upstream that
-    /// wants to be left alone; `None` unless every upstream that could run it names a limit or is left alone.
+    /// asks for a pause; `None` unless every upstream that could run it names a limit or is paused.
     pub fn held(&self, requirements: &Requirements, instances: usize, now: Time) -> Option<Held> {
         let (mut rate, mut is_rare) = (0.0, false);
         let mut first: Option<(f64, UpstreamKey)> = None;
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -1,4 +1,4 @@
-//! Keeps to the limits that upstreams name, and to the times for which they want to be left alone: reads both from
+//! Keeps to the limits that upstreams name, and to the pauses that they ask for: reads both from
 //! answers, and exchanges permits with the other instances.
 
 use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
@@ -30,7 +30,7 @@
 const MIN_RETRY: Duration = Duration::from_millis(300);
 const MAX_RETRY: Duration = Duration::from_secs(10);
 
-/// Largest part by which the time for which an upstream is left alone is extended, at random.
+/// Largest part by which a pause is extended, at random.
 const PAUSE_SPREAD: f64 = 0.1;
 
 /// Why a request is refused for lack of permits, in log lines.
@@ -70,7 +70,7 @@
     after_change(shared);
 }
 
-/// Leaves an upstream alone that has rejected a request, if its answer asks for that. Instances that were told the same
+/// Sends nothing to an upstream that has rejected a request, if its answer asks for a pause. Instances that were told the same
 /// time return one after the other.
 pub(super) fn record_rejection(call: &Call, upstream: UpstreamKey, status: StatusCode, headers: &HeaderMap) {
     if status != StatusCode::SERVICE_UNAVAILABLE {
@@ -83,7 +83,7 @@
             shared.fleet_mut().pause(upstream, shared.now() + time + spread);
             log::info!(
                 request:% = call.id(), upstream:% = upstream_name(call, upstream),
-                pause_ms = (time + spread).as_millis() as u64; "upstream wants to be left alone"
+                pause_ms = (time + spread).as_millis() as u64; "upstream asks for a pause"
             );
         }
         Ok(_) => {}
@@ -222,7 +222,7 @@
         log::info!(
             request:% = call.id(), upstream:% = upstream_name(call, held.upstream),
             wait_ms = held.wait.min(MAX_RETRY).as_millis() as u64;
-            "request refused: upstreams want to be left alone"
+            "request refused: upstreams ask for a pause"
         );
     }
     // Requests that are refused in the same moment come back at different times.
--- a/tests/pauses.rs
+++ b/tests/pauses.rs
@@ -1,4 +1,4 @@
-//! Upstreams that reject requests and want to be left alone for a time.
+//! Upstreams that reject requests and ask for a pause.
 
 mod fleet;
 
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn an_upstream_that_wants_to_be_left_alone_gets_requests() {
+fn an_upstream_that_asks_for_a_pause_gets_requests() {
     let rig = Rig::start();
     rig.fleet.earn_repeats(0, 3);
     rig.reject(0, "3");
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn a_request_waits_although_all_upstreams_want_to_be_left_alone() {
+fn a_request_waits_although_all_upstreams_ask_for_a_pause() {
     let rig = Rig::start();
     rig.reject(0, "3");
     rig.reject(1, "2.5");
