feat: links to upstreams that are lost are noticed, probed and logged

A link is lost with the first direct connection that fails before anything arrived on it, and back with the first answer. Lost links are probed twice a second, three of a service at a time; so is an upstream that has been silent to a request for 0.7 s, and those without a recent answer when another of their service is lost. Lines: 'link to an upstream is lost', 'is back', 'no upstream of a service can be reached from here', 'can be reached again'. Metrics: carobhaven_links_lost, carobhaven_services_cut, carobhaven_link_probes_total. No decision depends on it yet.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -53,6 +53,7 @@
             failure_rate: 0.0,
             avoid_until: Time::ZERO,
             paused_until: Time::ZERO,
+            link: super::links::Link::default(),
             entry,
         });
         let id = self.upstreams[key].entry.id.clone();
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod directory;
 mod limited;
+mod links;
 mod peers;
 mod place;
 mod waiting;
@@ -94,6 +95,7 @@
     avoid_until: Time,
     /// Until when it gets nothing, since it asked for that.
     paused_until: Time,
+    link: links::Link,
 }
 
 impl Upstream {
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -67,6 +67,8 @@
         pub name: Box<str>,
         /// Maximum number of connections that one upstream accepts from all callers together.
         pub max_connections: u32,
+        /// Path at which an upstream says whether it is healthy.
+        pub health_path: Box<str>,
         /// Properties of its engines; `None` for a service that does not generate.
         pub engine: Option<Engine>,
     }
--- /dev/null
+++ b/crates/carob-dispatch/tests/links.rs
@@ -0,0 +1,107 @@
+//! Links to upstreams that are lost and come back.
+
+use std::time::Duration;
+
+use carob_base::Time;
+use carob_dispatch::fleet::{DirectoryEntry, Fleet, Topology, UpstreamKey, UpstreamState};
+
+fn fleet(upstreams: usize) -> (Fleet, Vec<UpstreamKey>) {
+    let topology = Topology {
+        domain: "a".into(),
+        regions: std::collections::HashMap::new(),
+    };
+    let mut fleet = Fleet::new(topology, 7);
+    for number in 0..upstreams {
+        let entry = DirectoryEntry {
+            id: format!("u{number}").into(),
+            started_ms: 1,
+            service: "plain".into(),
+            address: format!("127.0.0.1:{}", 9_000 + number)
+                .parse()
+                .expect("an address"),
+            domain: "a".into(),
+            slots: 4,
+            state: UpstreamState::Ready,
+        };
+        fleet.update_entry(entry, Time::ZERO);
+    }
+    let mut keys: Vec<UpstreamKey> = fleet.upstreams().map(|(key, _)| key).collect();
+    keys.sort_unstable();
+    (fleet, keys)
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+#[test]
+fn one_lost_link_cuts_a_service() {
+    let (mut fleet, keys) = fleet(3);
+    fleet.record_link_answer(keys[1], at(900));
+    fleet.record_link_answer(keys[2], at(900));
+    assert!(fleet.record_link_failure(keys[0], at(1_000)));
+    assert!(
+        !fleet.record_link_failure(keys[0], at(1_001)),
+        "it was lost already"
+    );
+    assert!(fleet.cut_services().is_empty());
+    assert!(fleet.take_probes(at(1_100)).is_empty(), "the others answer");
+    assert_eq!(fleet.take_probes(at(1_600)).to_vec(), [keys[0]]);
+}
+
+#[test]
+fn links_without_answers_are_not_probed_when_another_is_lost() {
+    let (mut fleet, keys) = fleet(3);
+    fleet.record_link_failure(keys[0], at(1_000));
+    let mut probed = fleet.take_probes(at(1_000)).to_vec();
+    probed.sort_unstable();
+    assert_eq!(probed, keys[1..]);
+    fleet.record_link_failure(keys[1], at(1_100));
+    fleet.record_link_failure(keys[2], at(1_100));
+    assert!(fleet.is_cut("plain"));
+    assert_eq!(fleet.cut_services().len(), 1);
+}
+
+#[test]
+fn a_fleet_of_many_upstreams_is_probed_all_at_once() {
+    let (mut fleet, keys) = fleet(300);
+    for key in &keys {
+        fleet.record_link_failure(*key, at(1_000));
+    }
+    let mut probed = Vec::new();
+    for round in 0..10 {
+        let taken = fleet.take_probes(at(2_000 + 100 * round));
+        assert!(taken.len() <= 3, "{} at once", taken.len());
+        probed.extend(taken);
+    }
+    // Once one answers, the others follow soon.
+    fleet.record_link_answer(keys[0], at(3_000));
+    let taken = fleet.take_probes(at(3_050));
+    assert!(taken.len() > 3 && taken.len() <= 8, "{} at once", taken.len());
+}
+
+#[test]
+fn a_silent_upstream_that_answers_others_is_suspected() {
+    let (mut fleet, keys) = fleet(2);
+    fleet.record_link_answer(keys[0], at(1_500));
+    assert!(!fleet.suspect_link(keys[0], at(1_000)));
+    assert!(fleet.suspect_link(keys[0], at(1_600)));
+    assert_eq!(fleet.take_probes(at(1_700)).to_vec(), [keys[0]]);
+    assert_eq!(
+        fleet.record_link_answer(keys[0], at(1_800)),
+        None,
+        "it was not lost"
+    );
+    assert!(fleet.next_probe(at(1_800)).is_none());
+}
+
+#[test]
+fn upstreams_that_leave_or_ask_for_a_pause_are_probed() {
+    let (mut fleet, keys) = fleet(2);
+    fleet.record_link_failure(keys[0], at(1_000));
+    fleet.record_link_failure(keys[1], at(1_000));
+    fleet.mark_leaving(keys[0], at(1_000));
+    fleet.pause(keys[1], at(5_000));
+    assert!(fleet.take_probes(at(3_000)).is_empty());
+    assert_eq!(fleet.take_probes(at(6_000)).to_vec(), [keys[1]]);
+}
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -17,7 +17,7 @@
     body::HeldBytes,
     departure,
     guard::Reservation,
-    limit,
+    limit, link,
     repeats::{self, Repeat},
     shared::Shared,
 };
@@ -188,7 +188,9 @@
             None => return Err(socket::Error::Connect("the upstream is forgotten".to_owned())),
         };
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let connection = Connection::open(address, connect_deadline).await?;
+        let opened = Connection::open(address, connect_deadline).await;
+        let connection =
+            opened.inspect_err(|error| link::record_failure(&self.shared, reservation.upstream, error))?;
         let added = AddedHeaders {
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             upstream: &name,
@@ -208,9 +210,8 @@
         if let Some(repeat) = repeat {
             repeat.commit(self);
         }
-        let answered = connection
-            .send(request.map(|()| self.body.clone()), deadline)
-            .await?;
+        let answer = connection.send(request.map(|()| self.body.clone()), deadline);
+        let answered = link::watch(&self.shared, reservation.upstream, answer).await?;
         repeats::record_answer(self, reservation.upstream);
         let (status, headers) = (answered.0.status(), answered.0.headers());
         limit::record_answer(self, reservation.upstream, (status, headers), sent);
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod guard;
 mod head;
 mod limit;
+mod link;
 mod listen;
 mod migrate;
 mod plain;
@@ -127,6 +128,7 @@
     tokio::task::spawn_local(listen::serve_callers(Rc::clone(shared), callers));
     tokio::task::spawn_local(listen::serve_readiness(Rc::clone(shared), ready));
     tokio::task::spawn_local(announce::receive(Rc::clone(shared), Rc::clone(&peers)));
+    tokio::task::spawn_local(link::run_probes(Rc::clone(shared)));
     tokio::task::spawn_local(limit::exchange_permits(Rc::clone(shared), Rc::clone(&peers)));
     tokio::task::spawn_local(announce::send(Rc::clone(shared), peers));
     Ok(())
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -18,6 +18,7 @@
 use carob_shutdown::{Shutdown, Stage};
 use flume::Sender;
 use slotmap::{SecondaryMap, SlotMap};
+use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 
 use super::{
@@ -104,6 +105,10 @@
     idle: Notify,
     /// Notified when a limit of an upstream has changed, or permits are wanted.
     pub(super) limits_changed: Notify,
+    /// Notified when links to upstreams are to be probed.
+    pub(super) links_changed: Notify,
+    /// Services whose upstreams all cannot be reached, sorted.
+    cut: RefCell<SmallVec<[Box<str>; 2]>>,
     /// When it was last logged that a limit cannot be read.
     limit_logged: Cell<Option<Time>>,
     /// Notified when this instance's load or its state of the store has changed, which other instances are to
@@ -149,6 +154,8 @@
             idle: Notify::new(),
             load_changed: Notify::new(),
             limits_changed: Notify::new(),
+            links_changed: Notify::new(),
+            cut: RefCell::default(),
             limit_logged: Cell::new(None),
         }
     }
@@ -302,6 +309,11 @@
         is_due
     }
 
+    /// Replaces the services whose upstreams all cannot be reached, and returns them as they were.
+    pub(super) fn replace_cut(&self, cut: SmallVec<[Box<str>; 2]>) -> SmallVec<[Box<str>; 2]> {
+        self.cut.replace(cut)
+    }
+
     /// Whether the upstreams of a service are engines.
     pub(super) fn is_engine(&self, service: &str) -> bool {
         let table = self.table.borrow();
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -19,6 +19,7 @@
     exchange::upstream_name,
     framing::{self, Framing},
     guard::{ActiveRequest, Reservation},
+    link,
     listen::RequestCount,
     migrate::{self, MigrationOutcome, Progress},
     probe,
@@ -395,6 +396,7 @@
     async fn forward(&mut self, bytes: &[u8]) -> Result<(), StreamEnd> {
         self.splitter.push(bytes);
         self.last_sign = Instant::now();
+        link::record_answer(&self.call.shared, self.reservation.upstream);
         let mut chunk = BytesMut::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
