test: gateways cannot start because a child that is being started holds their port

Ports are found by binding them, and released before the gateway starts. Another thread of the test program that starts a process in between hands copies of all its sockets to the child, until that executes its program; the port stays bound for so long. The address is used by this gateway alone, and connections to it come from 127.0.0.1, which leaves no other holder.

A lock now keeps starts and looking for ports apart.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     thread::{self, JoinHandle},
@@ -164,7 +164,7 @@
         let ready_address = socket_address(ready_port);
         let admin_address = socket_address(admin_port);
         let mut gateway = Self {
-            child: Command::new("true").spawn().expect("a placeholder runs"),
+            child: spawn(&mut Command::new("true")),
             caller_address,
             ready_address,
             admin_address,
@@ -216,12 +216,7 @@
 
     /// Starts the process, or starts it again after it has ended, and collects its log lines.
     pub fn spawn(&mut self) {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_carobhaven"))
-            .args(["gateway", "--settings"])
-            .arg(self.settings_path())
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the command runs");
+        let mut child = self.start_process();
         let out = child.stdout.take().expect("standard output is piped");
         let lines = Arc::clone(&self.lines);
         thread::spawn(move || {
@@ -237,12 +232,16 @@
 
     /// Starts the process without reading its standard output, so that the pipe fills up.
     pub fn spawn_unread(&mut self) {
-        self.child = Command::new(env!("CARGO_BIN_EXE_carobhaven"))
-            .args(["gateway", "--settings"])
-            .arg(self.settings_path())
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the command runs");
+        self.child = self.start_process();
+    }
+
+    fn start_process(&self) -> Child {
+        spawn(
+            Command::new(env!("CARGO_BIN_EXE_carobhaven"))
+                .args(["gateway", "--settings"])
+                .arg(self.settings_path())
+                .stdout(Stdio::piped()),
+        )
     }
 
     /// Log lines so far, of earlier processes of this gateway too.
@@ -284,9 +283,7 @@
 
     /// Sends a signal to the process; `name` is without `SIG`, such as `TERM`.
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
-            .status();
+        let sent = spawn(Command::new("kill").args([format!("-{name}"), self.child.id().to_string()])).wait();
         assert!(sent.is_ok_and(|status| status.success()), "the process exists");
     }
 
@@ -349,8 +346,19 @@
     )
 }
 
+/// Held while a child process starts and while ports are looked for. Between fork and exec, a child still holds all
+/// sockets of this process, so that a port which was just released could not be bound.
+static STARTING: Mutex<()> = Mutex::new(());
+
+/// Starts a child process.
+fn spawn(command: &mut Command) -> Child {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("the command runs")
+}
+
 /// Distinct free ports. All are bound at the same time, since a port that was released may be assigned again.
 fn free_ports<const N: usize>(ip: &str) -> [u16; N] {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
     let bound: [TcpListener; N] =
         std::array::from_fn(|_| TcpListener::bind((ip, 0)).expect("loopback has free ports"));
     bound.map(|listener| {
