--- a/crates/carob-gateway/src/settings.rs
+++ b/crates/carob-gateway/src/settings.rs
@@ -10,6 +10,7 @@
 //! | `admin` | `address` | listener for metrics |
 //! | `peers` | `address` | UDP datagrams and TCP transfers between instances |
 //! | | `seeds` | initially known instances, separated by commas; their port is that of `address` |
+//! | `upstreams` | `source` | own IP address that connections to upstreams are made from; may be absent |
 //! | `store` | `address` | the platform's key-value store |
 //! | `leaving` | `upstream` | how long an upstream keeps serving after it announced that it leaves |
 //! | | `grace` | time from the signal to shut down until the instance is killed |
@@ -47,6 +48,8 @@
     pub peer_address: SocketAddr,
     /// Hosts of the initially known instances; their port is that of `peer_address`.
     pub seeds: Vec<IpAddr>,
+    /// Own address that connections to upstreams are made from; `None` leaves the choice to the system.
+    pub source: Option<IpAddr>,
     /// Address of the platform's key-value store.
     pub store_address: SocketAddr,
     /// How long an upstream keeps serving after it announced that it leaves.
@@ -129,6 +132,7 @@
         let admin = self.read("admin", "address", "IP:PORT", address);
         let peers = self.read("peers", "address", "IP:PORT", address);
         let seeds = self.read("peers", "seeds", "IP:PORT, separated by commas", seeds);
+        let source = self.read_optional("upstreams", "source", "an IP address", |text| text.parse().ok());
         let store = self.read("store", "address", "IP:PORT", address);
         let drain = self.read("leaving", "upstream", DURATION, duration);
         let grace = self.read("leaving", "grace", DURATION, duration);
@@ -150,6 +154,7 @@
             admin_address: admin?,
             peer_address: peers?,
             seeds: seeds?,
+            source,
             store_address: store?,
             drain: drain?,
             grace: grace?,
@@ -177,6 +182,20 @@
         value
     }
 
+    fn read_optional<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let mut pairs = self.sections.iter().filter(|found| found.title == section);
+        if pairs.any(|found| found.pairs.iter().any(|pair| pair.key == key)) {
+            return self.read(section, key, expected, parse);
+        }
+        None
+    }
+
     /// Reports keys that belong to no setting, since a misspelled one would silently have no effect.
     fn report_unknown(&mut self) {
         let mut unknown = Vec::new();
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -5,7 +5,10 @@
 //! whose connection could not be established is known not to have been sent. A new connection within a region
 //! takes a few milliseconds.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -13,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     task::AbortHandle,
     time::{Instant, timeout_at},
 };
@@ -63,6 +66,20 @@
     }
 }
 
+/// Connects to `address`, from `source` if there is one.
+pub(crate) async fn connect(address: SocketAddr, source: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Sets the TCP options by which a remote end that became unreachable is detected, and disables Nagle's
 /// algorithm.
 pub(crate) fn set_tcp_options(stream: &TcpStream) {
@@ -81,11 +98,15 @@
 }
 
 impl Connection {
-    /// Connects to `address`, by `deadline` at the latest.
-    pub(crate) async fn open(address: SocketAddr, deadline: Instant) -> Result<Self, Error> {
+    /// Connects to `address` from `source`, by `deadline` at the latest.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        source: Option<IpAddr>,
+        deadline: Instant,
+    ) -> Result<Self, Error> {
         let overhead = Overhead::default();
         let connect = async {
-            let stream = TcpStream::connect(address)
+            let stream = connect(address, source)
                 .await
                 .map_err(|error| error.to_string())?;
             set_tcp_options(&stream);
@@ -151,13 +172,14 @@
 /// Connects, sends the request and reads the whole response, all by `deadline`.
 pub(crate) async fn call(
     address: SocketAddr,
+    source: Option<IpAddr>,
     mut request: Request<Bytes>,
     deadline: Instant,
 ) -> Result<(StatusCode, Bytes), Error> {
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
-    let connection = Connection::open(address, deadline).await?;
+    let connection = Connection::open(address, source, deadline).await?;
     let (response, _task) = connection.send(request, deadline).await?;
     let status = response.status();
     let body = timeout_at(
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -188,7 +188,7 @@
             None => return Err(socket::Error::Connect("the upstream is forgotten".to_owned())),
         };
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let opened = Connection::open(address, connect_deadline).await;
+        let opened = Connection::open(address, self.shared.settings().source, connect_deadline).await;
         let connection =
             opened.inspect_err(|error| link::record_failure(&self.shared, reservation.upstream, error))?;
         let added = AddedHeaders {
--- a/crates/carob-gateway/src/traffic/crash.rs
+++ b/crates/carob-gateway/src/traffic/crash.rs
@@ -155,10 +155,12 @@
     let deadline = Instant::now() + ALIVE_TIMEOUT;
     if !is_engine {
         // Only engines have reports.
-        return Connection::open(address, deadline).await.is_ok();
+        return Connection::open(address, shared.settings().source, deadline)
+            .await
+            .is_ok();
     }
     metrics::counter!("carobhaven_reports_total").increment(1);
-    socket::call(address, engine::get_report(), deadline)
+    socket::call(address, shared.settings().source, engine::get_report(), deadline)
         .await
         .is_ok()
 }
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -122,7 +122,14 @@
         Some(path) if !shared.is_engine(&service) => engine::get_health(&path),
         _ => engine::get_report(),
     };
-    match socket::call(address, request, Instant::now() + PROBE_TIMEOUT).await {
+    match socket::call(
+        address,
+        shared.settings().source,
+        request,
+        Instant::now() + PROBE_TIMEOUT,
+    )
+    .await
+    {
         Ok(_) => record_answer(&shared, upstream),
         Err(error) => record_failure(&shared, upstream, &error),
     }
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -170,7 +170,13 @@
 
 /// Releases an unused copy, so that it does not occupy memory.
 pub(super) async fn release(source: SocketAddr, handle: &str) {
-    let released = socket::call(source, engine::release(handle), Instant::now() + RELEASE_TIMEOUT).await;
+    let released = socket::call(
+        source,
+        None,
+        engine::release(handle),
+        Instant::now() + RELEASE_TIMEOUT,
+    )
+    .await;
     if let Err(error) = released {
         log::info!(source:% = source, error:% = error; "unused copy not released");
     }
@@ -245,7 +251,14 @@
     let id = call.id().into_owned();
     for _ in 0..COPY_ATTEMPTS {
         let deadline = Instant::now() + COPY_TIMEOUT;
-        let answer = match socket::call(source, engine::copy(&id, address, last), deadline).await {
+        let answer = match socket::call(
+            source,
+            call.shared.settings().source,
+            engine::copy(&id, address, last),
+            deadline,
+        )
+        .await
+        {
             Ok((status, body)) => engine::decode_copy(status, &body),
             Err(error) => {
                 log::info!(request:% = id, source:% = source, error:% = error, last; "copy call failed");
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -184,7 +184,8 @@
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let text = format!(
             "[instance]\nname = {}\ndomain = a\nregions = a:north, b:south\n[callers]\naddress = {}\nready = {}\n\
-             connections = 500\nbodies = {BODY_MEMORY}\n[admin]\naddress = {}\n[peers]\naddress = {}\nseeds = {}\n[store]\naddress = {}\n\
+             connections = 500\nbodies = {BODY_MEMORY}\n[admin]\naddress = {}\n[peers]\naddress = {}\nseeds = {}\n[upstreams]\n\
+             source = {}\n[store]\naddress = {}\n\
              [leaving]\nupstream = 2500ms\ngrace = {grace:<8}\n[retries]\nratio = 0.2\nextra = 54\nwindow = 10s\n",
             self.peer_address.ip(),
             self.caller_address,
@@ -192,6 +193,7 @@
             self.admin_address,
             self.peer_address,
             seeds.join(","),
+            self.peer_address.ip(),
             self.store_endpoint.address,
         );
         // Some file systems write a file to disk at once if it is truncated to nothing and filled again, which
