--- a/tests/cut_links.rs
+++ b/tests/cut_links.rs
@@ -3,6 +3,7 @@
 mod fleet;
 
 use std::{
+    net::IpAddr,
     sync::Mutex,
     thread,
     time::{Duration, Instant},
@@ -81,23 +82,21 @@
             .map(|number| start_upstream(&fleet, &format!("u{number}")))
             .collect();
         fleet.configure();
-        let rig = Self {
+        Self {
             fleet,
             upstreams,
             seen: Mutex::default(),
-        };
-        rig.set_links(GATEWAYS, UPSTREAMS, Link::Open);
-        rig
+        }
     }
 
     /// Changes the links between the first gateways and the first upstreams.
     fn set_links(&self, gateways: usize, upstreams: usize, link: Link) {
-        let links: Vec<(u32, Link)> = self.fleet.gateways[..gateways]
+        let links: Vec<(IpAddr, Link)> = self.fleet.gateways[..gateways]
             .iter()
-            .map(|gateway| (gateway.child.id(), link))
+            .map(|gateway| (gateway.peer_address.ip(), link))
             .collect();
         for upstream in &self.upstreams[..upstreams] {
-            upstream.set_process_links(&links);
+            upstream.set_source_links(&links);
         }
     }
 
@@ -191,15 +190,13 @@
             .iter()
             .filter(|seen| seen.gateway < gateways && seen.sent >= from)
             .count();
-        let connections = |process: u32| -> usize {
+        let connections = |source: IpAddr| -> usize {
             let upstreams = self.upstreams.iter();
-            upstreams
-                .map(|upstream| upstream.connections(process, from))
-                .sum()
+            upstreams.map(|upstream| upstream.connections(source, from)).sum()
         };
         let arrived: usize = self.fleet.gateways[..gateways]
             .iter()
-            .map(|gateway| connections(gateway.child.id()))
+            .map(|gateway| connections(gateway.peer_address.ip()))
             .sum();
         assert!(
             arrived as f64 >= DIRECT_SHARE * sent as f64,
