--- a/crates/carob-dispatch/src/fleet/links.rs
+++ b/crates/carob-dispatch/src/fleet/links.rs
@@ -33,12 +33,27 @@
     answered: Option<Time>,
     /// Since when it is lost.
     lost_since: Option<Time>,
+    /// Whether connections come about and nothing arrives on them. An upstream that is overloaded or stands still
+    /// looks the same.
+    is_silent: bool,
     /// When it is to be probed next.
     probe_due: Time,
     /// Whether it is to be probed although it is not lost.
     suspected: bool,
 }
 
+carob_base::plain! {
+    /// How a direct connection failed before anything arrived on it.
+    pub enum LinkFailure {
+        /// It did not come about for a request, or broke.
+        Request,
+        /// The same for a probe.
+        Probe,
+        /// Nothing arrived on it in the time of a probe.
+        Silence,
+    }
+}
+
 impl Fleet {
     /// Records that something arrived from an upstream on a direct connection. Returns for how long its link had been
     /// lost, if it had.
@@ -48,6 +63,9 @@
         link.answered = Some(now);
         link.suspected = false;
         let since = link.lost_since.take()?;
+        // What failed were connections, not the upstream.
+        upstream.failure_rate = 0.0;
+        upstream.avoid_until = Time::ZERO;
         let service = upstream.entry.service.clone();
         for other in self.upstreams.values_mut() {
             if other.entry.service == service && other.link.lost_since.is_some() {
@@ -59,17 +77,21 @@
 
     /// Records that a direct connection to an upstream failed before anything arrived on it. Returns whether its link is
     /// lost by this. Other links of the service that have not shown lately that they work are to be probed.
-    pub fn record_link_failure(&mut self, key: UpstreamKey, now: Time) -> bool {
+    pub fn record_link_failure(&mut self, key: UpstreamKey, failure: LinkFailure, now: Time) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
         let service = upstream.entry.service.clone();
         upstream.link.suspected = false;
-        upstream.link.probe_due = now + PROBE_INTERVAL;
+        upstream.link.is_silent = failure == LinkFailure::Silence;
         if upstream.link.lost_since.is_some() {
             return false;
         }
         upstream.link.lost_since = Some(now);
+        upstream.link.probe_due = match failure {
+            LinkFailure::Request => now,
+            LinkFailure::Probe | LinkFailure::Silence => now + PROBE_INTERVAL,
+        };
         let unsure = self.upstreams.values_mut().filter(|other| {
             other.entry.service == service
                 && other.entry.state == UpstreamState::Ready
@@ -83,19 +105,25 @@
     }
 
     /// Records that an upstream has not answered a request that was sent at `sent` on a direct connection. It is to be
-    /// probed unless something arrived from it since. Returns whether it is.
-    pub fn suspect_link(&mut self, key: UpstreamKey, sent: Time) -> bool {
+    /// probed unless something arrived from it since, or a probe is under way. Returns whether it is.
+    pub fn suspect_link(&mut self, key: UpstreamKey, sent: Time, now: Time) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
         let link = &mut upstream.link;
         let is_silent = link.answered.is_none_or(|answered| answered < sent);
-        if is_silent && link.lost_since.is_none() {
+        if is_silent && link.lost_since.is_none() && link.probe_due <= now {
             link.suspected = true;
         }
         link.suspected
     }
 
+    /// Whether something has arrived from an upstream on a direct connection since `since`.
+    pub fn has_answered_since(&self, key: UpstreamKey, since: Time) -> bool {
+        let answered = self.upstreams.get(key).and_then(|found| found.link.answered);
+        answered.is_some_and(|answered| answered >= since)
+    }
+
     /// Whether the link to an upstream is lost.
     pub fn is_link_lost(&self, key: UpstreamKey) -> bool {
         self.link_lost_since(key).is_some()
@@ -145,6 +173,20 @@
         ready.peek().is_some() && ready.all(|upstream| upstream.link.lost_since.is_some())
     }
 
+    /// Whether connections to all ready upstreams of a service fail, so that none of them can be meant to answer later.
+    pub fn is_refused(&self, service: &str) -> bool {
+        let ready = self.upstreams.values().filter(|upstream| {
+            *upstream.entry.service == *service && upstream.entry.state == UpstreamState::Ready
+        });
+        self.is_cut(service) && ready.map(|upstream| upstream.link).all(|link| !link.is_silent)
+    }
+
+    /// Whether the link to an upstream is lost because nothing arrives on its connections.
+    pub fn is_link_silent(&self, key: UpstreamKey) -> bool {
+        let upstream = self.upstreams.get(key);
+        upstream.is_some_and(|found| found.link.is_lost() && found.link.is_silent)
+    }
+
     /// Number of ready upstreams with lost links.
     pub fn lost_links(&self) -> usize {
         let ready = self
@@ -212,6 +254,10 @@
 }
 
 impl Link {
+    pub(super) const fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
+    }
+
     fn is_fresh(&self, now: Time) -> bool {
         self.answered
             .is_some_and(|answered| now.since(answered) < FRESH_TIME)
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod links;
 mod peers;
 mod place;
+mod relays;
 mod waiting;
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
@@ -19,8 +20,10 @@
 use crate::limits::{Limits, Options as LimitOptions, Permit};
 
 pub use limited::Held;
+pub use links::LinkFailure;
 pub use peers::{MessageStamp, PeerLoad};
 pub use place::{Placement, Requirements, UpstreamHealth};
+pub use relays::{Relay, RelayOffer, service_hash};
 pub use waiting::{Assignment, QueuedRequest};
 
 slotmap::new_key_type! {
@@ -104,6 +107,11 @@
         xxhash_rust::xxh3::xxh3_64_with_seed(self.entry.id.as_bytes(), self.entry.started_ms)
     }
 
+    /// Whether it has asked for a pause that lasts.
+    pub fn is_paused(&self, now: Time) -> bool {
+        self.paused_until > now
+    }
+
     /// Requests of all instances that run on it, as far as is known.
     pub const fn total_requests(&self) -> u32 {
         self.local_requests + self.peer_requests
--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -40,10 +40,14 @@
 /// The latest report of another instance.
 #[derive(Debug)]
 pub(super) struct Peer {
-    last_seen: Time,
-    stamp: MessageStamp,
+    pub(super) last_seen: Time,
+    pub(super) stamp: MessageStamp,
     /// Loads by upstream hash.
     loads: HashMap<u64, PeerLoad>,
+    /// What it says about relaying connections; `None` if it relays nothing.
+    pub(super) offer: Option<super::RelayOffer>,
+    /// Until when it is not asked to relay.
+    pub(super) relay_after: Time,
 }
 
 impl Fleet {
@@ -85,6 +89,8 @@
             last_seen: now,
             stamp,
             loads: HashMap::new(),
+            offer: None,
+            relay_after: Time::ZERO,
         });
         if known.stamp.boot_id == stamp.boot_id && known.stamp.number > stamp.number {
             self.peers.insert(peer, known);
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -85,6 +85,10 @@
 /// lower by more than this.
 const REGION_PENALTY: f64 = 0.08;
 
+/// Load added to an upstream that is reached through another instance only, as a share of its capacity: the way is
+/// longer and takes that instance's time.
+const RELAY_PENALTY: f64 = 0.25;
+
 /// Upper bound of the random load that decides between upstreams with about equal load; below
 /// [`DOMAIN_PENALTY`], so that it never outweighs the penalties for distance.
 const TIE_BREAK: f64 = 0.01;
@@ -257,10 +261,16 @@
         } else {
             0.0
         };
+        let relay = if upstream.link.is_lost() {
+            RELAY_PENALTY
+        } else {
+            0.0
+        };
         let tie_break = self.uniform(key, self.tie_seed) * TIE_BREAK;
         load(upstream, requirements)
             + upstream.failure_rate * FAILURE_PENALTY
             + unreachable
+            + relay
             + self.distance_penalty(&upstream.entry.domain)
             + tie_break
     }
--- /dev/null
+++ b/crates/carob-dispatch/src/fleet/relays.rs
@@ -0,0 +1,120 @@
+//! Chooses another instance that relays connections to upstreams which cannot be reached from this one.
+
+use std::{net::SocketAddr, time::Duration};
+
+use carob_base::Time;
+use smallvec::SmallVec;
+
+use super::{Fleet, peers::Peer};
+
+/// Age of an instance's last message up to which it is chosen: two of its messages were missed.
+const HEARD_TIME: Duration = Duration::from_millis(2_200);
+
+/// Open connections through a nearer instance for which one in another failure domain is chosen instead.
+const DOMAIN_COST: f64 = 4.0;
+
+/// Open connections through a nearer instance for which one in another region is chosen instead.
+const REGION_COST: f64 = 16.0;
+
+carob_base::value! {
+    /// What an instance says about relaying connections for others.
+    pub struct RelayOffer {
+        /// Its failure domain.
+        pub domain: Box<str>,
+        /// [`service_hash`]es of services whose upstreams cannot be reached from it.
+        pub cut: SmallVec<[u64; 2]>,
+    }
+}
+
+carob_base::plain! {
+    /// An instance that is to relay a connection.
+    pub struct Relay {
+        /// Its address.
+        pub peer: SocketAddr,
+        /// Time since its last message.
+        pub heard: Duration,
+    }
+}
+
+/// Identifies a service in messages between instances.
+pub fn service_hash(service: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(service.as_bytes())
+}
+
+impl Fleet {
+    /// Records what the instance at `peer` says about relaying; `None` if it relays nothing.
+    pub fn set_relay_offer(&mut self, peer: SocketAddr, offer: Option<RelayOffer>) {
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.offer = offer;
+        }
+    }
+
+    /// Chooses the instance at `peer` for no relay until `until`.
+    pub fn avoid_relay(&mut self, peer: SocketAddr, until: Time) {
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.relay_after = until;
+        }
+    }
+
+    /// Whether `peer` is an instance whose process has told this random number.
+    pub fn is_known_process(&self, peer: SocketAddr, boot_id: u64) -> bool {
+        self.peers
+            .get(&peer)
+            .is_some_and(|known| known.stamp.boot_id == boot_id)
+    }
+
+    /// Whether any instance has been heard of lately, whatever it can do.
+    pub fn hears_peers(&self, now: Time) -> bool {
+        self.recent_peers(HEARD_TIME, now) > 0
+    }
+
+    /// Chooses the instance that relays a connection to an upstream of `service`: one that reaches upstreams of it, near
+    /// and with few connections from here, the number of which `open` returns. `draw` is a random number.
+    pub fn choose_relay(
+        &self,
+        service: &str,
+        excluded: &[SocketAddr],
+        open: impl Fn(SocketAddr) -> u32,
+        draw: u64,
+        now: Time,
+    ) -> Option<Relay> {
+        let hash = service_hash(service);
+        let candidates = self.peers.iter().filter_map(|(peer, known)| {
+            let offer = known.relay_offer(hash, now)?;
+            let cost = f64::from(open(*peer)) + self.relay_cost(&offer.domain) + random_share(*peer, draw);
+            (!excluded.contains(peer)).then_some((cost, *peer, known.last_seen))
+        });
+        let (_, peer, seen) = candidates.min_by(|one, other| one.0.total_cmp(&other.0))?;
+        Some(Relay {
+            peer,
+            heard: now.since(seen),
+        })
+    }
+
+    fn relay_cost(&self, domain: &str) -> f64 {
+        let regions = &self.topology.regions;
+        if *domain == *self.topology.domain {
+            0.0
+        } else if regions.get(domain) == regions.get(&self.topology.domain) {
+            DOMAIN_COST
+        } else {
+            REGION_COST
+        }
+    }
+}
+
+impl Peer {
+    /// The offer of an instance that may be asked to relay to the service with this hash.
+    fn relay_offer(&self, service: u64, now: Time) -> Option<&RelayOffer> {
+        let is_heard = now.since(self.last_seen) < HEARD_TIME && self.relay_after <= now;
+        self.offer
+            .as_ref()
+            .filter(|offer| is_heard && !offer.cut.contains(&service))
+    }
+}
+
+/// Hashes an instance and a random number to a number from 0 to 1.
+fn random_share(peer: SocketAddr, draw: u64) -> f64 {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(peer.to_string().as_bytes(), draw);
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/carob-dispatch/tests/links.rs
+++ b/crates/carob-dispatch/tests/links.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use carob_base::Time;
-use carob_dispatch::fleet::{DirectoryEntry, Fleet, Topology, UpstreamKey, UpstreamState};
+use carob_dispatch::fleet::{DirectoryEntry, Fleet, LinkFailure, Topology, UpstreamKey, UpstreamState};
 
 fn fleet(upstreams: usize) -> (Fleet, Vec<UpstreamKey>) {
     let topology = Topology {
@@ -39,9 +39,9 @@
     let (mut fleet, keys) = fleet(3);
     fleet.record_link_answer(keys[1], at(900));
     fleet.record_link_answer(keys[2], at(900));
-    assert!(fleet.record_link_failure(keys[0], at(1_000)));
+    assert!(fleet.record_link_failure(keys[0], LinkFailure::Probe, at(1_000)));
     assert!(
-        !fleet.record_link_failure(keys[0], at(1_001)),
+        !fleet.record_link_failure(keys[0], LinkFailure::Probe, at(1_001)),
         "it was lost already"
     );
     assert!(fleet.cut_services().is_empty());
@@ -52,12 +52,12 @@
 #[test]
 fn links_without_answers_are_not_probed_when_another_is_lost() {
     let (mut fleet, keys) = fleet(3);
-    fleet.record_link_failure(keys[0], at(1_000));
+    fleet.record_link_failure(keys[0], LinkFailure::Probe, at(1_000));
     let mut probed = fleet.take_probes(at(1_000)).to_vec();
     probed.sort_unstable();
     assert_eq!(probed, keys[1..]);
-    fleet.record_link_failure(keys[1], at(1_100));
-    fleet.record_link_failure(keys[2], at(1_100));
+    fleet.record_link_failure(keys[1], LinkFailure::Probe, at(1_100));
+    fleet.record_link_failure(keys[2], LinkFailure::Probe, at(1_100));
     assert!(fleet.is_cut("plain"));
     assert_eq!(fleet.cut_services().len(), 1);
 }
@@ -66,7 +66,7 @@
 fn a_fleet_of_many_upstreams_is_probed_all_at_once() {
     let (mut fleet, keys) = fleet(300);
     for key in &keys {
-        fleet.record_link_failure(*key, at(1_000));
+        fleet.record_link_failure(*key, LinkFailure::Probe, at(1_000));
     }
     let mut probed = Vec::new();
     for round in 0..10 {
@@ -84,8 +84,8 @@
 fn a_silent_upstream_that_answers_others_is_suspected() {
     let (mut fleet, keys) = fleet(2);
     fleet.record_link_answer(keys[0], at(1_500));
-    assert!(!fleet.suspect_link(keys[0], at(1_000)));
-    assert!(fleet.suspect_link(keys[0], at(1_600)));
+    assert!(!fleet.suspect_link(keys[0], at(1_000), at(1_700)));
+    assert!(fleet.suspect_link(keys[0], at(1_600), at(1_700)));
     assert_eq!(fleet.take_probes(at(1_700)).to_vec(), [keys[0]]);
     assert_eq!(
         fleet.record_link_answer(keys[0], at(1_800)),
@@ -98,8 +98,8 @@
 #[test]
 fn upstreams_that_leave_or_ask_for_a_pause_are_probed() {
     let (mut fleet, keys) = fleet(2);
-    fleet.record_link_failure(keys[0], at(1_000));
-    fleet.record_link_failure(keys[1], at(1_000));
+    fleet.record_link_failure(keys[0], LinkFailure::Probe, at(1_000));
+    fleet.record_link_failure(keys[1], LinkFailure::Probe, at(1_000));
     fleet.mark_leaving(keys[0], at(1_000));
     fleet.pause(keys[1], at(5_000));
     assert!(fleet.take_probes(at(3_000)).is_empty());
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -183,7 +183,7 @@
 ) -> Result<Page, Error> {
     metrics::counter!("carobhaven_store_calls_total", "call" => "read").increment(1);
     let started = Instant::now();
-    let outcome = match socket::call(control.store_address(), None, request, started + timeout).await {
+    let outcome = match socket::call(control.store_address(), request, started + timeout).await {
         Ok((status, body)) => store::decode_page(status, &body).map_err(Error::Refused),
         Err(error) => Err(Error::Socket(error)),
     };
--- a/crates/carob-gateway/src/control/register.rs
+++ b/crates/carob-gateway/src/control/register.rs
@@ -73,11 +73,5 @@
     request: hyper::Request<bytes::Bytes>,
 ) -> Result<(hyper::StatusCode, bytes::Bytes), Error> {
     metrics::counter!("carobhaven_store_calls_total", "call" => "lease").increment(1);
-    Ok(socket::call(
-        control.store_address(),
-        None,
-        request,
-        Instant::now() + CALL_TIMEOUT,
-    )
-    .await?)
+    Ok(socket::call(control.store_address(), request, Instant::now() + CALL_TIMEOUT).await?)
 }
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -16,7 +16,7 @@
 use crate::{
     peer::{Content, ContentRequest, Item as ContentItem, MAX_FRAME_LENGTH},
     socket::set_tcp_options,
-    update::StoreUpdate,
+    update::{RelayedConnection, StoreUpdate, Update},
 };
 
 /// How long this instance may be behind its peers before it fetches what it missed. Changes reach all
@@ -144,6 +144,14 @@
 async fn serve_content(control: &Control, stream: TcpStream) -> Result<(), Error> {
     let mut frames = framed(stream);
     let request = ContentRequest::decode(next_frame(&mut frames).await?)?;
+    if let Some(relay) = request.relay {
+        let stream = frames.into_inner().into_std()?;
+        control.send(Update::Relay(RelayedConnection {
+            stream,
+            request: relay,
+        }));
+        return Ok(());
+    }
     let (items, keys) = control.content_after(request.after);
     let items = items.into_iter().map(|(key, item)| ContentItem {
         key,
@@ -163,6 +171,7 @@
     let mut frames = framed(TcpStream::connect(peer).await?);
     let request = ContentRequest {
         after: control.revision(),
+        relay: None,
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let content = Content::decode(next_frame(&mut frames).await?)?;
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -8,7 +8,7 @@
 
 use carob_dispatch::{
     crashes::{CrashReport, MAX_SUSPECTS, Part, SoundReport, Suspect, TrialReport, WHOLE_REQUEST},
-    fleet::PeerLoad,
+    fleet::{self, PeerLoad},
     limits::{Origin, Report as LimitReport},
 };
 use carob_platform::store::Item as StoreItem;
@@ -68,6 +68,102 @@
     /// Stable hashes of upstreams that have said themselves that they leave.
     #[prost(fixed64, repeated, tag = "15")]
     pub leaving: Vec<u64>,
+    /// Whether the sender relays connections to upstreams; absent if the message does not say.
+    #[prost(message, optional, tag = "16")]
+    pub relays: Option<RelayOffer>,
+    /// Upstreams that have asked the receiver for a pause, in answers that it has relayed to the sender.
+    #[prost(message, repeated, tag = "17")]
+    pub pauses: Vec<Pause>,
+}
+
+/// Whether an instance relays connections, and to what.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct RelayOffer {
+    /// Whether it relays connections now.
+    #[prost(bool, tag = "1")]
+    pub is_open: bool,
+    /// Its failure domain.
+    #[prost(string, tag = "2")]
+    pub domain: String,
+    /// Hashes of services whose upstreams it cannot reach.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub cut: Vec<u64>,
+}
+
+/// A pause that an upstream asks for.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Pause {
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// Milliseconds that are left of it.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
+}
+
+/// Asks the receiver to connect to an upstream and to forward bytes.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct RelayRequest {
+    /// Address under which the sender is registered.
+    #[prost(string, tag = "1")]
+    pub sender: String,
+    /// The sender's random number, which only instances know that it announces itself to.
+    #[prost(fixed64, tag = "2")]
+    pub boot_id: u64,
+    /// Stable hash that identifies the upstream and its incarnation.
+    #[prost(fixed64, tag = "3")]
+    pub upstream_hash: u64,
+    /// Id of the client's request; empty if there is none.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub request: bytes::Bytes,
+    /// Whether the connection is for a call about the upstream and not for a client's request.
+    #[prost(bool, tag = "5")]
+    pub is_control: bool,
+}
+
+/// Answers a [`RelayRequest`]; after [`RelayState::Open`] the connection is the upstream's.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct RelayReply {
+    // Other numbers than those of `Content`, which an instance that does not relay sends.
+    #[prost(enumeration = "RelayState", tag = "15")]
+    pub state: i32,
+}
+
+/// What became of a [`RelayRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum RelayState {
+    /// The receiver does not know.
+    Unknown = 0,
+    /// The upstream is connected.
+    Open = 1,
+    /// The upstream cannot be reached.
+    Unreachable = 2,
+    /// The upstream has asked the receiver for a pause.
+    Paused = 3,
+    /// The upstream leaves.
+    Leaving = 4,
+    /// The receiver relays as many connections as it may.
+    Full = 5,
+    /// The receiver shuts down.
+    Closing = 6,
+    /// The receiver does not know the sender or the upstream.
+    Stranger = 7,
+}
+
+impl RelayState {
+    /// Name in metrics and log lines.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Open => "open",
+            Self::Unreachable => "unreachable",
+            Self::Paused => "paused",
+            Self::Leaving => "leaving",
+            Self::Full => "full",
+            Self::Closing => "closing",
+            Self::Stranger => "stranger",
+        }
+    }
 }
 
 /// What an upstream said of its limit.
@@ -165,12 +261,16 @@
     pub pending_prefill: u64,
 }
 
-/// Asks for the receiver's copy of the store's content, or the part that changed after a revision.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+/// Asks for the receiver's copy of the store's content, or the part that changed after a revision; or for a connection
+/// to an upstream.
+#[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct ContentRequest {
     /// Only items that changed after this revision are sent.
     #[prost(uint64, tag = "1")]
     pub after: u64,
+    /// If present, no content is wanted.
+    #[prost(message, optional, tag = "2")]
+    pub relay: Option<RelayRequest>,
 }
 
 /// An instance's copy of the store's content, or the part that changed after a revision.
@@ -200,6 +300,16 @@
     pub value: Option<bytes::Bytes>,
 }
 
+impl From<&fleet::RelayOffer> for RelayOffer {
+    fn from(offer: &fleet::RelayOffer) -> Self {
+        Self {
+            is_open: true,
+            domain: offer.domain.to_string(),
+            cut: offer.cut.to_vec(),
+        }
+    }
+}
+
 impl From<StoreItem> for Item {
     fn from(item: StoreItem) -> Self {
         Self {
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::overhead::{CountedStream, MAX_HEAD, Overhead, ReceivedBody};
+use crate::traffic::RelayCount;
 
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -58,11 +59,22 @@
 
 /// Handle of the task that performs a connection's I/O; dropping it closes the connection.
 #[derive(Debug)]
-pub(crate) struct ConnectionTask(AbortHandle);
+pub(crate) struct ConnectionTask {
+    handle: AbortHandle,
+    /// The instance that the connection goes through, if it is not direct.
+    relay: Option<(SocketAddr, RelayCount)>,
+}
+
+impl ConnectionTask {
+    /// The instance that the connection goes through; `None` if it is direct.
+    pub(crate) fn relay(&self) -> Option<SocketAddr> {
+        self.relay.as_ref().map(|(peer, _)| *peer)
+    }
+}
 
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
-        self.0.abort();
+        self.handle.abort();
     }
 }
 
@@ -104,34 +116,50 @@
         source: Option<IpAddr>,
         deadline: Instant,
     ) -> Result<Self, Error> {
-        let overhead = Overhead::default();
-        let connect = async {
-            let stream = connect(address, source)
-                .await
-                .map_err(|error| error.to_string())?;
-            set_tcp_options(&stream);
-            let io = TokioIo::new(CountedStream::new(stream, overhead.clone()));
-            http1::Builder::new()
-                .max_buf_size(MAX_HEAD)
-                .handshake(io)
-                .await
-                .map_err(|error| error.to_string())
-        };
-        let (sender, connection) = timeout_at(deadline, connect)
+        let stream = timeout_at(deadline, connect(address, source))
             .await
             .map_err(|_elapsed| Error::Connect("timed out".to_owned()))?
-            .map_err(Error::Connect)?;
+            .map_err(|error| Error::Connect(error.to_string()))?;
+        set_tcp_options(&stream);
+        Self::start(stream, None).await
+    }
+
+    /// Uses a connection through the instance at `peer`; `counted` counts it there.
+    pub(crate) async fn relayed(
+        stream: TcpStream,
+        peer: SocketAddr,
+        counted: RelayCount,
+    ) -> Result<Self, Error> {
+        Self::start(stream, Some((peer, counted))).await
+    }
+
+    async fn start(stream: TcpStream, relay: Option<(SocketAddr, RelayCount)>) -> Result<Self, Error> {
+        let overhead = Overhead::default();
+        let io = TokioIo::new(CountedStream::new(stream, overhead.clone()));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD)
+            .handshake(io)
+            .await
+            .map_err(|error| Error::Connect(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             // The request fails with the reason why its connection ended.
             let _ended = connection.await;
         });
         Ok(Self {
             sender,
-            task: ConnectionTask(task.abort_handle()),
+            task: ConnectionTask {
+                handle: task.abort_handle(),
+                relay,
+            },
             overhead,
         })
     }
 
+    /// The instance that it goes through; `None` if it is direct.
+    pub(crate) fn relay(&self) -> Option<SocketAddr> {
+        self.task.relay()
+    }
+
     /// Sends the request and waits until `deadline` for the head of the response.
     pub(crate) async fn send(
         mut self,
@@ -172,14 +200,22 @@
 /// Connects, sends the request and reads the whole response, all by `deadline`.
 pub(crate) async fn call(
     address: SocketAddr,
-    source: Option<IpAddr>,
     mut request: Request<Bytes>,
     deadline: Instant,
 ) -> Result<(StatusCode, Bytes), Error> {
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
-    let connection = Connection::open(address, source, deadline).await?;
+    let connection = Connection::open(address, None, deadline).await?;
+    call_on(connection, request, deadline).await
+}
+
+/// Sends the request on `connection` and reads the whole response, by `deadline`.
+pub(crate) async fn call_on(
+    connection: Connection,
+    request: Request<Bytes>,
+    deadline: Instant,
+) -> Result<(StatusCode, Bytes), Error> {
     let (response, _task) = connection.send(request, deadline).await?;
     let status = response.status();
     let body = timeout_at(
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,9 +11,9 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{departure, limit, shared::Shared};
+use super::{departure, limit, relay, shared::Shared};
 use crate::{
-    peer::{Announcement, Crash, Item, Limit, Load, Sound, Trial},
+    peer::{Announcement, Crash, Item, Limit, Load, RelayOffer, Sound, Trial},
     update::{Report, StoreUpdate},
 };
 
@@ -33,30 +33,33 @@
 /// have requests at.
 const MAX_DATAGRAM: usize = 32 << 10;
 
-/// Sends messages for as long as the process runs: changes at once, the complete load at regular intervals.
-pub(super) async fn send(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    let boot_id = rand::random();
-    let mut sent_loads: HashMap<u64, PeerLoad> = HashMap::new();
-    let mut sequence = 0;
-    let mut due = Instant::now();
-    let mut sent_status = (false, 0);
-    let mut sent_leaving = Vec::new();
-    let mut had_peers = false;
-    loop {
+/// What the other instances were told last.
+#[derive(Default)]
+struct Told {
+    loads: HashMap<u64, PeerLoad>,
+    /// Whether this instance watches the store, and if so, up to which revision it knows the content.
+    status: (bool, u64),
+    /// Upstreams that leave.
+    leaving: Vec<u64>,
+    offer: Option<carob_dispatch::fleet::RelayOffer>,
+}
+
+impl Told {
+    /// Returns the next message, without its sender and number; `None` if there is nothing to tell. A `complete` one
+    /// holds everything, others what has changed.
+    fn next_message(&mut self, shared: &Shared, complete: bool) -> Option<Announcement> {
         let watching = shared.is_watching();
         // Instances that do not watch notice by the revision of those that do when they are behind.
         let status = (watching, if watching { shared.revision() } else { 0 });
         let update = shared.take_store_update();
-        let has_peers = !shared.peers().is_empty();
-        let complete = Instant::now() >= due || (has_peers && !had_peers);
-        had_peers = has_peers;
         let news = shared.evidence().take_changes(shared.now());
         let limits = shared
             .fleet_mut()
             .limits_mut()
             .take_reports(complete, shared.now());
         let leaving = shared.fleet().leaving_hashes();
-        let has_departures = leaving.iter().any(|hash| !sent_leaving.contains(hash));
+        let has_departures = leaving.iter().any(|hash| !self.leaving.contains(hash));
+        let offer = relay::offer(shared);
         let loads: HashMap<u64, PeerLoad> = shared
             .fleet()
             .local_loads()
@@ -66,34 +69,66 @@
         let changed = if complete {
             loads.values().copied().collect()
         } else {
-            changed_loads(&sent_loads, &loads)
+            changed_loads(&self.loads, &loads)
+        };
+        let has_news = has_departures
+            || offer != self.offer
+            || status != self.status
+            || update.is_some()
+            || !(changed.is_empty() && news.is_empty() && limits.is_empty());
+        if !complete && !has_news {
+            return None;
+        }
+        let message = Announcement {
+            revision: update
+                .as_ref()
+                .map_or(shared.revision(), |update| update.revision),
+            base: update.as_ref().map_or(0, |update| update.base),
+            watching,
+            complete,
+            loads: changed.into_iter().map(Load::from).collect(),
+            updates: update.map_or_else(Vec::new, |update| {
+                update.items.into_iter().map(Item::from).collect()
+            }),
+            crashes: news.crashes.into_iter().map(Crash::from).collect(),
+            sound: news.sound.into_iter().map(Sound::from).collect(),
+            trials: news.trials.into_iter().map(Trial::from).collect(),
+            limits: limits.into_iter().map(Limit::from).collect(),
+            leaving: leaving.clone(),
+            relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
+            ..Announcement::default()
         };
-        let has_news = !changed.is_empty() || !news.is_empty() || !limits.is_empty() || has_departures;
-        if complete || has_news || update.is_some() || status != sent_status {
+        *self = Self {
+            loads,
+            status,
+            leaving,
+            offer,
+        };
+        Some(message)
+    }
+}
+
+/// Sends messages for as long as the process runs: changes at once, the complete load at regular intervals.
+pub(super) async fn send(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let boot_id = shared.boot_id();
+    let mut told = Told::default();
+    let mut sequence = 0;
+    let mut due = Instant::now();
+    let mut had_peers = false;
+    loop {
+        let has_peers = !shared.peers().is_empty();
+        let complete = Instant::now() >= due || (has_peers && !had_peers);
+        had_peers = has_peers;
+        if let Some(message) = told.next_message(&shared, complete) {
             sequence += 1;
             let message = Announcement {
                 boot_id,
                 sequence,
-                revision: update
-                    .as_ref()
-                    .map_or(shared.revision(), |update| update.revision),
-                base: update.as_ref().map_or(0, |update| update.base),
-                watching,
-                complete,
-                loads: changed.into_iter().map(Load::from).collect(),
-                updates: update.map_or_else(Vec::new, |update| {
-                    update.items.into_iter().map(Item::from).collect()
-                }),
-                crashes: news.crashes.into_iter().map(Crash::from).collect(),
-                sound: news.sound.into_iter().map(Sound::from).collect(),
-                trials: news.trials.into_iter().map(Trial::from).collect(),
-                limits: limits.into_iter().map(Limit::from).collect(),
-                leaving: leaving.clone(),
-                ..Announcement::default()
+                ..message
             };
             broadcast(&shared, &socket, &message).await;
-            (sent_loads, sent_status, sent_leaving) = (loads, status, leaving);
         }
+        send_pauses(&shared, &socket).await;
         spread_evidence(&shared, &socket, (boot_id, &mut sequence), complete).await;
         if complete {
             due = Instant::now() + COMPLETE_INTERVAL;
@@ -107,6 +142,17 @@
     }
 }
 
+/// Tells other instances which upstreams have asked them for a pause, in answers that they have relayed.
+async fn send_pauses(shared: &Shared, socket: &UdpSocket) {
+    for (peer, pause) in shared.take_peer_pauses() {
+        let message = Announcement {
+            pauses: vec![pause],
+            ..Announcement::default()
+        };
+        send_to(socket, &message.encode_to_vec(), peer).await;
+    }
+}
+
 /// Returns the loads that differ from those sent last, and zero loads for upstreams without requests any
 /// more.
 fn changed_loads(sent: &HashMap<u64, PeerLoad>, loads: &HashMap<u64, PeerLoad>) -> Vec<PeerLoad> {
@@ -201,6 +247,9 @@
     if limit::receive(shared, peer, &message) {
         return;
     }
+    if !message.pauses.is_empty() {
+        return limit::merge_pauses(shared, peer, &message.pauses);
+    }
     let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
     limit::merge(shared, peer, &limits);
     departure::merge(shared, peer, &message.leaving);
@@ -221,6 +270,11 @@
     shared
         .fleet_mut()
         .apply_peer_loads(peer, stamp, loads, message.complete, now);
+    if let Some(offer) = &message.relays {
+        shared
+            .fleet_mut()
+            .set_relay_offer(peer, relay::decode_offer(offer));
+    }
     shared.grant_waiting();
     let update = (message.base > 0).then(|| StoreUpdate {
         base: message.base,
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -7,7 +7,7 @@
     crashes::{self, Part},
     fleet::{RequestSize, Requirements, UpstreamKey},
     head::Head,
-    table::{Engine, Route},
+    table::{Engine, Route, RouteKind},
 };
 use carob_platform::request::{self, AddedHeaders, Resume};
 use hyper::{Response, http::request::Parts};
@@ -15,15 +15,16 @@
 
 use super::{
     body::HeldBytes,
-    departure,
+    departure, exchange,
     guard::Reservation,
     limit, link,
+    relay::Purpose,
     repeats::{self, Repeat},
     shared::Shared,
 };
 use crate::{
     overhead::ReceivedBody,
-    socket::{self, Connection, ConnectionTask},
+    socket::{self, ConnectionTask},
 };
 
 /// Time limit for a connection to an upstream. The longest round trip takes 30 ms. A lost SYN packet is
@@ -183,14 +184,9 @@
         resume: Option<&Resume>,
         deadline: Instant,
     ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
-        let (address, name) = match self.shared.fleet().upstream(reservation.upstream) {
-            Some(found) => (found.entry.address, found.entry.id.clone()),
-            None => return Err(socket::Error::Connect("the upstream is forgotten".to_owned())),
-        };
-        let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let opened = Connection::open(address, self.shared.settings().source, connect_deadline).await;
-        let connection =
-            opened.inspect_err(|error| link::record_failure(&self.shared, reservation.upstream, error))?;
+        let name = exchange::upstream_name(self, reservation.upstream);
+        let purpose = Purpose::Request(&self.head.id);
+        let connection = link::open(&self.shared, reservation.upstream, purpose, deadline).await?;
         let added = AddedHeaders {
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             upstream: &name,
@@ -207,11 +203,17 @@
             limit::count_permits("used", 1);
         }
         let sent = Instant::now();
+        let may_repeat = self.route.kind == RouteKind::Safe;
+        let is_direct = connection.relay().is_none();
         if let Some(repeat) = repeat {
             repeat.commit(self);
         }
         let answer = connection.send(request.map(|()| self.body.clone()), deadline);
-        let answered = link::watch(&self.shared, reservation.upstream, answer).await?;
+        let answered = if is_direct {
+            link::watch(&self.shared, reservation.upstream, may_repeat, answer).await?
+        } else {
+            answer.await?
+        };
         repeats::record_answer(self, reservation.upstream);
         let (status, headers) = (answered.0.status(), answered.0.headers());
         limit::record_answer(self, reservation.upstream, (status, headers), sent);
--- a/crates/carob-gateway/src/traffic/crash.rs
+++ b/crates/carob-gateway/src/traffic/crash.rs
@@ -16,7 +16,11 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{call::Call, shared::Shared};
+use super::{
+    call::Call,
+    relay::{self, Purpose},
+    shared::Shared,
+};
 use crate::socket::{self, Connection};
 
 /// Time for which an upstream writes an answer until the request is known not to have crashed it. A request that
@@ -29,6 +33,9 @@
 /// Time limit of an upstream's answer: more than a lost packet on the way to a connection takes within a region.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The same through another instance, which connects to the upstream meanwhile.
+const RELAYED_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Maximum number of requests whose ids are logged for one upstream.
 const MAX_LOGGED: usize = 8;
 
@@ -144,25 +151,56 @@
 }
 
 /// Whether the upstream answers at all.
-async fn is_alive(shared: &Shared, upstream: UpstreamKey) -> bool {
-    let Some((address, is_engine)) = shared
+async fn is_alive(shared: &Rc<Shared>, upstream: UpstreamKey) -> bool {
+    let Some(is_engine) = shared
         .fleet()
         .upstream(upstream)
-        .map(|found| (found.entry.address, shared.is_engine(&found.entry.service)))
+        .map(|found| shared.is_engine(&found.entry.service))
     else {
         return false;
     };
+    if is_engine {
+        metrics::counter!("carobhaven_reports_total").increment(1);
+    }
     let deadline = Instant::now() + ALIVE_TIMEOUT;
-    if !is_engine {
+    if answers(shared, upstream, Way::Direct, is_engine, deadline).await {
+        return true;
+    }
+    // A link that is lost looks like an upstream that has ended; another instance can tell.
+    let deadline = Instant::now() + RELAYED_TIMEOUT;
+    answers(shared, upstream, Way::Relay, is_engine, deadline).await
+}
+
+/// How an upstream is asked.
+enum Way {
+    Direct,
+    /// Through another instance.
+    Relay,
+}
+
+async fn answers(
+    shared: &Rc<Shared>,
+    upstream: UpstreamKey,
+    way: Way,
+    is_engine: bool,
+    deadline: Instant,
+) -> bool {
+    let connection = match way {
+        Way::Direct => {
+            let Some(address) = shared.fleet().upstream(upstream).map(|found| found.entry.address) else {
+                return false;
+            };
+            Connection::open(address, shared.settings().source, deadline).await
+        }
+        Way::Relay => relay::open(shared, upstream, Purpose::Control, deadline).await,
+    };
+    match connection {
         // Only engines have reports.
-        return Connection::open(address, shared.settings().source, deadline)
+        Ok(connection) if is_engine => socket::call_on(connection, engine::get_report(), deadline)
             .await
-            .is_ok();
+            .is_ok(),
+        connection => connection.is_ok(),
     }
-    metrics::counter!("carobhaven_reports_total").increment(1);
-    socket::call(address, shared.settings().source, engine::get_report(), deadline)
-        .await
-        .is_ok()
 }
 
 fn join(texts: impl Iterator<Item = impl AsRef<str>>) -> String {
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -24,7 +24,7 @@
     call::Call,
     crash,
     guard::{ActiveRequest, QueueEntry, Reservation},
-    limit,
+    limit, link,
     listen::RequestCount,
     plain, probe,
     repeats::Repeat,
@@ -206,6 +206,9 @@
         // A request that may have run cannot be refused any more; what is left of the grace limits its attempt.
         let unrun = (attempts.ran == 0).then_some(&active);
         verdict::check(call, attempts.ran)?;
+        if attempts.ran == 0 {
+            link::check(call)?;
+        }
         let reservation = match reserve(call, &attempts.tried, unrun).await {
             Ok(reservation) => reservation,
             Err(refusal) if attempts.ran == 0 => return Err(refusal),
@@ -247,7 +250,7 @@
             NextAction::Retry if Instant::now() < call.answer_deadline() && attempts.is_permitted(call) => {}
             NextAction::Retry | NextAction::Refuse if attempts.ran == 0 => {
                 return Err((
-                    LocalAnswer::Refused(RETRY_FULL),
+                    LocalAnswer::Refused(link::spread(RETRY_FULL)),
                     "upstreams rejected the request or cannot be reached",
                 ));
             }
@@ -294,7 +297,7 @@
         }
         Placement::NoUpstream => {
             return Err((
-                LocalAnswer::Refused(RETRY_NO_UPSTREAM),
+                LocalAnswer::Refused(link::spread(RETRY_NO_UPSTREAM)),
                 "no upstream of the service is known",
             ));
         }
@@ -388,7 +391,7 @@
             if status == StatusCode::MISDIRECTED_REQUEST {
                 record(UpstreamHealth::Unreachable);
             }
-            limit::record_rejection(call, upstream, status, response.headers());
+            limit::record_rejection(call, upstream, &response, driver.relay());
             return no_answer(call, upstream, AttemptResult::Rejected, &status);
         }
         AnswerKind::Foreign => {
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -89,6 +89,12 @@
         Self::adopt(shared, upstream, key, size)
     }
 
+    /// Counts a request at `upstream` that another instance has a permit for, if one is needed.
+    pub(super) fn without_permit(shared: &Rc<Shared>, upstream: UpstreamKey, size: RequestSize) -> Self {
+        let key = shared.fleet_mut().start_request(upstream, size);
+        Self::adopt(shared, upstream, key, size)
+    }
+
     /// Takes over a reservation that the fleet has already recorded under `key`.
     pub(super) fn adopt(shared: &Rc<Shared>, upstream: UpstreamKey, key: RunKey, size: RequestSize) -> Self {
         shared.load_changed.notify_one();
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -8,7 +8,7 @@
     limits::{ASK_TIME, Content, Members, Message as PermitMessage, Report, Statement},
 };
 use carob_platform::answer::{self, AnswerKind, NumberError};
-use hyper::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use prost::Message;
 use tokio::{net::UdpSocket, time::Instant};
 
@@ -18,7 +18,7 @@
     exchange::{RETRY_FULL, Refusal, upstream_name},
     shared::{PEER_TIMEOUT, Shared},
 };
-use crate::peer::{Announcement, Permits, Want};
+use crate::peer::{Announcement, Pause, Permits, Want};
 
 /// Minimum time between two rounds of messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(15);
@@ -71,14 +71,26 @@
 }
 
 /// Sends nothing to an upstream that has rejected a request, if its answer asks for a pause. Instances that were told the same
-/// time return one after the other.
-pub(super) fn record_rejection(call: &Call, upstream: UpstreamKey, status: StatusCode, headers: &HeaderMap) {
-    if status != StatusCode::SERVICE_UNAVAILABLE {
+/// time return one after the other. The instance that relayed the answer, if one did, is told.
+pub(super) fn record_rejection<T>(
+    call: &Call,
+    upstream: UpstreamKey,
+    response: &Response<T>,
+    relay: Option<SocketAddr>,
+) {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
     let shared = &call.shared;
-    match answer::named_pause(headers) {
+    match answer::named_pause(response.headers()) {
         Ok(Some(time)) if !time.is_zero() => {
+            if let Some(peer) = relay {
+                let pause = Pause {
+                    upstream_hash: shared.fleet().upstream_hash(upstream),
+                    left_ms: time.as_millis() as u64,
+                };
+                shared.add_peer_pause(peer, pause);
+            }
             let spread = time.mul_f64(rand::random::<f64>() * PAUSE_SPREAD);
             shared.fleet_mut().pause(upstream, shared.now() + time + spread);
             log::info!(
@@ -91,6 +103,25 @@
     }
 }
 
+/// Applies what the instance at `peer` tells about pauses that were asked of this one, in answers that it has relayed.
+pub(super) fn merge_pauses(shared: &Shared, peer: SocketAddr, pauses: &[Pause]) {
+    if pauses.is_empty() || !shared.peers().contains(&peer) {
+        return;
+    }
+    let now = shared.now();
+    for pause in pauses {
+        let Some(upstream) = shared.fleet().find_hash(pause.upstream_hash) else {
+            continue;
+        };
+        let time = Duration::from_millis(pause.left_ms).min(answer::MAX_PAUSE);
+        shared.fleet_mut().pause(upstream, now + time);
+        log::info!(
+            incarnation:% = format!("{:016x}", pause.upstream_hash), peer:% = peer,
+            pause_ms = time.as_millis() as u64; "upstream asks for a pause, in an answer to another instance"
+        );
+    }
+}
+
 /// Applies what the instance at `peer` tells about limits.
 pub(super) fn merge(shared: &Shared, peer: SocketAddr, reports: &[Report]) {
     if reports.is_empty() || !shared.peers().contains(&peer) {
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -2,15 +2,29 @@
 
 use std::{rc::Rc, time::Duration};
 
-use carob_dispatch::fleet::UpstreamKey;
+use bytes::Bytes;
+use carob_dispatch::fleet::{LinkFailure, UpstreamKey};
 use carob_platform::engine;
+use hyper::{Request, StatusCode, header::HOST};
 use tokio::time::Instant;
 
-use super::shared::Shared;
-use crate::socket;
+use super::{
+    answer::LocalAnswer,
+    call::{CONNECT_TIMEOUT, Call},
+    exchange::Refusal,
+    relay::{self, Purpose},
+    shared::Shared,
+};
+use crate::socket::{self, Connection};
+
+/// Suggested retry delay while no instance reaches an upstream; such a cut lasts for seconds.
+const RETRY_CUT: Duration = Duration::from_millis(1_500);
 
 /// Time limit of a probe: several round trips between regions, and the usual time of an answer.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How often it is checked whether a probe has ended.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time without an answer after which an upstream is probed.
 pub(super) const SILENT_TIME: Duration = Duration::from_millis(700);
@@ -27,9 +41,14 @@
 }
 
 /// Records that a direct connection to an upstream failed for `reason` before anything arrived on it.
-pub(super) fn record_failure(shared: &Shared, upstream: UpstreamKey, reason: &dyn std::fmt::Display) {
+pub(super) fn record_failure(
+    shared: &Shared,
+    upstream: UpstreamKey,
+    failure: LinkFailure,
+    reason: &dyn std::fmt::Display,
+) {
     let now = shared.now();
-    if !shared.fleet_mut().record_link_failure(upstream, now) {
+    if !shared.fleet_mut().record_link_failure(upstream, failure, now) {
         return;
     }
     log::warn!(
@@ -40,16 +59,46 @@
 
 /// Has an upstream probed that has not answered a request since `sent`, unless it answered others.
 pub(super) fn suspect(shared: &Shared, upstream: UpstreamKey, sent: Instant) {
-    let sent = shared.now() - sent.elapsed();
-    if shared.fleet_mut().suspect_link(upstream, sent) {
+    let now = shared.now();
+    let sent = now - sent.elapsed();
+    if shared.fleet_mut().suspect_link(upstream, sent, now) {
         shared.links_changed.notify_one();
     }
 }
 
+/// Finds out whether the link to an upstream is lost, after a direct connection to it broke.
+pub(super) async fn is_lost_after_break(shared: &Shared, upstream: UpstreamKey) -> bool {
+    let broken = Instant::now();
+    suspect(shared, upstream, broken);
+    while broken.elapsed() < PROBE_TIMEOUT {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if shared.fleet().is_link_lost(upstream) {
+            return true;
+        }
+        let since = shared.now() - broken.elapsed();
+        if shared.fleet().has_answered_since(upstream, since) {
+            return false;
+        }
+    }
+    false
+}
+
+/// Whether the link to an upstream is lost and another instance may reach it.
+fn may_relay(shared: &Shared, upstream: UpstreamKey) -> bool {
+    let service = shared
+        .fleet()
+        .upstream(upstream)
+        .map(|found| found.entry.service.clone());
+    shared.fleet().is_link_lost(upstream)
+        && service.is_some_and(|service| relay::is_offered(shared, &service))
+}
+
 /// Waits for the head of an answer on a direct connection, and records what that says about the link.
+/// A request that `may_repeat` is given up once it is known that the link is lost and another instance may help.
 pub(super) async fn watch<T>(
     shared: &Shared,
     upstream: UpstreamKey,
+    may_repeat: bool,
     answer: impl Future<Output = Result<T, socket::Error>>,
 ) -> Result<T, socket::Error> {
     let sent = Instant::now();
@@ -58,16 +107,24 @@
         tokio::select! {
             biased;
             outcome = &mut answer => break outcome,
-            () = tokio::time::sleep(SILENT_TIME) => suspect(shared, upstream, sent),
+            () = tokio::time::sleep(SILENT_TIME / 2) => {
+                if sent.elapsed() < SILENT_TIME {
+                    continue;
+                }
+                suspect(shared, upstream, sent);
+                if may_repeat && may_relay(shared, upstream) {
+                    break Err(socket::Error::Broken("the link is lost".to_owned()));
+                }
+            }
         }
     };
     match &outcome {
         Ok(_) => record_answer(shared, upstream),
-        Err(error @ (socket::Error::Connect(_) | socket::Error::Broken(_))) => {
-            record_failure(shared, upstream, error);
+        Err(error @ socket::Error::Connect(_)) => {
+            record_failure(shared, upstream, LinkFailure::Request, error);
         }
-        // Its deadline may be short; the probe tells.
-        Err(socket::Error::Timeout) => suspect(shared, upstream, sent),
+        // The answer may be the only thing that failed; the probe tells.
+        Err(socket::Error::Broken(_) | socket::Error::Timeout) => suspect(shared, upstream, sent),
     }
     outcome
 }
@@ -77,6 +134,10 @@
     let cut = shared.fleet().cut_services();
     let before = shared.replace_cut(cut.clone());
     metrics::gauge!("carobhaven_services_cut").set(cut.len() as f64);
+    if before != cut {
+        // Other instances are told for which services this one can relay.
+        shared.load_changed.notify_one();
+    }
     for service in cut.iter().filter(|service| !before.contains(service)) {
         log::warn!(service:% = service; "no upstream of a service can be reached from here");
     }
@@ -86,6 +147,83 @@
     shared.links_changed.notify_one();
 }
 
+/// Opens a connection to an upstream: directly, or through another instance if the link is lost or fails now.
+///
+/// # Errors
+///
+/// Returns [`socket::Error::Connect`] if no connection comes about by `deadline`.
+pub(super) async fn open(
+    shared: &Rc<Shared>,
+    upstream: UpstreamKey,
+    purpose: Purpose<'_>,
+    deadline: Instant,
+) -> Result<Connection, socket::Error> {
+    let Some(address) = shared.fleet().upstream(upstream).map(|found| found.entry.address) else {
+        return Err(socket::Error::Connect("the upstream is forgotten".to_owned()));
+    };
+    let source = shared.settings().source;
+    let direct = || Connection::open(address, source, deadline.min(Instant::now() + CONNECT_TIMEOUT));
+    if shared.fleet().is_link_lost(upstream) {
+        let relayed = relay::open(shared, upstream, purpose, deadline).await;
+        let may_answer = shared.fleet().is_link_silent(upstream) || !shared.fleet().hears_peers(shared.now());
+        if relayed.is_ok() || !may_answer {
+            return relayed;
+        }
+        return direct().await;
+    }
+    let error = match direct().await {
+        Ok(connection) => return Ok(connection),
+        Err(error) => error,
+    };
+    record_failure(shared, upstream, LinkFailure::Request, &error);
+    if shared.fleet().has_fresh_link(upstream, shared.now()) {
+        // Another upstream is the better choice.
+        return Err(error);
+    }
+    relay::open(shared, upstream, purpose, deadline).await
+}
+
+/// Sends a call about an upstream to it, directly or through another instance, and reads the whole response.
+///
+/// # Errors
+///
+/// Returns an error if there is no response by `deadline`.
+pub(super) async fn call(
+    shared: &Rc<Shared>,
+    upstream: UpstreamKey,
+    mut request: Request<Bytes>,
+    deadline: Instant,
+) -> Result<(StatusCode, Bytes), socket::Error> {
+    let address = shared.fleet().upstream(upstream).map(|found| found.entry.address);
+    if let Some(host) = address.and_then(|address| address.to_string().parse().ok()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    let connection = open(shared, upstream, Purpose::Control, deadline).await?;
+    if connection.relay().is_some() {
+        return socket::call_on(connection, request, deadline).await;
+    }
+    let answer = socket::call_on(connection, request, deadline);
+    watch(shared, upstream, false, answer).await
+}
+
+/// Refuses a request if it is known that no instance reaches an upstream of its service.
+pub(super) fn check(call: &Call) -> Result<(), Refusal> {
+    let shared = &call.shared;
+    let is_refused = shared.fleet().is_refused(&call.service);
+    if !is_refused || !shared.fleet().hears_peers(shared.now()) || relay::is_offered(shared, &call.service) {
+        return Ok(());
+    }
+    Err((
+        LocalAnswer::Refused(spread(RETRY_CUT)),
+        "no instance reaches an upstream of the service",
+    ))
+}
+
+/// A retry delay from two thirds to four thirds of `delay`, at random, so that clients return one after the other.
+pub(super) fn spread(delay: Duration) -> Duration {
+    delay.mul_f64(2.0 / 3.0 * (1.0 + rand::random::<f64>()))
+}
+
 /// Probes upstreams whose links are lost or in doubt, for as long as the process runs.
 pub(super) async fn run_probes(shared: Rc<Shared>) {
     loop {
@@ -114,6 +252,7 @@
     else {
         return;
     };
+    let deadline = Instant::now() + PROBE_TIMEOUT;
     metrics::counter!("carobhaven_link_probes_total").increment(1);
     let health = shared
         .table()
@@ -122,16 +261,17 @@
         Some(path) if !shared.is_engine(&service) => engine::get_health(&path),
         _ => engine::get_report(),
     };
-    match socket::call(
-        address,
-        shared.settings().source,
-        request,
-        Instant::now() + PROBE_TIMEOUT,
-    )
-    .await
-    {
+    let connected = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let outcome = match Connection::open(address, shared.settings().source, connected).await {
+        Ok(connection) => socket::call_on(connection, request, deadline).await,
+        Err(error) => Err(error),
+    };
+    match outcome {
         Ok(_) => record_answer(&shared, upstream),
-        Err(error) => record_failure(&shared, upstream, &error),
+        Err(error @ socket::Error::Timeout) => {
+            record_failure(&shared, upstream, LinkFailure::Silence, &error);
+        }
+        Err(error) => record_failure(&shared, upstream, LinkFailure::Probe, &error),
     }
 }
 
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -22,10 +22,10 @@
     call::Call,
     exchange::upstream_name,
     guard::Reservation,
-    limit,
+    limit, link,
     resume::{self, OpenStream},
+    shared::Shared,
 };
-use crate::socket;
 
 /// Time limit of a call that releases an unused copy.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -124,7 +124,7 @@
     progress.borrow_mut().switching = false;
     match outcome {
         Ok(opened) => {
-            tokio::task::spawn_local(stop_source(Rc::clone(call), source.address, target));
+            tokio::task::spawn_local(stop_source(Rc::clone(call), source.key, target));
             MigrationOutcome::Continued(Box::new(opened))
         }
         Err(failure) => {
@@ -134,12 +134,55 @@
     }
 }
 
+/// Stops the generation at `from`, whose link is lost, and continues it from its memory; the calls go through another
+/// instance. `tokens` is what it is expected to hold at its end, `last_event` the last event that the client has.
+///
+/// # Errors
+///
+/// Returns why the generation does not go on.
+pub(super) async fn rescue(
+    call: &Rc<Call>,
+    from: UpstreamKey,
+    tokens: u64,
+    last_event: Option<u64>,
+) -> Result<OpenStream, &'static str> {
+    let shared = &call.shared;
+    let source = shared.fleet().upstream(from).map(|found| found.entry.address);
+    let engine = source.ok_or("the upstream is forgotten")?;
+    let size = RequestSize { tokens, prefill: 0 };
+    let requirements = call.requirements(size, &[]);
+    let target = shared
+        .fleet()
+        .migration_target(from, &requirements, rand::random(), shared.now())
+        .ok_or("no upstream has room for the copy")?;
+    let mut reservation = Reservation::new(shared, target, size);
+    let handle = match copy(call, from, target, true).await {
+        CopyOutcome::Done(copied) => copied.handle,
+        CopyOutcome::NoRoom(Some(handle)) => {
+            // It has stopped and kept its memory, from which it goes on itself.
+            reservation = Reservation::new(shared, from, size);
+            handle
+        }
+        CopyOutcome::NotRunning => return Err("the upstream runs no such generation any more"),
+        CopyOutcome::NoRoom(None) | CopyOutcome::Busy | CopyOutcome::Malformed => {
+            return Err("the upstream does not copy");
+        }
+    };
+    let memory = Resume {
+        engine,
+        handle,
+        last_event,
+    };
+    let resumed = resume::resume_at(call, reservation, Reason::Move, &memory).await;
+    resumed.map_err(|_failure| "the other upstream does not continue")
+}
+
 /// Repeats the copy to include what was generated during the previous one, until a copy takes so little time
 /// that little is left to recompute.
 async fn catch_up(call: &Call, source: Source, target: UpstreamKey, progress: &RefCell<Progress>) {
     while call.shared.now().since(source.leaving_since) < CATCH_UP_CUTOFF {
         let started = Instant::now();
-        let CopyOutcome::Done(copied) = copy(call, source.address, target, false).await else {
+        let CopyOutcome::Done(copied) = copy(call, source.key, target, false).await else {
             return;
         };
         if let Some((_, handle)) = &mut progress.borrow_mut().copy {
@@ -155,7 +198,7 @@
 ///
 /// Most upstreams abort a request when its connection closes, but not all do. A final copy stops it with
 /// certainty; the copied memory is not needed.
-async fn stop_source(call: Rc<Call>, source: SocketAddr, target: UpstreamKey) {
+async fn stop_source(call: Rc<Call>, source: UpstreamKey, target: UpstreamKey) {
     let handle = match copy(&call, source, target, true).await {
         CopyOutcome::Done(copied) => copied.handle,
         CopyOutcome::NoRoom(Some(handle)) => handle,
@@ -164,21 +207,16 @@
             return;
         }
     };
-    log::info!(request:% = call.id(), source:% = source; "the source still ran the generation and was stopped");
-    release(source, &handle).await;
+    log::info!(request:% = call.id(), source:% = upstream_name(&call, source); "the source still ran the generation and was stopped");
+    release(&call.shared, source, &handle).await;
 }
 
 /// Releases an unused copy, so that it does not occupy memory.
-pub(super) async fn release(source: SocketAddr, handle: &str) {
-    let released = socket::call(
-        source,
-        None,
-        engine::release(handle),
-        Instant::now() + RELEASE_TIMEOUT,
-    )
-    .await;
+pub(super) async fn release(shared: &Rc<Shared>, source: UpstreamKey, handle: &str) {
+    let deadline = Instant::now() + RELEASE_TIMEOUT;
+    let released = link::call(shared, source, engine::release(handle), deadline).await;
     if let Err(error) = released {
-        log::info!(source:% = source, error:% = error; "unused copy not released");
+        log::info!(error:% = error, handle; "unused copy not released");
     }
 }
 
@@ -209,7 +247,7 @@
         tried.push(target);
         let reservation = Reservation::new(shared, target, requirements.size);
         let started = Instant::now();
-        let outcome = copy(call, source.address, target, false).await;
+        let outcome = copy(call, source.key, target, false).await;
         log_copy(call, source, target, &outcome, started);
         match outcome {
             CopyOutcome::Done(copied) => return Ok((reservation, copied.handle)),
@@ -239,7 +277,7 @@
 
 /// Requests the source to copy the generation's memory to `target`, and retries while the source answers that
 /// another copy is in progress or that the generation does not run yet. A `last` copy stops the generation.
-async fn copy(call: &Call, source: SocketAddr, target: UpstreamKey, last: bool) -> CopyOutcome {
+async fn copy(call: &Call, source: UpstreamKey, target: UpstreamKey, last: bool) -> CopyOutcome {
     let address = call
         .shared
         .fleet()
@@ -251,17 +289,13 @@
     let id = call.id().into_owned();
     for _ in 0..COPY_ATTEMPTS {
         let deadline = Instant::now() + COPY_TIMEOUT;
-        let answer = match socket::call(
-            source,
-            call.shared.settings().source,
-            engine::copy(&id, address, last),
-            deadline,
-        )
-        .await
+        let answer = match link::call(&call.shared, source, engine::copy(&id, address, last), deadline).await
         {
             Ok((status, body)) => engine::decode_copy(status, &body),
             Err(error) => {
-                log::info!(request:% = id, source:% = source, error:% = error, last; "copy call failed");
+                log::info!(
+                    request:% = id, source:% = upstream_name(call, source), error:% = error, last; "copy call failed"
+                );
                 return CopyOutcome::Malformed;
             }
         };
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod migrate;
 mod plain;
 mod probe;
+mod relay;
 mod repeats;
 mod resume;
 mod shared;
@@ -40,6 +41,7 @@
     run::Error,
     update::{Report, Update},
 };
+pub(crate) use relay::RelayCount;
 use shared::Shared;
 
 /// How often state of upstreams and instances that have gone is removed.
@@ -105,6 +107,9 @@
         loop {
             tokio::select! {
                 update = updates.recv_async() => match update {
+                    Ok(Update::Relay(relayed)) => {
+                        tokio::task::spawn_local(relay::serve(Rc::clone(&shared), relayed));
+                    }
                     Ok(update) => shared.apply(update),
                     Err(_closed) => break,
                 },
--- a/crates/carob-gateway/src/traffic/probe.rs
+++ b/crates/carob-gateway/src/traffic/probe.rs
@@ -14,8 +14,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::shared::Shared;
-use crate::socket;
+use super::{link, shared::Shared};
 
 /// Time between two reports of an upstream; the shortest notice before an upstream leaves is four of these.
 const PROBE_INTERVAL: Duration = Duration::from_millis(350);
@@ -66,14 +65,13 @@
     let address = shared.fleet().upstream(upstream)?.entry.address;
     metrics::counter!("carobhaven_reports_total").increment(1);
     let deadline = Instant::now() + REPORT_TIMEOUT;
-    let (status, body) =
-        match socket::call(address, shared.settings().source, engine::get_report(), deadline).await {
-            Ok(response) => response,
-            Err(error) => {
-                log::info!(upstream:% = address, error:% = error; "no report from upstream");
-                return None;
-            }
-        };
+    let (status, body) = match link::call(shared, upstream, engine::get_report(), deadline).await {
+        Ok(response) => response,
+        Err(error) => {
+            log::info!(upstream:% = address, error:% = error; "no report from upstream");
+            return None;
+        }
+    };
     let report = engine::decode_report(status, &body);
     match report {
         Some(report) => shared.fleet_mut().record_load(
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -0,0 +1,432 @@
+//! Connections to upstreams through other instances.
+//!
+//! An instance whose links to upstreams are lost asks another one to connect to an upstream, and sends its request on
+//! that connection. The other instance forwards bytes and decides nothing, so that deadlines, attempts, permits and
+//! streams are the business of one instance, as on a direct connection. It connects itself: what is relayed is never
+//! relayed again.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use carob_dispatch::fleet::{LinkFailure, Relay, RelayOffer, RequestSize, UpstreamKey, service_hash};
+use prost::Message;
+use smallvec::SmallVec;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpStream, tcp::ReadHalf, tcp::WriteHalf},
+    time::{Instant, timeout, timeout_at},
+};
+
+use super::{
+    call::CONNECT_TIMEOUT,
+    guard::{ActiveRequest, Reservation},
+    link,
+    shared::Shared,
+};
+use crate::{
+    peer::{self, ContentRequest, RelayReply, RelayRequest, RelayState},
+    socket::{self, Connection, Error, set_tcp_options},
+    update::RelayedConnection,
+};
+
+/// Time limit for an instance's reply: it connects to the upstream meanwhile.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time limit for a connection through any instance.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Number of instances that are asked for one connection.
+const MAX_RELAYS: usize = 3;
+
+/// Time for which an instance that does not reply is not asked again.
+const SILENT_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time for which an instance is not asked again that relays no more at present.
+const FULL_PAUSE: Duration = Duration::from_millis(300);
+
+/// Number of connections that an instance relays at a time.
+const MAX_RELAYED: u32 = 256;
+
+/// Maximum size of a reply in bytes. An instance that does not relay answers with other content.
+const MAX_REPLY: u32 = 4 << 10;
+
+/// Size of the buffer for each direction of a relayed connection, in bytes.
+const BUFFER: usize = 16 << 10;
+
+/// Time for which the end of a connection is awaited once its answer is passed on.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a connection is for.
+#[derive(Clone, Copy)]
+pub(super) enum Purpose<'a> {
+    /// A client's request with this id.
+    Request(&'a [u8]),
+    /// A report, a copy of memory, or the question whether the upstream lives.
+    Control,
+}
+
+/// What this instance says to others about relaying: nothing while it shuts down.
+pub(super) fn offer(shared: &Shared) -> Option<RelayOffer> {
+    shared.shutdown().is_none().then(|| RelayOffer {
+        domain: shared.settings().domain.clone(),
+        cut: shared
+            .fleet()
+            .cut_services()
+            .iter()
+            .map(|service| service_hash(service))
+            .collect(),
+    })
+}
+
+/// Whether another instance may reach upstreams of a service.
+pub(super) fn is_offered(shared: &Shared, service: &str) -> bool {
+    choose(shared, service, &[]).is_some()
+}
+
+fn choose(shared: &Shared, service: &str, asked: &[SocketAddr]) -> Option<Relay> {
+    let registered = shared.peers();
+    let mut excluded: SmallVec<[SocketAddr; 4]> = SmallVec::from_slice(asked);
+    loop {
+        let relay = shared.fleet().choose_relay(
+            service,
+            &excluded,
+            |peer| shared.relays_to(peer),
+            rand::random(),
+            shared.now(),
+        )?;
+        if registered.contains(&relay.peer) {
+            return Some(relay);
+        }
+        excluded.push(relay.peer);
+    }
+}
+
+/// Opens a connection to `upstream` through another instance.
+///
+/// # Errors
+///
+/// Returns [`Error::Connect`] if no instance connects to the upstream by `deadline`.
+pub(super) async fn open(
+    shared: &Rc<Shared>,
+    upstream: UpstreamKey,
+    purpose: Purpose<'_>,
+    deadline: Instant,
+) -> Result<Connection, Error> {
+    let Some((service, name, hash)) = shared
+        .fleet()
+        .upstream(upstream)
+        .map(|found| (found.entry.service.clone(), found.entry.id.clone(), found.hash()))
+    else {
+        return Err(Error::Connect("the upstream is forgotten".to_owned()));
+    };
+    let deadline = deadline.min(Instant::now() + RELAY_TIMEOUT);
+    let mut asked: SmallVec<[SocketAddr; 4]> = SmallVec::new();
+    let mut reason = "no instance reaches an upstream of the service".to_owned();
+    while asked.len() < MAX_RELAYS && Instant::now() < deadline {
+        let Some(relay) = choose(shared, &service, &asked) else {
+            break;
+        };
+        asked.push(relay.peer);
+        let counted = RelayCount::new(shared.relay_counter(relay.peer));
+        let started = Instant::now();
+        let limit = deadline.min(started + REPLY_TIMEOUT);
+        let outcome = timeout_at(limit, ask(shared, relay.peer, hash, purpose))
+            .await
+            .unwrap_or_else(|_elapsed| Err("no reply in time".to_owned()));
+        let state = match outcome {
+            Ok((RelayState::Open, stream)) => {
+                count("out", "open");
+                log_relayed(shared, purpose, &name, upstream, relay, started);
+                return Connection::relayed(stream, relay.peer, counted).await;
+            }
+            Ok((state, _)) => state,
+            Err(error) => {
+                reason = format!("instance {} does not relay: {error}", relay.peer);
+                avoid(shared, relay.peer, SILENT_PAUSE);
+                RelayState::Unknown
+            }
+        };
+        count("out", state.name());
+        log::info!(
+            upstream:% = name, peer:% = relay.peer, state = state.name(),
+            took_ms = started.elapsed().as_millis() as u64; "connection not relayed by another instance"
+        );
+        match state {
+            RelayState::Full | RelayState::Closing => avoid(shared, relay.peer, FULL_PAUSE),
+            RelayState::Unreachable => {
+                reason = format!("instance {} does not reach the upstream either", relay.peer);
+            }
+            _ => {}
+        }
+    }
+    Err(Error::Connect(reason))
+}
+
+fn log_relayed(
+    shared: &Shared,
+    purpose: Purpose<'_>,
+    name: &str,
+    upstream: UpstreamKey,
+    relay: Relay,
+    started: Instant,
+) {
+    let Purpose::Request(id) = purpose else { return };
+    let lost = shared.fleet().link_lost_since(upstream);
+    log::info!(
+        request:% = String::from_utf8_lossy(id), upstream:% = name, peer:% = relay.peer,
+        heard_ms = relay.heard.as_millis() as u64,
+        lost_ms = lost.map_or(0, |since| shared.now().since(since).as_millis() as u64),
+        took_ms = started.elapsed().as_millis() as u64; "request sent through another instance"
+    );
+}
+
+fn avoid(shared: &Shared, peer: SocketAddr, time: Duration) {
+    let until = shared.now() + time;
+    shared.fleet_mut().avoid_relay(peer, until);
+}
+
+fn count(direction: &'static str, outcome: &'static str) {
+    metrics::counter!("carobhaven_relays_total", "direction" => direction, "outcome" => outcome).increment(1);
+}
+
+/// Asks the instance at `peer` for a connection to an upstream.
+async fn ask(
+    shared: &Shared,
+    peer: SocketAddr,
+    upstream_hash: u64,
+    purpose: Purpose<'_>,
+) -> Result<(RelayState, TcpStream), String> {
+    let mut stream = TcpStream::connect(peer)
+        .await
+        .map_err(|error| error.to_string())?;
+    set_tcp_options(&stream);
+    let request = ContentRequest {
+        // An instance that does not relay answers with the changes after this revision.
+        after: u64::MAX,
+        relay: Some(RelayRequest {
+            sender: shared.settings().peer_address.to_string(),
+            boot_id: shared.boot_id(),
+            upstream_hash,
+            request: match purpose {
+                Purpose::Request(id) => id.to_vec().into(),
+                Purpose::Control => bytes::Bytes::new(),
+            },
+            is_control: matches!(purpose, Purpose::Control),
+        }),
+    };
+    write_frame(&mut stream, &request.encode_to_vec())
+        .await
+        .map_err(|error| error.to_string())?;
+    let length = stream.read_u32().await.map_err(|error| error.to_string())?;
+    if length > MAX_REPLY {
+        return Err(format!(
+            "expected a reply of at most {MAX_REPLY} bytes, found {length}"
+        ));
+    }
+    let mut bytes = vec![0; length as usize];
+    stream
+        .read_exact(&mut bytes)
+        .await
+        .map_err(|error| error.to_string())?;
+    let reply = RelayReply::decode(&bytes[..]).map_err(|error| error.to_string())?;
+    Ok((reply.state(), stream))
+}
+
+async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    let mut frame = Vec::with_capacity(bytes.len() + 4);
+    frame.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
+    frame.extend_from_slice(bytes);
+    stream.write_all(&frame).await
+}
+
+/// Guard that counts a connection through another instance until it is dropped.
+#[derive(Debug)]
+pub(crate) struct RelayCount(Rc<Cell<u32>>);
+
+impl RelayCount {
+    fn new(count: Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for RelayCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Connects to an upstream for another instance and forwards bytes until either side ends.
+pub(super) async fn serve(shared: Rc<Shared>, relayed: RelayedConnection) {
+    let RelayedConnection { stream, request } = relayed;
+    let active = ActiveRequest::new(&shared, shared.now(), 0);
+    shared.name_request(active.key, &request.request);
+    let mut near = match TcpStream::from_std(stream) {
+        Ok(near) => near,
+        Err(error) => {
+            log::warn!(error:% = error; "connection of another instance not taken over");
+            return;
+        }
+    };
+    set_tcp_options(&near);
+    let counted = RelayCount::new(shared.relayed());
+    metrics::gauge!("carobhaven_relayed_connections").set(f64::from(shared.relayed().get()));
+    let outcome = connect(&shared, &request).await;
+    let state = outcome.as_ref().map_or_else(|state| *state, |_| RelayState::Open);
+    count("in", state.name());
+    let mut reply = RelayReply::default();
+    reply.set_state(state);
+    let is_told = write_frame(&mut near, &reply.encode_to_vec()).await.is_ok();
+    log::info!(
+        request:% = String::from_utf8_lossy(&request.request), peer:% = request.sender,
+        incarnation:% = format!("{:016x}", request.upstream_hash), state = state.name(),
+        control = request.is_control; "connection relayed for another instance"
+    );
+    if let Ok((far, upstream)) = outcome
+        && is_told
+    {
+        let _place = reserve(&shared, upstream, request.is_control);
+        forward(&shared, upstream, near, far).await;
+    }
+    drop(counted);
+    metrics::gauge!("carobhaven_relayed_connections").set(f64::from(shared.relayed().get()));
+}
+
+/// Counts a request at a plain upstream. Generations are counted by the instance that they belong to, which tells the
+/// others.
+fn reserve(shared: &Rc<Shared>, upstream: UpstreamKey, is_control: bool) -> Option<Reservation> {
+    let service = shared.fleet().upstream(upstream)?.entry.service.clone();
+    let size = RequestSize {
+        tokens: 0,
+        prefill: 0,
+    };
+    (!is_control && !shared.is_engine(&service)).then(|| Reservation::without_permit(shared, upstream, size))
+}
+
+/// Connects to the upstream that another instance asks for.
+async fn connect(
+    shared: &Rc<Shared>,
+    request: &RelayRequest,
+) -> Result<(TcpStream, UpstreamKey), RelayState> {
+    let sender: SocketAddr = request.sender.parse().map_err(|_error| RelayState::Stranger)?;
+    let is_known =
+        shared.peers().contains(&sender) && shared.fleet().is_known_process(sender, request.boot_id);
+    if !is_known {
+        return Err(RelayState::Stranger);
+    }
+    if shared.shutdown().is_some() {
+        return Err(RelayState::Closing);
+    }
+    if shared.relayed().get() > MAX_RELAYED {
+        return Err(RelayState::Full);
+    }
+    let upstream = shared
+        .fleet()
+        .find_hash(request.upstream_hash)
+        .ok_or(RelayState::Stranger)?;
+    if !request.is_control {
+        let now = shared.now();
+        let fleet = shared.fleet();
+        let Some(found) = fleet.upstream(upstream) else {
+            return Err(RelayState::Stranger);
+        };
+        if found.leaving_since.is_some() {
+            return Err(RelayState::Leaving);
+        }
+        if found.is_paused(now) {
+            return Err(RelayState::Paused);
+        }
+    }
+    if shared.fleet().is_link_lost(upstream) {
+        return Err(RelayState::Unreachable);
+    }
+    let Some(address) = shared.fleet().upstream(upstream).map(|found| found.entry.address) else {
+        return Err(RelayState::Stranger);
+    };
+    let source = shared.settings().source;
+    match timeout(CONNECT_TIMEOUT, socket::connect(address, source)).await {
+        Ok(Ok(far)) => {
+            set_tcp_options(&far);
+            Ok((far, upstream))
+        }
+        Ok(Err(error)) => {
+            link::record_failure(shared, upstream, LinkFailure::Request, &error);
+            Err(RelayState::Unreachable)
+        }
+        Err(elapsed) => {
+            link::record_failure(shared, upstream, LinkFailure::Request, &elapsed);
+            Err(RelayState::Unreachable)
+        }
+    }
+}
+
+/// Forwards bytes both ways. The end of the other instance's connection ends the upstream's, so that its work stops.
+async fn forward(shared: &Shared, upstream: UpstreamKey, mut near: TcpStream, mut far: TcpStream) {
+    let is_whole = {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        tokio::select! {
+            () = forward_requests(near_read, far_write) => return,
+            is_whole = forward_answers(shared, upstream, far_read, near_write) => is_whole,
+        }
+    };
+    if !is_whole {
+        // A broken answer must not look like one that has ended.
+        if let Err(error) = SockRef::from(&near).set_linger(Some(Duration::ZERO)) {
+            log::debug!(error:% = error; "TCP options could not be set");
+        }
+        return;
+    }
+    // Bytes that are left unread would reset the connection, and with it the end of the answer.
+    let _ended = timeout(END_TIMEOUT, async {
+        let mut rest = [0; 1_024];
+        while near.read(&mut rest).await.is_ok_and(|count| count > 0) {}
+    })
+    .await;
+}
+
+/// Returns when the other instance has closed its connection.
+async fn forward_requests(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) {
+    let mut buffer = vec![0; BUFFER];
+    loop {
+        match from.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(length) => {
+                if to.write_all(&buffer[..length]).await.is_err() {
+                    // The upstream may have answered before it closed.
+                    std::future::pending::<()>().await;
+                }
+            }
+        }
+    }
+}
+
+/// Returns whether the upstream has ended its side of the connection in order.
+async fn forward_answers(
+    shared: &Shared,
+    upstream: UpstreamKey,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+) -> bool {
+    let mut buffer = vec![0; BUFFER];
+    loop {
+        let Ok(length) = from.read(&mut buffer).await else {
+            return false;
+        };
+        if length == 0 {
+            return to.shutdown().await.is_ok();
+        }
+        link::record_answer(shared, upstream);
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return false;
+        }
+    }
+}
+
+/// Decodes what another instance says about relaying.
+pub(super) fn decode_offer(offer: &peer::RelayOffer) -> Option<RelayOffer> {
+    offer.is_open.then(|| RelayOffer {
+        domain: offer.domain.as_str().into(),
+        cut: offer.cut.iter().copied().collect(),
+    })
+}
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -113,7 +113,7 @@
     let status = response.status();
     let kind = answer::classify(status, response.headers(), &call.head.id);
     if kind != AnswerKind::Ran || !status.is_success() {
-        limit::record_rejection(call, reservation.upstream, status, response.headers());
+        limit::record_rejection(call, reservation.upstream, &response, driver.relay());
         log::warn!(
             request:% = call.id(), to:% = target, status = status.as_u16(), claim:? = kind;
             "generation could not continue elsewhere"
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, Ref, RefCell, RefMut},
+    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -28,6 +29,7 @@
 };
 use crate::{
     Settings,
+    peer::Pause,
     update::{Report, StoreUpdate, Update},
 };
 
@@ -105,6 +107,14 @@
     idle: Notify,
     /// Notified when a limit of an upstream has changed, or permits are wanted.
     pub(super) limits_changed: Notify,
+    /// Random number drawn at the start of this process.
+    boot_id: u64,
+    /// Number of open connections through each other instance.
+    relays: RefCell<HashMap<SocketAddr, Rc<Cell<u32>>>>,
+    /// Number of connections that are relayed for other instances.
+    relayed: Rc<Cell<u32>>,
+    /// Pauses that other instances are to be told of, since they have relayed the answers that ask for them.
+    pauses: RefCell<Vec<(SocketAddr, Pause)>>,
     /// Notified when links to upstreams are to be probed.
     pub(super) links_changed: Notify,
     /// Services whose upstreams all cannot be reached, sorted.
@@ -155,6 +165,10 @@
             load_changed: Notify::new(),
             limits_changed: Notify::new(),
             links_changed: Notify::new(),
+            boot_id: rand::random(),
+            relays: RefCell::default(),
+            relayed: Rc::default(),
+            pauses: RefCell::default(),
             cut: RefCell::default(),
             limit_logged: Cell::new(None),
         }
@@ -309,6 +323,37 @@
         is_due
     }
 
+    /// Random number drawn at the start of this process.
+    pub(super) const fn boot_id(&self) -> u64 {
+        self.boot_id
+    }
+
+    /// Number of open connections through the instance at `peer`.
+    pub(super) fn relays_to(&self, peer: SocketAddr) -> u32 {
+        self.relays.borrow().get(&peer).map_or(0, |count| count.get())
+    }
+
+    /// Counter of the open connections through the instance at `peer`.
+    pub(super) fn relay_counter(&self, peer: SocketAddr) -> Rc<Cell<u32>> {
+        Rc::clone(self.relays.borrow_mut().entry(peer).or_default())
+    }
+
+    /// Counter of the connections that are relayed for other instances.
+    pub(super) fn relayed(&self) -> Rc<Cell<u32>> {
+        Rc::clone(&self.relayed)
+    }
+
+    /// Has the instance at `peer` told that an upstream has asked it for a pause.
+    pub(super) fn add_peer_pause(&self, peer: SocketAddr, pause: Pause) {
+        self.pauses.borrow_mut().push((peer, pause));
+        self.load_changed.notify_one();
+    }
+
+    /// Takes the pauses that other instances are to be told of.
+    pub(super) fn take_peer_pauses(&self) -> Vec<(SocketAddr, Pause)> {
+        self.pauses.take()
+    }
+
     /// Replaces the services whose upstreams all cannot be reached, and returns them as they were.
     pub(super) fn replace_cut(&self, cut: SmallVec<[Box<str>; 2]>) -> SmallVec<[Box<str>; 2]> {
         self.cut.replace(cut)
@@ -431,6 +476,8 @@
                 }
                 self.load_changed.notify_one();
             }
+            // Served in a task of its own.
+            Update::Relay(_) => {}
             Update::Settings(settings) => {
                 self.repeats.apply_settings(&settings, now);
                 *self.settings.borrow_mut() = settings;
@@ -446,6 +493,8 @@
                     self.shutdown
                         .set(Some(Shutdown::new(now - signal.at.elapsed(), options)));
                     self.shutdown_begun.notify_waiters();
+                    // Other instances are told that this one relays no more.
+                    self.load_changed.notify_one();
                 }
             }
         }
@@ -617,6 +666,7 @@
     pub(super) fn evict_stale(&self) {
         let now = self.now();
         self.fleet.borrow_mut().evict_stale(now);
+        self.relays.borrow_mut().retain(|_, count| count.get() > 0);
         if !self.evidence.borrow().is_empty() {
             self.change_evidence(Evidence::evict_stale);
         }
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -22,7 +22,7 @@
     link,
     listen::RequestCount,
     migrate::{self, MigrationOutcome, Progress},
-    probe,
+    probe, relay,
     resume::{self, OpenStream},
     verdict,
 };
@@ -72,6 +72,8 @@
     writing_since: Option<Instant>,
     /// Whether it is recorded that the request does not crash its present upstream.
     proved: bool,
+    /// Whether it was tried to continue the generation behind a lost link.
+    rescue_tried: bool,
     /// When the present upstream last sent something.
     last_sign: Instant,
     /// When an event was last passed on.
@@ -100,6 +102,8 @@
     BodyFailed(String),
     MigrationEnded(MigrationOutcome),
     Leaving,
+    /// Nothing has come for so long that the link may be lost.
+    Silent,
     ClientGone,
     Late,
 }
@@ -132,6 +136,7 @@
         first_event: None,
         writing_since: None,
         proved: false,
+        rescue_tried: false,
         last_sign: Instant::now(),
         last_forwarded: Instant::now(),
         longest_pause: Duration::ZERO,
@@ -242,6 +247,17 @@
                 }
             }
             StreamEvent::Leaving => Ok(false),
+            StreamEvent::Silent if self.is_link_lost() && self.is_silent() && migration.is_none() => {
+                self.rescue("the link to its upstream is lost").await
+            }
+            StreamEvent::Silent => {
+                // What came for other requests meanwhile shows that the link works.
+                let recently = Instant::now().checked_sub(link::SILENT_TIME / 2);
+                if let Some(recently) = recently.filter(|_| self.is_silent()) {
+                    link::suspect(&self.call.shared, self.reservation.upstream, recently);
+                }
+                Ok(false)
+            }
             StreamEvent::ClientGone => {
                 self.release_copy(progress);
                 Err(StreamEnd::ClientGone)
@@ -307,6 +323,53 @@
         self.resume_after(outcome, progress, reason).await.map(|()| true)
     }
 
+    /// Continues a generation whose upstream may go on behind a lost link. Returns whether it goes on elsewhere; if it
+    /// does not, the upstream may still send the rest.
+    async fn rescue(&mut self, reason: &str) -> Result<bool, StreamEnd> {
+        let upstream = self.reservation.upstream;
+        let rescued = migrate::rescue(
+            &self.call,
+            upstream,
+            self.reservation.size.tokens,
+            self.last_event,
+        );
+        self.rescue_tried = true;
+        match rescued.await {
+            Ok(opened) => {
+                self.continue_with(opened, reason);
+                Ok(true)
+            }
+            Err(outcome) => {
+                log::info!(
+                    request:% = self.call.id(), upstream:% = upstream_name(&self.call, upstream), outcome;
+                    "generation not moved"
+                );
+                Ok(false)
+            }
+        }
+    }
+
+    /// Whether nothing has come from the present upstream for so long that its link may be lost.
+    fn is_silent(&self) -> bool {
+        self.last_sign.elapsed() >= link::SILENT_TIME
+    }
+
+    /// Whether it is to be tried to continue the generation if its link is lost; once.
+    fn may_rescue(&self) -> bool {
+        let engine = self.call.engine.as_ref();
+        !self.rescue_tried
+            && engine.is_some_and(|engine| engine.supports_migration)
+            && self.driver.relay().is_none()
+    }
+
+    /// Whether the generation could go on behind a lost link.
+    fn is_link_lost(&self) -> bool {
+        let shared = &self.call.shared;
+        self.may_rescue()
+            && shared.fleet().is_link_lost(self.reservation.upstream)
+            && relay::is_offered(shared, &self.call.service)
+    }
+
     /// Why an answer that has ended here was broken off, if that shows.
     ///
     /// An upstream that crashes closes its connections, which ends an answer without a length or chunks. A break
@@ -379,6 +442,7 @@
             },
             outcome = migrated => StreamEvent::MigrationEnded(outcome),
             () = notice.notified(), if !migrating => StreamEvent::Leaving,
+            () = tokio::time::sleep(link::SILENT_TIME / 2), if self.driver.relay().is_none() => StreamEvent::Silent,
         }
     }
 
@@ -396,7 +460,9 @@
     async fn forward(&mut self, bytes: &[u8]) -> Result<(), StreamEnd> {
         self.splitter.push(bytes);
         self.last_sign = Instant::now();
-        link::record_answer(&self.call.shared, self.reservation.upstream);
+        if self.driver.relay().is_none() {
+            link::record_answer(&self.call.shared, self.reservation.upstream);
+        }
         let mut chunk = BytesMut::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
@@ -469,6 +535,12 @@
             return Ok(());
         }
         let copy = progress.borrow_mut().copy.take();
+        if copy.is_none() && self.may_rescue() {
+            link::is_lost_after_break(&self.call.shared, self.reservation.upstream).await;
+            if self.is_link_lost() && self.rescue(reason).await? {
+                return Ok(());
+            }
+        }
         let Some(((reservation, handle), engine)) = copy.zip(self.upstream_address()) else {
             return Err(StreamEnd::Broken(reason.to_owned()));
         };
@@ -497,6 +569,7 @@
         self.owes_event = !self.framing.is_explicit();
         self.writing_since = None;
         self.proved = false;
+        self.rescue_tried = false;
         self.last_sign = Instant::now();
         self.body = opened.response.into_body();
         self.driver = opened.driver;
@@ -509,12 +582,13 @@
     /// Releases the copy of the memory, if there is one, and then its reservation.
     fn release_copy(&self, progress: &Rc<RefCell<Progress>>) {
         let copy = progress.borrow_mut().copy.take();
-        let Some(((reservation, handle), source)) = copy.zip(self.upstream_address()) else {
+        let Some((reservation, handle)) = copy else {
             return;
         };
+        let (shared, source) = (Rc::clone(&self.call.shared), self.reservation.upstream);
         tokio::task::spawn_local(async move {
             let _reservation = reservation;
-            migrate::release(source, &handle).await;
+            migrate::release(&shared, source, &handle).await;
         });
     }
 }
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -5,7 +5,7 @@
 use carob_dispatch::{fleet::DirectoryEntry, table::RoutingTable};
 use carob_platform::store::Item;
 
-use crate::{Settings, signals::ShutdownSignal};
+use crate::{Settings, peer::RelayRequest, signals::ShutdownSignal};
 
 /// Message of the control thread to the traffic thread.
 #[derive(Debug)]
@@ -39,10 +39,21 @@
     StoreUpdate(StoreUpdate),
     /// The settings file was changed.
     Settings(Arc<Settings>),
+    /// Another instance asks for a connection to an upstream.
+    Relay(RelayedConnection),
     /// The process received a signal to shut down.
     Shutdown(ShutdownSignal),
 }
 
+/// A connection of another instance that is to be forwarded to an upstream.
+#[derive(Debug)]
+pub(crate) struct RelayedConnection {
+    /// The connection, from which `request` was read.
+    pub stream: std::net::TcpStream,
+    /// What the instance asks for.
+    pub request: RelayRequest,
+}
+
 /// All changes of the store's content between two revisions.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreUpdate {
--- a/tests/cut_links.rs
+++ b/tests/cut_links.rs
@@ -12,8 +12,9 @@
 use carob_platform_standin::{
     Link, Upstream,
     client::{self, Outcome, Request},
+    config::{self, Route},
 };
-use fleet::{Fleet, generation_request, request, wait_until};
+use fleet::{CLIENT_KEY, Fleet, generation_request, request, wait_until};
 
 const GATEWAYS: usize = 4;
 const UPSTREAMS: usize = 3;
@@ -349,3 +350,45 @@
         left.elapsed()
     );
 }
+
+/// Engines go on behind the cut, and what they have generated can be had through another gateway.
+#[test]
+fn generations_are_lost_when_the_links_of_their_gateway_hang() {
+    let rig = Rig::start_with(|fleet, id| fleet.start_engine(id, 150, Duration::from_millis(40)));
+    let route = Route::new("/draft/", "streaming", "engines").with_timeout(20_000);
+    rig.fleet
+        .store
+        .put(config::KEY, &config::config(2, &[route], &[CLIENT_KEY]));
+    wait_until("the configuration is in force", || {
+        rig.fleet.gateways[0].logged("\"version\":2")
+    });
+    let address = rig.fleet.gateways[0].caller_address;
+    let clients: Vec<_> = (0..6)
+        .map(|number| {
+            let request = generation_request(&format!("ee{number}"));
+            thread::spawn(move || client::send(address, &request))
+        })
+        .collect();
+    for number in 0..6 {
+        wait_until("the generation runs", || {
+            rig.fleet.ledger.run_count(&format!("ee{number}")) == 1
+        });
+    }
+    thread::sleep(Duration::from_secs(1));
+    rig.set_links(1, UPSTREAMS, Link::Silent);
+    for client in clients {
+        let outcome = client.join().expect("clients do not panic");
+        assert!(
+            outcome.status == 200 && outcome.complete,
+            "status {}",
+            outcome.status
+        );
+        let text = String::from_utf8_lossy(&outcome.body);
+        let ids: Vec<u64> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+            .collect();
+        assert_eq!(ids, (1..=150).collect::<Vec<u64>>(), "each event once, in order");
+        assert!(outcome.max_pause < 3_000, "{} ms", outcome.max_pause);
+    }
+}
