test: the soak cuts links of single gateways

Some or all gateways lose their links to one upstream, a service or all, for 1 to 9 s: connections hang, are reset, pass one way, or no new ones come about; cuts overlap with all other faults. Judged are those off from all plain upstreams that last over 4 s: first tries at gateways in touch, by the platform's rule. Other checks excuse what such a cut touches for the gateways concerned only.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,8 @@
 mod budget;
 #[path = "soak/checks.rs"]
 mod checks;
+#[path = "soak/cuts.rs"]
+mod cuts;
 #[path = "soak/faults.rs"]
 mod faults;
 mod fleet;
@@ -162,6 +164,7 @@
         &injector.operator,
         &injector.harms,
     ));
+    violations.extend(injector.cuts.violations(&observations, &injector.operator));
     print_refused(injector);
     violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
     let served = observations
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -153,6 +153,7 @@
         let mut harms = self
             .harms
             .iter()
+            .filter(|harm| harm.gateway.is_none_or(|gateway| gateway == observation.gateway))
             .filter(|harm| harm.touches(observation.begun, observation.ended));
         self.broken_off.contains(&observation.request.id)
             || harms.any(|harm| !has_run || involved.is_some_and(|involved| involved.contains(&harm.address)))
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     EVENT_INTERVAL, POLL_INTERVAL,
+    cuts::Cuts,
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
     limits::Limits,
     operator::Operator,
@@ -109,8 +110,10 @@
 /// An upstream or its link that was harmed, with the times of the harm.
 pub struct Harm {
     pub address: SocketAddr,
-    from: Instant,
-    to: Option<Instant>,
+    pub from: Instant,
+    pub to: Option<Instant>,
+    /// The only gateway whose link is harmed, if not all are.
+    pub gateway: Option<usize>,
 }
 
 impl Harm {
@@ -151,6 +154,8 @@
     deadly: (u64, Instant),
     /// Limits that upstreams name.
     pub limits: Limits,
+    /// Links of single gateways that are cut.
+    pub cuts: Cuts,
     /// Draws where streams break off, so that it does not change the sequence of the faults.
     cut_rng: StdRng,
     /// When outages, network faults and bad answers end.
@@ -193,6 +198,7 @@
             },
             deadly: (0, Instant::now()),
             limits: Limits::new(seed.rotate_left(24)),
+            cuts: Cuts::new(seed.rotate_left(41)),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
             heal_at: Instant::now(),
             harms: Vec::new(),
@@ -318,6 +324,7 @@
             address,
             from,
             to: None,
+            gateway: None,
         });
     }
 
@@ -424,7 +431,7 @@
             .collect();
         let now = Instant::now();
         for harm in &mut self.harms {
-            if running.contains(&harm.address) {
+            if running.contains(&harm.address) && harm.gateway.is_none() {
                 harm.to.get_or_insert(now);
             }
         }
@@ -478,6 +485,10 @@
             self.clients.set_deadly(0);
         }
         self.poll_trouble();
+        let upstreams: [&[Upstream]; 2] = [&self.engines, &self.plain];
+        for text in self.cuts.poll(&self.fleet, upstreams, &mut self.harms) {
+            self.note(&text);
+        }
         for text in self.limits.poll([&self.engines, &self.plain]) {
             self.note(&text);
         }
@@ -590,6 +601,7 @@
     /// Ends every fault, waits until the planned work is done and all gateways serve.
     pub fn recover(&mut self) {
         self.heal();
+        self.cuts.end(&self.fleet);
         self.engines
             .iter()
             .for_each(|engine| engine.set_rejects_copies(false));
--- a/tests/soak/limits.rs
+++ b/tests/soak/limits.rs
@@ -129,9 +129,9 @@
         let (mut judged, mut fullest): (usize, f64) = (0, 0.0);
         for named in self.ended.iter().chain(active) {
             let (from, to) = (named.from + CONTACT, named.to);
-            let is_harmed = harms
-                .iter()
-                .any(|harm| harm.address == named.address && harm.touches(named.from, to));
+            let is_harmed = harms.iter().any(|harm| {
+                harm.gateway.is_none() && harm.address == named.address && harm.touches(named.from, to)
+            });
             let has_crashed = crashes
                 .iter()
                 .any(|crash| crash.upstream == named.upstream && crash.at >= named.from && crash.at <= to);
