fix: a stream through another gateway looks complete when that one ends

Cause: the end of a process closes its connections in order. An answer with neither a length nor chunks ends with its connection, so that the end of the relaying gateway was taken for the end of the answer.

The gateway that relays sends what the upstream answers in frames, and an empty one when the upstream has ended its side. A connection that ends without it is broken. Also, a generation that was stopped behind a lost link and does not go on elsewhere ends as broken, as its stream may end in order.

--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod overhead;
 mod peer;
 pub mod reach;
+mod relayed;
 mod run;
 mod settings;
 mod signals;
--- a/crates/carob-gateway/src/overhead.rs
+++ b/crates/carob-gateway/src/overhead.rs
@@ -13,10 +13,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Maximum size of a response's head in bytes, and of a piece of its body.
 pub(crate) const MAX_HEAD: usize = 64 << 10;
@@ -55,18 +52,18 @@
 
 /// A connection that fails when too many bytes carry nothing.
 #[derive(Debug)]
-pub(crate) struct CountedStream {
-    stream: TcpStream,
+pub(crate) struct CountedStream<S> {
+    stream: S,
     overhead: Overhead,
 }
 
-impl CountedStream {
-    pub(crate) const fn new(stream: TcpStream, overhead: Overhead) -> Self {
+impl<S> CountedStream<S> {
+    pub(crate) const fn new(stream: S, overhead: Overhead) -> Self {
         Self { stream, overhead }
     }
 }
 
-impl AsyncRead for CountedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for CountedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -78,7 +75,7 @@
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for CountedStream<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -16,13 +16,17 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpSocket, TcpStream},
     task::AbortHandle,
     time::{Instant, timeout_at},
 };
 
-use crate::overhead::{CountedStream, MAX_HEAD, Overhead, ReceivedBody};
-use crate::traffic::RelayCount;
+use crate::{
+    overhead::{CountedStream, MAX_HEAD, Overhead, ReceivedBody},
+    relayed::RelayedStream,
+    traffic::RelayCount,
+};
 
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -130,10 +134,13 @@
         peer: SocketAddr,
         counted: RelayCount,
     ) -> Result<Self, Error> {
-        Self::start(stream, Some((peer, counted))).await
+        Self::start(RelayedStream::new(stream), Some((peer, counted))).await
     }
 
-    async fn start(stream: TcpStream, relay: Option<(SocketAddr, RelayCount)>) -> Result<Self, Error> {
+    async fn start<S: AsyncRead + AsyncWrite + Unpin + 'static>(
+        stream: S,
+        relay: Option<(SocketAddr, RelayCount)>,
+    ) -> Result<Self, Error> {
         let overhead = Overhead::default();
         let io = TokioIo::new(CountedStream::new(stream, overhead.clone()));
         let (sender, connection) = http1::Builder::new()
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -134,27 +134,42 @@
     }
 }
 
+/// Why a generation behind a lost link does not go on elsewhere.
+pub(super) struct NotRescued {
+    pub(super) reason: &'static str,
+    /// Whether it may have been stopped, so that its stream does not end in order.
+    pub(super) is_stopped: bool,
+}
+
 /// Stops the generation at `from`, whose link is lost, and continues it from its memory; the calls go through another
 /// instance. `tokens` is what it is expected to hold at its end, `last_event` the last event that the client has.
 ///
 /// # Errors
 ///
-/// Returns why the generation does not go on.
+/// Returns why the generation does not go on elsewhere.
 pub(super) async fn rescue(
     call: &Rc<Call>,
     from: UpstreamKey,
     tokens: u64,
     last_event: Option<u64>,
-) -> Result<OpenStream, &'static str> {
+) -> Result<OpenStream, NotRescued> {
     let shared = &call.shared;
+    let going = |reason| NotRescued {
+        reason,
+        is_stopped: false,
+    };
+    let stopped = |reason| NotRescued {
+        reason,
+        is_stopped: true,
+    };
     let source = shared.fleet().upstream(from).map(|found| found.entry.address);
-    let engine = source.ok_or("the upstream is forgotten")?;
+    let engine = source.ok_or_else(|| going("the upstream is forgotten"))?;
     let size = RequestSize { tokens, prefill: 0 };
     let requirements = call.requirements(size, &[]);
     let target = shared
         .fleet()
         .migration_target(from, &requirements, rand::random(), shared.now())
-        .ok_or("no upstream has room for the copy")?;
+        .ok_or_else(|| going("no upstream has room for the copy"))?;
     let mut reservation = Reservation::new(shared, target, size);
     let handle = match copy(call, from, target, true).await {
         CopyOutcome::Done(copied) => copied.handle,
@@ -163,9 +178,11 @@
             reservation = Reservation::new(shared, from, size);
             handle
         }
-        CopyOutcome::NotRunning => return Err("the upstream runs no such generation any more"),
-        CopyOutcome::NoRoom(None) | CopyOutcome::Busy | CopyOutcome::Malformed => {
-            return Err("the upstream does not copy");
+        CopyOutcome::NotRunning => return Err(going("the upstream runs no such generation any more")),
+        CopyOutcome::Busy => return Err(going("the upstream makes another copy")),
+        // It may have stopped, and its answer is lost.
+        CopyOutcome::NoRoom(None) | CopyOutcome::Malformed => {
+            return Err(stopped("the upstream does not copy"));
         }
     };
     let memory = Resume {
@@ -174,7 +191,7 @@
         last_event,
     };
     let resumed = resume::resume_at(call, reservation, Reason::Move, &memory).await;
-    resumed.map_err(|_failure| "the other upstream does not continue")
+    resumed.map_err(|_failure| stopped("the other upstream does not continue"))
 }
 
 /// Repeats the copy to include what was generated during the previous one, until a copy takes so little time
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -25,6 +25,7 @@
 };
 use crate::{
     peer::{self, ContentRequest, RelayReply, RelayRequest, RelayState},
+    relayed::LENGTH_BYTES,
     socket::{self, Connection, Error, set_tcp_options},
     update::RelayedConnection,
 };
@@ -233,7 +234,7 @@
 }
 
 async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
-    let mut frame = Vec::with_capacity(bytes.len() + 4);
+    let mut frame = Vec::with_capacity(LENGTH_BYTES + bytes.len());
     frame.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
     frame.extend_from_slice(bytes);
     stream.write_all(&frame).await
@@ -401,25 +402,27 @@
     }
 }
 
-/// Returns whether the upstream has ended its side of the connection in order.
+/// Sends what the upstream answers in frames; see [`crate::relayed`]. Returns whether the upstream has ended its side in
+/// order.
 async fn forward_answers(
     shared: &Shared,
     upstream: UpstreamKey,
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
 ) -> bool {
-    let mut buffer = vec![0; BUFFER];
+    let mut buffer = vec![0; LENGTH_BYTES + BUFFER];
     loop {
-        let Ok(length) = from.read(&mut buffer).await else {
+        let Ok(length) = from.read(&mut buffer[LENGTH_BYTES..]).await else {
             return false;
         };
+        buffer[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
+        if to.write_all(&buffer[..LENGTH_BYTES + length]).await.is_err() {
+            return false;
+        }
         if length == 0 {
             return to.shutdown().await.is_ok();
         }
         link::record_answer(shared, upstream);
-        if to.write_all(&buffer[..length]).await.is_err() {
-            return false;
-        }
     }
 }
 
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -339,11 +339,14 @@
                 self.continue_with(opened, reason);
                 Ok(true)
             }
-            Err(outcome) => {
+            Err(failure) => {
                 log::info!(
-                    request:% = self.call.id(), upstream:% = upstream_name(&self.call, upstream), outcome;
-                    "generation not moved"
+                    request:% = self.call.id(), upstream:% = upstream_name(&self.call, upstream),
+                    outcome = failure.reason; "generation not moved"
                 );
+                if failure.is_stopped {
+                    return Err(StreamEnd::Broken(failure.reason.to_owned()));
+                }
                 Ok(false)
             }
         }
--- a/tests/cut_links.rs
+++ b/tests/cut_links.rs
@@ -392,3 +392,26 @@
         assert!(outcome.max_pause < 3_000, "{} ms", outcome.max_pause);
     }
 }
+
+/// The end of the connection is not the end of the answer, although the answer has no framing of its own.
+#[test]
+fn a_stream_looks_complete_when_the_gateway_that_relays_it_is_killed() {
+    let rig = Rig::start_engines();
+    for upstream in &rig.upstreams {
+        upstream.set_chunked(false);
+    }
+    rig.set_links(1, UPSTREAMS, Link::Reset);
+    rig.run(Duration::from_secs(2), generation, |_| {});
+    let address = rig.fleet.gateways[0].caller_address;
+    let long = generation_request("ff1").with_events(100);
+    let stream = thread::spawn(move || client::send(address, &long));
+    wait_until("the generation runs", || rig.fleet.ledger.run_count("ff1") == 1);
+    thread::sleep(Duration::from_millis(500));
+    let relaying =
+        rig.fleet.gateways.iter().find(|gateway| {
+            gateway.logged("\"connection relayed for another instance\",\"request\":\"ff1\"")
+        });
+    relaying.expect("a gateway relays it").signal("KILL");
+    let outcome = stream.join().expect("the client does not panic");
+    assert!(!outcome.complete && outcome.status == 200);
+}
