fix: upstreams that are brittle fall over again and again

Cause: each gateway gives a plain upstream up to three requests a slot by its own count, so that several offer it many times what it holds, and nobody reads that the upstream endures few rejections. Once one has fallen, the others get its requests, and what returns gets all of them at once.

While an upstream says that it is brittle, a request is sent there with a place only. The issuer of its permits hands out as many places as the upstream has slots, in proportion to what is wanted; a place serves one request after the other for a second. Instances say how many they hold, so that places which are lost come back. Upstreams that have just started are taken for brittle while others of their service are, and get places one by one. A rejection takes a place away for a while. Excess load is refused as for limits.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -61,9 +61,26 @@
         let hash = self.upstream_hash(key);
         self.by_hash.insert(hash, key);
         self.count_known_loads(key);
+        self.inherit_brittle(key, now);
         replaced
     }
 
+    /// Takes a new upstream for brittle if others of its service are: it has not answered yet.
+    fn inherit_brittle(&mut self, key: UpstreamKey, now: Time) {
+        let service = &self.upstreams[key].entry.service;
+        let others = self
+            .upstreams
+            .values()
+            .filter(|other| other.entry.service == *service);
+        let brittle = others
+            .map(Upstream::hash)
+            .find(|hash| self.limits.brittle(*hash).is_some());
+        if let Some(other) = brittle {
+            let hash = self.upstream_hash(key);
+            self.limits.inherit_brittle(hash, other, now);
+        }
+    }
+
     /// Applies the removal of the entry `id`. Returns the upstream if it starts to leave by this.
     pub fn remove_entry(&mut self, id: &str, now: Time) -> Option<UpstreamKey> {
         let key = self.by_name.remove(id)?;
--- a/crates/carob-dispatch/src/fleet/limited.rs
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -5,9 +5,9 @@
 use carob_base::Time;
 
 use super::{Fleet, Requirements, RunKey, Upstream, UpstreamKey, UpstreamState, place::has_room};
-use crate::limits::{Access, Limits};
+use crate::limits::{Access, Limits, Members, Message, Usage};
 
-/// A request that no upstream may get at present, since all of its service name limits or ask for a pause.
+/// A request that no upstream may get at present, since all of its service name limits, are brittle or ask for a pause.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
     /// The upstream from which most permits are expected, or that can be asked first.
@@ -32,6 +32,23 @@
         &mut self.limits
     }
 
+    /// Hands out places at brittle upstreams, or asks for them; see [`Limits::poll_places`].
+    pub fn poll_places(&mut self, members: Members<'_>, now: Time) -> (Vec<Message>, u32) {
+        let mut limits = std::mem::take(&mut self.limits);
+        let polled = limits.poll_places(members, |hash| self.usage(hash), now);
+        self.limits = limits;
+        polled
+    }
+
+    /// What this instance does at the upstream with this hash, and how much that can do.
+    pub fn usage(&self, hash: u64) -> Usage {
+        let upstream = self.find_hash(hash).and_then(|key| self.upstreams.get(key));
+        upstream.map_or(Usage { running: 0, slots: 1 }, |found| Usage {
+            running: found.local_requests,
+            slots: found.entry.slots,
+        })
+    }
+
     /// Sends nothing to an upstream until `until`, since it asked for that; an earlier time changes nothing.
     pub fn pause(&mut self, key: UpstreamKey, until: Time) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
@@ -50,6 +67,7 @@
         };
         if let Some(upstream) = self.upstreams.get(running.upstream) {
             running.permit = self.limits.take_permit(upstream.hash(), now);
+            running.place = self.limits.take_place(upstream.hash(), now);
         }
     }
 
@@ -76,7 +94,7 @@
             }
             let score = self.score(key, upstream, requirements, now);
             let hash = upstream.hash();
-            if self.limits.limit(hash).is_some() {
+            if self.limits.is_bounded(hash) {
                 limited.push((score, hash));
             } else {
                 least = least.min(score);
@@ -105,7 +123,9 @@
                 continue;
             }
             let hash = upstream.hash();
-            self.limits.limit(hash)?;
+            if !self.limits.is_bounded(hash) {
+                return None;
+            }
             let expected = self.limits.expected_rate(hash, instances, now);
             rate += expected;
             is_rare |= self.limits.is_rarely_wanted(hash);
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use carob_base::Time;
 use slotmap::SlotMap;
 
-use crate::limits::{Limits, Options as LimitOptions, Permit};
+use crate::limits::{Limits, Options as LimitOptions, Permit, Place};
 
 pub use limited::Held;
 pub use links::LinkFailure;
@@ -136,6 +136,8 @@
     size: RequestSize,
     /// Permit of an upstream that names a limit, until the request is sent.
     permit: Option<Permit>,
+    /// Place at an upstream that is brittle, until the request ends.
+    place: Option<Place>,
 }
 
 carob_base::plain! {
@@ -234,6 +236,7 @@
             upstream,
             size,
             permit: None,
+            place: None,
         })
     }
 
@@ -262,6 +265,9 @@
         if let Some(permit) = running.permit {
             self.limits.give_back(permit);
         }
+        if let Some(place) = running.place {
+            self.limits.give_place_back(place);
+        }
     }
 
     /// Stores the load that `upstream` reports; it replaces the previous report.
--- a/crates/carob-dispatch/src/limits/mod.rs
+++ b/crates/carob-dispatch/src/limits/mod.rs
@@ -13,6 +13,7 @@
 
 mod entry;
 mod issue;
+mod places;
 
 use std::{
     collections::HashMap,
@@ -25,6 +26,8 @@
 
 use entry::Entry;
 use issue::Issuer;
+use places::Places;
+pub use places::{Claim, Grant, Usage};
 
 carob_base::plain! {
     /// Identifies a statement: the process that got the answer, and a number within it.
@@ -130,6 +133,10 @@
         Want(u32),
         /// The receiver may send this number of requests.
         Permits(u32),
+        /// The sender holds and wants places at an upstream that is brittle.
+        Claim(Claim),
+        /// The receiver gets places.
+        Grant(Grant),
     }
 
     /// Whether a request may be sent to an upstream.
@@ -149,6 +156,12 @@
         incarnation: u64,
         expires: Time,
     }
+
+    /// A place that was taken for a request.
+    pub struct Place {
+        incarnation: u64,
+        expires: Time,
+    }
 }
 
 /// Instances as one of them knows them.
@@ -163,13 +176,16 @@
 }
 
 /// The limits that upstreams name, and this instance's permits.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Limits {
     options: Options,
     boot_id: u64,
     next_number: u64,
     /// By the upstream's incarnation.
     entries: HashMap<u64, Entry>,
+    /// Upstreams that say that they are brittle, or did, by incarnation.
+    places: HashMap<u64, Places>,
+    unsent_brittle: Vec<u64>,
     /// Upstreams with a statement that other instances have not been sent yet.
     unsent: Vec<u64>,
 }
@@ -182,13 +198,145 @@
             boot_id,
             next_number: 0,
             entries: HashMap::new(),
+            places: HashMap::new(),
+            unsent_brittle: Vec::new(),
             unsent: Vec::new(),
         }
     }
 
     /// Whether nothing is known of any limit.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.entries.is_empty() && self.places.is_empty()
+    }
+
+    /// Number of upstreams that say that they are brittle.
+    pub fn brittle_count(&self) -> usize {
+        self.places.values().filter(|places| places.is_brittle()).count()
+    }
+
+    /// What an upstream says that is brittle: the number of rejections in a second that it endures.
+    pub fn brittle(&self, incarnation: u64) -> Option<Statement> {
+        let places = self.places.get(&incarnation)?;
+        places.is_brittle().then_some(places.statement)
+    }
+
+    /// Records an answer to a request that was sent at `sent`, by which the upstream endures `rejections` in a second.
+    /// Returns the statement if it changes what is known.
+    pub fn record_brittle(
+        &mut self,
+        incarnation: u64,
+        rejections: Option<f64>,
+        sent: Time,
+        now: Time,
+    ) -> Option<Statement> {
+        let is_brittle = self.brittle(incarnation).is_some();
+        if rejections.is_none() && !is_brittle {
+            return None;
+        }
+        self.next_number += 1;
+        let statement = Statement {
+            rate: rejections,
+            at: if rejections.is_some() { now } else { sent },
+            origin: Origin {
+                boot_id: self.boot_id,
+                number: self.next_number,
+            },
+            peer: None,
+        };
+        let is_changed = self.apply_brittle(incarnation, statement, None);
+        if is_changed {
+            self.unsent_brittle.push(incarnation);
+        }
+        is_changed.then_some(statement)
+    }
+
+    /// Merges a report of the instance at `peer` about an upstream that is brittle. Returns the statement if it changes
+    /// what is known.
+    pub fn merge_brittle(&mut self, report: &Report, peer: SocketAddr, now: Time) -> Option<Statement> {
+        let is_valid = report.rate.is_none_or(|rate| rate.is_finite() && rate >= 0.0);
+        let is_known = self.places.contains_key(&report.incarnation);
+        if !is_valid || (!is_known && report.rate.is_none()) {
+            return None;
+        }
+        let statement = Statement {
+            rate: report.rate,
+            at: now - report.age,
+            origin: report.origin,
+            peer: Some(peer),
+        };
+        self.apply_brittle(report.incarnation, statement, None)
+            .then_some(statement)
+    }
+
+    /// Takes an upstream that has just started for brittle, as `other` of its service is.
+    pub fn inherit_brittle(&mut self, incarnation: u64, other: u64, now: Time) {
+        if let Some(statement) = self.brittle(other) {
+            let statement = Statement { at: now, ..statement };
+            self.apply_brittle(incarnation, statement, Some(now));
+        }
+    }
+
+    fn apply_brittle(&mut self, incarnation: u64, statement: Statement, started: Option<Time>) -> bool {
+        let boot_id = self.boot_id;
+        if let Some(places) = self.places.get_mut(&incarnation) {
+            let known = places.statement;
+            let is_later = (statement.at, statement.origin) > (known.at, known.origin);
+            if statement.origin == known.origin || !is_later {
+                return false;
+            }
+            places.statement = statement;
+            if statement.rate.is_none() {
+                places.clear();
+            }
+            return statement.rate != known.rate;
+        }
+        if statement.rate.is_none() || self.places.len() >= MAX_UPSTREAMS {
+            return false;
+        }
+        self.places
+            .insert(incarnation, Places::new(statement, boot_id, started));
+        true
+    }
+
+    /// Returns the statements about brittle upstreams for other instances: all if `complete`, else those that have changed.
+    pub fn take_brittle_reports(&mut self, complete: bool, now: Time) -> Vec<Report> {
+        let mut unsent = std::mem::take(&mut self.unsent_brittle);
+        if complete {
+            unsent = self.places.keys().copied().collect();
+        }
+        unsent.sort_unstable();
+        unsent.dedup();
+        let report = |incarnation: &u64| {
+            let statement = self.places.get(incarnation)?.statement;
+            Some(Report {
+                incarnation: *incarnation,
+                rate: statement.rate,
+                age: now.since(statement.at),
+                origin: statement.origin,
+            })
+        };
+        unsent.iter().filter_map(report).collect()
+    }
+
+    /// Records that an upstream has rejected a request.
+    pub fn record_rejected(&mut self, incarnation: u64) {
+        if let Some(places) = self.places.get_mut(&incarnation) {
+            places.record_rejected();
+        }
+    }
+
+    /// Takes a place for a request to a brittle upstream. Returns `None` if none is needed, or there is none.
+    pub fn take_place(&mut self, incarnation: u64, now: Time) -> Option<Place> {
+        let places = self.places.get_mut(&incarnation)?;
+        let expires = places.take(now)?;
+        Some(Place { incarnation, expires })
+    }
+
+    /// Gives back a place whose request has ended.
+    pub fn give_place_back(&mut self, place: Place) {
+        if let Some(places) = self.places.get_mut(&place.incarnation) {
+            places.give_back(place.expires);
+        }
     }
 
     /// Number of upstreams that name a limit.
@@ -196,6 +344,11 @@
         self.entries.values().filter(|entry| entry.is_limited()).count()
     }
 
+    /// Whether requests to the upstream need a permit or a place.
+    pub fn is_bounded(&self, incarnation: u64) -> bool {
+        self.limit(incarnation).is_some() || self.brittle(incarnation).is_some()
+    }
+
     /// The statement of an upstream that names a limit.
     pub fn limit(&self, incarnation: u64) -> Option<Statement> {
         let entry = self.entries.get(&incarnation)?;
@@ -272,11 +425,15 @@
 
     /// Whether there are statements that other instances have not been sent yet.
     pub const fn has_changes(&self) -> bool {
-        !self.unsent.is_empty()
+        !self.unsent.is_empty() || !self.unsent_brittle.is_empty()
     }
 
     /// Whether a request may be sent to the upstream.
     pub fn access(&self, incarnation: u64, now: Time) -> Access {
+        let places = self.places.get(&incarnation).filter(|places| places.is_brittle());
+        if places.is_some_and(|places| !places.has_free(now)) {
+            return Access::Held;
+        }
         let Some(entry) = self.entries.get(&incarnation).filter(|entry| entry.is_limited()) else {
             return Access::Open;
         };
@@ -299,6 +456,9 @@
 
     /// Records that a request would be sent to the upstream if there were a permit.
     pub fn record_demand(&mut self, incarnation: u64, now: Time) {
+        if let Some(places) = self.places.get_mut(&incarnation) {
+            places.record_demand(now);
+        }
         if let Some(entry) = self.entries.get_mut(&incarnation) {
             entry.expire(&self.options, now);
             if entry.demand.len() < MAX_WANTED as usize {
@@ -309,6 +469,9 @@
 
     /// Records that a request waits for a permit until `until` at most.
     pub fn record_wait(&mut self, incarnation: u64, until: Time) {
+        if let Some(places) = self.places.get_mut(&incarnation) {
+            places.record_wait(until);
+        }
         if let Some(entry) = self.entries.get_mut(&incarnation)
             && entry.waiting.len() < MAX_WANTED as usize
         {
@@ -339,6 +502,19 @@
 
     /// Applies a message of the instance at `from`. Returns the number of permits that this instance gets by it.
     pub fn receive(&mut self, from: SocketAddr, incarnation: u64, content: Content, now: Time) -> u32 {
+        match content {
+            Content::Claim(claim) => {
+                if let Some(places) = self.places.get_mut(&incarnation) {
+                    places.receive_claim(from, claim, now);
+                }
+                return 0;
+            }
+            Content::Grant(grant) => {
+                let places = self.places.get_mut(&incarnation);
+                return places.map_or(0, |places| places.receive_grant(grant, now));
+            }
+            Content::Want(_) | Content::Permits(_) => {}
+        }
         let Some(entry) = self.entries.get_mut(&incarnation) else {
             return 0;
         };
@@ -348,7 +524,47 @@
                 0
             }
             Content::Permits(count) => entry.add_permits(count.min(MAX_WANTED), &self.options, now),
+            Content::Claim(_) | Content::Grant(_) => 0,
+        }
+    }
+
+    /// Hands out the places that are free, and tells issuers what this instance holds and wants. `usage` tells of an upstream
+    /// what this instance does there. Returns the messages to be sent, and the number of places that this instance has
+    /// handed out to itself.
+    pub fn poll_places(
+        &mut self,
+        members: Members<'_>,
+        usage: impl Fn(u64) -> Usage,
+        now: Time,
+    ) -> (Vec<Message>, u32) {
+        let mut messages = Vec::new();
+        let mut own_places = 0;
+        for (incarnation, places) in &mut self.places {
+            if !places.is_brittle() {
+                continue;
+            }
+            let to = issuer_of(*incarnation, members);
+            let message = |to, content| Message {
+                to,
+                incarnation: *incarnation,
+                content,
+            };
+            let usage = usage(*incarnation);
+            if to != members.own {
+                let claim = places.next_claim(usage, now);
+                messages.extend(claim.map(|claim| message(to, Content::Claim(claim))));
+                continue;
+            }
+            let known = (members.heard.len() + 1) as f64 / members.registered.max(1) as f64;
+            let (grants, own) = places.issue(members.own, usage, known.min(1.0), now);
+            own_places += own;
+            messages.extend(
+                grants
+                    .into_iter()
+                    .map(|(to, grant)| message(to, Content::Grant(grant))),
+            );
         }
+        (messages, own_places)
     }
 
     /// Issues the permits that are due, and tells issuers what this instance wants. Returns the messages to be sent, and
@@ -411,14 +627,16 @@
                 MAX_INTERVAL
             }
         });
-        due.min()
+        let brittle = self.places.values().filter(|places| places.is_brittle());
+        due.chain(brittle.map(Places::next_poll)).min()
     }
 
     /// Permits a second that this instance can expect for the upstream: those that arrived lately, or an equal share of
     /// the limit among `instances`.
     pub fn expected_rate(&self, incarnation: u64, instances: usize, now: Time) -> f64 {
-        let Some(entry) = self.entries.get(&incarnation) else {
-            return 0.0;
+        let places = self.places.get(&incarnation).filter(|places| places.is_brittle());
+        let Some(entry) = self.entries.get(&incarnation).filter(|entry| entry.is_limited()) else {
+            return places.map_or(0.0, |places| places.expected_rate(now));
         };
         let Some(rate) = entry.statement.rate else {
             return 0.0;
@@ -430,6 +648,10 @@
     /// Drops what is not needed any more. `is_listed` tells whether an upstream is known.
     pub fn evict_stale(&mut self, is_listed: impl Fn(u64) -> bool, now: Time) {
         let retention = self.options.retention;
+        self.places.retain(|incarnation, places| {
+            let is_needed = places.is_brittle() && is_listed(*incarnation);
+            is_needed || now.since(places.statement.at) < retention
+        });
         self.entries.retain(|incarnation, entry| {
             let is_needed = entry.is_limited() && is_listed(*incarnation);
             is_needed || now.since(entry.statement.at) < retention
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -74,6 +74,50 @@
     /// Upstreams that have asked the receiver for a pause, in answers that it has relayed to the sender.
     #[prost(message, repeated, tag = "17")]
     pub pauses: Vec<Pause>,
+    /// Upstreams that say that they are brittle; their rates are rejections in a second that they endure.
+    #[prost(message, repeated, tag = "18")]
+    pub brittle: Vec<Limit>,
+    /// Places that the sender holds and wants. A message with these or `grants` holds nothing else.
+    #[prost(message, repeated, tag = "19")]
+    pub claims: Vec<Claim>,
+    /// Places that the receiver gets.
+    #[prost(message, repeated, tag = "20")]
+    pub grants: Vec<Grant>,
+}
+
+/// Places at a brittle upstream that an instance holds and wants.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Claim {
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// Places beyond those that it holds.
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+    /// Requests that run, and places that are free.
+    #[prost(uint32, tag = "3")]
+    pub held: u32,
+    /// Number of places that the sender has got from the process of `issuer`.
+    #[prost(uint64, tag = "4")]
+    pub seen: u64,
+    /// Random number of that process.
+    #[prost(fixed64, tag = "5")]
+    pub issuer: u64,
+    /// Requests that the upstream has rejected, since the start of the sender's process.
+    #[prost(uint64, tag = "6")]
+    pub rejected: u64,
+}
+
+/// Places at a brittle upstream that the receiver gets.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Grant {
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// Number of places that the receiver has got from this process.
+    #[prost(uint64, tag = "2")]
+    pub total: u64,
+    /// Random number of the sender's process.
+    #[prost(fixed64, tag = "3")]
+    pub issuer: u64,
 }
 
 /// Whether an instance relays connections, and to what.
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -57,6 +57,10 @@
             .fleet_mut()
             .limits_mut()
             .take_reports(complete, shared.now());
+        let brittle = shared
+            .fleet_mut()
+            .limits_mut()
+            .take_brittle_reports(complete, shared.now());
         let leaving = shared.fleet().leaving_hashes();
         let has_departures = leaving.iter().any(|hash| !self.leaving.contains(hash));
         let offer = relay::offer(shared);
@@ -75,7 +79,7 @@
             || offer != self.offer
             || status != self.status
             || update.is_some()
-            || !(changed.is_empty() && news.is_empty() && limits.is_empty());
+            || !(changed.is_empty() && news.is_empty() && limits.is_empty() && brittle.is_empty());
         if !complete && !has_news {
             return None;
         }
@@ -95,6 +99,7 @@
             trials: news.trials.into_iter().map(Trial::from).collect(),
             limits: limits.into_iter().map(Limit::from).collect(),
             leaving: leaving.clone(),
+            brittle: brittle.into_iter().map(Limit::from).collect(),
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..Announcement::default()
         };
@@ -252,6 +257,8 @@
     }
     let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
     limit::merge(shared, peer, &limits);
+    let brittle: Vec<LimitReport> = message.brittle.into_iter().map(Into::into).collect();
+    limit::merge_brittle(shared, peer, &brittle);
     departure::merge(shared, peer, &message.leaving);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -125,6 +125,9 @@
         self.shared.fleet_mut().finish_request(self.key);
         self.shared.load_changed.notify_one();
         self.shared.grant_waiting();
+        if self.shared.fleet().limits().brittle_count() > 0 {
+            self.shared.limits_changed.notify_one();
+        }
     }
 }
 
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -5,7 +5,10 @@
 
 use carob_dispatch::{
     fleet::{Held, Requirements, UpstreamKey},
-    limits::{ASK_TIME, Content, Members, Message as PermitMessage, Report, Statement},
+    limits::{
+        ASK_TIME, Claim as PlaceClaim, Content, Grant as PlaceGrant, Members, Message as PermitMessage,
+        Report, Statement,
+    },
 };
 use carob_platform::answer::{self, AnswerKind, NumberError};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -18,7 +21,7 @@
     exchange::{RETRY_FULL, Refusal, upstream_name},
     shared::{PEER_TIMEOUT, Shared},
 };
-use crate::peer::{Announcement, Pause, Permits, Want};
+use crate::peer::{Announcement, Claim, Grant, Pause, Permits, Want};
 
 /// Minimum time between two rounds of messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(15);
@@ -50,6 +53,10 @@
         return;
     }
     let shared = &call.shared;
+    match answer::endured_rejections(headers) {
+        Ok(rejections) => record_brittle(call, upstream, rejections, sent),
+        Err(error) => warn_malformed(call, upstream, &error),
+    }
     let rate = match answer::named_limit(headers) {
         Ok(rate) => rate,
         Err(error) => return warn_malformed(call, upstream, &error),
@@ -70,6 +77,23 @@
     after_change(shared);
 }
 
+/// Records whether an upstream says that it is brittle, in an answer to a request that was sent at `sent`.
+fn record_brittle(call: &Call, upstream: UpstreamKey, rejections: Option<f64>, sent: Instant) {
+    let shared = &call.shared;
+    let now = shared.now();
+    let hash = shared.fleet().upstream_hash(upstream);
+    let changed = shared
+        .fleet_mut()
+        .limits_mut()
+        .record_brittle(hash, rejections, now - sent.elapsed(), now);
+    let Some(statement) = changed else { return };
+    log::info!(
+        request:% = call.id(), upstream:% = upstream_name(call, upstream), incarnation:% = format!("{hash:016x}"),
+        rejections:% = rate_text(statement.rate); "upstream says whether it is brittle"
+    );
+    after_change(shared);
+}
+
 /// Sends nothing to an upstream that has rejected a request, if its answer asks for a pause. Instances that were told the same
 /// time return one after the other. The instance that relayed the answer, if one did, is told.
 pub(super) fn record_rejection<T>(
@@ -82,6 +106,8 @@
         return;
     }
     let shared = &call.shared;
+    let hash = shared.fleet().upstream_hash(upstream);
+    shared.fleet_mut().limits_mut().record_rejected(hash);
     match answer::named_pause(response.headers()) {
         Ok(Some(time)) if !time.is_zero() => {
             if let Some(peer) = relay {
@@ -141,6 +167,24 @@
     }
 }
 
+/// Applies what the instance at `peer` tells about upstreams that are brittle.
+pub(super) fn merge_brittle(shared: &Shared, peer: SocketAddr, reports: &[Report]) {
+    if reports.is_empty() || !shared.peers().contains(&peer) {
+        return;
+    }
+    let now = shared.now();
+    for report in reports {
+        let merged = shared.fleet_mut().limits_mut().merge_brittle(report, peer, now);
+        let Some(statement) = merged else { continue };
+        log::info!(
+            incarnation:% = format!("{:016x}", report.incarnation), peer:% = peer,
+            rejections:% = rate_text(statement.rate), heard_ms = report.age.as_millis() as u64;
+            "brittle upstream heard of from another instance"
+        );
+        after_change(shared);
+    }
+}
+
 fn after_change(shared: &Shared) {
     update_gauge(shared);
     if shared.fleet().limits().has_changes() {
@@ -163,6 +207,8 @@
 fn update_gauge(shared: &Shared) {
     let in_force = shared.fleet().limits().in_force();
     metrics::gauge!("carobhaven_limits_in_force").set(in_force as f64);
+    let brittle = shared.fleet().limits().brittle_count();
+    metrics::gauge!("carobhaven_brittle_upstreams").set(brittle as f64);
 }
 
 fn rate_text(rate: Option<f64>) -> String {
@@ -297,7 +343,10 @@
             heard: &heard,
             registered: shared.peers().len() + 1,
         };
-        let (messages, issued) = shared.fleet_mut().limits_mut().poll(members, shared.now());
+        let (mut messages, mut issued) = shared.fleet_mut().limits_mut().poll(members, shared.now());
+        let (more, places) = shared.fleet_mut().poll_places(members, shared.now());
+        messages.extend(more);
+        issued += places;
         // Upstreams with limits may have left.
         update_gauge(&shared);
         if issued > 0 {
@@ -320,6 +369,19 @@
             count_permits("issued", count);
             announcement.permits.push(Permits { upstream_hash, count });
         }
+        Content::Claim(claim) => announcement.claims.push(Claim {
+            upstream_hash,
+            wanted: claim.wanted,
+            held: claim.held,
+            seen: claim.seen,
+            issuer: claim.issuer,
+            rejected: claim.rejected,
+        }),
+        Content::Grant(grant) => announcement.grants.push(Grant {
+            upstream_hash,
+            total: grant.total,
+            issuer: grant.issuer,
+        }),
     }
     let sent = socket.send_to(&announcement.encode_to_vec(), message.to).await;
     if let Err(error) = sent {
@@ -329,7 +391,11 @@
 
 /// Applies a message about permits of the instance at `peer`, if that is registered; returns whether it is one.
 pub(super) fn receive(shared: &Shared, peer: SocketAddr, message: &Announcement) -> bool {
-    if message.wants.is_empty() && message.permits.is_empty() {
+    let is_empty = message.wants.is_empty()
+        && message.permits.is_empty()
+        && message.claims.is_empty()
+        && message.grants.is_empty();
+    if is_empty {
         return false;
     }
     if !shared.peers().contains(&peer) {
@@ -345,14 +411,31 @@
         .map(|permits| (permits.upstream_hash, Content::Permits(permits.count)));
     let now = shared.now();
     let mut received = 0;
-    for (hash, content) in wants.chain(permits) {
+    let claims = message.claims.iter().map(|claim| {
+        let content = PlaceClaim {
+            wanted: claim.wanted,
+            held: claim.held,
+            seen: claim.seen,
+            issuer: claim.issuer,
+            rejected: claim.rejected,
+        };
+        (claim.upstream_hash, Content::Claim(content))
+    });
+    let grants = message.grants.iter().map(|grant| {
+        let content = PlaceGrant {
+            total: grant.total,
+            issuer: grant.issuer,
+        };
+        (grant.upstream_hash, Content::Grant(content))
+    });
+    for (hash, content) in wants.chain(permits).chain(claims).chain(grants) {
         received += shared.fleet_mut().limits_mut().receive(peer, hash, content, now);
     }
     if received > 0 {
         count_permits("received", received);
         shared.grant_waiting();
     }
-    if !message.wants.is_empty() {
+    if !message.wants.is_empty() || !message.claims.is_empty() {
         shared.limits_changed.notify_one();
     }
     true
