--- a/crates/carob-dispatch/src/limits/places.rs
+++ b/crates/carob-dispatch/src/limits/places.rs
@@ -146,6 +146,11 @@
     pub(super) fn take(&mut self, now: Time) -> Option<Time> {
         self.expire(now);
         let expires = self.free.pop_front()?;
+        // The request that takes it wants none any more.
+        self.demand.pop_front();
+        if !self.waiting.is_empty() {
+            self.waiting.remove(0);
+        }
         self.taken.push_back(now);
         Some(expires)
     }
