fix: probes bring brittle upstreams down

An upstream that is brittle and slow to answer one request was probed after 0.7 s, as its link might be lost. It may have to reject the probe, and the platform counts that. Found on reading the diff; crates/carob-dispatch/tests/ links.rs an_upstream_that_is_brittle_is_probed_in_doubt fails on the code before. Lost links are probed as before: nothing else tells that they are back.

--- a/crates/carob-dispatch/src/fleet/links.rs
+++ b/crates/carob-dispatch/src/fleet/links.rs
@@ -9,7 +9,7 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, UpstreamKey, UpstreamState};
+use super::{Fleet, Upstream, UpstreamKey, UpstreamState};
 
 /// Time between two probes of a lost link.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -92,14 +92,21 @@
             LinkFailure::Request => now,
             LinkFailure::Probe | LinkFailure::Silence => now + PROBE_INTERVAL,
         };
-        let unsure = self.upstreams.values_mut().filter(|other| {
-            other.entry.service == service
-                && other.entry.state == UpstreamState::Ready
-                && other.link.lost_since.is_none()
-                && !other.link.is_fresh(now)
-        });
-        for other in unsure.take(MAX_PROBES) {
-            other.link.suspected = true;
+        let unsure: SmallVec<[UpstreamKey; MAX_PROBES]> = self
+            .upstreams
+            .iter()
+            .filter(|(_, other)| {
+                other.entry.service == service
+                    && other.entry.state == UpstreamState::Ready
+                    && other.link.lost_since.is_none()
+                    && !other.link.is_fresh(now)
+                    && self.may_probe(other)
+            })
+            .map(|(key, _)| key)
+            .take(MAX_PROBES)
+            .collect();
+        for key in unsure {
+            self.upstreams[key].link.suspected = true;
         }
         true
     }
@@ -107,17 +114,24 @@
     /// Records that an upstream has not answered a request that was sent at `sent` on a direct connection. It is to be
     /// probed unless something arrived from it since, or a probe is under way. Returns whether it is.
     pub fn suspect_link(&mut self, key: UpstreamKey, sent: Time, now: Time) -> bool {
+        let may_probe = self.upstreams.get(key).is_some_and(|found| self.may_probe(found));
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
         let link = &mut upstream.link;
         let is_silent = link.answered.is_none_or(|answered| answered < sent);
-        if is_silent && link.lost_since.is_none() && link.probe_due <= now {
+        if may_probe && is_silent && link.lost_since.is_none() && link.probe_due <= now {
             link.suspected = true;
         }
         link.suspected
     }
 
+    /// Whether an upstream whose link is in doubt may be probed. One that is brittle may have to reject the probe, and falls
+    /// over if it has to reject too much.
+    fn may_probe(&self, upstream: &Upstream) -> bool {
+        self.limits.brittle(upstream.hash()).is_none()
+    }
+
     /// Whether something has arrived from an upstream on a direct connection since `since`.
     pub fn has_answered_since(&self, key: UpstreamKey, since: Time) -> bool {
         let answered = self.upstreams.get(key).and_then(|found| found.link.answered);
--- a/crates/carob-dispatch/tests/links.rs
+++ b/crates/carob-dispatch/tests/links.rs
@@ -95,6 +95,24 @@
     assert!(fleet.next_probe(at(1_800)).is_none());
 }
 
+/// A probe that has to be rejected may bring the upstream down.
+#[test]
+fn an_upstream_that_is_brittle_is_probed_in_doubt() {
+    let (mut fleet, keys) = fleet(2);
+    let hash = fleet.upstream_hash(keys[0]);
+    fleet
+        .limits_mut()
+        .record_brittle(hash, Some(0.0), at(900), at(1_000));
+    assert!(!fleet.suspect_link(keys[0], at(1_500), at(2_300)));
+    fleet.record_link_failure(keys[1], LinkFailure::Probe, at(2_300));
+    assert!(fleet.take_probes(at(2_300)).is_empty());
+    assert!(
+        fleet
+            .next_probe(at(2_300))
+            .is_some_and(|time| time > Duration::from_millis(100))
+    );
+}
+
 #[test]
 fn upstreams_that_leave_or_ask_for_a_pause_are_probed() {
     let (mut fleet, keys) = fleet(2);
