fix: a generation behind a lost link outlasts its client and its time

While a generation was stopped and continued through another gateway, which may take seconds if calls are not answered, neither the client's leaving nor the deadline was noticed. Found on reading the diff; no run showed it.

--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -334,7 +334,12 @@
             self.last_event,
         );
         self.rescue_tried = true;
-        match rescued.await {
+        let outcome = tokio::select! {
+            biased;
+            () = self.client.closed() => return Err(StreamEnd::ClientGone),
+            outcome = timeout_at(self.call.deadline, rescued) => outcome.map_err(|_elapsed| StreamEnd::Late)?,
+        };
+        match outcome {
             Ok(opened) => {
                 self.continue_with(opened, reason);
                 Ok(true)
