--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -23,7 +23,7 @@
     exchange::upstream_name,
     guard::Reservation,
     limit, link,
-    resume::{self, OpenStream},
+    resume::{self, MOVE_TIMEOUT, OpenStream, RESUME_TIMEOUT},
     shared::Shared,
 };
 
@@ -117,7 +117,7 @@
     };
     let target = reservation.upstream;
     progress.borrow_mut().switching = true;
-    let outcome = match resume::resume_at(call, reservation, Reason::Move, &memory).await {
+    let outcome = match resume::resume_at(call, reservation, Reason::Move, &memory, MOVE_TIMEOUT).await {
         Ok(opened) => opened.await_first_bytes().await,
         Err(failure) => Err(failure),
     };
@@ -190,7 +190,7 @@
         handle,
         last_event,
     };
-    let resumed = resume::resume_at(call, reservation, Reason::Move, &memory).await;
+    let resumed = resume::resume_at(call, reservation, Reason::Move, &memory, RESUME_TIMEOUT).await;
     resumed.map_err(|_failure| stopped("the other upstream does not continue"))
 }
 
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -27,8 +27,12 @@
     socket::{self, ConnectionTask},
 };
 
-/// Time limit for the response head of an upstream that is to continue a generation.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time limit for the response head of an upstream that is to continue a generation which runs nowhere else.
+pub(super) const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The same while the source continues the generation: both may work on it for 0.4 s at most, the way there and back
+/// included, and heads take 0.1 s.
+pub(super) const MOVE_TIMEOUT: Duration = Duration::from_millis(180);
 
 /// The stream of a generation that runs at an upstream.
 pub(super) struct OpenStream {
@@ -76,15 +80,17 @@
     pub(super) reason: String,
 }
 
-/// Sends the request to the upstream of `reservation`, to continue the generation from the copy `memory`.
+/// Sends the request to the upstream of `reservation`, to continue the generation from the copy `memory`, and waits for
+/// the head of the answer for `limit`.
 pub(super) async fn resume_at(
     call: &Rc<Call>,
     reservation: Reservation,
     reason: Reason,
     memory: &Resume,
+    limit: Duration,
 ) -> Result<OpenStream, Failure> {
     let started = Instant::now();
-    let deadline = call.deadline.min(started + RESUME_TIMEOUT);
+    let deadline = call.deadline.min(started + limit);
     let target = upstream_name(call, reservation.upstream);
     let cause = Cause { reason, silent: None };
     if !verdict::may_move(call) {
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -23,7 +23,7 @@
     listen::RequestCount,
     migrate::{self, MigrationOutcome, Progress},
     probe, relay,
-    resume::{self, OpenStream},
+    resume::{self, OpenStream, RESUME_TIMEOUT},
     verdict,
 };
 use crate::{
@@ -557,7 +557,7 @@
             handle,
             last_event: self.last_event,
         };
-        match resume::resume_at(&self.call, reservation, Reason::Resume, &memory).await {
+        match resume::resume_at(&self.call, reservation, Reason::Resume, &memory, RESUME_TIMEOUT).await {
             Ok(opened) => {
                 self.continue_with(opened, reason);
                 Ok(())
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -4,11 +4,11 @@
 
 use std::{
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use carob_platform_standin::{
-    AnswerMode, Outage, Upstream,
+    AnswerMode, Link, Outage, Upstream,
     client::{self, Outcome},
 };
 use fleet::{Fleet, LONG, generation_request, wait_until};
@@ -215,3 +215,34 @@
     scenario.source.kill();
     scenario.expect_complete(1);
 }
+
+/// Two upstreams work on a generation, since the answer of the one that it moves to does not arrive.
+#[test]
+fn a_target_whose_answers_are_lost_runs_a_generation_beside_its_source() {
+    let fleet = Fleet::start(1);
+    let source = fleet.start_engine("e0", 400, Duration::from_millis(20));
+    fleet.configure();
+    let client = fleet.start_generation(0, "m1");
+    let target = fleet.start_engine("e1", 400, Duration::from_millis(20));
+    wait_until("the gateway knows the target", || {
+        fleet.gateways[0].logged("\"directory entry\",\"upstream\":\"e1\"")
+    });
+    target.set_link(Link::OneWay);
+    source.leave(Duration::from_secs(3));
+    let start = Instant::now();
+    let mut both_since = None;
+    let mut longest = Duration::ZERO;
+    let mut had_both = false;
+    while start.elapsed() < Duration::from_millis(2_900) {
+        if fleet.ledger.running_engines("m1") > 1 {
+            had_both = true;
+            longest = longest.max(both_since.get_or_insert_with(Instant::now).elapsed());
+        } else {
+            both_since = None;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert!(had_both, "the generation was to move");
+    assert!(longest < Duration::from_millis(400), "both ran for {longest:?}");
+    client.join().expect("the client does not panic");
+}
