test: an upstream's pause that another gateway was asked for is kept

A gateway that is cut off gets a rejection through another one; the upstream asks that one for a pause.

--- a/tests/pauses.rs
+++ b/tests/pauses.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::{AnswerMode, Upstream};
+use carob_platform_standin::{AnswerMode, Link, Upstream};
 use fleet::{Fleet, request};
 
 const GATEWAYS: usize = 3;
@@ -120,3 +120,37 @@
     assert!(rig.arrivals(0).len() > before, "it is asked again");
     assert!(rig.fleet.gateways[0].logged("limit of an upstream cannot be read"));
 }
+
+/// The pause is meant for the gateway that the upstream has answered, not for the one that the client has asked.
+#[test]
+fn an_upstream_gets_requests_from_the_gateway_that_relayed_its_rejection() {
+    let rig = Rig::start();
+    let cut = rig.fleet.gateways[0].peer_address.ip();
+    for upstream in &rig.upstreams {
+        upstream.set_source_links(&[(cut, Link::Reset)]);
+    }
+    // The only other one relays.
+    rig.fleet.gateways[2].signal("STOP");
+    rig.send("a", Duration::from_secs(3));
+    rig.reject(0, "3");
+    rig.reject(1, "3");
+    let start = Instant::now();
+    for number in 0..100 {
+        // To the gateway that is cut off until an upstream has rejected a request, then to the other.
+        let is_rejected = (0..2).any(|upstream| rig.arrivals(upstream).iter().any(|at| *at >= start));
+        let order = request(&format!("b{number}"), "POST", "/order/1").with_timeout(Duration::from_secs(2));
+        let outcome = rig.fleet.send(usize::from(is_rejected), &order);
+        assert_ne!(outcome.status, 200);
+        thread::sleep(INTERVAL);
+    }
+    rig.fleet.gateways[2].signal("CONT");
+    for upstream in 0..2 {
+        let mut times = rig.arrivals(upstream);
+        times.retain(|at| *at >= start);
+        let first = *times.first().expect("it got a request");
+        let late = times
+            .iter()
+            .filter(|at| **at > first + ON_THE_WAY && **at < first + PAUSE);
+        assert!(late.count() <= MAX_LATE);
+    }
+}
