--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Number of gateways.
+    pub const fn gateways(&self) -> usize {
+        self.lives.len()
+    }
+
     /// The process of a gateway that was started last.
     pub fn life(&self, gateway: usize) -> &Life {
         self.lives[gateway].last().expect("each gateway was started")
