--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream.rs
@@ -247,7 +247,7 @@
                 }
             }
             StreamEvent::Leaving => Ok(false),
-            StreamEvent::Silent if self.is_link_lost() && self.is_silent() && migration.is_none() => {
+            StreamEvent::Silent if self.is_behind_lost_link() && self.is_silent() && migration.is_none() => {
                 self.rescue("the link to its upstream is lost").await
             }
             StreamEvent::Silent => {
@@ -371,7 +371,7 @@
     }
 
     /// Whether the generation could go on behind a lost link.
-    fn is_link_lost(&self) -> bool {
+    fn is_behind_lost_link(&self) -> bool {
         let shared = &self.call.shared;
         self.may_rescue()
             && shared.fleet().is_link_lost(self.reservation.upstream)
@@ -545,7 +545,7 @@
         let copy = progress.borrow_mut().copy.take();
         if copy.is_none() && self.may_rescue() {
             link::is_lost_after_break(&self.call.shared, self.reservation.upstream).await;
-            if self.is_link_lost() && self.rescue(reason).await? {
+            if self.is_behind_lost_link() && self.rescue(reason).await? {
                 return Ok(());
             }
         }
