--- /dev/null
+++ b/tests/eras.rs
@@ -0,0 +1,322 @@
+//! The store comes back from a copy some seconds old, in another era: revisions are given out twice.
+
+mod fleet;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::{
+    Outage, StoreCopy,
+    config::{self, Route},
+};
+use fleet::{CLIENT_KEY, Fleet, ROUTES, request, wait_until};
+
+const GATEWAYS: usize = 4;
+
+/// Time after which a configuration is in force everywhere (`ConfigApplyMs`).
+const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
+
+/// Time after which a leaving upstream gets no more requests (`DrainMs`).
+const DRAIN: Duration = Duration::from_millis(2_500);
+
+/// Time for which the store is away.
+const AWAY: Duration = Duration::from_millis(700);
+
+/// Time without disruption after which instances count as in touch (`ContactMs`).
+const CONTACT: Duration = Duration::from_secs(4);
+
+/// Time within which what was lost is written again.
+const REWRITE: Duration = Duration::from_secs(2);
+
+/// A route that a later version adds.
+const ADDED: Route = Route::new("/added/", "safe", "plain").with_anonymous();
+
+fn write_config(fleet: &Fleet, version: u64, is_added: bool) {
+    let mut routes = ROUTES.to_vec();
+    if is_added {
+        routes.push(ADDED);
+    }
+    fleet
+        .store
+        .put(config::KEY, &config::config(version, &routes, &[CLIENT_KEY]));
+}
+
+/// Changes the store's content under a key that no instance uses.
+fn write_changes(fleet: &Fleet, count: usize) {
+    for number in 0..count {
+        fleet.store.put_bytes("op/note", number.to_string().as_bytes());
+    }
+}
+
+/// Takes the store away for a moment; it comes back from `copy`.
+fn restore(fleet: &Fleet, copy: &StoreCopy) {
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_outage(Some(Outage::Reset));
+    }
+    thread::sleep(AWAY);
+    fleet.store.restore(copy);
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_outage(None);
+    }
+}
+
+fn status(fleet: &Fleet, gateway: usize, path: &str, id: &str) -> u16 {
+    let read = request(id, "GET", path).with_timeout(Duration::from_secs(2));
+    fleet.send(gateway, &read).status
+}
+
+/// Waits until every gateway answers a request to `path` with `expected`, for at most [`CONFIG_APPLY`] from `from`.
+fn expect_status(fleet: &Fleet, path: &str, expected: u16, from: Instant) {
+    for gateway in 0..fleet.gateways.len() {
+        let mut number = 0;
+        loop {
+            number += 1;
+            let found = status(fleet, gateway, path, &format!("s{expected}-{gateway}-{number}"));
+            if found == expected {
+                break;
+            }
+            assert!(
+                from.elapsed() < CONFIG_APPLY,
+                "gateway {gateway}: expected {expected} for {path} within {CONFIG_APPLY:?}, found {found}"
+            );
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+/// Number of requests that reached an upstream after `from`.
+fn arrivals(fleet: &Fleet, upstream: &str, from: Instant) -> usize {
+    let arrivals = fleet.ledger.arrivals();
+    let found = arrivals
+        .iter()
+        .filter(|arrival| arrival.upstream == upstream && arrival.at > from);
+    found.count()
+}
+
+/// The store loses `lost` changes; `made` others follow before the operator adds a route and an upstream leaves.
+fn follows(lost: usize, made: usize) {
+    let fleet = Fleet::start(GATEWAYS);
+    let leaving = fleet.start_plain("p0", Duration::from_millis(2));
+    let _other = fleet.start_plain("p1", Duration::from_millis(2));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    let copy = fleet.store.copy();
+    write_changes(&fleet, lost);
+    thread::sleep(Duration::from_millis(1_500));
+    restore(&fleet, &copy);
+    thread::sleep(Duration::from_millis(300));
+    write_changes(&fleet, made);
+    thread::sleep(CONTACT);
+    let written = Instant::now();
+    write_config(&fleet, 2, true);
+    expect_status(&fleet, "/added/1", 200, written);
+    let written = Instant::now();
+    write_config(&fleet, 3, false);
+    expect_status(&fleet, "/added/1", 404, written);
+    leaving.announce_leaving();
+    thread::sleep(DRAIN);
+    let from = Instant::now();
+    for number in 0..200 {
+        let found = status(&fleet, number % GATEWAYS, "/read/1", &format!("r{number}"));
+        assert_eq!(found, 200);
+    }
+    assert_eq!(arrivals(&fleet, "p0", from), 0, "requests after the notice");
+}
+
+#[test]
+fn changes_at_lower_revisions_are_never_followed() {
+    follows(300, 0);
+}
+
+#[test]
+fn changes_at_revisions_between_the_known_ones_are_never_followed() {
+    follows(300, 60);
+}
+
+#[test]
+fn changes_after_a_copy_without_losses_are_followed() {
+    follows(0, 0);
+}
+
+#[test]
+fn changes_at_higher_revisions_are_followed() {
+    follows(20, 300);
+}
+
+/// The operator's version and the notice are lost and written again, at other revisions.
+#[test]
+fn what_was_lost_goes_back_until_it_is_written_again() {
+    let fleet = Fleet::start(GATEWAYS);
+    let leaving = fleet.start_plain("p0", Duration::from_millis(2));
+    let gone = fleet.start_plain("p1", Duration::from_millis(2));
+    let _other = fleet.start_plain("p2", Duration::from_millis(2));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    let copy = fleet.store.copy();
+    let written = Instant::now();
+    write_config(&fleet, 5, true);
+    expect_status(&fleet, "/added/1", 200, written);
+    leaving.announce_leaving();
+    fleet.store.remove("servers/p1");
+    let late = fleet.start_plain("p3", Duration::from_millis(2));
+    thread::sleep(DRAIN);
+    restore(&fleet, &copy);
+    let from = Instant::now();
+    // The copy has the first version, two upstreams that leave as ready, and not the last one.
+    let mut number = 0;
+    while from.elapsed() < REWRITE {
+        number += 1;
+        let gateway = number % GATEWAYS;
+        assert_eq!(status(&fleet, gateway, "/added/1", &format!("a{number}")), 200);
+        assert_eq!(status(&fleet, gateway, "/read/1", &format!("r{number}")), 200);
+    }
+    assert!(
+        arrivals(&fleet, "p3", from) > 0,
+        "the upstream that the copy lacks gets requests"
+    );
+    write_config(&fleet, 5, true);
+    leaving.announce_leaving();
+    late.register();
+    fleet.store.remove("servers/p1");
+    thread::sleep(REWRITE);
+    for number in 0..60 {
+        let gateway = number % GATEWAYS;
+        assert_eq!(status(&fleet, gateway, "/added/1", &format!("c{number}")), 200);
+        assert_eq!(status(&fleet, gateway, "/read/1", &format!("d{number}")), 200);
+    }
+    assert_eq!(
+        arrivals(&fleet, "p0", from),
+        0,
+        "requests to an upstream that leaves"
+    );
+    assert_eq!(
+        arrivals(&fleet, "p1", from),
+        0,
+        "requests to an upstream that has left"
+    );
+    let written = Instant::now();
+    write_config(&fleet, 6, false);
+    expect_status(&fleet, "/added/1", 404, written);
+    drop(gone);
+}
+
+/// Each instance writes its entry anew at once, although its lease's number may belong to another one.
+#[test]
+fn registrations_are_missing_after_a_copy() {
+    let fleet = Fleet::start(GATEWAYS);
+    let _upstream = fleet.start_plain("p0", Duration::from_millis(2));
+    let empty = fleet.store.copy();
+    fleet.configure();
+    wait_until("all are registered", || {
+        fleet.store.keys("carobhaven/instances/").len() == GATEWAYS
+    });
+    restore(&fleet, &empty);
+    let from = Instant::now();
+    wait_until("all are registered again", || {
+        fleet.store.keys("carobhaven/instances/").len() == GATEWAYS
+    });
+    assert!(
+        from.elapsed() < REWRITE,
+        "expected all registrations within {REWRITE:?}, found {:?}",
+        from.elapsed()
+    );
+    // They stay: no lease is taken for that of another instance.
+    thread::sleep(Duration::from_secs(11));
+    assert_eq!(fleet.store.keys("carobhaven/instances/").len(), GATEWAYS);
+}
+
+/// Two drills within a second, while one gateway stands still and another is cut off from the store.
+#[test]
+fn two_eras_within_a_second_are_mixed_up() {
+    let fleet = Fleet::start(GATEWAYS);
+    let leaving = fleet.start_plain("p0", Duration::from_millis(2));
+    let _other = fleet.start_plain("p1", Duration::from_millis(2));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    let copy = fleet.store.copy();
+    write_changes(&fleet, 200);
+    thread::sleep(Duration::from_secs(1));
+    fleet.gateways[1].signal("STOP");
+    restore(&fleet, &copy);
+    fleet.gateways[2].store_endpoint.set_outage(Some(Outage::Silent));
+    write_changes(&fleet, 100);
+    thread::sleep(Duration::from_millis(200));
+    fleet.store.restore(&copy);
+    write_changes(&fleet, 30);
+    fleet.gateways[1].signal("CONT");
+    thread::sleep(CONTACT);
+    let written = Instant::now();
+    write_config(&fleet, 2, true);
+    expect_status(&fleet, "/added/1", 200, written);
+    fleet.gateways[2].store_endpoint.set_outage(None);
+    leaving.announce_leaving();
+    thread::sleep(DRAIN);
+    let from = Instant::now();
+    for number in 0..80 {
+        let found = status(&fleet, number % GATEWAYS, "/read/1", &format!("r{number}"));
+        assert_eq!(found, 200);
+    }
+    assert_eq!(arrivals(&fleet, "p0", from), 0, "requests after the notice");
+    let written = Instant::now();
+    write_config(&fleet, 3, false);
+    expect_status(&fleet, "/added/1", 404, written);
+}
+
+/// Answers of the era before are still on their way when the first of the next one has come.
+#[test]
+fn late_answers_of_the_era_before_win() {
+    let fleet = Fleet::start(GATEWAYS);
+    let _upstream = fleet.start_plain("p0", Duration::from_millis(2));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    let copy = fleet.store.copy();
+    for gateway in &fleet.gateways {
+        gateway
+            .store_endpoint
+            .set_answer_delay(Duration::from_millis(350));
+    }
+    write_changes(&fleet, 200);
+    thread::sleep(Duration::from_millis(100));
+    // No outage: calls that are carried out before are answered after it.
+    fleet.store.restore(&copy);
+    thread::sleep(Duration::from_millis(400));
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_answer_delay(Duration::ZERO);
+    }
+    thread::sleep(CONTACT);
+    let written = Instant::now();
+    write_config(&fleet, 2, true);
+    expect_status(&fleet, "/added/1", 200, written);
+}
+
+/// Eras that cannot be read, that are doubled, fall or are far too high change nothing.
+#[test]
+fn an_era_that_cannot_be_right_stops_the_following() {
+    let fleet = Fleet::start(GATEWAYS);
+    let _upstream = fleet.start_plain("p0", Duration::from_millis(2));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    let odd: [&[&str]; 8] = [
+        &[],
+        &["x"],
+        &["-3"],
+        &["1", "2"],
+        &["99999999999999999999999"],
+        &["0"],
+        &["1.5"],
+        &["18446744073709551615"],
+    ];
+    let mut version = 1;
+    for values in odd {
+        fleet.store.set_era_values(Some(values));
+        thread::sleep(Duration::from_millis(900));
+        fleet.store.set_era_values(None);
+        version += 1;
+        let is_added = version % 2 == 0;
+        let written = Instant::now();
+        write_config(&fleet, version, is_added);
+        expect_status(&fleet, "/added/1", if is_added { 200 } else { 404 }, written);
+    }
+}
