feat: the store's era is read from its answers and logged

Logs could not tell a store that came back from a copy from one whose changes do not arrive: the header was read nowhere. Each answer's era is judged now; a later one, an earlier one and one that cannot be read are logged, once each.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::state::{Control, PREFIXES};
-use crate::socket;
+use crate::{era::AnswerEra, socket};
 
 /// Duration of a watch without changes. An unresponsive connection is noticed after this and
 /// [`ANSWER_MARGIN`], which together have to be less than the 1.5 s in advance with which upstreams announce
@@ -76,7 +76,10 @@
         let mut prefix_revision = None;
         loop {
             let request = store::range(prefix, after.as_deref());
-            let page = call_store(control, request, READ_TIMEOUT).await?;
+            let (page, era) = call_store(control, request, READ_TIMEOUT).await?;
+            if let AnswerEra::Later(era) = era {
+                control.follow_era(era);
+            }
             prefix_revision.get_or_insert(page.revision);
             first_revision.get_or_insert(page.revision);
             present.extend(page.items.iter().map(|item| item.key.clone()));
@@ -129,7 +132,7 @@
             call.await
         };
         match answer {
-            Ok(page) => {
+            Ok((page, _era)) => {
                 outage.record_success();
                 control.apply(page.items, page.revision);
             }
@@ -162,7 +165,7 @@
 async fn catch_up(control: &Rc<Control>) {
     let revision = control.revision();
     match call_store(control, store::watch("", revision, Duration::ZERO), READ_TIMEOUT).await {
-        Ok(page) => {
+        Ok((page, _era)) => {
             control.apply(page.items, page.revision);
             log::info!(before = revision, revision = control.revision(); "caught up with the store");
         }
@@ -180,11 +183,15 @@
     control: &Control,
     request: hyper::Request<bytes::Bytes>,
     timeout: Duration,
-) -> Result<Page, Error> {
+) -> Result<(Page, AnswerEra), Error> {
     metrics::counter!("carobhaven_store_calls_total", "call" => "read").increment(1);
     let started = Instant::now();
     let outcome = match socket::call(control.store_address(), request, started + timeout).await {
-        Ok((status, body)) => store::decode_page(status, &body).map_err(Error::Refused),
+        Ok(response) => {
+            let era = control.judge_answer(response.headers(), "read");
+            let page = store::decode_page(response.status(), response.body());
+            page.map(|page| (page, era)).map_err(Error::Refused)
+        }
         Err(error) => Err(Error::Socket(error)),
     };
     if matches!(outcome, Ok(_) | Err(Error::Refused(Refusal::Compacted))) {
--- a/crates/carob-gateway/src/control/register.rs
+++ b/crates/carob-gateway/src/control/register.rs
@@ -2,7 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use carob_platform::store::{self, Lease, Refusal};
+use hyper::{Request, Response};
 use tokio::time::Instant;
 
 use super::{
@@ -40,13 +42,13 @@
 
 /// Obtains a lease and writes this instance's address under it.
 async fn register(control: &Control) -> Result<Lease, Error> {
-    let (status, body) = call(control, store::grant(LEASE_TTL)).await?;
-    let lease = store::decode_lease(status, &body).map_err(Error::Refused)?;
+    let response = call(control, store::grant(LEASE_TTL)).await?;
+    let lease = store::decode_lease(response.status(), response.body()).map_err(Error::Refused)?;
     let settings = control.settings();
     let key = format!("{INSTANCE_PREFIX}{}", settings.name);
     let address = settings.peer_address.to_string();
-    let (status, body) = call(control, store::put(&key, address.as_bytes(), lease.id)).await?;
-    store::check_success(status, &body).map_err(Error::Refused)?;
+    let response = call(control, store::put(&key, address.as_bytes(), lease.id)).await?;
+    store::check_success(response.status(), response.body()).map_err(Error::Refused)?;
     Ok(lease)
 }
 
@@ -56,7 +58,7 @@
     loop {
         tokio::time::sleep(lease.ttl / RENEWALS_PER_TTL).await;
         let outcome = match call(control, store::renew(lease.id)).await {
-            Ok((status, body)) => store::check_success(status, &body).map_err(Error::Refused),
+            Ok(response) => store::check_success(response.status(), response.body()).map_err(Error::Refused),
             Err(error) => Err(error),
         };
         match outcome {
@@ -68,10 +70,9 @@
     }
 }
 
-async fn call(
-    control: &Control,
-    request: hyper::Request<bytes::Bytes>,
-) -> Result<(hyper::StatusCode, bytes::Bytes), Error> {
+async fn call(control: &Control, request: Request<Bytes>) -> Result<Response<Bytes>, Error> {
     metrics::counter!("carobhaven_store_calls_total", "call" => "lease").increment(1);
-    Ok(socket::call(control.store_address(), request, Instant::now() + CALL_TIMEOUT).await?)
+    let response = socket::call(control.store_address(), request, Instant::now() + CALL_TIMEOUT).await?;
+    control.judge_answer(response.headers(), "lease");
+    Ok(response)
 }
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -9,14 +9,19 @@
 };
 
 use bytes::Bytes;
-use carob_platform::{config, directory, store::Item};
+use carob_platform::{
+    config, directory,
+    store::{self, Item},
+};
 use flume::Sender;
+use hyper::HeaderMap;
 use tokio::{sync::Notify, time::Instant};
 
 use super::watchers::Watchers;
 
 use crate::{
     Change, Lag, Mirror, Settings,
+    era::{AnswerEra, Eras},
     reach::{MIN_OUTAGE, Reachability},
     signals::Grace,
     update::{StoreUpdate, Update},
@@ -53,6 +58,7 @@
     /// Fields of the last [`Update::StoreStatus`] that was sent, in their order.
     last_status: Cell<(u64, bool, bool, bool)>,
     lag: RefCell<Lag>,
+    eras: RefCell<Eras>,
     watchers: RefCell<Watchers>,
     /// Whether this instance watches the store itself.
     pub(super) watching: Cell<bool>,
@@ -78,6 +84,7 @@
             lapsed: RefCell::new(HashSet::new()),
             last_status: Cell::new((0, false, false, false)),
             lag: RefCell::new(Lag::new()),
+            eras: RefCell::new(Eras::new()),
             watchers: RefCell::default(),
             watching: Cell::new(false),
             ahead_peer: Cell::new(None),
@@ -119,6 +126,38 @@
         self.reachability.borrow().outage(now())
     }
 
+    /// Judges an answer of the store to a `call` by the era that its headers name, and logs what is odd about it.
+    pub(super) fn judge_answer(&self, headers: &HeaderMap, call: &'static str) -> AnswerEra {
+        let mut eras = self.eras.borrow_mut();
+        let before = eras.pending();
+        let (era, unusable) = eras.judge(store::era(headers));
+        if let Some(unusable) = unusable {
+            log::warn!(
+                error:% = unusable, call, followed = eras.followed();
+                "era of the store cannot be used; the answer counts as one of the followed era"
+            );
+        }
+        let (revision, followed) = (self.revision(), eras.followed());
+        match era {
+            AnswerEra::Later(era) if before != Some(era) => {
+                log::info!(call, era, followed, revision; "the store is in a later era");
+            }
+            AnswerEra::Earlier(era) => {
+                log::info!(call, era, followed, revision; "answer of an earlier era of the store");
+            }
+            AnswerEra::Later(_) | AnswerEra::Followed => {}
+        }
+        era
+    }
+
+    /// Records that the content of `era` is followed from now on.
+    pub(super) fn follow_era(&self, era: u64) {
+        let before = self.eras.borrow_mut().follow(era);
+        if let Some(before) = before {
+            log::info!(era, before, revision = self.revision(); "a later era of the store is followed");
+        }
+    }
+
     /// Records that the store answered a call.
     pub(super) fn record_answer(&self) {
         let outage = self
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -10,10 +10,12 @@
 //! * [`Settings`]: the settings file.
 //! * [`Mirror`]: this instance's copy of the store's content.
 //! * [`reach`]: whether the store can be reached.
+//! * [`era`]: which history of the store is followed.
 //! * [`Lag`]: how long the copy has been behind those of other instances.
 //! * [`events`]: splits a byte stream into complete server-sent events.
 
 mod control;
+pub mod era;
 pub mod events;
 mod lag;
 mod mirror;
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, StatusCode, client::conn::http1};
+use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -209,7 +209,7 @@
     address: SocketAddr,
     mut request: Request<Bytes>,
     deadline: Instant,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
@@ -222,15 +222,12 @@
     connection: Connection,
     request: Request<Bytes>,
     deadline: Instant,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     let (response, _task) = connection.send(request, deadline).await?;
-    let status = response.status();
-    let body = timeout_at(
-        deadline,
-        Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect(),
-    )
-    .await
-    .map_err(|_elapsed| Error::Timeout)?
-    .map_err(|error| Error::Broken(describe(&*error)))?;
-    Ok((status, body.to_bytes()))
+    let (head, body) = response.into_parts();
+    let body = timeout_at(deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect())
+        .await
+        .map_err(|_elapsed| Error::Timeout)?
+        .map_err(|error| Error::Broken(describe(&*error)))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_dispatch::fleet::{LinkFailure, UpstreamKey};
 use carob_platform::engine;
-use hyper::{Request, StatusCode, header::HOST};
+use hyper::{Request, Response, header::HOST};
 use tokio::time::Instant;
 
 use super::{
@@ -193,7 +193,7 @@
     upstream: UpstreamKey,
     mut request: Request<Bytes>,
     deadline: Instant,
-) -> Result<(StatusCode, Bytes), socket::Error> {
+) -> Result<Response<Bytes>, socket::Error> {
     let address = shared.fleet().upstream(upstream).map(|found| found.entry.address);
     if let Some(host) = address.and_then(|address| address.to_string().parse().ok()) {
         request.headers_mut().insert(HOST, host);
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -308,7 +308,7 @@
         let deadline = Instant::now() + COPY_TIMEOUT;
         let answer = match link::call(&call.shared, source, engine::copy(&id, address, last), deadline).await
         {
-            Ok((status, body)) => engine::decode_copy(status, &body),
+            Ok(response) => engine::decode_copy(response.status(), response.body()),
             Err(error) => {
                 log::info!(
                     request:% = id, source:% = upstream_name(call, source), error:% = error, last; "copy call failed"
--- a/crates/carob-gateway/src/traffic/probe.rs
+++ b/crates/carob-gateway/src/traffic/probe.rs
@@ -65,14 +65,15 @@
     let address = shared.fleet().upstream(upstream)?.entry.address;
     metrics::counter!("carobhaven_reports_total").increment(1);
     let deadline = Instant::now() + REPORT_TIMEOUT;
-    let (status, body) = match link::call(shared, upstream, engine::get_report(), deadline).await {
+    let response = match link::call(shared, upstream, engine::get_report(), deadline).await {
         Ok(response) => response,
         Err(error) => {
             log::info!(upstream:% = address, error:% = error; "no report from upstream");
             return None;
         }
     };
-    let report = engine::decode_report(status, &body);
+    let status = response.status();
+    let report = engine::decode_report(status, response.body());
     match report {
         Some(report) => shared.fleet_mut().record_load(
             upstream,
