--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -16,7 +16,8 @@
     /// Applies an entry that was added or changed. Returns the upstream that starts to leave by it, if any.
     ///
     /// A new incarnation, address or service makes it another upstream; the previous one then counts as
-    /// leaving.
+    /// leaving. An upstream that leaves is ready again only by an entry that it has written since, not by an older one
+    /// that has come back.
     pub fn update_entry(&mut self, mut entry: DirectoryEntry, now: Time) -> Option<UpstreamKey> {
         let known = self.by_name.get(&entry.id).copied();
         if let Some(key) = known
@@ -25,15 +26,20 @@
             && upstream.entry.address == entry.address
             && upstream.entry.service == entry.service
         {
-            if upstream.said_leaving {
+            let is_outdated = entry.sequence > 0 && entry.sequence <= upstream.entry.sequence;
+            let stays_leaving = upstream.said_leaving || (upstream.leaving_since.is_some() && is_outdated);
+            if stays_leaving {
                 entry.state = UpstreamState::Leaving;
             }
+            entry.sequence = entry.sequence.max(upstream.entry.sequence);
             let starts_leaving = entry.state == UpstreamState::Leaving && upstream.leaving_since.is_none();
             upstream.leaving_since = match entry.state {
                 UpstreamState::Ready => None,
                 UpstreamState::Leaving => upstream.leaving_since.or(Some(now)),
             };
-            upstream.announced = entry.state == UpstreamState::Leaving;
+            if !stays_leaving {
+                upstream.announced = entry.state == UpstreamState::Leaving;
+            }
             upstream.entry = entry;
             return starts_leaving.then_some(key);
         }
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -53,6 +53,8 @@
         pub id: Box<str>,
         /// Start of this incarnation, in milliseconds on the platform's clock; zero if unknown.
         pub started_ms: u64,
+        /// Number of the entry among those that this incarnation has written; zero if unknown.
+        pub sequence: u64,
         /// Service that it provides.
         pub service: Box<str>,
         /// Address for requests.
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -46,6 +46,7 @@
     DirectoryEntry {
         id: id.into(),
         started_ms: 7,
+        sequence: 0,
         service: "engines".into(),
         address: ([127, 0, 0, 1], number).into(),
         domain: domain.into(),
@@ -195,6 +196,7 @@
     fleet.start_request(first, NEW_GENERATION);
     let again = DirectoryEntry {
         started_ms: 8,
+        sequence: 0,
         ..entry("e1", "a")
     };
     assert_eq!(
@@ -318,6 +320,7 @@
     let source = add(&mut fleet, "e0", "a");
     let again = DirectoryEntry {
         started_ms: 2_000,
+        sequence: 0,
         ..entry("e0", "a")
     };
     assert_eq!(fleet.update_entry(again, NOW), Some(source));
--- a/crates/carob-dispatch/tests/limits.rs
+++ b/crates/carob-dispatch/tests/limits.rs
@@ -221,6 +221,7 @@
             DirectoryEntry {
                 id: id.into(),
                 started_ms: 1,
+                sequence: 0,
                 service: "plain".into(),
                 address: address(9),
                 domain: "a".into(),
--- a/crates/carob-dispatch/tests/links.rs
+++ b/crates/carob-dispatch/tests/links.rs
@@ -15,6 +15,7 @@
         let entry = DirectoryEntry {
             id: format!("u{number}").into(),
             started_ms: 1,
+            sequence: 0,
             service: "plain".into(),
             address: format!("127.0.0.1:{}", 9_000 + number)
                 .parse()
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -2,11 +2,15 @@
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use carob_platform::store::{self, Page, Refusal};
+use carob_platform::store::{self, Item, Page, Refusal};
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::state::{Control, PREFIXES};
-use crate::{era::AnswerEra, socket};
+use crate::{
+    era::{AnswerEra, Position},
+    socket,
+};
 
 /// Duration of a watch without changes. An unresponsive connection is noticed after this and
 /// [`ANSWER_MARGIN`], which together have to be less than the 1.5 s in advance with which upstreams announce
@@ -30,6 +34,9 @@
 /// Time limit of a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Mean time between two instances that read the content of a later era.
+const ERA_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Bounds of the pause after a failed call: twice the minimum after the first failure, doubled with each
 /// further one up to the maximum. A random factor between 0.5 and 1, applied last, spreads the calls of
 /// different instances.
@@ -45,6 +52,14 @@
     /// The store refused the call, or its response could not be used.
     #[error("{0:?}")]
     Refused(Refusal),
+    /// The content belongs to another era of the store.
+    #[error("expected content of era {expected}, found era {found}")]
+    OtherEra {
+        /// The followed era, or that of earlier pages.
+        expected: u64,
+        /// The era that the answer names.
+        found: u64,
+    },
 }
 
 /// Follows the store for as long as the process runs.
@@ -63,48 +78,76 @@
     }
 }
 
-/// Argument of [`Control::apply`] that leaves the known revision as it is: revisions only advance.
-const UNCHANGED_REVISION: u64 = 0;
+/// All items under a prefix.
+struct FullPrefix {
+    prefix: &'static str,
+    /// Revision of the first page.
+    revision: u64,
+    items: Vec<Item>,
+}
 
-/// Reads all content and sets the known revision to that of the first page, so that a watch from there sees
-/// the changes made meanwhile.
+/// Reads all content and sets the known position to that of the first page, so that a watch from there sees
+/// the changes made meanwhile. All pages have to be of one era, which is followed from then on.
 async fn read_all(control: &Control) -> Result<(), Error> {
-    let mut first_revision = None;
+    let pending = control.pending_era();
+    let mut era = None;
+    let mut content = SmallVec::<[FullPrefix; PREFIXES.len()]>::new();
     for prefix in PREFIXES {
-        let mut present = BTreeSet::new();
+        let mut items = Vec::new();
         let mut after: Option<String> = None;
-        let mut prefix_revision = None;
+        let mut revision = None;
         loop {
             let request = store::range(prefix, after.as_deref());
-            let (page, era) = call_store(control, request, READ_TIMEOUT).await?;
-            if let AnswerEra::Later(era) = era {
-                control.follow_era(era);
+            let (page, found) = call_store(control, request, READ_TIMEOUT).await?;
+            let expected = *era.get_or_insert(found);
+            if found != expected {
+                return Err(Error::OtherEra { expected, found });
             }
-            prefix_revision.get_or_insert(page.revision);
-            first_revision.get_or_insert(page.revision);
-            present.extend(page.items.iter().map(|item| item.key.clone()));
+            revision.get_or_insert(page.revision);
             after = page.items.last().map(|item| item.key.clone());
-            control.apply(page.items, UNCHANGED_REVISION);
+            items.extend(page.items);
             if !page.has_more || after.is_none() {
                 break;
             }
         }
-        control.retain(prefix, prefix_revision.unwrap_or(0), &present);
+        content.push(FullPrefix {
+            prefix,
+            revision: revision.unwrap_or(0),
+            items,
+        });
+    }
+    let era = era.unwrap_or(0);
+    control.follow_era(era);
+    let first = content.first().map_or(0, |first| first.revision);
+    let lists: SmallVec<[(&str, u64, BTreeSet<String>); PREFIXES.len()]> = content
+        .iter()
+        .map(|read| {
+            let present = read.items.iter().map(|item| item.key.clone()).collect();
+            (read.prefix, read.revision, present)
+        })
+        .collect();
+    let items = content.into_iter().flat_map(|read| read.items).collect();
+    control.apply(items, Position::new(era, first));
+    for (prefix, revision, present) in lists {
+        control.retain(prefix, Position::new(era, revision), &present);
+    }
+    control.record_confirmation();
+    if let Some(pending) = pending {
+        control.refute_era(pending);
     }
-    control.apply(Vec::new(), first_revision.unwrap_or(0));
     control.send_peers();
-    log::info!(revision = control.revision(); "all content of the store read");
     Ok(())
 }
 
-/// Watches until the store no longer has the history since the known revision; makes no calls while enough
-/// other instances watch.
+/// Watches until all content has to be read again: the store no longer has the history since the known revision, or is in
+/// a later era. Makes no calls while enough other instances watch.
 async fn watch_all(control: &Rc<Control>, outage: &mut Outage) {
     loop {
         let must_watch = control.must_watch();
         let was_watching = control.watching.replace(must_watch);
         if was_watching != must_watch {
-            log::info!(watching = must_watch, revision = control.revision(); "watching the store changed");
+            let Position { era, revision } = control.position();
+            log::info!(watching = must_watch, era, revision; "watching the store changed");
             control.send_status();
         }
         if !must_watch {
@@ -112,32 +155,50 @@
             control.suspend_calls();
             // A timeout is the usual case: this instance is not behind.
             let notified = tokio::time::timeout(RECHECK_INTERVAL, control.lagging.notified()).await;
-            if notified.is_ok() && control.is_behind() {
+            if control.pending_era().is_some() {
+                enter_era(control, outage).await;
+            } else if notified.is_ok() && control.is_behind() {
                 catch_up(control).await;
             }
             control.send_status();
             continue;
         }
-        let revision = control.revision();
+        if control.pending_era().is_some() {
+            return;
+        }
+        let from = control.position();
         let longest = control
             .reappearance_left()
             .map_or(WATCH_TIMEOUT, |left| WATCH_TIMEOUT.min(left + REMOVAL_MARGIN));
         // An instance that begins to watch learns at once whether the store answers, and tells its peers.
         let begins = must_watch && !was_watching && !control.is_answering();
         let wait = if begins { Duration::ZERO } else { longest };
-        let call = call_store(control, store::watch("", revision, wait), wait + ANSWER_MARGIN);
-        let answer = if begins {
-            with_status(control, call).await
-        } else {
-            call.await
+        let call = call_store(
+            control,
+            store::watch("", from.revision, wait),
+            wait + ANSWER_MARGIN,
+        );
+        let call = async {
+            if begins {
+                with_status(control, call).await
+            } else {
+                call.await
+            }
+        };
+        let answer = tokio::select! {
+            answer = call => answer,
+            () = control.era_seen.notified() => continue,
         };
         match answer {
-            Ok((page, _era)) => {
+            // Meanwhile the content may have been taken from a peer, in a later era.
+            Ok((page, era)) if era == from.era && era == control.followed_era() => {
                 outage.record_success();
-                control.apply(page.items, page.revision);
+                control.record_confirmation();
+                control.apply(page.items, Position::new(era, page.revision));
             }
+            Ok(_) => return,
             Err(Error::Refused(Refusal::Compacted)) => {
-                log::info!(revision; "the store has compacted the needed history; reading all content again");
+                log::info!(era = from.era, revision = from.revision; "the store has compacted the needed history; reading all content again");
                 return;
             }
             Err(error) => outage.record_failure_and_pause(control, &error).await,
@@ -145,6 +206,23 @@
     }
 }
 
+/// Reads the content of a later era as an instance that does not watch: from a peer if one has it, else from the store.
+/// Instances do so one after the other.
+async fn enter_era(control: &Rc<Control>, outage: &mut Outage) {
+    let spread = ERA_INTERVAL * control.instance_count();
+    tokio::time::sleep(spread.mul_f64(rand::random::<f64>())).await;
+    if let Some(peer) = control.ahead_peer.take() {
+        super::share::fetch_awaiting(control, peer).await;
+    }
+    if control.pending_era().is_none() {
+        return;
+    }
+    match read_all(control).await {
+        Ok(()) => outage.record_success(),
+        Err(error) => outage.record_failure_and_pause(control, &error).await,
+    }
+}
+
 /// Waits for a call, and tells the traffic thread meanwhile if directory updates no longer arrive: the store may
 /// have answered a call of this instance just before the peers lost it.
 async fn with_status<T>(control: &Control, call: impl Future<Output = T>) -> T {
@@ -163,14 +241,18 @@
 /// If all of them at once fetched it from the few that watch, it would go over links that are far smaller than
 /// the store's.
 async fn catch_up(control: &Rc<Control>) {
-    let revision = control.revision();
-    match call_store(control, store::watch("", revision, Duration::ZERO), READ_TIMEOUT).await {
-        Ok((page, _era)) => {
-            control.apply(page.items, page.revision);
-            log::info!(before = revision, revision = control.revision(); "caught up with the store");
+    let from = control.position();
+    let before = from.revision;
+    match call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT).await {
+        Ok((page, era)) if era == from.era && era == control.followed_era() => {
+            control.record_confirmation();
+            control.apply(page.items, Position::new(era, page.revision));
+            log::info!(before, era, revision = control.revision(); "caught up with the store");
         }
+        // The content of the later era is read next.
+        Ok(_) => {}
         Err(error) => {
-            log::info!(error:% = error, revision; "missed changes not read from the store; asking a peer");
+            log::info!(error:% = error, revision = before; "missed changes not read from the store; asking a peer");
             if let Some(peer) = control.ahead_peer.take() {
                 super::share::fetch_from_peer(control, peer);
             }
@@ -178,19 +260,27 @@
     }
 }
 
-/// Makes one read or watch call with the time limit `timeout`.
+/// Makes one read or watch call with the time limit `timeout`. Returns the page and its era, which is not earlier than the
+/// followed one.
 async fn call_store(
     control: &Control,
     request: hyper::Request<bytes::Bytes>,
     timeout: Duration,
-) -> Result<(Page, AnswerEra), Error> {
+) -> Result<(Page, u64), Error> {
     metrics::counter!("carobhaven_store_calls_total", "call" => "read").increment(1);
     let started = Instant::now();
+    let expected = control.followed_era();
     let outcome = match socket::call(control.store_address(), request, started + timeout).await {
         Ok(response) => {
-            let era = control.judge_answer(response.headers(), "read");
-            let page = store::decode_page(response.status(), response.body());
-            page.map(|page| (page, era)).map_err(Error::Refused)
+            let era = match control.judge_answer(response.headers(), "read") {
+                AnswerEra::Followed => Ok(expected),
+                AnswerEra::Later(era) => Ok(era),
+                AnswerEra::Earlier(found) => Err(Error::OtherEra { expected, found }),
+            };
+            era.and_then(|era| {
+                let page = store::decode_page(response.status(), response.body());
+                page.map(|page| (page, era)).map_err(Error::Refused)
+            })
         }
         Err(error) => Err(Error::Socket(error)),
     };
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -62,13 +62,10 @@
             match reports.recv_async().await {
                 Ok(Report::Peer {
                     address,
-                    revision,
+                    reached,
                     update,
                     watching,
-                }) => {
-                    control.record_watcher(address, watching);
-                    share::handle_peer_report(&control, address, revision, update, watching);
-                }
+                }) => share::handle_peer_report(&control, address, reached, update, watching),
                 Ok(Report::Finished) | Err(_) => return Ok(()),
             }
         }
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -1,9 +1,15 @@
 //! Exchanges the store's content with peers: serves it to instances that cannot get it from the store, and
 //! fetches it when this instance cannot.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
+use carob_platform::store::Item as StoreItem;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::{
@@ -12,11 +18,14 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use xxhash_rust::xxh3::Xxh3;
+
 use super::state::{Control, PREFIXES};
 use crate::{
+    era::Position,
     peer::{Content, ContentRequest, Item as ContentItem, MAX_FRAME_LENGTH},
     socket::set_tcp_options,
-    update::{RelayedConnection, StoreUpdate, Update},
+    update::{PeerPosition, RelayedConnection, StoreUpdate, Update},
 };
 
 /// How long this instance may be behind its peers before it fetches what it missed. Changes reach all
@@ -40,6 +49,10 @@
     Ended,
     #[error("timed out")]
     Timeout,
+    #[error("expected content that is not older than the known one, found {0:?}")]
+    Older(PeerPosition),
+    #[error("expected the value of {0}, which is not known any more")]
+    NotHeld(String),
 }
 
 /// Listens on `address`.
@@ -67,26 +80,42 @@
     }
 }
 
-/// Handles a peer's report that it knows the store's content up to `revision`: applies the changes that it
+/// Handles a peer's report that it knows the store's content up to `reached`: applies the changes that it
 /// passed on, and fetches content if this instance stays behind.
+///
+/// Peers that name no era, or an earlier one, are not relied on, unless this instance knows of no era either.
 pub(super) fn handle_peer_report(
     control: &Rc<Control>,
     peer: SocketAddr,
-    revision: u64,
+    reached: PeerPosition,
     update: Option<StoreUpdate>,
     watching: bool,
 ) {
+    let own = control.position();
+    let reached = reached.known(own.era).filter(|reached| reached.era >= own.era);
+    control.record_watcher(peer, watching && reached.is_some());
+    let Some(reached) = reached else {
+        return;
+    };
     if let Some(update) = update
-        && update.base <= control.revision()
-        && update.revision > control.revision()
+        && update.era == own.era
+        && update.base <= own.revision
+        && update.revision > own.revision
     {
-        control.apply(update.items, update.revision);
+        control.apply(update.items, Position::new(update.era, update.revision));
     }
-    if watching && revision <= control.revision() {
+    let own = control.position();
+    if watching && reached <= own {
         control.record_confirmation();
     }
-    let behind = control.record_peer_revision(revision);
-    if behind < MAX_LAG || revision <= control.revision() {
+    if reached.era > own.era {
+        if !control.see_peer_era(peer, reached.era) {
+            return;
+        }
+        control.ahead_peer.set(Some(peer));
+    }
+    let behind = control.record_peer_position(reached);
+    if behind < MAX_LAG || reached <= own {
         return;
     }
     if control.watching.get() {
@@ -99,31 +128,37 @@
 
 /// Fetches content from a peer that is ahead, unless a fetch is in progress.
 pub(super) fn fetch_from_peer(control: &Rc<Control>, peer: SocketAddr) {
+    let control = Rc::clone(control);
+    tokio::task::spawn_local(async move { fetch_awaiting(&control, peer).await });
+}
+
+/// Fetches content from a peer that is ahead and waits for it, unless a fetch is in progress.
+pub(super) async fn fetch_awaiting(control: &Control, peer: SocketAddr) {
     if control.fetching.replace(true) {
         return;
     }
-    let control = Rc::clone(control);
-    tokio::task::spawn_local(async move {
-        let before = control.revision();
-        match with_timeout(fetch_content(&control, peer)).await {
-            Ok(()) => log::info!(
-                peer:% = peer, before, revision = control.revision(),
+    let before = control.revision();
+    match with_timeout(fetch_content(control, peer)).await {
+        Ok(()) => {
+            let Position { era, revision } = control.position();
+            log::info!(
+                peer:% = peer, before, era, revision,
                 outage_ms = control.outage().as_millis() as u64; "store's content taken from a peer"
-            ),
-            Err(error) => log::info!(peer:% = peer, error:% = error; "no content from the peer"),
+            );
         }
-        control.fetching.set(false);
-    });
+        Err(error) => log::info!(peer:% = peer, error:% = error; "no content from the peer"),
+    }
+    control.fetching.set(false);
 }
 
 /// Fetches content from the seeds until any is known: an unreachable store at the start must not keep the
 /// instance from serving.
 pub(super) async fn fetch_from_seeds(control: Rc<Control>) {
-    while control.revision() == 0 {
+    while control.position() == Position::START {
         let settings = control.settings();
         for seed in &settings.seeds {
             let peer = SocketAddr::new(*seed, settings.peer_address.port());
-            if peer == settings.peer_address || control.revision() > 0 {
+            if peer == settings.peer_address || control.position() > Position::START {
                 continue;
             }
             match with_timeout(fetch_content(&control, peer)).await {
@@ -152,16 +187,24 @@
         }));
         return Ok(());
     }
-    let (items, keys) = control.content_after(request.after);
-    let items = items.into_iter().map(|(key, item)| ContentItem {
-        key,
-        revision: item.revision,
-        value: Some(item.value),
+    let Position { era, revision } = control.position();
+    let after = Position::new(request.era.unwrap_or(era), request.after);
+    let held: HashSet<u64> = request.held.into_iter().collect();
+    let (items, keys) = control.content_after(after);
+    let items = items.into_iter().map(|(key, item)| {
+        let is_held = held.contains(&item_hash(&key, &item.value));
+        ContentItem {
+            key,
+            revision: item.position.revision,
+            value: (!is_held).then_some(item.value),
+            is_held,
+        }
     });
     let content = Content {
-        revision: control.revision(),
+        revision,
         items: items.collect(),
         keys,
+        era: Some(era),
     };
     frames.send(Bytes::from(content.encode_to_vec())).await?;
     Ok(())
@@ -169,26 +212,64 @@
 
 async fn fetch_content(control: &Control, peer: SocketAddr) -> Result<(), Error> {
     let mut frames = framed(TcpStream::connect(peer).await?);
+    let own = control.position();
+    let held = if control.pending_era().is_some() {
+        let (items, _) = control.content_after(Position::START);
+        items
+            .iter()
+            .map(|(key, item)| item_hash(key, &item.value))
+            .collect()
+    } else {
+        Vec::new()
+    };
     let request = ContentRequest {
-        after: control.revision(),
+        after: own.revision,
         relay: None,
+        era: Some(own.era),
+        held,
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let content = Content::decode(next_frame(&mut frames).await?)?;
-    if content.revision < control.revision() {
-        return Ok(());
-    }
+    let own = control.position();
+    let reached = PeerPosition {
+        era: content.era,
+        revision: content.revision,
+    };
+    let Some(reached) = reached.known(own.era).filter(|reached| *reached >= own) else {
+        return Err(Error::Older(reached));
+    };
+    let items = content.items.into_iter().map(|item| fill_in(control, item));
+    let items = items.collect::<Result<Vec<_>, _>>()?;
+    control.follow_era(reached.era);
     let present: BTreeSet<String> = content.keys.into_iter().collect();
+    control.apply(items, reached);
     for prefix in PREFIXES {
-        control.retain(prefix, content.revision, &present);
+        control.retain(prefix, reached, &present);
     }
-    control.apply(
-        content.items.into_iter().map(Into::into).collect(),
-        content.revision,
-    );
+    control.send_peers();
     Ok(())
 }
 
+/// Adds the value that the sender has left out, since this instance has it.
+fn fill_in(control: &Control, mut item: ContentItem) -> Result<StoreItem, Error> {
+    if item.is_held {
+        item.value = control.value(&item.key);
+        if item.value.is_none() {
+            return Err(Error::NotHeld(item.key));
+        }
+    }
+    Ok(item.into())
+}
+
+/// Identifies an item's key and value.
+fn item_hash(key: &str, value: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(key.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(value);
+    hasher.digest()
+}
+
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     set_tcp_options(&stream);
     LengthDelimitedCodec::builder()
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -20,8 +20,8 @@
 use super::watchers::Watchers;
 
 use crate::{
-    Change, Lag, Mirror, Settings,
-    era::{AnswerEra, Eras},
+    Change, Lag, Mirror, Settings, Versioned,
+    era::{AnswerEra, Eras, Position},
     reach::{MIN_OUTAGE, Reachability},
     signals::Grace,
     update::{StoreUpdate, Update},
@@ -41,6 +41,10 @@
 /// watches that run into their timeouts.
 const MAX_STALENESS: Duration = Duration::from_millis(4_500);
 
+/// How long an instance that was registered in an earlier era of the store counts as registered: the duration of the
+/// lease, after which the registration of one that has gone would have ended.
+const FORMER_TTL: Duration = super::register::LEASE_TTL;
+
 /// State of the control thread.
 pub(super) struct Control {
     updates: Sender<Update>,
@@ -55,14 +59,20 @@
     confirmed_at: Cell<Instant>,
     /// Ids of directory entries that were removed around an outage of the store and may reappear.
     lapsed: RefCell<HashSet<String>>,
+    /// Instances that were registered in the era before, and may not have registered again yet.
+    former: RefCell<Option<FormerInstances>>,
     /// Fields of the last [`Update::StoreStatus`] that was sent, in their order.
-    last_status: Cell<(u64, bool, bool, bool)>,
+    last_status: Cell<(Position, bool, bool, bool)>,
     lag: RefCell<Lag>,
     eras: RefCell<Eras>,
     watchers: RefCell<Watchers>,
     /// Whether this instance watches the store itself.
     pub(super) watching: Cell<bool>,
-    /// A peer with a newer revision; set while this instance is behind and does not watch.
+    /// Notified when a later era of the store is followed.
+    pub(super) era_followed: Notify,
+    /// Notified when a later era of the store was seen.
+    pub(super) era_seen: Notify,
+    /// A peer with newer content; set while this instance is behind and does not watch.
     pub(super) ahead_peer: Cell<Option<SocketAddr>>,
     /// Notified when `ahead_peer` is set.
     pub(super) lagging: Notify,
@@ -70,6 +80,15 @@
     pub(super) fetching: Cell<bool>,
 }
 
+/// Instances that were registered in an earlier era of the store.
+struct FormerInstances {
+    addresses: BTreeSet<SocketAddr>,
+    /// Whether this instance was among them.
+    registered: bool,
+    /// Until when they count as registered.
+    until: Instant,
+}
+
 impl Control {
     pub(super) fn new(settings: Arc<Settings>, updates: Sender<Update>, grace: Arc<Grace>) -> Self {
         let now = Instant::now();
@@ -82,11 +101,14 @@
             reachability: RefCell::new(Reachability::new()),
             confirmed_at: Cell::new(now),
             lapsed: RefCell::new(HashSet::new()),
-            last_status: Cell::new((0, false, false, false)),
+            former: RefCell::new(None),
+            last_status: Cell::new((Position::START, false, false, false)),
             lag: RefCell::new(Lag::new()),
             eras: RefCell::new(Eras::new()),
             watchers: RefCell::default(),
             watching: Cell::new(false),
+            era_followed: Notify::new(),
+            era_seen: Notify::new(),
             ahead_peer: Cell::new(None),
             lagging: Notify::new(),
             fetching: Cell::new(false),
@@ -117,8 +139,36 @@
         self.settings.borrow().store_address
     }
 
+    /// Point of the store's history up to which every change is known.
+    pub(super) fn position(&self) -> Position {
+        self.mirror.borrow().position()
+    }
+
+    /// Revision of [`Control::position`], for log lines.
     pub(super) fn revision(&self) -> u64 {
-        self.mirror.borrow().revision()
+        self.position().revision
+    }
+
+    /// A later era of the store that was seen and is not followed yet.
+    pub(super) fn pending_era(&self) -> Option<u64> {
+        self.eras.borrow().pending()
+    }
+
+    /// The era of the store that is followed.
+    pub(super) fn followed_era(&self) -> u64 {
+        self.eras.borrow().followed()
+    }
+
+    /// Number of instances, as far as is known.
+    pub(super) fn instance_count(&self) -> u32 {
+        let mirror = self.mirror.borrow();
+        let listed = mirror.items().filter(|(key, _)| key.starts_with(INSTANCE_PREFIX));
+        let former = self
+            .former
+            .borrow()
+            .as_ref()
+            .map_or(0, |former| former.addresses.len());
+        listed.count().max(former).max(1) as u32
     }
 
     /// How long calls to the store have failed; zero if they do not.
@@ -141,6 +191,7 @@
         match era {
             AnswerEra::Later(era) if before != Some(era) => {
                 log::info!(call, era, followed, revision; "the store is in a later era");
+                self.announce_pending();
             }
             AnswerEra::Earlier(era) => {
                 log::info!(call, era, followed, revision; "answer of an earlier era of the store");
@@ -150,11 +201,55 @@
         era
     }
 
-    /// Records that the content of `era` is followed from now on.
+    /// Records that the instance at `peer` follows `era`. Returns whether it may be relied on.
+    pub(super) fn see_peer_era(&self, peer: SocketAddr, era: u64) -> bool {
+        let before = self.pending_era();
+        let seen = self.eras.borrow_mut().see_peer(era);
+        if let Err(error) = seen {
+            log::debug!(peer:% = peer, error:% = error; "era of another instance not used");
+            return false;
+        }
+        if self.pending_era() != before {
+            let (followed, revision) = (self.followed_era(), self.revision());
+            log::info!(peer:% = peer, era, followed, revision; "another instance follows a later era of the store");
+            self.announce_pending();
+        }
+        true
+    }
+
+    /// Has the pending era looked for, whether or not this instance watches.
+    fn announce_pending(&self) {
+        self.era_seen.notify_one();
+        self.lagging.notify_one();
+    }
+
+    /// Records that all content of the store is read next in `era`, and follows it. What an earlier era had may be written
+    /// again: entries that are missing count as lapsed, and instances as registered.
     pub(super) fn follow_era(&self, era: u64) {
         let before = self.eras.borrow_mut().follow(era);
-        if let Some(before) = before {
-            log::info!(era, before, revision = self.revision(); "a later era of the store is followed");
+        let Some(before) = before.filter(|_| self.position() > Position::START) else {
+            return;
+        };
+        self.reachability.borrow_mut().begin_reappearance(now());
+        let registered = self.is_registered();
+        *self.former.borrow_mut() = Some(FormerInstances {
+            addresses: self.instances(),
+            registered,
+            until: Instant::now() + FORMER_TTL,
+        });
+        metrics::counter!("carobhaven_store_eras_total").increment(1);
+        log::warn!(
+            era, before, revision = self.revision(), version = self.version.get();
+            "the store has come back from a copy; its content is read anew, what is in force stays"
+        );
+        self.era_followed.notify_one();
+    }
+
+    /// Records that a read which began after `pending` was seen shows that the store is in the followed era.
+    pub(super) fn refute_era(&self, pending: u64) {
+        let mut eras = self.eras.borrow_mut();
+        if eras.refute(pending) {
+            log::warn!(era = pending, followed = eras.followed(); "the store is not in the later era that was seen");
         }
     }
 
@@ -167,7 +262,6 @@
         if outage >= MIN_OUTAGE {
             log::info!(outage_ms = outage.as_millis() as u64; "the store answers again after an outage");
         }
-        self.confirmed_at.set(Instant::now());
     }
 
     /// Records the failure of a call that was made at `started`.
@@ -198,19 +292,19 @@
         self.watchers.borrow_mut().must_watch(own, Instant::now())
     }
 
-    /// Records that a watching peer knows no newer revision.
+    /// Records that the store, or a peer that watches it, knows nothing newer.
     pub(super) fn record_confirmation(&self) {
         self.confirmed_at.set(Instant::now());
     }
 
-    /// Records the `revision` that a peer reports. Returns how long this instance has been behind its peers.
-    pub(super) fn record_peer_revision(&self, revision: u64) -> Duration {
-        self.lag.borrow_mut().observe(revision, self.revision(), now())
+    /// Records the `position` that a peer reports. Returns how long this instance has been behind its peers.
+    pub(super) fn record_peer_position(&self, position: Position) -> Duration {
+        self.lag.borrow_mut().observe(position, self.position(), now())
     }
 
-    /// Whether a peer has reported a newer revision than this instance knows.
+    /// Whether a peer has reported a newer position than this instance knows.
     pub(super) fn is_behind(&self) -> bool {
-        self.lag.borrow().is_behind(self.revision())
+        self.lag.borrow().is_behind(self.position())
     }
 
     /// Whether the store has answered the last call.
@@ -221,17 +315,18 @@
     /// Sends the traffic thread the [`Update::StoreStatus`] if it has changed.
     pub(super) fn send_status(&self) {
         self.remove_lapsed();
+        self.remove_former();
         let status = (
-            self.revision(),
+            self.position(),
             self.confirmed_at.get().elapsed() < MAX_STALENESS,
-            self.watching.get() && self.is_answering(),
+            self.watching.get() && self.is_answering() && self.pending_era().is_none(),
             self.reachability
                 .borrow()
                 .is_uninformed(now(), self.peer_watches()),
         );
         if self.last_status.replace(status) != status {
             self.send(Update::StoreStatus {
-                revision: status.0,
+                position: status.0,
                 current: status.1,
                 watching: status.2,
                 uninformed: status.3,
@@ -239,34 +334,37 @@
         }
     }
 
-    /// Applies `items` to the mirror and records that every change up to `revision` is known. Small changes
-    /// that were seen by watching are passed on to the other instances.
-    pub(super) fn apply(&self, items: Vec<Item>, revision: u64) {
-        let before = self.revision();
+    /// Applies `items`, of the era of `reached`, to the mirror and records that every change up to that point is known.
+    /// Small changes that were seen by watching are passed on to the other instances.
+    pub(super) fn apply(&self, items: Vec<Item>, reached: Position) {
+        let before = self.position();
+        let is_next = before.revision > 0 && before.era == reached.era && before < reached;
         let small = items
             .iter()
             .map(|item| item.value.as_ref().map_or(0, Bytes::len))
             .sum::<usize>()
             <= MAX_UPDATE_BYTES;
-        if small && before > 0 && revision > before && self.watching.get() && !items.is_empty() {
+        if small && is_next && self.watching.get() && !items.is_empty() {
             self.send(Update::StoreUpdate(StoreUpdate {
-                base: before,
-                revision,
+                era: reached.era,
+                base: before.revision,
+                revision: reached.revision,
                 items: items.clone(),
             }));
         }
         let mut instances_changed = false;
         for item in items {
-            let change = self
-                .mirror
-                .borrow_mut()
-                .apply(&item.key, item.revision, item.value);
+            let change = self.mirror.borrow_mut().apply(
+                &item.key,
+                Position::new(reached.era, item.revision),
+                item.value,
+            );
             if let Some(change) = change {
                 instances_changed |= item.key.starts_with(INSTANCE_PREFIX);
                 self.publish(&item.key, change);
             }
         }
-        self.mirror.borrow_mut().advance_to(revision);
+        self.mirror.borrow_mut().advance_to(reached);
         if instances_changed {
             self.send_peers();
         }
@@ -274,26 +372,42 @@
     }
 
     /// Removes the keys under `prefix` that are not in `present`, the complete list of keys there at
-    /// `revision`.
-    pub(super) fn retain(&self, prefix: &str, revision: u64, present: &BTreeSet<String>) {
-        let removed = self.mirror.borrow_mut().retain(prefix, revision, present);
+    /// `position`.
+    pub(super) fn retain(&self, prefix: &str, position: Position, present: &BTreeSet<String>) {
+        let removed = self.mirror.borrow_mut().retain(prefix, position, present);
         for key in removed {
             self.publish(&key, Change::Removed);
         }
     }
 
-    /// Returns the items that changed after `revision`, and all keys.
-    pub(super) fn content_after(&self, revision: u64) -> (Vec<(String, crate::Versioned)>, Vec<String>) {
+    /// Returns the items that changed after `position`, and all keys.
+    pub(super) fn content_after(&self, position: Position) -> (Vec<(String, crate::Versioned)>, Vec<String>) {
         let mirror = self.mirror.borrow();
         let items = mirror
             .items()
-            .filter(|(_, item)| item.revision > revision)
+            .filter(|(_, item)| item.position > position)
             .map(|(key, item)| (key.to_owned(), item.clone()))
             .collect();
         let keys = mirror.items().map(|(key, _)| key.to_owned()).collect();
         (items, keys)
     }
 
+    /// The value of a key.
+    pub(super) fn value(&self, key: &str) -> Option<Bytes> {
+        self.mirror.borrow().get(key).map(|item| item.value.clone())
+    }
+
+    /// Ends the time in which instances of an earlier era count as registered.
+    fn remove_former(&self) {
+        let expired = self
+            .former
+            .borrow_mut()
+            .take_if(|former| former.until <= Instant::now());
+        if expired.is_some() {
+            self.send_peers();
+        }
+    }
+
     /// Removes the entries that expired in an outage and did not reappear in time.
     fn remove_lapsed(&self) {
         if self.reappearance_left().is_none_or(|left| !left.is_zero()) {
@@ -317,24 +431,27 @@
     fn publish(&self, key: &str, change: Change) {
         if key == config::KEY {
             if let Change::Set(item) = change {
-                self.apply_config(&item.value, item.revision);
+                self.apply_config(&item.value, item.position);
             }
         } else if let Some(id) = key.strip_prefix(directory::PREFIX) {
             match change {
-                Change::Set(item) => self.publish_entry(id, &item.value),
+                Change::Set(item) => self.publish_entry(id, &item),
                 Change::Removed => self.publish_removal(id),
             }
         }
     }
 
-    fn publish_entry(&self, id: &str, value: &[u8]) {
+    fn publish_entry(&self, id: &str, item: &Versioned) {
         self.lapsed.borrow_mut().remove(id);
-        let Some(entry) = directory::decode(id, value) else {
-            log::warn!(upstream:% = id, bytes = value.len(); "entry in the directory is malformed; not used");
+        let Some(entry) = directory::decode(id, &item.value) else {
+            log::warn!(
+                upstream:% = id, bytes = item.value.len(), era = item.position.era,
+                revision = item.position.revision; "entry in the directory is malformed; not used"
+            );
             self.send(Update::EntryRemoved(id.into()));
             return;
         };
-        self.send(Update::Entry(entry));
+        self.send(Update::Entry(entry, item.position));
     }
 
     /// Passes a removal on, unless the entry may only have expired in an outage of the store.
@@ -348,27 +465,50 @@
     }
 
     /// Puts a configuration in force if it can be read and its version is newer than the present one.
-    fn apply_config(&self, value: &Bytes, revision: u64) {
+    fn apply_config(&self, value: &Bytes, position: Position) {
+        let (era, revision) = (position.era, position.revision);
         match config::decode(value) {
             Ok(table) if table.version() > self.version.get() => {
                 log::info!(
-                    version = table.version(), before = self.version.get(), revision,
+                    version = table.version(), before = self.version.get(), era, revision,
                     routes = table.route_count(); "configuration in force"
                 );
                 self.version.set(table.version());
                 self.send(Update::Table(Arc::new(table)));
             }
             Ok(table) => log::warn!(
-                version = table.version(), current = self.version.get(), revision;
+                version = table.version(), current = self.version.get(), era, revision;
                 "older configuration ignored"
             ),
             Err(error) => log::error!(
-                error:% = error, revision, current = self.version.get();
+                error:% = error, era, revision, current = self.version.get();
                 "configuration cannot be read; the one in force stays"
             ),
         }
     }
 
+    /// Addresses under which instances are registered.
+    fn instances(&self) -> BTreeSet<SocketAddr> {
+        let mirror = self.mirror.borrow();
+        let listed = mirror
+            .items()
+            .filter(|(key, _)| key.starts_with(INSTANCE_PREFIX))
+            .filter_map(|(_, item)| std::str::from_utf8(&item.value).ok()?.parse().ok());
+        let former = self.former.borrow();
+        let former = former.iter().flat_map(|former| former.addresses.iter().copied());
+        listed.chain(former).collect()
+    }
+
+    fn is_registered(&self) -> bool {
+        let own_key = format!("{INSTANCE_PREFIX}{}", self.settings().name);
+        let was_registered = self
+            .former
+            .borrow()
+            .as_ref()
+            .is_some_and(|former| former.registered);
+        was_registered || self.mirror.borrow().get(&own_key).is_some()
+    }
+
     /// Sends the traffic thread the addresses of the other instances: the seeds and the registered ones.
     pub(super) fn send_peers(&self) {
         let settings = self.settings();
@@ -376,20 +516,13 @@
             .seeds
             .iter()
             .map(|seed| SocketAddr::new(*seed, settings.peer_address.port()));
-        let mirror = self.mirror.borrow();
-        let listed = mirror
-            .items()
-            .filter(|(key, _)| key.starts_with(INSTANCE_PREFIX))
-            .filter_map(|(_, item)| std::str::from_utf8(&item.value).ok()?.parse().ok());
         let peers: BTreeSet<SocketAddr> = seeds
-            .chain(listed)
+            .chain(self.instances())
             .filter(|peer| *peer != settings.peer_address)
             .collect();
-        let own_key = format!("{INSTANCE_PREFIX}{}", settings.name);
-        let registered = mirror.items().any(|(key, _)| *key == *own_key);
         self.send(Update::Peers {
             addresses: peers.into_iter().collect(),
-            registered,
+            registered: self.is_registered(),
         });
     }
 }
--- a/crates/carob-gateway/src/era.rs
+++ b/crates/carob-gateway/src/era.rs
@@ -10,6 +10,27 @@
 /// Number of eras by which a store may be ahead of the known one. A larger number is a damaged header.
 const MAX_ERA_STEP: u64 = 1_000;
 
+carob_base::plain! {
+    /// A point in the history of the store. Any point of a later era is later, whatever its revision.
+    #[derive(Default)]
+    pub struct Position {
+        /// Era of the history; zero with a store that names none.
+        pub era: u64,
+        /// Revision of the store within the era.
+        pub revision: u64,
+    }
+}
+
+impl Position {
+    /// The point before the first change.
+    pub const START: Self = Self::new(0, 0);
+
+    /// Creates the point `revision` of `era`.
+    pub const fn new(era: u64, revision: u64) -> Self {
+        Self { era, revision }
+    }
+}
+
 carob_base::plain! {
     /// What an answer's era says about the content in it.
     pub enum AnswerEra {
@@ -37,6 +58,9 @@
             /// The latest era that was seen.
             known: u64,
         },
+        /// The store has been read since and was in an earlier one.
+        #[error("expected an era that the store names itself, found {0}")]
+        Refuted(u64),
     }
 }
 
@@ -45,6 +69,8 @@
 pub struct Eras {
     followed: Option<u64>,
     latest: u64,
+    /// A later era that a read has refuted, so that only the store itself can name it again.
+    refuted: Option<u64>,
     /// What was last reported as unusable, so that it is reported once.
     reported: Option<Unusable>,
 }
@@ -55,6 +81,7 @@
         Self {
             followed: None,
             latest: 0,
+            refuted: None,
             reported: None,
         }
     }
@@ -91,12 +118,20 @@
         }
     }
 
-    /// Records an era that the store or another instance names.
+    /// Records an era that another instance follows.
     ///
     /// # Errors
     ///
-    /// Returns [`Unusable::Ahead`] if it is too far ahead of the known era.
-    pub fn see(&mut self, era: u64) -> Result<AnswerEra, Unusable> {
+    /// Returns [`Unusable`] if it is too far ahead of the known era, or a read has refuted it.
+    pub fn see_peer(&mut self, era: u64) -> Result<AnswerEra, Unusable> {
+        if self.refuted == Some(era) {
+            return Err(Unusable::Refuted(era));
+        }
+        self.see(era)
+    }
+
+    /// Records an era that the store names.
+    fn see(&mut self, era: u64) -> Result<AnswerEra, Unusable> {
         let known = self.latest.max(self.followed());
         if self.followed() > 0 && era > known + MAX_ERA_STEP {
             return Err(Unusable::Ahead { found: era, known });
@@ -127,6 +162,7 @@
         let refuted = pending > self.followed() && self.latest == pending;
         if refuted {
             self.latest = self.followed();
+            self.refuted = Some(pending);
         }
         refuted
     }
--- a/crates/carob-gateway/src/mirror.rs
+++ b/crates/carob-gateway/src/mirror.rs
@@ -1,17 +1,20 @@
 //! This instance's copy of the store's content.
 //!
 //! Content comes from full reads, from watches and from other instances that are further ahead. All of it is
-//! merged here: an older item never replaces a newer one, whatever the order in which they arrive.
+//! merged here: an older item never replaces a newer one, whatever the order in which they arrive. Items of a later
+//! era are newer than all of an earlier one, also at lower revisions.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 
-/// A value with the revision of its last change.
+use crate::era::Position;
+
+/// A value with the point of its last change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Versioned {
-    /// Revision of the store at which the key last changed.
-    pub revision: u64,
+    /// Point in the store's history at which the key last changed.
+    pub position: Position,
     /// The value as stored, not decoded.
     pub value: Bytes,
 }
@@ -28,24 +31,27 @@
 /// A copy of the store's content under a set of prefixes.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
-    revision: u64,
+    position: Position,
     items: BTreeMap<String, Versioned>,
-    /// Revisions at which keys were removed, so that a late read of an older item does not bring it back.
-    tombstones: BTreeMap<String, u64>,
+    /// Points at which keys were removed, so that a late read of an older item does not bring it back.
+    tombstones: BTreeMap<String, Position>,
+    /// Point of the latest complete list of keys, by prefix. A key that was not in it has no tombstone if it was not known
+    /// before either.
+    lists: BTreeMap<String, Position>,
 }
 
 /// Maximum number of tombstones; far more keys than are removed within the history that the store keeps.
 const MAX_TOMBSTONES: usize = 2_000;
 
 impl Mirror {
-    /// Creates an empty mirror at revision 0.
+    /// Creates an empty mirror at the start of the history.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// The revision up to which every change is known; 0 before the first read.
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    /// The point up to which every change is known; [`Position::START`] before the first read.
+    pub const fn position(&self) -> Position {
+        self.position
     }
 
     /// Iterates over the items in the order of their keys.
@@ -53,43 +59,63 @@
         self.items.iter().map(|(key, item)| (key.as_str(), item))
     }
 
+    /// The item with this key.
+    pub fn get(&self, key: &str) -> Option<&Versioned> {
+        self.items.get(key)
+    }
+
     /// Applies one change; `value` is absent if the key was removed. Returns its effect, or `None` if it is
     /// not newer than what is known or leaves the value as it was.
-    pub fn apply(&mut self, key: &str, revision: u64, value: Option<Bytes>) -> Option<Change> {
-        let newest = self.items.get(key).map(|item| item.revision);
-        let newest = newest.max(self.tombstones.get(key).copied());
-        if newest.is_some_and(|newest| newest >= revision) {
+    pub fn apply(&mut self, key: &str, position: Position, value: Option<Bytes>) -> Option<Change> {
+        let newest = match self.items.get(key) {
+            Some(item) => Some(item.position),
+            None => self.tombstones.get(key).copied().max(self.listed_at(key)),
+        };
+        if newest.is_some_and(|newest| newest >= position) {
             return None;
         }
         let Some(value) = value else {
-            self.tombstones.insert(key.to_owned(), revision);
+            self.tombstones.insert(key.to_owned(), position);
             self.evict_tombstones();
             return self.items.remove(key).map(|_| Change::Removed);
         };
         self.tombstones.remove(key);
-        let item = Versioned { revision, value };
+        let item = Versioned { position, value };
         let before = self.items.insert(key.to_owned(), item.clone());
         (before.is_none_or(|before| before.value != item.value)).then_some(Change::Set(item))
     }
 
-    /// Records that every change up to `revision` has been applied; an older revision has no effect.
-    pub fn advance_to(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    /// Records that every change up to `position` has been applied; an earlier point has no effect.
+    pub fn advance_to(&mut self, position: Position) {
+        self.position = self.position.max(position);
+    }
+
+    /// The point of the latest complete list that `key` was in or could have been in.
+    fn listed_at(&self, key: &str) -> Option<Position> {
+        let lists = self
+            .lists
+            .iter()
+            .filter(|(prefix, _)| key.starts_with(prefix.as_str()));
+        lists.map(|(_, position)| *position).max()
     }
 
     /// Removes the keys under `prefix` that are not in `present`, the complete list of keys there at
-    /// `revision`. Keys that changed after `revision` are kept. Returns the removed keys.
-    pub fn retain(&mut self, prefix: &str, revision: u64, present: &BTreeSet<String>) -> Vec<String> {
+    /// `position`. Keys that changed after it are kept. Returns the removed keys.
+    ///
+    /// The items of the list have to be applied before: later, those that are not known count as removed.
+    pub fn retain(&mut self, prefix: &str, position: Position, present: &BTreeSet<String>) -> Vec<String> {
         let gone: Vec<String> = self
             .items
             .range(prefix.to_owned()..)
             .take_while(|(key, _)| key.starts_with(prefix))
-            .filter(|(key, item)| item.revision <= revision && !present.contains(*key))
+            .filter(|(key, item)| item.position <= position && !present.contains(*key))
             .map(|(key, _)| key.clone())
             .collect();
+        let list = self.lists.entry(prefix.to_owned()).or_default();
+        *list = position.max(*list);
         for key in &gone {
             self.items.remove(key);
-            self.tombstones.insert(key.clone(), revision);
+            self.tombstones.insert(key.clone(), position);
         }
         self.evict_tombstones();
         gone
@@ -98,10 +124,10 @@
     /// Drops the older half of the tombstones once there are too many.
     fn evict_tombstones(&mut self) {
         if self.tombstones.len() > MAX_TOMBSTONES {
-            let mut revisions: Vec<u64> = self.tombstones.values().copied().collect();
-            revisions.sort_unstable();
-            let oldest = revisions[revisions.len() / 2];
-            self.tombstones.retain(|_, revision| *revision >= oldest);
+            let mut positions: Vec<Position> = self.tombstones.values().copied().collect();
+            positions.sort_unstable();
+            let oldest = positions[positions.len() / 2];
+            self.tombstones.retain(|_, position| *position >= oldest);
         }
     }
 }
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -83,6 +83,9 @@
     /// Places that the receiver gets.
     #[prost(message, repeated, tag = "20")]
     pub grants: Vec<Grant>,
+    /// Era of `revision` and `base`; absent in messages of builds that know no eras.
+    #[prost(uint64, optional, tag = "21")]
+    pub era: Option<u64>,
 }
 
 /// Places at a brittle upstream that an instance holds and wants.
@@ -315,6 +318,12 @@
     /// If present, no content is wanted.
     #[prost(message, optional, tag = "2")]
     pub relay: Option<RelayRequest>,
+    /// Era of `after`; absent in messages of builds that know no eras.
+    #[prost(uint64, optional, tag = "3")]
+    pub era: Option<u64>,
+    /// Hashes of the items that the sender has from an earlier era; their values need not be sent.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub held: Vec<u64>,
 }
 
 /// An instance's copy of the store's content, or the part that changed after a revision.
@@ -329,6 +338,9 @@
     /// All existing keys; a key that is not listed was removed.
     #[prost(string, repeated, tag = "3")]
     pub keys: Vec<String>,
+    /// Era of all revisions in the message; absent in messages of builds that know no eras.
+    #[prost(uint64, optional, tag = "4")]
+    pub era: Option<u64>,
 }
 
 /// A key of the store with its value.
@@ -342,6 +354,9 @@
     /// Absent if the key was removed.
     #[prost(bytes = "bytes", optional, tag = "3")]
     pub value: Option<bytes::Bytes>,
+    /// Whether the receiver has the value, which is left out then.
+    #[prost(bool, tag = "4")]
+    pub is_held: bool,
 }
 
 impl From<&fleet::RelayOffer> for RelayOffer {
@@ -360,6 +375,7 @@
             key: item.key,
             revision: item.revision,
             value: item.value,
+            is_held: false,
         }
     }
 }
--- a/crates/carob-gateway/src/reach.rs
+++ b/crates/carob-gateway/src/reach.rs
@@ -102,6 +102,11 @@
             .map(|outage| REAPPEARANCE_WINDOW.saturating_sub(now.saturating_duration_since(outage)))
     }
 
+    /// Begins the time in which entries may reappear: the store has come back without its latest changes.
+    pub const fn begin_reappearance(&mut self, now: Instant) {
+        self.last_outage = Some(now);
+    }
+
     /// Ends the time in which entries may reappear, once the caller has removed those that did not.
     pub const fn end_reappearance(&mut self) {
         self.last_outage = None;
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -13,8 +13,9 @@
 
 use super::{departure, limit, relay, shared::Shared};
 use crate::{
+    era::Position,
     peer::{Announcement, Crash, Item, Limit, Load, RelayOffer, Sound, Trial},
-    update::{Report, StoreUpdate},
+    update::{PeerPosition, Report, StoreUpdate},
 };
 
 /// Minimum time between two messages. A message takes up to 12 ms between regions, and placements that other
@@ -37,8 +38,8 @@
 #[derive(Default)]
 struct Told {
     loads: HashMap<u64, PeerLoad>,
-    /// Whether this instance watches the store, and if so, up to which revision it knows the content.
-    status: (bool, u64),
+    /// Whether this instance watches the store, and if so, up to which point it knows the content.
+    status: (bool, Position),
     /// Upstreams that leave.
     leaving: Vec<u64>,
     offer: Option<carob_dispatch::fleet::RelayOffer>,
@@ -50,7 +51,12 @@
     fn next_message(&mut self, shared: &Shared, complete: bool) -> Option<Announcement> {
         let watching = shared.is_watching();
         // Instances that do not watch notice by the revision of those that do when they are behind.
-        let status = (watching, if watching { shared.revision() } else { 0 });
+        let position = if watching {
+            shared.position()
+        } else {
+            Position::START
+        };
+        let status = (watching, position);
         let update = shared.take_store_update();
         let news = shared.evidence().take_changes(shared.now());
         let limits = shared
@@ -84,9 +90,10 @@
             return None;
         }
         let message = Announcement {
+            era: Some(update.as_ref().map_or(shared.position().era, |update| update.era)),
             revision: update
                 .as_ref()
-                .map_or(shared.revision(), |update| update.revision),
+                .map_or(shared.position().revision, |update| update.revision),
             base: update.as_ref().map_or(0, |update| update.base),
             watching,
             complete,
@@ -201,7 +208,8 @@
     let message = Announcement {
         boot_id,
         sequence: *sequence,
-        revision: shared.revision(),
+        era: Some(shared.position().era),
+        revision: shared.position().revision,
         watching: shared.is_watching(),
         crashes: evidence.crashes.into_iter().map(Crash::from).collect(),
         sound: evidence.sound.into_iter().map(Sound::from).collect(),
@@ -284,14 +292,20 @@
     }
     shared.grant_waiting();
     let update = (message.base > 0).then(|| StoreUpdate {
+        era: message.era.unwrap_or(0),
         base: message.base,
         revision: message.revision,
         items: message.updates.into_iter().map(Into::into).collect(),
     });
-    if message.complete || update.is_some() || message.revision != shared.revision() {
+    let reached = PeerPosition {
+        era: message.era,
+        revision: message.revision,
+    };
+    let own = shared.position();
+    if message.complete || update.is_some() || reached.known(own.era) != Some(own) {
         shared.report(Report::Peer {
             address: peer,
-            revision: message.revision,
+            reached,
             update,
             watching: message.watching,
         });
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -29,6 +29,7 @@
 };
 use crate::{
     Settings,
+    era::Position,
     peer::Pause,
     update::{Report, StoreUpdate, Update},
 };
@@ -68,8 +69,8 @@
     pub(super) uninformed_changed: Notify,
     /// Changes of the store's content that have not been sent to the other instances yet.
     pending_update: RefCell<Option<StoreUpdate>>,
-    /// Revision up to which the store's content is known.
-    revision: Cell<u64>,
+    /// Point of the store's history up to which its content is known.
+    position: Cell<Position>,
     /// Addresses of the other instances.
     peers: RefCell<Vec<SocketAddr>>,
     reports: Sender<Report>,
@@ -143,7 +144,7 @@
             uninformed: Cell::new(false),
             uninformed_changed: Notify::new(),
             pending_update: RefCell::new(None),
-            revision: Cell::new(0),
+            position: Cell::new(Position::START),
             peers: RefCell::new(Vec::new()),
             reports,
             waiters: RefCell::new(SecondaryMap::new()),
@@ -198,8 +199,8 @@
         self.peers.borrow().clone()
     }
 
-    pub(super) const fn revision(&self) -> u64 {
-        self.revision.get()
+    pub(super) const fn position(&self) -> Position {
+        self.position.get()
     }
 
     /// Whether the configuration can be taken as current.
@@ -424,15 +425,29 @@
         tokio::time::sleep(shutdown.closes().since(self.now())).await;
     }
 
+    /// Adds changes of the store's content to those that have not been sent yet; those of another era are not sent.
+    fn add_store_update(&self, update: StoreUpdate) {
+        let mut pending = self.pending_update.borrow_mut();
+        match pending.as_mut() {
+            Some(earlier) if earlier.era == update.era => {
+                earlier.revision = update.revision;
+                earlier.items.extend(update.items);
+            }
+            _ => *pending = Some(update),
+        }
+        self.load_changed.notify_one();
+    }
+
     /// Applies a message of the control thread.
     pub(super) fn apply(&self, update: Update) {
         let now = self.now();
         match update {
             Update::Table(table) => *self.table.borrow_mut() = Some(table),
-            Update::Entry(entry) => {
+            Update::Entry(entry, position) => {
                 log::info!(
                     upstream:% = entry.id, service:% = entry.service, address:% = entry.address,
-                    domain:% = entry.domain, state:? = entry.state, born = entry.started_ms; "directory entry"
+                    domain:% = entry.domain, state:? = entry.state, born = entry.started_ms,
+                    sequence = entry.sequence, era = position.era, revision = position.revision; "directory entry"
                 );
                 let leaving = self.fleet.borrow_mut().update_entry(entry, now);
                 self.notify_leaving(leaving);
@@ -448,34 +463,25 @@
                 registered,
             } => self.set_peers(addresses, registered),
             Update::StoreStatus {
-                revision,
+                position,
                 current,
                 watching,
                 uninformed,
             } => {
+                let (era, revision) = (position.era, position.revision);
                 if self.uninformed.replace(uninformed) != uninformed {
-                    log::info!(blind = uninformed, revision; "news of upstreams changed");
+                    log::info!(blind = uninformed, era, revision; "news of upstreams changed");
                     self.uninformed_changed.notify_waiters();
                 }
-                let newer = self.revision.replace(revision) != revision;
+                let newer = self.position.replace(position) != position;
                 if self.watching.replace(watching) != watching || (watching && newer) {
                     self.load_changed.notify_one();
                 }
                 if self.current.replace(current) != current {
-                    log::info!(current, revision; "whether the configuration is current has changed");
-                }
-            }
-            Update::StoreUpdate(update) => {
-                let mut pending = self.pending_update.borrow_mut();
-                match pending.as_mut() {
-                    Some(earlier) => {
-                        earlier.revision = update.revision;
-                        earlier.items.extend(update.items);
-                    }
-                    None => *pending = Some(update),
+                    log::info!(current, era, revision; "whether the configuration is current has changed");
                 }
-                self.load_changed.notify_one();
             }
+            Update::StoreUpdate(update) => self.add_store_update(update),
             // Served in a task of its own.
             Update::Relay(_) => {}
             Update::Settings(settings) => {
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -5,15 +5,15 @@
 use carob_dispatch::{fleet::DirectoryEntry, table::RoutingTable};
 use carob_platform::store::Item;
 
-use crate::{Settings, peer::RelayRequest, signals::ShutdownSignal};
+use crate::{Settings, era::Position, peer::RelayRequest, signals::ShutdownSignal};
 
 /// Message of the control thread to the traffic thread.
 #[derive(Debug)]
 pub(crate) enum Update {
     /// A new configuration is in force.
     Table(Arc<RoutingTable>),
-    /// The directory entry of an upstream was created or written again.
-    Entry(DirectoryEntry),
+    /// The directory entry of an upstream was created or written again, at this point of the store's history.
+    Entry(DirectoryEntry, Position),
     /// The directory entry with this id was removed.
     EntryRemoved(Box<str>),
     /// The other instances; replaces the previous list.
@@ -25,8 +25,8 @@
     },
     /// How current this instance's copy of the store's content is.
     StoreStatus {
-        /// Revision of the store up to which every change is known.
-        revision: u64,
+        /// Point of the store's history up to which every change is known.
+        position: Position,
         /// Whether the configuration was confirmed recently enough to be taken as current.
         current: bool,
         /// Whether this instance watches the store itself, and the store answers.
@@ -54,9 +54,11 @@
     pub request: RelayRequest,
 }
 
-/// All changes of the store's content between two revisions.
+/// All changes of the store's content between two revisions of an era.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreUpdate {
+    /// Era of both.
+    pub era: u64,
     /// Revision that the changes start from, exclusive.
     pub base: u64,
     /// Revision that the changes lead to, inclusive.
@@ -65,6 +67,27 @@
     pub items: Vec<Item>,
 }
 
+carob_base::plain! {
+    /// A point of the store's history that another instance names.
+    pub(crate) struct PeerPosition {
+        /// Absent if the instance is of a build that knows no eras.
+        pub era: Option<u64>,
+        /// Revision of the store.
+        pub revision: u64,
+    }
+}
+
+impl PeerPosition {
+    /// Returns the point as one that can be compared with those of an instance that follows the era `own`; `None` if it
+    /// cannot be known which era it belongs to.
+    pub(crate) fn known(self, own: u64) -> Option<Position> {
+        match self.era {
+            Some(era) => Some(Position::new(era, self.revision)),
+            None => (own == 0).then_some(Position::new(0, self.revision)),
+        }
+    }
+}
+
 /// Message of the traffic thread to the control thread.
 #[derive(Debug)]
 pub(crate) enum Report {
@@ -72,8 +95,9 @@
     Peer {
         /// Address that the datagram came from.
         address: SocketAddr,
-        /// Revision up to which the peer knows every change.
-        revision: u64,
+        /// Point up to which the peer knows every change. Without an era if the peer is of a build that knows
+        /// none.
+        reached: PeerPosition,
         /// Changes of the store's content that the peer passed on.
         update: Option<StoreUpdate>,
         /// Whether the peer watches the store itself, and the store answers.
--- a/crates/carob-gateway/tests/mirror.rs
+++ b/crates/carob-gateway/tests/mirror.rs
@@ -3,9 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
-use carob_gateway::{Change, Mirror};
+use carob_gateway::{Change, Mirror, era::Position};
 use proptest::prelude::*;
 
+const fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
 proptest! {
     #[test]
     fn any_order_of_changes_ends_the_same(
@@ -28,9 +32,9 @@
             .collect();
         let mut mirror = Mirror::new();
         let mut newest: BTreeMap<String, u64> = BTreeMap::new();
-        for at in order.iter().map(|at| at.index(history.len())).chain(0..history.len()) {
-            let (key, revision, value) = &history[at];
-            let change = mirror.apply(key, *revision, value.clone());
+        for index in order.iter().map(|at| at.index(history.len())).chain(0..history.len()) {
+            let (key, revision, value) = &history[index];
+            let change = mirror.apply(key, at(*revision), value.clone());
             let before = newest.get(key).copied().unwrap_or(0);
             if change.is_some() {
                 prop_assert!(*revision > before, "an older change must have no effect");
@@ -39,7 +43,7 @@
         }
         let found: BTreeMap<String, (u64, Bytes)> = mirror
             .items()
-            .map(|(key, item)| (key.to_owned(), (item.revision, item.value.clone())))
+            .map(|(key, item)| (key.to_owned(), (item.position.revision, item.value.clone())))
             .collect();
         prop_assert_eq!(found, store);
     }
@@ -49,26 +53,40 @@
 fn a_list_removes_what_it_does_not_hold_but_not_what_is_newer() {
     let mut mirror = Mirror::new();
     let value = || Some(Bytes::from_static(b"v"));
-    mirror.apply("s/old", 3, value());
-    mirror.apply("s/kept", 4, value());
-    mirror.apply("s/new", 9, value());
-    mirror.apply("t/other", 2, value());
+    mirror.apply("s/old", at(3), value());
+    mirror.apply("s/kept", at(4), value());
+    mirror.apply("s/new", at(9), value());
+    mirror.apply("t/other", at(2), value());
     let present = BTreeSet::from(["s/kept".to_owned()]);
-    assert_eq!(mirror.retain("s/", 5, &present), ["s/old"]);
+    assert_eq!(mirror.retain("s/", at(5), &present), ["s/old"]);
     let keys: Vec<&str> = mirror.items().map(|(key, _)| key).collect();
     assert_eq!(keys, ["s/kept", "s/new", "t/other"]);
     assert_eq!(
-        mirror.apply("s/old", 3, value()),
+        mirror.apply("s/old", at(3), value()),
         None,
         "a late read must not bring a removed key back"
     );
-    assert!(matches!(mirror.apply("s/old", 6, value()), Some(Change::Set(_))));
+    assert!(matches!(
+        mirror.apply("s/old", at(6), value()),
+        Some(Change::Set(_))
+    ));
 }
 
 #[test]
 fn the_revision_never_falls() {
     let mut mirror = Mirror::new();
-    mirror.advance_to(8);
-    mirror.advance_to(3);
-    assert_eq!(mirror.revision(), 8);
+    mirror.advance_to(at(8));
+    mirror.advance_to(at(3));
+    assert_eq!(mirror.position(), at(8));
+}
+
+/// The key was created and removed before this instance knew of it.
+#[test]
+fn a_late_change_brings_back_a_key_that_a_list_no_longer_had() {
+    let mut mirror = Mirror::new();
+    mirror.retain("s/", at(9), &BTreeSet::new());
+    mirror.advance_to(at(9));
+    assert_eq!(mirror.apply("s/gone", at(5), Some(Bytes::new())), None);
+    assert!(mirror.apply("s/gone", at(10), Some(Bytes::new())).is_some());
+    assert!(mirror.apply("t/other", at(5), Some(Bytes::new())).is_some());
 }
