fix: an upstream that said that it leaves gets requests after its entry has come back

What callers saw: requests reached an upstream after it had said that it leaves (DRAIN).

Cause: an entry that was removed (it lapsed, an odd value stood in its place, or a copy of the store has it again) made a new upstream when it came back, although its start, address and service were the same; what it had said was forgotten.

One that is no newer by its Seq than the known one neither makes an upstream ready that leaves, nor takes the place of a later incarnation.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -4,7 +4,7 @@
 
 use carob_base::Time;
 
-use super::{DirectoryEntry, Fleet, Upstream, UpstreamKey, UpstreamState};
+use super::{DirectoryEntry, Fleet, Upstream, UpstreamKey, UpstreamState, incarnation_hash};
 
 /// How long an upstream that leaves is kept for the requests that still run on it.
 ///
@@ -19,14 +19,16 @@
     /// leaving. An upstream that leaves is ready again only by an entry that it has written since, not by an older one
     /// that has come back.
     pub fn update_entry(&mut self, mut entry: DirectoryEntry, now: Time) -> Option<UpstreamKey> {
-        let known = self.by_name.get(&entry.id).copied();
+        let listed = self.by_name.get(&entry.id).copied();
+        let known = self.find_incarnation(&entry);
         if let Some(key) = known
             && let Some(upstream) = self.upstreams.get_mut(key)
-            && upstream.entry.started_ms == entry.started_ms
-            && upstream.entry.address == entry.address
-            && upstream.entry.service == entry.service
         {
             let is_outdated = entry.sequence > 0 && entry.sequence <= upstream.entry.sequence;
+            let is_replaced = listed.is_some_and(|listed| listed != key);
+            if is_replaced && is_outdated {
+                return None;
+            }
             let stays_leaving = upstream.said_leaving || (upstream.leaving_since.is_some() && is_outdated);
             if stays_leaving {
                 entry.state = UpstreamState::Leaving;
@@ -40,10 +42,14 @@
             if !stays_leaving {
                 upstream.announced = entry.state == UpstreamState::Leaving;
             }
+            self.by_name.insert(entry.id.clone(), key);
             upstream.entry = entry;
-            return starts_leaving.then_some(key);
+            let replaced = listed
+                .filter(|_| is_replaced)
+                .and_then(|other| self.unlist(other, now));
+            return starts_leaving.then_some(key).or(replaced);
         }
-        let replaced = known.and_then(|key| self.unlist(key, now));
+        let replaced = listed.and_then(|key| self.unlist(key, now));
         let leaving_since = (entry.state == UpstreamState::Leaving).then_some(now);
         let key = self.upstreams.insert(Upstream {
             leaving_since,
@@ -71,6 +77,13 @@
         replaced
     }
 
+    /// The upstream whose incarnation, address and service an entry names, also if its entry was removed since.
+    fn find_incarnation(&self, entry: &DirectoryEntry) -> Option<UpstreamKey> {
+        let key = self.find_hash(incarnation_hash(&entry.id, entry.started_ms))?;
+        let known = &self.upstreams.get(key)?.entry;
+        (known.address == entry.address && known.service == entry.service).then_some(key)
+    }
+
     /// Takes a new upstream for brittle if others of its service are: it has not answered yet.
     fn inherit_brittle(&mut self, key: UpstreamKey, now: Time) {
         let service = &self.upstreams[key].entry.service;
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -106,7 +106,7 @@
 impl Upstream {
     /// Identifies the incarnation in messages between instances.
     pub fn hash(&self) -> u64 {
-        xxhash_rust::xxh3::xxh3_64_with_seed(self.entry.id.as_bytes(), self.entry.started_ms)
+        incarnation_hash(&self.entry.id, self.entry.started_ms)
     }
 
     /// Whether it has asked for a pause that lasts.
@@ -131,6 +131,11 @@
     }
 }
 
+/// Identifies the incarnation of `id` that started at `started_ms`.
+fn incarnation_hash(id: &str, started_ms: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), started_ms)
+}
+
 /// A request that was sent to an upstream.
 #[derive(Clone, Copy, Debug)]
 struct Run {
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -364,3 +364,79 @@
         2
     );
 }
+
+#[test]
+fn an_upstream_that_has_left_comes_back_with_an_older_entry() {
+    let mut fleet = fleet();
+    let written = |sequence| DirectoryEntry {
+        sequence,
+        ..entry("e1", "a")
+    };
+    fleet.update_entry(written(5), NOW);
+    fleet.remove_entry("e1", NOW);
+    fleet.update_entry(written(4), NOW);
+    assert_eq!(
+        fleet.place(&requirements(NEW_GENERATION), NOW),
+        Placement::NoUpstream,
+        "the entry is older than the one that was removed"
+    );
+    fleet.update_entry(written(6), NOW);
+    assert!(matches!(
+        fleet.place(&requirements(NEW_GENERATION), NOW),
+        Placement::Upstream(_)
+    ));
+}
+
+#[test]
+fn an_upstream_that_leaves_is_ready_again_by_an_older_entry() {
+    let mut fleet = fleet();
+    let written = |sequence, state| DirectoryEntry {
+        sequence,
+        state,
+        ..entry("e1", "a")
+    };
+    fleet.update_entry(written(5, UpstreamState::Ready), NOW);
+    fleet.update_entry(written(6, UpstreamState::Leaving), NOW);
+    fleet.update_entry(written(5, UpstreamState::Ready), NOW);
+    assert_eq!(
+        fleet.place(&requirements(NEW_GENERATION), NOW),
+        Placement::NoUpstream
+    );
+    fleet.update_entry(written(7, UpstreamState::Ready), NOW);
+    assert!(matches!(
+        fleet.place(&requirements(NEW_GENERATION), NOW),
+        Placement::Upstream(_)
+    ));
+}
+
+#[test]
+fn an_upstream_that_said_that_it_leaves_is_forgotten_with_its_entry() {
+    let mut fleet = fleet();
+    let key = add(&mut fleet, "e1", "a");
+    fleet.mark_leaving(key, NOW);
+    fleet.remove_entry("e1", NOW);
+    fleet.update_entry(entry("e1", "a"), NOW);
+    assert!(fleet.said_leaving(key));
+    assert_eq!(
+        fleet.place(&requirements(NEW_GENERATION), NOW),
+        Placement::NoUpstream
+    );
+}
+
+/// The copy that the store has come back from has the incarnation before.
+#[test]
+fn an_older_incarnation_takes_the_place_of_a_newer_one() {
+    let mut fleet = fleet();
+    let written = |started_ms, sequence| DirectoryEntry {
+        started_ms,
+        sequence,
+        ..entry("e1", "a")
+    };
+    fleet.update_entry(written(7, 5), NOW);
+    fleet.update_entry(written(8, 1), NOW);
+    let newer = placed(&fleet, NEW_GENERATION);
+    fleet.update_entry(written(7, 4), NOW);
+    assert_eq!(placed(&fleet, NEW_GENERATION), newer);
+    fleet.update_entry(written(8, 2), NOW);
+    assert_eq!(placed(&fleet, NEW_GENERATION), newer);
+}
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -62,6 +62,51 @@
     });
 }
 
+/// Its entry lapses, or something odd stands in its place, and it comes back.
+#[test]
+fn an_upstream_that_said_that_it_leaves_is_ready_again_with_its_next_entry() {
+    let fleet = Fleet::start(GATEWAYS);
+    let leaving = fleet.start_plain("p0", Duration::from_millis(5));
+    let odd = fleet.start_plain("p1", Duration::from_millis(5));
+    let _other = fleet.start_plain("p2", Duration::from_millis(5));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    leaving.leave_in_answers();
+    odd.leave_in_answers();
+    let sent = Cell::new(0);
+    wait_until("both say that they leave", || {
+        sent.set(sent.get() + 1);
+        assert_eq!(read(&fleet, 0, &format!("a{}", sent.get())), 200);
+        let lines = fleet.gateways[0].log_lines();
+        let notices = lines
+            .iter()
+            .filter(|line| line.contains("upstream says itself that it leaves"));
+        notices.count() == 2
+    });
+    fleet.store.remove("servers/p0");
+    fleet.store.put_bytes("servers/p1", b"{");
+    thread::sleep(DRAIN);
+    leaving.register();
+    odd.register();
+    thread::sleep(Duration::from_millis(300));
+    let from = Instant::now();
+    for number in 0..60 {
+        assert_eq!(read(&fleet, number % GATEWAYS, &format!("b{number}")), 200);
+    }
+    assert_eq!(arrivals(&fleet, "p0", from), 0, "requests after its entry lapsed");
+    assert_eq!(
+        arrivals(&fleet, "p1", from),
+        0,
+        "requests after its entry was odd"
+    );
+    leaving.restart();
+    wait_until("its next incarnation gets requests", || {
+        sent.set(sent.get() + 1);
+        assert_eq!(read(&fleet, 1, &format!("c{}", sent.get())), 200);
+        arrivals(&fleet, "p0", from) > 0
+    });
+}
+
 /// The notice comes with an answer to another gateway.
 #[test]
 fn a_generation_stays_at_an_upstream_that_told_another_gateway_that_it_leaves() {
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -191,6 +191,11 @@
         0,
         "requests to an upstream that leaves"
     );
+    assert_eq!(
+        arrivals(&fleet, "p1", from),
+        0,
+        "requests to an upstream that has left"
+    );
     let written = Instant::now();
     write_config(&fleet, 6, false);
     expect_status(&fleet, "/added/1", 404, written);
