fix: an instance that relays a leaving upstream's notice goes on sending requests to it

Cause: an instance that relays a connection forwarded bytes and read none of them. It has passed the notice on, but learned of it by a datagram alone, from an instance that may be killed or stand still by then.

--- a/crates/carob-gateway/src/traffic/departure.rs
+++ b/crates/carob-gateway/src/traffic/departure.rs
@@ -25,6 +25,22 @@
     shared.mark_leaving(upstream);
 }
 
+/// Records that an answer which this instance has forwarded to the instance at `peer` says that the upstream leaves.
+pub(super) fn record_relayed(shared: &Shared, upstream: UpstreamKey, id: &[u8], peer: &str) {
+    if shared.fleet().said_leaving(upstream) {
+        return;
+    }
+    let name = shared
+        .fleet()
+        .upstream(upstream)
+        .map(|found| found.entry.id.clone());
+    log::info!(
+        request:% = String::from_utf8_lossy(id), upstream:% = name.unwrap_or_default(), peer:% = peer;
+        "upstream says itself that it leaves, in a relayed answer"
+    );
+    shared.mark_leaving(upstream);
+}
+
 /// Applies what the instance at `peer` tells about upstreams that leave.
 pub(super) fn merge(shared: &Shared, peer: SocketAddr, hashes: &[u64]) {
     if hashes.is_empty() || !shared.peers().contains(&peer) {
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -8,6 +8,7 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use carob_dispatch::fleet::{LinkFailure, Relay, RelayOffer, RequestSize, UpstreamKey, service_hash};
+use carob_platform::answer::{self, HeadScan};
 use prost::Message;
 use smallvec::SmallVec;
 use socket2::SockRef;
@@ -19,11 +20,13 @@
 
 use super::{
     call::CONNECT_TIMEOUT,
+    departure,
     guard::{ActiveRequest, Reservation},
     link,
     shared::Shared,
 };
 use crate::{
+    overhead::MAX_HEAD,
     peer::{self, ContentRequest, RelayReply, RelayRequest, RelayState},
     relayed::LENGTH_BYTES,
     socket::{self, Connection, Error, set_tcp_options},
@@ -289,7 +292,7 @@
         && is_told
     {
         let _place = reserve(&shared, upstream, request.is_control);
-        forward(&shared, upstream, near, far).await;
+        forward(&shared, upstream, &request, near, far).await;
     }
     drop(counted);
     metrics::gauge!("carobhaven_relayed_connections").set(f64::from(shared.relayed().get()));
@@ -364,13 +367,19 @@
 }
 
 /// Forwards bytes both ways. The end of the other instance's connection ends the upstream's, so that its work stops.
-async fn forward(shared: &Shared, upstream: UpstreamKey, mut near: TcpStream, mut far: TcpStream) {
+async fn forward(
+    shared: &Shared,
+    upstream: UpstreamKey,
+    request: &RelayRequest,
+    mut near: TcpStream,
+    mut far: TcpStream,
+) {
     let is_whole = {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
         tokio::select! {
             () = forward_requests(near_read, far_write) => return,
-            is_whole = forward_answers(shared, upstream, far_read, near_write) => is_whole,
+            is_whole = forward_answers(shared, upstream, request, far_read, near_write) => is_whole,
         }
     };
     if !is_whole {
@@ -409,14 +418,24 @@
 async fn forward_answers(
     shared: &Shared,
     upstream: UpstreamKey,
+    request: &RelayRequest,
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
 ) -> bool {
     let mut buffer = vec![0; LENGTH_BYTES + BUFFER];
+    let mut head = Some(Vec::new());
     loop {
         let Ok(length) = from.read(&mut buffer[LENGTH_BYTES..]).await else {
             return false;
         };
+        // Before the answer is passed on, since the other instance may not get to tell what is in it.
+        scan_head(
+            shared,
+            upstream,
+            request,
+            &mut head,
+            &buffer[LENGTH_BYTES..][..length],
+        );
         buffer[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
         if to.write_all(&buffer[..LENGTH_BYTES + length]).await.is_err() {
             return false;
@@ -428,6 +447,26 @@
     }
 }
 
+/// Adds `bytes` to the `head` of the answer and reads it once it is complete; it is absent afterwards.
+fn scan_head(
+    shared: &Shared,
+    upstream: UpstreamKey,
+    request: &RelayRequest,
+    head: &mut Option<Vec<u8>>,
+    bytes: &[u8],
+) {
+    let Some(known) = head else { return };
+    known.extend_from_slice(bytes);
+    match answer::scan_head(known, &request.request) {
+        HeadScan::Incomplete if known.len() < MAX_HEAD => return,
+        HeadScan::Answer { says_leaving: true } => {
+            departure::record_relayed(shared, upstream, &request.request, &request.sender);
+        }
+        _ => {}
+    }
+    *head = None;
+}
+
 /// Decodes what another instance says about relaying.
 pub(super) fn decode_offer(offer: &peer::RelayOffer) -> Option<RelayOffer> {
     offer.is_open.then(|| RelayOffer {
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -17,6 +17,9 @@
 const WORK_TIME: Duration = Duration::from_secs(2);
 const BODY: usize = 60_000;
 
+/// Time after which a leaving upstream gets no more requests (`DrainMs`).
+const DRAIN: Duration = Duration::from_millis(2_500);
+
 /// A gateway that is cut off from all upstreams, and one that is not.
 struct Rig {
     fleet: Fleet,
@@ -140,3 +143,35 @@
     let outcome = rig.fleet.send(0, &order("o2"));
     assert!(outcome.complete && outcome.body.len() >= BODY);
 }
+
+/// The gateway whose request it is stands still as the answer passes, so that it tells nobody.
+#[test]
+fn a_gateway_that_relayed_the_notice_sends_requests_to_an_upstream_that_leaves() {
+    let rig = Rig::start();
+    let order = rig.begin(order("o1"));
+    let arrivals = rig.fleet.ledger.arrivals();
+    let arrival = arrivals.iter().find(|arrival| arrival.id == "o1");
+    let ran = arrival.expect("it runs").upstream.clone();
+    let leaving = rig.upstreams.iter().find(|upstream| upstream.id() == ran);
+    leaving.expect("it is one of them").leave_in_answers();
+    rig.fleet.gateways[0].signal("STOP");
+    thread::sleep(WORK_TIME + DRAIN);
+    let from = Instant::now();
+    let reads: Vec<JoinHandle<Outcome>> = (0..16)
+        .map(|number| {
+            let address = rig.fleet.gateways[1].caller_address;
+            let read = request(&format!("z{number}"), "GET", "/read/1").with_timeout(WORK_TIME * 2);
+            thread::spawn(move || client::send(address, &read))
+        })
+        .collect();
+    for read in reads {
+        assert_eq!(read.join().expect("clients do not panic").status, 200);
+    }
+    let arrivals = rig.fleet.ledger.arrivals();
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.upstream == ran && arrival.at > from);
+    assert_eq!(late.count(), 0, "requests after the notice");
+    rig.fleet.gateways[0].signal("CONT");
+    order.join().expect("clients do not panic");
+}
