fix: an earlier refusal that an upstream writes once more is taken for that of the present request

What callers saw: requests were answered 503 (not run, try again) although an upstream had run them or was running them, and ran a second time when they came back or were retried (REFUSED, TWICE).

Answers to calls about engines (reports, copies) were not looked at for an id at all.

Why it works: an answer that names another request, or several, says nothing about this one: the fate of an order is unknown (502), a read is retried, the connection is closed. A refusal is believed of the first send of an id to an upstream alone. One without an id counts as before, since each connection carries one request. An answer to a call that names a request is none.

--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -1,6 +1,6 @@
 //! An admitted client request with everything that its handling needs.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use carob_dispatch::{
@@ -9,8 +9,12 @@
     head::Head,
     table::{Engine, Route, RouteKind},
 };
-use carob_platform::request::{self, AddedHeaders, Resume};
-use hyper::{Response, http::request::Parts};
+use carob_platform::{
+    answer::{self, AnswerKind},
+    request::{self, AddedHeaders, Resume},
+};
+use hyper::{HeaderMap, Response, StatusCode, http::request::Parts};
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::{
@@ -65,6 +69,8 @@
     pub(super) deadline: Instant,
     /// Version of the configuration that the request was admitted by.
     pub(super) version: u64,
+    /// Upstreams that the request was sent to, once for each time.
+    pub(super) sent_to: RefCell<SmallVec<[UpstreamKey; 4]>>,
 }
 
 impl Call {
@@ -164,6 +170,27 @@
         }
     }
 
+    /// Classifies the answer to the latest send to `upstream`. That it was not run is believed of its first send alone: the
+    /// upstream may have written its earlier refusal once more.
+    pub(super) fn classify(
+        &self,
+        upstream: UpstreamKey,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> AnswerKind {
+        let kind = answer::classify(status, headers, &self.head.id);
+        let sends = self
+            .sent_to
+            .borrow()
+            .iter()
+            .filter(|sent| **sent == upstream)
+            .count();
+        if kind == AnswerKind::NotRun && sends > 1 {
+            return AnswerKind::Foreign;
+        }
+        kind
+    }
+
     /// When the request gets its final answer at the latest: its deadline, or shortly before the process exits.
     pub(super) fn answer_deadline(&self) -> Instant {
         self.shared.shutdown().map_or(self.deadline, |shutdown| {
@@ -202,6 +229,7 @@
         if reservation.record_sent() {
             limit::count_permits("used", 1);
         }
+        self.sent_to.borrow_mut().push(reservation.upstream);
         let sent = Instant::now();
         let may_repeat = self.route.kind == RouteKind::Safe;
         let is_direct = connection.relay().is_none();
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -1,6 +1,6 @@
 //! Handling of one request, from its head to the head of its response.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use carob_dispatch::{
@@ -10,10 +10,7 @@
     outcome::{AttemptResult, NextAction},
     table::{Denial, RouteKind},
 };
-use carob_platform::{
-    answer::{self, AnswerKind},
-    request,
-};
+use carob_platform::{answer::AnswerKind, request};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use tokio::time::{Instant, timeout_at};
 
@@ -184,6 +181,7 @@
         deadline: client_deadline.min(arrival + found.route.timeout),
         route: found.route.clone(),
         version: table.version(),
+        sent_to: RefCell::default(),
         head,
         parts,
         body,
@@ -385,7 +383,7 @@
         Err(error) => return unanswered_send(call, reservation.upstream, &error, sent),
     };
     let status = response.status();
-    match answer::classify(status, response.headers(), &call.head.id) {
+    match call.classify(upstream, status, response.headers()) {
         AnswerKind::NotRun => {
             // Another upstream now has the address, so the intended one is gone.
             if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use carob_dispatch::fleet::{LinkFailure, UpstreamKey};
-use carob_platform::engine;
+use carob_platform::{answer, engine};
 use hyper::{Request, Response, header::HOST};
 use tokio::time::Instant;
 
@@ -183,12 +183,29 @@
     relay::open(shared, upstream, purpose, deadline).await
 }
 
-/// Sends a call about an upstream to it, directly or through another instance, and reads the whole response.
+/// Sends a call about the generation `id`, or about the upstream if that is empty, to the upstream, directly or through
+/// another instance, and reads the whole response.
 ///
 /// # Errors
 ///
-/// Returns an error if there is no response by `deadline`.
+/// Returns an error if there is no response by `deadline`, or it belongs to a request.
 pub(super) async fn call(
+    shared: &Rc<Shared>,
+    upstream: UpstreamKey,
+    request: Request<Bytes>,
+    id: &[u8],
+    deadline: Instant,
+) -> Result<Response<Bytes>, socket::Error> {
+    let response = exchange(shared, upstream, request, deadline).await?;
+    if answer::names_other_request(response.headers(), id) {
+        return Err(socket::Error::Broken(
+            "expected the answer to the call, found one to another request".to_owned(),
+        ));
+    }
+    Ok(response)
+}
+
+async fn exchange(
     shared: &Rc<Shared>,
     upstream: UpstreamKey,
     mut request: Request<Bytes>,
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -231,7 +231,7 @@
 /// Releases an unused copy, so that it does not occupy memory.
 pub(super) async fn release(shared: &Rc<Shared>, source: UpstreamKey, handle: &str) {
     let deadline = Instant::now() + RELEASE_TIMEOUT;
-    let released = link::call(shared, source, engine::release(handle), deadline).await;
+    let released = link::call(shared, source, engine::release(handle), b"", deadline).await;
     if let Err(error) = released {
         log::info!(error:% = error, handle; "unused copy not released");
     }
@@ -306,8 +306,8 @@
     let id = call.id().into_owned();
     for _ in 0..COPY_ATTEMPTS {
         let deadline = Instant::now() + COPY_TIMEOUT;
-        let answer = match link::call(&call.shared, source, engine::copy(&id, address, last), deadline).await
-        {
+        let request = engine::copy(&id, address, last);
+        let answer = match link::call(&call.shared, source, request, &call.head.id, deadline).await {
             Ok(response) => engine::decode_copy(response.status(), response.body()),
             Err(error) => {
                 log::info!(
--- a/crates/carob-gateway/src/traffic/probe.rs
+++ b/crates/carob-gateway/src/traffic/probe.rs
@@ -65,7 +65,7 @@
     let address = shared.fleet().upstream(upstream)?.entry.address;
     metrics::counter!("carobhaven_reports_total").increment(1);
     let deadline = Instant::now() + REPORT_TIMEOUT;
-    let response = match link::call(shared, upstream, engine::get_report(), deadline).await {
+    let response = match link::call(shared, upstream, engine::get_report(), b"", deadline).await {
         Ok(response) => response,
         Err(error) => {
             log::info!(upstream:% = address, error:% = error; "no report from upstream");
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -4,10 +4,7 @@
 
 use bytes::Bytes;
 use carob_dispatch::{budget::Reason, fleet::UpstreamHealth, migration::OVERLAP};
-use carob_platform::{
-    answer::{self, AnswerKind},
-    request::Resume,
-};
+use carob_platform::{answer::AnswerKind, request::Resume};
 use http_body_util::BodyExt;
 use hyper::Response;
 use tokio::time::{Instant, timeout};
@@ -117,7 +114,7 @@
         }
     };
     let status = response.status();
-    let kind = answer::classify(status, response.headers(), &call.head.id);
+    let kind = call.classify(reservation.upstream, status, response.headers());
     if kind != AnswerKind::Ran || !status.is_success() {
         limit::record_rejection(call, reservation.upstream, &response, driver.relay());
         log::warn!(
