fix: instances stop following the store when others write large odd values

Cause: an answer to a watch with more than 4 MiB of changes was refused for its length, and asked for again from the same revision, for good. What no instance reads, and entries of any size, were kept in memory and passed on.

Why it works: such an answer, and the third watch after two that failed, is followed by a full read, which has pages. Entries over 16 kB are kept as empty, which is malformed as well; keys that no instance reads are passed over.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::state::{Control, PREFIXES};
+use super::state::{Control, PREFIXES, keep};
 use crate::{
     era::{AnswerEra, Position},
     socket,
@@ -34,6 +34,9 @@
 /// Time limit of a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Number of failures in a row after which all content is read instead of the changes.
+const MAX_WATCH_FAILURES: u32 = 2;
+
 /// Mean time between two instances that read the content of a later era.
 const ERA_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -66,18 +69,16 @@
 pub(super) async fn run(control: Rc<Control>) {
     control.send_peers();
     let mut outage = Outage::default();
-    loop {
-        match read_all(&control).await {
-            Ok(()) => outage.record_success(),
-            Err(error) => {
-                outage.record_failure_and_pause(&control, &error).await;
-                continue;
-            }
-        }
-        watch_all(&control, &mut outage).await;
+    while let Err(error) = read_all(&control).await {
+        outage.record_failure_and_pause(&control, &error).await;
     }
+    outage.record_success();
+    watch_all(&control, &mut outage).await;
 }
 
+/// Revision that leaves the known position as it is: positions only advance.
+const UNCHANGED: u64 = 0;
+
 /// All items under a prefix.
 struct FullPrefix {
     prefix: &'static str,
@@ -87,7 +88,8 @@
 }
 
 /// Reads all content and sets the known position to that of the first page, so that a watch from there sees
-/// the changes made meanwhile. All pages have to be of one era, which is followed from then on.
+/// the changes made meanwhile. All pages have to be of one era, which is followed from then on; those of a later one are
+/// applied together.
 async fn read_all(control: &Control) -> Result<(), Error> {
     let pending = control.pending_era();
     let mut era = None;
@@ -105,7 +107,12 @@
             }
             revision.get_or_insert(page.revision);
             after = page.items.last().map(|item| item.key.clone());
-            items.extend(page.items);
+            let kept: Vec<Item> = page.items.into_iter().filter_map(keep).collect();
+            if found == control.position().era {
+                // What is known of this era is not lost if a later page fails.
+                control.apply(kept.clone(), Position::new(found, UNCHANGED));
+            }
+            items.extend(kept);
             if !page.has_more || after.is_none() {
                 break;
             }
@@ -139,9 +146,10 @@
     Ok(())
 }
 
-/// Watches until all content has to be read again: the store no longer has the history since the known revision, or is in
-/// a later era. Makes no calls while enough other instances watch.
+/// Watches for as long as the process runs. Reads all content again if the store no longer has the history since the known
+/// revision, is in a later era, or has more changes than one answer holds. Makes no calls while enough other instances watch.
 async fn watch_all(control: &Rc<Control>, outage: &mut Outage) {
+    let mut must_read = false;
     loop {
         let must_watch = control.must_watch();
         let was_watching = control.watching.replace(must_watch);
@@ -151,20 +159,19 @@
             control.send_status();
         }
         if !must_watch {
-            // Ends the measuring of an outage: the outcome of the last call no longer counts.
-            control.suspend_calls();
-            // A timeout is the usual case: this instance is not behind.
-            let notified = tokio::time::timeout(RECHECK_INTERVAL, control.lagging.notified()).await;
-            if control.pending_era().is_some() {
-                enter_era(control, outage).await;
-            } else if notified.is_ok() && control.is_behind() {
-                catch_up(control).await;
-            }
-            control.send_status();
+            follow_peers(control, outage).await;
             continue;
         }
-        if control.pending_era().is_some() {
-            return;
+        // Watches that fail again and again may each have been answered with too much.
+        if must_read || control.pending_era().is_some() || outage.failures >= MAX_WATCH_FAILURES {
+            match read_all(control).await {
+                Ok(()) => {
+                    must_read = false;
+                    outage.record_success();
+                }
+                Err(error) => outage.record_failure_and_pause(control, &error).await,
+            }
+            continue;
         }
         let from = control.position();
         let longest = control
@@ -196,16 +203,35 @@
                 control.record_confirmation();
                 control.apply(page.items, Position::new(era, page.revision));
             }
-            Ok(_) => return,
+            Ok(_) => must_read = true,
             Err(Error::Refused(Refusal::Compacted)) => {
                 log::info!(era = from.era, revision = from.revision; "the store has compacted the needed history; reading all content again");
-                return;
+                must_read = true;
+            }
+            // Many or large changes at once. A full read has pages.
+            Err(Error::Socket(error @ socket::Error::Unfinished(_))) => {
+                log::warn!(error:% = error, revision = from.revision; "changes not read at once; reading all content");
+                must_read = true;
             }
             Err(error) => outage.record_failure_and_pause(control, &error).await,
         }
     }
 }
 
+/// Waits for a while, and fetches what this instance has missed.
+async fn follow_peers(control: &Rc<Control>, outage: &mut Outage) {
+    // Ends the measuring of an outage: the outcome of the last call no longer counts.
+    control.suspend_calls();
+    // A timeout is the usual case: this instance is not behind.
+    let notified = tokio::time::timeout(RECHECK_INTERVAL, control.lagging.notified()).await;
+    if control.pending_era().is_some() {
+        enter_era(control, outage).await;
+    } else if notified.is_ok() && control.is_behind() {
+        catch_up(control).await;
+    }
+    control.send_status();
+}
+
 /// Reads the content of a later era as an instance that does not watch: from a peer if one has it, else from the store.
 /// Instances do so one after the other.
 async fn enter_era(control: &Rc<Control>, outage: &mut Outage) {
@@ -273,7 +299,9 @@
     let outcome = match socket::call(control.store_address(), request, started + timeout).await {
         Ok(response) => {
             let era = match control.judge_answer(response.headers(), "read") {
-                AnswerEra::Followed => Ok(expected),
+                // Another one than before the call if it was taken from a peer meanwhile.
+                AnswerEra::Followed => Ok(control.followed_era()),
+                AnswerEra::Unnamed => Ok(expected),
                 AnswerEra::Later(era) => Ok(era),
                 AnswerEra::Earlier(found) => Err(Error::OtherEra { expected, found }),
             };
--- a/crates/carob-gateway/src/control/register.rs
+++ b/crates/carob-gateway/src/control/register.rs
@@ -109,9 +109,11 @@
 /// Makes a call; returns the answer and its era.
 async fn call(control: &Control, request: Request<Bytes>) -> Result<(Response<Bytes>, u64), Error> {
     metrics::counter!("carobhaven_store_calls_total", "call" => "lease").increment(1);
+    let followed = control.followed_era();
     let response = socket::call(control.store_address(), request, Instant::now() + CALL_TIMEOUT).await?;
     let era = match control.judge_answer(response.headers(), "lease") {
         AnswerEra::Followed => control.followed_era(),
+        AnswerEra::Unnamed => followed,
         AnswerEra::Later(era) | AnswerEra::Earlier(era) => era,
     };
     Ok((response, era))
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -37,6 +37,29 @@
 /// larger changes from the store or from a peer.
 const MAX_UPDATE_BYTES: usize = 8 << 10;
 
+/// Maximum size of an upstream's entry and of an instance's registration in bytes, several times the usual one. Others may
+/// write anything there, up to a megabyte each.
+const MAX_ENTRY_BYTES: usize = 16 << 10;
+
+/// Returns what is kept of an item; nothing if no instance reads its key. A value that is too large for an entry is left
+/// empty, which is malformed as well.
+pub(super) fn keep(mut item: Item) -> Option<Item> {
+    if item.key == config::KEY {
+        return Some(item);
+    }
+    if !item.key.starts_with(directory::PREFIX) && !item.key.starts_with(INSTANCE_PREFIX) {
+        return None;
+    }
+    item.value = item.value.map(|value| {
+        if value.len() > MAX_ENTRY_BYTES {
+            Bytes::new()
+        } else {
+            value
+        }
+    });
+    Some(item)
+}
+
 /// How long a configuration counts as current without confirmation from the store or a peer: more than two
 /// watches that run into their timeouts.
 const MAX_STALENESS: Duration = Duration::from_millis(4_500);
@@ -196,7 +219,7 @@
             AnswerEra::Earlier(era) => {
                 log::info!(call, era, followed, revision; "answer of an earlier era of the store");
             }
-            AnswerEra::Later(_) | AnswerEra::Followed => {}
+            AnswerEra::Later(_) | AnswerEra::Followed | AnswerEra::Unnamed => {}
         }
         era
     }
@@ -337,6 +360,9 @@
     /// Applies `items`, of the era of `reached`, to the mirror and records that every change up to that point is known.
     /// Small changes that were seen by watching are passed on to the other instances.
     pub(super) fn apply(&self, items: Vec<Item>, reached: Position) {
+        // Others pass over changes that no instance reads as well.
+        let has_changes = !items.is_empty();
+        let items: Vec<Item> = items.into_iter().filter_map(keep).collect();
         let before = self.position();
         let is_next = before.revision > 0 && before.era == reached.era && before < reached;
         let small = items
@@ -344,7 +370,7 @@
             .map(|item| item.value.as_ref().map_or(0, Bytes::len))
             .sum::<usize>()
             <= MAX_UPDATE_BYTES;
-        if small && is_next && self.watching.get() && !items.is_empty() {
+        if small && is_next && self.watching.get() && has_changes {
             self.send(Update::StoreUpdate(StoreUpdate {
                 era: reached.era,
                 base: before.revision,
--- a/crates/carob-gateway/src/era.rs
+++ b/crates/carob-gateway/src/era.rs
@@ -36,6 +36,8 @@
     pub enum AnswerEra {
         /// It belongs to the era that is followed.
         Followed,
+        /// It names no era that can be used, and counts as one of the era that was followed when it was asked for.
+        Unnamed,
         /// It belongs to this later era, which is not followed yet.
         Later(u64),
         /// It belongs to this earlier era, or to that of another store.
@@ -44,7 +46,7 @@
 }
 
 carob_base::value! {
-    /// Why an answer's era is not used. The answer counts as one of the era that is followed.
+    /// Why an answer's era is not used.
     #[derive(thiserror::Error)]
     pub enum Unusable {
         /// The header cannot be read.
@@ -96,13 +98,13 @@
         (self.latest > self.followed()).then_some(self.latest)
     }
 
-    /// Judges an answer of the store by the era that it names. An answer whose era is not used counts as one of the
-    /// followed era; the reason is returned as well, unless it was returned for the answer before.
+    /// Judges an answer of the store by the era that it names. The reason why that is not used is returned as well, unless
+    /// it was returned for the answer before.
     pub fn judge(&mut self, named: Result<Option<u64>, EraError>) -> (AnswerEra, Option<Unusable>) {
         let judged = match named {
             Ok(Some(era)) => self.see(era),
             // A store that names no era, or an answer whose header is lost.
-            Ok(None) => return (AnswerEra::Followed, None),
+            Ok(None) => return (AnswerEra::Unnamed, None),
             Err(error) => Err(Unusable::Header(error)),
         };
         match judged {
@@ -113,7 +115,7 @@
             Err(unusable) => {
                 let is_new = self.reported.as_ref() != Some(&unusable);
                 self.reported = Some(unusable.clone());
-                (AnswerEra::Followed, is_new.then_some(unusable))
+                (AnswerEra::Unnamed, is_new.then_some(unusable))
             }
         }
     }
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -48,6 +48,9 @@
     /// The connection broke after the request may have been sent.
     #[error("connection broke: {0}")]
     Broken(String),
+    /// The response began and did not arrive whole: it is too long, or the deadline passed.
+    #[error("response not received whole: {0}")]
+    Unfinished(String),
     /// The deadline passed after the request may have been sent.
     #[error("no answer in time")]
     Timeout,
@@ -227,7 +230,10 @@
     let (head, body) = response.into_parts();
     let body = timeout_at(deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect())
         .await
-        .map_err(|_elapsed| Error::Timeout)?
-        .map_err(|error| Error::Broken(describe(&*error)))?;
+        .map_err(|_elapsed| Error::Unfinished("the deadline passed".to_owned()))?
+        .map_err(|error| match error.downcast_ref::<LengthLimitError>() {
+            Some(_) => Error::Unfinished(format!("expected at most {MAX_RESPONSE_BYTES} bytes, found more")),
+            None => Error::Broken(describe(&*error)),
+        })?;
     Ok(Response::from_parts(head, body.to_bytes()))
 }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -430,7 +430,7 @@
     let shared = &call.shared;
     let (health, result) = match error {
         socket::Error::Connect(_) => (UpstreamHealth::Unreachable, AttemptResult::Unsent),
-        socket::Error::Broken(_) | socket::Error::Timeout => {
+        socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
             (UpstreamHealth::Failing, AttemptResult::Unknown)
         }
     };
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -124,7 +124,9 @@
             record_failure(shared, upstream, LinkFailure::Request, error);
         }
         // The answer may be the only thing that failed; the probe tells.
-        Err(socket::Error::Broken(_) | socket::Error::Timeout) => suspect(shared, upstream, sent),
+        Err(socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout) => {
+            suspect(shared, upstream, sent);
+        }
     }
     outcome
 }
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -139,7 +139,9 @@
 fn record_failed_attempt(call: &Call, reservation: &Reservation, error: &socket::Error) {
     let health = match error {
         socket::Error::Connect(_) => UpstreamHealth::Unreachable,
-        socket::Error::Broken(_) | socket::Error::Timeout => UpstreamHealth::Failing,
+        socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
+            UpstreamHealth::Failing
+        }
     };
     let shared = &call.shared;
     shared
