test: the soak does drills of the store, and lets upstreams send earlier answers once more

Nothing in the soak let the store come back from a copy, and no upstream sent another request's answer before its own. Drills come in series, every third within a second of the one before, beside all other faults; up to 300 changes are lost, what was lost is written again up to 1.5 s later. At the end, after a last drill, each gateway has to drop a route in 2.5 s and to leave an upstream alone that leaves.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,6 +11,8 @@
 mod checks;
 #[path = "soak/cuts.rs"]
 mod cuts;
+#[path = "soak/drills.rs"]
+mod drills;
 #[path = "soak/faults.rs"]
 mod faults;
 mod fleet;
@@ -44,7 +46,7 @@
 /// Seeds of the run in CI.
 const SEEDS: [u64; 2] = [1, 2];
 /// Seeds that once failed, with the cause.
-const FAILED_SEEDS: [(&str, &[u64]); 7] = [
+const FAILED_SEEDS: [(&str, &[u64]); 8] = [
     (
         "a request sent later than three seconds after SIGTERM was passed on and cut off when the grace ended, since \
          its expected duration had been taken for a bound",
@@ -79,6 +81,10 @@
         "with 6 gateways: a stream without framing looked complete when the gateway that relayed it was killed",
         &[9020],
     ),
+    (
+        "a store that came back from a copy was not followed; another request's refusal, sent once more, was believed",
+        &[11],
+    ),
 ];
 /// Seconds of planned work and faults for each seed in CI.
 const SECONDS: u64 = 24;
@@ -150,6 +156,7 @@
         thread.join().expect("clients do not panic");
     }
     injector.recover();
+    injector.check_drills();
     injector.shut_down_idle();
     check(seed, &injector);
 }
@@ -172,6 +179,8 @@
         &injector.operator,
         &injector.harms,
     ));
+    violations.extend(injector.drill_violations.iter().cloned());
+    eprintln!("drills of the store: {}", injector.drills.count);
     violations.extend(injector.cuts.violations(&observations, &injector.operator));
     print_refused(injector);
     violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -21,6 +21,7 @@
 use crate::{
     EVENT_INTERVAL, POLL_INTERVAL,
     cuts::Cuts,
+    drills::{Drills, FLAGS},
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
     limits::Limits,
     operator::Operator,
@@ -156,6 +157,10 @@
     pub limits: Limits,
     /// Links of single gateways that are cut.
     pub cuts: Cuts,
+    /// Drills of the store.
+    pub drills: Drills,
+    /// What does not hold after the last of them.
+    pub drill_violations: Vec<String>,
     /// Draws where streams break off, so that it does not change the sequence of the faults.
     cut_rng: StdRng,
     /// When outages, network faults and bad answers end.
@@ -199,6 +204,8 @@
             deadly: (0, Instant::now()),
             limits: Limits::new(seed.rotate_left(24)),
             cuts: Cuts::new(seed.rotate_left(41)),
+            drills: Drills::new(seed.rotate_left(29)),
+            drill_violations: Vec::new(),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
             heal_at: Instant::now(),
             harms: Vec::new(),
@@ -306,8 +313,7 @@
 
     fn configure(&mut self, version: u64) {
         self.version = version;
-        let content = config::config(version, &ROUTES, &[CLIENT_KEY, "another-key"]);
-        self.fleet.store.put(config::KEY, &content);
+        write_config(&self.fleet, version);
     }
 
     fn choose_upstream(&self, rng: &mut StdRng) -> Upstream {
@@ -492,6 +498,16 @@
         for text in self.limits.poll([&self.engines, &self.plain]) {
             self.note(&text);
         }
+        let version = self.version;
+        let configure = || write_config(&self.fleet, version);
+        let upstreams: [&[Upstream]; 2] = [&self.engines, &self.plain];
+        // Processes that are killed all the time know nothing while the store is away.
+        let is_calm = self.trouble.until.is_none() || self.drills.is_away();
+        if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
+            self.note(text);
+            // Stale answers end with other faults.
+            self.heal_at = self.heal_at.max(Instant::now() + CUT_TIME);
+        }
         self.operator.poll(&mut self.fleet);
         for gateway in 0..self.fleet.gateways.len() {
             let restarts =
@@ -623,6 +639,18 @@
         }
     }
 
+    /// Does a last drill of the store, and checks what follows.
+    pub fn check_drills(&mut self) {
+        let mut version = self.version;
+        let mut configure = |is_next: bool| {
+            version += u64::from(is_next);
+            write_config(&self.fleet, version);
+            version
+        };
+        let upstreams: [&[Upstream]; 2] = [&self.engines, &self.plain];
+        self.drill_violations = Drills::finish(&self.fleet, upstreams, &mut configure);
+    }
+
     /// Tells every gateway to shut down while its connections are idle, and checks that each ends soon, also if
     /// it gets further signals.
     pub fn shut_down_idle(&mut self) {
@@ -664,6 +692,14 @@
     }
 }
 
+/// Writes a configuration with the routes of all versions and the flag of this one.
+fn write_config(fleet: &Fleet, version: u64) {
+    let mut routes = ROUTES.to_vec();
+    routes.push(FLAGS[(version % FLAGS.len() as u64) as usize].clone());
+    let content = config::config(version, &routes, &[CLIENT_KEY, "another-key"]);
+    fleet.store.put(config::KEY, &content);
+}
+
 /// Starts the engine with this number.
 fn start_engine(fleet: &Fleet, number: u32) -> Upstream {
     let engine = fleet.start_engine(&format!("e{number}"), 1, EVENT_INTERVAL);
