--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -6,6 +6,7 @@
     fs::File,
     io::{BufRead as _, BufReader, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex, PoisonError,
@@ -55,6 +56,8 @@
     pub store_endpoint: Endpoint,
     /// Directory of the settings file.
     pub directory: tempfile::TempDir,
+    /// The program; `CAROB_PROGRAM` names that of another build. Its next process may be of another one again.
+    pub program: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -171,6 +174,8 @@
             peer_address: socket_address(peer_port),
             store_endpoint,
             directory,
+            program: std::env::var_os("CAROB_PROGRAM")
+                .map_or_else(|| env!("CARGO_BIN_EXE_carobhaven").into(), PathBuf::from),
             lines: Arc::default(),
         };
         gateway.write_settings(seeds, "10s");
@@ -239,7 +244,7 @@
 
     fn start_process(&self) -> Child {
         spawn(
-            Command::new(env!("CARGO_BIN_EXE_carobhaven"))
+            Command::new(&self.program)
                 .args(["gateway", "--settings"])
                 .arg(self.settings_path())
                 .stdout(Stdio::piped()),
