fix: removals that a full read shows are not passed on to instances that do not watch

What callers would have seen: requests reach an upstream that has gone (DRAIN).

Why it works: only what a watch or another instance's datagram shows, which is every change between two positions, is passed on.

The first answers after a start are not logged as those of a later era any more.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -201,7 +201,7 @@
             Ok((page, era)) if era == from.era && era == control.followed_era() => {
                 outage.record_success();
                 control.record_confirmation();
-                control.apply(page.items, Position::new(era, page.revision));
+                control.apply_changes(page.items, Position::new(era, page.revision));
             }
             Ok(_) => must_read = true,
             Err(Error::Refused(Refusal::Compacted)) => {
@@ -272,7 +272,7 @@
     match call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT).await {
         Ok((page, era)) if era == from.era && era == control.followed_era() => {
             control.record_confirmation();
-            control.apply(page.items, Position::new(era, page.revision));
+            control.apply_changes(page.items, Position::new(era, page.revision));
             log::info!(before, era, revision = control.revision(); "caught up with the store");
         }
         // The content of the later era is read next.
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -102,7 +102,7 @@
         && update.base <= own.revision
         && update.revision > own.revision
     {
-        control.apply(update.items, Position::new(update.era, update.revision));
+        control.apply_changes(update.items, Position::new(update.era, update.revision));
     }
     let own = control.position();
     if watching && reached <= own {
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -212,7 +212,8 @@
         }
         let (revision, followed) = (self.revision(), eras.followed());
         match era {
-            AnswerEra::Later(era) if before != Some(era) => {
+            // The first answers of all name an era that is not followed yet.
+            AnswerEra::Later(era) if before != Some(era) && self.position() > Position::START => {
                 log::info!(call, era, followed, revision; "the store is in a later era");
                 self.announce_pending();
             }
@@ -232,7 +233,7 @@
             log::debug!(peer:% = peer, error:% = error; "era of another instance not used");
             return false;
         }
-        if self.pending_era() != before {
+        if self.pending_era() != before && self.position() > Position::START {
             let (followed, revision) = (self.followed_era(), self.revision());
             log::info!(peer:% = peer, era, followed, revision; "another instance follows a later era of the store");
             self.announce_pending();
@@ -357,12 +358,12 @@
         }
     }
 
-    /// Applies `items`, of the era of `reached`, to the mirror and records that every change up to that point is known.
-    /// Small changes that were seen by watching are passed on to the other instances.
-    pub(super) fn apply(&self, items: Vec<Item>, reached: Position) {
-        // Others pass over changes that no instance reads as well.
-        let has_changes = !items.is_empty();
-        let items: Vec<Item> = items.into_iter().filter_map(keep).collect();
+    /// Applies `changes`, which are all those from the known position to `reached`. Small ones that were seen by watching are
+    /// passed on to the other instances.
+    pub(super) fn apply_changes(&self, changes: Vec<Item>, reached: Position) {
+        // Changes that no instance reads bring the others to the same position, too.
+        let has_changes = !changes.is_empty();
+        let items: Vec<Item> = changes.into_iter().filter_map(keep).collect();
         let before = self.position();
         let is_next = before.revision > 0 && before.era == reached.era && before < reached;
         let small = items
@@ -378,8 +379,13 @@
                 items: items.clone(),
             }));
         }
+        self.apply(items, reached);
+    }
+
+    /// Applies `items`, of the era of `reached`, to the mirror and records that every change up to that point is known.
+    pub(super) fn apply(&self, items: Vec<Item>, reached: Position) {
         let mut instances_changed = false;
-        for item in items {
+        for item in items.into_iter().filter_map(keep) {
             let change = self.mirror.borrow_mut().apply(
                 &item.key,
                 Position::new(reached.era, item.revision),
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -249,3 +249,35 @@
         .filter(|started| started.id.starts_with("after") && started.upstream == "p1");
     assert_eq!(late.count(), 0);
 }
+
+/// The store forgets its history while it is away, so that gateways which watch read all content anew.
+#[test]
+fn a_removal_that_a_full_read_shows_is_passed_on_as_if_nothing_had_changed() {
+    let fleet = Fleet::start(5);
+    let _gone = fleet.start_plain("p0", Duration::from_millis(2));
+    let _other = fleet.start_plain("p1", Duration::from_millis(2));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_outage(Some(Outage::Reset));
+    }
+    // Shorter than an outage in which entries may lapse.
+    thread::sleep(Duration::from_millis(500));
+    fleet.store.remove("servers/p0");
+    fleet.store.compact();
+    fleet.store.put_bytes("op/note", b"1");
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_outage(None);
+    }
+    thread::sleep(Duration::from_millis(2_500));
+    let from = Instant::now();
+    for number in 0..100 {
+        let read = request(&format!("r{number}"), "GET", "/read/1");
+        assert_eq!(fleet.send(number % 5, &read).status, 200);
+    }
+    let arrivals = fleet.ledger.arrivals();
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.upstream == "p0" && arrival.at > from);
+    assert_eq!(late.count(), 0, "requests to an upstream that has gone");
+}
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -16,6 +16,9 @@
 /// Interval between two events; a generation of 150 events takes at least three seconds.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time after which a leaving upstream gets no more requests (`DrainMs`).
+const DRAIN: Duration = Duration::from_millis(2_500);
+
 /// Time between the announcement that an upstream leaves and its end.
 const NOTICE: Duration = Duration::from_millis(1_600);
 
@@ -128,6 +131,34 @@
     scenario.expect_complete(1);
 }
 
+/// The target of a copy leaves as well, before the source ends.
+#[test]
+fn a_generation_continues_at_a_target_that_leaves_for_longer_than_it_may_get_requests() {
+    let scenario = Scenario::start(400, |_| {});
+    scenario.target.set_answer_mode(AnswerMode::Rejection);
+    scenario.source.leave(DRAIN * 2);
+    wait_until("the target has rejected the generation", || {
+        scenario.fleet.gateways[0].logged("generation could not continue elsewhere")
+    });
+    scenario.target.set_answer_mode(AnswerMode::Normal);
+    scenario.target.announce_leaving();
+    let announced = Instant::now();
+    let outcome = scenario.client.join().expect("no client panics");
+    assert!(
+        announced.elapsed() > DRAIN,
+        "the source ended too early for the test"
+    );
+    let arrivals = scenario.fleet.ledger.arrivals();
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.upstream == scenario.target.id() && arrival.at > announced + DRAIN);
+    assert_eq!(late.count(), 0, "requests to an upstream that leaves");
+    assert!(
+        !outcome.complete,
+        "the events that the source did not send are missing"
+    );
+}
+
 /// If a second copy still waits for the network link when the source ends, the first copy must be used. Found
 /// on saarela-tukku-grown, scale-1.
 #[test]
