fix: an upstream without a start stays away after it has left; a line is logged again

Found on reading the diff. Entries that do not name the start of their incarnation number their entries from one again after a restart, so that one that had left would not have been used again (no caller has seen it; tests/fleet.rs has the case). Such entries are told apart as before, by the list alone. "all content of the store read" had been lost, and a process that got its first content from a build without eras would have logged that the store has come back from a copy.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -20,11 +20,17 @@
     /// that has come back.
     pub fn update_entry(&mut self, mut entry: DirectoryEntry, now: Time) -> Option<UpstreamKey> {
         let listed = self.by_name.get(&entry.id).copied();
-        let known = self.find_incarnation(&entry);
+        let known = if entry.started_ms > 0 {
+            self.find_incarnation(&entry)
+        } else {
+            // Without its start, a removed entry may be that of an earlier incarnation.
+            listed.filter(|key| self.is_same(*key, &entry))
+        };
         if let Some(key) = known
             && let Some(upstream) = self.upstreams.get_mut(key)
         {
-            let is_outdated = entry.sequence > 0 && entry.sequence <= upstream.entry.sequence;
+            let is_outdated =
+                entry.started_ms > 0 && entry.sequence > 0 && entry.sequence <= upstream.entry.sequence;
             let is_replaced = listed.is_some_and(|listed| listed != key);
             if is_replaced && is_outdated {
                 return None;
@@ -80,8 +86,17 @@
     /// The upstream whose incarnation, address and service an entry names, also if its entry was removed since.
     fn find_incarnation(&self, entry: &DirectoryEntry) -> Option<UpstreamKey> {
         let key = self.find_hash(incarnation_hash(&entry.id, entry.started_ms))?;
-        let known = &self.upstreams.get(key)?.entry;
-        (known.address == entry.address && known.service == entry.service).then_some(key)
+        self.is_same(key, entry).then_some(key)
+    }
+
+    /// Whether an entry names the incarnation, address and service of an upstream.
+    fn is_same(&self, key: UpstreamKey, entry: &DirectoryEntry) -> bool {
+        self.upstreams.get(key).is_some_and(|known| {
+            let known = &known.entry;
+            known.started_ms == entry.started_ms
+                && known.address == entry.address
+                && known.service == entry.service
+        })
     }
 
     /// Takes a new upstream for brittle if others of its service are: it has not answered yet.
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -440,3 +440,22 @@
     fleet.update_entry(written(8, 2), NOW);
     assert_eq!(placed(&fleet, NEW_GENERATION), newer);
 }
+
+/// Entries that do not name the start of their incarnation number their entries from one again after a restart.
+#[test]
+fn an_upstream_without_a_start_stays_away_after_it_has_left() {
+    let mut fleet = fleet();
+    let written = |sequence, state| DirectoryEntry {
+        started_ms: 0,
+        sequence,
+        state,
+        ..entry("e1", "a")
+    };
+    fleet.update_entry(written(9, UpstreamState::Leaving), NOW);
+    fleet.remove_entry("e1", NOW);
+    fleet.update_entry(written(1, UpstreamState::Ready), NOW);
+    assert!(matches!(
+        fleet.place(&requirements(NEW_GENERATION), NOW),
+        Placement::Upstream(_)
+    ));
+}
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -143,6 +143,7 @@
         control.refute_era(pending);
     }
     control.send_peers();
+    log::info!(era, revision = control.revision(); "all content of the store read");
     Ok(())
 }
 
--- a/crates/carob-gateway/src/era.rs
+++ b/crates/carob-gateway/src/era.rs
@@ -146,8 +146,8 @@
         })
     }
 
-    /// Records that all content of `era` is known. Returns the era that was followed before; `None` if it is the first or the
-    /// same, or an earlier one.
+    /// Records that all content of `era` is known. Returns the era that was followed before; `None` if that is the same or a
+    /// later one, if there was none, or if it was not known, since content came from an instance that knows no eras.
     pub fn follow(&mut self, era: u64) -> Option<u64> {
         let before = self.followed;
         if before.is_some_and(|before| before >= era) {
@@ -155,7 +155,7 @@
         }
         self.followed = Some(era);
         self.latest = self.latest.max(era);
-        before
+        before.filter(|before| *before > 0)
     }
 
     /// Records that a read of all content which began after `pending` was seen belongs to the followed era, so that the
--- a/crates/carob-gateway/tests/era.rs
+++ b/crates/carob-gateway/tests/era.rs
@@ -58,6 +58,16 @@
     assert_eq!(eras.followed(), 4);
 }
 
+/// A process took its first content from an instance of a build that knows no eras.
+#[test]
+fn the_first_era_that_is_named_counts_as_a_return_from_a_copy() {
+    let mut eras = Eras::new();
+    assert_eq!(eras.follow(0), None);
+    assert_eq!(eras.judge(Ok(Some(7))), (AnswerEra::Later(7), None));
+    assert_eq!(eras.follow(7), None);
+    assert_eq!(eras.follow(8), Some(7));
+}
+
 #[test]
 fn an_era_far_ahead_keeps_all_later_ones_out() {
     let mut eras = Eras::new();
