--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -1,9 +1,9 @@
 //! HTTP client connections with deadlines, for one request each.
 //!
 //! Connections are not reused. Upstreams close idle connections at any time and may send late responses on
-//! them. With a connection per request, a response can never be attributed to another request, and a request
-//! whose connection could not be established is known not to have been sent. A new connection within a region
-//! takes a few milliseconds.
+//! them. With a connection per request, late responses to other requests do not arrive where one is awaited, unless
+//! a faulty upstream writes them there, which the id in them tells. A request whose connection could not be established
+//! is known not to have been sent. A new connection within a region takes a few milliseconds.
 
 use std::{
     net::{IpAddr, SocketAddr},
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! An instance whose links to upstreams are lost asks another one to connect to an upstream, and sends its request on
 //! that connection. The other instance forwards bytes and decides nothing, so that deadlines, attempts, permits and
-//! streams are the business of one instance, as on a direct connection. It connects itself: what is relayed is never
-//! relayed again.
+//! streams are the business of one instance, as on a direct connection. It only reads from the head of the answer whether
+//! the upstream leaves, since it is bound by that too. It connects itself: what is relayed is never relayed again.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
