test: eras that gateways which do not watch see first, starts and shutdowns in a drill, and a revoked key

Three cases of the store's return from a copy had no test of their own: the gateways that watch are refused by the store, so that the others see the next era first; one gateway shuts down and another starts while the store is away; the copy has a key that was taken away since.

--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -7,8 +7,8 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::{Outage, StoreCopy};
-use fleet::{CONTACT, DRAIN, Fleet, request, wait_until};
+use carob_platform_standin::{Outage, StoreCopy, client::Request, config};
+use fleet::{CLIENT_KEY, CONTACT, DRAIN, Fleet, ROUTES, request, wait_until};
 
 const GATEWAYS: usize = 4;
 
@@ -251,3 +251,101 @@
         fleet.expect_version(version, is_added);
     }
 }
+
+/// The store refuses the gateways that watch it, so that the others see the next era first.
+#[test]
+fn an_era_that_gateways_which_do_not_watch_see_first_is_not_followed() {
+    let fleet = Fleet::start(GATEWAYS);
+    let leaving = fleet.start_plain("p0", Duration::from_millis(2));
+    let _other = fleet.start_plain("p1", Duration::from_millis(2));
+    fleet.configure();
+    wait_until("two gateways watch", || {
+        let watching = fleet.gateways.iter().filter(|gateway| gateway.watches_store());
+        watching.count() == 2
+    });
+    thread::sleep(Duration::from_secs(2));
+    let copy = fleet.store.copy();
+    write_changes(&fleet, 200);
+    thread::sleep(Duration::from_secs(1));
+    for gateway in fleet.gateways.iter().filter(|gateway| gateway.watches_store()) {
+        gateway.store_endpoint.set_outage(Some(Outage::Silent));
+    }
+    fleet.store.restore(&copy);
+    thread::sleep(CONTACT);
+    fleet.expect_version(2, true);
+    leaving.announce_leaving();
+    thread::sleep(DRAIN);
+    let from = Instant::now();
+    for number in 0..80 {
+        let found = status(&fleet, number % GATEWAYS, "/read/1", &format!("r{number}"));
+        assert_eq!(found, 200);
+    }
+    assert_eq!(fleet.arrivals_after("p0", from), 0, "requests after the notice");
+}
+
+/// One gateway shuts down meanwhile, another one starts while the store is away.
+#[test]
+fn gateways_that_start_or_shut_down_in_a_drill_fall_behind() {
+    let mut fleet = Fleet::start(GATEWAYS);
+    let _upstream = fleet.start_plain("p0", Duration::from_millis(2));
+    let _engine = fleet.start_engine("e0", 60, Duration::from_millis(50));
+    fleet.configure();
+    thread::sleep(Duration::from_secs(2));
+    let copy = fleet.store.copy();
+    fleet.expect_version(2, true);
+    write_changes(&fleet, 200);
+    let client = fleet.start_generation(3, "d1");
+    fleet.gateways[3].signal("TERM");
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_outage(Some(Outage::Reset));
+    }
+    fleet.gateways[2].signal("KILL");
+    let _ended = fleet.gateways[2].child.wait();
+    fleet.gateways[2].spawn();
+    thread::sleep(AWAY);
+    fleet.store.restore(&copy);
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_outage(None);
+    }
+    thread::sleep(REWRITE);
+    fleet.write_version(2, true);
+    assert!(client.join().expect("no client panics").complete);
+    let _ended = fleet.gateways[3].child.wait();
+    fleet.gateways[3].spawn();
+    fleet.wait_ready();
+    thread::sleep(CONTACT);
+    fleet.expect_version(3, false);
+    fleet.expect_version(4, true);
+}
+
+/// The copy has the version before, with a key that was taken away since.
+#[test]
+fn a_key_that_was_revoked_comes_back_with_a_copy() {
+    let fleet = Fleet::start(GATEWAYS);
+    let _upstream = fleet.start_plain("p0", Duration::from_millis(2));
+    fleet.configure();
+    let write = |version, keys: &[&str]| {
+        let content = config::config(version, &ROUTES, keys);
+        fleet.store.put(config::KEY, &content);
+    };
+    write(2, &[CLIENT_KEY, "revoked"]);
+    thread::sleep(Duration::from_secs(2));
+    let copy = fleet.store.copy();
+    write(3, &[CLIENT_KEY]);
+    let with_key = |gateway: usize, id: &str| {
+        let read = Request::new(id, "GET", "/read/1").with_key("revoked");
+        fleet.send(gateway, &read).status
+    };
+    wait_until("no gateway takes the key", || {
+        (0..GATEWAYS).all(|gateway| with_key(gateway, &format!("w{gateway}")) == 401)
+    });
+    restore(&fleet, &copy);
+    let from = Instant::now();
+    let mut number = 0;
+    while from.elapsed() < CONTACT {
+        number += 1;
+        let found = with_key(number % GATEWAYS, &format!("k{number}"));
+        assert!(matches!(found, 401 | 503), "the key is taken again: {found}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
