--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -4,6 +4,7 @@
 
 use std::{env, fs, thread, time::Duration};
 
+use carob_platform_standin::config::raw_entry;
 use fleet::{Fleet, Gateway, request, wait_until};
 
 const GATEWAYS: usize = 3;
@@ -21,15 +22,6 @@
 /// optimisation, the stand-in takes a tenth of a second for each.
 const VALUES: usize = 2;
 
-/// An entry in which `Slots` or the port is replaced, or that has a further field.
-fn entry(slots: &str, address: &str, field: &str) -> Vec<u8> {
-    let text = format!(
-        "{{\"Service\":\"plain\",\"Address\":\"{address}\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":{slots},\
-         \"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":1,\"born\":1{field}}}"
-    );
-    text.into_bytes()
-}
-
 /// Values that are no entries.
 fn odd_values() -> Vec<Vec<u8>> {
     let mut values = vec![
@@ -38,23 +30,23 @@
         b"[1".to_vec(),
         vec![0xff, 0xfe, 0x00],
         vec![0; 70_000],
-        entry("1e400", "127.0.0.1:9", ""),
-        entry("99999999999999999999999", "127.0.0.1:9", ""),
-        entry("-1", "127.0.0.1:9", ""),
-        entry("\"24\"", "127.0.0.1:9", ""),
-        entry("1", "127.0.0.1:99999", ""),
-        entry("1", "127.0.0.1:-1", ""),
-        entry("1", "127.0.0.1:0", ""),
-        entry("1", "nowhere", ""),
-        entry("1", "127.0.0.1:9", ",\"born\":1e999"),
+        raw_entry("1e400", "127.0.0.1:9", ""),
+        raw_entry("99999999999999999999999", "127.0.0.1:9", ""),
+        raw_entry("-1", "127.0.0.1:9", ""),
+        raw_entry("\"24\"", "127.0.0.1:9", ""),
+        raw_entry("1", "127.0.0.1:99999", ""),
+        raw_entry("1", "127.0.0.1:-1", ""),
+        raw_entry("1", "127.0.0.1:0", ""),
+        raw_entry("1", "nowhere", ""),
+        raw_entry("1", "127.0.0.1:9", ",\"born\":1e999"),
     ];
     for depth in [100, 1_000, 30_000, 300_000] {
         for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
             let nested = format!("{}1{}", open.repeat(depth), close.repeat(depth));
             values.push(nested.clone().into_bytes());
             values.push(open.repeat(depth).into_bytes());
-            values.push(entry(&nested, "127.0.0.1:9", ""));
-            values.push(entry("1", "127.0.0.1:9", &format!(",\"Seq\":{nested}")));
+            values.push(raw_entry(&nested, "127.0.0.1:9", ""));
+            values.push(raw_entry("1", "127.0.0.1:9", &format!(",\"Seq\":{nested}")));
         }
     }
     values.retain(|value| value.len() <= VALUE_BYTES);
