--- a/crates/carob-dispatch/src/head.rs
+++ b/crates/carob-dispatch/src/head.rs
@@ -21,6 +21,18 @@
     }
 }
 
+carob_base::plain! {
+    /// What a client says of the events that it has of a stream.
+    pub enum LastEvent {
+        /// Nothing: it wants the whole stream.
+        Absent,
+        /// It has all events up to the one with this id.
+        Id(u64),
+        /// Something that is no single id.
+        Malformed,
+    }
+}
+
 carob_base::value! {
     /// The header values that decide how a request is handled.
     pub struct Head {
@@ -38,5 +50,7 @@
         pub parts: SmallVec<[u64; 4]>,
         /// Hash of the ids of all parts of the prompt, the last one included; zero if the request has none.
         pub prompt: u64,
+        /// Events that the client has from an earlier attempt.
+        pub last_event: LastEvent,
     }
 }
--- a/crates/carob-dispatch/src/lib.rs
+++ b/crates/carob-dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`limits`]: request rates that upstreams name for all instances together.
 //! * [`migration`]: limits and timeouts of migrating a generation to another upstream.
 //! * [`outcome`]: what to do after an attempt at an upstream.
+//! * [`position`]: which events of a stream its client gets, while several runs produce them.
 
 pub mod budget;
 pub mod crashes;
@@ -21,4 +22,5 @@
 pub mod limits;
 pub mod migration;
 pub mod outcome;
+pub mod position;
 pub mod table;
--- a/crates/carob-dispatch/src/outcome.rs
+++ b/crates/carob-dispatch/src/outcome.rs
@@ -52,7 +52,7 @@
     rejected: u32,
     attempts: u32,
 ) -> NextAction {
-    let repeatable = matches!(kind, RouteKind::Safe) && ran < attempts;
+    let repeatable = kind.is_idempotent() && ran < attempts;
     match attempt {
         AttemptResult::Unsent | AttemptResult::Rejected if rejected <= MAX_REJECTIONS => NextAction::Retry,
         AttemptResult::Unsent | AttemptResult::Rejected if ran == 0 => NextAction::Refuse,
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -14,9 +14,33 @@
         /// A stream of events. Runs at most once, but may continue at another upstream from a copy of its KV
         /// cache.
         Stream,
+        /// A stream of events that may run any number of times: a further run goes on after the last event that
+        /// the client has.
+        ResumableStream,
     }
 }
 
+impl RouteKind {
+    /// Whether answers are streams of events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+
+    /// Whether a request may run more than once.
+    pub const fn is_idempotent(self) -> bool {
+        matches!(self, Self::Safe | Self::ResumableStream)
+    }
+}
+
+/// Pause in a stream that clients bear at least.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Pause that clients bear, as a multiple of the target latency.
+const LATENCY_PATIENCE: u32 = 4;
+
+/// Pause that clients bear, as a multiple of the target for pauses.
+const GAP_PATIENCE: u32 = 8;
+
 carob_base::value! {
     /// Routing rule for a host and a path prefix.
     pub struct Route {
@@ -33,6 +57,8 @@
         /// Target for the time to the answer, or to the first event of a stream; an answer within it gets
         /// full credit.
         pub target_latency: Duration,
+        /// Longest pause between two events of a stream that is on time; zero if the operators name none.
+        pub gap_target: Duration,
         /// Priority; 0 is the most urgent.
         pub priority: u8,
         /// Service names with their weights for the traffic split.
@@ -218,6 +244,14 @@
 }
 
 impl Route {
+    /// Pause after which clients give up a stream, also before its first event. It is the longest of three that the
+    /// operators' pages name.
+    pub fn patience(&self) -> Duration {
+        MIN_PATIENCE
+            .max(self.target_latency * LATENCY_PATIENCE)
+            .max(self.gap_target * GAP_PATIENCE)
+    }
+
     /// Picks a service with probability proportional to its weight; `None` if all weights are zero.
     ///
     /// `draw` is a random number from 0 up to, but not including, 1.
--- a/crates/carob-dispatch/tests/outcome.rs
+++ b/crates/carob-dispatch/tests/outcome.rs
@@ -19,7 +19,9 @@
 proptest! {
     #[test]
     fn outcomes_are_truthful(
-        kind in prop::sample::select(vec![RouteKind::Safe, RouteKind::Unsafe, RouteKind::Stream]),
+        kind in prop::sample::select(vec![
+            RouteKind::Safe, RouteKind::Unsafe, RouteKind::Stream, RouteKind::ResumableStream,
+        ]),
         attempts in 1..4u32,
         sequence in prop::collection::vec(attempt(), 1..20),
     ) {
@@ -29,7 +31,8 @@
                 AttemptResult::Unsent | AttemptResult::Rejected => rejected += 1,
                 AttemptResult::Failed | AttemptResult::Unknown => ran += 1,
             }
-            let max_runs = if kind == RouteKind::Safe { attempts } else { 1 };
+            let may_repeat = matches!(kind, RouteKind::Safe | RouteKind::ResumableStream);
+            let max_runs = if may_repeat { attempts } else { 1 };
             prop_assert!(ran <= max_runs);
             match next_action(kind, attempt, ran, rejected, attempts) {
                 NextAction::Retry => {}
--- a/crates/carob-dispatch/tests/table.rs
+++ b/crates/carob-dispatch/tests/table.rs
@@ -10,6 +10,7 @@
         host: host.into(),
         prefix: prefix.into(),
         kind: RouteKind::Safe,
+        gap_target: Duration::ZERO,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_secs(1),
         priority: 0,
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -77,6 +77,11 @@
     pub(crate) fn relay(&self) -> Option<SocketAddr> {
         self.relay.as_ref().map(|(peer, _)| *peer)
     }
+
+    /// Closes the connection, as dropping this does.
+    pub(crate) fn abort(&self) {
+        self.handle.abort();
+    }
 }
 
 impl Drop for ConnectionTask {
--- a/crates/carob-gateway/src/traffic/answer.rs
+++ b/crates/carob-gateway/src/traffic/answer.rs
@@ -80,12 +80,16 @@
         }
     }
 
-    /// Returns the response to the request with the id `id`.
-    pub(super) fn response(self, id: &[u8]) -> Response<ResponseBody> {
+    /// Returns the response to the request with the id `id`. One to a malformed request says in its body what was expected.
+    pub(super) fn response(self, id: &[u8], reason: &'static str) -> Response<ResponseBody> {
         let after = match self {
             Self::Refused(after) => Some(after),
             _ => None,
         };
-        answer::local_answer(self.status(), id, after).map(|()| ResponseBody::Complete(Bytes::new()))
+        let body = match self {
+            Self::Denied(400) => Bytes::from_static(reason.as_bytes()),
+            _ => Bytes::new(),
+        };
+        answer::local_answer(self.status(), id, after).map(|()| ResponseBody::Complete(body))
     }
 }
--- a/crates/carob-gateway/src/traffic/attempts.rs
+++ b/crates/carob-gateway/src/traffic/attempts.rs
@@ -41,6 +41,11 @@
         next
     }
 
+    /// Whether a stream that `upstream` has broken off may run once more; its attempt then counts as one that ran.
+    pub(super) fn may_run_again(&mut self, call: &Call, upstream: UpstreamKey) -> bool {
+        self.record(call, upstream, AttemptResult::Unknown) == NextAction::Retry && self.is_permitted(call)
+    }
+
     /// Records that the attempt at `upstream` ended with `result`; returns what to do next.
     pub(super) fn record(&mut self, call: &Call, upstream: UpstreamKey, result: AttemptResult) -> NextAction {
         if result.may_have_arrived() {
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -7,7 +7,7 @@
     crashes::{self, Part},
     fleet::{RequestSize, Requirements, UpstreamKey},
     head::Head,
-    table::{Engine, Route, RouteKind},
+    table::{Engine, Route},
 };
 use carob_platform::{
     answer::{self, AnswerKind},
@@ -67,6 +67,8 @@
     pub(super) arrival: Instant,
     /// Earlier of the client's deadline and the route's time limit.
     pub(super) deadline: Instant,
+    /// The last event that the client has of a stream which may run again; `None` to generate it from its start.
+    pub(super) last_event: Option<u64>,
     /// Version of the configuration that the request was admitted by.
     pub(super) version: u64,
     /// Upstreams that the request was sent to, once for each time.
@@ -108,6 +110,16 @@
         }
     }
 
+    /// Estimates what a run takes that has to read the prompt and the `generated` tokens of earlier runs.
+    pub(super) fn run_size(&self, generated: u32) -> RequestSize {
+        let size = self.size(generated);
+        let prefill = self.head.usage.map_or(0, |usage| u64::from(usage.prompt_tokens));
+        RequestSize {
+            tokens: size.tokens,
+            prefill: prefill + u64::from(generated),
+        }
+    }
+
     /// How long the longest answer that the request permits takes at the usual speed of the upstreams.
     pub(super) fn longest_duration(&self) -> Duration {
         let Some(usage) = self.head.usage else {
@@ -202,8 +214,7 @@
     }
 
     /// Sends the request to the upstream of `reservation` and reads the head of its response. `repeat` is
-    /// present if another upstream may have got it before. With `resume`, the upstream continues a generation
-    /// from the copy of its memory.
+    /// present if another upstream may have got it before. With `resume`, the upstream continues a generation.
     pub(super) async fn send(
         &self,
         reservation: &Reservation,
@@ -231,7 +242,7 @@
         }
         self.sent_to.borrow_mut().push(reservation.upstream);
         let sent = Instant::now();
-        let may_repeat = self.route.kind == RouteKind::Safe;
+        let may_repeat = self.route.kind.is_idempotent();
         let is_direct = connection.relay().is_none();
         if let Some(repeat) = repeat {
             repeat.commit(self);
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -6,11 +6,14 @@
 use carob_dispatch::{
     crashes::Part,
     fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey},
-    head::Head,
+    head::{Head, LastEvent},
     outcome::{AttemptResult, NextAction},
-    table::{Denial, RouteKind},
+    table::{Denial, Route},
+};
+use carob_platform::{
+    answer::AnswerKind,
+    request::{self, Resume},
 };
-use carob_platform::{answer::AnswerKind, request};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use tokio::time::{Instant, timeout_at};
 
@@ -108,20 +111,45 @@
             );
             metrics::counter!("carobhaven_own_answers_total", "status" => local.status().as_str().to_owned())
                 .increment(1);
-            local.response(&id)
+            local.response(&id, reason)
+        }
+    }
+}
+
+/// Decides where the stream of a request begins: after the last event that its client has, if the route permits a
+/// further run.
+fn first_position(head: &Head, route: &Route) -> Result<Option<u64>, Refusal> {
+    if !route.kind.is_stream() || !route.kind.is_idempotent() {
+        if head.last_event != LastEvent::Absent {
+            log::info!(
+                request:% = String::from_utf8_lossy(&head.id), route:% = route.name, named:? = head.last_event;
+                "last event not obeyed: the route's requests do not resume"
+            );
         }
+        return Ok(None);
+    }
+    match head.last_event {
+        LastEvent::Absent => Ok(None),
+        LastEvent::Id(id) => {
+            metrics::counter!("carobhaven_resumed_requests_total").increment(1);
+            Ok(Some(id))
+        }
+        LastEvent::Malformed => Err((
+            LocalAnswer::Denied(400),
+            "expected a number of at most 64 bits as the id of the last event, found something else",
+        )),
     }
 }
 
 /// Answers a request that was not admitted.
-fn refuse(id: &Bytes, local: LocalAnswer, reason: &str, arrival: Instant) -> Response<ResponseBody> {
+fn refuse(id: &Bytes, local: LocalAnswer, reason: &'static str, arrival: Instant) -> Response<ResponseBody> {
     log::warn!(
         request:% = String::from_utf8_lossy(id), own:? = local, reason,
         age_ms = arrival.elapsed().as_millis() as u64; "answered by the gateway"
     );
     metrics::counter!("carobhaven_own_answers_total", "status" => local.status().as_str().to_owned())
         .increment(1);
-    local.response(id)
+    local.response(id, reason)
 }
 
 /// Checks a request against the configuration and looks up its route, service and client account.
@@ -165,6 +193,7 @@
             "the route has no service",
         ));
     };
+    let last_event = first_position(&head, found.route)?;
     let engine = table.service(service).and_then(|service| service.engine.clone());
     shared.record_request(service);
     let prompt = head.parts.iter().map(|hash| Part::of_prompt(service, *hash));
@@ -180,6 +209,7 @@
             .unwrap_or(found.route.priority),
         deadline: client_deadline.min(arrival + found.route.timeout),
         route: found.route.clone(),
+        last_event,
         version: table.version(),
         sent_to: RefCell::default(),
         head,
@@ -193,21 +223,59 @@
 /// The gateway's own answer to a request, and the reason for it in the log.
 pub(super) type Refusal = (LocalAnswer, &'static str);
 
-/// Sends the request to upstreams until one answers or no further attempt is permitted.
+/// Handles a request until the head of its response.
 async fn run_attempts(
     call: &Rc<Call>,
     active: ActiveRequest,
     count: RequestCount,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut attempts = Attempts::default();
+    let start = RunStart {
+        position: call.last_event,
+        generated: 0,
+        since: call.arrival,
+    };
+    match next_answer(call, &mut attempts, start, Some(&active)).await? {
+        Answer::Stream(opened) => Ok(stream::start(call, *opened, attempts, active, count)),
+        Answer::Complete(response) => Ok(response),
+    }
+}
+
+/// Where the next run of a request begins.
+#[derive(Clone, Copy)]
+pub(super) struct RunStart {
+    /// Id of the last event that the client has; `None` if it has none.
+    pub(super) position: Option<u64>,
+    /// Tokens that earlier runs have generated.
+    pub(super) generated: u32,
+    /// When a place for the run began to be looked for.
+    pub(super) since: Instant,
+}
+
+/// An upstream's answer to a request.
+pub(super) enum Answer {
+    /// A stream whose head has arrived.
+    Stream(Box<OpenStream>),
+    /// A complete response, or a long one that is passed on as it arrives.
+    Complete(Response<ResponseBody>),
+}
+
+/// Sends the request to upstreams until one answers or no further attempt is permitted. `active` is absent once events of
+/// its stream were passed on.
+pub(super) async fn next_answer(
+    call: &Rc<Call>,
+    attempts: &mut Attempts,
+    start: RunStart,
+    active: Option<&ActiveRequest>,
+) -> Result<Answer, Refusal> {
     loop {
         // A request that may have run cannot be refused any more; what is left of the grace limits its attempt.
-        let unrun = (attempts.ran == 0).then_some(&active);
+        let unrun = active.filter(|_| attempts.ran == 0);
         verdict::check(call, attempts.ran)?;
         if attempts.ran == 0 {
             link::check(call)?;
         }
-        let reservation = match reserve(call, &attempts.tried, unrun).await {
+        let reservation = match reserve(call, &attempts.tried, start, unrun).await {
             Ok(reservation) => reservation,
             Err(refusal) if attempts.ran == 0 => return Err(refusal),
             Err(_) => return Err((LocalAnswer::Unclear, "no other upstream for a retry")),
@@ -216,27 +284,26 @@
         let repeat = attempts.reserve_repeat(call)?;
         let upstream = reservation.upstream;
         log_sent(call, &reservation, attempts.ran + attempts.rejected);
-        let last = attempts.ran + 1 >= call.route.max_attempts || call.route.kind != RouteKind::Safe;
-        let outcome = attempt(call, &reservation, repeat, last).await;
+        let last = attempts.ran + 1 >= call.route.max_attempts || !call.route.kind.is_idempotent();
+        let outcome = attempt(call, &reservation, repeat, (start.position, last)).await;
         let next = match outcome {
             Outcome::Stream(response, driver) => {
-                let opened = OpenStream {
+                return Ok(Answer::Stream(Box::new(OpenStream {
                     reservation,
                     response,
                     driver,
                     first_bytes: None,
-                };
-                return Ok(stream::start(call, opened, active, count));
+                })));
             }
             Outcome::Complete(response) if !is_failure(response.status()) => {
                 log_answered(call, response.status(), upstream);
-                return Ok(response);
+                return Ok(Answer::Complete(response));
             }
             Outcome::Complete(response) => {
                 let next = attempts.record(call, upstream, AttemptResult::Failed);
                 if next != NextAction::Retry || !attempts.is_permitted(call) {
                     log_answered(call, response.status(), upstream);
-                    return Ok(response);
+                    return Ok(Answer::Complete(response));
                 }
                 continue;
             }
@@ -273,10 +340,11 @@
 async fn reserve(
     call: &Rc<Call>,
     tried: &[UpstreamKey],
+    start: RunStart,
     active: Option<&ActiveRequest>,
 ) -> Result<Reservation, Refusal> {
     let shared = &call.shared;
-    let size = call.size(0);
+    let size = call.run_size(start.generated);
     let requirements = call.requirements(size, tried);
     shutdown::check(call, active)?;
     limit::record_demand(shared, &requirements);
@@ -303,7 +371,7 @@
     }
     let queue_deadline = call
         .answer_deadline()
-        .min(call.arrival + call.route.target_latency.mul_f64(QUEUE_SHARE));
+        .min(start.since + call.route.target_latency.mul_f64(QUEUE_SHARE));
     if Instant::now() >= queue_deadline {
         return Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams are full"));
     }
@@ -365,9 +433,14 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// Sends the request to the reserved upstream, as a `repeat` if another may have got it before. An attempt that
-/// is not the `last` one has a time limit of its own.
-async fn attempt(call: &Rc<Call>, reservation: &Reservation, repeat: Option<Repeat>, last: bool) -> Outcome {
+/// Sends the request to the reserved upstream, as a `repeat` if another may have got it before. Its stream begins after
+/// the event `position`. An attempt that is not the `last` one has a time limit of its own.
+async fn attempt(
+    call: &Rc<Call>,
+    reservation: &Reservation,
+    repeat: Option<Repeat>,
+    (position, last): (Option<u64>, bool),
+) -> Outcome {
     let shared = &call.shared;
     let upstream = reservation.upstream;
     let record = |health| shared.fleet_mut().record_attempt(upstream, health, shared.now());
@@ -378,7 +451,11 @@
             .min(Instant::now() + call.route.target_latency.mul_f64(ATTEMPT_FACTOR))
     };
     let sent = Instant::now();
-    let (response, driver) = match call.send(reservation, repeat, None, deadline).await {
+    let resume = position.map(|event| Resume {
+        memory: None,
+        last_event: Some(event),
+    });
+    let (response, driver) = match call.send(reservation, repeat, resume.as_ref(), deadline).await {
         Ok(answered) => answered,
         Err(error) => return unanswered_send(call, reservation.upstream, &error, sent),
     };
@@ -407,7 +484,7 @@
         AnswerKind::Ran => {}
     }
     let health = health_of(status);
-    if call.route.kind == RouteKind::Stream && status.is_success() {
+    if call.route.kind.is_stream() && status.is_success() {
         record(health);
         return Outcome::Stream(response, driver);
     }
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -13,7 +13,7 @@
 };
 use carob_platform::{
     engine::{self, CopyOutcome},
-    request::Resume,
+    request::{Memory, Resume},
 };
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -110,14 +110,17 @@
     let Some((reservation, handle)) = copy else {
         return MigrationOutcome::Failed("the copy was used already");
     };
-    let memory = Resume {
-        engine: source.address,
-        handle,
+    let engine = source.address;
+    let resume = Resume {
+        memory: Some(Memory {
+            engine,
+            handle: handle.clone(),
+        }),
         last_event: progress.borrow().last_event,
     };
     let target = reservation.upstream;
     progress.borrow_mut().switching = true;
-    let outcome = match resume::resume_at(call, reservation, Reason::Move, &memory, MOVE_TIMEOUT).await {
+    let outcome = match resume::resume_at(call, reservation, Reason::Move, &resume, MOVE_TIMEOUT).await {
         Ok(opened) => opened.await_first_bytes().await,
         Err(failure) => Err(failure),
     };
@@ -128,7 +131,7 @@
             MigrationOutcome::Continued(Box::new(opened))
         }
         Err(failure) => {
-            progress.borrow_mut().copy = Some((failure.reservation, memory.handle));
+            progress.borrow_mut().copy = Some((failure.reservation, handle));
             MigrationOutcome::Failed("the other upstream does not continue")
         }
     }
@@ -185,12 +188,11 @@
             return Err(stopped("the upstream does not copy"));
         }
     };
-    let memory = Resume {
-        engine,
-        handle,
+    let resume = Resume {
+        memory: Some(Memory { engine, handle }),
         last_event,
     };
-    let resumed = resume::resume_at(call, reservation, Reason::Move, &memory, RESUME_TIMEOUT).await;
+    let resumed = resume::resume_at(call, reservation, Reason::Move, &resume, RESUME_TIMEOUT).await;
     resumed.map_err(|_failure| stopped("the other upstream does not continue"))
 }
 
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -77,13 +77,13 @@
     pub(super) reason: String,
 }
 
-/// Sends the request to the upstream of `reservation`, to continue the generation from the copy `memory`, and waits for
+/// Sends the request to the upstream of `reservation`, to continue the generation from a copy of its memory, and waits for
 /// the head of the answer for `limit`.
 pub(super) async fn resume_at(
     call: &Rc<Call>,
     reservation: Reservation,
     reason: Reason,
-    memory: &Resume,
+    resume: &Resume,
     limit: Duration,
 ) -> Result<OpenStream, Failure> {
     let started = Instant::now();
@@ -99,7 +99,7 @@
         return Err(Failure { reservation, reason });
     };
     let (response, driver) = match call
-        .send(&reservation, Some(repeat), Some(memory), deadline)
+        .send(&reservation, Some(repeat), Some(resume), deadline)
         .await
     {
         Ok(answered) => answered,
@@ -125,7 +125,7 @@
         return Err(Failure { reservation, reason });
     }
     log::info!(
-        request:% = call.id(), to:% = target, event = memory.last_event.unwrap_or(0),
+        request:% = call.id(), to:% = target, event = resume.last_event.unwrap_or(0),
         took_ms = started.elapsed().as_millis() as u64; "generation continues elsewhere"
     );
     Ok(OpenStream {
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -0,0 +1,245 @@
+//! How a stream goes on when its upstream fails, leaves or stalls.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use carob_dispatch::{budget::Reason, fleet::Placement};
+use carob_platform::request::{Memory, Resume};
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    super::{
+        crash,
+        exchange::{self, Answer, RunStart, upstream_name},
+        framing::{self, Framing},
+        link,
+        migrate::{self, MigrationOutcome, Progress},
+        relay,
+        resume::{self, OpenStream, RESUME_TIMEOUT},
+    },
+    Migration, Stream, StreamEnd,
+};
+use crate::events::Splitter;
+
+impl Stream {
+    /// Continues at another upstream after the present one has broken off for `reason`.
+    pub(super) async fn fail_over(
+        &mut self,
+        reason: &str,
+        progress: &Rc<RefCell<Progress>>,
+        migration: &mut Option<Migration>,
+    ) -> Result<bool, StreamEnd> {
+        framing::count_answer(self.framing, false);
+        self.record_failing();
+        let upstream = self.reservation.upstream;
+        crash::observe_break(&self.call, upstream, self.last_sign, self.is_sound());
+        let switching = progress.borrow().switching;
+        let outcome = if switching {
+            self.await_migration(migration).await
+        } else {
+            MigrationOutcome::Failed("the source broke off")
+        };
+        self.resume_after(outcome, progress, reason).await.map(|()| true)
+    }
+
+    /// Continues a generation whose upstream may go on behind a lost link. Returns whether it goes on elsewhere; if it
+    /// does not, the upstream may still send the rest.
+    pub(super) async fn rescue(&mut self, reason: &str) -> Result<bool, StreamEnd> {
+        let upstream = self.reservation.upstream;
+        let rescued = migrate::rescue(
+            &self.call,
+            upstream,
+            self.reservation.size.tokens,
+            self.position.last(),
+        );
+        self.rescue_tried = true;
+        let outcome = tokio::select! {
+            biased;
+            () = self.client.closed() => return Err(StreamEnd::ClientGone),
+            outcome = timeout_at(self.call.deadline, rescued) => outcome.map_err(|_elapsed| StreamEnd::Late)?,
+        };
+        match outcome {
+            Ok(opened) => {
+                self.continue_with(opened, reason);
+                Ok(true)
+            }
+            Err(failure) => {
+                log::info!(
+                    request:% = self.call.id(), upstream:% = upstream_name(&self.call, upstream),
+                    outcome = failure.reason; "generation not moved"
+                );
+                if failure.is_stopped {
+                    return Err(StreamEnd::Broken(failure.reason.to_owned()));
+                }
+                Ok(false)
+            }
+        }
+    }
+
+    /// Whether it is to be tried to continue the generation if its link is lost; once.
+    pub(super) fn may_rescue(&self) -> bool {
+        let engine = self.call.engine.as_ref();
+        !self.rescue_tried
+            && engine.is_some_and(|engine| engine.supports_migration)
+            && self.driver.relay().is_none()
+    }
+
+    /// Whether the generation could go on behind a lost link.
+    pub(super) fn is_behind_lost_link(&self) -> bool {
+        let shared = &self.call.shared;
+        self.may_rescue()
+            && shared.fleet().is_link_lost(self.reservation.upstream)
+            && relay::is_offered(shared, &self.call.service)
+    }
+
+    /// Waits for the outcome of a migration whose target has been requested to continue.
+    pub(super) async fn await_migration(&self, migration: &mut Option<Migration>) -> MigrationOutcome {
+        match migration.take() {
+            Some(migration) => timeout_at(self.call.deadline, migration)
+                .await
+                .unwrap_or(MigrationOutcome::Failed("no outcome of the move in time")),
+            None => MigrationOutcome::Failed("no move is under way"),
+        }
+    }
+
+    /// Continues at another upstream after the source has failed: with the stream of a completed migration, from the
+    /// copy of its memory if there is one, or with a further run.
+    async fn resume_after(
+        &mut self,
+        outcome: MigrationOutcome,
+        progress: &Rc<RefCell<Progress>>,
+        reason: &str,
+    ) -> Result<(), StreamEnd> {
+        if let MigrationOutcome::Continued(opened) = outcome {
+            self.continue_with(*opened, reason);
+            return Ok(());
+        }
+        let copy = progress.borrow_mut().copy.take();
+        if copy.is_none() && self.may_rescue() {
+            link::is_lost_after_break(&self.call.shared, self.reservation.upstream).await;
+            if self.is_behind_lost_link() && self.rescue(reason).await? {
+                return Ok(());
+            }
+        }
+        let Some(((reservation, handle), engine)) = copy.zip(self.upstream_address()) else {
+            return self.run_again(reason).await;
+        };
+        let resume = Resume {
+            memory: Some(Memory { engine, handle }),
+            last_event: self.position.last(),
+        };
+        match resume::resume_at(&self.call, reservation, Reason::Resume, &resume, RESUME_TIMEOUT).await {
+            Ok(opened) => {
+                self.continue_with(opened, reason);
+                Ok(())
+            }
+            Err(failure) => self.run_again(&failure.reason).await,
+        }
+    }
+
+    /// Replaces the upstream's stream by that of another upstream.
+    pub(super) fn continue_with(&mut self, opened: OpenStream, reason: &str) {
+        log::info!(
+            request:% = self.call.id(), from:% = upstream_name(&self.call, self.reservation.upstream),
+            to:% = upstream_name(&self.call, opened.reservation.upstream), reason,
+            gap_ms = self.last_forwarded.elapsed().as_millis() as u64; "stream goes on from another upstream"
+        );
+        self.framing = Framing::of(&opened.response);
+        self.owes_event = !self.framing.is_explicit();
+        self.writing_since = None;
+        self.proved = false;
+        self.rescue_tried = false;
+        self.last_sign = Instant::now();
+        self.stall_due = self.last_sign + self.stall_limit();
+        self.position.begin_run();
+        self.body = opened.response.into_body();
+        self.driver = opened.driver;
+        self.first_bytes = opened.first_bytes;
+        self.splitter = Splitter::new();
+        self.reservation = opened.reservation;
+        self.migrations += 1;
+    }
+
+    /// Runs a stream whose route permits it once more, from the last event that the client has on, after the present run
+    /// has failed for `reason`.
+    async fn run_again(&mut self, reason: &str) -> Result<(), StreamEnd> {
+        let call = Rc::clone(&self.call);
+        let may_run =
+            self.position.is_resumable() && self.attempts.may_run_again(&call, self.reservation.upstream);
+        if !may_run {
+            return Err(StreamEnd::Broken(reason.to_owned()));
+        }
+        // The present upstream may still work on the request.
+        self.driver.abort();
+        let start = RunStart {
+            position: self.position.last(),
+            generated: self.generated(),
+            since: Instant::now(),
+        };
+        let answer = exchange::next_answer(&call, &mut self.attempts, start, None);
+        let outcome = tokio::select! {
+            biased;
+            () = self.client.closed() => return Err(StreamEnd::ClientGone),
+            outcome = timeout_at(call.deadline, answer) => outcome.map_err(|_elapsed| StreamEnd::Late)?,
+        };
+        let failure = match outcome {
+            Ok(Answer::Stream(opened)) => {
+                self.continue_with(*opened, reason);
+                return Ok(());
+            }
+            Ok(Answer::Complete(response)) => format!("another upstream answered {}", response.status()),
+            Err((_local, refusal)) => refusal.to_owned(),
+        };
+        Err(StreamEnd::Broken(format!("{reason}; not run again: {failure}")))
+    }
+
+    /// Time without an event after which a stream that may run again does so: half of the pause that clients bear, so that
+    /// the next run has the rest.
+    pub(super) fn stall_limit(&self) -> Duration {
+        self.call.route.patience() / 2
+    }
+
+    /// Whether the stream may run again if the present run stalls.
+    pub(super) fn may_leave_stalled(&self) -> bool {
+        self.call.route.kind.is_idempotent()
+            && self.position.is_resumable()
+            && self.attempts.ran + 1 < self.call.route.max_attempts
+    }
+
+    /// Runs a stream again whose present run has stalled, if another upstream has a place for it at once. Returns whether
+    /// it goes on there.
+    pub(super) async fn leave_stalled(&mut self) -> Result<bool, StreamEnd> {
+        self.stall_due = Instant::now() + self.stall_limit();
+        let shared = Rc::clone(&self.call.shared);
+        let mut excluded = self.attempts.tried.clone();
+        excluded.push(self.reservation.upstream);
+        let size = self.call.run_size(self.generated());
+        let requirements = self.call.requirements(size, &excluded);
+        let placement = shared.fleet().place(&requirements, shared.now());
+        if !matches!(placement, Placement::Upstream(_)) {
+            return Ok(false);
+        }
+        self.record_failing();
+        self.run_again("no event came for too long").await.map(|()| true)
+    }
+
+    /// Address of the present upstream.
+    fn upstream_address(&self) -> Option<SocketAddr> {
+        let fleet = self.call.shared.fleet();
+        fleet
+            .upstream(self.reservation.upstream)
+            .map(|found| found.entry.address)
+    }
+
+    /// Releases the copy of the memory, if there is one, and then its reservation.
+    pub(super) fn release_copy(&self, progress: &Rc<RefCell<Progress>>) {
+        let copy = progress.borrow_mut().copy.take();
+        let Some((reservation, handle)) = copy else {
+            return;
+        };
+        let (shared, source) = (Rc::clone(&self.call.shared), self.reservation.upstream);
+        tokio::task::spawn_local(async move {
+            let _reservation = reservation;
+            migrate::release(&shared, source, &handle).await;
+        });
+    }
+}
--- a/crates/carob-gateway/src/traffic/stream.rs
+++ b/crates/carob-gateway/src/traffic/stream/mod.rs
@@ -1,10 +1,13 @@
 //! Passes the events of a stream on to the client as they arrive, across migrations to other upstreams.
 
-use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
+use std::{cell::RefCell, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use carob_dispatch::{budget::Reason, fleet::UpstreamHealth};
-use carob_platform::{answer, request::Resume};
+use carob_dispatch::{
+    fleet::UpstreamHealth,
+    position::{Position, Step},
+};
+use carob_platform::answer;
 use http_body_util::BodyExt;
 use hyper::{Response, header::CONTENT_LENGTH};
 use tokio::{
@@ -14,16 +17,17 @@
 
 use super::{
     answer::{ResponseBody, Truncated},
+    attempts::Attempts,
     call::Call,
-    crash::{self, SOUND_TIME},
+    crash::SOUND_TIME,
     exchange::upstream_name,
     framing::{self, Framing},
     guard::{ActiveRequest, Reservation},
     link,
     listen::RequestCount,
     migrate::{self, MigrationOutcome, Progress},
-    probe, relay,
-    resume::{self, OpenStream, RESUME_TIMEOUT},
+    probe,
+    resume::OpenStream,
     verdict,
 };
 use crate::{
@@ -32,6 +36,8 @@
     socket::{self, ConnectionTask},
 };
 
+mod failover;
+
 /// Chunks that are queued for a slow client before the upstream is read no further.
 const CHUNK_QUEUE: usize = 16;
 
@@ -60,9 +66,11 @@
     /// Whether the present upstream has to send an event before the end of its answer.
     owes_event: bool,
     splitter: Splitter,
-    /// Id of the last event that was passed on to the client.
-    last_event: Option<u64>,
-    /// Number of events that were passed on.
+    /// What the client has of the stream.
+    position: Position,
+    /// Upstreams that the request was sent to before the present one.
+    attempts: Attempts,
+    /// Number of events that were passed on, without comments.
     events: u32,
     /// How often the stream continued at another upstream.
     migrations: u32,
@@ -78,6 +86,8 @@
     last_sign: Instant,
     /// When an event was last passed on.
     last_forwarded: Instant,
+    /// When the present run counts as stalled if no event comes.
+    stall_due: Instant,
     /// Longest time between two events.
     longest_pause: Duration,
 }
@@ -104,6 +114,8 @@
     Leaving,
     /// Nothing has come for so long that the link may be lost.
     Silent,
+    /// No event has come for so long that the run has probably stalled.
+    Stalled,
     ClientGone,
     Late,
 }
@@ -112,6 +124,7 @@
 pub(super) fn start(
     call: &Rc<Call>,
     opened: OpenStream,
+    attempts: Attempts,
     active: ActiveRequest,
     count: RequestCount,
 ) -> Response<ResponseBody> {
@@ -130,7 +143,8 @@
         framing,
         owes_event: !framing.is_explicit(),
         splitter: Splitter::new(),
-        last_event: None,
+        position: Position::new(call.last_event),
+        attempts,
         events: 0,
         migrations: 0,
         first_event: None,
@@ -139,6 +153,7 @@
         rescue_tried: false,
         last_sign: Instant::now(),
         last_forwarded: Instant::now(),
+        stall_due: Instant::now() + call.route.patience() / 2,
         longest_pause: Duration::ZERO,
     };
     tokio::task::spawn_local(async move {
@@ -183,7 +198,7 @@
         log::log!(
             level, request:% = self.call.id(),
             upstream:% = upstream_name(&self.call, upstream), outcome, reason,
-            events = self.events, moves = self.migrations, framing = self.framing.name(),
+            events = self.events, moves = self.migrations, runs = self.attempts.ran + 1, framing = self.framing.name(),
             rest = self.splitter.remainder().len(),
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
             pause_ms = self.longest_pause.as_millis() as u64, age_ms = self.call.age_ms(); "stream ended"
@@ -195,7 +210,7 @@
     async fn forward_upstream(&mut self) -> Result<(), StreamEnd> {
         let notice = self.call.shared.leaving_notice(self.reservation.upstream);
         let progress = Rc::new(RefCell::new(Progress {
-            last_event: self.last_event,
+            last_event: self.position.last(),
             ..Progress::default()
         }));
         let probing = tokio::task::spawn_local(probe::watch_departure(
@@ -209,8 +224,12 @@
             .engine
             .as_ref()
             .is_some_and(|engine| engine.supports_migration);
-        if let Some(bytes) = self.first_bytes.take() {
-            self.forward(&bytes).await?;
+        if let Some(bytes) = self.first_bytes.take()
+            && self
+                .handle(StreamEvent::Bytes(bytes), &progress, &mut migration)
+                .await?
+        {
+            return Ok(());
         }
         loop {
             if may_migrate && migration.is_none() && self.is_upstream_leaving() {
@@ -239,8 +258,13 @@
     ) -> Result<bool, StreamEnd> {
         match event {
             StreamEvent::Bytes(bytes) => {
-                self.forward(&bytes).await?;
-                progress.borrow_mut().last_event = self.last_event;
+                let is_gapless = self.forward(&bytes).await?;
+                progress.borrow_mut().last_event = self.position.last();
+                if !is_gapless {
+                    return self
+                        .fail_over("the upstream left out events", progress, migration)
+                        .await;
+                }
                 match self.splitter.check_size() {
                     Ok(()) => Ok(false),
                     Err(error) => self.fail_over(&error.to_string(), progress, migration).await,
@@ -258,6 +282,7 @@
                 }
                 Ok(false)
             }
+            StreamEvent::Stalled => self.leave_stalled().await,
             StreamEvent::ClientGone => {
                 self.release_copy(progress);
                 Err(StreamEnd::ClientGone)
@@ -303,81 +328,11 @@
         }
     }
 
-    /// Continues at another upstream after the present one has broken off for `reason`.
-    async fn fail_over(
-        &mut self,
-        reason: &str,
-        progress: &Rc<RefCell<Progress>>,
-        migration: &mut Option<Migration>,
-    ) -> Result<bool, StreamEnd> {
-        framing::count_answer(self.framing, false);
-        self.record_failing();
-        let upstream = self.reservation.upstream;
-        crash::observe_break(&self.call, upstream, self.last_sign, self.is_sound());
-        let switching = progress.borrow().switching;
-        let outcome = if switching {
-            self.await_migration(migration).await
-        } else {
-            MigrationOutcome::Failed("the source broke off")
-        };
-        self.resume_after(outcome, progress, reason).await.map(|()| true)
-    }
-
-    /// Continues a generation whose upstream may go on behind a lost link. Returns whether it goes on elsewhere; if it
-    /// does not, the upstream may still send the rest.
-    async fn rescue(&mut self, reason: &str) -> Result<bool, StreamEnd> {
-        let upstream = self.reservation.upstream;
-        let rescued = migrate::rescue(
-            &self.call,
-            upstream,
-            self.reservation.size.tokens,
-            self.last_event,
-        );
-        self.rescue_tried = true;
-        let outcome = tokio::select! {
-            biased;
-            () = self.client.closed() => return Err(StreamEnd::ClientGone),
-            outcome = timeout_at(self.call.deadline, rescued) => outcome.map_err(|_elapsed| StreamEnd::Late)?,
-        };
-        match outcome {
-            Ok(opened) => {
-                self.continue_with(opened, reason);
-                Ok(true)
-            }
-            Err(failure) => {
-                log::info!(
-                    request:% = self.call.id(), upstream:% = upstream_name(&self.call, upstream),
-                    outcome = failure.reason; "generation not moved"
-                );
-                if failure.is_stopped {
-                    return Err(StreamEnd::Broken(failure.reason.to_owned()));
-                }
-                Ok(false)
-            }
-        }
-    }
-
     /// Whether nothing has come from the present upstream for so long that its link may be lost.
     fn is_silent(&self) -> bool {
         self.last_sign.elapsed() >= link::SILENT_TIME
     }
 
-    /// Whether it is to be tried to continue the generation if its link is lost; once.
-    fn may_rescue(&self) -> bool {
-        let engine = self.call.engine.as_ref();
-        !self.rescue_tried
-            && engine.is_some_and(|engine| engine.supports_migration)
-            && self.driver.relay().is_none()
-    }
-
-    /// Whether the generation could go on behind a lost link.
-    fn is_behind_lost_link(&self) -> bool {
-        let shared = &self.call.shared;
-        self.may_rescue()
-            && shared.fleet().is_link_lost(self.reservation.upstream)
-            && relay::is_offered(shared, &self.call.service)
-    }
-
     /// Why an answer that has ended here was broken off, if that shows.
     ///
     /// An upstream that crashes closes its connections, which ends an answer without a length or chunks. A break
@@ -421,14 +376,6 @@
             .is_none_or(|found| found.leaving_since.is_some())
     }
 
-    /// Address of the present upstream.
-    fn upstream_address(&self) -> Option<SocketAddr> {
-        let fleet = self.call.shared.fleet();
-        fleet
-            .upstream(self.reservation.upstream)
-            .map(|found| found.entry.address)
-    }
-
     /// Waits for the next event; the order of the branches is their priority.
     async fn next_event(&mut self, notice: &Notify, migration: &mut Option<Migration>) -> StreamEvent {
         let migrating = migration.is_some();
@@ -450,22 +397,15 @@
             },
             outcome = migrated => StreamEvent::MigrationEnded(outcome),
             () = notice.notified(), if !migrating => StreamEvent::Leaving,
+            () = tokio::time::sleep_until(self.stall_due), if !migrating && self.may_leave_stalled() => {
+                StreamEvent::Stalled
+            }
             () = tokio::time::sleep(link::SILENT_TIME / 2), if self.driver.relay().is_none() => StreamEvent::Silent,
         }
     }
 
-    /// Waits for the outcome of a migration whose target has been requested to continue.
-    async fn await_migration(&self, migration: &mut Option<Migration>) -> MigrationOutcome {
-        match migration.take() {
-            Some(migration) => timeout_at(self.call.deadline, migration)
-                .await
-                .unwrap_or(MigrationOutcome::Failed("no outcome of the move in time")),
-            None => MigrationOutcome::Failed("no move is under way"),
-        }
-    }
-
-    /// Passes on the events that are complete with `bytes`.
-    async fn forward(&mut self, bytes: &[u8]) -> Result<(), StreamEnd> {
+    /// Passes on the events that are complete with `bytes`. Returns whether the upstream has left out none before them.
+    async fn forward(&mut self, bytes: &[u8]) -> Result<bool, StreamEnd> {
         self.splitter.push(bytes);
         self.last_sign = Instant::now();
         if self.driver.relay().is_none() {
@@ -473,19 +413,38 @@
         }
         let mut chunk = BytesMut::new();
         let mut count = 0;
+        let mut is_gapless = true;
         while let Some(event) = self.splitter.next_event() {
-            self.owes_event &= !event.has_fields();
-            // An upstream that continues a generation may start with events that the client already has.
-            if event.id.is_some() && event.id <= self.last_event {
-                continue;
+            let has_fields = event.has_fields();
+            self.owes_event &= !has_fields;
+            match self.position.step(event.id, has_fields) {
+                Step::Pass => {
+                    count += u32::from(has_fields);
+                    chunk.extend_from_slice(&event.bytes);
+                }
+                Step::Drop => {}
+                Step::Gap => {
+                    is_gapless = false;
+                    break;
+                }
             }
-            self.last_event = event.id.or(self.last_event);
-            count += 1;
-            chunk.extend_from_slice(&event.bytes);
         }
-        if count == 0 {
-            return Ok(());
+        if count > 0 {
+            self.record_events(count);
+        }
+        if chunk.is_empty() {
+            return Ok(is_gapless);
+        }
+        let sent = timeout_at(self.call.deadline, self.client.send(Ok(chunk.freeze()))).await;
+        match sent {
+            Ok(Ok(())) => Ok(is_gapless),
+            Ok(Err(_)) => Err(StreamEnd::ClientGone),
+            Err(_) => Err(StreamEnd::Late),
         }
+    }
+
+    /// Records that `count` events are passed on now.
+    fn record_events(&mut self, count: u32) {
         let now = Instant::now();
         if self.first_event.is_none() {
             self.first_event = Some(now);
@@ -493,26 +452,27 @@
             self.longest_pause = self.longest_pause.max(now - self.last_forwarded);
         }
         self.last_forwarded = now;
+        self.stall_due = now + self.stall_limit();
         self.writing_since.get_or_insert(now);
         if !self.proved && self.is_sound() {
             self.proved = true;
             verdict::record_sound(&self.call);
         }
         self.events += count;
-        if let Some(engine) = &self.call.engine {
-            let generated = self.events * engine.event_tokens;
+        if self.call.engine.is_some() {
+            let generated = self.generated();
             if self.reservation.size.prefill > 0
                 || self.call.held_tokens(generated) > self.reservation.size.tokens
             {
                 self.reservation.resize(self.call.size(generated));
             }
         }
-        let sent = timeout_at(self.call.deadline, self.client.send(Ok(chunk.freeze()))).await;
-        match sent {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(StreamEnd::ClientGone),
-            Err(_) => Err(StreamEnd::Late),
-        }
+    }
+
+    /// Tokens that were generated for the events that were passed on.
+    fn generated(&self) -> u32 {
+        let event_tokens = self.call.engine.as_ref().map_or(0, |engine| engine.event_tokens);
+        self.events * event_tokens
     }
 
     /// Ends a stream whose upstream has ended it, after passing on what follows the last complete event.
@@ -529,74 +489,4 @@
         }
         Err(StreamEnd::Complete)
     }
-
-    /// Continues at another upstream after the source has failed: with the stream of a completed migration,
-    /// or from the copy of its memory if there is one.
-    async fn resume_after(
-        &mut self,
-        outcome: MigrationOutcome,
-        progress: &Rc<RefCell<Progress>>,
-        reason: &str,
-    ) -> Result<(), StreamEnd> {
-        if let MigrationOutcome::Continued(opened) = outcome {
-            self.continue_with(*opened, reason);
-            return Ok(());
-        }
-        let copy = progress.borrow_mut().copy.take();
-        if copy.is_none() && self.may_rescue() {
-            link::is_lost_after_break(&self.call.shared, self.reservation.upstream).await;
-            if self.is_behind_lost_link() && self.rescue(reason).await? {
-                return Ok(());
-            }
-        }
-        let Some(((reservation, handle), engine)) = copy.zip(self.upstream_address()) else {
-            return Err(StreamEnd::Broken(reason.to_owned()));
-        };
-        let memory = Resume {
-            engine,
-            handle,
-            last_event: self.last_event,
-        };
-        match resume::resume_at(&self.call, reservation, Reason::Resume, &memory, RESUME_TIMEOUT).await {
-            Ok(opened) => {
-                self.continue_with(opened, reason);
-                Ok(())
-            }
-            Err(failure) => Err(StreamEnd::Broken(failure.reason)),
-        }
-    }
-
-    /// Replaces the upstream's stream by that of another upstream.
-    fn continue_with(&mut self, opened: OpenStream, reason: &str) {
-        log::info!(
-            request:% = self.call.id(), from:% = upstream_name(&self.call, self.reservation.upstream),
-            to:% = upstream_name(&self.call, opened.reservation.upstream), reason,
-            gap_ms = self.last_forwarded.elapsed().as_millis() as u64; "stream goes on from another upstream"
-        );
-        self.framing = Framing::of(&opened.response);
-        self.owes_event = !self.framing.is_explicit();
-        self.writing_since = None;
-        self.proved = false;
-        self.rescue_tried = false;
-        self.last_sign = Instant::now();
-        self.body = opened.response.into_body();
-        self.driver = opened.driver;
-        self.first_bytes = opened.first_bytes;
-        self.splitter = Splitter::new();
-        self.reservation = opened.reservation;
-        self.migrations += 1;
-    }
-
-    /// Releases the copy of the memory, if there is one, and then its reservation.
-    fn release_copy(&self, progress: &Rc<RefCell<Progress>>) {
-        let copy = progress.borrow_mut().copy.take();
-        let Some((reservation, handle)) = copy else {
-            return;
-        };
-        let (shared, source) = (Rc::clone(&self.call.shared), self.reservation.upstream);
-        tokio::task::spawn_local(async move {
-            let _reservation = reservation;
-            migrate::release(&shared, source, &handle).await;
-        });
-    }
 }
--- a/crates/carob-shutdown/tests/model/instance.rs
+++ b/crates/carob-shutdown/tests/model/instance.rs
@@ -188,7 +188,7 @@
         let mut running: Vec<&mut Phase> = self
             .requests
             .iter_mut()
-            .filter(|request| request.plan.kind == RouteKind::Stream)
+            .filter(|request| request.plan.kind.is_stream())
             .map(|request| &mut request.phase)
             .filter(|phase| matches!(phase, Phase::Sent { .. }))
             .collect();
--- a/crates/carob-shutdown/tests/model/steps.rs
+++ b/crates/carob-shutdown/tests/model/steps.rs
@@ -142,7 +142,12 @@
 }
 
 fn plan() -> impl Strategy<Value = Plan> {
-    let kind = prop::sample::select(vec![RouteKind::Safe, RouteKind::Unsafe, RouteKind::Stream]);
+    let kind = prop::sample::select(vec![
+        RouteKind::Safe,
+        RouteKind::Unsafe,
+        RouteKind::Stream,
+        RouteKind::ResumableStream,
+    ]);
     let wait = prop_oneof![4 => Just(Some(Duration::ZERO)), 3 => endless(duration())];
     let body = prop_oneof![6 => Just(Some(Duration::ZERO)), 2 => endless(duration())];
     let flush = prop_oneof![4 => Just(Duration::ZERO), 2 => duration()];
--- a/tests/resumable.rs
+++ b/tests/resumable.rs
@@ -49,12 +49,12 @@
 
 fn answer_request(id: &str) -> Request {
     let mut request = generation_request(id);
-    request.path = "/answer/x".to_owned();
+    "/answer/x".clone_into(&mut request.path);
     request
 }
 
 /// The request of a client that has all events up to `last`.
-fn resumed_request(id: &str, last: impl ToString) -> Request {
+fn resumed_request(id: &str, last: &dyn ToString) -> Request {
     answer_request(id).with_header("Last-Event-Id", &last.to_string())
 }
 
@@ -70,7 +70,11 @@
         .lines()
         .filter_map(|line| line.strip_prefix("data: "))
         .collect();
-    let expected: Vec<String> = outcome.events().iter().map(|event| format!("{id}:{event}")).collect();
+    let expected: Vec<String> = outcome
+        .events()
+        .iter()
+        .map(|event| format!("{id}:{event}"))
+        .collect();
     assert_eq!(data, expected, "{what}");
     assert_eq!(outcome.id.as_deref(), Some(id), "{what}");
 }
@@ -79,7 +83,10 @@
 fn earn(fleet: &Fleet, gateway: usize, repeats: u32) {
     for number in 0..repeats * 5 {
         let id = format!("earn-{gateway}-{number}");
-        assert_eq!(fleet.send(gateway, &answer_request(&id).with_events(1)).status, 200);
+        assert_eq!(
+            fleet.send(gateway, &answer_request(&id).with_events(1)).status,
+            200
+        );
     }
 }
 
@@ -96,12 +103,12 @@
     drop(first);
     for last in [1, 7, EVENTS - 1] {
         let id = format!("b{last}");
-        let outcome = fleet.send(1, &resumed_request(&id, last));
+        let outcome = fleet.send(1, &resumed_request(&id, &last));
         expect_events(&outcome, last + 1, &id);
         expect_origin(&outcome, &id, &id);
         assert_eq!(last_events(&fleet, &id), [Some(last)], "{id}");
     }
-    let outcome = fleet.send(1, &resumed_request("none", ""));
+    let outcome = fleet.send(1, &resumed_request("none", &""));
     expect_events(&outcome, 1, "an empty id names no event");
 }
 
@@ -113,7 +120,7 @@
         for chunked in [true, false] {
             engines[0].set_chunked(chunked);
             let id = format!("c{number}-{chunked}");
-            let outcome = fleet.send(0, &resumed_request(&id, 9));
+            let outcome = fleet.send(0, &resumed_request(&id, &9));
             expect_events(&outcome, 10, &id);
             expect_origin(&outcome, &id, &id);
         }
@@ -127,7 +134,7 @@
         for shift in [0, -1_000_000] {
             engines[0].set_resume_shift(shift);
             let id = format!("d{number}{shift}");
-            let outcome = fleet.send(0, &resumed_request(&id, last));
+            let outcome = fleet.send(0, &resumed_request(&id, &last));
             assert_eq!((outcome.status, outcome.complete), (200, true), "{last}");
             assert_eq!(outcome.events(), Vec::<u64>::new(), "{last}");
         }
@@ -138,18 +145,31 @@
 fn a_malformed_id_is_taken_for_the_start() {
     let (fleet, _engines) = start(1, 1, SHORT);
     let bad = [
-        "x", "-1", "+1", "1.5", "0x10", "1 2", "18446744073709551616", "99999999999999999999999999", "1,2", "\u{e9}",
+        "x",
+        "-1",
+        "+1",
+        "1.5",
+        "0x10",
+        "1 2",
+        "18446744073709551616",
+        "99999999999999999999999999",
+        "1,2",
+        "\u{e9}",
     ];
     for (number, last) in bad.into_iter().enumerate() {
         let id = format!("f{number}");
-        let outcome = fleet.send(0, &resumed_request(&id, last));
+        let outcome = fleet.send(0, &resumed_request(&id, &last));
         assert_eq!(outcome.status, 400, "{last:?}");
+        let body = String::from_utf8_lossy(&outcome.body);
+        assert!(body.contains("id of the last event"), "{last:?}: {body}");
         assert!(!outcome.from_upstream, "{last:?}");
         assert_eq!(fleet.ledger.run_count(&id), 0, "{last:?}");
     }
-    let twice = resumed_request("twice", 3).with_header("Last-Event-Id", "4");
+    let twice = resumed_request("twice", &3).with_header("Last-Event-Id", "4");
     assert_eq!(fleet.send(0, &twice).status, 400);
-    assert!(fleet.gateways[0].logged("id of the last event"), "the reason is logged");
+    wait_until("the reason is logged", || {
+        fleet.gateways[0].logged("as the id of the last event")
+    });
 }
 
 /// Their streams run once at most; a client's id says nothing of what a new run would generate.
@@ -162,7 +182,9 @@
         expect_events(&fleet.send(0, &draft), 1, last);
         assert_eq!(last_events(&fleet, &id), [None], "{last}");
     }
-    assert!(fleet.gateways[0].logged("last event not obeyed"), "it is logged");
+    wait_until("it is logged", || {
+        fleet.gateways[0].logged("last event not obeyed")
+    });
     let order = request("g2", "POST", "/order/1").with_header("Last-Event-Id", "x");
     assert_eq!(fleet.send(0, &order).status, 200);
 }
@@ -170,7 +192,13 @@
 /// The client has a part of the answer, and another upstream makes the rest.
 #[test]
 fn a_stream_that_breaks_off_is_cut() {
-    for cut in [Cut::InLine, Cut::AfterId, Cut::AfterLine, Cut::InLineEnd, Cut::NoEvent] {
+    for cut in [
+        Cut::InLine,
+        Cut::AfterId,
+        Cut::AfterLine,
+        Cut::InLineEnd,
+        Cut::NoEvent,
+    ] {
         for chunked in [true, false] {
             let (fleet, engines) = start(1, 2, SHORT);
             earn(&fleet, 0, 4);
@@ -179,7 +207,10 @@
             }
             engines[0].set_answer_mode(AnswerMode::BrokenOff(cut));
             for number in 0..4 {
-                let (id, what) = (format!("h{number}"), format!("{cut:?}, chunks {chunked}, {number}"));
+                let (id, what) = (
+                    format!("h{number}"),
+                    format!("{cut:?}, chunks {chunked}, {number}"),
+                );
                 let outcome = fleet.send(0, &answer_request(&id));
                 expect_events(&outcome, 1, &what);
                 expect_origin(&outcome, &id, &what);
@@ -207,12 +238,19 @@
         broken += u32::from(!outcome.complete);
     }
     assert!(broken > 0, "no stream came to the upstream that breaks off");
-    assert!(fleet.gateways[0].logged("left out events"));
+    wait_until("the reason is logged", || {
+        fleet.gateways[0].logged("left out events")
+    });
 }
 
 #[test]
 fn a_stream_that_is_lost_before_its_first_event_is_not_sent_again() {
-    for mode in [AnswerMode::Reset, AnswerMode::Failure, AnswerMode::CutHead(30), AnswerMode::Foreign] {
+    for mode in [
+        AnswerMode::Reset,
+        AnswerMode::Failure,
+        AnswerMode::CutHead(30),
+        AnswerMode::Foreign,
+    ] {
         let (fleet, engines) = start(1, 2, SHORT);
         earn(&fleet, 0, 4);
         engines[0].set_answer_mode(mode);
@@ -235,7 +273,11 @@
             let id = format!("k{number}");
             let outcome = fleet.send(0, &answer_request(&id));
             expect_events(&outcome, 1, &format!("comments {comments}"));
-            assert!(outcome.max_pause < 4_000, "comments {comments}: {} ms", outcome.max_pause);
+            assert!(
+                outcome.max_pause < 4_000,
+                "comments {comments}: {} ms",
+                outcome.max_pause
+            );
             wait_until("the stalled run ends", || fleet.ledger.running_engines(&id) == 0);
         }
     }
@@ -286,7 +328,9 @@
         .count();
     // Its share of the extra repeats is 54 / 12.5, and 40 requests earn eight.
     assert!(repeats <= 13, "{repeats} of 40 streams ran again");
-    assert!(fleet.gateways[0].logged("no retry: the budget is spent"));
+    wait_until("the denial is logged", || {
+        fleet.gateways[0].logged("no retry: the budget is spent")
+    });
 }
 
 /// Its events come from the upstream with or without a copy of the memory, and none twice.
@@ -296,7 +340,7 @@
     let address = fleet.gateways[1].caller_address;
     for (number, rejects) in [false, true].into_iter().enumerate() {
         let id = format!("m{number}");
-        let resumed = resumed_request(&id, 4);
+        let resumed = resumed_request(&id, &4);
         let client = thread::spawn(move || client::send(address, &resumed));
         wait_until("the generation runs", || fleet.ledger.run_count(&id) == 1);
         thread::sleep(INTERVAL * 4);
@@ -321,7 +365,7 @@
     let outcomes: Vec<_> = (1..=2)
         .map(|gateway| {
             let address = fleet.gateways[gateway - 1].caller_address;
-            let resumed = resumed_request(&format!("n{gateway}"), 3);
+            let resumed = resumed_request(&format!("n{gateway}"), &3);
             thread::spawn(move || client::send(address, &resumed))
         })
         .collect();
@@ -350,7 +394,7 @@
         let id = format!("w{}", fleet.ledger.arrivals().len());
         fleet.send(0, &answer_request(&id).with_events(1)).complete
     });
-    let outcome = fleet.send(0, &resumed_request("r1", 6));
+    let outcome = fleet.send(0, &resumed_request("r1", &6));
     expect_events(&outcome, 7, "through another gateway");
     engines[0].set_answer_mode(AnswerMode::BrokenOff(Cut::InLine));
     for number in 0..4 {
@@ -398,7 +442,7 @@
     for engine in &engines {
         engine.set_answer_mode(AnswerMode::Stalled(stall));
     }
-    let client = client::open(fleet.gateways[0].caller_address, &resumed_request("u1", 2));
+    let client = client::open(fleet.gateways[0].caller_address, &resumed_request("u1", &2));
     wait_until("it runs", || fleet.ledger.run_count("u1") == 1);
     drop(client);
     let closed = Instant::now();
