fix: every instance of a large fleet asks the store at once, again and again

* Large values go to the others as differences from the value before (`delta`): tens to hundreds of bytes for a changed route.
An instance of an earlier build takes no note of them and fetches as before.
* The second watcher pauses for 250 ms after an answer with changes; it gets them from the first one.
* Registrations and renewals wait while the store is known to be away.
* An instance that watches looks at once when another one loses the store, and takes it for silent after 250 ms, so that departures are asked for sooner.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -24,9 +24,23 @@
 /// How often an instance that does not watch checks whether it has to.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time within which those that watch are heard of: instances report once a second.
+const HEAR_TIME: Duration = Duration::from_secs(1);
+
 /// How often an instance that begins to watch checks whether directory updates still arrive.
 const STATUS_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Delay of the store's answer from which on it is taken for silent, while the answer is waited for still: five times the
+/// usual response time, including the round trip between regions.
+const SILENCE_MARGIN: Duration = Duration::from_millis(250);
+
+/// Pause of an instance that watches after each answer with changes, if another one watches too and is before it in rank:
+/// it gets them from that one, and every answer is charged as a call.
+const SECOND_PAUSE: Duration = Duration::from_millis(250);
+
+/// The same of the first one. The upstreams that leave together write their entries within this time.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+
 /// How long a watch may continue after the end of the time in which entries may reappear after an outage of
 /// the store. The watch is ended then, so that entries which did not reappear are removed.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(20);
@@ -73,6 +87,8 @@
         outage.record_failure_and_pause(&control, &error).await;
     }
     outage.record_success();
+    // Others may watch already.
+    control.suspend_calls();
     watch_all(&control, &mut outage).await;
 }
 
@@ -151,8 +167,10 @@
 /// revision, is in a later era, or has more changes than one answer holds. Makes no calls while enough other instances watch.
 async fn watch_all(control: &Rc<Control>, outage: &mut Outage) {
     let mut must_read = false;
+    // Whether another instance has lost the store, so that this one may have lost it as well.
+    let mut is_doubted = false;
     loop {
-        let must_watch = control.must_watch();
+        let must_watch = control.must_watch() && (control.is_answering() || await_turn(control).await);
         let was_watching = control.watching.replace(must_watch);
         if was_watching != must_watch {
             let Position { era, revision } = control.position();
@@ -178,31 +196,34 @@
         let longest = control
             .reappearance_left()
             .map_or(WATCH_TIMEOUT, |left| WATCH_TIMEOUT.min(left + REMOVAL_MARGIN));
-        // An instance that begins to watch learns at once whether the store answers, and tells its peers.
-        let begins = must_watch && !was_watching && !control.is_answering();
-        let wait = if begins { Duration::ZERO } else { longest };
+        // An instance that begins to watch, or that the store did not answer, learns at once whether it does now, and
+        // tells its peers.
+        let is_unsure = is_doubted || !control.is_answering();
+        is_doubted = false;
+        let wait = if is_unsure { Duration::ZERO } else { longest };
         let call = call_store(
             control,
             store::watch("", from.revision, wait),
             wait + ANSWER_MARGIN,
         );
-        let call = async {
-            if begins {
-                with_status(control, call).await
-            } else {
-                call.await
-            }
-        };
         let answer = tokio::select! {
-            answer = call => answer,
+            answer = with_status(control, call, wait + SILENCE_MARGIN) => answer,
             () = control.era_seen.notified() => continue,
+            () = control.watcher_lost.notified(), if !is_unsure => {
+                is_doubted = true;
+                continue;
+            }
         };
         match answer {
             // Meanwhile the content may have been taken from a peer, in a later era.
             Ok((page, era)) if era == from.era && era == control.followed_era() => {
                 outage.record_success();
                 control.record_confirmation();
+                let has_changes = !page.items.is_empty();
                 control.apply_changes(page.items, Position::new(era, page.revision));
+                if has_changes {
+                    is_doubted = pause_after_changes(control).await;
+                }
             }
             Ok(_) => must_read = true,
             Err(Error::Refused(Refusal::Compacted)) => {
@@ -251,17 +272,72 @@
 }
 
 /// Waits for a call, and tells the traffic thread meanwhile if directory updates no longer arrive: the store may
-/// have answered a call of this instance just before the peers lost it.
-async fn with_status<T>(control: &Control, call: impl Future<Output = T>) -> T {
+/// have answered a call of this instance just before the peers lost it. After `silence` the store counts as silent.
+async fn with_status<T>(control: &Control, call: impl Future<Output = T>, silence: Duration) -> T {
     tokio::pin!(call);
+    let started = Instant::now();
     loop {
+        let pause = if control.is_answering() {
+            silence.saturating_sub(started.elapsed()).max(STATUS_INTERVAL)
+        } else {
+            STATUS_INTERVAL
+        };
         tokio::select! {
             outcome = &mut call => return outcome,
-            () = tokio::time::sleep(STATUS_INTERVAL) => control.send_status(),
+            () = tokio::time::sleep(pause) => {}
+        }
+        if started.elapsed() >= silence {
+            control.record_failure(started);
         }
+        control.send_status();
     }
 }
 
+/// Waits for this instance's turn to ask a store that does not answer it. Returns whether no others have begun to watch
+/// meanwhile.
+async fn await_turn(control: &Rc<Control>) -> bool {
+    let from = Instant::now();
+    let turn = control.turn();
+    if turn.is_zero() {
+        return true;
+    }
+    log::info!(
+        wait_ms = turn.as_millis() as u64, instances = control.instance_count();
+        "waiting for a turn to ask the store"
+    );
+    let end = from + turn;
+    // Those that were expected to ask first may have gone.
+    while Instant::now() < end && !control.turn().is_zero() {
+        if !control.must_watch() {
+            return false;
+        }
+        // An instance that has just started hears of those that watch within this time.
+        if from.elapsed() >= HEAR_TIME {
+            control.record_failure(from);
+        }
+        control.send_status();
+        if control.is_behind()
+            && let Some(peer) = control.ahead_peer.take()
+        {
+            super::share::fetch_from_peer(control, peer);
+        }
+        tokio::time::sleep_until(end.min(Instant::now() + RECHECK_INTERVAL)).await;
+    }
+    true
+}
+
+/// Lets further changes come together after an answer. Returns at once and `true` if another instance loses the store.
+async fn pause_after_changes(control: &Control) -> bool {
+    let pause = if control.is_first_watcher() {
+        FIRST_PAUSE
+    } else {
+        SECOND_PAUSE
+    };
+    tokio::time::timeout(pause, control.watcher_lost.notified())
+        .await
+        .is_ok()
+}
+
 /// Fetches missed changes from the store, or from a peer if the store does not answer.
 ///
 /// The store is asked first: a change too large for a datagram is missed by all instances that do not watch.
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -6,7 +6,6 @@
 mod register;
 mod share;
 mod state;
-mod watchers;
 
 use std::{path::Path, rc::Rc, sync::Arc, time::Duration};
 
--- a/crates/carob-gateway/src/control/register.rs
+++ b/crates/carob-gateway/src/control/register.rs
@@ -22,6 +22,11 @@
 /// Time limit of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How often it is checked whether a store that is away answers an instance again, and for how long before this one asks it
+/// itself.
+const AWAY_INTERVAL: Duration = Duration::from_millis(200);
+const MAX_AWAY: Duration = LEASE_TTL;
+
 /// Mean pause before a new registration; multiplied by a random factor between 0.5 and 1.5.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -52,6 +57,21 @@
             Err(error) => log::debug!(error:% = error; "not registered"),
         }
         tokio::time::sleep(pause).await;
+        await_store(&control).await;
+    }
+}
+
+/// Waits while the store answers neither this instance nor one that watches it. Those that waited go on one after the other.
+async fn await_store(control: &Control) {
+    let until = Instant::now() + MAX_AWAY;
+    let mut has_waited = false;
+    while control.is_uninformed() && Instant::now() < until {
+        has_waited = true;
+        tokio::time::sleep(AWAY_INTERVAL).await;
+    }
+    if has_waited {
+        let spread = ERA_INTERVAL * control.instance_count();
+        tokio::time::sleep(spread.mul_f64(rand::random())).await;
     }
 }
 
@@ -101,7 +121,11 @@
             }
             Err(Error::Refused(Refusal::Missing)) => return Error::Refused(Refusal::Missing),
             Err(error) if renewed.elapsed() >= lease.ttl => return error,
-            Err(error) => log::debug!(error:% = error; "lease not renewed"),
+            Err(error) => {
+                log::debug!(error:% = error; "lease not renewed");
+                await_store(control).await;
+                due = due.min(Instant::now() + RETRY_PAUSE.mul_f64(rand::random()));
+            }
         }
     }
 }
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -22,6 +22,7 @@
 
 use super::state::{Control, PREFIXES};
 use crate::{
+    delta,
     era::Position,
     peer::{Content, ContentRequest, Item as ContentItem, MAX_FRAME_LENGTH},
     socket::set_tcp_options,
@@ -102,7 +103,11 @@
         && update.base <= own.revision
         && update.revision > own.revision
     {
-        control.apply_changes(update.items, Position::new(update.era, update.revision));
+        match delta::decode(update.items, |key| control.value(key)) {
+            Ok(items) => control.apply_changes(items, Position::new(update.era, update.revision)),
+            // What is missing is fetched.
+            Err(error) => log::info!(peer:% = peer, error:% = error; "changes not taken from the message"),
+        }
     }
     let own = control.position();
     if watching && reached <= own {
@@ -198,6 +203,8 @@
             revision: item.position.revision,
             value: (!is_held).then_some(item.value),
             is_held,
+            delta: None,
+            known_hash: 0,
         }
     });
     let content = Content {
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -15,16 +15,16 @@
 };
 use flume::Sender;
 use hyper::HeaderMap;
+use prost::Message;
 use tokio::{sync::Notify, time::Instant};
 
-use super::watchers::Watchers;
-
 use crate::{
-    Change, Lag, Mirror, Settings, Versioned,
+    Change, Lag, Mirror, Settings, Versioned, delta,
     era::{AnswerEra, Eras, Position},
     reach::{MIN_OUTAGE, Reachability},
     signals::Grace,
     update::{StoreUpdate, Update},
+    watchers::Watchers,
 };
 
 /// Prefix of the keys under which instances register their addresses.
@@ -33,14 +33,14 @@
 /// Prefixes of all keys that this instance reads from the store.
 pub(super) const PREFIXES: [&str; 3] = [config::OPERATOR_PREFIX, directory::PREFIX, INSTANCE_PREFIX];
 
-/// Maximum size of the values, in bytes, that are passed on in a datagram; instances that do not watch fetch
-/// larger changes from the store or from a peer.
-const MAX_UPDATE_BYTES: usize = 8 << 10;
-
 /// Maximum size of an upstream's entry and of an instance's registration in bytes, several times the usual one. Others may
 /// write anything there, up to a megabyte each.
 const MAX_ENTRY_BYTES: usize = 16 << 10;
 
+/// Maximum size of changes, in bytes, that are passed on in a datagram; instances that do not watch fetch larger ones from
+/// the store or from a peer.
+const MAX_UPDATE_BYTES: usize = 8 << 10;
+
 /// Returns what is kept of an item; nothing if no instance reads its key. A value that is too large for an entry is left
 /// empty, which is malformed as well.
 pub(super) fn keep(mut item: Item) -> Option<Item> {
@@ -93,6 +93,8 @@
     pub(super) watching: Cell<bool>,
     /// Notified when a later era of the store is followed.
     pub(super) era_followed: Notify,
+    /// Notified when another instance does not watch the store any more, perhaps because the store does not answer it.
+    pub(super) watcher_lost: Notify,
     /// Notified when a later era of the store was seen.
     pub(super) era_seen: Notify,
     /// A peer with newer content; set while this instance is behind and does not watch.
@@ -131,6 +133,7 @@
             watchers: RefCell::default(),
             watching: Cell::new(false),
             era_followed: Notify::new(),
+            watcher_lost: Notify::new(),
             era_seen: Notify::new(),
             ahead_peer: Cell::new(None),
             lagging: Notify::new(),
@@ -288,7 +291,7 @@
         }
     }
 
-    /// Records the failure of a call that was made at `started`.
+    /// Records the failure of a call that was made at `started`, or that no changes have come since then.
     pub(super) fn record_failure(&self, started: Instant) {
         self.reachability
             .borrow_mut()
@@ -300,20 +303,42 @@
         self.reachability.borrow_mut().suspend();
     }
 
+    /// Whether directory updates no longer arrive, neither from the store nor from a peer that watches it.
+    pub(super) fn is_uninformed(&self) -> bool {
+        self.reachability
+            .borrow()
+            .is_uninformed(now(), self.peer_watches())
+    }
+
     /// Whether a peer watches the store and passes changes on.
     fn peer_watches(&self) -> bool {
-        self.watchers.borrow().any_active(Instant::now())
+        self.watchers.borrow().any_active(now())
     }
 
     /// Records whether `peer` reports that it watches the store.
     pub(super) fn record_watcher(&self, peer: SocketAddr, watching: bool) {
-        self.watchers.borrow_mut().record(peer, watching, Instant::now());
+        let is_lost = self.watchers.borrow_mut().record(peer, watching, now());
+        if is_lost && self.watching.get() {
+            self.watcher_lost.notify_one();
+        }
+    }
+
+    /// How long this instance waits before it asks a store that does not answer it.
+    pub(super) fn turn(&self) -> Duration {
+        let own = self.settings.borrow().peer_address;
+        self.watchers.borrow().turn(own, now(), rand::random())
+    }
+
+    /// Whether this instance is the first of those that watch.
+    pub(super) fn is_first_watcher(&self) -> bool {
+        let own = self.settings.borrow().peer_address;
+        self.watchers.borrow().is_first(own, now())
     }
 
     /// Whether this instance has to watch the store itself.
     pub(super) fn must_watch(&self) -> bool {
         let own = self.settings.borrow().peer_address;
-        self.watchers.borrow_mut().must_watch(own, Instant::now())
+        self.watchers.borrow_mut().must_watch(own, now())
     }
 
     /// Records that the store, or a peer that watches it, knows nothing newer.
@@ -344,9 +369,7 @@
             self.position(),
             self.confirmed_at.get().elapsed() < MAX_STALENESS,
             self.watching.get() && self.is_answering() && self.pending_era().is_none(),
-            self.reachability
-                .borrow()
-                .is_uninformed(now(), self.peer_watches()),
+            self.is_uninformed(),
         );
         if self.last_status.replace(status) != status {
             self.send(Update::StoreStatus {
@@ -358,30 +381,44 @@
         }
     }
 
-    /// Applies `changes`, which are all those from the known position to `reached`. Small ones that were seen by watching are
-    /// passed on to the other instances.
+    /// Applies `changes`, which are all those from the known position to `reached`. If they were seen by watching, they are
+    /// passed on to the other instances, unless they are far too large for a datagram.
     pub(super) fn apply_changes(&self, changes: Vec<Item>, reached: Position) {
         // Changes that no instance reads bring the others to the same position, too.
         let has_changes = !changes.is_empty();
         let items: Vec<Item> = changes.into_iter().filter_map(keep).collect();
         let before = self.position();
         let is_next = before.revision > 0 && before.era == reached.era && before < reached;
-        let small = items
-            .iter()
-            .map(|item| item.value.as_ref().map_or(0, Bytes::len))
-            .sum::<usize>()
-            <= MAX_UPDATE_BYTES;
-        if small && is_next && self.watching.get() && has_changes {
-            self.send(Update::StoreUpdate(StoreUpdate {
-                era: reached.era,
-                base: before.revision,
-                revision: reached.revision,
-                items: items.clone(),
-            }));
+        if is_next && self.watching.get() && has_changes {
+            self.pass_on(&items, before, reached);
         }
         self.apply(items, reached);
     }
 
+    /// Passes `items`, which are all changes from `before` to `reached`, on to the other instances unless they are too large
+    /// for a datagram.
+    fn pass_on(&self, items: &[Item], before: Position, reached: Position) {
+        let items = items.iter().cloned().map(|item| {
+            let known = self.value(&item.key);
+            delta::encode(item, known.as_deref())
+        });
+        let items: Vec<_> = items.collect();
+        let bytes: usize = items.iter().map(Message::encoded_len).sum();
+        if bytes > MAX_UPDATE_BYTES {
+            log::info!(
+                bytes, base = before.revision, revision = reached.revision;
+                "changes too large to be passed on"
+            );
+            return;
+        }
+        self.send(Update::StoreUpdate(StoreUpdate {
+            era: reached.era,
+            base: before.revision,
+            revision: reached.revision,
+            items,
+        }));
+    }
+
     /// Applies `items`, of the era of `reached`, to the mirror and records that every change up to that point is known.
     pub(super) fn apply(&self, items: Vec<Item>, reached: Position) {
         let mut instances_changed = false;
@@ -552,6 +589,7 @@
             .chain(self.instances())
             .filter(|peer| *peer != settings.peer_address)
             .collect();
+        self.watchers.borrow_mut().expect(peers.iter().copied(), now());
         self.send(Update::Peers {
             addresses: peers.into_iter().collect(),
             registered: self.is_registered(),
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`events`]: splits a byte stream into complete server-sent events.
 
 mod control;
+pub mod delta;
 pub mod era;
 pub mod events;
 mod lag;
@@ -29,6 +30,7 @@
 mod socket;
 mod traffic;
 mod update;
+pub mod watchers;
 
 pub use carob_ini::Errors;
 pub use lag::Lag;
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -86,6 +86,13 @@
     /// Era of `revision` and `base`; absent in messages of builds that know no eras.
     #[prost(uint64, optional, tag = "21")]
     pub era: Option<u64>,
+    /// Like `updates`, of which some are differences; then `updates` is empty, so that an instance of an earlier build
+    /// fetches the changes itself.
+    #[prost(message, repeated, tag = "22")]
+    pub changes: Vec<Item>,
+    /// Revision after which `changes` begins; zero if that is empty.
+    #[prost(uint64, tag = "23")]
+    pub changes_base: u64,
 }
 
 /// Places at a brittle upstream that an instance holds and wants.
@@ -357,6 +364,12 @@
     /// Whether the receiver has the value, which is left out then.
     #[prost(bool, tag = "4")]
     pub is_held: bool,
+    /// Difference of the value, which is left out then, from the value before; in datagrams only.
+    #[prost(bytes = "bytes", optional, tag = "5")]
+    pub delta: Option<bytes::Bytes>,
+    /// Hash of the value before, with `delta`.
+    #[prost(fixed64, tag = "6")]
+    pub known_hash: u64,
 }
 
 impl From<&fleet::RelayOffer> for RelayOffer {
@@ -376,6 +389,8 @@
             revision: item.revision,
             value: item.value,
             is_held: false,
+            delta: None,
+            known_hash: 0,
         }
     }
 }
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -50,13 +50,7 @@
     /// holds everything, others what has changed.
     fn next_message(&mut self, shared: &Shared, complete: bool) -> Option<Announcement> {
         let watching = shared.is_watching();
-        // Instances that do not watch notice by the revision of those that do when they are behind.
-        let position = if watching {
-            shared.position()
-        } else {
-            Position::START
-        };
-        let status = (watching, position);
+        let status = (watching, told_position(shared));
         let update = shared.take_store_update();
         let news = shared.evidence().take_changes(shared.now());
         let limits = shared
@@ -89,18 +83,23 @@
         if !complete && !has_news {
             return None;
         }
+        let era = update.as_ref().map_or(shared.position().era, |update| update.era);
+        let revision = update
+            .as_ref()
+            .map_or(shared.position().revision, |update| update.revision);
+        let base = update.as_ref().map_or(0, |update| update.base);
+        let (updates, changes) = split_changes(update);
+        let has_differences = !changes.is_empty();
         let message = Announcement {
-            era: Some(update.as_ref().map_or(shared.position().era, |update| update.era)),
-            revision: update
-                .as_ref()
-                .map_or(shared.position().revision, |update| update.revision),
-            base: update.as_ref().map_or(0, |update| update.base),
+            era: Some(era),
+            revision,
+            base: if has_differences { 0 } else { base },
+            changes_base: if has_differences { base } else { 0 },
+            changes,
             watching,
             complete,
             loads: changed.into_iter().map(Load::from).collect(),
-            updates: update.map_or_else(Vec::new, |update| {
-                update.items.into_iter().map(Item::from).collect()
-            }),
+            updates,
             crashes: news.crashes.into_iter().map(Crash::from).collect(),
             sound: news.sound.into_iter().map(Sound::from).collect(),
             trials: news.trials.into_iter().map(Trial::from).collect(),
@@ -120,6 +119,25 @@
     }
 }
 
+/// Position of an instance that watches the store: those that do not notice by it when they are behind.
+fn told_position(shared: &Shared) -> Position {
+    if shared.is_watching() {
+        shared.position()
+    } else {
+        Position::START
+    }
+}
+
+/// Separates changes of the store's content with differences, which instances of earlier builds must not read, from others.
+fn split_changes(update: Option<StoreUpdate>) -> (Vec<Item>, Vec<Item>) {
+    let items = update.map_or_else(Vec::new, |update| update.items);
+    if items.iter().any(|item| item.delta.is_some()) {
+        (Vec::new(), items)
+    } else {
+        (items, Vec::new())
+    }
+}
+
 /// Sends messages for as long as the process runs: changes at once, the complete load at regular intervals.
 pub(super) async fn send(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let boot_id = shared.boot_id();
@@ -249,6 +267,21 @@
     }
 }
 
+/// The changes of the store's content in a message, if there are any.
+fn changes_of(message: &Announcement) -> Option<StoreUpdate> {
+    let (base, items) = if message.base > 0 {
+        (message.base, &message.updates)
+    } else {
+        (message.changes_base, &message.changes)
+    };
+    (base > 0).then(|| StoreUpdate {
+        era: message.era.unwrap_or(0),
+        base,
+        revision: message.revision,
+        items: items.clone(),
+    })
+}
+
 fn handle_datagram(shared: &Shared, peer: SocketAddr, bytes: &[u8]) {
     let message = match Announcement::decode(bytes) {
         Ok(message) => message,
@@ -263,6 +296,8 @@
     if !message.pauses.is_empty() {
         return limit::merge_pauses(shared, peer, &message.pauses);
     }
+    let own = shared.position();
+    let update = changes_of(&message);
     let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
     limit::merge(shared, peer, &limits);
     let brittle: Vec<LimitReport> = message.brittle.into_iter().map(Into::into).collect();
@@ -291,17 +326,10 @@
             .set_relay_offer(peer, relay::decode_offer(offer));
     }
     shared.grant_waiting();
-    let update = (message.base > 0).then(|| StoreUpdate {
-        era: message.era.unwrap_or(0),
-        base: message.base,
-        revision: message.revision,
-        items: message.updates.into_iter().map(Into::into).collect(),
-    });
     let reached = PeerPosition {
         era: message.era,
         revision: message.revision,
     };
-    let own = shared.position();
     if message.complete || update.is_some() || reached.known(own.era) != Some(own) {
         shared.report(Report::Peer {
             address: peer,
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -3,9 +3,13 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use carob_dispatch::{fleet::DirectoryEntry, table::RoutingTable};
-use carob_platform::store::Item;
 
-use crate::{Settings, era::Position, peer::RelayRequest, signals::ShutdownSignal};
+use crate::{
+    Settings,
+    era::Position,
+    peer::{Item, RelayRequest},
+    signals::ShutdownSignal,
+};
 
 /// Message of the control thread to the traffic thread.
 #[derive(Debug)]
@@ -63,7 +67,7 @@
     pub base: u64,
     /// Revision that the changes lead to, inclusive.
     pub revision: u64,
-    /// The changed items; an item without a value was removed.
+    /// The changed items; an item with neither a value nor a difference was removed.
     pub items: Vec<Item>,
 }
 
