test: the soak has clients that resume streams at other gateways

Three clients break off streams of a resumable route after 20 to 900 ms, and ask any gateway in rotation for the rest, up to four times; upstreams send up to two earlier events once more.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -22,6 +22,8 @@
 mod operator;
 #[path = "soak/process.rs"]
 mod process;
+#[path = "soak/resumers.rs"]
+mod resumers;
 #[path = "soak/traffic.rs"]
 mod traffic;
 
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -81,7 +81,8 @@
     pub fn violation(&self, observation: &Observation) -> Option<String> {
         let (id, outcome) = (&observation.request.id, &observation.outcome);
         let runs = self.runs.get(id).copied().unwrap_or(0);
-        let max_runs = if observation.kind == Kind::Safe { 2 } else { 1 };
+        let may_repeat = matches!(observation.kind, Kind::Safe | Kind::Resumable { .. });
+        let max_runs = if may_repeat { 2 } else { 1 };
         if runs > max_runs {
             return Some(format!("ran {runs} times"));
         }
@@ -104,13 +105,19 @@
         if !outcome.from_upstream {
             return Some("a success without a stamp".to_owned());
         }
-        if let Kind::Stream(length) = observation.kind {
+        let rest = match observation.kind {
+            Kind::Stream(length) => Some((0, length)),
+            Kind::Resumable { from, events } => Some((from, events)),
+            Kind::Unsafe | Kind::Safe => None,
+        };
+        if let Some((from, length)) = rest {
             let events = outcome.events();
-            let expected: Vec<u64> = (1..=events.len() as u64).collect();
+            let last = from + events.len() as u64;
+            let expected: Vec<u64> = (from + 1..=last).collect();
             if events != expected {
-                return Some(format!("events out of order: {events:?}"));
+                return Some(format!("events out of order after {from}: {events:?}"));
             }
-            let is_short = outcome.complete && events.len() as u64 != length;
+            let is_short = outcome.complete && last != length;
             return (is_short && !self.unmarked.contains(id))
                 .then(|| "ended early but looks complete".to_owned());
         }
--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -167,7 +167,7 @@
                 others.any(|other| is_in_touch(other, seen, operator))
             };
             let calm = observations.iter().filter(|seen| {
-                !matches!(seen.kind, Kind::Stream(_))
+                !matches!(seen.kind, Kind::Stream(_) | Kind::Resumable { .. })
                     && seen.begun >= from
                     && seen.begun < to
                     && is_in_touch(seen.gateway, seen, operator)
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -29,11 +29,14 @@
 };
 
 /// Routes of the configurations in a soak.
-pub const ROUTES: [Route; 4] = [
+pub const ROUTES: [Route; 5] = [
     Route::new("/draft/", "streaming", "engines").with_timeout(20_000),
     Route::new("/order/", "unsafe", "plain"),
     Route::new("/read/", "safe", "plain").with_max_attempts(2),
     Route::new("/open/", "safe", "plain").with_anonymous(),
+    Route::new("/answer/", "streaming", "engines")
+        .with_max_attempts(2)
+        .with_resumable(),
 ];
 
 /// Grace that each gateway starts with, according to [`Fleet::start`].
@@ -705,5 +708,7 @@
     let engine = fleet.start_engine(&format!("e{number}"), 1, EVENT_INTERVAL);
     engine.set_chunked(!number.is_multiple_of(UNFRAMED_ENGINES));
     engine.set_crlf(number.is_multiple_of(3));
+    // Some send events once more that the client of a resumed stream has.
+    engine.set_resume_shift(-i64::from(number % 3));
     engine
 }
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -18,6 +18,7 @@
 use crate::{
     EVENT_TOKENS, MAX_EVENTS,
     fleet::{LONG, request},
+    resumers::RESUMERS,
 };
 
 /// Timeout of requests other than long generations.
@@ -64,6 +65,13 @@
     Safe,
     /// A generation with this number of events.
     Stream(u64),
+    /// The rest of a generation on a resumable route.
+    Resumable {
+        /// The last event that the client has; 0 if it has none.
+        from: u64,
+        /// Number of events of the whole generation.
+        events: u64,
+    },
 }
 
 /// A request and its outcome as the client saw it.
@@ -149,7 +157,14 @@
             thread::spawn(move || clients.send_reads(&mut rng))
         });
         let readers: Vec<_> = readers.collect();
-        senders.chain(checks).chain([deadly]).chain(readers).collect()
+        let resumers = (0..RESUMERS).map(|number| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(19) ^ number << 32);
+            thread::spawn(move || clients.resume_streams(&mut rng))
+        });
+        let resumers: Vec<_> = resumers.collect();
+        let others = [deadly].into_iter().chain(readers).chain(resumers);
+        senders.chain(checks).chain(others).collect()
     }
 
     pub fn stop(&self) {
@@ -173,7 +188,7 @@
         (observations, std::mem::take(&mut *lock(&self.unrequested)))
     }
 
-    fn is_stopped(&self) -> bool {
+    pub fn is_stopped(&self) -> bool {
         self.stop.load(Ordering::Relaxed)
     }
 
@@ -189,7 +204,7 @@
     }
 
     /// A gateway in rotation, or any one if none is.
-    fn pick_gateway(&self, rng: &mut StdRng) -> usize {
+    pub fn pick_gateway(&self, rng: &mut StdRng) -> usize {
         let in_rotation: Vec<usize> = (0..self.addresses.len())
             .filter(|gateway| self.in_rotation[*gateway].load(Ordering::Relaxed))
             .collect();
@@ -199,7 +214,7 @@
 
     /// Draws a request; `draft_share` is the share of long generations.
     fn draw(&self, rng: &mut StdRng, draft_share: f64) -> (Kind, Request) {
-        let id = format!("q{}", self.next_id.fetch_add(1, Ordering::Relaxed));
+        let id = self.next_request_id();
         if rng.random_bool(draft_share) {
             return draw_generation(rng, &id, DRAFT_EVENTS, MAX_EVENTS);
         }
@@ -216,7 +231,12 @@
         }
     }
 
-    fn record(&self, observation: Observation) {
+    /// Id of a further request.
+    pub fn next_request_id(&self) -> String {
+        format!("q{}", self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    pub fn record(&self, observation: Observation) {
         lock(&self.observations).push(observation);
     }
 
@@ -266,11 +286,7 @@
             let connected = Instant::now();
             let (mut sent, mut outcome) = (None, Outcome::default());
             if let Some(held) = &mut held {
-                sent = held
-                    .connection
-                    .write(std::slice::from_ref(&request))
-                    .then(Instant::now);
-                outcome = held.connection.read(opened + request.timeout);
+                (sent, outcome) = held.send(&request, opened + request.timeout);
             }
             self.record(Observation {
                 request,
@@ -362,7 +378,7 @@
         }
     }
 
-    fn open(&self, gateway: usize) -> Option<Held> {
+    pub fn open(&self, gateway: usize) -> Option<Held> {
         let begun = Instant::now();
         Some(Held {
             connection: Connection::open(self.addresses[gateway])?,
@@ -435,7 +451,7 @@
 }
 
 /// An open connection.
-struct Held {
+pub struct Held {
     connection: Connection,
     gateway: usize,
     /// When the client began to open it, and when it was open.
@@ -445,6 +461,29 @@
     use_at: Option<Instant>,
 }
 
+impl Held {
+    /// Sends a request and reads its answer until `deadline`. Returns when its last byte was sent, and the outcome.
+    pub fn send(&mut self, request: &Request, deadline: Instant) -> (Option<Instant>, Outcome) {
+        let is_sent = self.connection.write(std::slice::from_ref(request));
+        (is_sent.then(Instant::now), self.connection.read(deadline))
+    }
+}
+
+/// Draws the request of a client that wants the events after `from` of a generation with `events` on a resumable route.
+pub fn draw_resumable(rng: &mut StdRng, id: &str, from: u64, events: u64) -> Request {
+    let (_, mut generation) = draw_generation(rng, id, ANSWER_EVENTS, MAX_EVENTS / 10);
+    "/answer/x".clone_into(&mut generation.path);
+    generation
+        .extra_headers
+        .retain(|(name, _)| name != client::EVENTS_HEADER);
+    let generation = generation.with_events(events);
+    if from == 0 {
+        generation
+    } else {
+        generation.with_header("Last-Event-Id", &from.to_string())
+    }
+}
+
 /// Draws a generation of about `median` events, at most `max`, with a length hint that is right at the median.
 fn draw_generation(rng: &mut StdRng, id: &str, median: f64, max: u64) -> (Kind, Request) {
     let events = (log_normal(rng, median, EVENTS_SPREAD) as u64).clamp(1, max);
