fix: a slow stream is cut when it looks stalled and no repeat is permitted

A stream of a resumable route whose events come further apart than half of the pause that clients bear was closed and then not run again, since the budget was spent or the request is refused for crashes. It stays with its upstream now: permission and place are asked for first.

--- a/crates/carob-gateway/src/traffic/attempts.rs
+++ b/crates/carob-gateway/src/traffic/attempts.rs
@@ -41,6 +41,15 @@
         next
     }
 
+    /// Whether the budget permits another send of a request that an upstream works on.
+    pub(super) fn permit_another(call: &Call) -> bool {
+        let cause = Cause {
+            reason: Reason::Unknown,
+            silent: None,
+        };
+        repeats::is_permitted(call, cause)
+    }
+
     /// Whether a stream that `upstream` has broken off may run once more; its attempt then counts as one that ran.
     pub(super) fn may_run_again(&mut self, call: &Call, upstream: UpstreamKey) -> bool {
         self.record(call, upstream, AttemptResult::Unknown) == NextAction::Retry && self.is_permitted(call)
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -8,6 +8,7 @@
 
 use super::{
     super::{
+        attempts::Attempts,
         crash,
         exchange::{self, Answer, RunStart, upstream_name},
         framing::{self, Framing},
@@ -15,6 +16,7 @@
         migrate::{self, MigrationOutcome, Progress},
         relay,
         resume::{self, OpenStream, RESUME_TIMEOUT},
+        verdict,
     },
     Migration, Stream, StreamEnd,
 };
@@ -205,8 +207,8 @@
             && self.attempts.ran + 1 < self.call.route.max_attempts
     }
 
-    /// Runs a stream again whose present run has stalled, if another upstream has a place for it at once. Returns whether
-    /// it goes on there.
+    /// Runs a stream again whose present run has stalled, if that is permitted and another upstream has a place for it at
+    /// once. Returns whether it goes on there; otherwise the present run may still bring the rest.
     pub(super) async fn leave_stalled(&mut self) -> Result<bool, StreamEnd> {
         self.stall_due = Instant::now() + self.stall_limit();
         let shared = Rc::clone(&self.call.shared);
@@ -215,7 +217,8 @@
         let size = self.call.run_size(self.generated());
         let requirements = self.call.requirements(size, &excluded);
         let placement = shared.fleet().place(&requirements, shared.now());
-        if !matches!(placement, Placement::Upstream(_)) {
+        let has_place = matches!(placement, Placement::Upstream(_));
+        if !has_place || !verdict::may_move(&self.call) || !Attempts::permit_another(&self.call) {
             return Ok(false);
         }
         self.record_failing();
--- a/tests/resumable.rs
+++ b/tests/resumable.rs
@@ -294,6 +294,16 @@
     assert_eq!(fleet.ledger.run_count("s1"), 1);
 }
 
+/// Its events come further apart than half of the pause that clients bear, and no repeat is permitted yet.
+#[test]
+fn a_slow_stream_is_cut_while_the_budget_is_spent() {
+    let (fleet, _engines) = start(1, 2, Duration::from_millis(2_300));
+    let outcome = fleet.send(0, &answer_request("v1").with_events(2));
+    assert_eq!(outcome.events(), [1, 2]);
+    assert!(outcome.complete);
+    assert_eq!(fleet.ledger.run_count("v1"), 1);
+}
+
 /// A route that permits one upstream gets no second one, and its client is told that the stream is not whole.
 #[test]
 fn a_stream_runs_at_more_upstreams_than_its_route_permits() {
