Review: a move that times out leaves the generation running at two runners

Shown: a runner that is silent for a second when a generation is moved to it, and does not drop requests whose connection closes, continues it beside the first runner for 3.5 s (TWICE).

Cause: switch_over gives up after MOVE_TIMEOUT and does not stop what the target may have begun.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+program=target/review/release/moved_generation
+[ -x "$program" ] && [ -x target/release/carobhaven ] || exit 2
+exec "$program" "$folder"
