--- a/review/standins/src/bin/first_request_at_stop.rs
+++ b/review/standins/src/bin/first_request_at_stop.rs
@@ -23,7 +23,7 @@
 const CONNECTED: Duration = Duration::from_millis(1_930);
 
 /// Time that the clients take for a head; `HeaderTimeoutMs` is 3,000.
-const HEAD_TIME: Duration = Duration::from_millis(2_850);
+const HEAD_TIME: Duration = Duration::from_millis(2_900);
 
 /// Clients, each with a connection of its own.
 const CLIENTS: usize = 4;
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -6,6 +6,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
@@ -33,9 +34,16 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Ends the case as one that could not run.
+/// Gateways that were started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case, and the gateways, as one that could not run.
 pub fn give_up(reason: &str) -> ! {
     println!("could not run: {reason}");
+    let started = STARTED.lock().map(|started| started.clone()).unwrap_or_default();
+    for id in started {
+        let _sent = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+    }
     exit(COULD_NOT_RUN);
 }
 
@@ -142,6 +150,9 @@
             .stdout(Stdio::from(log))
             .spawn()
             .unwrap_or_else(|error| give_up(&format!("the gateway does not start: {error}")));
+        if let Ok(mut started) = STARTED.lock() {
+            started.push(child.id());
+        }
         Self {
             child,
             callers,
@@ -181,6 +192,9 @@
     fn drop(&mut self) {
         let _killed = self.child.kill();
         let _ended = self.child.wait();
+        if let Ok(mut started) = STARTED.lock() {
+            started.retain(|id| *id != self.child.id());
+        }
         let _removed = fs::remove_dir_all(&self.folder);
     }
 }
