--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -14,15 +14,12 @@
 use carob_platform_standin::{
     Endpoint, Ledger, Store,
     client::{self, Request},
+    config::{self, Route},
 };
-use serde_json::{Value, json};
 
 /// API key of the only client account.
 pub const KEY: &str = "xd9dnn2ctnfzs989anu6";
 
-/// Host of all routes.
-pub const HOST: &str = "ficu95.example";
-
 /// Exit code if the case could not run.
 const COULD_NOT_RUN: i32 = 2;
 
@@ -224,7 +221,7 @@
 
     /// Writes a version of the configuration.
     pub fn configure(&self, version: u64) {
-        self.store.put("op/config", &config(version));
+        self.store.put(config::KEY, &config::config(version, &ROUTES, &[KEY]));
     }
 
     /// Waits until every gateway is ready.
@@ -235,50 +232,17 @@
     }
 }
 
-/// The configuration of `saarela-tukku`, as its pages show it.
-pub fn config(version: u64) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str, times: (u64, u64), attempts: u32| {
-        let mut route = json!({
-            "Name": name, "Host": HOST, "Prefix": prefix, "Kind": kind, "TimeoutMs": times.0,
-            "TargetLatencyMs": times.1, "Priority": 1, "Service": service, "MaxAttempts": attempts,
-            "AllowAnonymous": false, "Sticky": kind == "streaming", "Resumable": false,
-        });
-        if kind == "streaming" {
-            route["GapTargetMs"] = json!(180);
-        }
-        route
-    };
-    json!({
-        "Version": version,
-        "Routes": [
-            route("quote-draft", "/quote/", "streaming", "engines", (39_000, 1_800), 1),
-            route("item-answer", "/item/", "streaming", "engines", (6_000, 1_500), 1),
-            route("order-post", "/order/", "unsafe", "plain", (1_200, 150), 1),
-            route("stock-read", "/stock/", "safe", "plain", (1_200, 150), 2),
-        ],
-        "Services": [
-            {
-                "Name": "engines", "HealthPath": "/health", "MaxConns": 222, "Protocol": "h1", "Tls": false,
-                "Engine": {
-                    "Slots": 24, "KvCapacity": 34_142, "KvTokenBytes": 192_512, "LinkMbps": 28_000.0, "Moves": true,
-                    "Backups": true, "Stride": 4, "most": 12, "PinMs": 4_000.0, "HoldMs": 2_000.0, "HandleS": 5.0,
-                    "Models": [{ "Name": "m" }],
-                },
-            },
-            { "Name": "plain", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false },
-        ],
-        "Limits": {
-            "MaxHeaderBytes": 16_384, "MaxBodyBytes": 4_194_304, "HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 15_000,
-        },
-        "Tenants": [{ "Name": "huka270", "ApiKeys": [KEY], "Priority": 1 }],
-    })
-}
+/// The routes of `saarela-tukku`, with its times in milliseconds.
+pub const ROUTES: [Route; 4] = [
+    Route::new("/quote/", "streaming", "engines").with_timeout(39_000).with_target_latency(1_800),
+    Route::new("/item/", "streaming", "engines").with_timeout(6_000).with_target_latency(1_500),
+    Route::new("/order/", "unsafe", "plain").with_timeout(1_200).with_target_latency(150),
+    Route::new("/stock/", "safe", "plain").with_timeout(1_200).with_target_latency(150).with_max_attempts(2),
+];
 
 /// A client's request with the key of its account.
 pub fn request(id: &str, method: &'static str, path: &str, deadline: Duration) -> Request {
-    let mut request = Request::new(id, method, path).with_key(KEY).with_timeout(deadline);
-    HOST.clone_into(&mut request.host);
-    request
+    Request::new(id, method, path).with_key(KEY).with_timeout(deadline)
 }
 
 /// Ends the case: prints the verdict, stops the gateways and exits with 1 if the rule was `broken`.
