--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -4,7 +4,7 @@
     fs,
     io::Write as _,
     net::{SocketAddr, TcpListener},
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio, exit},
     sync::Mutex,
     thread,
@@ -23,12 +23,15 @@
 /// Exit code if the case could not run.
 const COULD_NOT_RUN: i32 = 2;
 
+/// Time after which machines that have just started are in touch: `ContactMs` (4,000) and a half second.
+const CONTACT: Duration = Duration::from_millis(4_500);
+
 /// Longest wait for a step of the preparation.
 const PREPARATION: Duration = Duration::from_secs(20);
 
-/// Whether the disruption takes place: not with `TROUBLE=0`.
+/// Whether the disruption takes place: not if the second argument, which is `TROUBLE`, is 0.
 pub fn has_trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+    std::env::args().nth(2).is_none_or(|value| value != "0")
 }
 
 /// Gateways that were started.
@@ -67,10 +70,10 @@
 }
 
 impl Record {
-    /// Creates `record.txt` in the case's folder, the first argument of the program.
+    /// Creates the file that the first argument of the program names.
     pub fn create() -> Self {
-        let folder = std::env::args().nth(1).unwrap_or_else(|| give_up("no folder was named"));
-        let file = fs::File::create(Path::new(&folder).join("record.txt"));
+        let path = std::env::args().nth(1).unwrap_or_else(|| give_up("no record was named"));
+        let file = fs::File::create(path);
         Self {
             start: Instant::now(),
             file: file.unwrap_or_else(|error| give_up(&error.to_string())),
@@ -224,11 +227,12 @@
         self.store.put(config::KEY, &config::config(version, &ROUTES, &[KEY]));
     }
 
-    /// Waits until every gateway is ready.
+    /// Waits until every gateway is ready, and then until it is in touch.
     pub fn wait_ready(&self) {
         for gateway in &self.gateways {
             wait_until("a gateway is ready", || gateway.is_ready());
         }
+        thread::sleep(CONTACT);
     }
 }
 
