fix: requests whose heads come late are cut off in a planned stop

What callers saw: orders that were read whole and run 4.8 s after SIGTERM ended without an answer 1 s later (LOST); the process went on until 7.6 s.

Cause: the timer that closes connections without a request had "no request has arrived" as the guard of its branch of select!, which is evaluated when the loop of the connection comes round, every two seconds at most, and not when the timer fires. On the same path, a head that was coming in on a kept connection was cut by the end of the listener, and by the check for idle connections.

Why this works: a head that has begun ends by its own time limit, so the timer is not needed; neither the end of the listener nor the idle check closes a connection whose head has begun, and what has arrived is read before either is looked at.

--- a/crates/carob-gateway/src/traffic/head.rs
+++ b/crates/carob-gateway/src/traffic/head.rs
@@ -27,6 +27,8 @@
     pub(super) count: Cell<u32>,
     /// Number of these that are being handled.
     pub(super) active: Cell<u32>,
+    /// Whether a part of the next head was read.
+    pub(super) reading: Cell<bool>,
 }
 
 /// A client's connection that fails when a head takes too long. Its idle time before a head is not limited.
@@ -35,8 +37,6 @@
     requests: Rc<Requests>,
     /// Value of [`Requests::count`] when bytes were last read.
     seen: u32,
-    /// Whether a part of the next head was read.
-    begun: bool,
     limit: Duration,
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -48,7 +48,6 @@
             stream,
             requests,
             seen: 0,
-            begun: false,
             limit,
             timer: None,
         }
@@ -69,7 +68,7 @@
     fn expects_head(&mut self) -> bool {
         let count = self.requests.count.get();
         if count != self.seen {
-            (self.seen, self.begun, self.timer) = (count, false, None);
+            (self.seen, self.timer) = (count, None);
         }
         self.requests.active.get() == 0
     }
@@ -82,7 +81,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let expects_head = self.expects_head();
-        if expects_head && self.begun {
+        if expects_head && self.requests.reading.get() {
             let limit = self.limit;
             let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(limit)));
             if timer.as_mut().poll(cx).is_ready() {
@@ -92,7 +91,9 @@
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.begun |= expects_head && buf.filled().len() > before;
+        if expects_head && buf.filled().len() > before {
+            self.requests.reading.set(true);
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -148,19 +148,12 @@
         tokio::time::sleep(CLOSE_DELAY).await;
     };
     tokio::pin!(closing);
-    // A connection on which no request has ever arrived does not hold the process up.
-    let head_late = async {
-        shared.wait_closing().await;
-        let limit = shared
-            .table()
-            .map_or(DEFAULT_HEAD_TIMEOUT, |table| table.limits().head_timeout);
-        tokio::time::sleep(CLOSE_DELAY + limit).await;
-    };
-    tokio::pin!(head_late);
     let mut closes = false;
     let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     let cut = loop {
         tokio::select! {
+            biased;
+            // First, so that what has arrived is read before it is decided whether the connection closes.
             outcome = &mut served => {
                 if let Err(error) = &outcome {
                     log::debug!(error:% = error; "client connection ended with an error");
@@ -168,16 +161,19 @@
                 break outcome.is_err();
             }
             () = shared.aborted.notified() => break true,
-            () = head_late.as_mut(), if activity.requests.count.get() == 0 => break false,
             () = closing.as_mut(), if !closes => {
                 closes = true;
-                std::pin::Pin::new(&mut served).graceful_shutdown();
+                // A head that has begun is read to its end or its time limit, and the answer closes the connection.
+                if !activity.requests.reading.get() {
+                    std::pin::Pin::new(&mut served).graceful_shutdown();
+                }
             }
             _ = check.tick() => {
                 let timeout = shared
                     .table()
                     .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits().idle_timeout);
                 let idle = activity.requests.active.get() == 0
+                    && !activity.requests.reading.get()
                     && shared.now().since(activity.idle_since.get()) > timeout;
                 if idle {
                     std::pin::Pin::new(&mut served).graceful_shutdown();
@@ -195,6 +191,7 @@
 ) -> Response<ResponseBody> {
     let requests = &activity.requests;
     let earlier = requests.count.replace(requests.count.get() + 1);
+    requests.reading.set(false);
     let active = ActiveRequest::new(&shared, activity.accepted, earlier);
     requests.active.set(requests.active.get() + 1);
     let count = RequestCount(Rc::clone(&activity), Rc::clone(&shared));
