fix: bytes without end in answers to copy calls take all memory

What callers would see: a leaving engine that answers the copy calls of its generations with bytes without end takes 112 MB of a gateway with 20 of them; an instance of 88 MB ends, with the requests of all its clients (LOST).

Cause: the limit of 4 MiB for an answer, which the store's pages need, held for each call to an upstream as well, and a leaving engine gets one call for each of its generations at once.

Why this works: answers to control calls are limited to 64 KiB each.

--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -212,7 +212,11 @@
 /// Maximum size of a response body read by [`call`]; the largest is a page of the store's items.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// Connects, sends the request and reads the whole response, all by `deadline`.
+/// Maximum size of an upstream's response to a control call: a report names each run of the upstream in some 50 bytes. An
+/// instance may make hundreds of such calls at a time.
+pub(crate) const MAX_CONTROL_BYTES: usize = 64 << 10;
+
+/// Connects to the store, sends the request and reads the whole response, all by `deadline`.
 pub(crate) async fn call(
     address: SocketAddr,
     mut request: Request<Bytes>,
@@ -222,22 +226,23 @@
         request.headers_mut().insert(hyper::header::HOST, host);
     }
     let connection = Connection::open(address, None, deadline).await?;
-    call_on(connection, request, deadline).await
+    call_on(connection, request, MAX_RESPONSE_BYTES, deadline).await
 }
 
-/// Sends the request on `connection` and reads the whole response, by `deadline`.
+/// Sends the request on `connection` and reads the whole response of at most `limit` bytes, by `deadline`.
 pub(crate) async fn call_on(
     connection: Connection,
     request: Request<Bytes>,
+    limit: usize,
     deadline: Instant,
 ) -> Result<Response<Bytes>, Error> {
     let (response, _task) = connection.send(request, deadline).await?;
     let (head, body) = response.into_parts();
-    let body = timeout_at(deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect())
+    let body = timeout_at(deadline, Limited::new(body, limit).collect())
         .await
         .map_err(|_elapsed| Error::Unfinished("the deadline passed".to_owned()))?
         .map_err(|error| match error.downcast_ref::<LengthLimitError>() {
-            Some(_) => Error::Unfinished(format!("expected at most {MAX_RESPONSE_BYTES} bytes, found more")),
+            Some(_) => Error::Unfinished(format!("expected at most {limit} bytes, found more")),
             None => Error::Broken(describe(&*error)),
         })?;
     Ok(Response::from_parts(head, body.to_bytes()))
--- a/crates/carob-gateway/src/traffic/crash.rs
+++ b/crates/carob-gateway/src/traffic/crash.rs
@@ -21,7 +21,7 @@
     relay::{self, Purpose},
     shared::Shared,
 };
-use crate::socket::{self, Connection};
+use crate::socket::{self, Connection, MAX_CONTROL_BYTES};
 
 /// Time for which an upstream writes an answer until the request is known not to have crashed it. A request that
 /// crashes upstreams does so when its answer begins.
@@ -196,9 +196,10 @@
     };
     match connection {
         // Only engines have reports.
-        Ok(connection) if is_engine => socket::call_on(connection, engine::get_report(), deadline)
-            .await
-            .is_ok(),
+        Ok(connection) if is_engine => {
+            let report = socket::call_on(connection, engine::get_report(), MAX_CONTROL_BYTES, deadline);
+            report.await.is_ok()
+        }
         connection => connection.is_ok(),
     }
 }
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -15,7 +15,7 @@
     relay::{self, Purpose},
     shared::Shared,
 };
-use crate::socket::{self, Connection};
+use crate::socket::{self, Connection, MAX_CONTROL_BYTES};
 
 /// Suggested retry delay while no instance reaches an upstream; such a cut lasts for seconds.
 const RETRY_CUT: Duration = Duration::from_millis(1_500);
@@ -219,9 +219,9 @@
     }
     let connection = open(shared, upstream, Purpose::Control, deadline).await?;
     if connection.relay().is_some() {
-        return socket::call_on(connection, request, deadline).await;
+        return socket::call_on(connection, request, MAX_CONTROL_BYTES, deadline).await;
     }
-    let answer = socket::call_on(connection, request, deadline);
+    let answer = socket::call_on(connection, request, MAX_CONTROL_BYTES, deadline);
     watch(shared, upstream, false, answer).await
 }
 
@@ -282,7 +282,7 @@
     };
     let connected = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let outcome = match Connection::open(address, shared.settings().source, connected).await {
-        Ok(connection) => socket::call_on(connection, request, deadline).await,
+        Ok(connection) => socket::call_on(connection, request, MAX_CONTROL_BYTES, deadline).await,
         Err(error) => Err(error),
     };
     match outcome {
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -252,10 +252,11 @@
     }
 }
 
-const HEADS: [Flood; 5] = [
+const HEADS: [Flood; 6] = [
     Flood::StatusLine,
     Flood::HeaderLines,
     Flood::Header,
+    Flood::FoldedHeader,
     Flood::Interim,
     Flood::Noise,
 ];
