fix: a source that cannot be held goes on beside its target

What callers saw: as before, two engines work on one draft (TWICE), where the target of a move is cut off with the request and no engine has room for the source's memory.

Cause: the call that stops the source names an engine for its memory; without room there it is refused before the run is stopped, and the source went on. The time in which both may run also began before the target was connected, so that a target that cannot be reached cost drafts their source.

The test a_source_whose_memory_has_no_room_anywhere_goes_on_beside_its_target has such a source.

Why this works: a refused call is repeated with the target, and then the connection to the source is closed; a rescue whose call is refused leaves the stream with its upstream, which goes on. The overlap begins when the request is written.

--- a/crates/carob-dispatch/src/migration.rs
+++ b/crates/carob-dispatch/src/migration.rs
@@ -30,9 +30,13 @@
 /// 1.5 s.
 pub const CATCH_UP_CUTOFF: Duration = Duration::from_millis(1_100);
 
-/// Time from the request to the target until the source is stopped, whether the target has answered or not. Both may
-/// work on one generation for at most 400 ms, the way of the stop to the source included; most targets answer in less.
-pub const OVERLAP: Duration = Duration::from_millis(250);
+/// Time from the request to the target until the source is called to stop, unless the target has answered. Both may work
+/// on one generation for at most 400 ms, the way of the stop to the source included; most targets answer in less.
+pub const OVERLAP: Duration = Duration::from_millis(200);
+
+/// Time for calls that stop the source and keep its memory. If they are refused for lack of room by then, its connection
+/// is closed.
+pub const HOLD_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Time limit of a call that stops a generation, of which the next one follows after [`STOP_INTERVAL`].
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -78,6 +78,11 @@
         self.relay.as_ref().map(|(peer, _)| *peer)
     }
 
+    /// A handle that closes the connection.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.handle.clone()
+    }
+
     /// Closes the connection, as dropping this does.
     pub(crate) fn abort(&self) {
         self.handle.abort();
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -15,7 +15,7 @@
 };
 use hyper::{HeaderMap, Response, StatusCode, http::request::Parts};
 use smallvec::SmallVec;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::{
     body::HeldBytes,
@@ -73,6 +73,8 @@
     pub(super) version: u64,
     /// Upstreams that the request was sent to, once for each time.
     pub(super) sent_to: RefCell<SmallVec<[UpstreamKey; 4]>>,
+    /// Notified when the request is written to a connection, from which on its upstream may get it.
+    pub(super) send_begun: Notify,
     /// Upstreams that are called to stop the request, which they may run.
     pub(super) abandoned: RefCell<SmallVec<[UpstreamKey; 2]>>,
 }
@@ -248,6 +250,7 @@
             limit::count_permits("used", 1);
         }
         self.sent_to.borrow_mut().push(reservation.upstream);
+        self.send_begun.notify_waiters();
         let sent = Instant::now();
         let may_repeat = self.route.kind.is_idempotent();
         let is_direct = connection.relay().is_none();
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -15,7 +15,10 @@
     request::{self, Resume},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
 
 use super::{
     answer::{LocalAnswer, ResponseBody},
@@ -212,6 +215,7 @@
         last_event,
         version: table.version(),
         sent_to: RefCell::default(),
+        send_begun: Notify::new(),
         abandoned: RefCell::default(),
         head,
         parts,
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -12,7 +12,7 @@
 };
 use carob_platform::engine::{self, CopyOutcome};
 use smallvec::SmallVec;
-use tokio::time::Instant;
+use tokio::{task::AbortHandle, time::Instant};
 
 use super::{
     call::Call, exchange::upstream_name, guard::Reservation, limit, link, resume::OpenStream, shared::Shared,
@@ -34,6 +34,8 @@
     pub(super) stopped: bool,
     /// Id of the last event that was passed on to the client.
     pub(super) last_event: Option<u64>,
+    /// Closes the connection to the source.
+    pub(super) connection: Option<AbortHandle>,
 }
 
 /// How a migration ended.
--- a/crates/carob-gateway/src/traffic/stream/mod.rs
+++ b/crates/carob-gateway/src/traffic/stream/mod.rs
@@ -219,6 +219,7 @@
         let notice = self.call.shared.leaving_notice(self.reservation.upstream);
         let progress = Rc::new(RefCell::new(Progress {
             last_event: self.position.last(),
+            connection: Some(self.driver.abort_handle()),
             ..Progress::default()
         }));
         let probing = tokio::task::spawn_local(probe::watch_departure(
--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -4,14 +4,14 @@
 //! or not. The source is stopped [`OVERLAP`] later at the latest and keeps its memory. If the target turns out not to
 //! continue, it is stopped in turn, and the generation goes on from the source's memory.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, pin::Pin, rc::Rc};
 
 use carob_dispatch::{
     budget::Reason,
     fleet::{RequestSize, UpstreamKey},
     migration::{
-        CONFIRM_TIMEOUT, MAX_FAILED_STOPS, OVERLAP, QUIET_ANSWERS, STOP_INTERVAL, STOP_PERIOD, STOP_TIMEOUT,
-        TARGET_SHARE, TARGET_TIMEOUT,
+        CONFIRM_TIMEOUT, HOLD_TIMEOUT, MAX_FAILED_STOPS, OVERLAP, QUIET_ANSWERS, STOP_INTERVAL, STOP_PERIOD,
+        STOP_TIMEOUT, TARGET_SHARE, TARGET_TIMEOUT,
     },
 };
 use carob_platform::{
@@ -20,6 +20,7 @@
 };
 use tokio::{
     sync::oneshot,
+    task::AbortHandle,
     time::{Instant, timeout, timeout_at},
 };
 
@@ -39,6 +40,37 @@
     pub(super) reason: &'static str,
     /// Whether it may have been stopped, so that its stream does not end in order.
     pub(super) is_stopped: bool,
+    /// Whether it is known to go on.
+    goes_on: bool,
+}
+
+impl NotHeld {
+    /// The generation goes on.
+    const fn going(reason: &'static str) -> Self {
+        Self {
+            reason,
+            is_stopped: false,
+            goes_on: true,
+        }
+    }
+
+    /// The generation has ended by itself.
+    const fn ended(reason: &'static str) -> Self {
+        Self {
+            reason,
+            is_stopped: false,
+            goes_on: false,
+        }
+    }
+
+    /// The generation may have been stopped; its upstream's answer is lost.
+    const fn unclear(reason: &'static str) -> Self {
+        Self {
+            reason,
+            is_stopped: true,
+            goes_on: false,
+        }
+    }
 }
 
 /// Continues the generation at the target from the copy in `progress`; the source continues it too, until the target has
@@ -71,20 +103,22 @@
     };
     let target = reservation.upstream;
     let resume = resume_from(engine, &handle, progress.borrow().last_event);
-    let sent = Instant::now();
     let limit = TARGET_TIMEOUT.min(call.route.patience().mul_f64(TARGET_SHARE));
+    let begun = call.send_begun.notified();
     let attempt = async {
+        let deadline = Instant::now() + limit;
         let opened = resume::resume_at(call, reservation, Reason::Move, &resume, limit).await?;
-        opened.await_first_bytes(sent + limit).await
+        opened.await_first_bytes(deadline).await
     };
     tokio::pin!(attempt);
-    let early = match timeout_at(sent + OVERLAP, &mut attempt).await {
-        Ok(Ok(opened)) => {
+    let (early, overlap) = overlap(attempt.as_mut(), begun).await;
+    let early = match early {
+        Some(Ok(opened)) => {
             tokio::task::spawn_local(stop_source(Rc::clone(call), source, target));
             return MigrationOutcome::Continued(Box::new(opened));
         }
-        Ok(Err(failure)) => Some(failure),
-        Err(_elapsed) => None,
+        Some(Err(failure)) => Some(failure),
+        None => None,
     };
     let mut confirmed = None;
     match early {
@@ -102,7 +136,7 @@
         Some(_) => {
             // It has broken off, so that one answer tells whether it still runs the generation.
             let mut stopped = abandon(call, target, source, 1);
-            if is_confirmed(&mut stopped, sent + OVERLAP).await {
+            if is_confirmed(&mut stopped, overlap).await {
                 return MigrationOutcome::Failed("the other upstream broke off");
             }
             confirmed = Some(stopped);
@@ -114,7 +148,8 @@
         request:% = call.id(), source:% = upstream_name(call, source), target:% = upstream_name(call, target),
         broken = early.is_some(); "source stopped: the target may run the generation"
     );
-    let held = hold_apart(call, source, target, tokens);
+    let connection = progress.borrow().connection.clone();
+    let held = hold_apart(call, source, target, tokens, connection);
     let late = match early {
         Some(failure) => Err(failure),
         None => attempt.await,
@@ -134,6 +169,25 @@
     }
 }
 
+/// Awaits the outcome of an `attempt`, but no longer than the source may go on beside it. Returns the outcome, if it is known
+/// by then, and the end of that time, which starts once the send has `begun`: a target that is not connected yet cannot run
+/// the generation.
+async fn overlap<T>(
+    mut attempt: Pin<&mut impl Future<Output = T>>,
+    begun: impl Future<Output = ()>,
+) -> (Option<T>, Instant) {
+    let unsent = tokio::select! {
+        biased;
+        outcome = attempt.as_mut() => Some(outcome),
+        () = begun => None,
+    };
+    let end = Instant::now() + OVERLAP;
+    match unsent {
+        Some(outcome) => (Some(outcome), end),
+        None => (timeout_at(end, attempt).await.ok(), end),
+    }
+}
+
 /// Continues a generation that was stopped, from the memory that is held of it.
 async fn resume_held(
     call: &Rc<Call>,
@@ -145,7 +199,7 @@
         Ok(Ok(held)) => held,
         Ok(Err(failure)) => {
             // The source may have ended the generation in order just before.
-            progress.borrow_mut().stopped = failure.is_stopped;
+            progress.borrow_mut().stopped = failure.is_stopped || failure.goes_on;
             return MigrationOutcome::Failed(failure.reason);
         }
         Err(_closed) => return MigrationOutcome::Failed("the source was not stopped"),
@@ -204,18 +258,35 @@
         .unwrap_or(upstream)
 }
 
-/// Stops the generation at `source` in a task of its own, so that it is stopped whatever becomes of the caller. Its memory
-/// is released if nobody waits for it any more.
+/// Stops the generation at `source` in a task of its own, so that it is stopped whatever becomes of the caller: with its
+/// memory, or by closing its `connection` if no upstream has room for that. The memory is released if nobody waits for it
+/// any more.
 fn hold_apart(
     call: &Rc<Call>,
     source: UpstreamKey,
     target: UpstreamKey,
     tokens: u64,
+    connection: Option<AbortHandle>,
 ) -> oneshot::Receiver<Result<Held, NotHeld>> {
     let (sender, held) = oneshot::channel();
     let call = Rc::clone(call);
     tokio::task::spawn_local(async move {
-        let outcome = hold(&call, source, &[target], tokens).await;
+        let until = Instant::now() + HOLD_TIMEOUT;
+        let mut outcome = hold(&call, source, Some(target), tokens).await;
+        if matches!(&outcome, Err(failure) if failure.goes_on) && Instant::now() < until {
+            // The target has room for the generation, if any upstream has.
+            outcome = hold_at(&call, source, (target, source), tokens).await;
+        }
+        if let Err(failure) = &outcome
+            && failure.goes_on
+            && let Some(connection) = connection
+        {
+            log::info!(
+                request:% = call.id(), source:% = upstream_name(&call, source), reason = failure.reason;
+                "connection to the source closed: it cannot be stopped with its memory"
+            );
+            connection.abort();
+        }
         if let Err(Ok((_reservation, handle))) = sender.send(outcome) {
             migrate::release(&call.shared, source, &handle).await;
         }
@@ -223,43 +294,51 @@
     held
 }
 
-/// Stops the generation at `from` and has its memory copied to an upstream with room, other than those `excluded`. It goes
-/// on there, or at `from`, which keeps its memory.
+/// Stops the generation at `from` and has its memory copied to an upstream with room, other than `excluded`. It goes on
+/// there, or at `from`, which keeps its memory.
 ///
 /// # Errors
 ///
 /// Returns why the generation is not held.
-pub(super) async fn hold(
+async fn hold(
     call: &Rc<Call>,
     from: UpstreamKey,
-    excluded: &[UpstreamKey],
+    excluded: Option<UpstreamKey>,
     tokens: u64,
 ) -> Result<Held, NotHeld> {
     let shared = &call.shared;
-    let size = RequestSize { tokens, prefill: 0 };
-    let requirements = call.requirements(size, excluded);
+    let requirements = call.requirements(RequestSize { tokens, prefill: 0 }, excluded.as_slice());
     let target = shared
         .fleet()
         .migration_target(from, &requirements, rand::random(), shared.now());
-    // The call has to name an upstream. The memory is not used at one that is excluded.
-    let Some(named) = target.or_else(|| excluded.first().copied()) else {
-        return Err(NotHeld {
-            reason: "no upstream has room for the copy",
-            is_stopped: false,
-        });
+    let Some(target) = target else {
+        return Err(NotHeld::going("no upstream has room for the copy"));
     };
+    hold_at(call, from, (target, target), tokens).await
+}
+
+/// Stops the generation at `from` and has its memory copied to the upstream `named`. It goes on at `place`, or at `from`.
+async fn hold_at(
+    call: &Rc<Call>,
+    from: UpstreamKey,
+    (named, place): (UpstreamKey, UpstreamKey),
+    tokens: u64,
+) -> Result<Held, NotHeld> {
+    let size = RequestSize { tokens, prefill: 0 };
+    let started = Instant::now();
     let outcome = migrate::copy(call, from, named, true).await;
-    let not_held = |reason, is_stopped| Err(NotHeld { reason, is_stopped });
+    log::info!(
+        request:% = call.id(), source:% = upstream_name(call, from), target:% = upstream_name(call, named),
+        outcome:% = outcome, took_ms = started.elapsed().as_millis() as u64; "source called to stop with its memory"
+    );
     match outcome {
-        CopyOutcome::Done(copied) => {
-            let place = target.unwrap_or(from);
-            Ok((Reservation::new(shared, place, size), copied.handle))
-        }
-        CopyOutcome::NoRoom(Some(handle)) => Ok((Reservation::new(shared, from, size), handle)),
-        CopyOutcome::NotRunning => not_held("the upstream runs no such generation any more", false),
-        CopyOutcome::Busy => not_held("the upstream makes another copy", false),
-        // It may have stopped, and its answer is lost.
-        CopyOutcome::NoRoom(None) | CopyOutcome::Malformed => not_held("the upstream does not copy", true),
+        CopyOutcome::Done(copied) => Ok((Reservation::new(&call.shared, place, size), copied.handle)),
+        CopyOutcome::NoRoom(Some(handle)) => Ok((Reservation::new(&call.shared, from, size), handle)),
+        CopyOutcome::NotRunning => Err(NotHeld::ended("the upstream runs no such generation any more")),
+        CopyOutcome::Busy => Err(NotHeld::going("the upstream makes another copy")),
+        // Had it stopped, it would have named what it keeps.
+        CopyOutcome::NoRoom(None) => Err(NotHeld::going("the upstream finds no room for the copy")),
+        CopyOutcome::Malformed => Err(NotHeld::unclear("the upstream does not copy")),
     }
 }
 
@@ -330,12 +409,13 @@
 }
 
 /// Calls `upstream` to stop the generation, until it has stopped it or has said `quiet_answers` times in a row that it runs
-/// no such generation. The final copy that stops it names `spare`; its memory is not needed. Returns whether it is stopped.
-async fn stop(call: &Rc<Call>, upstream: UpstreamKey, spare: UpstreamKey, quiet_answers: u32) -> bool {
+/// no such generation. The final copy that stops it goes to `named` at first; its memory is not needed. Returns whether it is
+/// stopped.
+async fn stop(call: &Rc<Call>, upstream: UpstreamKey, mut named: UpstreamKey, quiet_answers: u32) -> bool {
     let end = Instant::now() + STOP_PERIOD;
     let (mut quiet, mut failed) = (0, 0);
     while Instant::now() < end {
-        let outcome = timeout(STOP_TIMEOUT, migrate::copy(call, upstream, spare, true)).await;
+        let outcome = timeout(STOP_TIMEOUT, migrate::copy(call, upstream, named, true)).await;
         match outcome.unwrap_or(CopyOutcome::Malformed) {
             CopyOutcome::Done(copied) => return stopped(call, upstream, &copied.handle).await,
             CopyOutcome::NoRoom(Some(handle)) => return stopped(call, upstream, &handle).await,
@@ -349,6 +429,7 @@
             CopyOutcome::Busy | CopyOutcome::NoRoom(None) | CopyOutcome::Malformed => {
                 quiet = 0;
                 failed += 1;
+                named = spare(call, upstream);
             }
         }
         if failed >= MAX_FAILED_STOPS && has_left(call, upstream) {
@@ -385,16 +466,10 @@
     last_event: Option<u64>,
 ) -> Result<OpenStream, NotHeld> {
     let Some(engine) = address(call, from) else {
-        return Err(NotHeld {
-            reason: "the upstream is forgotten",
-            is_stopped: false,
-        });
+        return Err(NotHeld::going("the upstream is forgotten"));
     };
-    let (reservation, handle) = hold(call, from, &[], tokens).await?;
+    let (reservation, handle) = hold(call, from, None, tokens).await?;
     let resume = resume_from(engine, &handle, last_event);
     let resumed = resume_stopped(call, reservation, &resume).await;
-    resumed.map_err(|_failure| NotHeld {
-        reason: "the other upstream does not continue",
-        is_stopped: true,
-    })
+    resumed.map_err(|_failure| NotHeld::unclear("the other upstream does not continue"))
 }
--- a/tests/two_runs.rs
+++ b/tests/two_runs.rs
@@ -112,6 +112,23 @@
     }
 }
 
+/// The source went on beside its target where no upstream had room for its memory, so that the call to stop it was refused.
+#[test]
+fn a_source_whose_memory_has_no_room_anywhere_goes_on_beside_its_target() {
+    let moved = Move::start(true);
+    moved.source.set_refuses_stops(true);
+    moved.target.set_link(Link::Silent);
+    moved.source.leave(LONG);
+    let (fleet, outcome, longest) = moved.watch(|target, elapsed| {
+        if elapsed > Duration::from_millis(1_100) {
+            target.set_link(Link::Open);
+        }
+        true
+    });
+    assert!(longest < OVERLAP, "both ran for {longest:?}");
+    expect_whole(&fleet, &outcome);
+}
+
 /// Two upstreams worked on a generation for as long as it took, since the target got the request and was cut off with it.
 #[test]
 fn a_target_that_is_cut_off_with_the_request_runs_a_generation_beside_its_source() {
