fix: instances that the store turns away fall behind

Cause: instances told what they know to seeds and to registered instances. A registration ends after 10 s without the store, while the instance goes on; from then on it was told nothing, not even that it was behind.

Why this works: an instance takes part if it is a seed, registered, or heard of within 3 s. One that neither the store answers nor another instance is heard by asks one that it knows; one that was turned away lately asks peers first, spread in time.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -54,6 +54,9 @@
 /// Mean time between two instances that read the content of a later era.
 const ERA_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Mean time between two instances that the store turns away and that fetch the same change from a peer.
+const FETCH_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Bounds of the pause after a failed call: twice the minimum after the first failure, doubled with each
 /// further one up to the maximum. A random factor between 0.5 and 1, applied last, spreads the calls of
 /// different instances.
@@ -181,6 +184,7 @@
             follow_peers(control, outage).await;
             continue;
         }
+        ask_unheard(control);
         // Watches that fail again and again may each have been answered with too much.
         if must_read || control.pending_era().is_some() || outage.failures >= MAX_WATCH_FAILURES {
             match read_all(control).await {
@@ -321,11 +325,22 @@
         {
             super::share::fetch_from_peer(control, peer);
         }
+        ask_unheard(control);
         tokio::time::sleep_until(end.min(Instant::now() + RECHECK_INTERVAL)).await;
     }
     true
 }
 
+/// Asks another instance for content if neither the store answers nor another instance is heard of: nothing tells that this
+/// one is behind.
+fn ask_unheard(control: &Rc<Control>) {
+    if !control.is_answering()
+        && let Some(peer) = control.peer_to_ask()
+    {
+        super::share::fetch_from_peer(control, peer);
+    }
+}
+
 /// Lets further changes come together after an answer. Returns at once and `true` if another instance loses the store.
 async fn pause_after_changes(control: &Control) -> bool {
     let pause = if control.is_first_watcher() {
@@ -343,9 +358,22 @@
 /// The store is asked first: a change too large for a datagram is missed by all instances that do not watch.
 /// If all of them at once fetched it from the few that watch, it would go over links that are far smaller than
 /// the store's.
+///
+/// While the store turns this instance away, peers are asked at once, and one after the other: many instances may miss the
+/// same change, and at first only those that watch have it.
 async fn catch_up(control: &Rc<Control>) {
     let from = control.position();
     let before = from.revision;
+    if control.is_turned_away() {
+        let spread = FETCH_INTERVAL * control.instance_count();
+        tokio::time::sleep(spread.mul_f64(rand::random::<f64>())).await;
+        if let Some(peer) = control.ahead_peer.take().filter(|_| control.is_behind()) {
+            super::share::fetch_awaiting(control, peer).await;
+        }
+        if !control.is_behind() {
+            return;
+        }
+    }
     match call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT).await {
         Ok((page, era)) if era == from.era && era == control.followed_era() => {
             control.record_confirmation();
@@ -356,6 +384,7 @@
         Ok(_) => {}
         Err(error) => {
             log::info!(error:% = error, revision = before; "missed changes not read from the store; asking a peer");
+            control.record_turned_away();
             if let Some(peer) = control.ahead_peer.take() {
                 super::share::fetch_from_peer(control, peer);
             }
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -16,6 +16,7 @@
 use flume::Sender;
 use hyper::HeaderMap;
 use prost::Message;
+use rand::seq::IteratorRandom;
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
@@ -68,6 +69,12 @@
 /// lease, after which the registration of one that has gone would have ended.
 const FORMER_TTL: Duration = super::register::LEASE_TTL;
 
+/// Time between two requests for content to other instances while none is heard of.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long the store counts as turning this instance away after a call for missed changes has failed.
+const TURNED_AWAY_TTL: Duration = Duration::from_secs(5);
+
 /// State of the control thread.
 pub(super) struct Control {
     updates: Sender<Update>,
@@ -89,6 +96,14 @@
     lag: RefCell<Lag>,
     eras: RefCell<Eras>,
     watchers: RefCell<Watchers>,
+    /// Addresses of the other instances as they were last sent to the traffic thread, and those among them that are known
+    /// by their messages alone.
+    peers: RefCell<BTreeSet<SocketAddr>>,
+    unlisted: RefCell<BTreeSet<SocketAddr>>,
+    /// When the store last did not answer this instance although it asked for missed changes only.
+    turned_away: Cell<Option<Instant>>,
+    /// When another instance was last asked for content because none was heard of.
+    asked_at: Cell<Option<Instant>>,
     /// Whether this instance watches the store itself.
     pub(super) watching: Cell<bool>,
     /// Notified when a later era of the store is followed.
@@ -131,6 +146,10 @@
             lag: RefCell::new(Lag::new()),
             eras: RefCell::new(Eras::new()),
             watchers: RefCell::default(),
+            peers: RefCell::default(),
+            unlisted: RefCell::default(),
+            turned_away: Cell::new(None),
+            asked_at: Cell::new(None),
             watching: Cell::new(false),
             era_followed: Notify::new(),
             watcher_lost: Notify::new(),
@@ -318,6 +337,11 @@
     /// Records whether `peer` reports that it watches the store.
     pub(super) fn record_watcher(&self, peer: SocketAddr, watching: bool) {
         let is_lost = self.watchers.borrow_mut().record(peer, watching, now());
+        let is_new = !self.peers.borrow().contains(&peer) && peer != self.settings.borrow().peer_address;
+        if is_new {
+            log::info!(peer:% = peer; "instance takes part that is not registered in the store");
+            self.send_peers();
+        }
         if is_lost && self.watching.get() {
             self.watcher_lost.notify_one();
         }
@@ -341,6 +365,31 @@
         self.watchers.borrow_mut().must_watch(own, now())
     }
 
+    /// Another instance that may have content, if this one hears of none; at most one in each [`ASK_INTERVAL`].
+    pub(super) fn peer_to_ask(&self) -> Option<SocketAddr> {
+        let is_due = self
+            .asked_at
+            .get()
+            .is_none_or(|asked| asked.elapsed() >= ASK_INTERVAL);
+        if !is_due || self.watchers.borrow().hears_any(now()) {
+            return None;
+        }
+        self.asked_at.set(Some(Instant::now()));
+        self.peers.borrow().iter().choose(&mut rand::rng()).copied()
+    }
+
+    /// Records that the store did not answer when this instance asked for missed changes.
+    pub(super) fn record_turned_away(&self) {
+        self.turned_away.set(Some(Instant::now()));
+    }
+
+    /// Whether the store has lately not answered when this instance asked for missed changes.
+    pub(super) fn is_turned_away(&self) -> bool {
+        self.turned_away
+            .get()
+            .is_some_and(|since| since.elapsed() < TURNED_AWAY_TTL)
+    }
+
     /// Records that the store, or a peer that watches it, knows nothing newer.
     pub(super) fn record_confirmation(&self) {
         self.confirmed_at.set(Instant::now());
@@ -365,6 +414,7 @@
     pub(super) fn send_status(&self) {
         self.remove_lapsed();
         self.remove_former();
+        self.remove_silent();
         let status = (
             self.position(),
             self.confirmed_at.get().elapsed() < MAX_STALENESS,
@@ -477,6 +527,18 @@
         }
     }
 
+    /// Removes instances that are known by their messages alone and have sent none lately.
+    fn remove_silent(&self) {
+        if self.unlisted.borrow().is_empty() {
+            return;
+        }
+        let members: HashSet<SocketAddr> = self.watchers.borrow().members(now()).collect();
+        let is_silent = self.unlisted.borrow().iter().any(|peer| !members.contains(peer));
+        if is_silent {
+            self.send_peers();
+        }
+    }
+
     /// Removes the entries that expired in an outage and did not reappear in time.
     fn remove_lapsed(&self) {
         if self.reappearance_left().is_none_or(|left| !left.is_zero()) {
@@ -578,18 +640,30 @@
         was_registered || self.mirror.borrow().get(&own_key).is_some()
     }
 
-    /// Sends the traffic thread the addresses of the other instances: the seeds and the registered ones.
+    /// Sends the traffic thread the addresses of the other instances: the seeds, the registered ones, and those that are heard
+    /// of. The registration of an instance that the store turns away ends, while it goes on.
     pub(super) fn send_peers(&self) {
         let settings = self.settings();
         let seeds = settings
             .seeds
             .iter()
             .map(|seed| SocketAddr::new(*seed, settings.peer_address.port()));
-        let peers: BTreeSet<SocketAddr> = seeds
-            .chain(self.instances())
-            .filter(|peer| *peer != settings.peer_address)
-            .collect();
+        let is_other = |peer: &SocketAddr| *peer != settings.peer_address;
+        let mut peers: BTreeSet<SocketAddr> = seeds.chain(self.instances()).filter(is_other).collect();
         self.watchers.borrow_mut().expect(peers.iter().copied(), now());
+        let members = self
+            .watchers
+            .borrow()
+            .members(now())
+            .filter(is_other)
+            .collect::<Vec<_>>();
+        let unlisted = members
+            .iter()
+            .copied()
+            .filter(|peer| peers.insert(*peer))
+            .collect();
+        *self.unlisted.borrow_mut() = unlisted;
+        self.peers.borrow_mut().clone_from(&peers);
         self.send(Update::Peers {
             addresses: peers.into_iter().collect(),
             registered: self.is_registered(),
--- a/crates/carob-gateway/src/watchers.rs
+++ b/crates/carob-gateway/src/watchers.rs
@@ -26,6 +26,9 @@
 /// for being registered still.
 const FORGET_TTL: Duration = Duration::from_mins(1);
 
+/// How long an instance takes part after its last report, whether or not it is registered in the store: three reports.
+pub const MEMBER_TTL: Duration = Duration::from_secs(3);
+
 /// How long an instance is relied on to pass changes on after its last report. A network partition is noticed
 /// after this time, which has to be less than the 1.5 s by which upstreams announce that they leave.
 const RELAY_TTL: Duration = Duration::from_millis(1_200);
@@ -48,6 +51,8 @@
 struct Seen {
     at: Instant,
     watching: bool,
+    /// Whether it has reported, and is not only registered in the store.
+    heard: bool,
 }
 
 impl Seen {
@@ -70,7 +75,12 @@
 
     /// Records whether `peer` reports that it watches. Returns whether it has watched until now and does not any more.
     pub fn record(&mut self, peer: SocketAddr, watching: bool, now: Instant) -> bool {
-        let before = self.seen.insert(peer, Seen { at: now, watching });
+        let seen = Seen {
+            at: now,
+            watching,
+            heard: true,
+        };
+        let before = self.seen.insert(peer, seen);
         before.is_some_and(|before| before.watching && !watching)
     }
 
@@ -80,10 +90,24 @@
             self.seen.entry(peer).or_insert(Seen {
                 at: now,
                 watching: false,
+                heard: false,
             });
         }
     }
 
+    /// Instances that have reported within [`MEMBER_TTL`]. The store may turn one away until its registration ends, while it
+    /// runs and reaches the others.
+    pub fn members(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let seen = self.seen.iter();
+        seen.filter(move |(_, seen)| seen.heard && now.saturating_duration_since(seen.at) < MEMBER_TTL)
+            .map(|(peer, _)| *peer)
+    }
+
+    /// Whether any other instance has reported lately.
+    pub fn hears_any(&self, now: Instant) -> bool {
+        self.seen.values().any(|seen| seen.heard && seen.is_present(now))
+    }
+
     /// Whether any other instance watches and passes changes on.
     pub fn any_active(&self, now: Instant) -> bool {
         self.seen
--- a/crates/carob-gateway/tests/watchers.rs
+++ b/crates/carob-gateway/tests/watchers.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use carob_gateway::watchers::{CALL_SPACING, FIRST_CALLERS, WATCHER_TTL, Watchers};
+use carob_gateway::watchers::{CALL_SPACING, FIRST_CALLERS, MEMBER_TTL, WATCHER_TTL, Watchers};
 use rand::{RngExt as _, SeedableRng, rngs::StdRng};
 
 const SEED: u64 = 43;
@@ -123,3 +123,32 @@
     assert!(!watchers.any_active(now));
     assert!(!watchers.record(address(1), false, now));
 }
+
+/// An instance whose registration ended took part no longer, although it went on reporting: whether it is registered does not
+/// matter to its membership, and its last report does.
+#[test]
+fn an_instance_takes_part_for_as_long_as_it_reports() {
+    let start = Instant::now();
+    let mut watchers = Watchers::new();
+    watchers.expect([address(1), address(2)].into_iter(), start);
+    let members = |watchers: &Watchers, now| watchers.members(now).collect::<BTreeSet<_>>();
+    assert!(
+        members(&watchers, start).is_empty(),
+        "registered, and not heard of"
+    );
+    assert!(!watchers.hears_any(start));
+    let mut now = start;
+    for _ in 0..30 {
+        now += Duration::from_secs(1);
+        watchers.record(address(1), false, now);
+        watchers.record(address(3), true, now);
+        assert_eq!(members(&watchers, now), BTreeSet::from([address(1), address(3)]));
+        assert!(watchers.hears_any(now));
+    }
+    let last = now;
+    now = last + MEMBER_TTL.mul_f64(0.99);
+    assert_eq!(members(&watchers, now).len(), 2, "a report or two may be lost");
+    now = last + MEMBER_TTL;
+    assert!(members(&watchers, now).is_empty());
+    assert!(!watchers.hears_any(now));
+}
--- /dev/null
+++ b/tests/turned_away.rs
@@ -0,0 +1,90 @@
+//! Gateways that the store turns away for longer than their registration lasts, while it serves the others.
+
+mod fleet;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::Outage;
+use fleet::{CONTACT, DRAIN, Fleet, Gateway, request, wait_until};
+
+const SHORT: Duration = Duration::from_millis(10);
+
+fn is_registered(fleet: &Fleet, gateway: usize) -> bool {
+    let key = format!(
+        "carobhaven/instances/{}",
+        fleet.gateways[gateway].peer_address.ip()
+    );
+    fleet.store.text(&key).is_some()
+}
+
+/// Checks that the last gateway follows the configuration and the directory as the others do.
+fn expect_follows(fleet: &Fleet) {
+    let last = fleet.gateways.len() - 1;
+    fleet.expect_version(2, true);
+    fleet.expect_version(3, false);
+    let start = Instant::now();
+    let leaving = fleet.start_plain("p2", SHORT);
+    wait_until("the new upstream is used", || {
+        fleet.send(last, &request("r", "GET", "/read/1"));
+        fleet.arrivals_after("p2", start) > 0
+    });
+    leaving.announce_leaving();
+    thread::sleep(DRAIN);
+    let announced = Instant::now();
+    for number in 0..20 {
+        let read = request(&format!("r{number}"), "GET", "/read/1");
+        assert_eq!(fleet.send(last, &read).status, 200);
+    }
+    assert_eq!(
+        fleet.arrivals_after("p2", announced),
+        0,
+        "requests to an upstream that leaves"
+    );
+    fleet.expect_version(4, true);
+}
+
+/// Has the store turn the last gateway away with `outage` until its registration has ended.
+fn turn_away(fleet: &Fleet, outage: Outage) {
+    let last = fleet.gateways.len() - 1;
+    fleet.gateways[last].store_endpoint.set_outage(Some(outage));
+    wait_until("its registration has ended", || !is_registered(fleet, last));
+    // What ends with the registration has ended.
+    thread::sleep(Duration::from_secs(3));
+}
+
+/// A gateway that the store turned away was dropped by the others when its registration ended, although it ran and reached
+/// them: it heard of no change any more, and served requests by an old configuration.
+#[test]
+fn a_gateway_that_is_turned_away_for_longer_than_its_lease_falls_behind() {
+    for outage in [Outage::Busy, Outage::Silent] {
+        let fleet = Fleet::start(4);
+        let _plain = fleet.start_plain("p1", SHORT);
+        fleet.configure();
+        thread::sleep(Duration::from_secs(2));
+        turn_away(&fleet, outage);
+        expect_follows(&fleet);
+    }
+}
+
+/// A gateway that started while the store turned it away was unknown to the others, which told it nothing.
+#[test]
+fn a_gateway_that_starts_while_it_is_turned_away_falls_behind() {
+    let mut fleet = Fleet::start(3);
+    let _plain = fleet.start_plain("p1", SHORT);
+    fleet.configure();
+    let seeds: Vec<_> = fleet
+        .gateways
+        .iter()
+        .map(|gateway| gateway.peer_address)
+        .collect();
+    let mut gateway = Gateway::prepare(&fleet.store, &seeds);
+    gateway.store_endpoint.set_outage(Some(Outage::Busy));
+    gateway.spawn();
+    fleet.gateways.push(gateway);
+    fleet.wait_ready();
+    thread::sleep(CONTACT);
+    expect_follows(&fleet);
+}
