fix: updates of the store with a gap between them are joined

What callers could see: an instance that takes a joined message believes to know every change up to its end, and misses a large change between the two parts for good (CONFIG).

Cause: changes that waited to be sent were joined with later ones whatever these began with. A change too large for a datagram, or content taken otherwise, moves the position without being sent.

Why this works: changes are joined only if none is missing between them; else the later ones are sent alone, which instances that are behind do not take and fetch.

--- a/crates/carob-gateway/src/era.rs
+++ b/crates/carob-gateway/src/era.rs
@@ -169,3 +169,26 @@
         refuted
     }
 }
+
+carob_base::plain! {
+    /// A span of the store's history.
+    pub struct Span {
+        /// Era of both ends.
+        pub era: u64,
+        /// Revision that it begins after.
+        pub base: u64,
+        /// Revision that it leads to, inclusive.
+        pub revision: u64,
+    }
+}
+
+impl Span {
+    /// Joins this span with a `later` one; `None` if that is of another era or leaves out changes between the two.
+    pub fn join(self, later: Self) -> Option<Self> {
+        let is_next = self.era == later.era && later.base <= self.revision && later.revision >= self.revision;
+        is_next.then_some(Self {
+            base: self.base.min(later.base),
+            ..later
+        })
+    }
+}
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -425,15 +425,12 @@
         tokio::time::sleep(shutdown.closes().since(self.now())).await;
     }
 
-    /// Adds changes of the store's content to those that have not been sent yet; those of another era are not sent.
+    /// Adds changes of the store's content to those that have not been sent yet.
     fn add_store_update(&self, update: StoreUpdate) {
         let mut pending = self.pending_update.borrow_mut();
         match pending.as_mut() {
-            Some(earlier) if earlier.era == update.era => {
-                earlier.revision = update.revision;
-                earlier.items.extend(update.items);
-            }
-            _ => *pending = Some(update),
+            Some(earlier) => earlier.join(update),
+            None => *pending = Some(update),
         }
         self.load_changed.notify_one();
     }
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Settings,
-    era::Position,
+    era::{Position, Span},
     peer::{Item, RelayRequest},
     signals::ShutdownSignal,
 };
@@ -71,6 +71,27 @@
     pub items: Vec<Item>,
 }
 
+impl StoreUpdate {
+    /// Adds `later` changes. If some are missing between the two, only the later ones stay: an instance that is told all of
+    /// both as one would take itself to know what is missing.
+    pub(crate) fn join(&mut self, later: Self) {
+        let Some(joined) = self.span().join(later.span()) else {
+            *self = later;
+            return;
+        };
+        (self.base, self.revision) = (joined.base, joined.revision);
+        self.items.extend(later.items);
+    }
+
+    const fn span(&self) -> Span {
+        Span {
+            era: self.era,
+            base: self.base,
+            revision: self.revision,
+        }
+    }
+}
+
 carob_base::plain! {
     /// A point of the store's history that another instance names.
     pub(crate) struct PeerPosition {
--- a/crates/carob-gateway/tests/era.rs
+++ b/crates/carob-gateway/tests/era.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_gateway::{
     Mirror,
-    era::{AnswerEra, Eras, Position, Unusable},
+    era::{AnswerEra, Eras, Position, Span, Unusable},
 };
 use carob_platform::store::EraError;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -326,3 +326,21 @@
         }
     }
 }
+
+/// Changes that waited to be sent were joined with later ones although some were missing between the two; who took the joined
+/// message believed to know those as well.
+#[test]
+fn spans_with_a_gap_between_them_are_joined() {
+    let span = |era, base, revision| Span { era, base, revision };
+    let first = span(1, 10, 14);
+    assert_eq!(first.join(span(1, 14, 20)), Some(span(1, 10, 20)), "the next one");
+    assert_eq!(first.join(span(1, 12, 20)), Some(span(1, 10, 20)), "they overlap");
+    assert_eq!(
+        first.join(span(1, 8, 20)),
+        Some(span(1, 8, 20)),
+        "it holds the first"
+    );
+    assert_eq!(first.join(span(1, 15, 20)), None, "a change is missing");
+    assert_eq!(first.join(span(1, 9, 12)), None, "it leads back");
+    assert_eq!(first.join(span(2, 14, 20)), None, "another era");
+}
