fix: an instance with the content of a seed waits for the store

What callers saw: an instance that started while the store turned it away answered 503 for a route that was in force, until the store served it.

Cause: before its first read from the store succeeds, an instance neither fetches changes that it has missed from a peer nor waits for news that it is behind, although it has all content from a seed.

Why this works: with the content of a seed, it goes on to follow the others as one that does not watch does, and reads all from the store when it has to watch.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -86,10 +86,19 @@
 pub(super) async fn run(control: Rc<Control>) {
     control.send_peers();
     let mut outage = Outage::default();
-    while let Err(error) = read_all(&control).await {
-        outage.record_failure_and_pause(&control, &error).await;
+    loop {
+        match read_all(&control).await {
+            Ok(()) => {
+                outage.record_success();
+                break;
+            }
+            Err(error) => outage.record_failure_and_pause(&control, &error).await,
+        }
+        // With the content of a seed, what follows comes from the other instances, if not from the store.
+        if control.position() > Position::START {
+            break;
+        }
     }
-    outage.record_success();
     // Others may watch already.
     control.suspend_calls();
     watch_all(&control, &mut outage).await;
