perf: upstreams that have ended are called to stop three times, not ten

Three calls take at least as long as a cut of half a second. An instance that has no content yet no longer takes note of each other instance that it hears of: all are unknown to it until it has read who is registered.

two_runs, turned_away and moves pass.

--- a/crates/carob-dispatch/src/migration.rs
+++ b/crates/carob-dispatch/src/migration.rs
@@ -53,7 +53,7 @@
 pub const STOP_PERIOD: Duration = Duration::from_secs(20);
 
 /// Number of failed calls in a row after which an upstream that has left is taken to have ended.
-pub const MAX_FAILED_STOPS: u32 = 10;
+pub const MAX_FAILED_STOPS: u32 = 3;
 
 /// Number of answers in a row that an upstream runs no such generation after which it is taken to run none later either,
 /// if the request may still have been on its way.
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -338,7 +338,8 @@
     pub(super) fn record_watcher(&self, peer: SocketAddr, watching: bool) {
         let is_lost = self.watchers.borrow_mut().record(peer, watching, now());
         let is_new = !self.peers.borrow().contains(&peer) && peer != self.settings.borrow().peer_address;
-        if is_new {
+        // An instance that has just started hears of all before it knows who is registered.
+        if is_new && self.position() > Position::START {
             log::info!(peer:% = peer; "instance takes part that is not registered in the store");
             self.send_peers();
         }
