test: a gateway's own port is that of its fleet's peers

All gateways of a fleet listen for their peers at the port that was free at the first one's address; the three other ports of each were chosen without it. The ports are now bound together with that of the fleet.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -213,8 +213,8 @@
         let store_endpoint = store.open_endpoint();
         let directory = tempfile::tempdir().expect("a temporary directory");
         let ip = unique_loopback_address();
-        let [caller_port, ready_port, admin_port, own_port] = free_ports(&ip);
-        let peer_port = seeds.first().map_or(own_port, SocketAddr::port);
+        let fleet_port = seeds.first().map(SocketAddr::port);
+        let [peer_port, caller_port, ready_port, admin_port] = free_ports(&ip, fleet_port);
         let socket_address = |port: u16| format!("{ip}:{port}").parse().expect("an address");
         let caller_address = socket_address(caller_port);
         let ready_address = socket_address(ready_port);
@@ -416,11 +416,14 @@
     command.spawn().expect("the command runs")
 }
 
-/// Distinct free ports. All are bound at the same time, since a port that was released may be assigned again.
-fn free_ports<const N: usize>(ip: &str) -> [u16; N] {
+/// Distinct free ports, of which the first is `first` if that is given. All are bound at the same time, since a port that was
+/// released may be assigned again.
+pub fn free_ports<const N: usize>(ip: &str, first: Option<u16>) -> [u16; N] {
     let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
-    let bound: [TcpListener; N] =
-        std::array::from_fn(|_| TcpListener::bind((ip, 0)).expect("loopback has free ports"));
+    let bound: [TcpListener; N] = std::array::from_fn(|index| {
+        let port = first.filter(|_| index == 0).unwrap_or(0);
+        TcpListener::bind((ip, port)).expect("loopback has free ports")
+    });
     bound.map(|listener| {
         let address = listener.local_addr();
         address.expect("a bound listener has an address").port()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,7 +9,9 @@
     client::{self, Request},
     config::{self, Route},
 };
-use fleet::{BODY_MEMORY, CLIENT_KEY, Fleet, LONG, ROUTES, generation_request, request, wait_until};
+use fleet::{
+    BODY_MEMORY, CLIENT_KEY, Fleet, LONG, ROUTES, free_ports, generation_request, request, wait_until,
+};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -392,3 +394,16 @@
     let next = fleet.send(0, &large("d2"));
     assert_eq!((next.status, next.complete), (200, true));
 }
+
+/// A gateway of a test did not start: another one of its ports was the one at which its fleet's peers listen.
+#[test]
+fn a_gateway_is_given_the_port_of_its_fleet_twice() {
+    // No gateway of a test has such an address.
+    let ip = "127.252.0.1";
+    let [fleet_port] = free_ports(ip, None);
+    for _ in 0..20_000 {
+        let [peer, others @ ..] = free_ports::<4>(ip, Some(fleet_port));
+        assert_eq!(peer, fleet_port);
+        assert!(!others.contains(&fleet_port), "{others:?} and {fleet_port}");
+    }
+}
