--- a/tests/two_runs.rs
+++ b/tests/two_runs.rs
@@ -33,9 +33,9 @@
 }
 
 impl Move {
-    /// Starts a generation and a target that goes on with what it runs when a connection closes.
-    fn start(framed: bool) -> Self {
-        let fleet = Fleet::start(1);
+    /// Starts a generation at the first of `gateways`, and a target that goes on with what it runs when a connection closes.
+    fn start(gateways: usize, framed: bool) -> Self {
+        let fleet = Fleet::start(gateways);
         let source = fleet.start_engine("source", EVENTS, INTERVAL);
         source.set_chunked(framed);
         let route = Route::new("/draft/", "streaming", "engines").with_timeout(LONG.as_millis() as u64);
@@ -98,7 +98,7 @@
 #[test]
 fn a_target_that_is_silent_for_a_second_runs_a_generation_beside_its_source() {
     for framed in [true, false] {
-        let moved = Move::start(framed);
+        let moved = Move::start(1, framed);
         moved.target.set_link(Link::Silent);
         moved.source.leave(LONG);
         let (fleet, outcome, longest) = moved.watch(|target, elapsed| {
@@ -115,7 +115,7 @@
 /// The source went on beside its target where no upstream had room for its memory, so that the call to stop it was refused.
 #[test]
 fn a_source_whose_memory_has_no_room_anywhere_goes_on_beside_its_target() {
-    let moved = Move::start(true);
+    let moved = Move::start(1, true);
     moved.source.set_refuses_stops(true);
     moved.target.set_link(Link::Silent);
     moved.source.leave(LONG);
@@ -133,7 +133,7 @@
 #[test]
 fn a_target_that_is_cut_off_with_the_request_runs_a_generation_beside_its_source() {
     for cut in [Duration::from_millis(500), Duration::from_millis(2_500)] {
-        let moved = Move::start(true);
+        let moved = Move::start(1, true);
         moved.target.set_link(Link::OneWay);
         moved.source.leave(LONG);
         moved.wait_request();
@@ -157,7 +157,7 @@
 /// been cut off with the request had used it.
 #[test]
 fn a_copy_that_a_cut_off_target_has_used_is_used_again() {
-    let moved = Move::start(true);
+    let moved = Move::start(1, true);
     let _spare = moved.fleet.start_engine("spare", EVENTS, INTERVAL);
     wait_until("the gateway knows the third engine", || {
         moved.fleet.gateways[0].logged("\"directory entry\",\"upstream\":\"spare\"")
@@ -184,7 +184,7 @@
         AnswerMode::Failure,
         AnswerMode::Foreign,
     ] {
-        let moved = Move::start(true);
+        let moved = Move::start(1, true);
         moved.target.set_answer_mode(mode);
         moved.source.leave(LONG);
         let (fleet, outcome, longest) = moved.watch(|_, _| true);
@@ -197,7 +197,7 @@
 #[test]
 fn a_target_that_stays_silent_takes_the_stream_with_it() {
     for has_spare in [false, true] {
-        let moved = Move::start(true);
+        let moved = Move::start(1, true);
         let spare = has_spare.then(|| moved.fleet.start_engine("spare", EVENTS, INTERVAL));
         thread::sleep(Duration::from_millis(200));
         moved.target.set_link(Link::Silent);
@@ -208,3 +208,73 @@
         drop(spare);
     }
 }
+
+/// A target got the request and was cut off from the gateway alone: nothing but a call through another gateway could end its
+/// run, which went on beside the source's.
+#[test]
+fn a_target_that_only_another_gateway_reaches_runs_a_generation_beside_its_source() {
+    let moved = Move::start(2, true);
+    let own = moved.fleet.gateways[0].peer_address.ip();
+    moved.target.set_source_links(&[(own, Link::OneWay)]);
+    moved.source.leave(LONG);
+    moved.wait_request();
+    moved.target.set_source_links(&[(own, Link::Silent)]);
+    let (fleet, outcome, longest) = moved.watch(|_, _| true);
+    assert!(longest < OVERLAP, "both ran for {longest:?}");
+    expect_whole(&fleet, &outcome);
+    assert_eq!(
+        fleet.ledger.running_engines("m1"),
+        0,
+        "the run of the target was stopped"
+    );
+}
+
+/// The second move of a generation whose targets are silent for a second each time.
+#[test]
+fn a_second_move_leaves_a_run_behind() {
+    const SILENCE: Duration = Duration::from_millis(1_100);
+    let moved = Move::start(1, true);
+    let spare = moved.fleet.start_engine("spare", EVENTS, INTERVAL);
+    spare.set_ignores_close(true);
+    wait_until("the gateway knows the third engine", || {
+        moved.fleet.gateways[0].logged("\"directory entry\",\"upstream\":\"spare\"")
+    });
+    let ledger = moved.fleet.ledger.clone();
+    moved.target.set_link(Link::Silent);
+    spare.set_link(Link::Silent);
+    moved.source.leave(LONG);
+    let mut second: Option<(Upstream, Duration)> = None;
+    let (fleet, outcome, longest) = moved.watch(|target, elapsed| {
+        match &second {
+            None if elapsed > SILENCE => {
+                target.set_link(Link::Open);
+                spare.set_link(Link::Open);
+                let arrivals = ledger.arrivals();
+                let last = arrivals.iter().rfind(|arrival| arrival.id == "m1");
+                let (from, to) = match last.map(|arrival| &*arrival.upstream) {
+                    Some("target") => (target, &spare),
+                    Some("spare") => (&spare, target),
+                    _ => return true,
+                };
+                if ledger.running_engines("m1") == 1 {
+                    to.set_link(Link::Silent);
+                    from.leave(LONG);
+                    second = Some((to.clone(), elapsed));
+                }
+            }
+            Some((to, since)) if elapsed > *since + SILENCE => to.set_link(Link::Open),
+            None | Some(_) => {}
+        }
+        true
+    });
+    assert!(longest < OVERLAP, "both ran for {longest:?}");
+    expect_whole(&fleet, &outcome);
+    let arrivals = fleet.ledger.arrivals();
+    let mut places: Vec<&str> = arrivals
+        .iter()
+        .filter(|arrival| arrival.id == "m1")
+        .map(|arrival| &*arrival.upstream)
+        .collect();
+    places.dedup();
+    assert_eq!(places.len(), 3, "{places:?}");
+}
