--- a/tests/endless_control.rs
+++ b/tests/endless_control.rs
@@ -125,6 +125,8 @@
     let harmed = fleet.start_plain("p1", SHORT);
     let _sound = fleet.start_plain("p2", SHORT);
     fleet.configure();
+    // For the reads that are on their way when the connections are reset.
+    fleet.earn_repeats(0, 2);
     for flood in FLOODS {
         let what = format!("health, {flood:?}");
         harmed.set_control_flood(Some(flood));
