fix: instances that miss a large change wait for a second report, and for a silent store

Callers of an instance that the store had just stopped answering got 404 for a route that was in force for 2.6 to 2.9 s.

Cause: a change too large for a datagram shows in the position that another instance reports. The first report only started a clock; what was missing was fetched when a second one came, up to a second later if nothing else happened. An instance that does not watch then waited 1.5 s for a silent store before it asked a peer.

Now an instance looks again 150 ms after the first report, without another one, unless the store answers its own watch; and a read of missed changes that is silent for 0.5 s counts as turned away: a peer is asked beside it.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -369,21 +369,26 @@
 /// the store's.
 ///
 /// While the store turns this instance away, peers are asked at once, and one after the other: many instances may miss the
-/// same change, and at first only those that watch have it.
+/// same change, and at first only those that watch have it. A store that is silent for [`ANSWER_MARGIN`] turns it away as well.
 async fn catch_up(control: &Rc<Control>) {
     let from = control.position();
     let before = from.revision;
-    if control.is_turned_away() {
-        let spread = FETCH_INTERVAL * control.instance_count();
-        tokio::time::sleep(spread.mul_f64(rand::random::<f64>())).await;
-        if let Some(peer) = control.ahead_peer.take().filter(|_| control.is_behind()) {
-            super::share::fetch_awaiting(control, peer).await;
-        }
-        if !control.is_behind() {
-            return;
-        }
+    if control.is_turned_away() && fetch_in_turn(control).await {
+        return;
     }
-    match call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT).await {
+    let call = call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT);
+    tokio::pin!(call);
+    let answer = match tokio::time::timeout(ANSWER_MARGIN, call.as_mut()).await {
+        Ok(answer) => answer,
+        Err(_elapsed) => {
+            control.record_turned_away();
+            if fetch_in_turn(control).await {
+                return;
+            }
+            call.await
+        }
+    };
+    match answer {
         Ok((page, era)) if era == from.era && era == control.followed_era() => {
             control.record_confirmation();
             control.apply_changes(page.items, Position::new(era, page.revision));
@@ -401,6 +406,16 @@
     }
 }
 
+/// Fetches missed changes from the peer that was last seen ahead. Returns whether nothing is missing any more.
+async fn fetch_in_turn(control: &Control) -> bool {
+    let spread = FETCH_INTERVAL * control.instance_count();
+    tokio::time::sleep(spread.mul_f64(rand::random::<f64>())).await;
+    if let Some(peer) = control.ahead_peer.take().filter(|_| control.is_behind()) {
+        super::share::fetch_awaiting(control, peer).await;
+    }
+    !control.is_behind()
+}
+
 /// Makes one read or watch call with the time limit `timeout`. Returns the page and its era, which is not earlier than the
 /// followed one.
 async fn call_store(
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -120,9 +120,25 @@
         control.ahead_peer.set(Some(peer));
     }
     let behind = control.record_peer_position(reached);
-    if behind < MAX_LAG || reached <= own {
+    if reached <= own {
         return;
     }
+    if behind >= MAX_LAG {
+        fetch_missed(control, peer);
+    } else if behind.is_zero() && !(control.watching.get() && control.is_answering()) {
+        // The next report may come a second later. What the store does not tell an instance that watches, it hears in reports.
+        let control = Rc::clone(control);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(MAX_LAG).await;
+            if control.is_behind() {
+                fetch_missed(&control, peer);
+            }
+        });
+    }
+}
+
+/// Fetches what this instance has missed and `peer` has.
+fn fetch_missed(control: &Rc<Control>, peer: SocketAddr) {
     if control.watching.get() {
         fetch_from_peer(control, peer);
     } else {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -161,10 +161,15 @@
             .put(config::KEY, &config::config(version, &routes, &[CLIENT_KEY]));
     }
 
-    /// Writes a version of the configuration, and waits until every gateway serves [`ADDED_ROUTE`] or says that there is no
-    /// such route, for [`CONFIG_APPLY`] at most.
+    /// Writes a version of the configuration, and waits until it is in force at every gateway; see [`Fleet::expect_added`].
     pub fn expect_version(&self, version: u64, is_added: bool) {
         self.write_version(version, is_added);
+        self.expect_added(version, is_added);
+    }
+
+    /// Waits until every gateway serves [`ADDED_ROUTE`] or says that there is no such route, as `version` has it, for
+    /// [`CONFIG_APPLY`] at most.
+    pub fn expect_added(&self, version: u64, is_added: bool) {
         let written = Instant::now();
         let expected = if is_added { 200 } else { 404 };
         for gateway in 0..self.gateways.len() {
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -7,8 +7,9 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::Outage;
-use fleet::{CONTACT, DRAIN, Fleet, Gateway, request, wait_until};
+use carob_platform_standin::{Outage, config};
+use fleet::{ADDED_ROUTE, CLIENT_KEY, CONTACT, DRAIN, Fleet, Gateway, ROUTES, request, wait_until};
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 const SHORT: Duration = Duration::from_millis(10);
 
@@ -88,3 +89,46 @@
     thread::sleep(CONTACT);
     expect_follows(&fleet);
 }
+
+/// Writes a version of the configuration with so many new keys that the change is too large for a datagram.
+fn write_large_version(fleet: &Fleet, version: u64, is_added: bool) {
+    let mut rng = StdRng::seed_from_u64(version);
+    let keys: Vec<String> = (0..400)
+        .map(|_| format!("{:032x}", rng.random::<u128>()))
+        .collect();
+    let keys: Vec<&str> = keys.iter().map(String::as_str).chain([CLIENT_KEY]).collect();
+    let mut routes = ROUTES.to_vec();
+    if is_added {
+        routes.push(ADDED_ROUTE);
+    }
+    fleet
+        .store
+        .put(config::KEY, &config::config(version, &routes, &keys));
+}
+
+/// A change that was too large to be passed on came 2.6 s late to gateways that the store had just stopped answering: they
+/// waited for a second report of the one that had it, and for the store.
+#[test]
+fn a_large_change_is_late_at_gateways_that_the_store_turns_away() {
+    for outage in [Outage::Silent, Outage::Busy] {
+        let fleet = Fleet::start(6);
+        let _plain = fleet.start_plain("p1", SHORT);
+        fleet.configure();
+        thread::sleep(Duration::from_secs(2));
+        let mut others = fleet.gateways.iter();
+        let served = others.find(|gateway| !gateway.watches_store());
+        let served = served.expect("not all watch").peer_address;
+        fleet.expect_version(2, true);
+        // Those that watch have just begun another call.
+        thread::sleep(Duration::from_millis(300));
+        for gateway in &fleet.gateways {
+            let outage = Some(outage).filter(|_| gateway.peer_address != served);
+            gateway.store_endpoint.set_outage(outage);
+        }
+        for version in 3..6 {
+            let is_added = version % 2 == 0;
+            write_large_version(&fleet, version, is_added);
+            fleet.expect_added(version, is_added);
+        }
+    }
+}
