--- a/tests/endless_control.rs
+++ b/tests/endless_control.rs
@@ -5,7 +5,12 @@
 
 use std::{
     fs,
-    net::IpAddr,
+    io::Write as _,
+    net::{IpAddr, SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -40,6 +45,32 @@
 /// Time limit of a call that gets bytes without end, and the time until its connection is closed.
 const CLOSE_TIME: Duration = Duration::from_secs(5);
 
+/// Length of a message of another instance, as its first four bytes tell it.
+const MESSAGE_LENGTHS: [u32; 4] = [0, 64, 4 << 20, u32::MAX];
+
+/// Starts another instance that sends messages of `length` without end to each instance that asks it for content. Returns its
+/// address and the number of connections that were closed on it.
+fn start_flooding_peer(length: u32) -> (SocketAddr, Arc<AtomicUsize>) {
+    // No gateway of a test has such an address.
+    let listener = TcpListener::bind(("127.253.0.1", 0)).expect("loopback has free ports");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let closed = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&closed);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let counter = Arc::clone(&counter);
+            thread::spawn(move || {
+                let mut message = length.to_be_bytes().to_vec();
+                message.resize(4 + (length as usize).clamp(1, 64 << 10), 0);
+                while stream.write_all(&message).is_ok() {}
+                counter.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+    });
+    (address, closed)
+}
+
 /// Largest memory of the process so far, in bytes.
 fn peak_memory(gateway: &Gateway) -> usize {
     let path = format!("/proc/{}/status", gateway.child.id());
@@ -238,3 +269,26 @@
     expect_closed(fleet.ledger.floods(), "all doors");
     expect_small(&fleet, "all doors");
 }
+
+/// An instance that starts while the store is away asks another one for content, which answers without end.
+#[test]
+fn content_without_end_of_another_instance_takes_all_memory() {
+    for length in MESSAGE_LENGTHS {
+        let what = format!("content, messages of {length} bytes");
+        let (peer, closed) = start_flooding_peer(length);
+        let mut fleet = Fleet::start(0);
+        let _plain = fleet.start_plain("p1", SHORT);
+        let mut gateway = Gateway::prepare(&fleet.store, &[peer]);
+        gateway.store_endpoint.set_outage(Some(Outage::Busy));
+        gateway.spawn();
+        fleet.gateways.push(gateway);
+        wait_until("the gateway has asked three times", || {
+            closed.load(Ordering::SeqCst) >= 3
+        });
+        fleet.gateways[0].store_endpoint.set_outage(None);
+        fleet.configure();
+        let read = request("r", "GET", "/read/1");
+        assert_eq!(fleet.send(0, &read).status, 200, "{what}");
+        expect_small(&fleet, &what);
+    }
+}
