fix: an instance without seeds waits for the store, though others tell it that they have content

An instance without seeds that started again while the store turned it away was not ready for as long as that lasted, and refused all requests. The others know such an instance from its registration before, or hear of it, and report their position; until its first read of the store nothing looked at these reports, and only seeds were asked for content.

After each failed first read, the instance now asks the one that has reported content, and goes on with that as with a seed's.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -94,7 +94,11 @@
             }
             Err(error) => outage.record_failure_and_pause(&control, &error).await,
         }
-        // With the content of a seed, what follows comes from the other instances, if not from the store.
+        // Others may know this instance from before, and tell it that they have content.
+        if let Some(peer) = control.ahead_peer.take() {
+            super::share::fetch_awaiting(&control, peer).await;
+        }
+        // With the content of another instance, what follows comes from the others, if not from the store.
         if control.position() > Position::START {
             break;
         }
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -132,3 +132,27 @@
         }
     }
 }
+
+/// A gateway without seeds that was started again while the store turned it away was not ready until the store served it,
+/// although the others told it that they had content.
+#[test]
+fn a_gateway_without_seeds_waits_for_the_store_beside_others_with_content() {
+    for outage in [Outage::Busy, Outage::Reset, Outage::Silent] {
+        let mut fleet = Fleet::start(3);
+        let _plain = fleet.start_plain("p1", SHORT);
+        fleet.configure();
+        let gateway = &mut fleet.gateways[0];
+        gateway.signal("KILL");
+        let _ended = gateway.child.wait();
+        gateway.store_endpoint.set_outage(Some(outage));
+        gateway.spawn();
+        let started = Instant::now();
+        fleet.wait_ready();
+        let time = started.elapsed();
+        assert!(
+            time < CONTACT,
+            "{outage:?}: expected to be ready within {CONTACT:?}, found {time:?}"
+        );
+        fleet.expect_version(2, true);
+    }
+}
