--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -126,7 +126,7 @@
     if behind >= MAX_LAG {
         fetch_missed(control, peer);
     } else if behind.is_zero() && !(control.watching.get() && control.is_answering()) {
-        // The next report may come a second later. What the store does not tell an instance that watches, it hears in reports.
+        // The next report may only come a second later. An instance whose own watch is answered gets the change by that.
         let control = Rc::clone(control);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(MAX_LAG).await;
