perf: instances that rest do not look again before a second report

Now only instances look again early that the store has lately turned away, or that have to watch and are not answered.

--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -125,7 +125,9 @@
     }
     if behind >= MAX_LAG {
         fetch_missed(control, peer);
-    } else if behind.is_zero() && (control.is_turned_away() || !control.is_answering()) {
+    } else if behind.is_zero()
+        && (control.is_turned_away() || (control.must_watch() && !control.is_answering()))
+    {
         // The next report may only come a second later. While the store answers, that is awaited: each read is charged.
         let control = Rc::clone(control);
         tokio::task::spawn_local(async move {
