fix: an instance without content waits for a call to the store that is never answered

Callers got 503, "no configuration is known yet", for up to 1.5 s after the store answered again. An instance that knows nothing waits for its first call to the store. A store that sends a head without end does so beyond its outage, so that this call is never answered, while all others are.

Until it knows something, an instance now asks again 0.5 s and 1 s after the first call, and takes the first answer; the calls end together after 1.5 s as before. The first ones are kept, so that a store that is slow is read as well. An instance that has content makes one call, as before.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use carob_platform::store::{self, Item, Page, Refusal};
+use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -48,6 +49,9 @@
 /// Time limit of a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum number of calls that are made for one page within [`READ_TIMEOUT`].
+const MAX_READS: usize = 3;
+
 /// Number of failures in a row after which all content is read instead of the changes.
 const MAX_WATCH_FAILURES: u32 = 2;
 
@@ -131,8 +135,7 @@
         let mut after: Option<String> = None;
         let mut revision = None;
         loop {
-            let request = store::range(prefix, after.as_deref());
-            let (page, found) = call_store(control, request, READ_TIMEOUT).await?;
+            let (page, found) = read_page(control, prefix, after.as_deref()).await?;
             let expected = *era.get_or_insert(found);
             if found != expected {
                 return Err(Error::OtherEra { expected, found });
@@ -179,6 +182,26 @@
     Ok(())
 }
 
+/// Reads the page of the items under `prefix` whose keys come after `after`.
+///
+/// An instance without content refuses all requests, so it asks again after each [`ANSWER_MARGIN`] and takes the first answer:
+/// a store that answers again may never answer the calls that it got while it was silent.
+async fn read_page(control: &Control, prefix: &str, after: Option<&str>) -> Result<(Page, u64), Error> {
+    let started = Instant::now();
+    let call = || {
+        let left = READ_TIMEOUT.saturating_sub(started.elapsed());
+        call_store(control, store::range(prefix, after), left)
+    };
+    let mut calls = FuturesUnordered::from_iter([call()]);
+    loop {
+        let may_repeat = calls.len() < MAX_READS && control.position() == Position::START;
+        tokio::select! {
+            Some(answer) = calls.next() => return answer,
+            () = tokio::time::sleep(ANSWER_MARGIN), if may_repeat => calls.push(call()),
+        }
+    }
+}
+
 /// Watches for as long as the process runs. Reads all content again if the store no longer has the history since the known
 /// revision, is in a later era, or has more changes than one answer holds. Makes no calls while enough other instances watch.
 async fn watch_all(control: &Rc<Control>, outage: &mut Outage) {
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -7,12 +7,15 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::{Outage, config};
+use carob_platform_standin::{Flood, Outage, config};
 use fleet::{ADDED_ROUTE, CLIENT_KEY, CONTACT, DRAIN, Fleet, Gateway, ROUTES, request, wait_until};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 const SHORT: Duration = Duration::from_millis(10);
 
+/// Time after a start within which an instance serves if the store answers.
+const START_TIME: Duration = Duration::from_secs(1);
+
 fn is_registered(fleet: &Fleet, gateway: usize) -> bool {
     let key = format!(
         "carobhaven/instances/{}",
@@ -156,3 +159,34 @@
         fleet.expect_version(2, true);
     }
 }
+
+/// A gateway that started while the store sent it a head without end was not ready for another 1.5 s after the store answered
+/// again: it waited for the answer to its first call.
+#[test]
+fn a_gateway_without_content_waits_for_a_call_that_is_never_answered() {
+    let outages = [Outage::Silent, Outage::Flood(Flood::HeadDrip)];
+    let lengths = [200, 700, 1_200].map(Duration::from_millis);
+    for (outage, length) in outages
+        .into_iter()
+        .flat_map(|outage| lengths.map(|length| (outage, length)))
+    {
+        let fleet = Fleet::start(0);
+        let _plain = fleet.start_plain("p1", SHORT);
+        fleet
+            .store
+            .put(config::KEY, &config::config(1, &ROUTES, &[CLIENT_KEY]));
+        let mut gateway = Gateway::prepare(&fleet.store, &[]);
+        gateway.store_endpoint.set_outage(Some(outage));
+        gateway.spawn();
+        wait_until("it has called the store", || fleet.store.calls() > 0);
+        thread::sleep(length);
+        gateway.store_endpoint.set_outage(None);
+        let answering = Instant::now();
+        wait_until("the gateway is ready", || gateway.is_ready());
+        let time = answering.elapsed();
+        assert!(
+            time < START_TIME,
+            "{outage:?} for {length:?}: expected to be ready within {START_TIME:?} of its end, found {time:?}"
+        );
+    }
+}
