--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -50,6 +50,17 @@
     to: Instant,
 }
 
+impl Cut {
+    /// Whether it separates its gateways from all upstreams of the service that a request is for, at the time of the request.
+    fn separates(&self, seen: &Observation) -> bool {
+        let is_whole = match seen.kind {
+            Kind::Stream(_) | Kind::Resumable { .. } => matches!(self.scope, Scope::Engines | Scope::All),
+            Kind::Unsafe | Kind::Safe => matches!(self.scope, Scope::Plain | Scope::All),
+        };
+        is_whole && (self.from..self.to).contains(&seen.begun)
+    }
+}
+
 /// Cuts links of gateways.
 pub struct Cuts {
     rng: StdRng,
@@ -145,6 +156,19 @@
         self.next = Instant::now() + Duration::from_hours(1);
     }
 
+    /// Whether a request came to a gateway that was cut off from all upstreams of its service while no other gateway could help:
+    /// each was cut off as well, or had just started, was suspended, left or was killed.
+    pub fn excuse(&self, seen: &Observation, operator: &Operator) -> bool {
+        let cut_off: Vec<usize> = self
+            .ended
+            .iter()
+            .filter(|cut| cut.separates(seen))
+            .flat_map(|cut| cut.gateways.clone())
+            .collect();
+        let is_helper = |other| !cut_off.contains(&other) && is_in_touch(other, seen, operator);
+        cut_off.contains(&seen.gateway) && !(0..operator.gateways()).any(is_helper)
+    }
+
     /// Cuts off from all plain upstreams during which the gateways concerned served too little, against the others in the
     /// same time.
     pub fn violations(&self, observations: &[Observation], operator: &Operator) -> Vec<String> {
