feat: one filter decides which upstreams a request may go to; regions of routes and accounts

Cause: four places of carob-dispatch each filtered upstreams on their own, and none knew in which regions a request may run, so that requests of routes and accounts with regions went anywhere. Change: fleet::eligibility decides for placement, load queries, migration targets and permits, and names why an upstream is excluded. AllowedRegions of routes and accounts is read; where both have some, both bind. The filter knows failure domains that are out of service as well; nothing sets them yet.

--- a/crates/carob-dispatch/src/fleet/limited.rs
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -4,7 +4,7 @@
 
 use carob_base::Time;
 
-use super::{Fleet, Requirements, RunKey, Upstream, UpstreamKey, UpstreamState, place::has_room};
+use super::{Fleet, Requirements, RunKey, Upstream, UpstreamKey, place::has_room};
 use crate::limits::{Access, Limits, Members, Message, Usage};
 
 /// A request that no upstream may get at present, since all of its service name limits, are brittle or ask for a pause.
@@ -86,7 +86,7 @@
         let mut limited = Vec::new();
         let mut least = f64::INFINITY;
         for (key, upstream) in &self.upstreams {
-            if !is_candidate(key, upstream, requirements)
+            if !self.is_candidate(key, upstream, requirements)
                 || upstream.paused_until > now
                 || !has_room(upstream, requirements)
             {
@@ -114,7 +114,7 @@
         let mut first: Option<(f64, UpstreamKey)> = None;
         let mut pause: Option<(Duration, UpstreamKey)> = None;
         for (key, upstream) in &self.upstreams {
-            if !is_candidate(key, upstream, requirements) {
+            if !self.is_candidate(key, upstream, requirements) {
                 continue;
             }
             if upstream.paused_until > now {
@@ -150,10 +150,13 @@
 
     /// Records that a request waits in the queue until `until` at most, for a permit of any upstream that could run it.
     pub fn record_wait(&mut self, requirements: &Requirements, until: Time) {
-        for (key, upstream) in &self.upstreams {
-            if is_candidate(key, upstream, requirements) {
-                self.limits.record_wait(upstream.hash(), until);
-            }
+        let candidates = self
+            .upstreams
+            .iter()
+            .filter(|(key, upstream)| self.is_candidate(*key, upstream, requirements));
+        let hashes: Vec<u64> = candidates.map(|(_, upstream)| upstream.hash()).collect();
+        for hash in hashes {
+            self.limits.record_wait(hash, until);
         }
     }
 
@@ -168,10 +171,3 @@
         }
     }
 }
-
-/// Whether an upstream could run a request, were it not for its load or limit.
-fn is_candidate(key: UpstreamKey, upstream: &Upstream, requirements: &Requirements) -> bool {
-    *upstream.entry.service == *requirements.service
-        && upstream.entry.state == UpstreamState::Ready
-        && !requirements.excluded.contains(&key)
-}
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! * [`Fleet::apply_peer_loads`] adds the requests that other instances run.
 
 mod directory;
+mod eligibility;
 mod limited;
 mod links;
 mod peers;
@@ -12,13 +13,18 @@
 mod relays;
 mod waiting;
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use carob_base::Time;
 use slotmap::SlotMap;
 
 use crate::limits::{Limits, Options as LimitOptions, Permit, Place};
 
+pub use eligibility::Exclusion;
 pub use limited::Held;
 pub use links::LinkFailure;
 pub use peers::{MessageStamp, PeerLoad};
@@ -191,6 +197,8 @@
     queue: waiting::Queue,
     peers: HashMap<SocketAddr, peers::Peer>,
     limits: Limits,
+    /// Failure domains that operators have taken out of service.
+    evacuated: BTreeSet<Box<str>>,
     /// Seed for breaking ties. Changes with every request, so that requests are spread over equal upstreams,
     /// and in another order at each instance.
     tie_seed: u64,
@@ -217,6 +225,7 @@
             queue: waiting::Queue::default(),
             peers: HashMap::new(),
             limits: Limits::new(LimitOptions::default(), seed),
+            evacuated: BTreeSet::new(),
             tie_seed: seed,
         }
     }
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState};
-use crate::limits::Access;
+use crate::{limits::Access, regions::Regions};
 
 carob_base::plain! {
     /// Health of an upstream, as the outcome of one forwarded request showed it.
@@ -45,6 +45,36 @@
     pub capacity: u64,
     /// Upstreams that must not be chosen, such as those already tried.
     pub excluded: SmallVec<[UpstreamKey; 4]>,
+    /// Regions in which it may run.
+    pub regions: Regions,
+}
+
+impl Requirements {
+    /// Creates the requirements of a request of `size` to `service`, whose engines have memory for `capacity` tokens each;
+    /// zero for plain calls. No upstream is excluded.
+    pub fn new(service: Box<str>, size: RequestSize, capacity: u64) -> Self {
+        Self {
+            service,
+            size,
+            capacity,
+            excluded: SmallVec::new(),
+            regions: Regions::any(),
+        }
+    }
+
+    /// Excludes upstreams.
+    #[must_use]
+    pub fn with_excluded(mut self, excluded: SmallVec<[UpstreamKey; 4]>) -> Self {
+        self.excluded = excluded;
+        self
+    }
+
+    /// Restricts the request to `regions`.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Regions) -> Self {
+        self.regions = regions;
+        self
+    }
 }
 
 /// Maximum sum of the expected sizes of an engine's generations, as a share of its memory.
@@ -111,10 +141,7 @@
         let mut best = None;
         let mut any_ready = false;
         for (key, upstream) in &self.upstreams {
-            if *upstream.entry.service != *requirements.service
-                || upstream.entry.state != UpstreamState::Ready
-                || requirements.excluded.contains(&key)
-            {
+            if !self.is_candidate(key, upstream, requirements) {
                 continue;
             }
             any_ready = true;
@@ -150,10 +177,7 @@
             .upstreams
             .iter()
             .filter(|(key, upstream)| {
-                *upstream.entry.service == *requirements.service
-                    && upstream.entry.state == UpstreamState::Ready
-                    && !requirements.excluded.contains(key)
-                    && self.access(upstream, now) != Access::Held
+                self.is_candidate(*key, upstream, requirements) && self.access(upstream, now) != Access::Held
             })
             .map(|(key, _)| {
                 let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&draw.to_le_bytes(), self.upstream_hash(key));
@@ -202,9 +226,7 @@
         let candidates = self.upstreams.iter().filter(|(key, upstream)| {
             *key != from
                 && Some(upstream.entry.address) != address
-                && *upstream.entry.service == *requirements.service
-                && upstream.entry.state == UpstreamState::Ready
-                && !requirements.excluded.contains(key)
+                && self.is_candidate(*key, upstream, requirements)
                 && self.access(upstream, now) != Access::Held
         });
         let rank = |key: UpstreamKey, upstream: &Upstream| {
--- a/crates/carob-dispatch/src/fleet/relays.rs
+++ b/crates/carob-dispatch/src/fleet/relays.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::{Fleet, peers::Peer};
+use crate::regions::Regions;
 
 /// Age of an instance's last message up to which it is chosen: two of its messages were missed.
 const HEARD_TIME: Duration = Duration::from_millis(2_200);
@@ -69,10 +70,11 @@
     }
 
     /// Chooses the instance that relays a connection to an upstream of `service`: one that reaches upstreams of it, near
-    /// and with few connections from here, the number of which `open` returns. `draw` is a random number.
+    /// and with few connections from here, the number of which `open` returns. It is in one of `regions`, since what is sent
+    /// passes through it. `draw` is a random number.
     pub fn choose_relay(
         &self,
-        service: &str,
+        (service, regions): (&str, &Regions),
         excluded: &[SocketAddr],
         open: impl Fn(SocketAddr) -> u32,
         draw: u64,
@@ -81,6 +83,9 @@
         let hash = service_hash(service);
         let candidates = self.peers.iter().filter_map(|(peer, known)| {
             let offer = known.relay_offer(hash, now)?;
+            if !regions.is_any() && !regions.permits(self.region(&offer.domain)) {
+                return None;
+            }
             let cost = f64::from(open(*peer)) + self.relay_cost(&offer.domain) + random_share(*peer, draw);
             (!excluded.contains(peer)).then_some((cost, *peer, known.last_seen))
         });
--- a/crates/carob-dispatch/src/lib.rs
+++ b/crates/carob-dispatch/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod migration;
 pub mod outcome;
 pub mod position;
+pub mod regions;
 pub mod table;
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -4,6 +4,8 @@
 
 use smallvec::SmallVec;
 
+use crate::regions::Regions;
+
 carob_base::plain! {
     /// Whether requests of a route may be run more than once.
     pub enum RouteKind {
@@ -67,6 +69,8 @@
         pub max_attempts: u32,
         /// Requests need no API key.
         pub anonymous: bool,
+        /// Regions in which requests may run.
+        pub regions: Regions,
     }
 
     /// Properties of each engine of a service.
@@ -105,6 +109,8 @@
         pub name: Box<str>,
         /// Priority that overrides the route's.
         pub priority: Option<u8>,
+        /// Regions in which its requests may run.
+        pub regions: Regions,
     }
 }
 
@@ -168,6 +174,16 @@
     pub account: Option<&'a Account>,
 }
 
+impl RouteMatch<'_> {
+    /// Regions in which the request may run: those of the route and those of the account, where they list any.
+    pub fn regions(&self) -> Regions {
+        self.account.map_or_else(
+            || self.route.regions.clone(),
+            |account| self.route.regions.intersection(&account.regions),
+        )
+    }
+}
+
 impl RoutingTable {
     /// Indexes a configuration.
     pub fn new(config: RoutingConfig) -> Self {
@@ -218,6 +234,21 @@
         self.services.get(name)
     }
 
+    /// Regions in which requests of a route of an earlier configuration may run now; `None` if it or the account of `key` is
+    /// not there any more.
+    pub fn present_regions(&self, earlier: &Route, key: Option<&str>) -> Option<Regions> {
+        let routes = self.hosts.get(&earlier.host)?;
+        let route = routes.iter().find(|route| route.name == earlier.name)?;
+        let account = match (&self.keys, key) {
+            (Some(keys), Some(key)) => keys.get(key),
+            _ => None,
+        };
+        if account.is_none() && self.keys.is_some() && !route.anonymous {
+            return None;
+        }
+        Some(RouteMatch { route, account }.regions())
+    }
+
     /// Finds the route for `host`, with or without a port, and `path`, and the account that `key` belongs to.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/carob-dispatch/tests/eligibility.rs
@@ -0,0 +1,147 @@
+//! Where requests may run: every choice of an upstream keeps to the same conditions.
+
+use std::collections::HashMap;
+
+use carob_base::Time;
+use carob_dispatch::{
+    fleet::{
+        DirectoryEntry, Exclusion, Fleet, Placement, RequestSize, Requirements, Topology, UpstreamKey,
+        UpstreamState,
+    },
+    regions::Regions,
+};
+
+const NOW: Time = Time::from_millis(1_000);
+const SIZE: RequestSize = RequestSize {
+    tokens: 4_000,
+    prefill: 3_000,
+};
+
+/// A fleet at an instance in `a1`, with two engines in each of the failure domains `a1`, `a2` (region `a`), `b1`
+/// (region `b`) and `c1`, whose region is unknown.
+fn fleet() -> Fleet {
+    let regions = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let topology = Topology {
+        domain: "a1".into(),
+        regions: regions
+            .map(|(domain, region)| (domain.into(), region.into()))
+            .into(),
+    };
+    let mut fleet = Fleet::new(topology, 7);
+    for (number, domain) in ["a1", "a1", "a2", "a2", "b1", "b1", "c1", "c1"]
+        .into_iter()
+        .enumerate()
+    {
+        fleet.update_entry(
+            DirectoryEntry {
+                id: format!("e{number}").into(),
+                started_ms: 1,
+                sequence: 1,
+                service: "engines".into(),
+                address: ([10, 0, 0, number as u8 + 1], 80).into(),
+                domain: domain.into(),
+                slots: 24,
+                state: UpstreamState::Ready,
+            },
+            NOW,
+        );
+    }
+    fleet
+}
+
+fn requirements(regions: &[&str]) -> Requirements {
+    let regions = regions.iter().map(|name| Box::from(*name)).collect();
+    Requirements::new("engines".into(), SIZE, 34_000).with_regions(Regions::listed(regions))
+}
+
+fn domain(fleet: &Fleet, key: UpstreamKey) -> &str {
+    &fleet.upstream(key).unwrap().entry.domain
+}
+
+/// Failure domains that placements, load queries and migrations from each upstream choose, until all are full.
+fn chosen(fleet: &mut Fleet, requirements: &Requirements) -> HashMap<String, u32> {
+    let mut domains = HashMap::new();
+    let mut count = |domain: &str| *domains.entry(domain.to_owned()).or_default() += 1;
+    let keys: Vec<_> = fleet.upstreams().map(|(key, _)| key).collect();
+    for draw in 0..50 {
+        for key in fleet.sample(requirements, 8, draw, NOW) {
+            count(domain(fleet, key));
+        }
+        for from in &keys {
+            if let Some(target) = fleet.migration_target(*from, requirements, draw, NOW) {
+                count(domain(fleet, target));
+            }
+        }
+    }
+    while let Placement::Upstream(key) = fleet.place(requirements, NOW) {
+        count(domain(fleet, key));
+        fleet.start_request(key, SIZE);
+    }
+    domains
+}
+
+/// A request whose homes are full or have nothing must not be sent abroad, however much room is there.
+#[test]
+fn restricted_requests_stay_in_their_regions() {
+    let domains = chosen(&mut fleet(), &requirements(&["b"]));
+    assert_eq!(domains.keys().collect::<Vec<_>>(), ["b1"]);
+    let placement = fleet().place(&requirements(&["d"]), NOW);
+    assert_eq!(placement, Placement::NoUpstream);
+    let all = chosen(&mut fleet(), &requirements(&[]));
+    assert_eq!(all.len(), 4, "{all:?}");
+}
+
+/// An evacuated failure domain must get nothing, and everything again once it is taken back.
+#[test]
+fn evacuated_domains_get_nothing_until_they_are_taken_back() {
+    let mut fleet = fleet();
+    assert!(fleet.set_evacuated(["a1".into()].into()));
+    assert!(!fleet.set_evacuated(["a1".into()].into()));
+    let domains = chosen(&mut fleet, &requirements(&["a"]));
+    assert_eq!(domains.keys().collect::<Vec<_>>(), ["a2"]);
+    assert!(fleet.set_evacuated([].into()));
+    assert!(
+        matches!(fleet.place(&requirements(&["a"]), NOW), Placement::Upstream(key) if domain(&fleet, key) == "a1")
+    );
+}
+
+/// What is true when an upstream is chosen may have changed when the request is sent.
+#[test]
+fn destinations_are_checked_against_the_state_in_force() {
+    let mut fleet = fleet();
+    let Placement::Upstream(key) = fleet.place(&requirements(&["a"]), NOW) else {
+        panic!("an upstream is free");
+    };
+    let regions = |name: &str| Regions::listed(vec![name.into()]);
+    assert_eq!(fleet.check_destination(key, &regions("a")), Ok(()));
+    assert_eq!(
+        fleet.check_destination(key, &regions("b")),
+        Err(Exclusion::Region)
+    );
+    let place = domain(&fleet, key).into();
+    fleet.set_evacuated([place].into());
+    assert_eq!(
+        fleet.check_destination(key, &regions("a")),
+        Err(Exclusion::Evacuated)
+    );
+}
+
+/// Operators are told why each upstream is not chosen.
+#[test]
+fn exclusions_are_named() {
+    let mut fleet = fleet();
+    fleet.set_evacuated(["a2".into()].into());
+    let key = |id: &str| {
+        let found = fleet.upstreams().find(|(_, upstream)| *upstream.entry.id == *id);
+        found.unwrap().0
+    };
+    let (near, evacuated, far) = (key("e0"), key("e2"), key("e4"));
+    fleet.pause(near, Time::from_millis(5_000));
+    let home = requirements(&["a"]);
+    assert_eq!(fleet.exclusion(near, &home, NOW), Some(Exclusion::Paused));
+    assert_eq!(fleet.exclusion(evacuated, &home, NOW), Some(Exclusion::Evacuated));
+    assert_eq!(fleet.exclusion(far, &home, NOW), Some(Exclusion::Region));
+    assert_eq!(fleet.exclusion(far, &requirements(&["b"]), NOW), None);
+    let tried = requirements(&[]).with_excluded([near].into_iter().collect());
+    assert_eq!(fleet.exclusion(near, &tried, NOW), Some(Exclusion::Tried));
+}
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -62,12 +62,7 @@
 }
 
 fn requirements(size: RequestSize) -> Requirements {
-    Requirements {
-        service: "engines".into(),
-        size,
-        capacity: CAPACITY,
-        excluded: smallvec::SmallVec::new(),
-    }
+    Requirements::new("engines".into(), size, CAPACITY)
 }
 
 fn placed(fleet: &Fleet, size: RequestSize) -> UpstreamKey {
--- a/crates/carob-dispatch/tests/limits.rs
+++ b/crates/carob-dispatch/tests/limits.rs
@@ -231,15 +231,11 @@
             at(0),
         );
     }
-    let requirements = Requirements {
-        service: "plain".into(),
-        size: RequestSize {
-            tokens: 0,
-            prefill: 0,
-        },
-        capacity: 0,
-        excluded: smallvec::SmallVec::new(),
+    let size = RequestSize {
+        tokens: 0,
+        prefill: 0,
     };
+    let requirements = Requirements::new("plain".into(), size, 0);
     let keys: Vec<_> = fleet.upstreams().map(|(key, _)| key).collect();
     for (key, rate) in keys.iter().zip([0.5, 100.0]) {
         let hash = fleet.upstream_hash(*key);
--- a/crates/carob-dispatch/tests/table.rs
+++ b/crates/carob-dispatch/tests/table.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use carob_dispatch::table::{Account, Denial, Limits, Route, RouteKind, RoutingConfig, RoutingTable};
+use carob_dispatch::{
+    regions::Regions,
+    table::{Account, Denial, Limits, Route, RouteKind, RoutingConfig, RoutingTable},
+};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -17,6 +20,7 @@
         services: [("s".into(), 1)].into_iter().collect(),
         max_attempts: 1,
         anonymous: false,
+        regions: Regions::any(),
     }
 }
 
@@ -61,6 +65,7 @@
     let account = Account {
         name: "parish".into(),
         priority: Some(2),
+        regions: Regions::any(),
     };
     let table = table(
         vec![open, route("closed", "a", "/closed/")],
@@ -93,3 +98,61 @@
     split.services.clear();
     assert_eq!(split.pick_service(0.5), None);
 }
+
+fn regions(names: &[&str]) -> Regions {
+    Regions::listed(names.iter().map(|name| Box::from(*name)).collect())
+}
+
+/// A request must not leave the regions of its route or of its account; an intersection without any region is not the same
+/// as no restriction.
+#[test]
+fn regions_of_route_and_account_both_bind() {
+    let mut restricted = route("restricted", "a", "/r/");
+    restricted.regions = regions(&["north", "south"]);
+    restricted.anonymous = true;
+    let account = |names| Account {
+        name: "parish".into(),
+        priority: None,
+        regions: regions(names),
+    };
+    let table = table(
+        vec![restricted, route("open", "a", "/o/")],
+        Some(vec![
+            (account(&["south", "west"]), vec!["k1".into()]),
+            (account(&["west"]), vec!["k2".into()]),
+            (account(&[]), vec!["k3".into()]),
+        ]),
+    );
+    let permitted = |path, key: Option<&str>| {
+        let found = table.lookup("a", path, key).unwrap().regions();
+        let names = ["north", "south", "west"];
+        let permitted = names.into_iter().filter(|name| found.permits(Some(name)));
+        permitted.collect::<Vec<_>>()
+    };
+    assert_eq!(permitted("/r/", Some("k1")), ["south"]);
+    assert_eq!(permitted("/r/", Some("k2")), Vec::<&str>::new());
+    assert_eq!(permitted("/r/", Some("k3")), ["north", "south"]);
+    assert_eq!(permitted("/r/", None), ["north", "south"]);
+    assert_eq!(permitted("/o/", Some("k2")), ["west"]);
+    assert_eq!(permitted("/o/", Some("k3")), ["north", "south", "west"]);
+    assert!(
+        !table
+            .lookup("a", "/r/", Some("k1"))
+            .unwrap()
+            .regions()
+            .permits(None)
+    );
+}
+
+/// A request that waits while its regions change must follow the newer configuration.
+#[test]
+fn regions_of_a_later_configuration_replace_the_earlier_ones() {
+    let mut earlier = route("drafts", "a", "/d/");
+    earlier.regions = regions(&["north", "south"]);
+    let mut later = earlier.clone();
+    later.regions = regions(&["south"]);
+    let later = table(vec![later], None);
+    assert_eq!(later.present_regions(&earlier, None), Some(regions(&["south"])));
+    let without = table(vec![route("other", "a", "/x/")], None);
+    assert_eq!(without.present_regions(&earlier, None), None);
+}
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -202,6 +202,8 @@
     Closing = 6,
     /// The receiver does not know the sender or the upstream.
     Stranger = 7,
+    /// The upstream's failure domain is out of service.
+    Evacuated = 8,
 }
 
 impl RelayState {
@@ -216,6 +218,7 @@
             Self::Full => "full",
             Self::Closing => "closing",
             Self::Stranger => "stranger",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use carob_dispatch::fleet::Exclusion;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -45,6 +46,9 @@
     /// No connection was established, so nothing was sent.
     #[error("no connection: {0}")]
     Connect(String),
+    /// The request may not go to the upstream, so nothing was sent.
+    #[error("the upstream is not permitted: {}", .0.name())]
+    Excluded(Exclusion),
     /// The connection broke after the request may have been sent.
     #[error("connection broke: {0}")]
     Broken(String),
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -7,6 +7,7 @@
     crashes::{self, Part},
     fleet::{RequestSize, Requirements, UpstreamKey},
     head::Head,
+    regions::Regions,
     table::{Engine, Route},
 };
 use carob_platform::{
@@ -60,6 +61,8 @@
     pub(super) prompt: crashes::Parts,
     /// Absent for plain services.
     pub(super) engine: Option<Engine>,
+    /// Regions in which the request might run when it was admitted.
+    pub(super) admitted_regions: Regions,
     /// Name of the client account; absent for anonymous requests.
     pub(super) account: Option<Box<str>>,
     /// Priority in the queue; 0 goes first.
@@ -176,19 +179,30 @@
         parts
     }
 
+    /// Regions in which the request may run by the configuration in force, or by that which admitted it if its route or
+    /// account is not there any more.
+    pub(super) fn regions(&self) -> Regions {
+        let table = self
+            .shared
+            .table()
+            .filter(|table| table.version() != self.version);
+        table
+            .and_then(|table| table.present_regions(&self.route, self.head.key.as_deref()))
+            .unwrap_or_else(|| self.admitted_regions.clone())
+    }
+
     /// Requirements on an upstream for a request of `size`, other than those in `excluded` and those that are called to
     /// stop it.
     pub(super) fn requirements(&self, size: RequestSize, excluded: &[UpstreamKey]) -> Requirements {
-        Requirements {
-            service: self.service.clone(),
-            size,
-            capacity: self.engine.as_ref().map_or(0, |engine| engine.capacity),
-            excluded: excluded
-                .iter()
-                .chain(self.abandoned.borrow().iter())
-                .copied()
-                .collect(),
-        }
+        let capacity = self.engine.as_ref().map_or(0, |engine| engine.capacity);
+        let excluded = excluded
+            .iter()
+            .chain(self.abandoned.borrow().iter())
+            .copied()
+            .collect();
+        Requirements::new(self.service.clone(), size, capacity)
+            .with_excluded(excluded)
+            .with_regions(self.regions())
     }
 
     /// Classifies the answer to the latest send to `upstream`. That it was not run is believed of its first send alone: the
@@ -222,6 +236,19 @@
         })
     }
 
+    /// Checks that the request may still be sent to an upstream that was chosen for it.
+    fn check_destination(&self, upstream: UpstreamKey, regions: &Regions) -> Result<(), socket::Error> {
+        let checked = self.shared.fleet().check_destination(upstream, regions);
+        checked.map_err(|exclusion| {
+            log::info!(
+                request:% = self.id(), upstream:% = exchange::upstream_name(self, upstream),
+                exclusion = exclusion.name(), regions:% = regions; "request not sent: its upstream is not permitted any more"
+            );
+            metrics::counter!("carobhaven_destinations_rejected_total", "reason" => exclusion.name()).increment(1);
+            socket::Error::Excluded(exclusion)
+        })
+    }
+
     /// Sends the request to the upstream of `reservation` and reads the head of its response. `repeat` is
     /// present if another upstream may have got it before. With `resume`, the upstream continues a generation.
     pub(super) async fn send(
@@ -232,8 +259,15 @@
         deadline: Instant,
     ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
         let name = exchange::upstream_name(self, reservation.upstream);
-        let purpose = Purpose::Request(&self.head.id);
+        let regions = self.regions();
+        self.check_destination(reservation.upstream, &regions)?;
+        let purpose = Purpose::Request {
+            id: &self.head.id,
+            regions: &regions,
+        };
         let connection = link::open(&self.shared, reservation.upstream, purpose, deadline).await?;
+        // A configuration or an evacuation may have come into force since.
+        self.check_destination(reservation.upstream, &self.regions())?;
         let added = AddedHeaders {
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             upstream: &name,
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -205,6 +205,7 @@
         prompt: prompt.collect(),
         service: service.into(),
         engine,
+        admitted_regions: found.regions(),
         account: found.account.map(|account| account.name.clone()),
         priority: found
             .account
@@ -511,6 +512,8 @@
 fn unanswered_send(call: &Rc<Call>, upstream: UpstreamKey, error: &socket::Error, sent: Instant) -> Outcome {
     let shared = &call.shared;
     let (health, result) = match error {
+        // Says nothing about the upstream.
+        socket::Error::Excluded(_) => return no_answer(call, upstream, AttemptResult::Unsent, error),
         socket::Error::Connect(_) => (UpstreamHealth::Unreachable, AttemptResult::Unsent),
         socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
             (UpstreamHealth::Failing, AttemptResult::Unknown)
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -119,6 +119,7 @@
         }
     };
     match &outcome {
+        Err(socket::Error::Excluded(_)) => {}
         Ok(_) => record_answer(shared, upstream),
         Err(error @ socket::Error::Connect(_)) => {
             record_failure(shared, upstream, LinkFailure::Request, error);
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -7,7 +7,10 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
-use carob_dispatch::fleet::{LinkFailure, Relay, RelayOffer, RequestSize, UpstreamKey, service_hash};
+use carob_dispatch::{
+    fleet::{LinkFailure, Relay, RelayOffer, RequestSize, UpstreamKey, service_hash},
+    regions::Regions,
+};
 use carob_platform::answer::{self, HeadScan};
 use prost::Message;
 use smallvec::SmallVec;
@@ -63,8 +66,13 @@
 /// What a connection is for.
 #[derive(Clone, Copy)]
 pub(super) enum Purpose<'a> {
-    /// A client's request with this id.
-    Request(&'a [u8]),
+    /// A client's request.
+    Request {
+        /// Its id.
+        id: &'a [u8],
+        /// Regions in which it may run, and through which it may pass.
+        regions: &'a Regions,
+    },
     /// A report, a copy of memory, or the question whether the upstream lives.
     Control,
 }
@@ -84,15 +92,15 @@
 
 /// Whether another instance may reach upstreams of a service.
 pub(super) fn is_offered(shared: &Shared, service: &str) -> bool {
-    choose(shared, service, &[]).is_some()
+    choose(shared, service, &Regions::any(), &[]).is_some()
 }
 
-fn choose(shared: &Shared, service: &str, asked: &[SocketAddr]) -> Option<Relay> {
+fn choose(shared: &Shared, service: &str, regions: &Regions, asked: &[SocketAddr]) -> Option<Relay> {
     let registered = shared.peers();
     let mut excluded: SmallVec<[SocketAddr; 4]> = SmallVec::from_slice(asked);
     loop {
         let relay = shared.fleet().choose_relay(
-            service,
+            (service, regions),
             &excluded,
             |peer| shared.relays_to(peer),
             rand::random(),
@@ -123,11 +131,16 @@
     else {
         return Err(Error::Connect("the upstream is forgotten".to_owned()));
     };
+    let any = Regions::any();
+    let regions = match purpose {
+        Purpose::Request { regions, .. } => regions,
+        Purpose::Control => &any,
+    };
     let deadline = deadline.min(Instant::now() + RELAY_TIMEOUT);
     let mut asked: SmallVec<[SocketAddr; 4]> = SmallVec::new();
     let mut reason = "no instance reaches an upstream of the service".to_owned();
     while asked.len() < MAX_RELAYS && Instant::now() < deadline {
-        let Some(relay) = choose(shared, &service, &asked) else {
+        let Some(relay) = choose(shared, &service, regions, &asked) else {
             break;
         };
         asked.push(relay.peer);
@@ -174,7 +187,9 @@
     relay: Relay,
     started: Instant,
 ) {
-    let Purpose::Request(id) = purpose else { return };
+    let Purpose::Request { id, .. } = purpose else {
+        return;
+    };
     let lost = shared.fleet().link_lost_since(upstream);
     log::info!(
         request:% = String::from_utf8_lossy(id), upstream:% = name, peer:% = relay.peer,
@@ -214,7 +229,7 @@
             boot_id: shared.boot_id(),
             upstream_hash,
             request: match purpose {
-                Purpose::Request(id) => id.to_vec().into(),
+                Purpose::Request { id, .. } => id.to_vec().into(),
                 Purpose::Control => bytes::Bytes::new(),
             },
             is_control: matches!(purpose, Purpose::Control),
@@ -339,6 +354,9 @@
         if found.leaving_since.is_some() {
             return Err(RelayState::Leaving);
         }
+        if fleet.is_evacuated(upstream) {
+            return Err(RelayState::Evacuated);
+        }
         if found.is_paused(now) {
             return Err(RelayState::Paused);
         }
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -146,7 +146,7 @@
                 reservation,
                 reason: error.to_string(),
                 fate: match error {
-                    socket::Error::Connect(_) => Fate::NotRun,
+                    socket::Error::Connect(_) | socket::Error::Excluded(_) => Fate::NotRun,
                     socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
                         Fate::Unknown
                     }
@@ -186,6 +186,7 @@
 
 fn record_failed_attempt(call: &Call, reservation: &Reservation, error: &socket::Error) {
     let health = match error {
+        socket::Error::Excluded(_) => return,
         socket::Error::Connect(_) => UpstreamHealth::Unreachable,
         socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
             UpstreamHealth::Failing
