feat: failure domains that operators take out of service get no requests

Cause: the keys by which operators take a failure domain out of service were not read; requests went on to its upstreams for the whole time. Change: the control thread keeps the keys like the configuration and passes them on; a key that is missing after an outage of the store or in a new era stays in force until it can no longer be written again. The filter of placement excludes the upstreams, instances that relay a connection check it, and a request is checked again just before it leaves. Instances whose builds leave such keys out are not relied on for the store's content.

--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -107,6 +107,9 @@
 /// domains occupy the leaving upstream's link twice as long.
 const DOMAIN_OVERCOMMIT: f64 = 0.25;
 
+/// Tier of migration targets in another failure domain with free memory; higher ones are overcommitted.
+const FREE_TIER: u8 = 2;
+
 /// Load added to an upstream in another failure domain, as a share of its capacity; to be chosen, its load
 /// must be lower by more than this.
 const DOMAIN_PENALTY: f64 = 0.02;
@@ -237,18 +240,31 @@
             let tier = match self.same_domain(from, key) {
                 true if free > 0.0 => 0,
                 true if free > -DOMAIN_OVERCOMMIT => 1,
-                false if free > 0.0 => 2,
+                false if free > 0.0 => FREE_TIER,
                 true => 3,
                 false => 4,
             };
             (tier, -self.uniform(key, draw).ln() / free.max(MIN_FREE))
         };
+        // Nothing ends a generation in an evacuated failure domain, so it is worth moving to free memory only.
+        let worst_tier = if self.is_evacuated(from) && !self.is_leaving(from) {
+            FREE_TIER
+        } else {
+            u8::MAX
+        };
         candidates
             .map(|(key, upstream)| (rank(key, upstream), key))
+            .filter(|((tier, _), _)| *tier <= worst_tier)
             .min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
             .map(|(_, key)| key)
     }
 
+    fn is_leaving(&self, key: UpstreamKey) -> bool {
+        self.upstreams
+            .get(key)
+            .is_some_and(|upstream| upstream.leaving_since.is_some())
+    }
+
     /// Whether two upstreams are in the same failure domain.
     pub fn same_domain(&self, one: UpstreamKey, other: UpstreamKey) -> bool {
         let domain = |key| self.upstreams.get(key).map(|upstream| &upstream.entry.domain);
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -173,6 +173,7 @@
     for (prefix, revision, present) in lists {
         control.retain(prefix, Position::new(era, revision), &present);
     }
+    control.lacks_evacuations.set(false);
     control.record_confirmation();
     if let Some(pending) = pending {
         control.refute_era(pending);
@@ -222,7 +223,7 @@
         }
         ask_unheard(control);
         // Watches that fail again and again may each have been answered with too much.
-        if must_read || control.pending_era().is_some() || outage.failures >= MAX_WATCH_FAILURES {
+        if must_read || control.is_incomplete() || outage.failures >= MAX_WATCH_FAILURES {
             match read_all(control).await {
                 Ok(()) => {
                     must_read = false;
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -52,6 +52,8 @@
     Timeout,
     #[error("expected content that is not older than the known one, found {0:?}")]
     Older(PeerPosition),
+    #[error("expected content with evacuated failure domains, found that of a build that knows none")]
+    NoEvacuations,
     #[error("expected the value of {0}, which is not known any more")]
     NotHeld(String),
 }
@@ -230,6 +232,7 @@
         items: items.collect(),
         keys,
         era: Some(era),
+        keeps_evacuations: !control.lacks_evacuations.get(),
     };
     frames.send(Bytes::from(content.encode_to_vec())).await?;
     Ok(())
@@ -263,6 +266,13 @@
     let Some(reached) = reached.known(own.era).filter(|reached| *reached >= own) else {
         return Err(Error::Older(reached));
     };
+    if !content.keeps_evacuations {
+        // Old content is better than none, but does not replace what is known of evacuations.
+        if own > Position::START {
+            return Err(Error::NoEvacuations);
+        }
+        control.lacks_evacuations.set(true);
+    }
     let items = content.items.into_iter().map(|item| fill_in(control, item));
     let items = items.collect::<Result<Vec<_>, _>>()?;
     control.follow_era(reached.era);
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -22,6 +22,7 @@
 use crate::{
     Change, Lag, Mirror, Settings, Versioned, delta,
     era::{AnswerEra, Eras, Position},
+    evacuations::Evacuations,
     reach::{MIN_OUTAGE, Reachability},
     signals::Grace,
     update::{StoreUpdate, Update},
@@ -48,6 +49,11 @@
     if item.key == config::KEY {
         return Some(item);
     }
+    if config::evacuated_domain(&item.key).is_some() {
+        // The key says it all.
+        item.value = item.value.map(|_| Bytes::new());
+        return Some(item);
+    }
     if !item.key.starts_with(directory::PREFIX) && !item.key.starts_with(INSTANCE_PREFIX) {
         return None;
     }
@@ -89,6 +95,10 @@
     confirmed_at: Cell<Instant>,
     /// Ids of directory entries that were removed around an outage of the store and may reappear.
     lapsed: RefCell<HashSet<String>>,
+    /// Failure domains that are out of service.
+    evacuations: RefCell<Evacuations>,
+    /// Whether the content comes from an instance whose build knows no evacuations.
+    pub(super) lacks_evacuations: Cell<bool>,
     /// Instances that were registered in the era before, and may not have registered again yet.
     former: RefCell<Option<FormerInstances>>,
     /// Fields of the last [`Update::StoreStatus`] that was sent, in their order.
@@ -141,6 +151,8 @@
             reachability: RefCell::new(Reachability::new()),
             confirmed_at: Cell::new(now),
             lapsed: RefCell::new(HashSet::new()),
+            evacuations: RefCell::new(Evacuations::new()),
+            lacks_evacuations: Cell::new(false),
             former: RefCell::new(None),
             last_status: Cell::new((Position::START, false, false, false)),
             lag: RefCell::new(Lag::new()),
@@ -199,6 +211,11 @@
         self.eras.borrow().pending()
     }
 
+    /// Whether the known content is that of an earlier era, or of a build that knows no evacuations.
+    pub(super) fn is_incomplete(&self) -> bool {
+        self.pending_era().is_some() || self.lacks_evacuations.get()
+    }
+
     /// The era of the store that is followed.
     pub(super) fn followed_era(&self) -> u64 {
         self.eras.borrow().followed()
@@ -363,7 +380,7 @@
     /// Whether this instance has to watch the store itself.
     pub(super) fn must_watch(&self) -> bool {
         let own = self.settings.borrow().peer_address;
-        self.watchers.borrow_mut().must_watch(own, now())
+        self.watchers.borrow_mut().must_watch(own, now()) || self.lacks_evacuations.get()
     }
 
     /// Another instance that may have content, if this one hears of none; at most one in each [`ASK_INTERVAL`].
@@ -551,6 +568,9 @@
             log::info!(upstream:% = id; "entry did not reappear after the store's outage; removed");
             self.send(Update::EntryRemoved(id.into()));
         }
+        if self.evacuations.borrow_mut().end_reappearance() {
+            self.send_evacuations();
+        }
     }
 
     /// How long until [`Control::remove_lapsed`] removes the entries that expired in an outage; `None` if
@@ -565,6 +585,8 @@
             if let Change::Set(item) = change {
                 self.apply_config(&item.value, item.position);
             }
+        } else if let Some(domain) = config::evacuated_domain(key) {
+            self.publish_evacuation(domain, &change);
         } else if let Some(id) = key.strip_prefix(directory::PREFIX) {
             match change {
                 Change::Set(item) => self.publish_entry(id, &item),
@@ -573,6 +595,30 @@
         }
     }
 
+    fn publish_evacuation(&self, domain: &str, change: &Change) {
+        let is_changed = match change {
+            Change::Set(_) => self.evacuations.borrow_mut().set(domain),
+            Change::Removed => {
+                let may_reappear = self.reappearance_left().is_some();
+                self.evacuations.borrow_mut().remove(domain, may_reappear)
+            }
+        };
+        let is_set = matches!(change, Change::Set(_));
+        let Position { era, revision } = self.position();
+        log::info!(
+            domain, evacuated = is_set, in_force = is_changed, era, revision;
+            "operators take a failure domain out of service or back"
+        );
+        if is_changed {
+            self.send_evacuations();
+        }
+    }
+
+    fn send_evacuations(&self) {
+        let domains = self.evacuations.borrow().in_force().clone();
+        self.send(Update::Evacuations(domains));
+    }
+
     fn publish_entry(&self, id: &str, item: &Versioned) {
         self.lapsed.borrow_mut().remove(id);
         let Some(entry) = directory::decode(id, &item.value) else {
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -11,12 +11,14 @@
 //! * [`Mirror`]: this instance's copy of the store's content.
 //! * [`reach`]: whether the store can be reached.
 //! * [`era`]: which history of the store is followed.
+//! * [`evacuations`]: failure domains that are out of service.
 //! * [`Lag`]: how long the copy has been behind those of other instances.
 //! * [`events`]: splits a byte stream into complete server-sent events.
 
 mod control;
 pub mod delta;
 pub mod era;
+pub mod evacuations;
 pub mod events;
 mod lag;
 mod mirror;
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -93,6 +93,10 @@
     /// Revision after which `changes` begins; zero if that is empty.
     #[prost(uint64, tag = "23")]
     pub changes_base: u64,
+    /// Whether the sender keeps the keys of evacuated failure domains. Builds that do not leave them out of what they pass
+    /// on.
+    #[prost(bool, tag = "28")]
+    pub keeps_evacuations: bool,
 }
 
 /// Places at a brittle upstream that an instance holds and wants.
@@ -351,6 +355,9 @@
     /// Era of all revisions in the message; absent in messages of builds that know no eras.
     #[prost(uint64, optional, tag = "4")]
     pub era: Option<u64>,
+    /// See [`Announcement::keeps_evacuations`].
+    #[prost(bool, tag = "5")]
+    pub keeps_evacuations: bool,
 }
 
 /// A key of the store with its value.
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -97,6 +97,7 @@
             changes_base: if has_differences { base } else { 0 },
             changes,
             watching,
+            keeps_evacuations: true,
             complete,
             loads: changed.into_iter().map(Load::from).collect(),
             updates,
@@ -229,6 +230,7 @@
         era: Some(shared.position().era),
         revision: shared.position().revision,
         watching: shared.is_watching(),
+        keeps_evacuations: true,
         crashes: evidence.crashes.into_iter().map(Crash::from).collect(),
         sound: evidence.sound.into_iter().map(Sound::from).collect(),
         trials: evidence.trials.into_iter().map(Trial::from).collect(),
@@ -297,7 +299,9 @@
         return limit::merge_pauses(shared, peer, &message.pauses);
     }
     let own = shared.position();
-    let update = changes_of(&message);
+    let keeps_evacuations = message.keeps_evacuations;
+    // What a build that knows no evacuations passes on may lack one.
+    let update = changes_of(&message).filter(|_| keeps_evacuations);
     let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
     limit::merge(shared, peer, &limits);
     let brittle: Vec<LimitReport> = message.brittle.into_iter().map(Into::into).collect();
@@ -335,7 +339,7 @@
             address: peer,
             reached,
             update,
-            watching: message.watching,
+            watching: message.watching && keeps_evacuations,
         });
     }
 }
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -189,6 +189,16 @@
     let Some(address) = address else {
         return CopyOutcome::Malformed;
     };
+    // A generation that is only stopped names its own upstream.
+    if target != source
+        && let Err(exclusion) = call.shared.fleet().check_destination(target, &call.regions())
+    {
+        log::info!(
+            request:% = call.id(), target:% = upstream_name(call, target), exclusion = exclusion.name(), last;
+            "memory not copied: the target is not permitted any more"
+        );
+        return CopyOutcome::NoRoom(None);
+    }
     let id = call.id().into_owned();
     for _ in 0..COPY_ATTEMPTS {
         let deadline = Instant::now() + COPY_TIMEOUT;
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod crash;
 mod departure;
+mod evacuation;
 mod exchange;
 mod framing;
 mod guard;
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -24,6 +24,7 @@
 
 use super::{
     crash::{self, Break},
+    evacuation,
     guard::{Active, ActiveKey},
     repeats::Repeats,
 };
@@ -455,6 +456,7 @@
                 let leaving = self.fleet.borrow_mut().remove_entry(&id, now);
                 self.notify_leaving(leaving);
             }
+            Update::Evacuations(domains) => evacuation::apply(self, domains),
             Update::Peers {
                 addresses,
                 registered,
--- a/crates/carob-gateway/src/traffic/stream/mod.rs
+++ b/crates/carob-gateway/src/traffic/stream/mod.rs
@@ -20,6 +20,7 @@
     attempts::Attempts,
     call::Call,
     crash::SOUND_TIME,
+    evacuation::Departure,
     exchange::upstream_name,
     framing::{self, Framing},
     guard::{ActiveRequest, Reservation},
@@ -228,6 +229,7 @@
         ));
         let _probing = AbortOnDrop(probing);
         let mut migration: Option<Migration> = None;
+        let mut departure = Departure::new(&self.call.shared, self.reservation.upstream);
         let mut may_migrate = self
             .call
             .engine
@@ -241,7 +243,8 @@
             return Ok(());
         }
         loop {
-            if may_migrate && migration.is_none() && self.is_upstream_leaving() {
+            let is_departing = self.is_upstream_leaving() || departure.is_due();
+            if may_migrate && migration.is_none() && is_departing {
                 may_migrate = false;
                 let moving = migrate::run(
                     Rc::clone(&self.call),
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -1,6 +1,6 @@
 //! Messages between the control thread and the traffic thread.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use carob_dispatch::{fleet::DirectoryEntry, table::RoutingTable};
 
@@ -20,6 +20,8 @@
     Entry(DirectoryEntry, Position),
     /// The directory entry with this id was removed.
     EntryRemoved(Box<str>),
+    /// The failure domains that operators have taken out of service; replaces the previous ones.
+    Evacuations(BTreeSet<Box<str>>),
     /// The other instances; replaces the previous list.
     Peers {
         /// Their addresses.
