feat: cold upstreams get a bounded number of requests, with permits that expire

Cause: an upstream that has just started crashes if it gets far more than the rate of its service in a second; nothing bounded what all instances send together.

Change: the directory entry and answers to health checks say for how long an upstream stays cold, the service how many requests a second it takes then, and the settings by how much a second may exceed that. The module limits/cold issues permits: an issuer gets the part of the rate and of the slack that belongs to the instances which name it in their messages, and permits count their validity from the time at which they were asked for. They are checked when the request is sent.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -20,6 +20,7 @@
     /// that has come back.
     pub fn update_entry(&mut self, mut entry: DirectoryEntry, now: Time) -> Option<UpstreamKey> {
         let listed = self.by_name.get(&entry.id).copied();
+        self.record_cold(&entry, now);
         let known = if entry.started_ms > 0 {
             self.find_incarnation(&entry)
         } else {
@@ -144,6 +145,7 @@
         self.by_hash.retain(|_, key| upstreams.contains_key(*key));
         let by_hash = &self.by_hash;
         self.limits.evict_stale(|hash| by_hash.contains_key(&hash), now);
+        self.cold.evict_stale(|hash| by_hash.contains_key(&hash));
     }
 
     /// Records that an upstream has said itself that it leaves, whatever its entry says. Returns it unless it was known
--- a/crates/carob-dispatch/src/fleet/eligibility.rs
+++ b/crates/carob-dispatch/src/fleet/eligibility.rs
@@ -23,6 +23,8 @@
         Region,
         /// Operators have taken its failure domain out of service.
         Evacuated,
+        /// It is cold, and this instance has no permit for a request to it.
+        Cold,
         /// It asks for a pause.
         Paused,
         /// It takes a bounded number of requests, and this instance has no permit for one.
@@ -41,6 +43,7 @@
             Self::Tried => "tried",
             Self::Region => "region",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
             Self::Paused => "paused",
             Self::NoPermit => "no-permit",
             Self::Full => "full",
@@ -129,7 +132,9 @@
 
     /// Why an upstream takes no request from this instance at present.
     fn access_exclusion(&self, upstream: &Upstream, now: Time) -> Option<Exclusion> {
-        if upstream.is_paused(now) {
+        if self.is_cold_held(upstream, now) {
+            Some(Exclusion::Cold)
+        } else if upstream.is_paused(now) {
             Some(Exclusion::Paused)
         } else if self.access(upstream, now) == Access::Held {
             Some(Exclusion::NoPermit)
--- a/crates/carob-dispatch/src/fleet/limited.rs
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -7,7 +7,8 @@
 use super::{Fleet, Requirements, RunKey, Upstream, UpstreamKey, place::has_room};
 use crate::limits::{Access, Limits, Members, Message, Usage};
 
-/// A request that no upstream may get at present, since all of its service name limits, are brittle or ask for a pause.
+/// A request that no upstream may get at present, since all of its service name limits, are brittle or cold, or ask for a
+/// pause.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
     /// The upstream from which most permits are expected, or that can be asked first.
@@ -59,7 +60,7 @@
     /// Takes a permit for a request whose capacity has been taken, if its upstream names a limit. Without
     /// [`Self::record_sent`] the permit is given back when the request ends.
     pub fn take_permit(&mut self, run: RunKey, now: Time) {
-        if self.limits.is_empty() {
+        if self.limits.is_empty() && self.cold.is_empty() {
             return;
         }
         let Some(running) = self.runs.get_mut(run) else {
@@ -68,6 +69,7 @@
         if let Some(upstream) = self.upstreams.get(running.upstream) {
             running.permit = self.limits.take_permit(upstream.hash(), now);
             running.place = self.limits.take_place(upstream.hash(), now);
+            running.cold = self.cold.take_permit(upstream.hash(), now);
         }
     }
 
@@ -77,10 +79,10 @@
         permit.is_some()
     }
 
-    /// Records that a new request would be sent to upstreams if there were permits: those that name a limit and are a
+    /// Records that a new request would be sent to upstreams if there were permits: those that name a limit or are cold and a
     /// better choice than all others with room, and those whose limit has to be confirmed.
     pub fn record_demand(&mut self, requirements: &Requirements, now: Time) {
-        if self.limits.is_empty() {
+        if self.limits.is_empty() && self.cold.is_empty() {
             return;
         }
         let mut limited = Vec::new();
@@ -94,7 +96,7 @@
             }
             let score = self.score(key, upstream, requirements, now);
             let hash = upstream.hash();
-            if self.limits.is_bounded(hash) {
+            if self.limits.is_bounded(hash) || self.cold.is_bounded(hash, now) {
                 limited.push((score, hash));
             } else {
                 least = least.min(score);
@@ -103,12 +105,13 @@
         for (score, hash) in limited {
             if score < least || self.limits.is_unconfirmed(hash, now) {
                 self.limits.record_demand(hash, now);
+                self.cold.record_demand(hash, now);
             }
         }
     }
 
     /// Returns how long a request that joins the queue now waits for a permit among `instances`, or for an upstream that
-    /// asks for a pause; `None` unless every upstream that could run it names a limit or is paused.
+    /// asks for a pause; `None` unless every upstream that could run it names a limit, is cold or paused.
     pub fn held(&self, requirements: &Requirements, instances: usize, now: Time) -> Option<Held> {
         let (mut rate, mut is_rare) = (0.0, false);
         let mut first: Option<(f64, UpstreamKey)> = None;
@@ -123,12 +126,18 @@
                 continue;
             }
             let hash = upstream.hash();
-            if !self.limits.is_bounded(hash) {
-                return None;
-            }
-            let expected = self.limits.expected_rate(hash, instances, now);
+            let named = self
+                .limits
+                .is_bounded(hash)
+                .then(|| self.limits.expected_rate(hash, instances, now));
+            let cold = self.cold.expected_rate(hash, instances, now);
+            let expected = match (named, cold) {
+                (Some(named), Some(cold)) => named.min(cold),
+                (Some(one), None) | (None, Some(one)) => one,
+                (None, None) => return None,
+            };
             rate += expected;
-            is_rare |= self.limits.is_rarely_wanted(hash);
+            is_rare |= self.limits.is_rarely_wanted(hash) || self.cold.is_rarely_wanted(hash);
             if first.is_none_or(|(most, _)| expected > most) {
                 first = Some((expected, key));
             }
@@ -162,7 +171,7 @@
 
     /// Whether a request may be sent to an upstream now, as far as what it says of itself goes.
     pub(super) fn access(&self, upstream: &Upstream, now: Time) -> Access {
-        if upstream.paused_until > now {
+        if upstream.paused_until > now || self.is_cold_held(upstream, now) {
             Access::Held
         } else if self.limits.is_empty() {
             Access::Open
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! * [`Fleet::place`] chooses an upstream for a request, or reports that all are full.
 //! * [`Fleet::apply_peer_loads`] adds the requests that other instances run.
 
+mod cold;
 mod directory;
 mod eligibility;
 mod limited;
@@ -22,7 +23,7 @@
 use carob_base::Time;
 use slotmap::SlotMap;
 
-use crate::limits::{Limits, Options as LimitOptions, Permit, Place};
+use crate::limits::{Cold, ColdPermit, Limits, Options as LimitOptions, Permit, Place};
 
 pub use eligibility::Exclusion;
 pub use limited::Held;
@@ -71,6 +72,8 @@
         pub slots: u32,
         /// Whether it accepts requests.
         pub state: UpstreamState,
+        /// Time for which it stayed cold when the entry was written; zero if it was not.
+        pub cold_left: Duration,
     }
 }
 
@@ -151,6 +154,8 @@
     permit: Option<Permit>,
     /// Place at an upstream that is brittle, until the request ends.
     place: Option<Place>,
+    /// Permit of a cold upstream, until the request is sent.
+    cold: Option<ColdPermit>,
 }
 
 carob_base::plain! {
@@ -197,6 +202,8 @@
     queue: waiting::Queue,
     peers: HashMap<SocketAddr, peers::Peer>,
     limits: Limits,
+    /// Upstreams that are cold.
+    cold: Cold,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
     /// Seed for breaking ties. Changes with every request, so that requests are spread over equal upstreams,
@@ -225,6 +232,7 @@
             queue: waiting::Queue::default(),
             peers: HashMap::new(),
             limits: Limits::new(LimitOptions::default(), seed),
+            cold: Cold::new(seed),
             evacuated: BTreeSet::new(),
             tie_seed: seed,
         }
@@ -253,6 +261,7 @@
             size,
             permit: None,
             place: None,
+            cold: None,
         })
     }
 
@@ -281,6 +290,9 @@
         if let Some(permit) = running.permit {
             self.limits.give_back(permit);
         }
+        if let Some(permit) = running.cold {
+            self.cold.give_back(permit);
+        }
         if let Some(place) = running.place {
             self.limits.give_place_back(place);
         }
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -57,6 +57,12 @@
             .count()
     }
 
+    /// What the queued requests require, in their order.
+    pub(super) fn queued(&self) -> impl Iterator<Item = &Requirements> {
+        let order = self.queue.order.iter();
+        order.map(|key| &self.queue.requests[*key].requirements)
+    }
+
     /// Takes the first request from the queue that fits on an upstream now. Call [`Fleet::start_request`] for
     /// it before the next call, so that its capacity counts as taken.
     pub fn grant_next(&mut self, now: Time) -> Option<Assignment> {
--- a/crates/carob-dispatch/src/limits/mod.rs
+++ b/crates/carob-dispatch/src/limits/mod.rs
@@ -12,6 +12,7 @@
 //!   have an issuer of their own.
 
 mod brittle;
+mod cold;
 mod entry;
 mod issue;
 mod places;
@@ -25,6 +26,10 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
+pub use cold::{
+    Cold, ColdChange, ColdContent, ColdMessage, ColdOptions, ColdPermit, ColdPermits, ColdRate, ColdReport,
+    ColdWant, Spent,
+};
 use entry::Entry;
 use issue::Issuer;
 use places::Places;
@@ -524,15 +529,25 @@
 
 /// Returns the instance that issues permits for the upstream, by rendezvous hashing.
 fn issuer_of(incarnation: u64, members: Members<'_>) -> SocketAddr {
-    // Instances of all versions have to agree, so that the bytes are not left to the library.
     let rank = |member: &SocketAddr| {
-        let mut bytes: SmallVec<[u8; 18]> = match member.ip() {
-            IpAddr::V4(ip) => SmallVec::from_slice(&ip.octets()),
-            IpAddr::V6(ip) => SmallVec::from_slice(&ip.octets()),
-        };
-        bytes.extend_from_slice(&member.port().to_be_bytes());
-        (xxhash_rust::xxh3::xxh3_64_with_seed(&bytes, incarnation), *member)
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&member_bytes(*member), incarnation);
+        (hash, *member)
     };
     let all = members.heard.iter().copied().chain([members.own]);
     all.max_by_key(rank).unwrap_or(members.own)
 }
+
+/// Identifies an instance in messages.
+fn member_hash(member: SocketAddr) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&member_bytes(member))
+}
+
+/// The bytes of an address. Instances of all versions have to agree on its hashes, so that they are not left to the library.
+fn member_bytes(member: SocketAddr) -> SmallVec<[u8; 18]> {
+    let mut bytes: SmallVec<[u8; 18]> = match member.ip() {
+        IpAddr::V4(ip) => SmallVec::from_slice(&ip.octets()),
+        IpAddr::V6(ip) => SmallVec::from_slice(&ip.octets()),
+    };
+    bytes.extend_from_slice(&member.port().to_be_bytes());
+    bytes
+}
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use crate::regions::Regions;
+use crate::{limits::ColdRate, regions::Regions};
 
 carob_base::plain! {
     /// Whether requests of a route may be run more than once.
@@ -99,6 +99,8 @@
         pub max_connections: u32,
         /// Path at which an upstream says whether it is healthy.
         pub health_path: Box<str>,
+        /// Requests a second that a cold upstream takes from all instances together.
+        pub cold_rate: ColdRate,
         /// Properties of its engines; `None` for a service that does not generate.
         pub engine: Option<Engine>,
     }
@@ -234,6 +236,11 @@
         self.services.get(name)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Regions in which requests of a route of an earlier configuration may run now; `None` if it or the account of `key` is
     /// not there any more.
     pub fn present_regions(&self, earlier: &Route, key: Option<&str>) -> Option<Regions> {
--- a/crates/carob-dispatch/tests/eligibility.rs
+++ b/crates/carob-dispatch/tests/eligibility.rs
@@ -42,6 +42,7 @@
                 domain: domain.into(),
                 slots: 24,
                 state: UpstreamState::Ready,
+                cold_left: std::time::Duration::ZERO,
             },
             NOW,
         );
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -52,6 +52,7 @@
         domain: domain.into(),
         slots: 24,
         state: UpstreamState::Ready,
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/crates/carob-dispatch/tests/limits.rs
+++ b/crates/carob-dispatch/tests/limits.rs
@@ -227,6 +227,7 @@
                 domain: "a".into(),
                 slots: 6,
                 state: UpstreamState::Ready,
+                cold_left: std::time::Duration::ZERO,
             },
             at(0),
         );
--- a/crates/carob-dispatch/tests/links.rs
+++ b/crates/carob-dispatch/tests/links.rs
@@ -23,6 +23,7 @@
             domain: "a".into(),
             slots: 4,
             state: UpstreamState::Ready,
+            cold_left: std::time::Duration::ZERO,
         };
         fleet.update_entry(entry, Time::ZERO);
     }
--- a/crates/carob-gateway/src/settings.rs
+++ b/crates/carob-gateway/src/settings.rs
@@ -14,6 +14,7 @@
 //! | `store` | `address` | the platform's key-value store |
 //! | `leaving` | `upstream` | how long an upstream keeps serving after it announced that it leaves |
 //! | | `grace` | time from the signal to shut down until the instance is killed |
+//! | `cold` | `overage`, `slack` | requests that a cold upstream may get in a second: its rate times `overage`, plus `slack`; may be absent |
 //! | `retries` | `ratio`, `extra`, `window` | retry budget per service, shared by all instances |
 
 use std::{
@@ -23,6 +24,7 @@
     time::Duration,
 };
 
+use carob_dispatch::limits::ColdOptions;
 use carob_ini::{Error, Errors};
 
 /// The settings of a gateway.
@@ -56,6 +58,8 @@
     pub drain: Duration,
     /// Time from the signal to shut down until the instance is killed.
     pub grace: Duration,
+    /// How far a second may exceed the rate of a cold upstream.
+    pub cold: ColdOptions,
     /// Retries permitted per request, from 0 to 1, over all instances.
     pub retry_ratio: f64,
     /// Retries permitted per window in addition to the ratio, over all instances.
@@ -136,6 +140,11 @@
         let store = self.read("store", "address", "IP:PORT", address);
         let drain = self.read("leaving", "upstream", DURATION, duration);
         let grace = self.read("leaving", "grace", DURATION, duration);
+        let overage = self.read_optional("cold", "overage", "a number above 1", |text| {
+            number(text).filter(|overage| *overage > 1.0)
+        });
+        let slack = self.read_optional("cold", "slack", "a number", number);
+        let cold = ColdOptions::default();
         let ratio = self.read("retries", "ratio", "a number from 0 to 1", |text| {
             number(text).filter(|ratio| *ratio <= 1.0)
         });
@@ -158,6 +167,10 @@
             store_address: store?,
             drain: drain?,
             grace: grace?,
+            cold: ColdOptions {
+                overage: overage.unwrap_or(cold.overage),
+                slack: slack.unwrap_or(cold.slack),
+            },
             retry_ratio: ratio?,
             extra_retries: extra?,
             retry_window: window?,
--- a/crates/carob-gateway/tests/settings.rs
+++ b/crates/carob-gateway/tests/settings.rs
@@ -27,6 +27,24 @@
     );
 }
 
+/// A template whose values are absent leaves an empty section, or none.
+#[test]
+fn bounds_of_cold_upstreams_may_be_absent() {
+    let read = |more: &str| {
+        Settings::parse(&format!("{GOOD}{more}"), "file")
+            .expect("they are valid")
+            .cold
+    };
+    let absent = read("");
+    assert_eq!((absent.overage, absent.slack), (1.5, 5.0));
+    assert_eq!(read("[cold]\n\n\n"), absent);
+    let named = read("[cold]\noverage = 1.25\nslack = 3\n");
+    assert_eq!((named.overage, named.slack), (1.25, 3.0));
+    let error = Settings::parse(&format!("{GOOD}[cold]\noverage = 1\n"), "file")
+        .expect_err("permits would expire at once");
+    assert!(error.to_string().contains("[cold] overage"), "{error}");
+}
+
 #[test]
 fn every_error_is_told_with_its_line() {
     let text = GOOD
