feat: instances tell each other of cold upstreams and exchange permits for them

Change: Announcement has the field cold (tag 24) with the time left, where the statement was made and the issuer that the sender takes for its own. Messages about permits carry what cold ones need in fields that earlier builds ignore. Answers to link probes and load queries are read for the time that an upstream stays cold. A request that is about to be sent spends a permit; without one it waits 80 ms (300 ms if it continues a generation), and is then placed elsewhere. Log lines, a gauge and counters say what happens. A request that queues while other upstreams are full asks for permits of the cold ones as well.

--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -4,6 +4,8 @@
 //! knows the store's content. An instance that cannot get missing changes from the store requests them from a
 //! peer over TCP, in length-delimited frames.
 
+mod cold;
+
 use std::time::Duration;
 
 use carob_dispatch::{
@@ -14,6 +16,8 @@
 use carob_platform::store::Item as StoreItem;
 use prost::Message;
 
+pub(crate) use cold::{Cold, ColdPermits, ColdWant};
+
 /// Maximum length of a frame in bytes: enough for a configuration of the store's maximum value size and the
 /// whole directory.
 pub(crate) const MAX_FRAME_LENGTH: usize = 4 << 20;
@@ -93,6 +97,9 @@
     /// Revision after which `changes` begins; zero if that is empty.
     #[prost(uint64, tag = "23")]
     pub changes_base: u64,
+    /// Upstreams that are cold.
+    #[prost(message, repeated, tag = "24")]
+    pub cold: Vec<Cold>,
     /// Whether the sender keeps the keys of evacuated failure domains. Builds that do not leave them out of what they pass
     /// on.
     #[prost(bool, tag = "28")]
@@ -254,6 +261,10 @@
     pub upstream_hash: u64,
     #[prost(uint32, tag = "2")]
     pub count: u32,
+    /// Present if the permits are wanted since the upstream is cold; `count` is zero then, so that instances of earlier
+    /// builds issue none.
+    #[prost(message, optional, tag = "3")]
+    pub cold: Option<ColdWant>,
 }
 
 /// Permits for requests to an upstream, beyond those sent before.
@@ -263,6 +274,9 @@
     pub upstream_hash: u64,
     #[prost(uint32, tag = "2")]
     pub count: u32,
+    /// Present if they are for a cold upstream.
+    #[prost(message, optional, tag = "3")]
+    pub cold: Option<ColdPermits>,
 }
 
 /// An upstream that crashed under requests.
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{departure, limit, relay, shared::Shared};
+use super::{cold, departure, limit, relay, shared::Shared};
 use crate::{
     era::Position,
     peer::{Announcement, Crash, Item, Limit, Load, RelayOffer, Sound, Trial},
@@ -53,14 +53,8 @@
         let status = (watching, told_position(shared));
         let update = shared.take_store_update();
         let news = shared.evidence().take_changes(shared.now());
-        let limits = shared
-            .fleet_mut()
-            .limits_mut()
-            .take_reports(complete, shared.now());
-        let brittle = shared
-            .fleet_mut()
-            .limits_mut()
-            .take_brittle_reports(complete, shared.now());
+        let (limits, brittle) = take_limits(shared, complete);
+        let cold = cold::reports(shared, complete);
         let leaving = shared.fleet().leaving_hashes();
         let has_departures = leaving.iter().any(|hash| !self.leaving.contains(hash));
         let offer = relay::offer(shared);
@@ -79,7 +73,11 @@
             || offer != self.offer
             || status != self.status
             || update.is_some()
-            || !(changed.is_empty() && news.is_empty() && limits.is_empty() && brittle.is_empty());
+            || !(changed.is_empty()
+                && news.is_empty()
+                && limits.is_empty()
+                && brittle.is_empty()
+                && cold.is_empty());
         if !complete && !has_news {
             return None;
         }
@@ -104,9 +102,10 @@
             crashes: news.crashes.into_iter().map(Crash::from).collect(),
             sound: news.sound.into_iter().map(Sound::from).collect(),
             trials: news.trials.into_iter().map(Trial::from).collect(),
-            limits: limits.into_iter().map(Limit::from).collect(),
+            limits,
             leaving: leaving.clone(),
-            brittle: brittle.into_iter().map(Limit::from).collect(),
+            cold,
+            brittle,
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..Announcement::default()
         };
@@ -120,6 +119,16 @@
     }
 }
 
+/// Takes what the other instances are to be told of limits and of brittle upstreams.
+fn take_limits(shared: &Shared, complete: bool) -> (Vec<Limit>, Vec<Limit>) {
+    let now = shared.now();
+    let mut fleet = shared.fleet_mut();
+    let limits = fleet.limits_mut().take_reports(complete, now);
+    let brittle = fleet.limits_mut().take_brittle_reports(complete, now);
+    let encode = |reports: Vec<LimitReport>| reports.into_iter().map(Limit::from).collect();
+    (encode(limits), encode(brittle))
+}
+
 /// Position of an instance that watches the store: those that do not notice by it when they are behind.
 fn told_position(shared: &Shared) -> Position {
     if shared.is_watching() {
@@ -306,6 +315,7 @@
     limit::merge(shared, peer, &limits);
     let brittle: Vec<LimitReport> = message.brittle.into_iter().map(Into::into).collect();
     limit::merge_brittle(shared, peer, &brittle);
+    cold::merge(shared, peer, &message.cold);
     departure::merge(shared, peer, &message.leaving);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -20,7 +20,7 @@
 
 use super::{
     body::HeldBytes,
-    departure, exchange,
+    cold, departure, exchange,
     guard::Reservation,
     limit, link,
     relay::Purpose,
@@ -266,6 +266,7 @@
             regions: &regions,
         };
         let connection = link::open(&self.shared, reservation.upstream, purpose, deadline).await?;
+        cold::spend(self, reservation, resume.is_some()).await?;
         // A configuration or an evacuation may have come into force since.
         self.check_destination(reservation.upstream, &self.regions())?;
         let added = AddedHeaders {
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use carob_base::Time;
-use carob_dispatch::fleet::{RequestSize, RunKey, UpstreamKey, WaitKey};
+use carob_dispatch::{
+    fleet::{RequestSize, RunKey, UpstreamKey, WaitKey},
+    limits::Spent,
+};
 
 use tokio::sync::oneshot;
 
@@ -112,6 +115,12 @@
         self.shared.fleet_mut().record_sent(self.key)
     }
 
+    /// Spends a permit if the upstream is cold.
+    pub(super) fn spend_cold(&self) -> Spent {
+        let now = self.shared.now();
+        self.shared.fleet_mut().spend_cold(self.key, now)
+    }
+
     /// Corrects the reserved size.
     pub(super) fn resize(&mut self, size: RequestSize) {
         self.size = size;
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -18,6 +18,7 @@
 use super::{
     answer::LocalAnswer,
     call::Call,
+    cold,
     exchange::{RETRY_FULL, Refusal, upstream_name},
     shared::{PEER_TIMEOUT, Shared},
 };
@@ -219,7 +220,7 @@
 pub(super) fn record_demand(shared: &Shared, requirements: &Requirements) {
     let now = shared.now();
     shared.fleet_mut().record_demand(requirements, now);
-    if !shared.fleet().limits().is_empty() {
+    if !shared.fleet().limits().is_empty() || !shared.fleet().cold().is_empty() {
         shared.limits_changed.notify_one();
     }
 }
@@ -246,6 +247,10 @@
     let instances = heard(shared).len() + 1;
     let held = shared.fleet().held(requirements, instances, shared.now());
     let Some(found) = held else {
+        if !shared.fleet().cold().is_empty() {
+            // The request takes a permit for a cold upstream if one comes first.
+            shared.limits_changed.notify_one();
+        }
         return Ok(Wait {
             until: deadline,
             held,
@@ -295,6 +300,11 @@
             limit_ms = shared.now().since(statement.at).as_millis() as u64, source:% = source_text(&statement),
             wait_ms = held.wait.min(MAX_RETRY).as_millis() as u64; "request refused: upstreams limit their requests"
         );
+    } else if fleet.cold().is_bounded(hash, shared.now()) {
+        log::info!(
+            request:% = call.id(), upstream:% = upstream_name(call, held.upstream), cold = fleet.cold().count(shared.now()),
+            wait_ms = held.wait.min(MAX_RETRY).as_millis() as u64; "request refused: upstreams are cold"
+        );
     } else {
         log::info!(
             request:% = call.id(), upstream:% = upstream_name(call, held.upstream),
@@ -329,7 +339,11 @@
 /// Issues permits and asks for them, for as long as the process runs.
 pub(super) async fn exchange_permits(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     loop {
-        let next = shared.fleet().limits().next_poll();
+        let next = [
+            shared.fleet().limits().next_poll(),
+            shared.fleet().cold().next_poll(shared.now()),
+        ];
+        let next = next.into_iter().flatten().min();
         match next {
             Some(time) => {
                 // A timeout is the usual case: the next permit is due.
@@ -347,15 +361,21 @@
         let (more, places) = shared.fleet_mut().poll_places(members, shared.now());
         messages.extend(more);
         issued += places;
+        let (cold, cold_permits) = cold::poll(&shared, members, shared.now());
         // Upstreams with limits may have left.
         update_gauge(&shared);
         if issued > 0 {
             count_permits("received", issued);
+        }
+        if issued + cold_permits > 0 {
             shared.grant_waiting();
         }
         for message in messages {
             send(&socket, message).await;
         }
+        for message in cold {
+            send_to(&socket, &Announcement::from(&message), message.to).await;
+        }
         tokio::time::sleep(MIN_INTERVAL).await;
     }
 }
@@ -364,10 +384,18 @@
     let mut announcement = Announcement::default();
     let upstream_hash = message.incarnation;
     match message.content {
-        Content::Want(count) => announcement.wants.push(Want { upstream_hash, count }),
+        Content::Want(count) => announcement.wants.push(Want {
+            upstream_hash,
+            count,
+            cold: None,
+        }),
         Content::Permits(count) => {
             count_permits("issued", count);
-            announcement.permits.push(Permits { upstream_hash, count });
+            announcement.permits.push(Permits {
+                upstream_hash,
+                count,
+                cold: None,
+            });
         }
         Content::Claim(claim) => announcement.claims.push(Claim {
             upstream_hash,
@@ -383,9 +411,13 @@
             issuer: grant.issuer,
         }),
     }
-    let sent = socket.send_to(&announcement.encode_to_vec(), message.to).await;
+    send_to(socket, &announcement, message.to).await;
+}
+
+async fn send_to(socket: &UdpSocket, announcement: &Announcement, to: SocketAddr) {
+    let sent = socket.send_to(&announcement.encode_to_vec(), to).await;
     if let Err(error) = sent {
-        log::debug!(peer:% = message.to, error:% = error; "message about permits not sent");
+        log::debug!(peer:% = to, error:% = error; "message about permits not sent");
     }
 }
 
@@ -401,13 +433,16 @@
     if !shared.peers().contains(&peer) {
         return true;
     }
+    cold::receive(shared, peer, message);
     let wants = message
         .wants
         .iter()
+        .filter(|want| want.cold.is_none())
         .map(|want| (want.upstream_hash, Content::Want(want.count)));
     let permits = message
         .permits
         .iter()
+        .filter(|permits| permits.cold.is_none())
         .map(|permits| (permits.upstream_hash, Content::Permits(permits.count)));
     let now = shared.now();
     let mut received = 0;
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -11,6 +11,7 @@
 use super::{
     answer::LocalAnswer,
     call::{CONNECT_TIMEOUT, Call},
+    cold,
     exchange::Refusal,
     relay::{self, Purpose},
     shared::Shared,
@@ -287,7 +288,10 @@
         Err(error) => Err(error),
     };
     match outcome {
-        Ok(_) => record_answer(&shared, upstream),
+        Ok(response) => {
+            cold::record_health(&shared, upstream, &response);
+            record_answer(&shared, upstream);
+        }
         Err(error @ socket::Error::Timeout) => {
             record_failure(&shared, upstream, LinkFailure::Silence, &error);
         }
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod body;
 mod call;
 mod client;
+mod cold;
 mod crash;
 mod departure;
 mod evacuation;
--- a/crates/carob-gateway/src/traffic/probe.rs
+++ b/crates/carob-gateway/src/traffic/probe.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{link, shared::Shared};
+use super::{cold, link, shared::Shared};
 
 /// Time between two reports of an upstream; the shortest notice before an upstream leaves is four of these.
 const PROBE_INTERVAL: Duration = Duration::from_millis(350);
@@ -72,6 +72,7 @@
             return None;
         }
     };
+    cold::record_health(shared, upstream, &response);
     let status = response.status();
     let report = engine::decode_report(status, response.body());
     match report {
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::{
+    cold,
     crash::{self, Break},
     evacuation,
     guard::{Active, ActiveKey},
@@ -134,11 +135,13 @@
             domain: settings.domain.clone(),
             regions: settings.regions.clone(),
         };
+        let mut fleet = Fleet::new(topology, rand::random());
+        fleet.set_cold_options(settings.cold);
         Self {
             clock: Clock::new(),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
-            fleet: RefCell::new(Fleet::new(topology, rand::random())),
+            fleet: RefCell::new(fleet),
             repeats: Repeats::default(),
             current: Cell::new(false),
             watching: Cell::new(false),
@@ -440,7 +443,10 @@
     pub(super) fn apply(&self, update: Update) {
         let now = self.now();
         match update {
-            Update::Table(table) => *self.table.borrow_mut() = Some(table),
+            Update::Table(table) => {
+                cold::apply_table(self, &table);
+                *self.table.borrow_mut() = Some(table);
+            }
             Update::Entry(entry, position) => {
                 log::info!(
                     upstream:% = entry.id, service:% = entry.service, address:% = entry.address,
@@ -448,6 +454,7 @@
                     sequence = entry.sequence, era = position.era, revision = position.revision; "directory entry"
                 );
                 let leaving = self.fleet.borrow_mut().update_entry(entry, now);
+                cold::after_change(self);
                 self.notify_leaving(leaving);
                 self.grant_waiting();
             }
@@ -485,6 +492,7 @@
             Update::Relay(_) => {}
             Update::Settings(settings) => {
                 self.repeats.apply_settings(&settings, now);
+                cold::apply_settings(self, &settings);
                 *self.settings.borrow_mut() = settings;
             }
             Update::Shutdown(signal) => {
