feat: load of upstreams counts by their pace, which is learned from their answers

Cause: placement counted tokens and requests only. Of 177 long streams at the slower half of the engines 74 had a gap of more than 180 ms, of 157 at the eleven fastest none, with about three requests at each engine. Change: fleet::pace estimates the time of an event at one running request from the gaps between events and from the first event, per incarnation, and of plain calls from their duration. Instances tell each other new estimates at once (tag 25) and all of them with the regular messages. An upstream's load, the new request included, is multiplied by its pace relative to the median; paces within a quarter of it change nothing. Migration targets are weighed by free memory over pace, and those with too long a gap come last.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -72,6 +72,7 @@
             avoid_until: Time::ZERO,
             paused_until: Time::ZERO,
             link: super::links::Link::default(),
+            pace: super::pace::Pace::default(),
             entry,
         });
         let id = self.upstreams[key].entry.id.clone();
@@ -80,6 +81,7 @@
         self.by_hash.insert(hash, key);
         self.count_known_loads(key);
         self.inherit_brittle(key, now);
+        self.refresh_paces(now);
         replaced
     }
 
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod eligibility;
 mod limited;
 mod links;
+mod pace;
 mod peers;
 mod place;
 mod relays;
@@ -27,6 +28,7 @@
 pub use eligibility::Exclusion;
 pub use limited::Held;
 pub use links::LinkFailure;
+pub use pace::{KnownPace, MAX_REPORTS as MAX_PACE_REPORTS, PaceRange, PaceReport, SentLoad};
 pub use peers::{MessageStamp, PeerLoad};
 pub use place::{Placement, Requirements, UpstreamHealth};
 pub use relays::{Relay, RelayOffer, service_hash};
@@ -107,6 +109,7 @@
     /// Until when it gets nothing, since it asked for that.
     paused_until: Time,
     link: links::Link,
+    pace: pace::Pace,
 }
 
 impl Upstream {
@@ -199,6 +202,8 @@
     limits: Limits,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
+    /// When the paces of all upstreams were last evaluated.
+    paces_at: Time,
     /// Seed for breaking ties. Changes with every request, so that requests are spread over equal upstreams,
     /// and in another order at each instance.
     tie_seed: u64,
@@ -226,6 +231,7 @@
             peers: HashMap::new(),
             limits: Limits::new(LimitOptions::default(), seed),
             evacuated: BTreeSet::new(),
+            paces_at: Time::ZERO,
             tie_seed: seed,
         }
     }
--- /dev/null
+++ b/crates/carob-dispatch/src/fleet/pace/estimate.rs
@@ -0,0 +1,171 @@
+//! What one instance knows of one upstream's pace: its own samples, and what others have learned.
+
+use std::{net::SocketAddr, time::Duration};
+
+use carob_base::Time;
+use smallvec::SmallVec;
+
+/// Latest samples of an upstream that an instance keeps.
+const MAX_SAMPLES: usize = 16;
+
+/// Samples without a prefill at the engine from which on the others are left out: how much a prefill slows events down
+/// depends on how many prompts the engine takes at a time, which is not known.
+const MIN_CLEAN: usize = 3;
+
+/// Samples from which on an instance tells others. The first gap follows a prefill, and a single one may be spoilt by a
+/// delay on the way.
+pub(super) const MIN_TOLD: u32 = 2;
+
+/// Samples with which an estimate is told again, since it is now hardly affected by a single delay.
+const FIRM: u32 = 5;
+
+/// Ratio by which an estimate differs from what others know, so that it is told at once.
+const NEWS_RATIO: f64 = 1.15;
+
+/// Number of other instances whose estimates of an upstream are kept; the latest ones are.
+const MAX_SOURCES: usize = 8;
+
+/// Time in which an estimate loses half of its weight. Upstreams of the deployments live 3 to 20 s.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Age from which on an estimate is neither used nor told: little more than a tenth of its weight is left.
+pub(super) const MAX_AGE: Duration = Duration::from_secs(30);
+
+/// Weight of a single source, in samples, beyond which more samples add none: the delays of one instance may be common
+/// to all that it sees.
+const MAX_WEIGHT: f64 = 8.0;
+
+/// What one instance knows of one upstream's pace.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::fleet) struct Estimate {
+    pub(super) ms: f64,
+    pub(super) observations: u32,
+    pub(super) at: Time,
+}
+
+impl Estimate {
+    /// Samples that the estimate counts for.
+    fn weight(&self, now: Time) -> f64 {
+        let age = now.since(self.at);
+        if age > MAX_AGE {
+            return 0.0;
+        }
+        let decay = (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
+        f64::from(self.observations).min(MAX_WEIGHT) * decay
+    }
+}
+
+/// Pace of one incarnation of an upstream.
+#[derive(Clone, Debug)]
+pub(in crate::fleet) struct Pace {
+    /// Latest samples of this instance, each with whether no prompt was prefilled meanwhile; the oldest is replaced.
+    samples: SmallVec<[(f64, bool); 4]>,
+    /// Number of samples so far, which also says which one is replaced next.
+    count: u32,
+    pub(super) own: Option<Estimate>,
+    pub(super) others: SmallVec<[(SocketAddr, Estimate); 2]>,
+    /// What the others were told last.
+    pub(super) told: Option<Estimate>,
+    /// Whether enough is known for the pace to be compared with others.
+    pub(super) is_known: bool,
+    /// Relative pace for a request to the upstream while it has nothing pending.
+    pub(super) idle_factor: f64,
+    /// The same while it has; differs if the pace is unknown.
+    pub(super) busy_factor: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            samples: SmallVec::new(),
+            count: 0,
+            own: None,
+            others: SmallVec::new(),
+            told: None,
+            is_known: false,
+            idle_factor: 1.0,
+            busy_factor: 1.0,
+        }
+    }
+}
+
+impl Pace {
+    /// Adds a sample; returns whether other instances should learn of the estimate at once.
+    pub(super) fn add(&mut self, ms: f64, is_clean: bool, now: Time) -> bool {
+        if !ms.is_finite() || ms <= 0.0 {
+            return false;
+        }
+        if self.samples.len() < MAX_SAMPLES {
+            self.samples.push((ms, is_clean));
+        } else {
+            self.samples[self.count as usize % MAX_SAMPLES] = (ms, is_clean);
+        }
+        self.count = self.count.wrapping_add(1);
+        let mut clean: SmallVec<[f64; MAX_SAMPLES]> = self.values(true);
+        if clean.len() < MIN_CLEAN {
+            clean = self.values(false);
+        }
+        clean.sort_unstable_by(f64::total_cmp);
+        self.own = Some(Estimate {
+            ms: clean[(clean.len() - 1) / 2],
+            observations: self.samples.len() as u32,
+            at: now,
+        });
+        self.is_news(now)
+    }
+
+    /// Samples of the ring: those without a prefill, or all.
+    fn values(&self, clean_only: bool) -> SmallVec<[f64; MAX_SAMPLES]> {
+        let kept = self
+            .samples
+            .iter()
+            .filter(|(_, is_clean)| *is_clean || !clean_only);
+        kept.map(|(ms, _)| *ms).collect()
+    }
+
+    /// Whether others should learn of this instance's estimate before the next regular message: if they have none, or
+    /// one that differs or rests on less.
+    pub(super) fn is_news(&self, now: Time) -> bool {
+        let Some(own) = self.own.filter(|own| own.observations >= MIN_TOLD) else {
+            return false;
+        };
+        let differs = |ms: f64| own.ms / ms > NEWS_RATIO || ms / own.ms > NEWS_RATIO;
+        if let Some(told) = self.told {
+            own.observations >= told.observations + MIN_TOLD
+                && (differs(told.ms) || (told.observations < FIRM && own.observations >= FIRM))
+        } else {
+            let weight: f64 = self.others.iter().map(|(_, other)| other.weight(now)).sum();
+            weight < f64::from(FIRM) || self.combined(now).is_none_or(|(ms, _)| differs(ms))
+        }
+    }
+
+    /// Weighted median of what all instances know, and its weight.
+    pub(super) fn combined(&self, now: Time) -> Option<(f64, f64)> {
+        let others = self.others.iter().map(|(_, other)| other);
+        let mut known: SmallVec<[(f64, f64); MAX_SOURCES]> = others
+            .chain(&self.own)
+            .map(|estimate| (estimate.ms, estimate.weight(now)))
+            .filter(|(_, weight)| *weight > 0.0)
+            .collect();
+        known.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let total: f64 = known.iter().map(|(_, weight)| weight).sum();
+        let mut below = 0.0;
+        let median = known.iter().find(|(_, weight)| {
+            below += weight;
+            below * 2.0 >= total
+        })?;
+        Some((median.0, total))
+    }
+
+    pub(super) fn merge(&mut self, peer: SocketAddr, estimate: Estimate) {
+        if let Some((_, known)) = self.others.iter_mut().find(|(source, _)| *source == peer) {
+            *known = estimate;
+        } else if self.others.len() < MAX_SOURCES {
+            self.others.push((peer, estimate));
+        } else if let Some(oldest) = self.others.iter_mut().min_by_key(|(_, known)| known.at)
+            && oldest.1.at < estimate.at
+        {
+            *oldest = (peer, estimate);
+        }
+    }
+}
--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -108,6 +108,7 @@
         known.stamp = stamp;
         known.last_seen = now;
         self.peers.insert(peer, known);
+        self.refresh_paces(now);
     }
 
     /// Whether no message of this process of the instance at `peer` has been applied yet.
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -6,10 +6,12 @@
 //! the emptiest one first; if no engine has room, it is queued. Plain calls go to the upstream with the
 //! fewest requests per slot.
 
+use std::time::Duration;
+
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState};
+use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState, pace};
 use crate::{limits::Access, regions::Regions};
 
 carob_base::plain! {
@@ -47,6 +49,8 @@
     pub excluded: SmallVec<[UpstreamKey; 4]>,
     /// Regions in which it may run.
     pub regions: Regions,
+    /// Longest gap between two events of a stream that is on time; zero if there is no such target.
+    pub gap_target: Duration,
 }
 
 impl Requirements {
@@ -59,6 +63,7 @@
             capacity,
             excluded: SmallVec::new(),
             regions: Regions::any(),
+            gap_target: Duration::ZERO,
         }
     }
 
@@ -69,6 +74,13 @@
         self
     }
 
+    /// Names the longest gap between two events of a stream that is on time.
+    #[must_use]
+    pub const fn with_gap_target(mut self, target: Duration) -> Self {
+        self.gap_target = target;
+        self
+    }
+
     /// Restricts the request to `regions`.
     #[must_use]
     pub fn with_regions(mut self, regions: Regions) -> Self {
@@ -204,7 +216,8 @@
             let report = upstream.load_report.filter(|report| report.at >= queried_at)?;
             let tokens = report.used_tokens.max(upstream.local_tokens) + requirements.size.tokens;
             let prefill = u64::from(report.waiting) * requirements.size.prefill + upstream.local_prefill;
-            Some(tokens as f64 + prefill as f64 / PREFILL_SHARE)
+            let load = tokens as f64 + prefill as f64 / PREFILL_SHARE;
+            Some(load * pace::factor(upstream, requirements))
         };
         let loads = candidates.iter().filter_map(|key| Some((fresh_load(key)?, *key)));
         loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
@@ -215,7 +228,8 @@
     ///
     /// All instances learn at the same moment that an upstream leaves. If each took the emptiest target, one
     /// target would be asked to take all copies and refuse most of them. Each migration therefore draws its
-    /// target at random, weighted by free memory. `draw` is a random number.
+    /// target at random, weighted by free memory and by pace. `draw` is a random number. Targets where the gap between
+    /// events would exceed the request's target come last.
     pub fn migration_target(
         &self,
         from: UpstreamKey,
@@ -244,7 +258,11 @@
                 true => 3,
                 false => 4,
             };
-            (tier, -self.uniform(key, draw).ln() / free.max(MIN_FREE))
+            // A gap that is too long there would harm what runs there as well.
+            let is_slow = !requirements.gap_target.is_zero()
+                && pace::expected_gap(upstream, now).is_some_and(|gap| gap > requirements.gap_target);
+            let weight = free.max(MIN_FREE) / pace::factor(upstream, requirements);
+            ((is_slow, tier), -self.uniform(key, draw).ln() / weight)
         };
         // Nothing ends a generation in an evacuated failure domain, so it is worth moving to free memory only.
         let worst_tier = if self.is_evacuated(from) && !self.is_leaving(from) {
@@ -254,7 +272,7 @@
         };
         candidates
             .map(|(key, upstream)| (rank(key, upstream), key))
-            .filter(|((tier, _), _)| *tier <= worst_tier)
+            .filter(|(((_, tier), _), _)| *tier <= worst_tier)
             .min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
             .map(|(_, key)| key)
     }
@@ -305,7 +323,7 @@
             0.0
         };
         let tie_break = self.uniform(key, self.tie_seed) * TIE_BREAK;
-        load(upstream, requirements)
+        paced_load(upstream, requirements)
             + upstream.failure_rate * FAILURE_PENALTY
             + unreachable
             + relay
@@ -354,3 +372,16 @@
         upstream.expected_tokens() as f64 / capacity + prefill
     }
 }
+
+/// Load as it is felt at the upstream's pace: an upstream that takes twice as long counts as twice as loaded, and the
+/// request itself takes twice as long there also if nothing else runs. At the pace of the median it is the [`load`].
+fn paced_load(upstream: &Upstream, requirements: &Requirements) -> f64 {
+    let load = load(upstream, requirements);
+    let size = requirements.size;
+    let own = if requirements.capacity == 0 {
+        1.0 / f64::from(upstream.entry.slots.max(1))
+    } else {
+        (size.tokens as f64 + size.prefill as f64 / PREFILL_SHARE) / requirements.capacity as f64
+    };
+    load + (pace::factor(upstream, requirements) - 1.0) * (load + own)
+}
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -93,12 +93,32 @@
     /// Revision after which `changes` begins; zero if that is empty.
     #[prost(uint64, tag = "23")]
     pub changes_base: u64,
+    /// How fast upstreams work, as the sender's own requests have shown.
+    #[prost(message, repeated, tag = "25")]
+    pub paces: Vec<Pace>,
     /// Whether the sender keeps the keys of evacuated failure domains. Builds that do not leave them out of what they pass
     /// on.
     #[prost(bool, tag = "28")]
     pub keeps_evacuations: bool,
 }
 
+/// How fast an upstream works.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Pace {
+    /// Stable hash that identifies the upstream and its incarnation.
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// Microseconds for one event of an engine that runs one request, or for one plain call.
+    #[prost(uint64, tag = "2")]
+    pub time_us: u64,
+    /// Number of observations that it rests on.
+    #[prost(uint32, tag = "3")]
+    pub observations: u32,
+    /// Milliseconds since the last one.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
 /// Places at a brittle upstream that an instance holds and wants.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub(crate) struct Claim {
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{departure, limit, relay, shared::Shared};
+use super::{departure, limit, pace, relay, shared::Shared};
 use crate::{
     era::Position,
     peer::{Announcement, Crash, Item, Limit, Load, RelayOffer, Sound, Trial},
@@ -52,15 +52,14 @@
         let watching = shared.is_watching();
         let status = (watching, told_position(shared));
         let update = shared.take_store_update();
-        let news = shared.evidence().take_changes(shared.now());
-        let limits = shared
-            .fleet_mut()
-            .limits_mut()
-            .take_reports(complete, shared.now());
+        let now = shared.now();
+        let news = shared.evidence().take_changes(now);
+        let limits = shared.fleet_mut().limits_mut().take_reports(complete, now);
         let brittle = shared
             .fleet_mut()
             .limits_mut()
-            .take_brittle_reports(complete, shared.now());
+            .take_brittle_reports(complete, now);
+        let paces = pace::take_reports(shared, complete);
         let leaving = shared.fleet().leaving_hashes();
         let has_departures = leaving.iter().any(|hash| !self.leaving.contains(hash));
         let offer = relay::offer(shared);
@@ -79,6 +78,7 @@
             || offer != self.offer
             || status != self.status
             || update.is_some()
+            || !paces.is_empty()
             || !(changed.is_empty() && news.is_empty() && limits.is_empty() && brittle.is_empty());
         if !complete && !has_news {
             return None;
@@ -106,6 +106,7 @@
             trials: news.trials.into_iter().map(Trial::from).collect(),
             limits: limits.into_iter().map(Limit::from).collect(),
             leaving: leaving.clone(),
+            paces,
             brittle: brittle.into_iter().map(Limit::from).collect(),
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..Announcement::default()
@@ -307,6 +308,7 @@
     let brittle: Vec<LimitReport> = message.brittle.into_iter().map(Into::into).collect();
     limit::merge_brittle(shared, peer, &brittle);
     departure::merge(shared, peer, &message.leaving);
+    pace::merge(shared, peer, &message.paces);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
         number: message.sequence,
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -203,6 +203,7 @@
         Requirements::new(self.service.clone(), size, capacity)
             .with_excluded(excluded)
             .with_regions(self.regions())
+            .with_gap_target(self.route.gap_target)
     }
 
     /// Classifies the answer to the latest send to `upstream`. That it was not run is believed of its first send alone: the
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -29,7 +29,7 @@
     guard::{ActiveRequest, QueueEntry, Reservation},
     limit, link,
     listen::RequestCount,
-    plain, probe,
+    pace, plain, probe,
     repeats::Repeat,
     resume::OpenStream,
     shared::Shared,
@@ -497,6 +497,9 @@
     match plain::collect(call, upstream, response, driver, deadline).await {
         Ok(response) => {
             record(health);
+            if health == UpstreamHealth::Healthy {
+                pace::record_call(call, reservation);
+            }
             verdict::record_sound(call);
             Outcome::Complete(response)
         }
@@ -556,8 +559,10 @@
     let Some(found) = fleet.upstream(reservation.upstream) else {
         return;
     };
+    let pace = pace::Known::new(fleet.known_pace(reservation.upstream, call.shared.now()));
     log::info!(
         request:% = call.id(), route:% = call.route.name, service:% = call.service, upstream:% = found.entry.id,
+        pace = pace.factor, pace_weight = pace.weight, pace_age_ms = pace.age_ms,
         tokens = reservation.size.tokens, upstream_tokens = found.expected_tokens(),
         upstream_prompts = found.pending_prefill(), upstream_requests = found.total_requests(),
         attempts_before, age_ms = call.age_ms(), version = call.version; "sent to an upstream"
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -1,6 +1,6 @@
 //! RAII guards for the state of a request, whose future may be dropped at any await point.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use bytes::Bytes;
 use carob_base::Time;
@@ -8,7 +8,10 @@
 
 use tokio::sync::oneshot;
 
-use super::shared::{Grant, Shared};
+use super::{
+    pace::Sent,
+    shared::{Grant, Shared},
+};
 
 slotmap::new_key_type! {
     /// Key of a request that is being handled.
@@ -76,6 +79,8 @@
     pub(super) upstream: UpstreamKey,
     key: RunKey,
     pub(super) size: RequestSize,
+    /// Absent until the request is sent.
+    sent: Cell<Option<Sent>>,
 }
 
 impl Reservation {
@@ -103,15 +108,23 @@
             upstream,
             key,
             size,
+            sent: Cell::new(None),
         }
     }
 
     /// Records that the request is sent; returns whether it had a permit. Until then its permit is given back when the
     /// guard is dropped.
     pub(super) fn record_sent(&self) -> bool {
+        let sent = Sent::new(&self.shared.fleet(), self.upstream, self.size);
+        self.sent.set(sent);
         self.shared.fleet_mut().record_sent(self.key)
     }
 
+    /// When the request was sent; `None` before.
+    pub(super) const fn sent(&self) -> Option<Sent> {
+        self.sent.get()
+    }
+
     /// Corrects the reserved size.
     pub(super) fn resize(&mut self, size: RequestSize) {
         self.size = size;
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -15,8 +15,8 @@
 use tokio::{task::AbortHandle, time::Instant};
 
 use super::{
-    call::Call, exchange::upstream_name, guard::Reservation, limit, link, resume::OpenStream, shared::Shared,
-    switch,
+    call::Call, exchange::upstream_name, guard::Reservation, limit, link, pace, resume::OpenStream,
+    shared::Shared, switch,
 };
 
 /// Time limit of a call that releases an unused copy.
@@ -168,8 +168,10 @@
     let Some(found) = fleet.upstream(target) else {
         return;
     };
+    let pace = pace::Known::new(fleet.known_pace(target, call.shared.now()));
     log::info!(
         request:% = call.id(), from:% = upstream_name(call, source.key), to:% = found.entry.id,
+        pace = pace.factor, pace_weight = pace.weight, pace_age_ms = pace.age_ms,
         target_tokens = found.expected_tokens(), target_requests = found.total_requests(),
         near = fleet.same_domain(source.key, target), outcome:% = outcome,
         took_ms = started.elapsed().as_millis() as u64,
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod link;
 mod listen;
 mod migrate;
+mod pace;
 mod plain;
 mod probe;
 mod relay;
--- a/crates/carob-gateway/src/traffic/stream/mod.rs
+++ b/crates/carob-gateway/src/traffic/stream/mod.rs
@@ -27,6 +27,7 @@
     link,
     listen::RequestCount,
     migrate::{self, MigrationOutcome, Progress},
+    pace::EventPace,
     probe,
     resume::OpenStream,
     verdict,
@@ -99,6 +100,7 @@
     stall_due: Instant,
     /// Longest time between two events.
     longest_pause: Duration,
+    pace: EventPace,
 }
 
 /// Why a stream ended.
@@ -164,6 +166,7 @@
         last_forwarded: Instant::now(),
         stall_due: Instant::now() + call.route.patience() / 2,
         longest_pause: Duration::ZERO,
+        pace: EventPace::default(),
     };
     tokio::task::spawn_local(async move {
         let _counted = (active, count);
@@ -434,12 +437,15 @@
             }
         }
         if count > 0 {
+            self.pace.record(&self.call, &self.reservation, count);
             self.record_events(count);
         }
         if chunk.is_empty() {
             return Ok(is_gapless);
         }
+        let passing_on = Instant::now();
         let sent = timeout_at(self.call.deadline, self.client.send(Ok(chunk.freeze()))).await;
+        self.pace.record_wait(passing_on.elapsed());
         match sent {
             Ok(Ok(())) => Ok(is_gapless),
             Ok(Err(_)) => Err(StreamEnd::ClientGone),
