--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -132,6 +132,7 @@
     /// instances.
     pub fn evict_stale(&mut self, now: Time) {
         self.evict_peers(now);
+        self.refresh_paces(now);
         let by_name = &self.by_name;
         self.upstreams.retain(|key, upstream| {
             // It must not come back as another upstream while its entry still says that it is ready.
--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -45,8 +45,9 @@
 /// depending on the prompts that were prefilled meanwhile, and must not change where requests go.
 const EQUAL_BAND: f64 = 0.25;
 
-/// Bounds of a relative pace: a faulty estimate must neither draw nor repel all requests.
-const MIN_FACTOR: f64 = 0.25;
+/// Bounds of a relative pace: a faulty estimate must neither draw nor repel all requests. The lower one is a little below
+/// the ratio of the fastest to the median in the deployments.
+const MIN_FACTOR: f64 = 0.4;
 const MAX_FACTOR: f64 = 4.0;
 
 /// Relative pace of an upstream of unknown pace while it has nothing to do, if those of its service differ: a little
@@ -84,7 +85,7 @@
     pub own: u32,
     /// Time since the latest sample.
     pub age: Duration,
-    /// Relative to the median of its service, as placement uses it; 1 is the median.
+    /// Relative to the median of its service; 1 if it is about that.
     pub factor: f64,
 }
 
@@ -170,11 +171,10 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
+        // A prompt that is pending is taken to add one chunk to each step. Engines may take several prompts at a time,
+        // and some may be prefilled already, so such gaps are used with care.
         let is_clean = upstream.pending_prefill() == 0;
-        // More prompts than one may be prefilled between two steps. Too little is subtracted then, and the engine looks
-        // slower than it is while it is loaded, which spreads the load; too much would draw more to it.
-        let prompts = if is_clean { 0.0 } else { 1.0 };
-        let ratio = step_ratio(upstream.total_requests(), prompts);
+        let ratio = step_ratio(upstream.total_requests(), if is_clean { 0.0 } else { 1.0 });
         let is_news = upstream.pace.add(gap.as_secs_f64() * 1e3 / ratio, is_clean, now);
         self.refresh_paces(now);
         is_news
@@ -323,6 +323,13 @@
             return;
         }
         self.paces_at = now;
+        if !self
+            .upstreams
+            .values()
+            .any(|upstream| upstream.pace.is_observed())
+        {
+            return;
+        }
         let mut known: HashMap<Box<str>, Vec<f64>> = HashMap::new();
         for upstream in self.upstreams.values() {
             if upstream.entry.state == UpstreamState::Ready
@@ -344,6 +351,7 @@
             let combined = upstream.pace.combined(now);
             let factors = summary.map_or((1.0, 1.0), |summary| summary.factors(combined));
             (upstream.pace.idle_factor, upstream.pace.busy_factor) = factors;
+            upstream.pace.median = summary.map(|summary| summary.median);
             upstream.pace.is_known = combined.is_some_and(|(_, weight)| weight >= KNOWN_WEIGHT);
         }
     }
--- a/crates/carob-dispatch/src/fleet/pace/estimate.rs
+++ b/crates/carob-dispatch/src/fleet/pace/estimate.rs
@@ -8,9 +8,17 @@
 /// Latest samples of an upstream that an instance keeps.
 const MAX_SAMPLES: usize = 16;
 
-/// Samples without a prefill at the engine from which on the others are left out: how much a prefill slows events down
-/// depends on how many prompts the engine takes at a time, which is not known.
-const MIN_CLEAN: usize = 3;
+/// Number of samples during a prefill that count as much as one without. How much a prefill slows events down depends on
+/// how many prompts the engine takes at a time, which is not known: they are used only while there are no others.
+const UNCLEAN_SHARE: usize = 4;
+
+/// Share of the service's median below which a pace that was seen during prefills counts: since the engine may be faster
+/// than that and not slower, other values say nothing.
+const FAST_SHARE: f64 = 0.75;
+
+/// Of samples and of sources, the lower quartile is used: prompts that this instance does not know of, and delays on the way,
+/// only ever make gaps longer. One in so many lies below.
+const LOW_QUANTILE: usize = 4;
 
 /// Samples from which on an instance tells others. The first gap follows a prefill, and a single one may be spoilt by a
 /// delay on the way.
@@ -66,6 +74,8 @@
     pub(super) others: SmallVec<[(SocketAddr, Estimate); 2]>,
     /// What the others were told last.
     pub(super) told: Option<Estimate>,
+    /// Median pace of its service, if that is known.
+    pub(super) median: Option<f64>,
     /// Whether enough is known for the pace to be compared with others.
     pub(super) is_known: bool,
     /// Relative pace for a request to the upstream while it has nothing pending.
@@ -82,6 +92,7 @@
             own: None,
             others: SmallVec::new(),
             told: None,
+            median: None,
             is_known: false,
             idle_factor: 1.0,
             busy_factor: 1.0,
@@ -92,7 +103,8 @@
 impl Pace {
     /// Adds a sample; returns whether other instances should learn of the estimate at once.
     pub(super) fn add(&mut self, ms: f64, is_clean: bool, now: Time) -> bool {
-        if !ms.is_finite() || ms <= 0.0 {
+        let is_needed = is_clean || self.values(true).len() < MIN_TOLD as usize;
+        if !is_needed || !ms.is_finite() || ms <= 0.0 {
             return false;
         }
         if self.samples.len() < MAX_SAMPLES {
@@ -101,26 +113,43 @@
             self.samples[self.count as usize % MAX_SAMPLES] = (ms, is_clean);
         }
         self.count = self.count.wrapping_add(1);
-        let mut clean: SmallVec<[f64; MAX_SAMPLES]> = self.values(true);
-        if clean.len() < MIN_CLEAN {
-            clean = self.values(false);
+        self.own = self.estimate(now);
+        self.is_news(now)
+    }
+
+    /// Whether anything was ever learned.
+    pub(super) fn is_observed(&self) -> bool {
+        self.own.is_some() || !self.others.is_empty()
+    }
+
+    /// What the samples of this instance show.
+    fn estimate(&self, now: Time) -> Option<Estimate> {
+        let clean = self.values(true);
+        if !clean.is_empty() {
+            return Some(Estimate {
+                ms: clean[(clean.len() - 1) / LOW_QUANTILE],
+                observations: clean.len() as u32,
+                at: now,
+            });
         }
-        clean.sort_unstable_by(f64::total_cmp);
-        self.own = Some(Estimate {
-            ms: clean[(clean.len() - 1) / 2],
-            observations: self.samples.len() as u32,
+        let unclean = self.values(false);
+        // Some of the prompts may have been prefilled already, and then too much was subtracted.
+        let ms = unclean[(unclean.len() - 1) * (LOW_QUANTILE - 1) / LOW_QUANTILE];
+        let is_fast = self.median.is_some_and(|median| ms < median * FAST_SHARE);
+        let observations = unclean.len() / UNCLEAN_SHARE;
+        (is_fast && observations > 0).then_some(Estimate {
+            ms,
+            observations: observations as u32,
             at: now,
-        });
-        self.is_news(now)
+        })
     }
 
-    /// Samples of the ring: those without a prefill, or all.
-    fn values(&self, clean_only: bool) -> SmallVec<[f64; MAX_SAMPLES]> {
-        let kept = self
-            .samples
-            .iter()
-            .filter(|(_, is_clean)| *is_clean || !clean_only);
-        kept.map(|(ms, _)| *ms).collect()
+    /// Sorted samples without a prefill, or with one.
+    fn values(&self, is_clean: bool) -> SmallVec<[f64; MAX_SAMPLES]> {
+        let kept = self.samples.iter().filter(|(_, clean)| *clean == is_clean);
+        let mut values: SmallVec<[f64; MAX_SAMPLES]> = kept.map(|(ms, _)| *ms).collect();
+        values.sort_unstable_by(f64::total_cmp);
+        values
     }
 
     /// Whether others should learn of this instance's estimate before the next regular message: if they have none, or
@@ -139,7 +168,7 @@
         }
     }
 
-    /// Weighted median of what all instances know, and its weight.
+    /// Weighted lower quartile of what all instances know, and its weight.
     pub(super) fn combined(&self, now: Time) -> Option<(f64, f64)> {
         let others = self.others.iter().map(|(_, other)| other);
         let mut known: SmallVec<[(f64, f64); MAX_SOURCES]> = others
@@ -150,11 +179,11 @@
         known.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         let total: f64 = known.iter().map(|(_, weight)| weight).sum();
         let mut below = 0.0;
-        let median = known.iter().find(|(_, weight)| {
+        let low = known.iter().find(|(_, weight)| {
             below += weight;
-            below * 2.0 >= total
+            below * LOW_QUANTILE as f64 >= total
         })?;
-        Some((median.0, total))
+        Some((low.0, total))
     }
 
     pub(super) fn merge(&mut self, peer: SocketAddr, estimate: Estimate) {
