--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -73,6 +73,7 @@
             avoid_until: Time::ZERO,
             paused_until: Time::ZERO,
             link: super::links::Link::default(),
+            pace: super::pace::Pace::default(),
             entry,
         });
         let id = self.upstreams[key].entry.id.clone();
@@ -81,6 +82,7 @@
         self.by_hash.insert(hash, key);
         self.count_known_loads(key);
         self.inherit_brittle(key, now);
+        self.refresh_paces(now);
         replaced
     }
 
@@ -131,6 +133,7 @@
     /// instances.
     pub fn evict_stale(&mut self, now: Time) {
         self.evict_peers(now);
+        self.refresh_paces(now);
         let by_name = &self.by_name;
         self.upstreams.retain(|key, upstream| {
             // It must not come back as another upstream while its entry still says that it is ready.
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{cold, departure, limit, relay, shared::Shared};
+use super::{cold, departure, limit, pace, relay, shared::Shared};
 use crate::{
     era::Position,
     peer::{Announcement, Crash, Item, Limit, Load, RelayOffer, Sound, Trial},
@@ -52,9 +52,11 @@
         let watching = shared.is_watching();
         let status = (watching, told_position(shared));
         let update = shared.take_store_update();
-        let news = shared.evidence().take_changes(shared.now());
+        let now = shared.now();
+        let news = shared.evidence().take_changes(now);
         let (limits, brittle) = take_limits(shared, complete);
         let cold = cold::reports(shared, complete);
+        let paces = pace::take_reports(shared, complete);
         let leaving = shared.fleet().leaving_hashes();
         let has_departures = leaving.iter().any(|hash| !self.leaving.contains(hash));
         let offer = relay::offer(shared);
@@ -77,7 +79,8 @@
                 && news.is_empty()
                 && limits.is_empty()
                 && brittle.is_empty()
-                && cold.is_empty());
+                && cold.is_empty()
+                && paces.is_empty());
         if !complete && !has_news {
             return None;
         }
@@ -105,6 +108,7 @@
             limits,
             leaving: leaving.clone(),
             cold,
+            paces,
             brittle,
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..Announcement::default()
@@ -317,6 +321,7 @@
     limit::merge_brittle(shared, peer, &brittle);
     cold::merge(shared, peer, &message.cold);
     departure::merge(shared, peer, &message.leaving);
+    pace::merge(shared, peer, &message.paces);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
         number: message.sequence,
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod link;
 mod listen;
 mod migrate;
+mod pace;
 mod plain;
 mod probe;
 mod relay;
