feat: engines are told the priority of generations

Cause: engines admit more urgent requests first, but were told no priority, so that short urgent streams waited inside them behind long ones.

Change: the routing table lists the priorities that requests to a service may have (of routes, or of accounts that override them). Where these differ, each generation is sent with its own; otherwise the header stays absent, as before.

Not measured on a load yet; the test of the table passes.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod place;
 mod relays;
+pub mod urgency;
 mod waiting;
 
 use std::{
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -114,6 +114,16 @@
     }
 }
 
+carob_base::plain! {
+    /// Requests to a service that have the same priority.
+    pub struct PriorityClass {
+        /// Their priority; 0 is the most urgent.
+        pub priority: u8,
+        /// Shortest target latency of the routes that they may take.
+        pub target: Duration,
+    }
+}
+
 carob_base::plain! {
     /// Limits on what a client may send.
     pub struct Limits {
@@ -151,6 +161,8 @@
     /// Routes of each host, longest prefix first.
     hosts: HashMap<Box<str>, Vec<Route>>,
     services: HashMap<Box<str>, Service>,
+    /// Priorities of requests to each service, the most urgent first.
+    classes: HashMap<Box<str>, Vec<PriorityClass>>,
     /// Accounts by API key; `None` if requests need no key.
     keys: Option<HashMap<Box<str>, Account>>,
 }
@@ -187,6 +199,7 @@
 impl RoutingTable {
     /// Indexes a configuration.
     pub fn new(config: RoutingConfig) -> Self {
+        let classes = priority_classes(&config);
         let mut hosts: HashMap<Box<str>, Vec<Route>> = HashMap::new();
         for route in config.routes {
             hosts.entry(route.host.clone()).or_default().push(route);
@@ -210,6 +223,7 @@
             limits: config.limits,
             hosts,
             services,
+            classes,
             keys,
         }
     }
@@ -234,6 +248,12 @@
         self.services.get(name)
     }
 
+    /// Priorities that requests to a service may have, the most urgent first; empty if they do not differ.
+    pub fn priority_classes(&self, service: &str) -> &[PriorityClass] {
+        let classes = self.classes.get(service).map_or(&[][..], Vec::as_slice);
+        if classes.len() > 1 { classes } else { &[] }
+    }
+
     /// Regions in which requests of a route of an earlier configuration may run now; `None` if it or the account of `key` is
     /// not there any more.
     pub fn present_regions(&self, earlier: &Route, key: Option<&str>) -> Option<Regions> {
@@ -274,6 +294,34 @@
     }
 }
 
+/// Lists the priorities that requests to each service may have: that of the route, or that of the account where it has one.
+fn priority_classes(config: &RoutingConfig) -> HashMap<Box<str>, Vec<PriorityClass>> {
+    let accounts = config.accounts.as_deref().unwrap_or_default();
+    let overrides = accounts.iter().filter_map(|(account, _)| account.priority);
+    let is_overridden =
+        config.accounts.is_some() && accounts.iter().all(|(account, _)| account.priority.is_some());
+    let mut classes: HashMap<Box<str>, Vec<PriorityClass>> = HashMap::new();
+    for route in &config.routes {
+        let own = (!is_overridden || route.anonymous).then_some(route.priority);
+        for (service, _) in route.services.iter().filter(|(_, weight)| *weight > 0) {
+            let known = classes.entry(service.clone()).or_default();
+            for priority in own.into_iter().chain(overrides.clone()) {
+                match known.iter_mut().find(|class| class.priority == priority) {
+                    Some(class) => class.target = class.target.min(route.target_latency),
+                    None => known.push(PriorityClass {
+                        priority,
+                        target: route.target_latency,
+                    }),
+                }
+            }
+        }
+    }
+    for known in classes.values_mut() {
+        known.sort_by_key(|class| class.priority);
+    }
+    classes
+}
+
 impl Route {
     /// Pause after which clients give up a stream, also before its first event. It is the longest of three that the
     /// operators' pages name.
--- a/crates/carob-dispatch/tests/table.rs
+++ b/crates/carob-dispatch/tests/table.rs
@@ -156,3 +156,37 @@
     let without = table(vec![route("other", "a", "/x/")], None);
     assert_eq!(without.present_regions(&earlier, None), None);
 }
+
+/// Engines are told priorities only where those differ: otherwise urgent requests would not be told from others, and builds
+/// that send none would be served differently.
+#[test]
+fn priorities_of_a_service_are_known_where_they_differ() {
+    let with = |name: &str, priority, seconds| {
+        let mut route = route(name, "a", "/");
+        route.priority = priority;
+        route.target_latency = Duration::from_secs(seconds);
+        route
+    };
+    let account = |priority| {
+        let account = Account {
+            name: "parish".into(),
+            priority,
+            regions: Regions::any(),
+        };
+        (account, vec!["k".into()])
+    };
+    let classes = |routes: &[Route], accounts| {
+        let table = table(routes.to_vec(), accounts);
+        let classes = table.priority_classes("s").iter();
+        classes
+            .map(|class| (class.priority, class.target.as_secs()))
+            .collect::<Vec<_>>()
+    };
+    let routes = [with("long", 2, 4), with("short", 0, 1), with("medium", 2, 3)];
+    assert_eq!(classes(&routes, None), [(0, 1), (2, 3)]);
+    assert_eq!(classes(&routes[..1], None), []);
+    let both = Some(vec![account(None), account(Some(1))]);
+    assert_eq!(classes(&routes[..1], both), [(1, 4), (2, 4)]);
+    // Nobody has the routes' own priorities.
+    assert_eq!(classes(&routes, Some(vec![account(Some(1))])), []);
+}
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -67,6 +67,8 @@
     pub(super) account: Option<Box<str>>,
     /// Priority in the queue; 0 goes first.
     pub(super) priority: u8,
+    /// Priority that engines are told; absent if the service's requests do not differ in priority.
+    pub(super) engine_priority: Option<u8>,
     pub(super) arrival: Instant,
     /// Earlier of the client's deadline and the route's time limit.
     pub(super) deadline: Instant,
@@ -272,7 +274,7 @@
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             upstream: &name,
             account: self.account.as_deref(),
-            engine_priority: None,
+            engine_priority: self.engine_priority,
             resume,
             backup: None,
         };
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_dispatch::{
     crashes::Part,
-    fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey},
+    fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey, urgency},
     head::{Head, LastEvent},
     outcome::{AttemptResult, NextAction},
     table::{Denial, Route},
@@ -200,6 +200,13 @@
     let engine = table.service(service).and_then(|service| service.engine.clone());
     shared.record_request(service);
     let prompt = head.parts.iter().map(|hash| Part::of_prompt(service, *hash));
+    let priority = found
+        .account
+        .and_then(|account| account.priority)
+        .unwrap_or(found.route.priority);
+    let engine_priority = engine
+        .as_ref()
+        .and_then(|_| urgency::engine_priority(table.priority_classes(service), priority));
     Ok(Rc::new(Call {
         shared: Rc::clone(shared),
         prompt: prompt.collect(),
@@ -207,10 +214,8 @@
         engine,
         admitted_regions: found.regions(),
         account: found.account.map(|account| account.name.clone()),
-        priority: found
-            .account
-            .and_then(|account| account.priority)
-            .unwrap_or(found.route.priority),
+        priority,
+        engine_priority,
         deadline: client_deadline.min(arrival + found.route.timeout),
         route: found.route.clone(),
         last_event,
