feat: patient requests leave engines room for urgent ones and wait for their turn

Cause: in a burst of long streams urgent ones were sent to engines at once and waited behind 7,000 to 10,000 pending prompt tokens there; full memories made engines preempt.

Change, only where the requests of a service differ in priority and target: - A patient request goes to an engine only while the next urgent one would still be prefilled there within 0.8 of its target, and only if it fits beside a reserve for urgent ones without overcommitting the memory. The reserve follows from the urgent arrivals of the last seconds, scaled by the instances that are heard of. - Beyond it, it waits for what its own target leaves after its prefill. - Instances tell in tag 27 of Announcement what waits, and waiting patient requests take turns: each draws one in n engines every 30 ms among n instances that wait. Else all would take an engine in the same moment. - The queue is tried again when a prompt has been prefilled.

No load was run.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -198,6 +198,7 @@
     queue: waiting::Queue,
     peers: HashMap<SocketAddr, peers::Peer>,
     limits: Limits,
+    urgency: urgency::State,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
     /// Seed for breaking ties. Changes with every request, so that requests are spread over equal upstreams,
@@ -226,6 +227,7 @@
             queue: waiting::Queue::default(),
             peers: HashMap::new(),
             limits: Limits::new(LimitOptions::default(), seed),
+            urgency: urgency::State::new(seed),
             evacuated: BTreeSet::new(),
             tie_seed: seed,
         }
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -9,7 +9,7 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState};
+use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState, urgency::PatientBound};
 use crate::{limits::Access, regions::Regions};
 
 carob_base::plain! {
@@ -47,6 +47,8 @@
     pub excluded: SmallVec<[UpstreamKey; 4]>,
     /// Regions in which it may run.
     pub regions: Regions,
+    /// Further bounds on the load of an engine; `None` unless the request is patient.
+    pub patience: Option<PatientBound>,
 }
 
 impl Requirements {
@@ -59,9 +61,17 @@
             capacity,
             excluded: SmallVec::new(),
             regions: Regions::any(),
+            patience: None,
         }
     }
 
+    /// Bounds the load of engines that a patient request may go to.
+    #[must_use]
+    pub const fn with_patience(mut self, patience: Option<PatientBound>) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// Excludes upstreams.
     #[must_use]
     pub fn with_excluded(mut self, excluded: SmallVec<[UpstreamKey; 4]>) -> Self {
@@ -334,6 +344,12 @@
 
 /// Whether the upstream can run the request in addition to those that it already runs.
 pub(super) fn has_room(upstream: &Upstream, requirements: &Requirements) -> bool {
+    if requirements
+        .patience
+        .is_some_and(|bound| !bound.permits(upstream, requirements))
+    {
+        return false;
+    }
     let slots = f64::from(upstream.entry.slots.max(1));
     if requirements.capacity == 0 {
         return f64::from(upstream.total_requests()) < slots * MAX_BACKLOG;
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -6,7 +6,7 @@
 use carob_base::Time;
 use slotmap::SlotMap;
 
-use super::{Fleet, Placement, RequestSize, Requirements, UpstreamKey, WaitKey};
+use super::{Fleet, Placement, RequestSize, Requirements, UpstreamKey, WaitKey, urgency::QueuedLoad};
 
 /// A queued request.
 #[derive(Clone, Debug)]
@@ -59,15 +59,55 @@
 
     /// Takes the first request from the queue that fits on an upstream now. Call [`Fleet::start_request`] for
     /// it before the next call, so that its capacity counts as taken.
+    ///
+    /// Patient requests are tried again every [`TURN_TIME`](super::urgency::TURN_TIME) only.
     pub fn grant_next(&mut self, now: Time) -> Option<Assignment> {
+        let skips_patient = self.is_turn_finished(now);
+        let mut has_patient = false;
         let granted = self.queue.order.iter().find_map(|key| {
             let request = &self.queue.requests[*key];
-            match self.place(&request.requirements, now) {
+            let is_patient = request.requirements.patience.is_some();
+            if is_patient && skips_patient {
+                return None;
+            }
+            has_patient |= is_patient;
+            let renewed = self.renew_bound(&request.requirements, request.priority, now);
+            match self.place(renewed.as_ref().unwrap_or(&request.requirements), now) {
                 Placement::Upstream(upstream) => Some((*key, upstream, request.requirements.size)),
                 Placement::Full | Placement::NoUpstream => None,
             }
-        })?;
+        });
+        let Some(granted) = granted else {
+            if has_patient {
+                self.finish_turn(now);
+            }
+            return None;
+        };
         self.cancel_wait(granted.0);
         Some(granted)
     }
+
+    /// The queue, for messages to other instances.
+    pub fn queued_loads(&self) -> Vec<QueuedLoad> {
+        let mut loads: Vec<QueuedLoad> = Vec::new();
+        for request in self.queue.requests.values() {
+            let service = super::service_hash(&request.requirements.service);
+            let position = loads
+                .iter()
+                .position(|load| (load.service, load.priority) == (service, request.priority));
+            let position = position.unwrap_or_else(|| {
+                loads.push(QueuedLoad {
+                    service,
+                    priority: request.priority,
+                    requests: 0,
+                    tokens: 0,
+                });
+                loads.len() - 1
+            });
+            loads[position].requests += 1;
+            loads[position].tokens += request.requirements.size.prefill;
+        }
+        loads.sort_unstable_by_key(|load| (load.service, load.priority));
+        loads
+    }
 }
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -254,6 +254,11 @@
         if classes.len() > 1 { classes } else { &[] }
     }
 
+    /// Whether requests to any service differ in priority.
+    pub fn has_priorities(&self) -> bool {
+        self.classes.values().any(|classes| classes.len() > 1)
+    }
+
     /// Regions in which requests of a route of an earlier configuration may run now; `None` if it or the account of `key` is
     /// not there any more.
     pub fn present_regions(&self, earlier: &Route, key: Option<&str>) -> Option<Regions> {
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -8,7 +8,7 @@
 
 use carob_dispatch::{
     crashes::{CrashReport, MAX_SUSPECTS, Part, SoundReport, Suspect, TrialReport, WHOLE_REQUEST},
-    fleet::{self, PeerLoad},
+    fleet::{self, PeerLoad, urgency::QueuedLoad},
     limits::{Origin, Report as LimitReport},
 };
 use carob_platform::store::Item as StoreItem;
@@ -93,12 +93,41 @@
     /// Revision after which `changes` begins; zero if that is empty.
     #[prost(uint64, tag = "23")]
     pub changes_base: u64,
+    /// What the sender has in its queue; absent in messages of builds that do not tell, and if no service has requests with
+    /// different priorities.
+    #[prost(message, optional, tag = "27")]
+    pub queued: Option<Queue>,
     /// Whether the sender keeps the keys of evacuated failure domains. Builds that do not leave them out of what they pass
     /// on.
     #[prost(bool, tag = "28")]
     pub keeps_evacuations: bool,
 }
 
+/// Requests in the queue of an instance.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Queue {
+    /// By service and priority.
+    #[prost(message, repeated, tag = "1")]
+    pub loads: Vec<Queued>,
+}
+
+/// Requests of one service and priority in the queue of an instance.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Queued {
+    /// Hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// Priority; 0 goes first.
+    #[prost(uint32, tag = "2")]
+    pub priority: u32,
+    /// Number of requests.
+    #[prost(uint32, tag = "3")]
+    pub requests: u32,
+    /// Their prompt tokens.
+    #[prost(uint64, tag = "4")]
+    pub tokens: u64,
+}
+
 /// Places at a brittle upstream that an instance holds and wants.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub(crate) struct Claim {
@@ -392,6 +421,28 @@
     }
 }
 
+impl From<QueuedLoad> for Queued {
+    fn from(load: QueuedLoad) -> Self {
+        Self {
+            service: load.service,
+            priority: u32::from(load.priority),
+            requests: load.requests,
+            tokens: load.tokens,
+        }
+    }
+}
+
+impl From<Queued> for QueuedLoad {
+    fn from(queued: Queued) -> Self {
+        Self {
+            service: queued.service,
+            priority: u8::try_from(queued.priority).unwrap_or(u8::MAX),
+            requests: queued.requests,
+            tokens: queued.tokens,
+        }
+    }
+}
+
 impl From<StoreItem> for Item {
     fn from(item: StoreItem) -> Self {
         Self {
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/admission.rs
@@ -0,0 +1,115 @@
+//! Admission of requests to scarce engines: how long patient requests wait in the queue so that urgent ones are on time.
+
+use std::time::Duration;
+
+use carob_dispatch::fleet::{
+    RequestSize, Requirements, UpstreamKey,
+    urgency::{self, TURN_TIME},
+};
+use tokio::{sync::oneshot::error::RecvError, time::MissedTickBehavior};
+
+use super::{
+    call::Call,
+    exchange::upstream_name,
+    guard::QueueEntry,
+    shared::{Grant, Shared},
+};
+use crate::peer::{Queue, Queued};
+
+/// Share of the target latency for which a request may wait in the queue if its service's requests have one priority; the
+/// rest is for processing its prompt.
+const QUEUE_SHARE: f64 = 0.6;
+
+/// Requirements of a request that looks for an upstream other than those in `tried`, with the bounds for patient requests.
+/// Counts the arrival of one that has not been sent yet.
+pub(super) fn requirements(call: &Call, size: RequestSize, tried: &[UpstreamKey]) -> Requirements {
+    let requirements = call.requirements(size, tried);
+    let shared = &call.shared;
+    let now = shared.now();
+    if call.urgency.engine_priority.is_some() && tried.is_empty() {
+        let rank = (call.priority, call.route.target_latency);
+        shared.fleet_mut().record_arrival(&call.service, rank, size, now);
+    }
+    let bound = call.urgency.headroom.map(|headroom| {
+        shared
+            .fleet()
+            .patient_bound(&requirements, (call.priority, headroom), now)
+    });
+    requirements.with_patience(bound)
+}
+
+/// Whether a patient request joins the queue although an engine has room: others wait for engines at other instances, and
+/// all take turns.
+pub(super) fn yields(call: &Call, requirements: &Requirements) -> bool {
+    let shared = &call.shared;
+    requirements.patience.is_some() && shared.fleet().waiting_instances(&call.service, shared.now()) > 0
+}
+
+/// Longest time for which a request may wait in the queue, counted from its arrival or the end of its previous run.
+pub(super) fn longest_wait(call: &Call, requirements: &Requirements) -> Duration {
+    let target = call.route.target_latency;
+    if call.urgency.engine_priority.is_none() {
+        return target.mul_f64(QUEUE_SHARE);
+    }
+    let wait = urgency::longest_wait(target, requirements.size.prefill, requirements.patience.as_ref());
+    if let Some(bound) = requirements.patience {
+        metrics::counter!("carobhaven_patient_waits_total").increment(1);
+        let fleet = call.shared.fleet();
+        log::info!(
+            request:% = call.id(), priority = call.priority, longest_ms = wait.as_millis() as u64,
+            headroom_ms = bound.headroom.as_millis() as u64, urgent_prompt = bound.urgent_prompt,
+            reserved_tokens = bound.reserve.tokens, reserved_slots = bound.reserve.slots,
+            queued = fleet.queue_length(&call.service),
+            waiting_instances = fleet.waiting_instances(&call.service, call.shared.now());
+            "patient request waits for an engine"
+        );
+    }
+    wait
+}
+
+/// Waits until a queued request has a place. Patient requests are tried again in each turn, since nothing else may happen.
+pub(super) async fn await_grant(call: &Call, entry: &mut QueueEntry) -> Result<Grant, RecvError> {
+    call.shared.load_changed.notify_one();
+    if call.urgency.headroom.is_none() {
+        return (&mut entry.grant).await;
+    }
+    let mut turns = tokio::time::interval(TURN_TIME);
+    turns.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            biased;
+            grant = &mut entry.grant => return grant,
+            _ = turns.tick() => call.shared.grant_waiting(),
+        }
+    }
+}
+
+/// Logs that a request got a place after it had waited.
+pub(super) fn log_granted(call: &Call, upstream: UpstreamKey) {
+    if call.urgency.headroom.is_some() {
+        metrics::counter!("carobhaven_patient_grants_total").increment(1);
+    }
+    log::info!(
+        request:% = call.id(), priority = call.priority, upstream:% = upstream_name(call, upstream),
+        age_ms = call.age_ms(); "place found after waiting"
+    );
+}
+
+/// What other instances are told of the queue; `None` if no service has requests with different priorities.
+pub(super) fn queue(shared: &Shared) -> Option<Queue> {
+    if !shared.table()?.has_priorities() {
+        return None;
+    }
+    let loads = shared.fleet().queued_loads();
+    Some(Queue {
+        loads: loads.into_iter().map(Queued::from).collect(),
+    })
+}
+
+/// Applies what the instance at `peer` tells about its queue.
+pub(super) fn merge_queue(shared: &Shared, peer: std::net::SocketAddr, queue: &Queue) {
+    if shared.peers().contains(&peer) {
+        let loads = queue.loads.iter().map(|queued| (*queued).into()).collect();
+        shared.fleet_mut().set_peer_queue(peer, loads, shared.now());
+    }
+}
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,10 +11,10 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{departure, limit, relay, shared::Shared};
+use super::{admission, departure, limit, relay, shared::Shared};
 use crate::{
     era::Position,
-    peer::{Announcement, Crash, Item, Limit, Load, RelayOffer, Sound, Trial},
+    peer::{Announcement, Crash, Item, Limit, Load, Queue, RelayOffer, Sound, Trial},
     update::{PeerPosition, Report, StoreUpdate},
 };
 
@@ -43,6 +43,7 @@
     /// Upstreams that leave.
     leaving: Vec<u64>,
     offer: Option<carob_dispatch::fleet::RelayOffer>,
+    queued: Option<Queue>,
 }
 
 impl Told {
@@ -64,12 +65,8 @@
         let leaving = shared.fleet().leaving_hashes();
         let has_departures = leaving.iter().any(|hash| !self.leaving.contains(hash));
         let offer = relay::offer(shared);
-        let loads: HashMap<u64, PeerLoad> = shared
-            .fleet()
-            .local_loads()
-            .into_iter()
-            .map(|load| (load.upstream_hash, load))
-            .collect();
+        let queued = admission::queue(shared);
+        let loads = loads_by_upstream(shared);
         let changed = if complete {
             loads.values().copied().collect()
         } else {
@@ -77,6 +74,7 @@
         };
         let has_news = has_departures
             || offer != self.offer
+            || queued != self.queued
             || status != self.status
             || update.is_some()
             || !(changed.is_empty() && news.is_empty() && limits.is_empty() && brittle.is_empty());
@@ -107,6 +105,7 @@
             limits: limits.into_iter().map(Limit::from).collect(),
             leaving: leaving.clone(),
             brittle: brittle.into_iter().map(Limit::from).collect(),
+            queued: queued.clone(),
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..Announcement::default()
         };
@@ -115,11 +114,17 @@
             status,
             leaving,
             offer,
+            queued,
         };
         Some(message)
     }
 }
 
+fn loads_by_upstream(shared: &Shared) -> HashMap<u64, PeerLoad> {
+    let loads = shared.fleet().local_loads().into_iter();
+    loads.map(|load| (load.upstream_hash, load)).collect()
+}
+
 /// Position of an instance that watches the store: those that do not notice by it when they are behind.
 fn told_position(shared: &Shared) -> Position {
     if shared.is_watching() {
@@ -324,6 +329,9 @@
     shared
         .fleet_mut()
         .apply_peer_loads(peer, stamp, loads, message.complete, now);
+    if let Some(queue) = &message.queued {
+        admission::merge_queue(shared, peer, queue);
+    }
     if let Some(offer) = &message.relays {
         shared
             .fleet_mut()
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_dispatch::{
     crashes::{self, Part},
-    fleet::{RequestSize, Requirements, UpstreamKey},
+    fleet::{RequestSize, Requirements, UpstreamKey, urgency::Urgency},
     head::Head,
     regions::Regions,
     table::{Engine, Route},
@@ -67,8 +67,7 @@
     pub(super) account: Option<Box<str>>,
     /// Priority in the queue; 0 goes first.
     pub(super) priority: u8,
-    /// Priority that engines are told; absent if the service's requests do not differ in priority.
-    pub(super) engine_priority: Option<u8>,
+    pub(super) urgency: Urgency,
     pub(super) arrival: Instant,
     /// Earlier of the client's deadline and the route's time limit.
     pub(super) deadline: Instant,
@@ -274,7 +273,7 @@
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             upstream: &name,
             account: self.account.as_deref(),
-            engine_priority: self.engine_priority,
+            engine_priority: self.urgency.engine_priority,
             resume,
             backup: None,
         };
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_dispatch::{
     crashes::Part,
-    fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey, urgency},
+    fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey, urgency::Urgency},
     head::{Head, LastEvent},
     outcome::{AttemptResult, NextAction},
     table::{Denial, Route},
@@ -21,6 +21,7 @@
 };
 
 use super::{
+    admission,
     answer::{LocalAnswer, ResponseBody},
     attempts::Attempts,
     body::{self, HeldBytes},
@@ -49,10 +50,6 @@
 /// Maximum size of a request body in bytes while no configuration is known.
 const DEFAULT_BODY_LIMIT: usize = 4 << 20;
 
-/// Share of the target latency for which a request may wait in the queue; the rest is for processing its
-/// prompt.
-const QUEUE_SHARE: f64 = 0.6;
-
 /// Suggested retry delay while no configuration is known, which is read within a second of the start.
 const RETRY_NO_CONFIG: Duration = Duration::from_millis(800);
 
@@ -204,9 +201,13 @@
         .account
         .and_then(|account| account.priority)
         .unwrap_or(found.route.priority);
-    let engine_priority = engine
-        .as_ref()
-        .and_then(|_| urgency::engine_priority(table.priority_classes(service), priority));
+    let urgency = engine.as_ref().map_or(Urgency::UNIFORM, |_| {
+        Urgency::new(
+            table.priority_classes(service),
+            priority,
+            found.route.target_latency,
+        )
+    });
     Ok(Rc::new(Call {
         shared: Rc::clone(shared),
         prompt: prompt.collect(),
@@ -215,7 +216,7 @@
         admitted_regions: found.regions(),
         account: found.account.map(|account| account.name.clone()),
         priority,
-        engine_priority,
+        urgency,
         deadline: client_deadline.min(arrival + found.route.timeout),
         route: found.route.clone(),
         last_event,
@@ -356,7 +357,7 @@
 ) -> Result<Reservation, Refusal> {
     let shared = &call.shared;
     let size = call.run_size(start.generated);
-    let requirements = call.requirements(size, tried);
+    let requirements = admission::requirements(call, size, tried);
     shutdown::check(call, active)?;
     limit::record_demand(shared, &requirements);
     if requirements.capacity > 0
@@ -369,7 +370,9 @@
     let queue_empty = shared.fleet().queue_length(&call.service) == 0;
     let placement = shared.fleet().place(&requirements, now);
     match placement {
-        Placement::Upstream(upstream) if queue_empty || !tried.is_empty() => {
+        Placement::Upstream(upstream)
+            if (queue_empty && !admission::yields(call, &requirements)) || !tried.is_empty() =>
+        {
             return Ok(Reservation::new(shared, upstream, size));
         }
         Placement::NoUpstream => {
@@ -382,7 +385,7 @@
     }
     let queue_deadline = call
         .answer_deadline()
-        .min(start.since + call.route.target_latency.mul_f64(QUEUE_SHARE));
+        .min(start.since + admission::longest_wait(call, &requirements));
     if Instant::now() >= queue_deadline {
         return Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams are full"));
     }
@@ -396,14 +399,14 @@
     shared.grant_waiting();
     let outcome = tokio::select! {
         biased;
-        outcome = timeout_at(wait.until, &mut entry.grant) => outcome,
+        outcome = timeout_at(wait.until, admission::await_grant(call, &mut entry)) => outcome,
         refusal = shutdown::refusal(call, active) => return Err(refusal),
     };
     drop(entry);
     match outcome {
         Ok(Ok((upstream, run))) => {
             let reservation = Reservation::adopt(shared, upstream, run, size);
-            log::info!(request:% = call.id(), age_ms = call.age_ms(); "place found after waiting");
+            admission::log_granted(call, upstream);
             // The rest of the grace may have become too short while the request waited.
             shutdown::check(call, active)?;
             Ok(reservation)
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -114,9 +114,14 @@
 
     /// Corrects the reserved size.
     pub(super) fn resize(&mut self, size: RequestSize) {
+        let prefilled = size.prefill < self.size.prefill;
         self.size = size;
         self.shared.fleet_mut().resize(self.key, size);
         self.shared.load_changed.notify_one();
+        if prefilled {
+            // Patient requests wait for that.
+            self.shared.grant_waiting();
+        }
     }
 }
 
@@ -151,10 +156,11 @@
 impl Drop for QueueEntry {
     fn drop(&mut self) {
         self.shared.cancel_wait(self.key);
+        // Others are told of the queue.
+        self.shared.load_changed.notify_one();
         // A place that was granted and not taken is free again.
         if let Ok((_, run)) = self.grant.try_recv() {
             self.shared.fleet_mut().finish_request(run);
-            self.shared.load_changed.notify_one();
             self.shared.grant_waiting();
         }
     }
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The traffic thread: handles client requests and exchanges loads with the other instances.
 
+mod admission;
 mod announce;
 mod answer;
 mod attempts;
