feat: an attempt goes on while its engine works through its queue

Cause: 178 attempts of a burst were given up as unanswered and sent again although their engines merely held them in their queues, so that their prompts were prefilled twice.

Change, only where the requests of a service differ in priority: an attempt, or a stream before its first event, is given up at the earliest after 1.5 times the time to the first event that was expected when it was placed, and not while its engine has prefilled a prompt of any instance in the last 1.5 s. That shows in first events here and in the loads that other instances tell. An engine that does nothing is left as before.

The tests of the decision and of the loads pass; no load was run.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -71,6 +71,7 @@
             failure_rate: 0.0,
             avoid_until: Time::ZERO,
             paused_until: Time::ZERO,
+            prefilled_at: None,
             link: super::links::Link::default(),
             entry,
         });
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -107,6 +107,8 @@
     avoid_until: Time,
     /// Until when it gets nothing, since it asked for that.
     paused_until: Time,
+    /// When it is last known to have prefilled a prompt.
+    prefilled_at: Option<Time>,
     link: links::Link,
 }
 
@@ -121,6 +123,11 @@
         self.paused_until > now
     }
 
+    /// When it is last known to have prefilled a prompt, of any instance.
+    pub const fn prefilled_at(&self) -> Option<Time> {
+        self.prefilled_at
+    }
+
     /// Requests of all instances that run on it, as far as is known.
     pub const fn total_requests(&self) -> u32 {
         self.local_requests + self.peer_requests
--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -96,12 +96,17 @@
             self.peers.insert(peer, known);
             return;
         }
+        let mut replaced = HashMap::new();
         if complete || known.stamp.boot_id != stamp.boot_id {
-            self.adjust_loads(known.loads.drain().map(|(_, load)| load), false);
+            replaced = std::mem::take(&mut known.loads);
+            self.adjust_loads(replaced.values().copied(), false);
         }
         for load in loads {
             let before = known.loads.insert(load.upstream_hash, load);
             self.adjust_loads(before.into_iter(), false);
+            if let Some(before) = before.as_ref().or_else(|| replaced.get(&load.upstream_hash)) {
+                self.record_peer_prefilled(before, &load, now);
+            }
             self.adjust_loads(std::iter::once(load), true);
         }
         known.loads.retain(|_, load| load.requests > 0);
--- a/crates/carob-dispatch/src/fleet/urgency.rs
+++ b/crates/carob-dispatch/src/fleet/urgency.rs
@@ -9,7 +9,7 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, RequestSize, Requirements, Upstream, UpstreamState};
+use super::{Fleet, PeerLoad, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState};
 use crate::table::PriorityClass;
 
 /// Least urgent priority that engines know.
@@ -185,6 +185,42 @@
     }
 }
 
+/// An engine that has not answered a request yet, or has not begun to write its stream.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    /// Time since the request was placed there.
+    pub waited: Duration,
+    /// Time after which another engine is asked, if the present one says nothing at all.
+    pub limit: Duration,
+    /// Time to the first event that was expected from the pending prefill there at the placement.
+    pub expected: Duration,
+    /// Time since the engine is known to have prefilled a prompt of any instance; `None` if it is not known to have.
+    pub progress: Option<Duration>,
+}
+
+/// Multiple of the expected time to the first event that is waited for: running requests take more of the steps than
+/// expected, and some prompts were placed unseen.
+const EXPECTED_FACTOR: f64 = 1.5;
+
+/// Time since the last prompt that an engine has prefilled, in which it counts as working through its queue. Prefilling
+/// three long prompts takes as long.
+const PROGRESS_TIME: Duration = Duration::from_millis(1_500);
+
+impl Silence {
+    /// How much longer to wait before this is decided again; `None` if the engine is to be given up.
+    ///
+    /// A request that its engine merely holds in its queue is not sent a second time: its prompt would be prefilled twice,
+    /// when engines are scarce.
+    pub fn hold(&self) -> Option<Duration> {
+        let earliest = self.limit.max(self.expected.mul_f64(EXPECTED_FACTOR));
+        if self.waited < earliest {
+            return Some(earliest.saturating_sub(self.waited));
+        }
+        let left = PROGRESS_TIME.saturating_sub(self.progress?);
+        (!left.is_zero()).then_some(left)
+    }
+}
+
 /// Recent arrivals of one priority at this instance.
 #[derive(Clone, Copy, Debug)]
 struct Arrivals {
@@ -334,6 +370,24 @@
         self.urgency.finished_turn == Some(Turn::number(now))
     }
 
+    /// Records that an upstream has prefilled a prompt.
+    pub fn record_prefilled(&mut self, key: UpstreamKey, now: Time) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.prefilled_at = Some(now);
+        }
+    }
+
+    /// Records what a change of another instance's load says about an upstream: as many requests as before with less to
+    /// prefill.
+    pub(super) fn record_peer_prefilled(&mut self, before: &PeerLoad, load: &PeerLoad, now: Time) {
+        if load.prefill < before.prefill
+            && load.requests >= before.requests
+            && let Some(key) = self.by_hash.get(&load.upstream_hash)
+        {
+            self.record_prefilled(*key, now);
+        }
+    }
+
     /// Number of other instances that have requests to `service` in their queues.
     pub fn waiting_instances(&self, service: &str, now: Time) -> usize {
         let service = super::service_hash(service);
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -454,3 +454,30 @@
         Placement::Upstream(_)
     ));
 }
+
+/// Whether an engine works through its queue shows in what other instances tell of their requests there.
+#[test]
+fn prompts_of_other_instances_that_are_prefilled_show_progress() {
+    let mut fleet = fleet();
+    let engine = add(&mut fleet, "e1", "a");
+    let hash = fleet.upstream_hash(engine);
+    let peer = "127.0.0.1:9".parse().expect("an address");
+    let mut number = 0;
+    let mut tell = |fleet: &mut Fleet, requests, prefill, complete, at| {
+        number += 1;
+        let load = PeerLoad {
+            upstream_hash: hash,
+            requests,
+            tokens: 9_000,
+            prefill,
+        };
+        let stamp = MessageStamp { boot_id: 1, number };
+        fleet.apply_peer_loads(peer, stamp, vec![load], complete, Time::from_millis(at));
+        fleet.upstream(engine).and_then(Upstream::prefilled_at)
+    };
+    assert_eq!(tell(&mut fleet, 2, 6_000, false, 10), None);
+    // One was given up.
+    assert_eq!(tell(&mut fleet, 1, 3_000, false, 20), None);
+    let prefilled = tell(&mut fleet, 1, 0, true, 30);
+    assert_eq!(prefilled, Some(Time::from_millis(30)));
+}
--- a/crates/carob-dispatch/tests/urgency.rs
+++ b/crates/carob-dispatch/tests/urgency.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use carob_dispatch::fleet::urgency::Silence;
 use urgency_model::{Load, Outcome, Policy, Site};
 
 const TURBINE: Load = Load {
@@ -53,3 +54,22 @@
         assert!(bounded.long_on_time * 100 > told.long_on_time * 98, "{bounded:?}");
     }
 }
+
+/// 178 attempts of a burst were given up although their engines merely held them, and their prompts prefilled twice.
+#[test]
+fn an_engine_that_works_through_its_queue_is_not_given_up() {
+    let millis = Duration::from_millis;
+    let silence = |waited, expected, progress: Option<u64>| Silence {
+        waited: millis(waited),
+        limit: millis(3_750),
+        expected: millis(expected),
+        progress: progress.map(millis),
+    };
+    // Ten thousand tokens are expected to take 1.4 s, twenty-four thousand 3.4 s.
+    assert_eq!(silence(3_000, 1_400, None).hold(), Some(millis(750)));
+    assert_eq!(silence(3_750, 3_400, None).hold(), Some(millis(1_350)));
+    assert_eq!(silence(3_750, 1_400, Some(300)).hold(), Some(millis(1_200)));
+    // Nothing of any instance has come from it.
+    assert_eq!(silence(3_750, 1_400, Some(3_750)).hold(), None);
+    assert_eq!(silence(3_750, 1_400, None).hold(), None);
+}
--- a/crates/carob-gateway/src/traffic/admission.rs
+++ b/crates/carob-gateway/src/traffic/admission.rs
@@ -4,17 +4,23 @@
 
 use carob_dispatch::fleet::{
     RequestSize, Requirements, UpstreamKey,
-    urgency::{self, TURN_TIME},
+    urgency::{self, Silence, TURN_TIME},
+};
+use tokio::{
+    sync::oneshot::error::RecvError,
+    time::{Instant, MissedTickBehavior, timeout_at},
 };
-use tokio::{sync::oneshot::error::RecvError, time::MissedTickBehavior};
 
 use super::{
     call::Call,
     exchange::upstream_name,
-    guard::QueueEntry,
+    guard::{QueueEntry, Reservation},
     shared::{Grant, Shared},
 };
-use crate::peer::{Queue, Queued};
+use crate::{
+    peer::{Queue, Queued},
+    socket,
+};
 
 /// Share of the target latency for which a request may wait in the queue if its service's requests have one priority; the
 /// rest is for processing its prompt.
@@ -113,3 +119,69 @@
         shared.fleet_mut().set_peer_queue(peer, loads, shared.now());
     }
 }
+
+/// How much longer a request waits for an engine that has not answered, or has not begun its stream, before this is decided
+/// again; `None` if the engine is to be given up after the time `limit`.
+pub(super) fn hold(call: &Call, reservation: &Reservation, limit: Duration) -> Option<Duration> {
+    call.urgency.engine_priority?;
+    let shared = &call.shared;
+    let fleet = shared.fleet();
+    let upstream = fleet.upstream(reservation.upstream)?;
+    let silence = Silence {
+        waited: reservation.placed.elapsed(),
+        limit,
+        expected: reservation.expected,
+        progress: upstream
+            .prefilled_at()
+            .map(|prefilled| shared.now().since(prefilled)),
+    };
+    let held = silence.hold();
+    metrics::counter!(
+        "carobhaven_silent_engines_total", "outcome" => if held.is_some() { "held" } else { "given-up" }
+    )
+    .increment(1);
+    log::info!(
+        request:% = call.id(), upstream:% = upstream.entry.id, waited_ms = silence.waited.as_millis() as u64,
+        expected_ms = silence.expected.as_millis() as u64,
+        prefilled_ms:? = silence.progress.map(|time| time.as_millis() as u64),
+        upstream_prompts = upstream.pending_prefill(), upstream_requests = upstream.total_requests(),
+        held_ms = held.map_or(0, |time| time.as_millis() as u64); "engine has not begun its answer in time"
+    );
+    held
+}
+
+/// Awaits the answer that `sent` brings from the upstream of `reservation`, until `deadline` or, if the engine merely holds
+/// the request in its queue, longer.
+pub(super) async fn await_answer<T>(
+    call: &Call,
+    reservation: &Reservation,
+    sent: impl Future<Output = Result<T, socket::Error>>,
+    deadline: Instant,
+) -> Result<T, socket::Error> {
+    if call.urgency.engine_priority.is_none() {
+        return sent.await;
+    }
+    let limit = deadline.saturating_duration_since(reservation.placed);
+    let mut until = deadline;
+    tokio::pin!(sent);
+    loop {
+        if let Ok(answer) = timeout_at(until, &mut sent).await {
+            return answer;
+        }
+        let now = Instant::now();
+        let held = (now < call.answer_deadline()).then(|| hold(call, reservation, limit));
+        match held.flatten() {
+            Some(time) => until = now + time,
+            None => return Err(socket::Error::Timeout),
+        }
+    }
+}
+
+/// Time until which [`Call::send`] waits for an answer if [`await_answer`] decides when the upstream is given up.
+pub(super) fn send_deadline(call: &Call, deadline: Instant) -> Instant {
+    if call.urgency.engine_priority.is_some() {
+        call.answer_deadline()
+    } else {
+        deadline
+    }
+}
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -469,7 +469,9 @@
         memory: None,
         last_event: Some(event),
     });
-    let (response, driver) = match call.send(reservation, repeat, resume.as_ref(), deadline).await {
+    let send_deadline = admission::send_deadline(call, deadline);
+    let sending = call.send(reservation, repeat, resume.as_ref(), send_deadline);
+    let (response, driver) = match admission::await_answer(call, reservation, sending, deadline).await {
         Ok(answered) => answered,
         Err(error) => return unanswered_send(call, reservation.upstream, &error, sent),
     };
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -1,12 +1,11 @@
 //! RAII guards for the state of a request, whose future may be dropped at any await point.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use carob_base::Time;
-use carob_dispatch::fleet::{RequestSize, RunKey, UpstreamKey, WaitKey};
-
-use tokio::sync::oneshot;
+use carob_dispatch::fleet::{RequestSize, RunKey, UpstreamKey, WaitKey, urgency};
+use tokio::{sync::oneshot, time::Instant};
 
 use super::shared::{Grant, Shared};
 
@@ -76,6 +75,9 @@
     pub(super) upstream: UpstreamKey,
     key: RunKey,
     pub(super) size: RequestSize,
+    pub(super) placed: Instant,
+    /// Time to the first event that was expected when the capacity was reserved.
+    pub(super) expected: Duration,
 }
 
 impl Reservation {
@@ -98,11 +100,16 @@
     /// Takes over a reservation that the fleet has already recorded under `key`.
     pub(super) fn adopt(shared: &Rc<Shared>, upstream: UpstreamKey, key: RunKey, size: RequestSize) -> Self {
         shared.load_changed.notify_one();
+        let expected = shared.fleet().upstream(upstream).map_or(Duration::ZERO, |found| {
+            urgency::prefill_time(found.pending_prefill(), found.total_requests())
+        });
         Self {
             shared: Rc::clone(shared),
             upstream,
             key,
             size,
+            placed: Instant::now(),
+            expected,
         }
     }
 
@@ -119,6 +126,8 @@
         self.shared.fleet_mut().resize(self.key, size);
         self.shared.load_changed.notify_one();
         if prefilled {
+            let now = self.shared.now();
+            self.shared.fleet_mut().record_prefilled(self.upstream, now);
             // Patient requests wait for that.
             self.shared.grant_waiting();
         }
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -8,6 +8,7 @@
 
 use super::{
     super::{
+        admission,
         attempts::Attempts,
         crash,
         exchange::{self, Answer, RunStart, upstream_name},
@@ -242,6 +243,12 @@
     /// Runs a stream again whose present run has stalled, if that is permitted and another upstream has a place for it at
     /// once. Returns whether it goes on there; otherwise the present run may still bring the rest.
     pub(super) async fn leave_stalled(&mut self) -> Result<bool, StreamEnd> {
+        if self.writing_since.is_none()
+            && let Some(time) = admission::hold(&self.call, &self.reservation, self.stall_limit())
+        {
+            self.stall_due = Instant::now() + time;
+            return Ok(false);
+        }
         self.stall_due = Instant::now() + self.stall_limit();
         let shared = Rc::clone(&self.call.shared);
         let mut excluded = self.attempts.tried.clone();
