feat: accounts share the queue of scarce engines, and nearly used waits go first

Cause: the queue went by priority and arrival alone, so that one account with many requests took all room, and a lower priority could wait in vain.

Change, only where the requests of a service differ in priority: within a priority, requests are granted by start-time fair queueing over accounts, and within an account over the shared parts of prompts. A request with less than a quarter of its longest wait left goes first, but before more urgent ones only with every second grant. A refused request charges its account nothing, so that its caller is not placed behind others on its return.

The tests of the order pass; the model of the burst gives the same figures as before (its requests have no accounts). No load was run.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod directory;
 mod eligibility;
+mod fairness;
 mod limited;
 mod links;
 mod peers;
@@ -26,6 +27,7 @@
 use crate::limits::{Limits, Options as LimitOptions, Permit, Place};
 
 pub use eligibility::Exclusion;
+pub use fairness::Share;
 pub use limited::Held;
 pub use links::LinkFailure;
 pub use peers::{MessageStamp, PeerLoad};
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -1,12 +1,17 @@
 //! The queue of requests that wait until an upstream has room.
 //!
-//! The queue is ordered by priority and then by arrival. A request that does not fit yet does not block those
+//! The queue is ordered by priority and then by arrival. Where the requests of a service differ in priority, those of equal
+//! priority are ordered by the fair shares of their accounts, and a request whose time is nearly used goes first. A request that does not fit yet does not block those
 //! behind it that do, but of the requests that fit, the first in this order always goes first.
 
 use carob_base::Time;
 use slotmap::SlotMap;
 
-use super::{Fleet, Placement, RequestSize, Requirements, UpstreamKey, WaitKey, urgency::QueuedLoad};
+use super::{
+    Fleet, Placement, RequestSize, Requirements, UpstreamKey, WaitKey,
+    fairness::{Share, Shares},
+    urgency::QueuedLoad,
+};
 
 /// A queued request.
 #[derive(Clone, Debug)]
@@ -17,6 +22,8 @@
     pub priority: u8,
     /// When it was queued.
     pub queued_at: Time,
+    /// Its account's share; `None` to order it by arrival.
+    pub share: Option<Share>,
 }
 
 /// A request taken from the queue, the upstream that it goes to, and the capacity that it takes there.
@@ -27,6 +34,46 @@
     requests: SlotMap<WaitKey, QueuedRequest>,
     /// Keys by priority and arrival.
     order: Vec<WaitKey>,
+    shares: Shares,
+    /// Whether the last grant went to a request whose time was nearly used, before a more urgent one.
+    overtook: bool,
+}
+
+impl Queue {
+    /// Keys in the order in which they are served.
+    fn ranked(&self, now: Time) -> Vec<WaitKey> {
+        let mut ranked = self.order.clone();
+        if self.requests.values().any(|request| request.share.is_some()) {
+            ranked.sort_by_cached_key(|key| self.rank(*key, now));
+        }
+        ranked
+    }
+
+    /// The lowest rank is served first. Every second grant goes by priority first, so that requests whose time is nearly
+    /// used do not hold up more urgent ones.
+    fn rank(&self, key: WaitKey, now: Time) -> (bool, u8, bool, (u64, u64)) {
+        let request = &self.requests[key];
+        let is_aged = request
+            .share
+            .is_some_and(|share| share.is_aged(request.queued_at, now));
+        let starts = request.share.map_or((0, 0), |share| self.shares.starts(&share));
+        (!is_aged || self.overtook, request.priority, !is_aged, starts)
+    }
+
+    /// Takes a request that is granted off the queue, and charges its account.
+    fn take(&mut self, key: WaitKey, now: Time) {
+        let Some(request) = self.requests.remove(key) else {
+            return;
+        };
+        self.order.retain(|other| *other != key);
+        let Some(share) = request.share else { return };
+        self.shares.charge(&share, request.requirements.size.tokens);
+        let service = &request.requirements.service;
+        let is_ahead = |other: &QueuedRequest| {
+            other.priority < request.priority && other.requirements.service == *service
+        };
+        self.overtook = share.is_aged(request.queued_at, now) && self.requests.values().any(is_ahead);
+    }
 }
 
 impl Fleet {
@@ -64,8 +111,9 @@
     pub fn grant_next(&mut self, now: Time) -> Option<Assignment> {
         let skips_patient = self.is_turn_finished(now);
         let mut has_patient = false;
-        let granted = self.queue.order.iter().find_map(|key| {
-            let request = &self.queue.requests[*key];
+        let ranked = self.queue.ranked(now);
+        let granted = ranked.into_iter().find_map(|key| {
+            let request = &self.queue.requests[key];
             let is_patient = request.requirements.patience.is_some();
             if is_patient && skips_patient {
                 return None;
@@ -73,7 +121,7 @@
             has_patient |= is_patient;
             let renewed = self.renew_bound(&request.requirements, request.priority, now);
             match self.place(renewed.as_ref().unwrap_or(&request.requirements), now) {
-                Placement::Upstream(upstream) => Some((*key, upstream, request.requirements.size)),
+                Placement::Upstream(upstream) => Some((key, upstream, request.requirements.size)),
                 Placement::Full | Placement::NoUpstream => None,
             }
         });
@@ -83,7 +131,7 @@
             }
             return None;
         };
-        self.cancel_wait(granted.0);
+        self.queue.take(granted.0, now);
         Some(granted)
     }
 
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -112,6 +112,7 @@
         requirements: requirements(PREFILLED),
         priority,
         queued_at: NOW,
+        share: None,
     };
     let second = fleet.enqueue(request(1));
     let urgent = fleet.enqueue(request(0));
--- a/crates/carob-dispatch/tests/urgency.rs
+++ b/crates/carob-dispatch/tests/urgency.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use carob_dispatch::fleet::urgency::Silence;
+use carob_base::Time;
+use carob_dispatch::fleet::{QueuedRequest, RequestSize, Requirements, Share, urgency::Silence};
 use urgency_model::{Load, Outcome, Policy, Site};
 
 const TURBINE: Load = Load {
@@ -73,3 +74,64 @@
     assert_eq!(silence(3_750, 1_400, Some(3_750)).hold(), None);
     assert_eq!(silence(3_750, 1_400, None).hold(), None);
 }
+
+/// Queues requests and returns them in the order in which one engine takes them, each after the one before has ended.
+/// Each is a priority, an account, a prompt part and milliseconds until it is given up; all have waited for a second.
+fn served(requests: &[(u8, u64, u64, u64)]) -> Vec<usize> {
+    let mut fleet = urgency_model::fleet(1, 1);
+    let now = Time::from_millis(1_000);
+    let size = RequestSize {
+        tokens: 4_000,
+        prefill: 3_000,
+    };
+    let engine = fleet.upstreams().next().expect("there is one").0;
+    let mut run = fleet.start_request(engine, size);
+    let requirements = Requirements::new("engines".into(), size, 4_000);
+    let queued = requests.iter().map(|(priority, account, part, left)| {
+        fleet.enqueue(QueuedRequest {
+            requirements: requirements.clone(),
+            priority: *priority,
+            queued_at: Time::ZERO,
+            share: Some(Share {
+                account: *account,
+                part: *part,
+                until: now + Duration::from_millis(*left),
+            }),
+        })
+    });
+    let keys: Vec<_> = queued.collect();
+    let mut order = Vec::new();
+    for _ in requests {
+        fleet.finish_request(run);
+        let (key, upstream, size) = fleet.grant_next(now).expect("it has room");
+        run = fleet.start_request(upstream, size);
+        order.extend(keys.iter().position(|other| *other == key));
+    }
+    order
+}
+
+/// A burst of one account, or of one part of prompts within an account, must not starve others.
+#[test]
+fn accounts_and_parts_that_wait_take_turns() {
+    let from = |account, part| (1, account, part, 9_000);
+    let burst = [
+        from(7, 1),
+        from(7, 1),
+        from(7, 1),
+        from(8, 2),
+        from(8, 2),
+        from(9, 3),
+    ];
+    assert_eq!(served(&burst), [0, 3, 5, 1, 4, 2]);
+    let burst = [from(7, 1), from(7, 1), from(7, 1), from(7, 2)];
+    assert_eq!(served(&burst), [0, 3, 1, 2]);
+}
+
+/// Less urgent requests are served before their time is over, but do not hold up the more urgent ones together.
+#[test]
+fn a_request_whose_time_is_nearly_used_goes_in_turn_with_urgent_ones() {
+    let urgent = (0, 1, 1, 9_000);
+    let aged = (2, 2, 2, 100);
+    assert_eq!(served(&[urgent, aged, urgent, aged]), [1, 0, 3, 2]);
+    assert_eq!(served(&[(2, 1, 1, 9_000), (2, 2, 2, 100), urgent]), [1, 2, 0]);
+}
--- a/crates/carob-dispatch/tests/urgency_model/mod.rs
+++ b/crates/carob-dispatch/tests/urgency_model/mod.rs
@@ -106,26 +106,32 @@
     outcome: Outcome,
 }
 
-impl Instance {
-    fn new(engines: usize, seed: u64) -> Self {
-        let topology = Topology {
+/// A fleet with `engines` engines.
+pub fn fleet(engines: usize, seed: u64) -> Fleet {
+    let topology = Topology {
+        domain: "a".into(),
+        regions: [("a".into(), "one".into())].into_iter().collect(),
+    };
+    let mut fleet = Fleet::new(topology, seed);
+    for number in 0..engines {
+        let entry = DirectoryEntry {
+            id: format!("{number:03}").into(),
+            started_ms: 1,
+            sequence: 0,
+            service: "engines".into(),
+            address: ([127, 0, 0, 1], number as u16 + 1).into(),
             domain: "a".into(),
-            regions: [("a".into(), "one".into())].into_iter().collect(),
+            slots: SLOTS as u32,
+            state: UpstreamState::Ready,
         };
-        let mut fleet = Fleet::new(topology, seed);
-        for number in 0..engines {
-            let entry = DirectoryEntry {
-                id: format!("{number:03}").into(),
-                started_ms: 1,
-                sequence: 0,
-                service: "engines".into(),
-                address: ([127, 0, 0, 1], number as u16 + 1).into(),
-                domain: "a".into(),
-                slots: SLOTS as u32,
-                state: UpstreamState::Ready,
-            };
-            fleet.update_entry(entry, Time::ZERO);
-        }
+        fleet.update_entry(entry, Time::ZERO);
+    }
+    fleet
+}
+
+impl Instance {
+    fn new(engines: usize, seed: u64) -> Self {
+        let fleet = fleet(engines, seed);
         let mut keys: Vec<_> = fleet
             .upstreams()
             .map(|(key, upstream)| (upstream.entry.id.clone(), key))
@@ -267,6 +273,7 @@
             requirements,
             priority,
             queued_at: time,
+            share: None,
         });
         let until = now + wait.as_millis() as u64;
         found.waiting.insert(key, Waiting { job: number, until });
--- a/crates/carob-gateway/src/traffic/admission.rs
+++ b/crates/carob-gateway/src/traffic/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use carob_dispatch::fleet::{
-    RequestSize, Requirements, UpstreamKey,
+    RequestSize, Requirements, Share, UpstreamKey,
     urgency::{self, Silence, TURN_TIME},
 };
 use tokio::{
@@ -73,6 +73,18 @@
     wait
 }
 
+/// By what a request that waits `until` then at the longest shares its turn; `None` if it goes by arrival.
+pub(super) fn share(call: &Call, until: Instant) -> Option<Share> {
+    call.urgency.engine_priority?;
+    let account = call.account.as_deref().unwrap_or_default();
+    let left = until.saturating_duration_since(Instant::now());
+    Some(Share {
+        account: xxhash_rust::xxh3::xxh3_64(account.as_bytes()),
+        part: call.head.parts.last().copied().unwrap_or(0),
+        until: call.shared.now() + left,
+    })
+}
+
 /// Waits until a queued request has a place. Patient requests are tried again in each turn, since nothing else may happen.
 pub(super) async fn await_grant(call: &Call, entry: &mut QueueEntry) -> Result<Grant, RecvError> {
     call.shared.load_changed.notify_one();
@@ -96,7 +108,8 @@
         metrics::counter!("carobhaven_patient_grants_total").increment(1);
     }
     log::info!(
-        request:% = call.id(), priority = call.priority, upstream:% = upstream_name(call, upstream),
+        request:% = call.id(), priority = call.priority, account = call.account.as_deref().unwrap_or("none"),
+        upstream:% = upstream_name(call, upstream), queued = call.shared.fleet().queue_length(&call.service),
         age_ms = call.age_ms(); "place found after waiting"
     );
 }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -394,6 +394,7 @@
         requirements,
         priority: call.priority,
         queued_at: now,
+        share: admission::share(call, wait.until),
     });
     let mut entry = QueueEntry::new(shared, key);
     shared.grant_waiting();
