--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -72,6 +72,7 @@
             failure_rate: 0.0,
             avoid_until: Time::ZERO,
             paused_until: Time::ZERO,
+            prefilled_at: None,
             link: super::links::Link::default(),
             pace: super::pace::Pace::default(),
             entry,
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -7,12 +7,14 @@
 mod cold;
 mod directory;
 mod eligibility;
+mod fairness;
 mod limited;
 mod links;
 mod pace;
 mod peers;
 mod place;
 mod relays;
+pub mod urgency;
 mod waiting;
 
 use std::{
@@ -27,6 +29,7 @@
 use crate::limits::{Cold, ColdPermit, Limits, Options as LimitOptions, Permit, Place};
 
 pub use eligibility::Exclusion;
+pub use fairness::Share;
 pub use limited::Held;
 pub use links::LinkFailure;
 pub use pace::{KnownPace, MAX_REPORTS as MAX_PACE_REPORTS, PaceRange, PaceReport, SentLoad};
@@ -111,6 +114,8 @@
     avoid_until: Time,
     /// Until when it gets nothing, since it asked for that.
     paused_until: Time,
+    /// When it is last known to have prefilled a prompt.
+    prefilled_at: Option<Time>,
     link: links::Link,
     pace: pace::Pace,
 }
@@ -126,6 +131,11 @@
         self.paused_until > now
     }
 
+    /// When it is last known to have prefilled a prompt, of any instance.
+    pub const fn prefilled_at(&self) -> Option<Time> {
+        self.prefilled_at
+    }
+
     /// Requests of all instances that run on it, as far as is known.
     pub const fn total_requests(&self) -> u32 {
         self.local_requests + self.peer_requests
@@ -207,6 +217,7 @@
     limits: Limits,
     /// Upstreams that are cold.
     cold: Cold,
+    urgency: urgency::State,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
     /// When the paces of all upstreams were last evaluated.
@@ -238,6 +249,7 @@
             peers: HashMap::new(),
             limits: Limits::new(LimitOptions::default(), seed),
             cold: Cold::new(seed),
+            urgency: urgency::State::new(seed),
             evacuated: BTreeSet::new(),
             paces_at: Time::ZERO,
             tie_seed: seed,
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -11,7 +11,7 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState, pace};
+use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState, pace, urgency::PatientBound};
 use crate::{limits::Access, regions::Regions};
 
 carob_base::plain! {
@@ -51,6 +51,8 @@
     pub regions: Regions,
     /// Longest gap between two events of a stream that is on time; zero if there is no such target.
     pub gap_target: Duration,
+    /// Further bounds on the load of an engine; `None` unless the request is patient.
+    pub patience: Option<PatientBound>,
 }
 
 impl Requirements {
@@ -64,9 +66,17 @@
             excluded: SmallVec::new(),
             regions: Regions::any(),
             gap_target: Duration::ZERO,
+            patience: None,
         }
     }
 
+    /// Bounds the load of engines that a patient request may go to.
+    #[must_use]
+    pub const fn with_patience(mut self, patience: Option<PatientBound>) -> Self {
+        self.patience = patience;
+        self
+    }
+
     /// Excludes upstreams.
     #[must_use]
     pub fn with_excluded(mut self, excluded: SmallVec<[UpstreamKey; 4]>) -> Self {
@@ -352,6 +362,12 @@
 
 /// Whether the upstream can run the request in addition to those that it already runs.
 pub(super) fn has_room(upstream: &Upstream, requirements: &Requirements) -> bool {
+    if requirements
+        .patience
+        .is_some_and(|bound| !bound.permits(upstream, requirements))
+    {
+        return false;
+    }
     let slots = f64::from(upstream.entry.slots.max(1));
     if requirements.capacity == 0 {
         return f64::from(upstream.total_requests()) < slots * MAX_BACKLOG;
--- a/crates/carob-dispatch/tests/pace.rs
+++ b/crates/carob-dispatch/tests/pace.rs
@@ -51,6 +51,7 @@
             domain: domain(number % domains),
             slots: if service == "engines" { 24 } else { 6 },
             state: UpstreamState::Ready,
+            cold_left: Duration::ZERO,
         },
         now,
     );
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -1,15 +1,14 @@
 //! RAII guards for the state of a request, whose future may be dropped at any await point.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use carob_base::Time;
 use carob_dispatch::{
-    fleet::{RequestSize, RunKey, UpstreamKey, WaitKey},
+    fleet::{RequestSize, RunKey, UpstreamKey, WaitKey, urgency},
     limits::Spent,
 };
-
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::Instant};
 
 use super::{
     pace::Sent,
@@ -84,6 +83,9 @@
     pub(super) size: RequestSize,
     /// Absent until the request is sent.
     sent: Cell<Option<Sent>>,
+    pub(super) placed: Instant,
+    /// Time to the first event that was expected when the capacity was reserved.
+    pub(super) expected: Duration,
 }
 
 impl Reservation {
@@ -106,12 +108,17 @@
     /// Takes over a reservation that the fleet has already recorded under `key`.
     pub(super) fn adopt(shared: &Rc<Shared>, upstream: UpstreamKey, key: RunKey, size: RequestSize) -> Self {
         shared.load_changed.notify_one();
+        let expected = shared.fleet().upstream(upstream).map_or(Duration::ZERO, |found| {
+            urgency::prefill_time(found.pending_prefill(), found.total_requests())
+        });
         Self {
             shared: Rc::clone(shared),
             upstream,
             key,
             size,
             sent: Cell::new(None),
+            placed: Instant::now(),
+            expected,
         }
     }
 
@@ -136,9 +143,16 @@
 
     /// Corrects the reserved size.
     pub(super) fn resize(&mut self, size: RequestSize) {
+        let prefilled = size.prefill < self.size.prefill;
         self.size = size;
         self.shared.fleet_mut().resize(self.key, size);
         self.shared.load_changed.notify_one();
+        if prefilled {
+            let now = self.shared.now();
+            self.shared.fleet_mut().record_prefilled(self.upstream, now);
+            // Patient requests wait for that.
+            self.shared.grant_waiting();
+        }
     }
 }
 
@@ -173,10 +187,11 @@
 impl Drop for QueueEntry {
     fn drop(&mut self) {
         self.shared.cancel_wait(self.key);
+        // Others are told of the queue.
+        self.shared.load_changed.notify_one();
         // A place that was granted and not taken is free again.
         if let Ok((_, run)) = self.grant.try_recv() {
             self.shared.fleet_mut().finish_request(run);
-            self.shared.load_changed.notify_one();
             self.shared.grant_waiting();
         }
     }
