feat: upstreams that are likely to have the beginning of a prompt cached are preferred

Change: the parts of Prompt-Prefix are read with their tokens. The fleet records which parts were sent to which upstream, for 5 s, for less where little memory is free, and not beyond an incarnation. The saved tokens count in the score like as many pending prefill tokens, up to a quarter of the request's prefill, and reduce the prefill that is expected of a request from the queue. Reports for other instances are bounded to 2,048 bytes a second in all.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -142,6 +142,8 @@
         let upstreams = &self.upstreams;
         self.by_name.retain(|_, key| upstreams.contains_key(*key));
         self.by_hash.retain(|_, key| upstreams.contains_key(*key));
+        self.prefixes
+            .evict_stale(|key| self.upstreams.contains_key(key), now);
         let by_hash = &self.by_hash;
         self.limits.evict_stale(|hash| by_hash.contains_key(&hash), now);
     }
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod links;
 mod peers;
 mod place;
+mod prefixes;
 mod relays;
 mod waiting;
 
@@ -29,6 +30,7 @@
 pub use links::LinkFailure;
 pub use peers::{MessageStamp, PeerLoad};
 pub use place::{Placement, Requirements, UpstreamHealth};
+pub use prefixes::{HeldPrefix, PrefixReport};
 pub use relays::{Relay, RelayOffer, service_hash};
 pub use waiting::{Assignment, QueuedRequest};
 
@@ -197,6 +199,7 @@
     queue: waiting::Queue,
     peers: HashMap<SocketAddr, peers::Peer>,
     limits: Limits,
+    prefixes: prefixes::Prefixes,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
     /// Seed for breaking ties. Changes with every request, so that requests are spread over equal upstreams,
@@ -225,6 +228,7 @@
             queue: waiting::Queue::default(),
             peers: HashMap::new(),
             limits: Limits::new(LimitOptions::default(), seed),
+            prefixes: prefixes::Prefixes::default(),
             evacuated: BTreeSet::new(),
             tie_seed: seed,
         }
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState};
-use crate::{limits::Access, regions::Regions};
+use crate::{head::PromptPart, limits::Access, regions::Regions};
 
 carob_base::plain! {
     /// Health of an upstream, as the outcome of one forwarded request showed it.
@@ -47,6 +47,8 @@
     pub excluded: SmallVec<[UpstreamKey; 4]>,
     /// Regions in which it may run.
     pub regions: Regions,
+    /// Parts of its prompt, which upstreams may have cached; empty if it names none.
+    pub prompt: SmallVec<[PromptPart; 4]>,
 }
 
 impl Requirements {
@@ -59,6 +61,7 @@
             capacity,
             excluded: SmallVec::new(),
             regions: Regions::any(),
+            prompt: SmallVec::new(),
         }
     }
 
@@ -75,6 +78,13 @@
         self.regions = regions;
         self
     }
+
+    /// Names the parts of the prompt.
+    #[must_use]
+    pub fn with_prompt(mut self, prompt: SmallVec<[PromptPart; 4]>) -> Self {
+        self.prompt = prompt;
+        self
+    }
 }
 
 /// Maximum sum of the expected sizes of an engine's generations, as a share of its memory.
@@ -90,7 +100,7 @@
 /// that each prompt ahead delays the first event by its whole prefill time. With eight generations to an
 /// engine, one prompt counts like three quarters of the memory (5/6 at most: 1/8 divided by 0.15, if a
 /// generation is all prompt), so pending prompts weigh more than memory in the choice.
-const PREFILL_SHARE: f64 = 0.15;
+pub(super) const PREFILL_SHARE: f64 = 0.15;
 
 /// Maximum number of requests per slot of an upstream for plain calls. Further ones are queued here,
 /// since they would only wait inside the upstream.
@@ -116,7 +126,7 @@
 
 /// Load added to an upstream in another region, as a share of its capacity; to be chosen, its load must be
 /// lower by more than this.
-const REGION_PENALTY: f64 = 0.08;
+pub(super) const REGION_PENALTY: f64 = 0.08;
 
 /// Load added to an upstream that is reached through another instance only, as a share of its capacity: the way is
 /// longer and takes that instance's time.
@@ -311,6 +321,7 @@
             + relay
             + self.distance_penalty(&upstream.entry.domain)
             + tie_break
+            - self.saved_load(key, upstream, requirements, now)
     }
 
     /// Hashes an upstream and a random number to a number above 0 and up to 1.
@@ -320,7 +331,7 @@
     }
 
     /// Load added for the distance between this instance and `domain`.
-    fn distance_penalty(&self, domain: &str) -> f64 {
+    pub(super) fn distance_penalty(&self, domain: &str) -> f64 {
         let regions = &self.topology.regions;
         if *domain == *self.topology.domain {
             0.0
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -63,7 +63,10 @@
         let granted = self.queue.order.iter().find_map(|key| {
             let request = &self.queue.requests[*key];
             match self.place(&request.requirements, now) {
-                Placement::Upstream(upstream) => Some((*key, upstream, request.requirements.size)),
+                Placement::Upstream(upstream) => {
+                    let size = self.expected_size(upstream, &request.requirements, now);
+                    Some((*key, upstream, size))
+                }
                 Placement::Full | Placement::NoUpstream => None,
             }
         })?;
--- /dev/null
+++ b/crates/carob-dispatch/tests/prefixes.rs
@@ -0,0 +1,258 @@
+//! Which beginnings of prompts upstreams are taken to have cached, and what that changes in placement.
+
+use std::{collections::HashSet, time::Duration};
+
+use carob_base::Time;
+use carob_dispatch::{
+    fleet::{
+        DirectoryEntry, Fleet, Placement, PrefixReport, RequestSize, Requirements, Topology, UpstreamKey,
+        UpstreamState,
+    },
+    head::PromptPart,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const CAPACITY: u64 = 26_881;
+const NOW: Time = Time::from_millis(10_000);
+
+fn size(tokens: u64, prefill: u64) -> RequestSize {
+    RequestSize { tokens, prefill }
+}
+
+fn add(fleet: &mut Fleet, number: u16, started_ms: u64, domain: &str) -> UpstreamKey {
+    let id = format!("engine-{number}");
+    fleet.update_entry(
+        DirectoryEntry {
+            id: id.as_str().into(),
+            started_ms,
+            sequence: 0,
+            service: "engines".into(),
+            address: ([127, 0, 0, 1], number).into(),
+            domain: domain.into(),
+            slots: 24,
+            state: UpstreamState::Ready,
+        },
+        NOW,
+    );
+    let mut added = fleet.upstreams();
+    let found = added.find(|(_, found)| *found.entry.id == *id && found.entry.started_ms == started_ms);
+    found.expect("added").0
+}
+
+/// A fleet with `count` engines in its own failure domain.
+fn fleet(count: u16, seed: u64) -> (Fleet, Vec<UpstreamKey>) {
+    let regions = [("a", "north"), ("c", "south")].map(|(domain, region)| (domain.into(), region.into()));
+    let (domain, regions) = ("a".into(), regions.into_iter().collect());
+    let mut fleet = Fleet::new(Topology { domain, regions }, seed);
+    let keys = (1..=count)
+        .map(|number| add(&mut fleet, number, 7, "a"))
+        .collect();
+    (fleet, keys)
+}
+
+/// A prompt of shared parts `first` (210 tokens) and `second` (140 tokens), and a part of its own.
+fn prompt(first: u32, second: u32, own: u32) -> Vec<PromptPart> {
+    let part = |id, tokens, is_own| PromptPart { id, tokens, is_own };
+    vec![
+        part(first, 210, false),
+        part(second, 140, false),
+        part(own, 1_850, true),
+    ]
+}
+
+fn requirements(prompt: &[PromptPart]) -> Requirements {
+    Requirements::new("engines".into(), size(2_208, 2_200), CAPACITY).with_prompt(prompt.into())
+}
+
+fn placed(fleet: &Fleet, prompt: &[PromptPart]) -> UpstreamKey {
+    match fleet.place(&requirements(prompt), NOW) {
+        Placement::Upstream(key) => key,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn saved(fleet: &Fleet, key: UpstreamKey, prompt: &[PromptPart], millis: u64) -> u64 {
+    let now = NOW + Duration::from_millis(millis);
+    fleet.held_prefix(key, &requirements(prompt), now).tokens
+}
+
+/// A part behind one that is not cached is prefilled, and must not be counted as saved.
+#[test]
+fn tokens_are_saved_from_the_first_part_on() {
+    let (mut fleet, keys) = fleet(1, 1);
+    fleet.record_prompt(keys[0], &prompt(1, 2, 3), NOW);
+    assert_eq!(saved(&fleet, keys[0], &prompt(1, 2, 4), 0), 350);
+    assert_eq!(saved(&fleet, keys[0], &prompt(1, 9, 3), 0), 210);
+    assert_eq!(saved(&fleet, keys[0], &prompt(9, 2, 3), 0), 0);
+    // The same session again.
+    assert_eq!(saved(&fleet, keys[0], &prompt(1, 2, 3), 0), 2_200);
+    // A wrong guess must not hide more than a quarter of a prefill.
+    let expected = |prompt: &[PromptPart]| fleet.expected_size(keys[0], &requirements(prompt), NOW).prefill;
+    assert_eq!(
+        [prompt(1, 2, 4), prompt(1, 2, 3), vec![]].map(|asked| expected(&asked)),
+        [1_850, 1_650, 2_200]
+    );
+}
+
+/// A saving must not outweigh a longer wait, whatever the random part of the choice, nor cause traffic between regions.
+#[test]
+fn a_holder_is_chosen_unless_the_wait_there_is_longer_than_what_it_saves() {
+    for (seed, (pending, holder)) in
+        (0..400).zip([(0, 0), (250, 0), (400, 1), (1_000, 1)].into_iter().cycle())
+    {
+        let (mut fleet, keys) = fleet(2, seed);
+        let far = add(&mut fleet, 3, 7, "c");
+        fleet.record_prompt(far, &prompt(5, 6, 7), NOW);
+        assert_ne!(placed(&fleet, &prompt(5, 6, 7)), far, "seed {seed}");
+        fleet.record_prompt(keys[0], &prompt(1, 2, 3), NOW);
+        fleet.start_request(keys[0], size(100, pending));
+        fleet.start_request(keys[1], size(100, 0));
+        assert_eq!(
+            placed(&fleet, &prompt(1, 2, 4)),
+            keys[holder],
+            "seed {seed}, {pending} pending"
+        );
+        // Without the header, nothing changes.
+        assert!(
+            pending == 0 || placed(&fleet, &[]) == keys[1],
+            "seed {seed}, {pending} pending"
+        );
+    }
+}
+
+/// Engines drop parts that are not used, all of them when they start again, and early if running requests need the memory.
+#[test]
+fn parts_are_forgotten_in_time_at_a_new_incarnation_and_where_memory_is_full() {
+    let (mut fleet, keys) = fleet(1, 1);
+    let asked = prompt(1, 2, 4);
+    fleet.record_prompt(keys[0], &asked, NOW);
+    assert_eq!(
+        [4_900, 5_000].map(|millis| saved(&fleet, keys[0], &asked, millis)),
+        [2_200, 0]
+    );
+    fleet.start_request(keys[0], size(CAPACITY * 3 / 4, 0));
+    assert_eq!(
+        [2_400, 2_600].map(|millis| saved(&fleet, keys[0], &asked, millis)),
+        [2_200, 0]
+    );
+    fleet.start_request(keys[0], size(CAPACITY / 4 + 1, 0));
+    assert_eq!(saved(&fleet, keys[0], &asked, 0), 0, "the memory is full");
+    let report = PrefixReport {
+        upstream_hash: fleet.upstream_hash(keys[0]),
+        parts: [1, 2].into_iter().collect(),
+    };
+    let restarted = add(&mut fleet, 1, 8, "a");
+    // Others may not know yet that it started again.
+    fleet.merge_prefix_reports(&[report], NOW);
+    assert_eq!(saved(&fleet, restarted, &asked, 0), 0);
+    fleet.evict_stale(NOW + Duration::from_secs(5));
+    assert_eq!(fleet.prefix_parts(), 0);
+}
+
+/// The memory of an instance and the bytes that others send it are bounded, whatever clients name in their prompts.
+#[test]
+fn parts_and_messages_are_bounded() {
+    let (mut fleet, keys) = fleet(100, 1);
+    let mut bytes = 0;
+    for step in 0..20_000_u32 {
+        let now = NOW + Duration::from_millis(u64::from(step) / 4);
+        let key = keys[step as usize % 100];
+        fleet.record_prompt(key, &prompt(3 * step, 3 * step + 1, 3 * step + 2), now);
+        let reports = fleet.take_prefix_reports(369, step % 4_000 == 0, now);
+        bytes += reports
+            .iter()
+            .map(|report| 13 + 4 * report.parts.len())
+            .sum::<usize>();
+    }
+    assert!(fleet.prefix_parts() <= 16_384, "{} parts", fleet.prefix_parts());
+    assert!(0 < bytes && bytes <= 2_048 * 5 / 369 + 64, "{bytes} bytes in 5 s");
+    let (mut fleet, keys) = self::fleet(1, 1);
+    for number in 0..1_000 {
+        let now = NOW + Duration::from_millis(number.into());
+        fleet.record_prompt(keys[0], &prompt(2 * number, 2 * number + 1, 0), now);
+    }
+    assert_eq!(
+        saved(&fleet, keys[0], &prompt(1_998, 1_999, 5), 1_000),
+        350,
+        "the latest are kept"
+    );
+    assert!(fleet.prefix_parts() <= 256);
+}
+
+/// A request's own part, which nobody else has, costs no bytes; a lost message is made up for by the next complete one.
+#[test]
+fn shared_parts_are_told_once_and_repeated_once() {
+    let (mut fleet, keys) = fleet(1, 1);
+    let take = |fleet: &mut Fleet, complete, millis| {
+        let reports = fleet.take_prefix_reports(6, complete, NOW + Duration::from_millis(millis));
+        let parts = reports.into_iter().map(|report| report.parts.into_vec());
+        parts.collect::<Vec<_>>()
+    };
+    fleet.record_prompt(keys[0], &prompt(1, 2, 3), NOW);
+    assert_eq!(take(&mut fleet, false, 10), [[1, 2]]);
+    assert!(take(&mut fleet, false, 20).is_empty());
+    assert_eq!(take(&mut fleet, true, 30), [[1, 2]]);
+    assert!(take(&mut fleet, true, 1_030).is_empty());
+    // What others have heard of lately is left out.
+    fleet.record_prompt(keys[0], &prompt(1, 8, 9), NOW + Duration::from_millis(1_100));
+    assert_eq!(take(&mut fleet, false, 1_200), [[8]]);
+}
+
+/// Shares of the shared tokens that are cached at the upstreams which an instance chooses, with and without the prompt, if
+/// it knows of `known` of the prompts that were sent to `engines` equally loaded engines in the last 5 s.
+fn found_shares(rate: u32, engines: u16, known: f64) -> [f64; 2] {
+    let (mut fleet, keys) = fleet(engines, 1);
+    let mut random = StdRng::seed_from_u64(7);
+    let mut draw = |number| {
+        prompt(
+            random.random_range(0..16),
+            random.random_range(100..4_235),
+            10_000 + number,
+        )
+    };
+    let mut cached = HashSet::new();
+    for number in 0..5 * rate {
+        let (key, drawn) = (keys[number as usize % keys.len()], draw(number));
+        cached.extend(drawn.iter().map(|part| (key, part.id)));
+        if f64::from(number * 7_919 % 1_000) < known * 1_000.0 {
+            fleet.record_prompt(key, &drawn, NOW);
+        }
+    }
+    let mut found = [0, 0];
+    for number in 0..2_000 {
+        let drawn = draw(5 * rate + number);
+        let run = fleet.start_request(keys[0], size(0, 0));
+        fleet.finish_request(run);
+        for (tokens, asked) in found.iter_mut().zip([&drawn[..], &[]]) {
+            let key = placed(&fleet, asked);
+            let held = drawn.iter().take_while(|part| cached.contains(&(key, part.id)));
+            *tokens += held.map(|part| part.tokens).sum::<u32>();
+        }
+    }
+    found.map(|tokens| f64::from(tokens) / (350.0 * 2_000.0))
+}
+
+/// Knowledge that is late (30 ms of 5 s), lost in part or cut to the permitted bytes must still find what chance does not.
+#[test]
+fn shared_tokens_are_found_although_messages_are_late_and_lost() {
+    for (instances, rate, engines, loss) in [
+        (7, 7, 6, 0.0),
+        (66, 70, 57, 0.0),
+        (66, 70, 57, 0.3),
+        (66, 70, 57, 1.0),
+        (300, 4_135, 486, 0.3),
+    ] {
+        let told = (2_048.0 / (21.0 * f64::from(rate))).min(1.0) * (1.0 - loss) * (1.0 - 0.03 / 5.0);
+        let known = 1.0 / f64::from(instances) + (1.0 - 1.0 / f64::from(instances)) * told;
+        let [with, without] = found_shares(rate, engines, known);
+        println!(
+            "{instances} instances, {loss} lost: {with:.3} found, {without:.3} without, {known:.3} known"
+        );
+        // One of 16 first parts, which is 0.6 of the shared tokens, is found unless no prompt that is known has it.
+        let least = 0.6 * (1.0 - (15.0_f64 / 16.0).powf(known * 5.0 * f64::from(rate)));
+        assert!(
+            with >= 0.9 * least && with >= without,
+            "{with} found, {least} expected, {without} without"
+        );
+    }
+}
