feat: instances tell each other which parts of prompts upstreams were sent

Cause: an instance sees 1 in 66 of the requests, so that it knows next to nothing of what upstreams have cached by its own placements. Change: a prompt is recorded when its request is sent; messages carry the news in tag 26, complete ones repeat them once. The expected prefill of a placed request is less what is likely to be cached.

--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -8,7 +8,7 @@
 
 use carob_dispatch::{
     crashes::{CrashReport, MAX_SUSPECTS, Part, SoundReport, Suspect, TrialReport, WHOLE_REQUEST},
-    fleet::{self, PeerLoad},
+    fleet::{self, PeerLoad, PrefixReport},
     limits::{Origin, Report as LimitReport},
 };
 use carob_platform::store::Item as StoreItem;
@@ -93,6 +93,9 @@
     /// Revision after which `changes` begins; zero if that is empty.
     #[prost(uint64, tag = "23")]
     pub changes_base: u64,
+    /// Parts of prompts that were sent to upstreams since the previous message; repeated once in a complete one.
+    #[prost(message, repeated, tag = "26")]
+    pub prefixes: Vec<Prefix>,
     /// Whether the sender keeps the keys of evacuated failure domains. Builds that do not leave them out of what they pass
     /// on.
     #[prost(bool, tag = "28")]
@@ -322,6 +325,17 @@
     pub pending_prefill: u64,
 }
 
+/// Parts of a prompt that an upstream was sent.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Prefix {
+    /// Stable hash that identifies the upstream and its incarnation.
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// Hashes of the parts' ids.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub parts: Vec<u32>,
+}
+
 /// Asks for the receiver's copy of the store's content, or the part that changed after a revision; or for a connection
 /// to an upstream.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -505,6 +519,24 @@
     }
 }
 
+impl From<PrefixReport> for Prefix {
+    fn from(report: PrefixReport) -> Self {
+        Self {
+            upstream_hash: report.upstream_hash,
+            parts: report.parts.into_vec(),
+        }
+    }
+}
+
+impl From<Prefix> for PrefixReport {
+    fn from(prefix: Prefix) -> Self {
+        Self {
+            upstream_hash: prefix.upstream_hash,
+            parts: prefix.parts.into(),
+        }
+    }
+}
+
 impl From<LimitReport> for Limit {
     fn from(report: LimitReport) -> Self {
         Self {
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{departure, limit, relay, shared::Shared};
+use super::{departure, limit, prefixes, relay, shared::Shared};
 use crate::{
     era::Position,
     peer::{Announcement, Crash, Item, Limit, Load, RelayOffer, Sound, Trial},
@@ -107,6 +107,7 @@
             limits: limits.into_iter().map(Limit::from).collect(),
             leaving: leaving.clone(),
             brittle: brittle.into_iter().map(Limit::from).collect(),
+            prefixes: prefixes::take(shared, complete),
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..Announcement::default()
         };
@@ -307,6 +308,7 @@
     let brittle: Vec<LimitReport> = message.brittle.into_iter().map(Into::into).collect();
     limit::merge_brittle(shared, peer, &brittle);
     departure::merge(shared, peer, &message.leaving);
+    prefixes::merge(shared, peer, message.prefixes);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
         number: message.sequence,
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -22,7 +22,7 @@
     body::HeldBytes,
     departure, exchange,
     guard::Reservation,
-    limit, link,
+    limit, link, prefixes,
     relay::Purpose,
     repeats::{self, Repeat},
     shared::Shared,
@@ -203,6 +203,7 @@
         Requirements::new(self.service.clone(), size, capacity)
             .with_excluded(excluded)
             .with_regions(self.regions())
+            .with_prompt(self.head.prefix.clone())
     }
 
     /// Classifies the answer to the latest send to `upstream`. That it was not run is believed of its first send alone: the
@@ -284,6 +285,7 @@
             limit::count_permits("used", 1);
         }
         self.sent_to.borrow_mut().push(reservation.upstream);
+        prefixes::record_sent(self, reservation.upstream);
         self.send_begun.notify_waiters();
         let sent = Instant::now();
         let may_repeat = self.route.kind.is_idempotent();
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -29,7 +29,7 @@
     guard::{ActiveRequest, QueueEntry, Reservation},
     limit, link,
     listen::RequestCount,
-    plain, probe,
+    plain, prefixes, probe,
     repeats::Repeat,
     resume::OpenStream,
     shared::Shared,
@@ -365,7 +365,7 @@
     let placement = shared.fleet().place(&requirements, now);
     match placement {
         Placement::Upstream(upstream) if queue_empty || !tried.is_empty() => {
-            return Ok(Reservation::new(shared, upstream, size));
+            return Ok(prefixes::reserve(shared, upstream, &requirements));
         }
         Placement::NoUpstream => {
             return Err((
@@ -552,6 +552,7 @@
 }
 
 fn log_sent(call: &Call, reservation: &Reservation, attempts_before: u32) {
+    let held = prefixes::count_expected(call, reservation.upstream);
     let fleet = call.shared.fleet();
     let Some(found) = fleet.upstream(reservation.upstream) else {
         return;
@@ -560,7 +561,8 @@
         request:% = call.id(), route:% = call.route.name, service:% = call.service, upstream:% = found.entry.id,
         tokens = reservation.size.tokens, upstream_tokens = found.expected_tokens(),
         upstream_prompts = found.pending_prefill(), upstream_requests = found.total_requests(),
-        attempts_before, age_ms = call.age_ms(), version = call.version; "sent to an upstream"
+        saved_tokens = held.tokens, saved_age_ms = held.age.as_millis() as u64, attempts_before,
+        age_ms = call.age_ms(), version = call.version; "sent to an upstream"
     );
 }
 
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod listen;
 mod migrate;
 mod plain;
+mod prefixes;
 mod probe;
 mod relay;
 mod repeats;
