--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -47,7 +47,7 @@
     pub excluded: SmallVec<[UpstreamKey; 4]>,
     /// Regions in which it may run.
     pub regions: Regions,
-    /// Parts of its prompt, which upstreams may have cached; empty if it names none.
+    /// Parts of its prompt that other requests may share, which upstreams may have cached; empty if it names none.
     pub prompt: SmallVec<[PromptPart; 4]>,
 }
 
--- a/crates/carob-dispatch/src/fleet/prefixes.rs
+++ b/crates/carob-dispatch/src/fleet/prefixes.rs
@@ -70,7 +70,7 @@
 /// Divisor of a request's prefill: saved tokens count up to that share of it, in the choice of an upstream and in the
 /// prefill that is expected there.
 ///
-/// So little that a request that comes again does not prefer the upstream which failed it. If nothing is cached after all, the pending prefill of an engine is 4/3 of what is expected. Urgent requests have their
+/// If nothing is cached after all, the pending prefill of an engine is 4/3 of what is expected. Urgent requests have their
 /// first event within 1 s with 4,400 pending tokens ahead of them; 1,470 more take 105 ms, well within their target of 1.5 s.
 const MAX_SAVED_DIVISOR: u64 = 4;
 
@@ -256,7 +256,7 @@
         let mut untold = SmallVec::new();
         for part in prompt {
             let is_news = self.prefixes.record(upstream, part.id, false, now);
-            if is_news && !part.is_own && untold.len() < MAX_TOLD_PARTS {
+            if is_news && untold.len() < MAX_TOLD_PARTS {
                 untold.push(part.id);
             }
         }
--- a/crates/carob-dispatch/src/head.rs
+++ b/crates/carob-dispatch/src/head.rs
@@ -22,15 +22,13 @@
 }
 
 carob_base::plain! {
-    /// A part of a prompt, as an engine may have it cached.
+    /// A part of a prompt that requests may share, as an engine may have it cached.
     pub struct PromptPart {
         /// Hash of the part's id. With 32 bits, one in ten million searches among 400 parts finds another part; it is sent
         /// to all other instances, so that its length counts.
         pub id: u32,
         /// Number of its tokens, as the client says.
         pub tokens: u32,
-        /// Whether it is the last one, which belongs to the request or its session alone.
-        pub is_own: bool,
     }
 }
 
@@ -61,8 +59,8 @@
         /// Hashes of the prompt's parts in their order, each once. The last part is left out: it belongs to the
         /// request or its session alone.
         pub parts: SmallVec<[u64; 4]>,
-        /// The prompt's parts with their tokens, in their order; ends before the first entry without an id or a number of
-        /// tokens.
+        /// The prompt's parts with their tokens, in their order, other than the last; ends before the first entry without
+        /// an id or a number of tokens.
         pub prefix: SmallVec<[PromptPart; 4]>,
         /// Hash of the ids of all parts of the prompt, the last one included; zero if the request has none.
         pub prompt: u64,
--- a/crates/carob-gateway/src/traffic/prefixes.rs
+++ b/crates/carob-gateway/src/traffic/prefixes.rs
@@ -27,8 +27,7 @@
         .with_prompt(call.head.prefix.clone());
     let shared = &call.shared;
     let held = shared.fleet().held_prefix(upstream, &requirements, shared.now());
-    let parts = call.head.prefix.iter().filter(|part| !part.is_own);
-    let tokens = parts.map(|part| u64::from(part.tokens)).sum();
+    let tokens = call.head.prefix.iter().map(|part| u64::from(part.tokens)).sum();
     metrics::counter!("carobhaven_prefix_tokens_total", "kind" => "shared").increment(tokens);
     metrics::counter!("carobhaven_prefix_tokens_total", "kind" => "expected").increment(held.tokens);
     held
