--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod peers;
 mod place;
+mod prefixes;
 mod relays;
 pub mod urgency;
 mod waiting;
@@ -35,6 +36,7 @@
 pub use pace::{KnownPace, MAX_REPORTS as MAX_PACE_REPORTS, PaceRange, PaceReport, SentLoad};
 pub use peers::{MessageStamp, PeerLoad};
 pub use place::{Placement, Requirements, UpstreamHealth};
+pub use prefixes::{HeldPrefix, PrefixReport};
 pub use relays::{Relay, RelayOffer, service_hash};
 pub use waiting::{Assignment, QueuedRequest};
 
@@ -218,6 +220,7 @@
     /// Upstreams that are cold.
     cold: Cold,
     urgency: urgency::State,
+    prefixes: prefixes::Prefixes,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
     /// When the paces of all upstreams were last evaluated.
@@ -250,6 +253,7 @@
             limits: Limits::new(LimitOptions::default(), seed),
             cold: Cold::new(seed),
             urgency: urgency::State::new(seed),
+            prefixes: prefixes::Prefixes::default(),
             evacuated: BTreeSet::new(),
             paces_at: Time::ZERO,
             tie_seed: seed,
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -127,7 +127,10 @@
             has_patient |= is_patient;
             let renewed = self.renew_bound(&request.requirements, request.priority, now);
             match self.place(renewed.as_ref().unwrap_or(&request.requirements), now) {
-                Placement::Upstream(upstream) => Some((key, upstream, request.requirements.size)),
+                Placement::Upstream(upstream) => {
+                    let size = self.expected_size(upstream, &request.requirements, now);
+                    Some((key, upstream, size))
+                }
                 Placement::Full | Placement::NoUpstream => None,
             }
         });
--- a/crates/carob-dispatch/tests/pace_model/main.rs
+++ b/crates/carob-dispatch/tests/pace_model/main.rs
@@ -122,6 +122,7 @@
                     domain: format!("d{}", number / 4 % 6).into(),
                     slots: 24,
                     state: UpstreamState::Ready,
+                    cold_left: Duration::ZERO,
                 },
                 now,
             );
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{admission, cold, departure, limit, pace, relay, shared::Shared};
+use super::{admission, cold, departure, limit, pace, prefixes, relay, shared::Shared};
 use crate::{
     era::Position,
     peer::{Announcement, Crash, Item, Limit, Load, Queue, RelayOffer, Sound, Trial},
@@ -109,6 +109,7 @@
             paces,
             brittle,
             queued: queued.clone(),
+            prefixes: prefixes::take(shared, complete),
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..Announcement::default()
         };
@@ -327,6 +328,7 @@
     cold::merge(shared, peer, &message.cold);
     departure::merge(shared, peer, &message.leaving);
     pace::merge(shared, peer, &message.paces);
+    prefixes::merge(shared, peer, message.prefixes);
     let stamp = MessageStamp {
         boot_id: message.boot_id,
         number: message.sequence,
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -30,7 +30,7 @@
     guard::{ActiveRequest, QueueEntry, Reservation},
     limit, link,
     listen::RequestCount,
-    pace, plain, probe,
+    pace, plain, prefixes, probe,
     repeats::Repeat,
     resume::OpenStream,
     shared::Shared,
@@ -373,7 +373,7 @@
         Placement::Upstream(upstream)
             if (queue_empty && !admission::yields(call, &requirements)) || !tried.is_empty() =>
         {
-            return Ok(Reservation::new(shared, upstream, size));
+            return Ok(prefixes::reserve(shared, upstream, &requirements));
         }
         Placement::NoUpstream => {
             return Err((
@@ -566,6 +566,7 @@
 }
 
 fn log_sent(call: &Call, reservation: &Reservation, attempts_before: u32) {
+    let held = prefixes::count_expected(call, reservation.upstream);
     let fleet = call.shared.fleet();
     let Some(found) = fleet.upstream(reservation.upstream) else {
         return;
@@ -576,7 +577,8 @@
         pace = pace.factor, pace_weight = pace.weight, pace_age_ms = pace.age_ms,
         tokens = reservation.size.tokens, upstream_tokens = found.expected_tokens(),
         upstream_prompts = found.pending_prefill(), upstream_requests = found.total_requests(),
-        attempts_before, age_ms = call.age_ms(), version = call.version; "sent to an upstream"
+        saved_tokens = held.tokens, saved_age_ms = held.age.as_millis() as u64, attempts_before,
+        age_ms = call.age_ms(), version = call.version; "sent to an upstream"
     );
 }
 
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -21,6 +21,7 @@
 mod migrate;
 mod pace;
 mod plain;
+mod prefixes;
 mod probe;
 mod relay;
 mod repeats;
