fix: an answer without a final status counts as no answer of the upstream

An upstream in trouble sent `HTTP/1.1 000`. The HTTP library refuses 000, 099, letters and missing statuses, but takes 100 to 999, so that 600 to 999 and 101 were passed on to clients, on direct and on relayed connections.

An upstream that sends one is alive, and its link works.

--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use carob_dispatch::fleet::Exclusion;
+use carob_platform::answer;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -52,6 +53,9 @@
     /// The connection broke after the request may have been sent.
     #[error("connection broke: {0}")]
     Broken(String),
+    /// The response has no status of a final answer.
+    #[error("expected a status from 200 to 599, found {0}")]
+    Status(String),
     /// The response began and did not arrive whole: it is too long, or the deadline passed.
     #[error("response not received whole: {0}")]
     Unfinished(String),
@@ -199,13 +203,21 @@
             }
             Ok(Err(mut error)) => match error.take_message() {
                 Some(_unsent) => Err(Error::Connect("closed before the request was sent".to_owned())),
-                None => Err(Error::Broken(describe(&error.into_error()))),
+                None => Err(response_error(&error.into_error())),
             },
             Err(_elapsed) => Err(Error::Timeout),
         }
     }
 }
 
+/// Why a request that was sent got no response.
+fn response_error(error: &hyper::Error) -> Error {
+    if error.is_parse_status() {
+        return Error::Status("something else".to_owned());
+    }
+    Error::Broken(describe(error))
+}
+
 /// Describes an error with its causes.
 pub(crate) fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
@@ -247,6 +259,9 @@
 ) -> Result<Response<Bytes>, Error> {
     let (response, _task) = connection.send(request, deadline).await?;
     let (head, body) = response.into_parts();
+    if !answer::is_final_status(head.status.as_u16()) {
+        return Err(Error::Status(head.status.as_str().to_owned()));
+    }
     let body = timeout_at(deadline, Limited::new(body, limit).collect())
         .await
         .map_err(|_elapsed| Error::Unfinished("the deadline passed".to_owned()))?
--- a/crates/carob-gateway/src/traffic/crash.rs
+++ b/crates/carob-gateway/src/traffic/crash.rs
@@ -95,7 +95,7 @@
 /// Like [`observe_break`], for a request that `upstream` got at `last_sign` and left unanswered because of `error`.
 /// A request that timed out or was not sent broke nothing off.
 pub(super) fn observe_failure(call: &Call, upstream: UpstreamKey, error: &socket::Error, last_sign: Instant) {
-    if matches!(error, socket::Error::Broken(_)) {
+    if matches!(error, socket::Error::Broken(_) | socket::Error::Status(_)) {
         observe_break(call, upstream, last_sign, false);
     }
 }
@@ -198,7 +198,8 @@
         // Only engines have reports.
         Ok(connection) if is_engine => {
             let report = socket::call_on(connection, engine::get_report(), MAX_CONTROL_BYTES, deadline);
-            report.await.is_ok()
+            // Whatever answers lives.
+            matches!(report.await, Ok(_) | Err(socket::Error::Status(_)))
         }
         connection => connection.is_ok(),
     }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -515,9 +515,10 @@
         // Says nothing about the upstream.
         socket::Error::Excluded(_) => return no_answer(call, upstream, AttemptResult::Unsent, error),
         socket::Error::Connect(_) => (UpstreamHealth::Unreachable, AttemptResult::Unsent),
-        socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
-            (UpstreamHealth::Failing, AttemptResult::Unknown)
-        }
+        socket::Error::Broken(_)
+        | socket::Error::Status(_)
+        | socket::Error::Unfinished(_)
+        | socket::Error::Timeout => (UpstreamHealth::Failing, AttemptResult::Unknown),
     };
     shared.fleet_mut().record_attempt(upstream, health, shared.now());
     crash::observe_failure(call, upstream, error, sent);
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -120,7 +120,7 @@
     };
     match &outcome {
         Err(socket::Error::Excluded(_)) => {}
-        Ok(_) => record_answer(shared, upstream),
+        Ok(_) | Err(socket::Error::Status(_)) => record_answer(shared, upstream),
         Err(error @ socket::Error::Connect(_)) => {
             record_failure(shared, upstream, LinkFailure::Request, error);
         }
@@ -287,7 +287,7 @@
         Err(error) => Err(error),
     };
     match outcome {
-        Ok(_) => record_answer(&shared, upstream),
+        Ok(_) | Err(socket::Error::Status(_)) => record_answer(&shared, upstream),
         Err(error @ socket::Error::Timeout) => {
             record_failure(&shared, upstream, LinkFailure::Silence, &error);
         }
--- a/crates/carob-gateway/src/traffic/resume.rs
+++ b/crates/carob-gateway/src/traffic/resume.rs
@@ -147,9 +147,10 @@
                 reason: error.to_string(),
                 fate: match error {
                     socket::Error::Connect(_) | socket::Error::Excluded(_) => Fate::NotRun,
-                    socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
-                        Fate::Unknown
-                    }
+                    socket::Error::Broken(_)
+                    | socket::Error::Status(_)
+                    | socket::Error::Unfinished(_)
+                    | socket::Error::Timeout => Fate::Unknown,
                 },
             });
         }
@@ -188,9 +189,10 @@
     let health = match error {
         socket::Error::Excluded(_) => return,
         socket::Error::Connect(_) => UpstreamHealth::Unreachable,
-        socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
-            UpstreamHealth::Failing
-        }
+        socket::Error::Broken(_)
+        | socket::Error::Status(_)
+        | socket::Error::Unfinished(_)
+        | socket::Error::Timeout => UpstreamHealth::Failing,
     };
     let shared = &call.shared;
     shared
