feat: what waits for slow clients is bounded in bytes by the instance's memory

A stream queued 16 chunks of any size for its client, a long plain answer 8 of up to 64 KiB, and a whole answer of 256 KiB did not count as held once it was handed to the HTTP library, which buffered it until the client read.

One answer may hold an eighth of the free memory for answers, at most 64 KiB of a stream and 256 KiB of a plain answer; its upstream is read no further meanwhile. A client that reads nothing for 2.5 s is cut off, earlier while memory is short, and requests are refused when a quarter more than the memory for answers is held. An answer that its upstream breaks off after its client has paused is no failure of the upstream and does not run again. Unsent bytes in the kernel are bounded by TCP_NOTSENT_LOWAT, reads from upstreams by 8 KiB, buffers for events are released after large ones.

The setting `memory` states the instance's memory; files that state only `bodies` stay valid.

--- a/crates/carob-gateway/src/events.rs
+++ b/crates/carob-gateway/src/events.rs
@@ -24,6 +24,9 @@
 /// Maximum size of an event in bytes.
 pub const MAX_EVENT: usize = 256 << 10;
 
+/// Maximum size of an empty buffer that is kept for the next event, in bytes; usual events have some hundred.
+const MAX_IDLE: usize = 4 << 10;
+
 /// An event is larger than [`MAX_EVENT`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("expected an event of at most {MAX_EVENT} bytes, received {received} of one")]
@@ -56,6 +59,10 @@
         let end = self.find_end()?;
         self.scanned = 0;
         let bytes = self.buffer.split_to(end).freeze();
+        if self.buffer.is_empty() && self.buffer.capacity() > MAX_IDLE {
+            // A large event has passed; the next one is usually small.
+            self.buffer = BytesMut::new();
+        }
         let id = id_of(&bytes);
         Some(Event { bytes, id })
     }
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`era`]: which history of the store is followed.
 //! * [`evacuations`]: failure domains that are out of service.
 //! * [`Lag`]: how long the copy has been behind those of other instances.
+//! * [`memory`]: how much of answers waits for clients, and which slow readers are cut off.
 //! * [`events`]: splits a byte stream into complete server-sent events.
 
 mod control;
@@ -21,6 +22,7 @@
 pub mod evacuations;
 pub mod events;
 mod lag;
+pub mod memory;
 mod mirror;
 mod overhead;
 mod peer;
--- a/crates/carob-gateway/src/overhead.rs
+++ b/crates/carob-gateway/src/overhead.rs
@@ -22,6 +22,10 @@
 /// piece more than was used.
 const MAX_OVERHEAD: usize = 2 * MAX_HEAD;
 
+/// Maximum number of bytes of one read. The HTTP library enlarges its buffer with the reads, up to [`MAX_HEAD`]; what is
+/// read and not passed on yet is bounded by this for each connection.
+const MAX_READ: usize = 8 << 10;
+
 /// Bytes that were read since the last head or piece of a body; clones share the count.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Overhead(Rc<Cell<usize>>);
@@ -70,7 +74,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.remaining() > MAX_READ {
+            let mut part = ReadBuf::new(buf.initialize_unfilled_to(MAX_READ));
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+            let count = part.filled().len();
+            buf.advance(count);
+        } else {
+            ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        }
         Poll::Ready(self.overhead.add(buf.filled().len() - before))
     }
 }
--- a/crates/carob-gateway/src/settings.rs
+++ b/crates/carob-gateway/src/settings.rs
@@ -3,10 +3,11 @@
 //! | section | key | meaning |
 //! | --- | --- | --- |
 //! | `instance` | `name`, `domain` | this instance and its failure domain |
+//! | | `memory` | memory of the instance, such as `88MB`; may be absent |
 //! | | `regions` | `domain:region` for each failure domain, separated by commas |
 //! | `callers` | `address`, `ready` | listeners for requests and for readiness checks |
 //! | | `connections` | maximum number of open client connections |
-//! | | `bodies` | maximum number of bytes of all bodies held in memory |
+//! | | `bodies` | maximum number of bytes of all bodies held in memory; a quarter of `memory` if absent |
 //! | `admin` | `address` | listener for metrics |
 //! | `peers` | `address` | UDP datagrams and TCP transfers between instances |
 //! | | `seeds` | initially known instances, separated by commas; their port is that of `address` |
@@ -25,6 +26,8 @@
 
 use carob_ini::{Error, Errors};
 
+use crate::memory::{body_share, memory_of_bodies};
+
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -34,6 +37,8 @@
     pub domain: Box<str>,
     /// Region of each failure domain.
     pub regions: HashMap<Box<str>, Box<str>>,
+    /// Memory of the instance in bytes; four times `body_memory` if the file does not state it.
+    pub memory: usize,
     /// Listener for client requests.
     pub caller_address: SocketAddr,
     /// Listener for the platform's readiness checks.
@@ -128,7 +133,18 @@
         let ready = self.read("callers", "ready", "IP:PORT", address);
         let count = |text: &str| text.parse().ok().filter(|count| *count > 0);
         let connections = self.read("callers", "connections", "a number above 0", count);
-        let bodies = self.read("callers", "bodies", "a number of bytes above 0", count);
+        let memory = self.read_optional(
+            "instance",
+            "memory",
+            "a number of megabytes such as `88MB`",
+            megabytes,
+        );
+        let bodies = match memory {
+            Some(memory) => self
+                .read_optional("callers", "bodies", BODIES, count)
+                .or(Some(body_share(memory))),
+            None => self.read("callers", "bodies", BODIES, count),
+        };
         let admin = self.read("admin", "address", "IP:PORT", address);
         let peers = self.read("peers", "address", "IP:PORT", address);
         let seeds = self.read("peers", "seeds", "IP:PORT, separated by commas", seeds);
@@ -147,6 +163,7 @@
             name: name?,
             domain: domain?,
             regions: regions?,
+            memory: memory.unwrap_or(memory_of_bodies(bodies?)),
             caller_address: callers?,
             ready_address: ready?,
             max_connections: connections?,
@@ -226,6 +243,8 @@
     }
 }
 
+const BODIES: &str = "a number of bytes above 0";
+
 const DURATION: &str = "a duration such as `8s` or `2500ms`";
 
 fn word(text: &str) -> Option<Box<str>> {
@@ -242,6 +261,11 @@
         .filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
 
+fn megabytes(text: &str) -> Option<usize> {
+    let megabytes = number(text.strip_suffix("MB")?.trim())?;
+    (megabytes >= 1.0).then_some((megabytes * 1e6) as usize)
+}
+
 fn duration(text: &str) -> Option<Duration> {
     let seconds = match text.strip_suffix("ms") {
         Some(millis) => number(millis.trim())? / 1e3,
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -41,6 +41,10 @@
 /// retransmissions.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum number of bytes that the kernel holds unsent for a connection; otherwise it holds megabytes for a slow reader. A
+/// link of 200 Mbit/s takes a millisecond for half of it, after which more is written.
+const MAX_UNSENT: u32 = 64 << 10;
+
 /// Why a request failed.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -128,6 +132,7 @@
     let outcome = socket
         .set_tcp_keepalive(&keepalive)
         .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_notsent_lowat(MAX_UNSENT))
         .and_then(|()| stream.set_nodelay(true));
     if let Err(error) = outcome {
         log::debug!(error:% = error; "TCP options could not be set");
--- a/crates/carob-gateway/src/traffic/answer.rs
+++ b/crates/carob-gateway/src/traffic/answer.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -12,19 +13,70 @@
     Response, StatusCode,
     body::{Body, Frame, SizeHint},
 };
-use tokio::sync::mpsc;
+use tokio::sync::Notify;
+
+use super::{
+    queue::{MAX_PIECE, QueueReceiver},
+    waiting::{Cut, Held, Unsent},
+};
 
 /// The response is incomplete; the connection is closed without the end of the body.
-#[derive(Debug, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the answer was cut off")]
 pub(super) struct Truncated;
 
 /// The body of a response.
-pub(super) enum ResponseBody {
+pub(super) struct ResponseBody {
+    content: Content,
+    /// Bytes on the client's connection that are not sent yet.
+    unsent: Option<Rc<Unsent>>,
+}
+
+/// Where the bytes of a body come from.
+enum Content {
+    /// A body that is completely in memory; a long one counts as held until all of it is sent.
+    Complete(Bytes, Option<Held>),
+    /// A body that is passed on as it arrives.
+    Chunks(QueueReceiver),
+}
+
+impl ResponseBody {
     /// A body that is completely in memory.
-    Complete(Bytes),
+    pub(super) const fn complete(bytes: Bytes, held: Option<Held>) -> Self {
+        Self {
+            content: Content::Complete(bytes, held),
+            unsent: None,
+        }
+    }
+
     /// A body that is passed on as it arrives.
-    Chunks(mpsc::Receiver<Result<Bytes, Truncated>>),
+    pub(super) const fn chunks(queue: QueueReceiver) -> Self {
+        Self {
+            content: Content::Chunks(queue),
+            unsent: None,
+        }
+    }
+
+    /// Whether the length of the body is not known.
+    pub(super) const fn is_chunked(&self) -> bool {
+        matches!(self.content, Content::Chunks(_))
+    }
+
+    /// Sends the body on a connection with the bytes `unsent`, which `cut` closes if the client does not read.
+    pub(super) fn attach(&mut self, unsent: &Rc<Unsent>, cut: &Rc<Notify>) {
+        self.unsent = Some(Rc::clone(unsent));
+        if let Some(answer) = self.cut() {
+            answer.attach(cut);
+        }
+    }
+
+    /// Tells when the answer is cut off, if it may be.
+    fn cut(&self) -> Option<&Cut> {
+        match &self.content {
+            Content::Complete(_, held) => held.as_ref().map(|held| &*held.cut),
+            Content::Chunks(queue) => Some(queue.cut()),
+        }
+    }
 }
 
 impl Body for ResponseBody {
@@ -35,23 +87,36 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match self.get_mut() {
-            Self::Complete(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Complete(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Chunks(chunks) => chunks
-                .poll_recv(cx)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+        let Self { content, unsent } = self.get_mut();
+        if unsent.as_ref().is_some_and(|unsent| !unsent.poll_room(cx)) {
+            return Poll::Pending;
         }
+        let polled = match content {
+            Content::Complete(bytes, _) if bytes.is_empty() => Poll::Ready(None),
+            Content::Complete(bytes, held) => {
+                let piece = bytes.split_to(bytes.len().min(MAX_PIECE));
+                if let Some(held) = held {
+                    // The memory is released when the last piece is sent.
+                    held.take(0);
+                }
+                Poll::Ready(Some(Ok(piece)))
+            }
+            Content::Chunks(queue) => queue.poll_piece(cx),
+        };
+        if let (Some(unsent), Poll::Ready(Some(Ok(piece)))) = (unsent, &polled) {
+            unsent.add(piece.len());
+        }
+        polled.map(|piece| piece.map(|piece| piece.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(bytes) if bytes.is_empty())
+        matches!(&self.content, Content::Complete(bytes, _) if bytes.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Complete(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Chunks(_) => SizeHint::default(),
+        match &self.content {
+            Content::Complete(bytes, _) => SizeHint::with_exact(bytes.len() as u64),
+            Content::Chunks(_) => SizeHint::default(),
         }
     }
 }
@@ -90,6 +155,6 @@
             Self::Denied(400) => Bytes::from_static(reason.as_bytes()),
             _ => Bytes::new(),
         };
-        answer::local_answer(self.status(), id, after).map(|()| ResponseBody::Complete(body))
+        answer::local_answer(self.status(), id, after).map(|()| ResponseBody::complete(body, None))
     }
 }
--- a/crates/carob-gateway/src/traffic/body.rs
+++ b/crates/carob-gateway/src/traffic/body.rs
@@ -65,7 +65,7 @@
     if !shared.has_room(announced) {
         return Err(Error::MemoryFull);
     }
-    let mut bytes = BytesMut::new();
+    let mut bytes = BytesMut::with_capacity(announced);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_error| Error::Incomplete)?;
         let Ok(data) = frame.into_data() else {
@@ -80,5 +80,9 @@
         held.add(data.len());
         bytes.extend_from_slice(&data);
     }
+    if bytes.capacity() > bytes.len() + bytes.len() / 4 {
+        // Growing by doubling may have left half of the memory unused, which is not counted.
+        return Ok((Bytes::copy_from_slice(&bytes), held));
+    }
     Ok((bytes.freeze(), held))
 }
--- a/crates/carob-gateway/src/traffic/client.rs
+++ b/crates/carob-gateway/src/traffic/client.rs
@@ -15,6 +15,8 @@
     net::TcpStream,
 };
 
+use super::waiting::Unsent;
+
 /// A client's connection, which is reset when it is dropped while an answer without a length is under way on it.
 ///
 /// The client of such an answer takes the end of the connection for the end of the answer. The kernel is told
@@ -25,15 +27,18 @@
     unframed: Rc<Cell<bool>>,
     /// Whether the kernel resets the connection when it is closed.
     resets: bool,
+    unsent: Rc<Unsent>,
 }
 
 impl ClientStream {
-    /// Takes over a connection; `unframed` is set before an answer whose end is the end of the connection.
-    pub(super) const fn new(stream: TcpStream, unframed: Rc<Cell<bool>>) -> Self {
+    /// Takes over a connection; `unframed` is set before an answer whose end is the end of the connection. What is written
+    /// is not `unsent` any more.
+    pub(super) const fn new(stream: TcpStream, unframed: Rc<Cell<bool>>, unsent: Rc<Unsent>) -> Self {
         Self {
             stream,
             unframed,
             resets: false,
+            unsent,
         }
     }
 
@@ -49,6 +54,13 @@
         self.close();
     }
 
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.unsent.remove(*bytes);
+        }
+        written
+    }
+
     fn set_resets(&mut self, resets: bool) {
         if self.resets == resets {
             return;
@@ -71,7 +83,8 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         this.set_resets(this.unframed.get());
-        Pin::new(&mut this.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        this.count(written)
     }
 
     fn poll_write_vectored(
@@ -81,7 +94,8 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         this.set_resets(this.unframed.get());
-        Pin::new(&mut this.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        this.count(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -33,7 +33,7 @@
     repeats::Repeat,
     resume::OpenStream,
     shared::Shared,
-    shutdown, stream, verdict,
+    shutdown, stream, verdict, waiting,
 };
 use crate::{
     overhead::ReceivedBody,
@@ -77,6 +77,15 @@
     let id = head.id.clone();
     shared.name_request(active.key, &id);
     metrics::counter!("carobhaven_requests_total").increment(1);
+    if waiting::is_exhausted(shared) {
+        waiting::count_refusal("answers");
+        return refuse(
+            &id,
+            LocalAnswer::Refused(link::spread(RETRY_FULL)),
+            "answers that wait for their clients hold all their memory",
+            arrival,
+        );
+    }
     let client_deadline = arrival + head.client_timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
     let limit = shared
         .table()
@@ -87,6 +96,7 @@
             return refuse(&id, LocalAnswer::Denied(413), "body over the limit", arrival);
         }
         Ok(Err(body::Error::MemoryFull)) => {
+            waiting::count_refusal("bodies");
             return refuse(
                 &id,
                 LocalAnswer::Refused(RETRY_FULL),
--- a/crates/carob-gateway/src/traffic/listen.rs
+++ b/crates/carob-gateway/src/traffic/listen.rs
@@ -7,7 +7,10 @@
     Request, Response, StatusCode, Version, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
 
 use super::{
     answer::ResponseBody,
@@ -16,6 +19,7 @@
     guard::{ActiveRequest, OpenConnection},
     head::{Requests, TimedStream},
     shared::Shared,
+    waiting::{self, Unsent},
 };
 use crate::socket::set_tcp_options;
 
@@ -28,6 +32,9 @@
 /// Idle timeout of a connection while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Idle timeout of a connection while memory is short: its buffers are released with it.
+const SHORT_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Minimum size in bytes of the buffer for a request head, also used while no configuration is known.
 const MIN_HEAD_BUFFER: usize = 16 << 10;
 
@@ -117,6 +124,10 @@
     unframed: Rc<Cell<bool>>,
     /// When its last request ended, or when it was accepted.
     idle_since: Cell<Time>,
+    /// Notified when an answer on it is cut off because the client does not read it.
+    cut: Rc<Notify>,
+    /// Bytes of answers that are not sent yet.
+    unsent: Rc<Unsent>,
 }
 
 async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _open: OpenConnection) {
@@ -125,6 +136,8 @@
         accepted: shared.now(),
         unframed: Rc::default(),
         idle_since: Cell::new(shared.now()),
+        cut: Rc::default(),
+        unsent: Rc::new(Unsent::new(&shared)),
     });
     let counted = Rc::clone(&activity);
     let state = Rc::clone(&shared);
@@ -140,7 +153,7 @@
         });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head * 2).preserve_header_case(true);
-    let stream = ClientStream::new(stream, Rc::clone(&activity.unframed));
+    let stream = ClientStream::new(stream, Rc::clone(&activity.unframed), Rc::clone(&activity.unsent));
     let stream = TimedStream::new(stream, Rc::clone(&activity.requests), head_timeout);
     let mut served = builder.serve_connection(TokioIo::new(stream), service);
     let closing = async {
@@ -161,6 +174,7 @@
                 break outcome.is_err();
             }
             () = shared.aborted.notified() => break true,
+            () = activity.cut.notified() => break true,
             () = closing.as_mut(), if !closes => {
                 closes = true;
                 // A head that has begun is read to its end or its time limit, and the answer closes the connection.
@@ -169,9 +183,12 @@
                 }
             }
             _ = check.tick() => {
-                let timeout = shared
+                let mut timeout = shared
                     .table()
                     .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits().idle_timeout);
+                if waiting::is_short(&shared) {
+                    timeout = timeout.min(SHORT_IDLE_TIMEOUT);
+                }
                 let idle = activity.requests.active.get() == 0
                     && !activity.requests.reading.get()
                     && shared.now().since(activity.idle_since.get()) > timeout;
@@ -197,9 +214,8 @@
     let count = RequestCount(Rc::clone(&activity), Rc::clone(&shared));
     let is_old = request.version() < Version::HTTP_11;
     let mut response = exchange::handle(&shared, request, active, count).await;
-    activity
-        .unframed
-        .set(is_old && matches!(response.body(), ResponseBody::Chunks(_)));
+    activity.unframed.set(is_old && response.body().is_chunked());
+    response.body_mut().attach(&activity.unsent, &activity.cut);
     if shared.shutdown().is_some() {
         let close = hyper::header::HeaderValue::from_static("close");
         response.headers_mut().insert(hyper::header::CONNECTION, close);
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -19,6 +19,7 @@
 mod migrate;
 mod plain;
 mod probe;
+mod queue;
 mod relay;
 mod repeats;
 mod resume;
@@ -27,6 +28,7 @@
 mod stream;
 mod switch;
 mod verdict;
+mod waiting;
 
 use std::{
     net::SocketAddr,
@@ -135,6 +137,7 @@
     tokio::task::spawn_local(listen::serve_callers(Rc::clone(shared), callers));
     tokio::task::spawn_local(listen::serve_readiness(Rc::clone(shared), ready));
     tokio::task::spawn_local(announce::receive(Rc::clone(shared), Rc::clone(&peers)));
+    tokio::task::spawn_local(waiting::check_readers(Rc::clone(shared)));
     tokio::task::spawn_local(link::run_probes(Rc::clone(shared)));
     tokio::task::spawn_local(limit::exchange_permits(Rc::clone(shared), Rc::clone(&peers)));
     tokio::task::spawn_local(announce::send(Rc::clone(shared), peers));
--- a/crates/carob-gateway/src/traffic/plain.rs
+++ b/crates/carob-gateway/src/traffic/plain.rs
@@ -4,27 +4,27 @@
 //! or answered with an error status if the response breaks off. A long one is passed on as it arrives, and so is
 //! one of medium length while bodies hold much of their memory.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use carob_dispatch::fleet::{UpstreamHealth, UpstreamKey};
 use carob_platform::answer;
 use http_body_util::BodyExt;
 use hyper::Response;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
-};
+use tokio::time::{Instant, timeout_at};
 
 use super::{
-    answer::{ResponseBody, Truncated},
+    answer::ResponseBody,
     body::HeldBytes,
     call::Call,
     crash,
     exchange::upstream_name,
     framing::{self, Framing},
+    queue::{self, Closed, QueueReceiver},
+    waiting::Held,
 };
 use crate::{
+    memory::Kind,
     overhead::ReceivedBody,
     socket::{ConnectionTask, Error, describe},
 };
@@ -35,8 +35,8 @@
 /// A response body of at most this many bytes is read completely also if bodies hold much memory.
 const MIN_COUNTED: usize = 16 << 10;
 
-/// Chunks of a long response that are queued for a slow client before the upstream is read no further.
-const CHUNK_QUEUE: usize = 8;
+/// Pause of a client's reads after which its upstream may cut off the response; they do so after some seconds.
+pub(super) const UPSTREAM_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Reads a response until `deadline`: completely if it is short, else its first part.
 pub(super) async fn collect(
@@ -51,6 +51,7 @@
     answer::strip_hop_headers(&mut parts.headers);
     let mut bytes = BytesMut::new();
     let mut held = HeldBytes::new(&call.shared);
+    let mut waiting = None;
     loop {
         match next_data(&mut body, deadline).await {
             Err(error) => {
@@ -63,14 +64,16 @@
             }
             Ok(None) => {
                 framing::count_answer(framing, true);
-                return Ok(Response::from_parts(
-                    parts,
-                    ResponseBody::Complete(bytes.freeze()),
-                ));
+                return Ok(Response::from_parts(parts, complete(bytes.freeze(), waiting)));
             }
         }
-        let is_short_of_room = bytes.len() > MIN_COUNTED && !call.shared.has_answer_room();
+        let is_short_of_room = bytes.len() > MIN_COUNTED && {
+            let waiting = waiting.get_or_insert_with(|| Held::new(call, Kind::Whole));
+            waiting.set_partial(bytes.len());
+            !call.shared.has_answer_room() || !waiting.may_collect()
+        };
         if bytes.len() > MAX_BUFFERED || is_short_of_room {
+            drop(waiting);
             let rest = Rest {
                 first: bytes.freeze(),
                 body,
@@ -78,11 +81,20 @@
                 driver,
             };
             let chunks = forward(Rc::clone(call), upstream, rest, deadline);
-            return Ok(Response::from_parts(parts, ResponseBody::Chunks(chunks)));
+            return Ok(Response::from_parts(parts, ResponseBody::chunks(chunks)));
         }
     }
 }
 
+/// A body that was read completely. A long one counts as `waiting` until its client has taken it.
+fn complete(bytes: Bytes, waiting: Option<Held>) -> ResponseBody {
+    if let Some(waiting) = &waiting {
+        waiting.set_partial(0);
+        waiting.add(bytes.len());
+    }
+    ResponseBody::complete(bytes, waiting)
+}
+
 /// Reads the next piece of a body; `None` is its end.
 async fn next_data(body: &mut ReceivedBody, deadline: Instant) -> Result<Option<Bytes>, Error> {
     // A piece that is there already is returned before a timeout, so a body that comes faster than its
@@ -108,13 +120,8 @@
 }
 
 /// Passes on a response body.
-fn forward(
-    call: Rc<Call>,
-    upstream: UpstreamKey,
-    rest: Rest,
-    deadline: Instant,
-) -> mpsc::Receiver<Result<Bytes, Truncated>> {
-    let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
+fn forward(call: Rc<Call>, upstream: UpstreamKey, rest: Rest, deadline: Instant) -> QueueReceiver {
+    let (sender, receiver) = queue::channel(&call, Kind::Plain);
     tokio::task::spawn_local(async move {
         let Rest {
             first,
@@ -125,13 +132,18 @@
         let mut chunk = first;
         let mut last_sign = Instant::now();
         let mut passed_on = 0;
+        let mut longest_pause = Duration::ZERO;
         let reason = loop {
             passed_on += chunk.len();
-            match timeout_at(deadline, sender.send(Ok(chunk))).await {
+            sender.push(chunk);
+            let read = Instant::now();
+            match timeout_at(deadline, sender.ready()).await {
                 Ok(Ok(())) => {}
-                Ok(Err(_)) => break "the client has disconnected".to_owned(),
+                Ok(Err(Closed::Gone)) => break "the client has disconnected".to_owned(),
+                Ok(Err(Closed::Cut(_))) => break "the client does not read".to_owned(),
                 Err(_elapsed) => break "the client did not take the answer in time".to_owned(),
             }
+            longest_pause = longest_pause.max(read.elapsed());
             chunk = match next_data(&mut body, deadline).await {
                 Ok(Some(data)) => {
                     last_sign = Instant::now();
@@ -140,6 +152,10 @@
                 Ok(None) => return framing::count_answer(framing, true),
                 Err(error) => {
                     framing::count_answer(framing, false);
+                    if longest_pause >= UPSTREAM_PATIENCE {
+                        // Says nothing about the upstream.
+                        break format!("the client read too slowly for its upstream: {error}");
+                    }
                     crash::observe_failure(&call, upstream, &error, last_sign);
                     call.shared.fleet_mut().record_attempt(
                         upstream,
@@ -155,10 +171,10 @@
         metrics::counter!("carobhaven_answers_cut_total").increment(1);
         log::warn!(
             request:% = call.id(), upstream:% = upstream_name(&call, upstream), reason, bytes = passed_on,
-            framing = framing.name(), age_ms = call.age_ms(); "long answer cut off"
+            framing = framing.name(),
+            reader_pause_ms = longest_pause.as_millis() as u64, age_ms = call.age_ms(); "long answer cut off"
         );
-        // Fails only if the client has disconnected.
-        let _sent = sender.send(Err(Truncated)).await;
+        sender.fail();
     });
     receiver
 }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -27,6 +27,7 @@
     evacuation,
     guard::{Active, ActiveKey},
     repeats::Repeats,
+    waiting::Waiting,
 };
 use crate::{
     Settings,
@@ -91,6 +92,8 @@
     active: RefCell<SlotMap<ActiveKey, Active>>,
     /// Bytes of bodies that are held in memory.
     body_bytes: Cell<usize>,
+    /// Answers that wait for their clients.
+    pub(super) waiting: Waiting,
     /// Number of open client connections.
     connections: Cell<usize>,
     /// Whether connections may still be accepted.
@@ -156,6 +159,7 @@
             last_probes: RefCell::new(SecondaryMap::new()),
             active: RefCell::new(SlotMap::with_key()),
             body_bytes: Cell::new(0),
+            waiting: Waiting::default(),
             connections: Cell::new(0),
             listening: Cell::new(true),
             signal: Cell::new(None),
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -14,6 +14,7 @@
         framing::{self, Framing},
         link,
         migrate::{self, MigrationOutcome, Progress},
+        plain::UPSTREAM_PATIENCE,
         relay,
         resume::OpenStream,
         switch, verdict,
@@ -30,6 +31,14 @@
         progress: &Rc<RefCell<Progress>>,
         migration: &mut Option<Migration>,
     ) -> Result<bool, StreamEnd> {
+        let is_unread = self
+            .paused_until
+            .is_some_and(|until| until.elapsed() < UPSTREAM_PATIENCE);
+        if is_unread {
+            // The upstream has cut off an answer that was not read, which says nothing about it.
+            self.release_copy(progress);
+            return Err(StreamEnd::Unread);
+        }
         let (switching, stopped) = (progress.borrow().switching, progress.borrow().stopped);
         if !stopped {
             framing::count_answer(self.framing, false);
@@ -64,7 +73,7 @@
             ));
         }
         self.release_copy(progress);
-        self.finish().await
+        Err(self.finish())
     }
 
     /// Continues a generation whose upstream may go on behind a lost link. Returns whether it goes on elsewhere; if it
--- a/crates/carob-gateway/src/traffic/stream/mod.rs
+++ b/crates/carob-gateway/src/traffic/stream/mod.rs
@@ -11,12 +11,12 @@
 use http_body_util::BodyExt;
 use hyper::{Response, header::CONTENT_LENGTH};
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::Notify,
     time::{Instant, timeout_at},
 };
 
 use super::{
-    answer::{ResponseBody, Truncated},
+    answer::ResponseBody,
     attempts::Attempts,
     call::Call,
     crash::SOUND_TIME,
@@ -27,21 +27,21 @@
     link,
     listen::RequestCount,
     migrate::{self, MigrationOutcome, Progress},
+    plain::UPSTREAM_PATIENCE,
     probe,
+    queue::{self, Closed, QueueSender},
     resume::OpenStream,
     verdict,
 };
 use crate::{
     events::Splitter,
+    memory::Kind,
     overhead::ReceivedBody,
     socket::{self, ConnectionTask},
 };
 
 mod failover;
 
-/// Chunks that are queued for a slow client before the upstream is read no further.
-const CHUNK_QUEUE: usize = 16;
-
 /// Aborts the task when it is dropped.
 struct AbortOnDrop<T>(tokio::task::JoinHandle<T>);
 
@@ -69,7 +69,9 @@
     driver: ConnectionTask,
     /// First bytes of the body, if they were read already.
     first_bytes: Option<Bytes>,
-    client: mpsc::Sender<Result<Bytes, Truncated>>,
+    client: QueueSender,
+    /// When a pause of the client ended that was so long that the upstream may cut off the answer.
+    paused_until: Option<Instant>,
     /// What marks the end of the body.
     framing: Framing,
     /// Whether the present upstream has to send an event before the end of its answer.
@@ -107,6 +109,8 @@
     Complete,
     /// The client has disconnected.
     ClientGone,
+    /// The client reads so slowly that the answer was cut off, here or by its upstream.
+    Unread,
     /// The deadline of the client or the route has passed.
     Late,
     /// The upstream failed, and the generation could not be continued elsewhere.
@@ -141,7 +145,7 @@
     let (mut parts, body) = opened.response.into_parts();
     answer::strip_hop_headers(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
-    let (client, chunks) = mpsc::channel(CHUNK_QUEUE);
+    let (client, chunks) = queue::channel(call, Kind::Stream);
     let stream = Stream {
         call: Rc::clone(call),
         reservation: opened.reservation,
@@ -149,6 +153,7 @@
         driver: opened.driver,
         first_bytes: opened.first_bytes,
         client,
+        paused_until: None,
         framing,
         owes_event: !framing.is_explicit(),
         splitter: Splitter::new(),
@@ -169,7 +174,7 @@
         let _counted = (active, count);
         stream.run().await;
     });
-    Response::from_parts(parts, ResponseBody::Chunks(chunks))
+    Response::from_parts(parts, ResponseBody::chunks(chunks))
 }
 
 impl Stream {
@@ -177,12 +182,16 @@
         let end = loop {
             match self.forward_upstream().await {
                 Ok(()) => {}
+                Err(StreamEnd::ClientGone) if matches!(self.client.closed_by(), Some(Closed::Cut(_))) => {
+                    break StreamEnd::Unread;
+                }
                 Err(end) => break end,
             }
         };
         let (outcome, reason) = match &end {
             StreamEnd::Complete => ("complete", String::new()),
             StreamEnd::ClientGone => ("client gone", String::new()),
+            StreamEnd::Unread => ("cut: client does not read", String::new()),
             StreamEnd::Late => ("cut: time is over", String::new()),
             StreamEnd::Broken(reason) => ("cut: upstream broke off", reason.clone()),
         };
@@ -190,8 +199,7 @@
         // The client may take long to read what it was sent before.
         drop((self.driver, self.body, self.reservation));
         if !matches!(end, StreamEnd::Complete | StreamEnd::ClientGone) {
-            // Fails only if the client has disconnected meanwhile.
-            let _sent = self.client.send(Err(Truncated)).await;
+            self.client.fail();
         }
         let level = if matches!(end, StreamEnd::Complete) {
             log::Level::Info
@@ -325,7 +333,7 @@
             }
             StreamEvent::BodyEnded if self.framing.is_explicit() => {
                 self.release_copy(progress);
-                self.finish().await
+                Err(self.finish())
             }
             StreamEvent::BodyEnded => self.end_unframed(progress, migration).await,
             StreamEvent::BodyFailed(reason) => self.fail_over(&reason, progress, migration).await,
@@ -436,14 +444,24 @@
         if count > 0 {
             self.record_events(count);
         }
+        self.client.set_partial(self.splitter.remainder().len());
         if chunk.is_empty() {
             return Ok(is_gapless);
         }
-        let sent = timeout_at(self.call.deadline, self.client.send(Ok(chunk.freeze()))).await;
-        match sent {
+        self.client.push(chunk.freeze());
+        let begun = Instant::now();
+        let ready = timeout_at(self.call.deadline, self.client.ready()).await;
+        if begun.elapsed() >= UPSTREAM_PATIENCE {
+            // The upstream may have sent events meanwhile.
+            let now = Instant::now();
+            self.paused_until = Some(now);
+            self.last_sign = now;
+            self.stall_due = now + self.stall_limit();
+        }
+        match ready {
             Ok(Ok(())) => Ok(is_gapless),
-            Ok(Err(_)) => Err(StreamEnd::ClientGone),
-            Err(_) => Err(StreamEnd::Late),
+            Ok(Err(_closed)) => Err(StreamEnd::ClientGone),
+            Err(_elapsed) => Err(StreamEnd::Late),
         }
     }
 
@@ -480,17 +498,18 @@
     }
 
     /// Ends a stream whose upstream has ended it, after passing on what follows the last complete event.
-    async fn finish(&mut self) -> Result<bool, StreamEnd> {
+    fn finish(&mut self) -> StreamEnd {
         framing::count_answer(self.framing, true);
         let rest = Bytes::copy_from_slice(self.splitter.remainder());
-        if !rest.is_empty() && self.client.send(Ok(rest)).await.is_err() {
-            return Err(StreamEnd::ClientGone);
+        if self.client.closed_by().is_some() {
+            return StreamEnd::ClientGone;
         }
+        self.client.push(rest);
         if !self.proved && self.framing.is_explicit() {
             verdict::record_sound(&self.call);
         } else if !self.proved {
             verdict::record_sound_later(&self.call, self.reservation.upstream);
         }
-        Err(StreamEnd::Complete)
+        StreamEnd::Complete
     }
 }
--- a/crates/carob-gateway/tests/settings.rs
+++ b/crates/carob-gateway/tests/settings.rs
@@ -16,6 +16,28 @@
     assert_eq!(settings.regions.get("b").map(|region| &**region), Some("south"));
 }
 
+/// Files of older versions state only the limit for bodies, new ones the memory.
+#[test]
+fn memory_or_the_limit_for_bodies_is_required() {
+    let parse = |text: &str| Settings::parse(text, "file");
+    let old = parse(GOOD).expect("it is valid");
+    assert_eq!((old.body_memory, old.memory), (9_000, 36_000));
+    let with_memory = GOOD.replace("name = n\n", "name = n\nmemory = 88MB\n");
+    let both = parse(&with_memory).expect("it is valid");
+    assert_eq!((both.body_memory, both.memory), (9_000, 88_000_000));
+    let new = parse(&with_memory.replace("bodies = 9000\n", "")).expect("it is valid");
+    assert_eq!((new.body_memory, new.memory), (22_000_000, 88_000_000));
+    for (wrong, key) in [
+        (GOOD.replace("bodies = 9000\n", ""), "[callers] bodies"),
+        (with_memory.replace("88MB", "88"), "[instance] memory"),
+        (with_memory.replace("88MB", "0MB"), "[instance] memory"),
+        (with_memory.replace("9000", "many"), "[callers] bodies"),
+    ] {
+        let errors = parse(&wrong).expect_err("it is wrong").to_string();
+        assert!(errors.contains(key), "{key} in {errors}");
+    }
+}
+
 #[test]
 fn no_seeds_are_valid() {
     let text = GOOD.replace("seeds = 10.0.0.2:9, 10.0.0.3:9", "seeds =");
