--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -34,7 +34,7 @@
     repeats::Repeat,
     resume::OpenStream,
     shared::Shared,
-    shutdown, stream, verdict,
+    shutdown, stream, verdict, waiting,
 };
 use crate::{
     overhead::ReceivedBody,
@@ -74,6 +74,15 @@
     let id = head.id.clone();
     shared.name_request(active.key, &id);
     metrics::counter!("carobhaven_requests_total").increment(1);
+    if waiting::is_exhausted(shared) {
+        waiting::count_refusal("answers");
+        return refuse(
+            &id,
+            LocalAnswer::Refused(link::spread(RETRY_FULL)),
+            "answers that wait for their clients hold all their memory",
+            arrival,
+        );
+    }
     let client_deadline = arrival + head.client_timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
     let limit = shared
         .table()
@@ -84,6 +93,7 @@
             return refuse(&id, LocalAnswer::Denied(413), "body over the limit", arrival);
         }
         Ok(Err(body::Error::MemoryFull)) => {
+            waiting::count_refusal("bodies");
             return refuse(
                 &id,
                 LocalAnswer::Refused(RETRY_FULL),
@@ -529,9 +539,10 @@
         // Says nothing about the upstream.
         socket::Error::Excluded(_) => return no_answer(call, upstream, AttemptResult::Unsent, error),
         socket::Error::Connect(_) => (UpstreamHealth::Unreachable, AttemptResult::Unsent),
-        socket::Error::Broken(_) | socket::Error::Unfinished(_) | socket::Error::Timeout => {
-            (UpstreamHealth::Failing, AttemptResult::Unknown)
-        }
+        socket::Error::Broken(_)
+        | socket::Error::Status(_)
+        | socket::Error::Unfinished(_)
+        | socket::Error::Timeout => (UpstreamHealth::Failing, AttemptResult::Unknown),
     };
     shared.fleet_mut().record_attempt(upstream, health, shared.now());
     crash::observe_failure(call, upstream, error, sent);
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -121,7 +121,7 @@
     };
     match &outcome {
         Err(socket::Error::Excluded(_)) => {}
-        Ok(_) => record_answer(shared, upstream),
+        Ok(_) | Err(socket::Error::Status(_)) => record_answer(shared, upstream),
         Err(error @ socket::Error::Connect(_)) => {
             record_failure(shared, upstream, LinkFailure::Request, error);
         }
@@ -292,6 +292,7 @@
             cold::record_health(&shared, upstream, &response);
             record_answer(&shared, upstream);
         }
+        Err(socket::Error::Status(_)) => record_answer(&shared, upstream),
         Err(error @ socket::Error::Timeout) => {
             record_failure(&shared, upstream, LinkFailure::Silence, &error);
         }
