feat: requests that scarce engines cannot serve in time are refused at once

Cause: requests waited for all of their time and were then refused, with a Retry-After that said nothing about the queue.

Change, only where the requests of a service differ in priority: the wait of a request is predicted from the grants of its priority in the last seconds and what waits before it at this instance. If no engine has room and that is more than twice its longest wait, it is refused at once. Retry-After, also after a wait in vain, is the predicted wait less half of the longest, at random from two to four thirds of it. Nothing is refused in the first second of a queue.

No load was run.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod eligibility;
 mod fairness;
+mod forecast;
 mod limited;
 mod links;
 mod peers;
@@ -28,6 +29,7 @@
 
 pub use eligibility::Exclusion;
 pub use fairness::Share;
+pub use forecast::Forecast;
 pub use limited::Held;
 pub use links::LinkFailure;
 pub use peers::{MessageStamp, PeerLoad};
@@ -208,6 +210,7 @@
     peers: HashMap<SocketAddr, peers::Peer>,
     limits: Limits,
     urgency: urgency::State,
+    forecasts: forecast::State,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
     /// Seed for breaking ties. Changes with every request, so that requests are spread over equal upstreams,
@@ -237,6 +240,7 @@
             peers: HashMap::new(),
             limits: Limits::new(LimitOptions::default(), seed),
             urgency: urgency::State::new(seed),
+            forecasts: forecast::State::default(),
             evacuated: BTreeSet::new(),
             tie_seed: seed,
         }
--- a/crates/carob-dispatch/src/fleet/waiting.rs
+++ b/crates/carob-dispatch/src/fleet/waiting.rs
@@ -61,18 +61,19 @@
     }
 
     /// Takes a request that is granted off the queue, and charges its account.
-    fn take(&mut self, key: WaitKey, now: Time) {
-        let Some(request) = self.requests.remove(key) else {
-            return;
-        };
+    fn take(&mut self, key: WaitKey, now: Time) -> Option<QueuedRequest> {
+        let request = self.requests.remove(key)?;
         self.order.retain(|other| *other != key);
-        let Some(share) = request.share else { return };
+        let Some(share) = request.share else {
+            return Some(request);
+        };
         self.shares.charge(&share, request.requirements.size.tokens);
         let service = &request.requirements.service;
         let is_ahead = |other: &QueuedRequest| {
             other.priority < request.priority && other.requirements.service == *service
         };
         self.overtook = share.is_aged(request.queued_at, now) && self.requests.values().any(is_ahead);
+        Some(request)
     }
 }
 
@@ -80,6 +81,10 @@
     /// Queues a request behind those of the same or a more urgent priority.
     pub fn enqueue(&mut self, request: QueuedRequest) -> WaitKey {
         let priority = request.priority;
+        let service = request.requirements.service.clone();
+        let waiting = self.queued_count(&service, priority);
+        self.forecasts
+            .record_queued(&service, priority, waiting, request.queued_at);
         let key = self.queue.requests.insert(request);
         let queue = &mut self.queue;
         let position = queue
@@ -104,6 +109,14 @@
             .count()
     }
 
+    /// Number of requests with this priority queued for `service`.
+    pub(super) fn queued_count(&self, service: &str, priority: u8) -> u32 {
+        let requests = self.queue.requests.values();
+        let counted = requests
+            .filter(|request| request.priority == priority && *request.requirements.service == *service);
+        counted.count() as u32
+    }
+
     /// Takes the first request from the queue that fits on an upstream now. Call [`Fleet::start_request`] for
     /// it before the next call, so that its capacity counts as taken.
     ///
@@ -131,7 +144,10 @@
             }
             return None;
         };
-        self.queue.take(granted.0, now);
+        if let Some(request) = self.queue.take(granted.0, now) {
+            self.forecasts
+                .record_granted(&request.requirements.service, request.priority, now);
+        }
         Some(granted)
     }
 
--- a/crates/carob-dispatch/tests/urgency.rs
+++ b/crates/carob-dispatch/tests/urgency.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use carob_base::Time;
-use carob_dispatch::fleet::{QueuedRequest, RequestSize, Requirements, Share, urgency::Silence};
+use carob_dispatch::fleet::{Fleet, QueuedRequest, RequestSize, Requirements, Share, urgency::Silence};
 use urgency_model::{Load, Outcome, Policy, Site};
 
 const TURBINE: Load = Load {
@@ -135,3 +135,40 @@
     assert_eq!(served(&[urgent, aged, urgent, aged]), [1, 0, 3, 2]);
     assert_eq!(served(&[(2, 1, 1, 9_000), (2, 2, 2, 100), urgent]), [1, 2, 0]);
 }
+
+/// Requests that would wait in vain are refused at once, with the time at which they probably are served, but none is while
+/// little is known or the queue moves.
+#[test]
+fn requests_are_refused_once_the_queue_is_known_to_stand() {
+    let mut fleet = urgency_model::fleet(1, 1);
+    let size = RequestSize {
+        tokens: 4_000,
+        prefill: 3_000,
+    };
+    let request = |at| QueuedRequest {
+        requirements: Requirements::new("engines".into(), size, 4_000),
+        priority: 2,
+        queued_at: Time::from_millis(at),
+        share: None,
+    };
+    let engine = fleet.upstreams().next().expect("there is one").0;
+    let mut run = fleet.start_request(engine, size);
+    let longest = Duration::from_secs(2);
+    let refusal = |fleet: &Fleet, at| {
+        let forecast = fleet.forecast("engines", 2, Time::from_millis(at));
+        forecast.refusal(longest)
+    };
+    for number in 0..4 {
+        fleet.enqueue(request(number));
+    }
+    assert_eq!(refusal(&fleet, 900), None, "too little is known");
+    let delay = refusal(&fleet, 4_000).expect("nothing was granted for 4 s");
+    assert!((6..9).contains(&delay.as_secs()), "{delay:?}");
+    for at in [4_100, 4_400, 4_700, 5_000] {
+        fleet.finish_request(run);
+        let (_, upstream, size) = fleet.grant_next(Time::from_millis(at)).expect("it has room");
+        run = fleet.start_request(upstream, size);
+        fleet.enqueue(request(at));
+    }
+    assert_eq!(refusal(&fleet, 5_100), None, "the queue moves");
+}
--- a/crates/carob-dispatch/tests/urgency_model/mod.rs
+++ b/crates/carob-dispatch/tests/urgency_model/mod.rs
@@ -55,6 +55,7 @@
     pub long: u32,
     pub long_on_time: u32,
     pub long_refused: u32,
+    pub refused_at_once: u32,
     pub preemptions: u32,
 }
 
@@ -216,8 +217,7 @@
         }
     }
 
-    fn arrive(&mut self, is_long: bool, now: u64) {
-        let number = self.jobs.len();
+    fn draw(&mut self, is_long: bool, now: u64) -> Job {
         // Actual lengths scatter to the high side of the hints.
         let scatter = 0.6 + self.random.random::<f64>().powi(4) * 2.0;
         let (prompt, hint, output) = if is_long {
@@ -225,7 +225,7 @@
         } else {
             (2_200, 8, 8)
         };
-        let job = Job {
+        Job {
             instance: self.random.random_range(0..self.instances.len()),
             arrival: now,
             is_long,
@@ -236,7 +236,12 @@
             pending: prompt,
             generated: 0,
             started: false,
-        };
+        }
+    }
+
+    fn arrive(&mut self, is_long: bool, now: u64) {
+        let job = self.draw(is_long, now);
+        let number = self.jobs.len();
         self.outcome.long += u32::from(is_long);
         self.outcome.urgent += u32::from(!is_long);
         let (size, target, time) = (job.size(), self.target(is_long), Time::from_millis(now));
@@ -269,6 +274,19 @@
             let run = found.fleet.start_request(key, size);
             return self.send(number, key, run);
         }
+        let is_full = found.fleet.place(&requirements, time) == Placement::Full;
+        if self.policy == Policy::Bounded
+            && is_full
+            && found
+                .fleet
+                .forecast("engines", priority, time)
+                .refusal(wait)
+                .is_some()
+        {
+            self.jobs[number].started = true;
+            self.outcome.refused_at_once += 1;
+            return;
+        }
         let key = found.fleet.enqueue(QueuedRequest {
             requirements,
             priority,
--- a/crates/carob-gateway/src/traffic/admission.rs
+++ b/crates/carob-gateway/src/traffic/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use carob_dispatch::fleet::{
-    RequestSize, Requirements, Share, UpstreamKey,
+    Forecast, RequestSize, Requirements, Share, UpstreamKey,
     urgency::{self, Silence, TURN_TIME},
 };
 use tokio::{
@@ -12,9 +12,11 @@
 };
 
 use super::{
+    answer::LocalAnswer,
     call::Call,
-    exchange::upstream_name,
+    exchange::{RETRY_FULL, Refusal, upstream_name},
     guard::{QueueEntry, Reservation},
+    link,
     shared::{Grant, Shared},
 };
 use crate::{
@@ -73,6 +75,70 @@
     wait
 }
 
+/// Checks that a request that may wait for `longest` is expected to be served.
+///
+/// # Errors
+///
+/// Returns the gateway's answer if it would wait in vain by all that is known, with the time after which it probably would
+/// not.
+pub(super) fn check_forecast(call: &Call, longest: Duration) -> Result<(), Refusal> {
+    if call.urgency.engine_priority.is_none() {
+        return Ok(());
+    }
+    let forecast = forecast(call);
+    let Some(delay) = forecast.refusal(longest) else {
+        return Ok(());
+    };
+    Err(refuse(
+        call,
+        &forecast,
+        longest,
+        delay,
+        "all engines are taken for longer than it may wait",
+    ))
+}
+
+/// The gateway's answer to a request that has waited for `longest` in vain; `None` if nothing is predicted for it.
+pub(super) fn refusal(call: &Call, longest: Duration) -> Option<Refusal> {
+    call.urgency.engine_priority?;
+    let forecast = forecast(call);
+    let delay = forecast.retry_delay(longest).unwrap_or(RETRY_FULL);
+    Some(refuse(
+        call,
+        &forecast,
+        longest,
+        delay,
+        "all engines stayed taken",
+    ))
+}
+
+fn forecast(call: &Call) -> Forecast {
+    let shared = &call.shared;
+    shared
+        .fleet()
+        .forecast(&call.service, call.priority, shared.now())
+}
+
+fn refuse(
+    call: &Call,
+    forecast: &Forecast,
+    longest: Duration,
+    delay: Duration,
+    reason: &'static str,
+) -> Refusal {
+    metrics::counter!("carobhaven_forecast_refusals_total", "priority" => call.priority.to_string())
+        .increment(1);
+    // Clients that are refused in the same moment come back one after the other.
+    let delay = link::spread(delay);
+    log::info!(
+        request:% = call.id(), priority = call.priority, longest_ms = longest.as_millis() as u64,
+        expected_ms:? = forecast.wait.map(|wait| wait.as_millis() as u64), ahead = forecast.ahead,
+        busy_ms = forecast.busy.as_millis() as u64, retry_ms = delay.as_millis() as u64, reason;
+        "request refused: engines are scarce"
+    );
+    (LocalAnswer::Refused(delay), reason)
+}
+
 /// By what a request that waits `until` then at the longest shares its turn; `None` if it goes by arrival.
 pub(super) fn share(call: &Call, until: Instant) -> Option<Share> {
     call.urgency.engine_priority?;
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -383,12 +383,14 @@
         }
         Placement::Upstream(_) | Placement::Full => {}
     }
-    let queue_deadline = call
-        .answer_deadline()
-        .min(start.since + admission::longest_wait(call, &requirements));
+    let longest = admission::longest_wait(call, &requirements);
+    let queue_deadline = call.answer_deadline().min(start.since + longest);
     if Instant::now() >= queue_deadline {
         return Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams are full"));
     }
+    if placement == Placement::Full {
+        admission::check_forecast(call, longest)?;
+    }
     let wait = limit::plan_wait(call, &requirements, queue_deadline)?;
     let key = shared.fleet_mut().enqueue(QueuedRequest {
         requirements,
@@ -412,7 +414,8 @@
             shutdown::check(call, active)?;
             Ok(reservation)
         }
-        Ok(Err(_)) | Err(_) => Err(wait.refuse(call)),
+        Ok(Err(_)) | Err(_) if wait.is_held() => Err(wait.refuse(call)),
+        Ok(Err(_)) | Err(_) => Err(admission::refusal(call, longest).unwrap_or_else(|| wait.refuse(call))),
     }
 }
 
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -274,6 +274,11 @@
 }
 
 impl Wait {
+    /// Whether the request waits for a permit.
+    pub(super) const fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// The gateway's answer to a request that has waited in vain.
     pub(super) fn refuse(&self, call: &Call) -> Refusal {
         self.held.map_or(
