--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod eligibility;
 mod fairness;
+mod forecast;
 mod limited;
 mod links;
 mod pace;
@@ -31,6 +32,7 @@
 
 pub use eligibility::Exclusion;
 pub use fairness::Share;
+pub use forecast::Forecast;
 pub use limited::Held;
 pub use links::LinkFailure;
 pub use pace::{KnownPace, MAX_REPORTS as MAX_PACE_REPORTS, PaceRange, PaceReport, SentLoad};
@@ -221,6 +223,7 @@
     cold: Cold,
     urgency: urgency::State,
     prefixes: prefixes::Prefixes,
+    forecasts: forecast::State,
     /// Failure domains that operators have taken out of service.
     evacuated: BTreeSet<Box<str>>,
     /// When the paces of all upstreams were last evaluated.
@@ -254,6 +257,7 @@
             cold: Cold::new(seed),
             urgency: urgency::State::new(seed),
             prefixes: prefixes::Prefixes::default(),
+            forecasts: forecast::State::default(),
             evacuated: BTreeSet::new(),
             paces_at: Time::ZERO,
             tie_seed: seed,
