fix: the end of a stream that its client still reads is not awaited longer than before

A stream of 216 kB did not fit the 64 KiB that might wait for its client, so that it had not ended in the gateway when a shutdown or the client's first read came. All answers may hold 256 KiB, within their eighth of the free memory. The limit for unsent bytes is set last, so that a kernel without it still disables Nagle's algorithm; bytes of an answer that its connection never sent do not stay counted.

--- a/crates/carob-gateway/src/memory.rs
+++ b/crates/carob-gateway/src/memory.rs
@@ -26,8 +26,12 @@
 /// pause after which clients give up (2 s).
 const PRESSED_TIME: Duration = Duration::from_secs(1);
 
-/// Maximum number of bytes of an answer that wait for its client, by what it is. One round trip to a client takes 6 ms, in
-/// which a link of 200 Mbit/s carries 150 kB; an event has some hundred bytes.
+/// Maximum number of bytes of an answer that wait for its client. One round trip to a client takes 6 ms, in which a link of
+/// 200 Mbit/s carries 150 kB. Streams of some hundred bytes for each event fit whole, so that a pause of their clients ends
+/// none of them early.
+const MAX_WAITING: usize = 256 << 10;
+
+/// What an answer is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// A stream of events.
@@ -50,13 +54,6 @@
             Self::Whole => "whole",
         }
     }
-
-    const fn max_bytes(self) -> usize {
-        match self {
-            Self::Stream => 64 << 10,
-            Self::Plain | Self::Whole => 256 << 10,
-        }
-    }
 }
 
 /// An answer of which bytes wait for its client.
@@ -114,8 +111,8 @@
 
     /// Number of bytes of one answer that may wait before its upstream is read further, while all hold `held`. Those that
     /// hold most are stopped first; one that holds nothing is read on.
-    pub fn allowance(self, kind: Kind, held: usize) -> usize {
-        kind.max_bytes().min(self.total.saturating_sub(held) / FREE_SHARE)
+    pub fn allowance(self, held: usize) -> usize {
+        MAX_WAITING.min(self.total.saturating_sub(held) / FREE_SHARE)
     }
 
     /// Whether readers are cut off earlier: a quarter of the memory is left.
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -132,8 +132,8 @@
     let outcome = socket
         .set_tcp_keepalive(&keepalive)
         .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
-        .and_then(|()| socket.set_tcp_notsent_lowat(MAX_UNSENT))
-        .and_then(|()| stream.set_nodelay(true));
+        .and_then(|()| stream.set_nodelay(true))
+        .and_then(|()| socket.set_tcp_notsent_lowat(MAX_UNSENT));
     if let Err(error) = outcome {
         log::debug!(error:% = error; "TCP options could not be set");
     }
--- a/crates/carob-gateway/src/traffic/answer.rs
+++ b/crates/carob-gateway/src/traffic/answer.rs
@@ -64,6 +64,8 @@
 
     /// Sends the body on a connection with the bytes `unsent`, which `cut` closes if the client does not read.
     pub(super) fn attach(&mut self, unsent: &Rc<Unsent>, cut: &Rc<Notify>) {
+        // Bytes of an earlier answer that was not sent as it is stay counted otherwise.
+        unsent.clear();
         self.unsent = Some(Rc::clone(unsent));
         if let Some(answer) = self.cut() {
             answer.attach(cut);
--- a/crates/carob-gateway/src/traffic/waiting.rs
+++ b/crates/carob-gateway/src/traffic/waiting.rs
@@ -110,6 +110,11 @@
         has_room
     }
 
+    /// Counts nothing as handed over any more.
+    pub(super) fn clear(&self) {
+        self.remove(self.bytes.get());
+    }
+
     /// Counts a piece that is handed over.
     pub(super) fn add(&self, bytes: usize) {
         let held = &self.shared.waiting.held;
@@ -131,7 +136,7 @@
 
 impl Drop for Unsent {
     fn drop(&mut self) {
-        self.remove(self.bytes.get());
+        self.clear();
     }
 }
 
@@ -199,7 +204,7 @@
         let budget = budget(&self.shared);
         let answers = self.shared.waiting.answers.borrow();
         let bytes = answers.get(self.key).map_or(0, |answer| answer.bytes);
-        bytes <= budget.allowance(self.kind, self.shared.waiting.held())
+        bytes <= budget.allowance(self.shared.waiting.held())
     }
 
     /// Whether an answer that is being read completely may grow.
@@ -207,7 +212,7 @@
         let budget = budget(&self.shared);
         let answers = self.shared.waiting.answers.borrow();
         let partial = answers.get(self.key).map_or(0, |answer| answer.partial);
-        partial <= budget.allowance(self.kind, self.shared.waiting.held())
+        partial <= budget.allowance(self.shared.waiting.held())
     }
 
     fn change(&self, change: impl FnOnce(&mut Answer)) {
--- a/crates/carob-gateway/tests/memory.rs
+++ b/crates/carob-gateway/tests/memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carob_gateway::memory::{Budget, CutReason, Holder, Kind};
+use carob_gateway::memory::{Budget, CutReason, Holder};
 
 const MB: usize = 1_000_000;
 
@@ -29,7 +29,7 @@
             loop {
                 let before = held;
                 for own in &mut bytes {
-                    if *own <= budget.allowance(Kind::Plain, held) {
+                    if *own <= budget.allowance(held) {
                         *own += CHUNK;
                         held += CHUNK;
                     }
@@ -41,7 +41,7 @@
             let bound = budget.total() + count * CHUNK;
             assert!(held <= bound, "{count} readers hold {held}, bound {bound}");
             if count <= 24 {
-                let left = budget.allowance(Kind::Stream, held);
+                let left = budget.allowance(held);
                 assert!(left > 8 << 10, "{count} readers leave {left} bytes to a stream");
             }
         }
@@ -51,7 +51,7 @@
 #[test]
 fn a_larger_holder_goes_on_while_a_smaller_one_is_stopped() {
     let budget = Budget::of_memory(MEMORY);
-    let allowance = |held| budget.allowance(Kind::Plain, held);
+    let allowance = |held| budget.allowance(held);
     assert_eq!(allowance(0), 256 << 10);
     assert!(allowance(10 * MB) < 256 << 10);
     assert_eq!(allowance(12 * MB), 0, "only those that hold nothing are read");
