--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -10,7 +10,7 @@
 };
 
 use carob_platform_standin::{
-    Upstream,
+    Link, Upstream,
     client::{self, Outcome, Request},
 };
 use fleet::{BODY_MEMORY, Fleet, Gateway, LONG, generation_request, request, wait_until};
@@ -24,6 +24,10 @@
 const MEMORY_MB: usize = 88;
 const LIMIT: usize = MEMORY_MB * 1_000_000 / 8;
 
+/// Memory by which the process may grow: half of the instance's. Before answers were bounded in bytes, it grew by 53 and 167 MB
+/// for answers of 250 KiB and 8 MiB.
+const MAX_GROWTH: usize = MEMORY_MB * 1_000_000 / 2;
+
 /// What one answer may hold beyond its allowance: what is read of it before it is passed on, one read, and what its
 /// connection has not sent.
 const PIECE: usize = 48 << 10;
@@ -166,6 +170,29 @@
     });
 }
 
+/// Upstreams cut off an answer that stays unread, which says nothing about them.
+#[test]
+fn an_upstream_that_cuts_off_an_unread_answer_is_blamed() {
+    let (fleet, upstreams) = start(LARGE);
+    upstreams[1].set_answer_bytes(LARGE / 40);
+    let gateway = &fleet.gateways[0];
+    let mut order = open_unread(&fleet, &request("order", "POST", "/order/1").with_timeout(LONG));
+    let mut stream = open_unread(&fleet, &generation_request("stream"));
+    // Longer than the pause after which an upstream may do so, and shorter than the one that ends the answers.
+    thread::sleep(Duration::from_millis(1_500));
+    for upstream in &upstreams {
+        upstream.set_link(Link::Reset);
+    }
+    for (reader, line) in [
+        (&mut order, "the client read too slowly for its upstream"),
+        (&mut stream, "cut: client does not read"),
+    ] {
+        let outcome = client::read(reader, Instant::now() + LONG);
+        assert!(outcome.status == 200 && !outcome.complete);
+        wait_until(line, || gateway.logged(line));
+    }
+}
+
 #[test]
 fn a_slow_reader_loses_bytes() {
     let (fleet, _upstreams) = start(1 << 20);
@@ -200,6 +227,7 @@
         let growth = peak_memory(gateway).saturating_sub(before);
         eprintln!("answers of {size} bytes: {most} bytes held, memory grew by {growth}");
         assert!(most <= (LIMIT + READERS * PIECE) as f64, "{most} bytes are held");
+        assert!(growth <= MAX_GROWTH, "memory grew by {growth} bytes");
         drop(readers);
         wait_until("nothing is held", || {
             metric(gateway, "carobhaven_waiting_bytes{") < 1.0
