--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -13,7 +13,7 @@
 mod estimate;
 
 pub(super) use estimate::Pace;
-use estimate::{Estimate, MAX_AGE, MIN_TOLD};
+use estimate::{Estimate, KNOWN_WEIGHT, MAX_AGE, MIN_TOLD};
 
 /// Time of an engine's step without requests, in milliseconds. This and the following three are figures of the
 /// deployments; only their ratios matter, since paces are compared with each other.
@@ -35,9 +35,6 @@
 /// Maximum number of estimates in one message: 64 take 2 KB.
 pub const MAX_REPORTS: usize = 64;
 
-/// Weight from which on a pace counts as known, and with which it has two thirds of its effect.
-const KNOWN_WEIGHT: f64 = 1.0;
-
 /// Weight with which a pace has half of its effect.
 const HALF_WEIGHT: f64 = 0.5;
 
@@ -54,12 +51,17 @@
 /// better than the median, so that its pace is learned soon.
 const UNKNOWN_FACTOR: f64 = 0.9;
 
+/// Upper bound of a random load added to an upstream of unknown pace, if those of its service differ. It keeps the instances
+/// from all choosing a new upstream before they hear of each other's requests there: half of them wait until it is at
+/// least as good as others by a quarter of its capacity.
+const UNKNOWN_SPREAD: f64 = 0.5;
+
 /// Share of a service's upstreams that are faster than what an upstream of unknown pace counts as while it is busy.
 const SLOW_QUANTILE: f64 = 0.9;
 
 /// Minimum time between two evaluations of the paces of all upstreams. Messages of hundreds of instances would otherwise
 /// each cause one.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(20);
+const REFRESH_INTERVAL: Duration = Duration::from_millis(30);
 
 /// What one instance has learned of an upstream's pace.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -147,7 +149,7 @@
 
     /// Relative pace of an upstream while it has nothing pending, and while it has.
     fn factors(&self, known: Option<(f64, f64)>) -> (f64, f64) {
-        match known.filter(|(_, weight)| *weight >= KNOWN_WEIGHT / 2.0) {
+        match known.filter(|(_, weight)| *weight >= KNOWN_WEIGHT) {
             Some((ms, weight)) => {
                 let confidence = weight / (weight + HALF_WEIGHT);
                 let factor = 1.0 + (ms / self.median - 1.0) * confidence;
@@ -171,10 +173,10 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
-        // A prompt that is pending is taken to add one chunk to each step. Engines may take several prompts at a time,
-        // and some may be prefilled already, so such gaps are used with care.
+        // The time of pending prompts is not subtracted: they may be prefilled already, and a slow engine would look fast
+        // while it is loaded, and so draw more load.
         let is_clean = upstream.pending_prefill() == 0;
-        let ratio = step_ratio(upstream.total_requests(), if is_clean { 0.0 } else { 1.0 });
+        let ratio = step_ratio(upstream.total_requests(), 0.0);
         let is_news = upstream.pace.add(gap.as_secs_f64() * 1e3 / ratio, is_clean, now);
         self.refresh_paces(now);
         is_news
@@ -274,7 +276,7 @@
     /// What is known of an upstream's pace; `None` if that is nothing.
     pub fn known_pace(&self, key: UpstreamKey, now: Time) -> Option<KnownPace> {
         let pace = &self.upstreams.get(key)?.pace;
-        let (pace_ms, weight) = pace.combined(now)?;
+        let (pace_ms, weight) = pace.combine(now)?;
         let others = pace.others.iter().map(|(_, other)| other);
         let latest = others.chain(&pace.own).map(|estimate| estimate.at).max()?;
         Some(KnownPace {
@@ -292,7 +294,7 @@
         let used = upstreams.filter(|upstream| {
             *upstream.entry.service == *service
                 && upstream.entry.state == UpstreamState::Ready
-                && upstream.pace.is_known
+                && upstream.pace.known_ms().is_some()
         });
         let empty = PaceRange {
             known: 0,
@@ -323,18 +325,15 @@
             return;
         }
         self.paces_at = now;
-        if !self
-            .upstreams
-            .values()
-            .any(|upstream| upstream.pace.is_observed())
-        {
+        let mut upstreams = self.upstreams.values();
+        if !upstreams.any(|upstream| upstream.pace.needs_refresh()) {
             return;
         }
         let mut known: HashMap<Box<str>, Vec<f64>> = HashMap::new();
-        for upstream in self.upstreams.values() {
+        for upstream in self.upstreams.values_mut() {
+            upstream.pace.combined = upstream.pace.combine(now);
             if upstream.entry.state == UpstreamState::Ready
-                && let Some((ms, weight)) = upstream.pace.combined(now)
-                && weight >= KNOWN_WEIGHT
+                && let Some(ms) = upstream.pace.known_ms()
             {
                 match known.get_mut(&upstream.entry.service) {
                     Some(paces) => paces.push(ms),
@@ -348,26 +347,32 @@
             .collect();
         for upstream in self.upstreams.values_mut() {
             let summary = summaries.get(&upstream.entry.service);
-            let combined = upstream.pace.combined(now);
-            let factors = summary.map_or((1.0, 1.0), |summary| summary.factors(combined));
-            (upstream.pace.idle_factor, upstream.pace.busy_factor) = factors;
-            upstream.pace.median = summary.map(|summary| summary.median);
-            upstream.pace.is_known = combined.is_some_and(|(_, weight)| weight >= KNOWN_WEIGHT);
+            let pace = &mut upstream.pace;
+            (pace.idle_factor, pace.busy_factor) =
+                summary.map_or((1.0, 1.0), |summary| summary.factors(pace.combined));
+            pace.median = summary.map(|summary| summary.median);
         }
     }
 }
 
 /// Expected gap between two events of an engine after it gets a request; `None` if its pace is unknown.
-pub(super) fn expected_gap(upstream: &Upstream, now: Time) -> Option<Duration> {
-    let (ms, _) = upstream
-        .pace
-        .combined(now)
-        .filter(|(_, weight)| *weight >= KNOWN_WEIGHT)?;
+pub(super) fn expected_gap(upstream: &Upstream) -> Option<Duration> {
+    let ms = upstream.pace.known_ms()?;
     let prompts = (upstream.pending_prefill() as f64 / PROMPT_TOKENS).ceil();
     let ratio = step_ratio(upstream.total_requests() + 1, prompts);
     Duration::try_from_secs_f64(ms * ratio / 1e3).ok()
 }
 
+/// Load added to an upstream of unknown pace; `draw` is a random number from 0 to 1.
+pub(super) fn spread(upstream: &Upstream, draw: f64) -> f64 {
+    let pace = &upstream.pace;
+    if pace.idle_factor < pace.busy_factor {
+        draw * UNKNOWN_SPREAD
+    } else {
+        0.0
+    }
+}
+
 /// Relative pace of an upstream for a request.
 ///
 /// One of unknown pace gets its first request at about the median pace. While it is busy it counts as a slow one, so
--- a/crates/carob-dispatch/src/fleet/pace/estimate.rs
+++ b/crates/carob-dispatch/src/fleet/pace/estimate.rs
@@ -43,6 +43,9 @@
 /// to all that it sees.
 const MAX_WEIGHT: f64 = 8.0;
 
+/// Weight from which on a pace counts as known: an observation that is one half-life old.
+pub(super) const KNOWN_WEIGHT: f64 = 0.5;
+
 /// What one instance knows of one upstream's pace.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::fleet) struct Estimate {
@@ -76,8 +79,8 @@
     pub(super) told: Option<Estimate>,
     /// Median pace of its service, if that is known.
     pub(super) median: Option<f64>,
-    /// Whether enough is known for the pace to be compared with others.
-    pub(super) is_known: bool,
+    /// What all instances together knew when paces were last evaluated: milliseconds, and the weight in samples.
+    pub(super) combined: Option<(f64, f64)>,
     /// Relative pace for a request to the upstream while it has nothing pending.
     pub(super) idle_factor: f64,
     /// The same while it has; differs if the pace is unknown.
@@ -93,7 +96,7 @@
             others: SmallVec::new(),
             told: None,
             median: None,
-            is_known: false,
+            combined: None,
             idle_factor: 1.0,
             busy_factor: 1.0,
         }
@@ -117,9 +120,15 @@
         self.is_news(now)
     }
 
-    /// Whether anything was ever learned.
-    pub(super) fn is_observed(&self) -> bool {
-        self.own.is_some() || !self.others.is_empty()
+    /// Whether anything was learned, or is in effect.
+    pub(super) fn needs_refresh(&self) -> bool {
+        self.own.is_some() || !self.others.is_empty() || self.median.is_some()
+    }
+
+    /// Pace when paces were last evaluated, if enough was known for it to be compared with others.
+    pub(super) fn known_ms(&self) -> Option<f64> {
+        let known = self.combined.filter(|(_, weight)| *weight >= KNOWN_WEIGHT);
+        known.map(|(ms, _)| ms)
     }
 
     /// What the samples of this instance show.
@@ -133,7 +142,7 @@
             });
         }
         let unclean = self.values(false);
-        // Some of the prompts may have been prefilled already, and then too much was subtracted.
+        // A first event may come early since parts of the prompt were cached.
         let ms = unclean[(unclean.len() - 1) * (LOW_QUANTILE - 1) / LOW_QUANTILE];
         let is_fast = self.median.is_some_and(|median| ms < median * FAST_SHARE);
         let observations = unclean.len() / UNCLEAN_SHARE;
@@ -164,12 +173,12 @@
                 && (differs(told.ms) || (told.observations < FIRM && own.observations >= FIRM))
         } else {
             let weight: f64 = self.others.iter().map(|(_, other)| other.weight(now)).sum();
-            weight < f64::from(FIRM) || self.combined(now).is_none_or(|(ms, _)| differs(ms))
+            weight < f64::from(FIRM) || self.combine(now).is_none_or(|(ms, _)| differs(ms))
         }
     }
 
     /// Weighted lower quartile of what all instances know, and its weight.
-    pub(super) fn combined(&self, now: Time) -> Option<(f64, f64)> {
+    pub(super) fn combine(&self, now: Time) -> Option<(f64, f64)> {
         let others = self.others.iter().map(|(_, other)| other);
         let mut known: SmallVec<[(f64, f64); MAX_SOURCES]> = others
             .chain(&self.own)
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -260,7 +260,7 @@
             };
             // A gap that is too long there would harm what runs there as well.
             let is_slow = !requirements.gap_target.is_zero()
-                && pace::expected_gap(upstream, now).is_some_and(|gap| gap > requirements.gap_target);
+                && pace::expected_gap(upstream).is_some_and(|gap| gap > requirements.gap_target);
             let weight = free.max(MIN_FREE) / pace::factor(upstream, requirements);
             ((is_slow, tier), -self.uniform(key, draw).ln() / weight)
         };
@@ -322,13 +322,14 @@
         } else {
             0.0
         };
-        let tie_break = self.uniform(key, self.tie_seed) * TIE_BREAK;
+        let draw = self.uniform(key, self.tie_seed);
         paced_load(upstream, requirements)
             + upstream.failure_rate * FAILURE_PENALTY
             + unreachable
             + relay
             + self.distance_penalty(&upstream.entry.domain)
-            + tie_break
+            + draw * TIE_BREAK
+            + pace::spread(upstream, draw)
     }
 
     /// Hashes an upstream and a random number to a number above 0 and up to 1.
--- a/crates/carob-dispatch/tests/pace.rs
+++ b/crates/carob-dispatch/tests/pace.rs
@@ -99,7 +99,7 @@
     let factor = |key| fleet.known_pace(key, now).unwrap().factor;
     assert!(factor(keys[0]) < 0.6, "{}", factor(keys[0]));
     assert!(keys[1..].iter().all(|key| (factor(*key) - 1.0).abs() < 1e-9));
-    // Gaps with a prefill between them, and the first event, show that an engine is fast, but never that it is slow.
+    // Gaps while a prompt may be prefilled, and the first event, show that an engine is fast, but never that it is slow.
     for (number, pace, is_known) in [(8, FAST, true), (9, SLOW, false)] {
         let new = add(&mut fleet, "engines", number, (7, 1), now);
         fleet.start_request(new, LONG);
@@ -111,7 +111,7 @@
         };
         fleet.record_first_event(new, Duration::from_secs_f64(0.249 * pace), (LONG, sent, 4), now);
         for _ in 0..3 {
-            fleet.record_gap(new, Duration::from_secs_f64(0.0605 * pace), now);
+            fleet.record_gap(new, Duration::from_secs_f64(0.0285 * pace), now);
         }
         assert_eq!(fleet.known_pace(new, now).is_some(), is_known);
     }
