--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -54,7 +54,7 @@
         let status = (watching, told_position(shared));
         let update = shared.take_store_update();
         let now = shared.now();
-        let news = shared.evidence().take_changes(now);
+        let evidence = shared.evidence().take_changes(now);
         let (limits, brittle) = take_limits(shared, complete);
         let cold = cold::reports(shared, complete);
         let paces = pace::take_reports(shared, complete);
@@ -74,7 +74,7 @@
             || status != self.status
             || update.is_some()
             || !(changed.is_empty()
-                && news.is_empty()
+                && evidence.is_empty()
                 && limits.is_empty()
                 && brittle.is_empty()
                 && cold.is_empty()
@@ -100,9 +100,6 @@
             complete,
             loads: changed.into_iter().map(Load::from).collect(),
             updates,
-            crashes: news.crashes.into_iter().map(Crash::from).collect(),
-            sound: news.sound.into_iter().map(Sound::from).collect(),
-            trials: news.trials.into_iter().map(Trial::from).collect(),
             limits,
             leaving: leaving.clone(),
             cold,
@@ -111,7 +108,7 @@
             queued: queued.clone(),
             prefixes: prefixes::take(shared, complete),
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
-            ..Announcement::default()
+            ..of_evidence(evidence)
         };
         *self = Self {
             loads,
@@ -124,6 +121,16 @@
     }
 }
 
+/// A message that holds nothing but evidence about crashes.
+fn of_evidence(evidence: CrashEvidence) -> Announcement {
+    Announcement {
+        crashes: evidence.crashes.into_iter().map(Crash::from).collect(),
+        sound: evidence.sound.into_iter().map(Sound::from).collect(),
+        trials: evidence.trials.into_iter().map(Trial::from).collect(),
+        ..Announcement::default()
+    }
+}
+
 /// Takes what the other instances are to be told of limits and of brittle upstreams.
 fn take_limits(shared: &Shared, complete: bool) -> (Vec<Limit>, Vec<Limit>) {
     let now = shared.now();
@@ -250,10 +257,7 @@
         revision: shared.position().revision,
         watching: shared.is_watching(),
         keeps_evacuations: true,
-        crashes: evidence.crashes.into_iter().map(Crash::from).collect(),
-        sound: evidence.sound.into_iter().map(Sound::from).collect(),
-        trials: evidence.trials.into_iter().map(Trial::from).collect(),
-        ..Announcement::default()
+        ..of_evidence(evidence)
     };
     let bytes = message.encode_to_vec();
     for target in targets {
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -134,7 +134,7 @@
 fn a_generation_is_moved_out_of_its_regions() {
     let fleet = Fleet::start(1);
     let source = engine(&fleet, "b", "e1");
-    let _abroad = engine(&fleet, "a", "n");
+    let abroad = engine(&fleet, "a", "n");
     configure(&fleet, 1, &ROUTES, &[]);
     let client = fleet.start_generation(0, "d1");
     let _home = engine(&fleet, "b", "e2");
@@ -145,7 +145,7 @@
     assert_eq!(arrived(&fleet, "n"), 0);
     let involved = fleet.ledger.involved();
     assert!(
-        involved.iter().all(|(_, target)| *target != _abroad.address()),
+        involved.iter().all(|(_, target)| *target != abroad.address()),
         "memory was copied abroad"
     );
 }
