--- a/crates/carob-gateway/src/traffic/admission.rs
+++ b/crates/carob-gateway/src/traffic/admission.rs
@@ -59,20 +59,24 @@
     if call.urgency.engine_priority.is_none() {
         return target.mul_f64(QUEUE_SHARE);
     }
-    let wait = urgency::longest_wait(target, requirements.size.prefill, requirements.patience.as_ref());
-    if let Some(bound) = requirements.patience {
-        metrics::counter!("carobhaven_patient_waits_total").increment(1);
-        let fleet = call.shared.fleet();
-        log::info!(
-            request:% = call.id(), priority = call.priority, longest_ms = wait.as_millis() as u64,
-            headroom_ms = bound.headroom.as_millis() as u64, urgent_prompt = bound.urgent_prompt,
-            reserved_tokens = bound.reserve.tokens, reserved_slots = bound.reserve.slots,
-            queued = fleet.queue_length(&call.service),
-            waiting_instances = fleet.waiting_instances(&call.service, call.shared.now());
-            "patient request waits for an engine"
-        );
-    }
-    wait
+    urgency::longest_wait(target, requirements.size.prefill, requirements.patience.as_ref())
+}
+
+/// Logs that a patient request joins the queue, for at most the time `longest`.
+pub(super) fn log_wait(call: &Call, requirements: &Requirements, longest: Duration) {
+    let Some(bound) = requirements.patience else {
+        return;
+    };
+    metrics::counter!("carobhaven_patient_waits_total").increment(1);
+    let fleet = call.shared.fleet();
+    log::info!(
+        request:% = call.id(), priority = call.priority, longest_ms = longest.as_millis() as u64,
+        headroom_ms = bound.headroom.as_millis() as u64, urgent_prompt = bound.urgent_prompt,
+        reserved_tokens = bound.reserve.tokens, reserved_slots = bound.reserve.slots,
+        queued = fleet.queue_length(&call.service),
+        waiting_instances = fleet.waiting_instances(&call.service, call.shared.now());
+        "patient request waits for an engine"
+    );
 }
 
 /// Checks that a request that may wait for `longest` is expected to be served.
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -369,9 +369,12 @@
     let now = shared.now();
     let queue_empty = shared.fleet().queue_length(&call.service) == 0;
     let placement = shared.fleet().place(&requirements, now);
+    let longest = admission::longest_wait(call, &requirements);
     match placement {
         Placement::Upstream(upstream)
-            if (queue_empty && !admission::yields(call, &requirements)) || !tried.is_empty() =>
+            if (queue_empty && !admission::yields(call, &requirements))
+                || !tried.is_empty()
+                || longest.is_zero() =>
         {
             return Ok(Reservation::new(shared, upstream, size));
         }
@@ -383,7 +386,6 @@
         }
         Placement::Upstream(_) | Placement::Full => {}
     }
-    let longest = admission::longest_wait(call, &requirements);
     let queue_deadline = call.answer_deadline().min(start.since + longest);
     if Instant::now() >= queue_deadline {
         return Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams are full"));
@@ -392,6 +394,7 @@
         admission::check_forecast(call, longest)?;
     }
     let wait = limit::plan_wait(call, &requirements, queue_deadline)?;
+    admission::log_wait(call, &requirements, longest);
     let key = shared.fleet_mut().enqueue(QueuedRequest {
         requirements,
         priority: call.priority,
--- a/tests/retries/checker.rs
+++ b/tests/retries/checker.rs
@@ -20,6 +20,7 @@
         upstream: "p1".to_owned(),
         at: origin + Duration::from_millis(*at),
         continues: *continues,
+        priority: None,
     };
     given.iter().map(arrival).collect()
 }
