fix: the reserve for urgent requests follows the mean target of their priority

Cause: accounts may give routes with different targets the same priority, and the target of the last arrival counted for all of them.

Change: the mean over the recent arrivals counts.

--- a/crates/carob-dispatch/src/fleet/urgency.rs
+++ b/crates/carob-dispatch/src/fleet/urgency.rs
@@ -225,9 +225,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Arrivals {
     priority: u8,
-    target: Duration,
     /// Exponentially decaying number.
     count: f64,
+    /// Mean target in seconds; requests of several routes may have the same priority.
+    target: f64,
     /// Mean size.
     prompt: f64,
     tokens: f64,
@@ -241,10 +242,11 @@
         self.count * (-passed).exp()
     }
 
-    fn record(&mut self, size: RequestSize, now: Time) {
+    fn record(&mut self, target: Duration, size: RequestSize, now: Time) {
         self.count = self.count(now) + 1.0;
         self.updated = now;
         let weight = 1.0 / self.count.max(1.0);
+        self.target += weight * (target.as_secs_f64() - self.target);
         self.prompt += weight * (size.prefill as f64 - self.prompt);
         self.tokens += weight * (size.tokens as f64 - self.tokens);
     }
@@ -252,8 +254,8 @@
     /// Requests that run at a time, if each ends within its target and the time for its answer.
     fn running(&self, now: Time) -> f64 {
         let answer = TOKEN_TIME.mul_f64((self.tokens - self.prompt).max(0.0));
-        let time = self.target.mul_f64(TARGET_SHARE) + answer;
-        self.count(now) / ARRIVAL_TIME.as_secs_f64() * time.as_secs_f64()
+        let seconds = self.target * TARGET_SHARE + answer.as_secs_f64();
+        self.count(now) / ARRIVAL_TIME.as_secs_f64() * seconds
     }
 }
 
@@ -297,16 +299,15 @@
         let position = position.unwrap_or_else(|| {
             known.push(Arrivals {
                 priority,
-                target,
                 count: 0.0,
+                target: 0.0,
                 prompt: 0.0,
                 tokens: 0.0,
                 updated: now,
             });
             known.len() - 1
         });
-        known[position].target = target;
-        known[position].record(size, now);
+        known[position].record(target, size, now);
     }
 
     /// Bounds for a patient request with `priority` and the given `headroom`.
