--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -34,6 +34,10 @@
     }
 }
 
+/// Ratio of two targets from which on the requests with the longer one can wait for the others. With 1.8 s and 1.5 s both
+/// need their engine at once.
+const PATIENT_RATIO: u32 = 2;
+
 /// Pause in a stream that clients bear at least.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -255,7 +259,8 @@
         self.services.values()
     }
 
-    /// Priorities that requests to a service may have, the most urgent first; empty if they do not differ.
+    /// Priorities that requests to a service may have, the most urgent first; empty if they do not differ, or if no route
+    /// has a target that leaves its requests time to wait for those of another.
     pub fn priority_classes(&self, service: &str) -> &[PriorityClass] {
         let classes = self.classes.get(service).map_or(&[][..], Vec::as_slice);
         if classes.len() > 1 { classes } else { &[] }
@@ -331,9 +336,23 @@
     for known in classes.values_mut() {
         known.sort_by_key(|class| class.priority);
     }
+    classes.retain(|service, _| has_patient_route(config, service));
     classes
 }
 
+/// Whether a route to a service has a target of at least [`PATIENT_RATIO`] times the shortest one.
+fn has_patient_route(config: &RoutingConfig, service: &str) -> bool {
+    let routes = config.routes.iter().filter(|route| {
+        let mut services = route.services.iter();
+        services.any(|(name, weight)| **name == *service && *weight > 0)
+    });
+    let targets = routes.map(|route| route.target_latency);
+    let shortest = targets.clone().min().unwrap_or_default();
+    targets
+        .max()
+        .is_some_and(|longest| longest >= shortest * PATIENT_RATIO)
+}
+
 impl Route {
     /// Pause after which clients give up a stream, also before its first event. It is the longest of three that the
     /// operators' pages name.
--- a/crates/carob-dispatch/tests/table.rs
+++ b/crates/carob-dispatch/tests/table.rs
@@ -186,7 +186,9 @@
     assert_eq!(classes(&routes, None), [(0, 1), (2, 3)]);
     assert_eq!(classes(&routes[..1], None), []);
     let both = Some(vec![account(None), account(Some(1))]);
-    assert_eq!(classes(&routes[..1], both), [(1, 4), (2, 4)]);
+    assert_eq!(classes(&routes[..2], both), [(0, 1), (1, 1), (2, 4)]);
+    // Nobody can wait for anybody where targets are about equal.
+    assert_eq!(classes(&[with("long", 2, 3), with("short", 0, 2)], None), []);
     // Nobody has the routes' own priorities.
     assert_eq!(classes(&routes, Some(vec![account(Some(1))])), []);
 }
