pace: a random load where paces differ, so that instances do not all choose the same fast engine

Change: in a service with differing paces the score of each upstream gets a random load of up to 0.1, of unknown pace 0.5. The test sums two seeds, since one run at 300 instances has only 180 long streams.

--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -51,9 +51,12 @@
 /// better than the median, so that its pace is learned soon.
 const UNKNOWN_FACTOR: f64 = 0.9;
 
-/// Upper bound of a random load added to an upstream of unknown pace, if those of its service differ. It keeps the instances
-/// from all choosing a new upstream before they hear of each other's requests there: half of them wait until it is at
-/// least as good as others by a quarter of its capacity.
+/// Upper bound of a random load added to each upstream if the paces of its service differ. Otherwise the few fast ones are
+/// the best choice of all instances at the same time, before they hear of each other's requests. A prompt that is pending
+/// at a fast engine weighs three times as much.
+const MIXED_SPREAD: f64 = 0.1;
+
+/// The same for an upstream of unknown pace, which is the best choice of many while it is empty.
 const UNKNOWN_SPREAD: f64 = 0.5;
 
 /// Share of a service's upstreams that are faster than what an upstream of unknown pace counts as while it is busy.
@@ -350,6 +353,11 @@
             let pace = &mut upstream.pace;
             (pace.idle_factor, pace.busy_factor) =
                 summary.map_or((1.0, 1.0), |summary| summary.factors(pace.combined));
+            pace.spread = match summary.filter(|summary| summary.is_mixed) {
+                Some(_) if pace.known_ms().is_none() => UNKNOWN_SPREAD,
+                Some(_) => MIXED_SPREAD,
+                None => 0.0,
+            };
             pace.median = summary.map(|summary| summary.median);
         }
     }
@@ -363,16 +371,6 @@
     Duration::try_from_secs_f64(ms * ratio / 1e3).ok()
 }
 
-/// Load added to an upstream of unknown pace; `draw` is a random number from 0 to 1.
-pub(super) fn spread(upstream: &Upstream, draw: f64) -> f64 {
-    let pace = &upstream.pace;
-    if pace.idle_factor < pace.busy_factor {
-        draw * UNKNOWN_SPREAD
-    } else {
-        0.0
-    }
-}
-
 /// Relative pace of an upstream for a request.
 ///
 /// One of unknown pace gets its first request at about the median pace. While it is busy it counts as a slow one, so
--- a/crates/carob-dispatch/src/fleet/pace/estimate.rs
+++ b/crates/carob-dispatch/src/fleet/pace/estimate.rs
@@ -85,6 +85,8 @@
     pub(super) idle_factor: f64,
     /// The same while it has; differs if the pace is unknown.
     pub(super) busy_factor: f64,
+    /// Upper bound of the random load that is added to it.
+    pub(super) spread: f64,
 }
 
 impl Default for Pace {
@@ -99,6 +101,7 @@
             combined: None,
             idle_factor: 1.0,
             busy_factor: 1.0,
+            spread: 0.0,
         }
     }
 }
@@ -120,6 +123,11 @@
         self.is_news(now)
     }
 
+    /// Upper bound of the random load that is added to the upstream.
+    pub(in crate::fleet) const fn spread(&self) -> f64 {
+        self.spread
+    }
+
     /// Whether anything was learned, or is in effect.
     pub(super) fn needs_refresh(&self) -> bool {
         self.own.is_some() || !self.others.is_empty() || self.median.is_some()
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -328,8 +328,7 @@
             + unreachable
             + relay
             + self.distance_penalty(&upstream.entry.domain)
-            + draw * TIE_BREAK
-            + pace::spread(upstream, draw)
+            + draw * (TIE_BREAK + upstream.pace.spread())
     }
 
     /// Hashes an upstream and a random number to a number above 0 and up to 1.
--- a/crates/carob-dispatch/tests/pace_model/main.rs
+++ b/crates/carob-dispatch/tests/pace_model/main.rs
@@ -69,7 +69,7 @@
 }
 
 impl World {
-    fn new(instances: usize, learns: bool) -> Self {
+    fn new(instances: usize, seed: u64, learns: bool) -> Self {
         let domain = |number: usize| -> Box<str> { format!("d{number}").into() };
         let topology = |number| Topology {
             domain: domain(number % 6),
@@ -78,7 +78,7 @@
                 .collect(),
         };
         let mut world = Self {
-            random: SmallRng::seed_from_u64(9),
+            random: SmallRng::seed_from_u64(seed),
             learns,
             now: 1_000,
             engines: Vec::new(),
@@ -260,8 +260,8 @@
         telling
     }
 
-    /// Share of long streams with a gap of more than [`LATE_MS`].
-    fn run(mut self, seconds: u64) -> f64 {
+    /// Number of long streams, and of those with a gap of more than [`LATE_MS`].
+    fn run(mut self, seconds: u64) -> (u32, u32) {
         let end = self.now + seconds * 1_000;
         while self.now < end {
             self.now += TICK_MS;
@@ -282,19 +282,24 @@
             }
         }
         let running = self.streams.iter().filter(|stream| stream.size.prefill == 3_000);
-        let (count, late) = running.fold(self.ended, |(count, late), stream| {
+        running.fold(self.ended, |(count, late), stream| {
             (count + 1, late + u32::from(stream.worst > LATE_MS))
-        });
-        f64::from(late) / f64::from(count)
+        })
     }
 }
 
+/// Share of late streams over two seeds.
+fn late_share(instances: usize, seconds: u64, learns: bool) -> f64 {
+    let runs = [9, 10].map(|seed| World::new(instances, seed, learns).run(seconds));
+    f64::from(runs[0].1 + runs[1].1) / f64::from(runs[0].0 + runs[1].0)
+}
+
 /// Guards against long gaps at slow engines while fast ones have room.
 #[test]
 fn fewer_streams_have_long_gaps_when_paces_are_learned() {
-    for (instances, seconds) in [(7, 20), (66, 15), (300, 9)] {
-        let before = World::new(instances, false).run(seconds);
-        let after = World::new(instances, true).run(seconds);
+    for (instances, seconds) in [(7, 15), (66, 12), (300, 9)] {
+        let before = late_share(instances, seconds, false);
+        let after = late_share(instances, seconds, true);
         println!(
             "{instances} instances: {before:.3} of long streams late without paces, {after:.3} with them"
         );
