pace: services count as mixed only if their fastest or slowest tenth is far from the median

Cause: prompts that an instance does not know of make an engine look up to twice as slow for a while; with one band for all services that could move requests in a fleet of equal engines. Change: paces differ if the fastest tenth is below 0.7 of the median or the slowest above 1.5; otherwise only an upstream that is off by more than three quarters counts as unequal.

--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -7,9 +7,10 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::{Fleet, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState};
 use carob_base::Time;
 
+use super::{Fleet, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState};
+
 mod estimate;
 
 pub(super) use estimate::Pace;
@@ -38,10 +39,18 @@
 /// Weight with which a pace has half of its effect.
 const HALF_WEIGHT: f64 = 0.5;
 
-/// Paces within a quarter of the median count as equal. Estimates of equally fast engines differ by about a tenth,
-/// depending on the prompts that were prefilled meanwhile, and must not change where requests go.
+/// Paces within a quarter of the median count as equal in a service whose paces differ.
 const EQUAL_BAND: f64 = 0.25;
 
+/// The same in a service whose upstreams are about equally fast. Prompts that an instance does not know of can make an
+/// engine look up to twice as slow for a while, which must not change where requests go there.
+const OUTLIER_BAND: f64 = 0.75;
+
+/// Relative paces of the fastest and the slowest tenth beyond which the paces of a service differ. The fast engines of the
+/// deployments are at 0.46.
+const MIXED_FAST: f64 = 0.7;
+const MIXED_SLOW: f64 = 1.5;
+
 /// Bounds of a relative pace: a faulty estimate must neither draw nor repel all requests. The lower one is a little below
 /// the ratio of the fastest to the median in the deployments.
 const MIN_FACTOR: f64 = 0.4;
@@ -127,7 +136,7 @@
     median: f64,
     /// Relative pace of the slow ones.
     slow: f64,
-    /// Whether paces differ by more than [`EQUAL_BAND`].
+    /// Whether paces differ.
     is_mixed: bool,
 }
 
@@ -146,7 +155,7 @@
         Some(Self {
             median,
             slow: slow.clamp(1.0, MAX_FACTOR),
-            is_mixed: slow > 1.0 + EQUAL_BAND || fast < 1.0 - EQUAL_BAND,
+            is_mixed: slow > MIXED_SLOW || fast < MIXED_FAST,
         })
     }
 
@@ -156,7 +165,8 @@
             Some((ms, weight)) => {
                 let confidence = weight / (weight + HALF_WEIGHT);
                 let factor = 1.0 + (ms / self.median - 1.0) * confidence;
-                let factor = if (factor - 1.0).abs() < EQUAL_BAND {
+                let band = if self.is_mixed { EQUAL_BAND } else { OUTLIER_BAND };
+                let factor = if (factor - 1.0).abs() < band {
                     1.0
                 } else {
                     factor.clamp(MIN_FACTOR, MAX_FACTOR)
