--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -7,9 +7,10 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::{Fleet, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState};
 use carob_base::Time;
 
+use super::{Fleet, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState};
+
 mod estimate;
 
 pub(super) use estimate::Pace;
@@ -38,10 +39,14 @@
 /// Weight with which a pace has half of its effect.
 const HALF_WEIGHT: f64 = 0.5;
 
-/// Paces within a quarter of the median count as equal. Estimates of equally fast engines differ by about a tenth,
-/// depending on the prompts that were prefilled meanwhile, and must not change where requests go.
+/// Paces within a quarter of the median count as equal.
 const EQUAL_BAND: f64 = 0.25;
 
+/// Relative paces of a fast and a slow upstream ([`FAST_QUANTILE`], [`SLOW_QUANTILE`]) beyond which the paces of a service
+/// differ. The fast engines of the deployments are at 0.46.
+const MIXED_FAST: f64 = 0.7;
+const MIXED_SLOW: f64 = 1.5;
+
 /// Bounds of a relative pace: a faulty estimate must neither draw nor repel all requests. The lower one is a little below
 /// the ratio of the fastest to the median in the deployments.
 const MIN_FACTOR: f64 = 0.4;
@@ -51,13 +56,20 @@
 /// better than the median, so that its pace is learned soon.
 const UNKNOWN_FACTOR: f64 = 0.9;
 
-/// Upper bound of a random load added to an upstream of unknown pace, if those of its service differ. It keeps the instances
-/// from all choosing a new upstream before they hear of each other's requests there: half of them wait until it is at
-/// least as good as others by a quarter of its capacity.
+/// Upper bound of a random load added to each upstream if the paces of its service differ. Otherwise the few fast ones are
+/// the best choice of all instances at the same time, before they hear of each other's requests. A prompt that is pending
+/// at a fast engine weighs three times as much.
+const MIXED_SPREAD: f64 = 0.1;
+
+/// The same for an upstream of unknown pace, which is the best choice of many while it is empty.
 const UNKNOWN_SPREAD: f64 = 0.5;
 
-/// Share of a service's upstreams that are faster than what an upstream of unknown pace counts as while it is busy.
-const SLOW_QUANTILE: f64 = 0.9;
+/// Share of a service's upstreams that are faster than what counts as a fast one.
+const FAST_QUANTILE: f64 = 0.1;
+
+/// Share of a service's upstreams that are faster than what counts as a slow one. None counts as slower: prompts that an
+/// instance does not know of make some engines look up to three times as slow as they are, also after those prompts.
+const SLOW_QUANTILE: f64 = 0.85;
 
 /// Minimum time between two evaluations of the paces of all upstreams. Messages of hundreds of instances would otherwise
 /// each cause one.
@@ -124,7 +136,7 @@
     median: f64,
     /// Relative pace of the slow ones.
     slow: f64,
-    /// Whether paces differ by more than [`EQUAL_BAND`].
+    /// Whether paces differ.
     is_mixed: bool,
 }
 
@@ -139,30 +151,31 @@
         let at = |share: f64| paces[(last as f64 * share).round() as usize];
         let median = paces[last / 2];
         let slow = at(SLOW_QUANTILE) / median;
-        let fast = at(1.0 - SLOW_QUANTILE) / median;
+        // Rounded down, so that one of a few fast upstreams counts.
+        let fast = paces[(last as f64 * FAST_QUANTILE) as usize] / median;
         Some(Self {
             median,
             slow: slow.clamp(1.0, MAX_FACTOR),
-            is_mixed: slow > 1.0 + EQUAL_BAND || fast < 1.0 - EQUAL_BAND,
+            is_mixed: slow > MIXED_SLOW || fast < MIXED_FAST,
         })
     }
 
     /// Relative pace of an upstream while it has nothing pending, and while it has.
     fn factors(&self, known: Option<(f64, f64)>) -> (f64, f64) {
-        match known.filter(|(_, weight)| *weight >= KNOWN_WEIGHT) {
-            Some((ms, weight)) => {
-                let confidence = weight / (weight + HALF_WEIGHT);
-                let factor = 1.0 + (ms / self.median - 1.0) * confidence;
-                let factor = if (factor - 1.0).abs() < EQUAL_BAND {
-                    1.0
-                } else {
-                    factor.clamp(MIN_FACTOR, MAX_FACTOR)
-                };
-                (factor, factor)
-            }
-            None if self.is_mixed => (UNKNOWN_FACTOR, self.slow),
-            None => (1.0, 1.0),
+        if !self.is_mixed {
+            return (1.0, 1.0);
         }
+        let Some((ms, weight)) = known.filter(|(_, weight)| *weight >= KNOWN_WEIGHT) else {
+            return (UNKNOWN_FACTOR, self.slow);
+        };
+        let confidence = weight / (weight + HALF_WEIGHT);
+        let factor = 1.0 + (ms / self.median - 1.0) * confidence;
+        let factor = if (factor - 1.0).abs() < EQUAL_BAND {
+            1.0
+        } else {
+            factor.clamp(MIN_FACTOR, self.slow)
+        };
+        (factor, factor)
     }
 }
 
@@ -350,6 +363,11 @@
             let pace = &mut upstream.pace;
             (pace.idle_factor, pace.busy_factor) =
                 summary.map_or((1.0, 1.0), |summary| summary.factors(pace.combined));
+            pace.spread = match summary.filter(|summary| summary.is_mixed) {
+                Some(_) if pace.known_ms().is_none() => UNKNOWN_SPREAD,
+                Some(_) => MIXED_SPREAD,
+                None => 0.0,
+            };
             pace.median = summary.map(|summary| summary.median);
         }
     }
@@ -363,16 +381,6 @@
     Duration::try_from_secs_f64(ms * ratio / 1e3).ok()
 }
 
-/// Load added to an upstream of unknown pace; `draw` is a random number from 0 to 1.
-pub(super) fn spread(upstream: &Upstream, draw: f64) -> f64 {
-    let pace = &upstream.pace;
-    if pace.idle_factor < pace.busy_factor {
-        draw * UNKNOWN_SPREAD
-    } else {
-        0.0
-    }
-}
-
 /// Relative pace of an upstream for a request.
 ///
 /// One of unknown pace gets its first request at about the median pace. While it is busy it counts as a slow one, so
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -348,8 +348,7 @@
             + unreachable
             + relay
             + self.distance_penalty(&upstream.entry.domain)
-            + draw * TIE_BREAK
-            + pace::spread(upstream, draw)
+            + draw * (TIE_BREAK + upstream.pace.spread())
             - self.saved_load(key, upstream, requirements, now)
     }
 
