fix: cold upstreams are targets of migrations again

A target whose expected gap is too long came after those in other failure domains, also where all engines are equally fast. Change: a migration may choose a cold upstream and asks for a permit when it begins to copy; the permit is still needed when the generation goes on there. Only upstreams that are slower than the median are put last for their gaps.

--- a/crates/carob-dispatch/src/fleet/limited.rs
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -180,7 +180,16 @@
 
     /// Whether a request may be sent to an upstream now, as far as what it says of itself goes.
     pub(super) fn access(&self, upstream: &Upstream, now: Time) -> Access {
-        if upstream.paused_until > now || self.is_cold_held(upstream, now) {
+        if self.is_cold_held(upstream, now) {
+            return Access::Held;
+        }
+        self.access_when_warm(upstream, now)
+    }
+
+    /// Like [`Self::access`], for a request that is sent some time later: a cold upstream is warm by then, or a permit has
+    /// come.
+    pub(super) fn access_when_warm(&self, upstream: &Upstream, now: Time) -> Access {
+        if upstream.paused_until > now {
             Access::Held
         } else if self.limits.is_empty() {
             Access::Open
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -264,7 +264,7 @@
             *key != from
                 && Some(upstream.entry.address) != address
                 && self.is_candidate(*key, upstream, requirements)
-                && self.access(upstream, now) != Access::Held
+                && self.access_when_warm(upstream, now) != Access::Held
         });
         let rank = |key: UpstreamKey, upstream: &Upstream| {
             let free = 1.0
@@ -280,6 +280,7 @@
             };
             // A gap that is too long there would harm what runs there as well.
             let is_slow = !requirements.gap_target.is_zero()
+                && pace::factor(upstream, requirements) > 1.0
                 && pace::expected_gap(upstream).is_some_and(|gap| gap > requirements.gap_target);
             let weight = free.max(MIN_FREE) / pace::factor(upstream, requirements);
             ((is_slow, tier), -self.uniform(key, draw).ln() / weight)
--- a/crates/carob-gateway/src/traffic/cold.rs
+++ b/crates/carob-gateway/src/traffic/cold.rs
@@ -22,6 +22,9 @@
 /// Time between two checks whether a permit has arrived.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time from the choice of a migration's target until the generation goes on there: a copy, and one that catches up.
+const MOVE_TIME: Duration = Duration::from_millis(800);
+
 /// Puts the settings in force.
 pub(super) fn apply_settings(shared: &Shared, settings: &Settings) {
     shared.fleet_mut().set_cold_options(settings.cold);
@@ -191,8 +194,19 @@
     Err(socket::Error::Excluded(exclusion))
 }
 
+/// Asks for a permit for a generation that goes on at an upstream once its memory is copied there.
+pub(super) fn expect_move(shared: &Shared, upstream: UpstreamKey) {
+    ask_until(shared, upstream, shared.now() + MOVE_TIME);
+}
+
 fn ask(shared: &Shared, upstream: UpstreamKey) {
-    let until = shared.now() + COLD_ASK_TIME;
+    ask_until(shared, upstream, shared.now() + COLD_ASK_TIME);
+}
+
+fn ask_until(shared: &Shared, upstream: UpstreamKey, until: Time) {
+    if shared.fleet().cold().is_empty() {
+        return;
+    }
     let mut fleet = shared.fleet_mut();
     let hash = fleet.upstream_hash(upstream);
     fleet.cold_mut().record_wait(hash, until);
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -15,7 +15,7 @@
 use tokio::{task::AbortHandle, time::Instant};
 
 use super::{
-    call::Call, exchange::upstream_name, guard::Reservation, limit, link, pace, resume::OpenStream,
+    call::Call, cold, exchange::upstream_name, guard::Reservation, limit, link, pace, resume::OpenStream,
     shared::Shared, switch,
 };
 
@@ -148,6 +148,7 @@
             continue;
         };
         tried.push(target);
+        cold::expect_move(shared, target);
         let reservation = Reservation::new(shared, target, requirements.size);
         let started = Instant::now();
         let outcome = copy(call, source.key, target, false).await;
