feat: explain says what stood in the way of a request

Cause: refusals because engines are scarce, and requests that were kept from an upstream by regions, evacuations or the cold, had lines in the log and no sentence in explain. Change: carob-explain::placement adds them to the conclusion. Measured: tests of carob-explain.

--- a/crates/carob-explain/src/conclude.rs
+++ b/crates/carob-explain/src/conclude.rs
@@ -1,6 +1,6 @@
 //! Explanation of a request's outcome and of the decision that led to it.
 
-use crate::Record;
+use crate::{Record, placement};
 
 /// Explains the outcome of a request from its records, `request`, in their order. `all` are the records of
 /// all instances, from which follows what they knew about the upstream.
@@ -42,7 +42,8 @@
             last.uptime_ms
         ),
     };
-    format!("{sentence}{configuration}")
+    let placement = placement::explain(request);
+    format!("{sentence}{placement}{configuration}")
 }
 
 /// Messages that end a request.
--- a/crates/carob-explain/src/lib.rs
+++ b/crates/carob-explain/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod align;
 mod conclude;
+mod placement;
 mod record;
 mod service;
 
--- a/crates/carob-explain/tests/explain.rs
+++ b/crates/carob-explain/tests/explain.rs
@@ -379,3 +379,34 @@
          10.0.0.1:7200); a permit was expected after 450 ms."
     );
 }
+
+/// Operators could not tell from the outcome alone why a request was refused or sent elsewhere.
+#[test]
+fn what_stood_in_the_way_of_a_request_is_not_explained() {
+    let mut text = line(
+        "n1",
+        10,
+        "request not sent: its upstream is not permitted any more",
+        ",\"request\":\"q\",\"upstream\":\"u1\",\"exclusion\":\"evacuated\",\"regions\":\"any\"",
+    );
+    text += &line(
+        "n1",
+        20,
+        "request refused: engines are scarce",
+        ",\"request\":\"q\",\"priority\":2,\"longest_ms\":2300,\"expected_ms\":9000,\"ahead\":40,\"busy_ms\":900,\
+         \"retry_ms\":7100,\"reason\":\"r\"",
+    );
+    text += &line(
+        "n1",
+        21,
+        "answered by the gateway",
+        ",\"request\":\"q\",\"own\":\"Refused(7.1s)\",\"age_ms\":11,\"reason\":\"all engines are taken\"",
+    );
+    let records = parse(&text, "file").records;
+    assert_eq!(
+        explain(&records, "q"),
+        "The gateway answered Refused(7.1s) after 11 ms and 0 sends, because all engines are taken. It was not sent to \
+         upstream u1: its failure domain was taken out of service (regions in which it may run: any). Requests of priority 2 \
+         had to wait 9000 ms, behind 40 others; it might wait 2300 ms, and was told to come back after 7100 ms."
+    );
+}
--- a/crates/carob-gateway/src/traffic/admission.rs
+++ b/crates/carob-gateway/src/traffic/admission.rs
@@ -136,7 +136,7 @@
     let delay = link::spread(delay);
     log::info!(
         request:% = call.id(), priority = call.priority, longest_ms = longest.as_millis() as u64,
-        expected_ms:? = forecast.wait.map(|wait| wait.as_millis() as u64), ahead = forecast.ahead,
+        expected_ms = forecast.wait.map_or(0, |wait| wait.as_millis() as u64), ahead = forecast.ahead,
         busy_ms = forecast.busy.as_millis() as u64, retry_ms = delay.as_millis() as u64, reason;
         "request refused: engines are scarce"
     );
