--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -62,7 +62,7 @@
 /// Writes a configuration in which the account may use `regions` only, and waits until gateways are ready.
 fn configure(fleet: &Fleet, version: u64, routes: &[Route], regions: &[&str]) {
     let mut config = config::config(version, routes, &[CLIENT_KEY]);
-    config["Tenants"][0]["AllowedRegions"] = regions.into();
+    config::restrict_account(&mut config, regions);
     fleet.store.put(config::KEY, &config);
     fleet.wait_ready();
 }
