--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -381,6 +381,11 @@
     Duration::try_from_secs_f64(ms * ratio / 1e3).ok()
 }
 
+/// Whether the paces of the upstream's service differ, so that they are weighed at all.
+pub(super) const fn differs(upstream: &Upstream) -> bool {
+    upstream.pace.spread() > 0.0
+}
+
 /// Relative pace of an upstream for a request.
 ///
 /// One of unknown pace gets its first request at about the median pace. While it is busy it counts as a slow one, so
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -280,7 +280,7 @@
             };
             // A gap that is too long there would harm what runs there as well.
             let is_slow = !requirements.gap_target.is_zero()
-                && pace::factor(upstream, requirements) > 1.0
+                && pace::differs(upstream)
                 && pace::expected_gap(upstream).is_some_and(|gap| gap > requirements.gap_target);
             let weight = free.max(MIN_FREE) / pace::factor(upstream, requirements);
             ((is_slow, tier), -self.uniform(key, draw).ln() / weight)
