test: the soak checks that requests stay in their regions

Upstreams of the soak stand in two failure domains: every third engine and every second plain upstream is in `b` (region `south`), and an engine that replaces another one is where that one was. One more client asks for resumable streams of a new route, /south/, which may run in `south` only. No request of it may arrive at an upstream elsewhere.

The new client draws from a generator of its own, so the sequences of the seeds are as before; where requests are placed differs, since upstreams are in two failure domains.

Copies of memory are not judged.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,6 +11,8 @@
 mod checks;
 #[path = "soak/cuts.rs"]
 mod cuts;
+#[path = "soak/domains.rs"]
+mod domains;
 #[path = "soak/drills.rs"]
 mod drills;
 #[path = "soak/faults.rs"]
@@ -175,18 +177,7 @@
         print_log(&injector.fleet.gateways[*gateway], None);
         violations.push(format!("gateway {gateway} {violation}"));
     }
-    violations.extend(checks::crash_violations(
-        &injector.fleet.ledger,
-        &observations,
-        &injector.operator,
-    ));
-    violations.extend(injector.limits.violations(
-        &injector.fleet.ledger,
-        &observations,
-        &injector.operator,
-        &injector.harms,
-    ));
-    violations.extend(injector.drill_violations.iter().cloned());
+    violations.extend(fleet_violations(injector, &observations));
     eprintln!("drills of the store: {}", injector.drills.count);
     violations.extend(injector.cuts.violations(&observations, &injector.operator));
     print_refused(injector);
@@ -239,6 +230,24 @@
     );
 }
 
+/// What all upstreams saw together against promises about the fleet.
+fn fleet_violations(injector: &Injector, observations: &[Observation]) -> Vec<String> {
+    let mut violations = checks::crash_violations(&injector.fleet.ledger, observations, &injector.operator);
+    violations.extend(injector.limits.violations(
+        &injector.fleet.ledger,
+        observations,
+        &injector.operator,
+        &injector.harms,
+    ));
+    violations.extend(
+        injector
+            .domains
+            .region_violations(&injector.fleet.ledger, observations),
+    );
+    violations.extend(injector.drill_violations.iter().cloned());
+    violations
+}
+
 /// Writes the logs of the gateways to the directory that `SOAK_LOGS` names.
 fn keep_logs(seed: u64, injector: &Injector) {
     let Some(directory) = env::var_os("SOAK_LOGS") else {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -8,7 +8,7 @@
 };
 
 use carob_platform_standin::{
-    AnswerMode, Cut, Flood, Link, Outage, Trigger, Upstream,
+    AnswerMode, Cut, Flood, Link, Outage, Trigger, Upstream, Workload,
     client::Connection,
     config::{self, Route},
 };
@@ -21,6 +21,7 @@
 use crate::{
     EVENT_INTERVAL, POLL_INTERVAL,
     cuts::Cuts,
+    domains::{Domains, SOUTH_PREFIX, engine_domain, plain_domain},
     drills::{Drills, FLAGS},
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
     limits::Limits,
@@ -29,7 +30,7 @@
 };
 
 /// Routes of the configurations in a soak.
-pub const ROUTES: [Route; 5] = [
+pub const ROUTES: [Route; 6] = [
     Route::new("/draft/", "streaming", "engines").with_timeout(20_000),
     Route::new("/order/", "unsafe", "plain"),
     Route::new("/read/", "safe", "plain").with_max_attempts(2),
@@ -37,6 +38,10 @@
     Route::new("/answer/", "streaming", "engines")
         .with_max_attempts(2)
         .with_resumable(),
+    Route::new(SOUTH_PREFIX, "streaming", "engines")
+        .with_max_attempts(2)
+        .with_resumable()
+        .with_regions(&["south"]),
 ];
 
 /// Grace that each gateway starts with, according to [`Fleet::start`].
@@ -160,6 +165,8 @@
     pub limits: Limits,
     /// Links of single gateways that are cut.
     pub cuts: Cuts,
+    /// Failure domains of the upstreams.
+    pub domains: Domains,
     /// Drills of the store.
     pub drills: Drills,
     /// What does not hold after the last of them.
@@ -177,11 +184,17 @@
 impl Injector {
     pub fn new(gateways: usize, clients: usize, seed: u64) -> Self {
         let fleet = Fleet::start(gateways);
+        let mut domains = Domains::default();
         let engines = (0..3.max(clients / CLIENTS_PER_ENGINE))
-            .map(|n| start_engine(&fleet, n as u32))
+            .map(|n| start_engine(&fleet, n as u32, engine_domain(n), &mut domains))
             .collect();
         let plain = (0..2.max(clients / CLIENTS_PER_PLAIN))
-            .map(|n| fleet.start_plain(&format!("p{n}"), Duration::from_millis(15)))
+            .map(|n| {
+                let (id, domain) = (format!("p{n}"), plain_domain(n));
+                domains.place(&id, domain);
+                let workload = Workload::Plain(Duration::from_millis(15));
+                Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "plain", workload)
+            })
             .collect();
         let operator = Operator::new(&fleet, FIRST_GRACE);
         let addresses = fleet.gateways.iter().map(|gateway| gateway.caller_address);
@@ -207,6 +220,7 @@
             deadly: (0, Instant::now()),
             limits: Limits::new(seed.rotate_left(24)),
             cuts: Cuts::new(seed.rotate_left(41)),
+            domains,
             drills: Drills::new(seed.rotate_left(29)),
             drill_violations: Vec::new(),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
@@ -448,7 +462,12 @@
 
     /// Starts a new engine in the place of one that leaves or was killed.
     fn replace_engine(&mut self, index: usize) {
-        self.engines[index] = start_engine(&self.fleet, self.next_engine);
+        self.engines[index] = start_engine(
+            &self.fleet,
+            self.next_engine,
+            engine_domain(index),
+            &mut self.domains,
+        );
         self.next_engine += 1;
     }
 
@@ -703,9 +722,12 @@
     fleet.store.put(config::KEY, &content);
 }
 
-/// Starts the engine with this number.
-fn start_engine(fleet: &Fleet, number: u32) -> Upstream {
-    let engine = fleet.start_engine(&format!("e{number}"), 1, EVENT_INTERVAL);
+/// Starts the engine with this number in a failure domain.
+fn start_engine(fleet: &Fleet, number: u32, domain: &'static str, domains: &mut Domains) -> Upstream {
+    let id = format!("e{number}");
+    domains.place(&id, domain);
+    let workload = Workload::Stream(1, EVENT_INTERVAL);
+    let engine = Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "engines", workload);
     engine.set_chunked(!number.is_multiple_of(UNFRAMED_ENGINES));
     engine.set_crlf(number.is_multiple_of(3));
     // Some send events once more that the client of a resumed stream has.
--- a/tests/soak/resumers.rs
+++ b/tests/soak/resumers.rs
@@ -23,12 +23,12 @@
 const PAUSE: Range<u64> = 50..400;
 
 impl Clients {
-    /// Asks for streams, each until it is whole or has been asked for too often.
-    pub fn resume_streams(&self, rng: &mut StdRng) {
+    /// Asks for streams at `path`, each until it is whole or has been asked for too often.
+    pub fn resume_streams(&self, rng: &mut StdRng, path: &str) {
         while !self.is_stopped() {
             let (mut from, events) = (0, rng.random_range(1..40));
             for _ in 0..MAX_RESPONSES {
-                let observation = self.ask_for_rest(rng, from, events);
+                let observation = self.ask_for_rest(rng, path, from, events);
                 from = observation.outcome.events().last().copied().unwrap_or(from);
                 let is_whole = observation.outcome.complete && observation.outcome.status == 200;
                 self.record(observation);
@@ -41,8 +41,9 @@
     }
 
     /// Asks any gateway for the events after `from`, and may break the response off.
-    fn ask_for_rest(&self, rng: &mut StdRng, from: u64, events: u64) -> Observation {
-        let request = draw_resumable(rng, &self.next_request_id(), from, events);
+    fn ask_for_rest(&self, rng: &mut StdRng, path: &str, from: u64, events: u64) -> Observation {
+        let mut request = draw_resumable(rng, &self.next_request_id(), from, events);
+        path.clone_into(&mut request.path);
         let gateway = self.pick_gateway(rng);
         let opened = Instant::now();
         let mut held = self.open(gateway);
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     EVENT_TOKENS, MAX_EVENTS,
+    domains::SOUTH_PREFIX,
     fleet::{LONG, request},
     resumers::RESUMERS,
 };
@@ -160,10 +161,13 @@
         let resumers = (0..RESUMERS).map(|number| {
             let clients = Arc::clone(self);
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(19) ^ number << 32);
-            thread::spawn(move || clients.resume_streams(&mut rng))
+            thread::spawn(move || clients.resume_streams(&mut rng, "/answer/x"))
         });
         let resumers: Vec<_> = resumers.collect();
-        let others = [deadly].into_iter().chain(readers).chain(resumers);
+        let clients = Arc::clone(self);
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(46));
+        let south = thread::spawn(move || clients.resume_streams(&mut rng, &format!("{SOUTH_PREFIX}1")));
+        let others = [deadly, south].into_iter().chain(readers).chain(resumers);
         senders.chain(checks).chain(others).collect()
     }
 
