test: the soak takes a failure domain out of service and back

The operator of the soak writes and removes op/evacuate/b at random times. No request from a gateway in touch may reach an upstream there later than 5 s after the store had the key, plus the time for which the store was partly unavailable in these 5 s (6 s at most), until the key is removed. A request that was sent before is excused if the upstream's link was harmed while it was on its way. A key that a drill of the store loses is judged no further until it is written again, as a new one.

One engine and one plain upstream more than before stand in `b`, all others in `a`.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -15,6 +15,8 @@
 mod domains;
 #[path = "soak/drills.rs"]
 mod drills;
+#[path = "soak/evacuations.rs"]
+mod evacuations;
 #[path = "soak/faults.rs"]
 mod faults;
 mod fleet;
@@ -244,6 +246,11 @@
             .domains
             .region_violations(&injector.fleet.ledger, observations),
     );
+    violations.extend(injector.evacuations.violations(
+        &injector.fleet.ledger,
+        observations,
+        (&injector.operator, &injector.domains, &injector.harms),
+    ));
     violations.extend(injector.drill_violations.iter().cloned());
     violations
 }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -238,7 +238,7 @@
 }
 
 /// Whether the gateway of a request had been running undisturbed for long enough to know what others know.
-fn is_in_touch(observation: &Observation, operator: &Operator) -> bool {
+pub fn is_in_touch(observation: &Observation, operator: &Operator) -> bool {
     let Observation { begun, ended, .. } = *observation;
     let lives = operator.lives_at(observation.gateway, observation.opened);
     lives.iter().all(|life| {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -21,8 +21,9 @@
 use crate::{
     EVENT_INTERVAL, POLL_INTERVAL,
     cuts::Cuts,
-    domains::{Domains, SOUTH_PREFIX, engine_domain, plain_domain},
+    domains::{self, Domains, SOUTH_PREFIX},
     drills::{Drills, FLAGS},
+    evacuations::Evacuations,
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
     limits::Limits,
     operator::Operator,
@@ -167,6 +168,8 @@
     pub cuts: Cuts,
     /// Failure domains of the upstreams.
     pub domains: Domains,
+    /// Evacuations of failure domains.
+    pub evacuations: Evacuations,
     /// Drills of the store.
     pub drills: Drills,
     /// What does not hold after the last of them.
@@ -185,15 +188,19 @@
     pub fn new(gateways: usize, clients: usize, seed: u64) -> Self {
         let fleet = Fleet::start(gateways);
         let mut domains = Domains::default();
-        let engines = (0..3.max(clients / CLIENTS_PER_ENGINE))
-            .map(|n| start_engine(&fleet, n as u32, engine_domain(n), &mut domains))
+        let count = 1 + 3.max(clients / CLIENTS_PER_ENGINE);
+        let engines = (0..count)
+            .map(|n| start_engine(&fleet, n as u32, domains::domain(n, count), &mut domains))
             .collect();
-        let plain = (0..2.max(clients / CLIENTS_PER_PLAIN))
+        let count = 1 + 2.max(clients / CLIENTS_PER_PLAIN);
+        let plain = (0..count)
             .map(|n| {
-                let (id, domain) = (format!("p{n}"), plain_domain(n));
-                domains.place(&id, domain);
+                let (id, domain) = (format!("p{n}"), domains::domain(n, count));
                 let workload = Workload::Plain(Duration::from_millis(15));
-                Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "plain", workload)
+                let upstream =
+                    Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "plain", workload);
+                domains.place(&upstream, domain);
+                upstream
             })
             .collect();
         let operator = Operator::new(&fleet, FIRST_GRACE);
@@ -221,6 +228,7 @@
             limits: Limits::new(seed.rotate_left(24)),
             cuts: Cuts::new(seed.rotate_left(41)),
             domains,
+            evacuations: Evacuations::new(seed.rotate_left(37)),
             drills: Drills::new(seed.rotate_left(29)),
             drill_violations: Vec::new(),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
@@ -424,6 +432,7 @@
         let kind = *kinds.choose(rng).expect("there are kinds");
         let all = rng.random_bool(0.4);
         let one = rng.random_range(0..self.fleet.gateways.len());
+        self.evacuations.begin_fault();
         for (number, gateway) in self.fleet.gateways.iter().enumerate() {
             gateway
                 .store_endpoint
@@ -439,6 +448,9 @@
 
     /// Ends outages, network faults and bad answers.
     fn heal(&mut self) {
+        if !self.drills.is_away() {
+            self.evacuations.end_faults();
+        }
         for gateway in &self.fleet.gateways {
             gateway.store_endpoint.set_outage(None);
         }
@@ -465,7 +477,7 @@
         self.engines[index] = start_engine(
             &self.fleet,
             self.next_engine,
-            engine_domain(index),
+            domains::domain(index, self.engines.len()),
             &mut self.domains,
         );
         self.next_engine += 1;
@@ -526,10 +538,18 @@
         // Processes that are killed all the time know nothing while the store is away.
         let is_calm = self.trouble.until.is_none() || self.drills.is_away();
         if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
+            match text {
+                "store away" => self.evacuations.begin_fault(),
+                "lost content written again" => self.evacuations.write_again(&self.fleet),
+                _ => {}
+            }
             self.note(text);
             // Stale answers end with other faults.
             self.heal_at = self.heal_at.max(Instant::now() + CUT_TIME);
         }
+        if let Some(text) = self.evacuations.poll(&self.fleet) {
+            self.note(&text);
+        }
         self.operator.poll(&mut self.fleet);
         for gateway in 0..self.fleet.gateways.len() {
             let restarts =
@@ -638,6 +658,7 @@
 
     /// Ends every fault, waits until the planned work is done and all gateways serve.
     pub fn recover(&mut self) {
+        self.evacuations.end(&self.fleet);
         self.heal();
         self.cuts.end(&self.fleet, &mut self.harms);
         self.engines
@@ -663,6 +684,7 @@
 
     /// Does a last drill of the store, and checks what follows.
     pub fn check_drills(&mut self) {
+        self.evacuations.end(&self.fleet);
         let mut version = self.version;
         let mut configure = |is_next: bool| {
             version += u64::from(is_next);
@@ -725,9 +747,9 @@
 /// Starts the engine with this number in a failure domain.
 fn start_engine(fleet: &Fleet, number: u32, domain: &'static str, domains: &mut Domains) -> Upstream {
     let id = format!("e{number}");
-    domains.place(&id, domain);
     let workload = Workload::Stream(1, EVENT_INTERVAL);
     let engine = Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "engines", workload);
+    domains.place(&engine, domain);
     engine.set_chunked(!number.is_multiple_of(UNFRAMED_ENGINES));
     engine.set_crlf(number.is_multiple_of(3));
     // Some send events once more that the client of a resumed stream has.
