--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod directory;
 mod eligibility;
+mod engine;
 mod fairness;
 mod forecast;
 mod limited;
--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -9,26 +9,16 @@
 
 use carob_base::Time;
 
-use super::{Fleet, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState};
+use super::{
+    Fleet, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState,
+    engine::{CHUNK_TOKENS, PREFILL_RATE, REQUEST_STEP_MS, STEP_MS},
+};
 
 mod estimate;
 
 pub(super) use estimate::Pace;
 use estimate::{Estimate, KNOWN_WEIGHT, MAX_AGE, MIN_TOLD};
 
-/// Time of an engine's step without requests, in milliseconds. This and the following three are figures of the
-/// deployments; only their ratios matter, since paces are compared with each other.
-const STEP_MS: f64 = 7.0;
-
-/// Time that each running request adds to a step, in milliseconds.
-const REQUEST_MS: f64 = 0.12;
-
-/// Prompt tokens that an engine prefills between two steps.
-const CHUNK_TOKENS: f64 = 112.0;
-
-/// Prompt tokens that an engine prefills in a millisecond.
-const PREFILL_RATE: f64 = 14.0;
-
 /// Prompt tokens taken for one prompt when pending tokens are counted in prompts; those of the deployments have 2,200 and
 /// 3,000.
 const PROMPT_TOKENS: f64 = 2_600.0;
@@ -128,7 +118,7 @@
 /// one request.
 fn step_ratio(requests: u32, prompts: f64) -> f64 {
     let chunk = CHUNK_TOKENS / PREFILL_RATE;
-    (STEP_MS + REQUEST_MS * f64::from(requests) + chunk * prompts) / (STEP_MS + REQUEST_MS)
+    (STEP_MS + REQUEST_STEP_MS * f64::from(requests) + chunk * prompts) / (STEP_MS + REQUEST_STEP_MS)
 }
 
 /// Paces of a service's upstreams.
@@ -211,11 +201,11 @@
         if size.prefill == 0 || sent.prefill > size.prefill || event_tokens == 0 {
             return false;
         }
-        let step = (STEP_MS + REQUEST_MS) * step_ratio(sent.requests, 0.0);
+        let step = (STEP_MS + REQUEST_STEP_MS) * step_ratio(sent.requests, 0.0);
         let chunks = size.prefill as f64 / CHUNK_TOKENS;
         let steps = if sent.requests > 1 { chunks } else { 0.0 } + f64::from(event_tokens);
         let nominal = size.prefill as f64 / PREFILL_RATE + steps * step;
-        let event = f64::from(event_tokens) * (STEP_MS + REQUEST_MS);
+        let event = f64::from(event_tokens) * (STEP_MS + REQUEST_STEP_MS);
         let pace = elapsed.as_secs_f64() * 1e3 * event / nominal;
         let is_news = upstream.pace.add(pace, false, now);
         self.refresh_paces(now);
--- a/crates/carob-dispatch/src/fleet/urgency.rs
+++ b/crates/carob-dispatch/src/fleet/urgency.rs
@@ -9,22 +9,15 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, PeerLoad, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState};
+use super::{
+    Fleet, PeerLoad, RequestSize, Requirements, Upstream, UpstreamKey, UpstreamState,
+    engine::{CHUNK_TOKENS, PREFILL_RATE, REQUEST_STEP_MS, STEP_MS},
+};
 use crate::table::PriorityClass;
 
 /// Least urgent priority that engines know.
 const MAX_ENGINE_PRIORITY: u8 = 9;
 
-/// Prompt tokens that an engine prefills in one go, between the steps of running requests.
-const CHUNK_TOKENS: f64 = 112.0;
-
-/// Prompt tokens that an engine prefills per millisecond while it does nothing else.
-const PREFILL_RATE: f64 = 14.0;
-
-/// Shortest time of an engine's step in milliseconds, and what each running request adds to it.
-const STEP_MS: f64 = 7.0;
-const REQUEST_STEP_MS: f64 = 0.12;
-
 /// Time in which an engine generates a token of a running request, with several of them.
 const TOKEN_TIME: Duration = Duration::from_millis(9);
 
