fix(gateway): paces and prompts are told within a region only

Cause: a complete message holds up to 64 paces, 1.4 KB once a second to each other instance, and each new pace made a message of its own to all. An instance rarely uses upstreams of other regions, and those of its own region share what they learn of these. Change: instances known to be in another region get messages without paces and prompts, and none if there is nothing else; the allowance for prompts is shared by the instances of the region.

--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -123,6 +123,17 @@
             .is_none_or(|known| known.stamp.boot_id != boot_id)
     }
 
+    /// Whether the instance at `peer` is known to be in another region than this one.
+    pub fn is_remote(&self, peer: SocketAddr) -> bool {
+        let Some(own) = self.region(&self.topology.domain) else {
+            return false;
+        };
+        let offer = self.peers.get(&peer).and_then(|known| known.offer.as_ref());
+        offer
+            .and_then(|offer| self.region(&offer.domain))
+            .is_some_and(|region| region != own)
+    }
+
     /// Number of instances whose last message came less than `time` ago.
     pub fn recent_peers(&self, time: Duration, now: Time) -> usize {
         self.peers
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -5,8 +5,8 @@
 
 use carob_base::Time;
 use carob_dispatch::fleet::{
-    DirectoryEntry, Fleet, LoadReport, MessageStamp, PeerLoad, Placement, QueuedRequest, RequestSize,
-    Requirements, Topology, Upstream, UpstreamHealth, UpstreamKey, UpstreamState,
+    DirectoryEntry, Fleet, LoadReport, MessageStamp, PeerLoad, Placement, QueuedRequest, RelayOffer,
+    RequestSize, Requirements, Topology, Upstream, UpstreamHealth, UpstreamKey, UpstreamState,
 };
 
 const CAPACITY: u64 = 34_000;
@@ -483,3 +483,31 @@
     let prefilled = tell(&mut fleet, 1, 0, true, 30);
     assert_eq!(prefilled, Some(Time::from_millis(30)));
 }
+
+/// Guards against paces and prompts told to other regions, whose bytes are paid for, and against instances that are told
+/// too little while it is not known where they are.
+#[test]
+fn only_instances_known_to_be_in_another_region_are_remote() {
+    let mut fleet = fleet();
+    let stamp = MessageStamp {
+        boot_id: 1,
+        number: 1,
+    };
+    let peers: Vec<_> = ["b", "c", "elsewhere"]
+        .map(Some)
+        .into_iter()
+        .chain([None])
+        .collect();
+    let addresses: Vec<_> = (1..=4).map(|number| ([10, 0, 0, number], 80).into()).collect();
+    for (peer, domain) in addresses.iter().zip(&peers) {
+        fleet.apply_peer_loads(*peer, stamp, Vec::new(), true, NOW);
+        let offer = domain.map(|domain| RelayOffer {
+            domain: domain.into(),
+            cut: Default::default(),
+        });
+        fleet.set_relay_offer(*peer, offer);
+    }
+    let remote: Vec<bool> = addresses.iter().map(|peer| fleet.is_remote(*peer)).collect();
+    assert_eq!(remote, [false, true, false, false]);
+    assert!(!fleet.is_remote(([10, 0, 0, 9], 80).into()));
+}
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -34,6 +34,27 @@
 /// have requests at.
 const MAX_DATAGRAM: usize = 32 << 10;
 
+/// A message to the other instances.
+struct News {
+    message: Announcement,
+    /// Whether it is sent to other regions as well.
+    is_global: bool,
+}
+
+impl News {
+    /// The message as it is sent to instances in other regions; `None` if it holds nothing for them.
+    ///
+    /// They are not told of paces and prompts: requests mostly run in the region of their client, and bytes between regions
+    /// are paid for. With 300 instances in three regions, a complete message of 64 paces alone makes 280 KB a second at each.
+    fn for_remote(&self) -> Option<Announcement> {
+        self.is_global.then(|| Announcement {
+            paces: Vec::new(),
+            prefixes: Vec::new(),
+            ..self.message.clone()
+        })
+    }
+}
+
 /// What the other instances were told last.
 #[derive(Default)]
 struct Told {
@@ -49,7 +70,7 @@
 impl Told {
     /// Returns the next message, without its sender and number; `None` if there is nothing to tell. A `complete` one
     /// holds everything, others what has changed.
-    fn next_message(&mut self, shared: &Shared, complete: bool) -> Option<Announcement> {
+    fn next_message(&mut self, shared: &Shared, complete: bool) -> Option<News> {
         let watching = shared.is_watching();
         let status = (watching, told_position(shared));
         let update = shared.take_store_update();
@@ -68,7 +89,8 @@
         } else {
             changed_loads(&self.loads, &loads)
         };
-        let has_news = has_departures
+        let is_global = complete
+            || has_departures
             || offer != self.offer
             || queued != self.queued
             || status != self.status
@@ -77,9 +99,8 @@
                 && evidence.is_empty()
                 && limits.is_empty()
                 && brittle.is_empty()
-                && cold.is_empty()
-                && paces.is_empty());
-        if !complete && !has_news {
+                && cold.is_empty());
+        if !is_global && paces.is_empty() {
             return None;
         }
         let era = update.as_ref().map_or(shared.position().era, |update| update.era);
@@ -117,7 +138,7 @@
             offer,
             queued,
         };
-        Some(message)
+        Some(News { message, is_global })
     }
 }
 
@@ -176,14 +197,11 @@
         let has_peers = !shared.peers().is_empty();
         let complete = Instant::now() >= due || (has_peers && !had_peers);
         had_peers = has_peers;
-        if let Some(message) = told.next_message(&shared, complete) {
+        if let Some(mut news) = told.next_message(&shared, complete) {
             sequence += 1;
-            let message = Announcement {
-                boot_id,
-                sequence,
-                ..message
-            };
-            broadcast(&shared, &socket, &message).await;
+            news.message.boot_id = boot_id;
+            news.message.sequence = sequence;
+            broadcast(&shared, &socket, &news).await;
         }
         send_pauses(&shared, &socket).await;
         spread_evidence(&shared, &socket, (boot_id, &mut sequence), complete).await;
@@ -271,10 +289,15 @@
     }
 }
 
-async fn broadcast(shared: &Shared, socket: &UdpSocket, message: &Announcement) {
-    let bytes = message.encode_to_vec();
+async fn broadcast(shared: &Shared, socket: &UdpSocket, news: &News) {
+    let bytes = news.message.encode_to_vec();
+    let remote_bytes = news.for_remote().map(|message| message.encode_to_vec());
     for peer in shared.peers() {
-        send_to(socket, &bytes, peer).await;
+        if !shared.fleet().is_remote(peer) {
+            send_to(socket, &bytes, peer).await;
+        } else if let Some(bytes) = &remote_bytes {
+            send_to(socket, bytes, peer).await;
+        }
     }
 }
 
--- a/crates/carob-gateway/src/traffic/prefixes.rs
+++ b/crates/carob-gateway/src/traffic/prefixes.rs
@@ -43,10 +43,11 @@
     }
 }
 
-/// Takes what the other instances are told in the next message; a `complete` one repeats earlier ones.
+/// Takes what the other instances of the region are told in the next message; a `complete` one repeats earlier ones.
 pub(super) fn take(shared: &Shared, complete: bool) -> Vec<Prefix> {
-    let peers = shared.peers().len();
+    let peers = shared.peers();
     let mut fleet = shared.fleet_mut();
+    let peers = peers.iter().filter(|peer| !fleet.is_remote(**peer)).count();
     let reports = fleet.take_prefix_reports(peers, complete, shared.now());
     if complete {
         metrics::gauge!("carobhaven_prefix_parts").set(fleet.prefix_parts() as f64);
