fix(gateway): unchanged paces are repeated to other regions at intervals

Requests restricted to a region come from instances in all regions, which need the paces there. Change: new and changed paces go to all instances, unchanged ones to other regions at 25 ms for each instance there. In the model of paces (84 instances in three regions) long gaps stay as rare as required.

--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -61,6 +61,13 @@
 /// instance does not know of make some engines look up to three times as slow as they are, also after those prompts.
 const SLOW_QUANTILE: f64 = 0.85;
 
+/// Instances in other regions are told again of a pace that has not changed at an interval of so much for each of them, so
+/// that what that takes does not grow with their number: 64 paces make 56 KB a second.
+///
+/// With 56 of them it is 1.4 s, with 200 it is 5 s, in which an estimate loses 3/10 of its weight. They need to know, since
+/// requests restricted to a region come from instances in all of them.
+const GLOBAL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Minimum time between two evaluations of the paces of all upstreams. Messages of hundreds of instances would otherwise
 /// each cause one.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(30);
@@ -76,6 +83,8 @@
     pub observations: u32,
     /// Time since the last one.
     pub age: Duration,
+    /// Whether instances in other regions are told as well.
+    pub is_global: bool,
 }
 
 /// An upstream's pace as all instances together know it, for log lines.
@@ -250,7 +259,7 @@
 
     /// What this instance has learned that others lack, for a message to them; all that it has learned lately if
     /// `complete`, the latest first.
-    pub fn take_pace_reports(&mut self, complete: bool, now: Time) -> Vec<PaceReport> {
+    pub fn take_pace_reports(&mut self, complete: bool, remote: u32, now: Time) -> Vec<PaceReport> {
         let mut reports = Vec::new();
         for upstream in self.upstreams.values_mut() {
             let hash = upstream.hash();
@@ -261,13 +270,22 @@
             else {
                 continue;
             };
-            if upstream.entry.state == UpstreamState::Ready && (complete || upstream.pace.is_news(now)) {
-                upstream.pace.told = Some(own);
+            let is_news = upstream.pace.is_news(now);
+            if upstream.entry.state == UpstreamState::Ready && (complete || is_news) {
+                let pace = &mut upstream.pace;
+                let is_due = pace
+                    .told_globally
+                    .is_none_or(|at| now.since(at) >= GLOBAL_INTERVAL * remote);
+                if is_news || is_due {
+                    pace.told_globally = Some(now);
+                }
+                pace.told = Some(own);
                 reports.push(PaceReport {
                     upstream_hash: hash,
                     pace_ms: own.ms,
                     observations: own.observations,
                     age: now.since(own.at),
+                    is_global: is_news || is_due,
                 });
             }
         }
--- a/crates/carob-dispatch/src/fleet/pace/estimate.rs
+++ b/crates/carob-dispatch/src/fleet/pace/estimate.rs
@@ -77,6 +77,8 @@
     pub(super) others: SmallVec<[(SocketAddr, Estimate); 2]>,
     /// What the others were told last.
     pub(super) told: Option<Estimate>,
+    /// When instances in other regions were told last.
+    pub(super) told_globally: Option<Time>,
     /// Median pace of its service, if that is known.
     pub(super) median: Option<f64>,
     /// What all instances together knew when paces were last evaluated: milliseconds, and the weight in samples.
@@ -97,6 +99,7 @@
             own: None,
             others: SmallVec::new(),
             told: None,
+            told_globally: None,
             median: None,
             combined: None,
             idle_factor: 1.0,
--- a/crates/carob-dispatch/tests/pace.rs
+++ b/crates/carob-dispatch/tests/pace.rs
@@ -151,9 +151,9 @@
 fn a_new_incarnation_is_unknown_and_what_is_told_of_the_old_one_is_ignored() {
     let mut fleet = fleet(1);
     let keys = engines(&mut fleet, &[FAST, SLOW, SLOW, SLOW], 6);
-    let mut told = fleet.take_pace_reports(true, NOW);
+    let mut told = fleet.take_pace_reports(true, 0, NOW);
     assert_eq!(told.len(), 4);
-    assert!(fleet.take_pace_reports(false, NOW).is_empty());
+    assert!(fleet.take_pace_reports(false, 0, NOW).is_empty());
     told.retain(|report| report.upstream_hash == fleet.upstream_hash(keys[0]));
     let new = add(&mut fleet, "engines", 0, (8, 1), NOW);
     told.push(PaceReport {
@@ -167,6 +167,25 @@
     assert!(fleet.known_pace(keys[1], NOW + Duration::from_secs(40)).is_none());
 }
 
+/// Guards against paces that are repeated to all other regions once a second, whose bytes then grow with the square of the
+/// number of instances.
+#[test]
+fn unchanged_paces_are_repeated_to_other_regions_the_less_often_the_more_instances_are_there() {
+    let mut fleet = fleet(1);
+    engines(&mut fleet, &[FAST, SLOW, SLOW, SLOW], 6);
+    let mut count = |remote, seconds| {
+        let now = NOW + Duration::from_secs(seconds);
+        let told = fleet.take_pace_reports(true, remote, now);
+        assert_eq!(told.len(), 4);
+        told.iter().filter(|report| report.is_global).count()
+    };
+    assert_eq!(
+        [count(200, 0), count(200, 1), count(200, 4), count(200, 5)],
+        [4, 0, 0, 4]
+    );
+    assert_eq!([count(20, 6), count(20, 7)], [4, 4]);
+}
+
 #[test]
 fn an_engine_of_unknown_pace_gets_work_soon_and_no_more_than_others() {
     let mut fleet = fleet(1);
--- a/crates/carob-dispatch/tests/pace_model/main.rs
+++ b/crates/carob-dispatch/tests/pace_model/main.rs
@@ -72,13 +72,18 @@
     ended: (u32, u32),
 }
 
+/// Region of an instance or of a failure domain: six domains in three regions.
+const fn region(number: usize) -> usize {
+    number % 6 / 2
+}
+
 impl World {
     fn new(instances: usize, seed: u64, learns: bool, factors: [f64; 4]) -> Self {
         let domain = |number: usize| -> Box<str> { format!("d{number}").into() };
         let topology = |number| Topology {
             domain: domain(number % 6),
             regions: (0..6)
-                .map(|number| (domain(number), format!("r{}", number / 2).into()))
+                .map(|number| (domain(number), format!("r{}", region(number)).into()))
                 .collect(),
         };
         let mut world = Self {
@@ -183,6 +188,9 @@
 
     /// Has an instance tell the others what it runs and what it has learned.
     fn tell(&mut self, from: usize, complete: bool) {
+        let remote = (0..self.fleets.len())
+            .filter(|number| region(*number) != region(from))
+            .count() as u32;
         let fleet = &mut self.fleets[from].0;
         self.number += 1;
         self.messages.push(Message {
@@ -190,7 +198,7 @@
             from,
             number: self.number,
             loads: fleet.local_loads(),
-            paces: fleet.take_pace_reports(complete, Time::from_millis(self.now)),
+            paces: fleet.take_pace_reports(complete, remote, Time::from_millis(self.now)),
         });
     }
 
@@ -205,7 +213,9 @@
             for (number, (fleet, _)) in self.fleets.iter_mut().enumerate() {
                 if number != message.from && !self.random.random_bool(0.05) {
                     fleet.apply_peer_loads(peer, stamp, message.loads.clone(), true, now);
-                    fleet.apply_pace_reports(peer, &message.paces, now);
+                    let is_remote = region(number) != region(message.from);
+                    let paces = message.paces.iter().filter(|pace| pace.is_global || !is_remote);
+                    fleet.apply_pace_reports(peer, &paces.copied().collect::<Vec<_>>(), now);
                 }
             }
         }
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -14,7 +14,7 @@
 use super::{admission, cold, departure, limit, pace, prefixes, relay, shared::Shared};
 use crate::{
     era::Position,
-    peer::{Announcement, Crash, Item, Limit, Load, Queue, RelayOffer, Sound, Trial},
+    peer::{Announcement, Crash, Item, Limit, Load, Pace, Queue, RelayOffer, Sound, Trial},
     update::{PeerPosition, Report, StoreUpdate},
 };
 
@@ -37,18 +37,19 @@
 /// A message to the other instances.
 struct News {
     message: Announcement,
-    /// Whether it is sent to other regions as well.
-    is_global: bool,
+    /// Paces in the message to instances in other regions; `None` if that message would hold nothing for them.
+    global_paces: Option<Vec<Pace>>,
 }
 
 impl News {
     /// The message as it is sent to instances in other regions; `None` if it holds nothing for them.
     ///
-    /// They are not told of paces and prompts: requests mostly run in the region of their client, and bytes between regions
-    /// are paid for. With 300 instances in three regions, a complete message of 64 paces alone makes 280 KB a second at each.
+    /// Bytes between regions are paid for. Instances there are told of paces less often, as with 300 instances in three
+    /// regions a complete message of 64 paces would make 280 KB a second at each, and not of prompts.
     fn for_remote(&self) -> Option<Announcement> {
-        self.is_global.then(|| Announcement {
-            paces: Vec::new(),
+        let paces = self.global_paces.clone()?;
+        Some(Announcement {
+            paces,
             prefixes: Vec::new(),
             ..self.message.clone()
         })
@@ -99,8 +100,9 @@
                 && evidence.is_empty()
                 && limits.is_empty()
                 && brittle.is_empty()
-                && cold.is_empty());
-        if !is_global && paces.is_empty() {
+                && cold.is_empty()
+                && paces.global.is_empty());
+        if !is_global && paces.regional.is_empty() {
             return None;
         }
         let era = update.as_ref().map_or(shared.position().era, |update| update.era);
@@ -124,7 +126,7 @@
             limits,
             leaving: leaving.clone(),
             cold,
-            paces,
+            paces: paces.regional,
             brittle,
             queued: queued.clone(),
             prefixes: prefixes::take(shared, complete),
@@ -138,7 +140,10 @@
             offer,
             queued,
         };
-        Some(News { message, is_global })
+        Some(News {
+            message,
+            global_paces: is_global.then_some(paces.global),
+        })
     }
 }
 
--- a/crates/carob-gateway/src/traffic/pace.rs
+++ b/crates/carob-gateway/src/traffic/pace.rs
@@ -148,20 +148,36 @@
     (value * 100.0).round() / 100.0
 }
 
-/// What other instances are told of paces in the next message; all of it if the message is `complete`.
-pub(super) fn take_reports(shared: &Shared, complete: bool) -> Vec<Pace> {
+/// What other instances are told of paces in the next message.
+pub(super) struct Reports {
+    /// For those in the same region; all of it if the message is complete.
+    pub(super) regional: Vec<Pace>,
+    /// For those in other regions.
+    pub(super) global: Vec<Pace>,
+}
+
+/// Takes what other instances are told of paces in the next message.
+pub(super) fn take_reports(shared: &Shared, complete: bool) -> Reports {
     let now = shared.now();
-    let reports = shared.fleet_mut().take_pace_reports(complete, now);
+    let peers = shared.peers();
+    let mut fleet = shared.fleet_mut();
+    let remote = peers.iter().filter(|peer| fleet.is_remote(**peer)).count() as u32;
+    let reports = fleet.take_pace_reports(complete, remote, now);
+    drop(fleet);
     if complete {
         set_gauges(&shared.fleet());
     }
-    let sent = reports.iter().map(|report| Pace {
+    let encode = |report: &PaceReport| Pace {
         upstream_hash: report.upstream_hash,
         time_us: (report.pace_ms * 1e3).round() as u64,
         observations: report.observations,
         age_ms: report.age.as_millis() as u64,
-    });
-    sent.collect()
+    };
+    let global = reports.iter().filter(|report| report.is_global);
+    Reports {
+        regional: reports.iter().map(encode).collect(),
+        global: global.map(encode).collect(),
+    }
 }
 
 fn set_gauges(fleet: &Fleet) {
@@ -191,6 +207,7 @@
             pace_ms: pace.time_us as f64 / 1e3,
             observations: pace.observations,
             age: Duration::from_millis(pace.age_ms),
+            is_global: false,
         })
         .collect();
     metrics::counter!("carobhaven_pace_reports_received_total").increment(reports.len() as u64);
