test: fleets start upstreams in any failure domain

tests/evacuated.rs, tests/regions.rs and the soak each had functions of their own for upstreams in a failure domain. The fleet has them now, beside those for the failure domain of the gateways.

--- a/tests/evacuated.rs
+++ b/tests/evacuated.rs
@@ -7,10 +7,11 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::{Outage, Upstream, Workload, config};
+use carob_platform_standin::{Outage, config};
 use fleet::{Fleet, Gateway, request, wait_until};
 
 const GATEWAYS: usize = 3;
+const WORK_TIME: Duration = Duration::from_millis(2);
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time within which an evacuation is in force everywhere while nothing fails.
@@ -18,20 +19,6 @@
 
 const KEY: &str = "op/evacuate/a";
 
-fn start_in(fleet: &Fleet, domain: &str, id: &str, service: &str, workload: Workload) -> Upstream {
-    Upstream::start_in(domain, (&fleet.store, &fleet.ledger), id, service, workload)
-}
-
-fn plain(fleet: &Fleet, domain: &str, id: &str) -> Upstream {
-    start_in(
-        fleet,
-        domain,
-        id,
-        "plain",
-        Workload::Plain(Duration::from_millis(2)),
-    )
-}
-
 fn evacuate(fleet: &Fleet) {
     fleet.store.put_bytes(KEY, b"{}");
 }
@@ -50,8 +37,8 @@
 #[test]
 fn a_failure_domain_is_emptied_and_taken_back_twice() {
     let fleet = Fleet::start(GATEWAYS);
-    let _near = plain(&fleet, "a", "n");
-    let _far = plain(&fleet, "b", "f");
+    let _near = fleet.start_plain_in("a", "n", WORK_TIME);
+    let _far = fleet.start_plain_in("b", "f", WORK_TIME);
     fleet.configure();
     assert!(reached(&fleet, "n", "a") > 0);
     for round in 0..2 {
@@ -68,8 +55,8 @@
 #[test]
 fn gateways_that_the_store_does_not_answer_send_requests_to_an_evacuated_domain() {
     let mut fleet = Fleet::start(GATEWAYS);
-    let _near = plain(&fleet, "a", "n");
-    let _far = plain(&fleet, "b", "f");
+    let _near = fleet.start_plain_in("a", "n", WORK_TIME);
+    let _far = fleet.start_plain_in("b", "f", WORK_TIME);
     fleet.configure();
     thread::sleep(Duration::from_secs(2));
     fleet.gateways[2].store_endpoint.set_outage(Some(Outage::Silent));
@@ -99,8 +86,8 @@
 #[test]
 fn an_evacuation_that_the_store_has_lost_ends_before_it_is_written_again() {
     let fleet = Fleet::start(GATEWAYS);
-    let _near = plain(&fleet, "a", "n");
-    let _far = plain(&fleet, "b", "f");
+    let _near = fleet.start_plain_in("a", "n", WORK_TIME);
+    let _far = fleet.start_plain_in("b", "f", WORK_TIME);
     fleet.configure();
     thread::sleep(Duration::from_secs(2));
     let copy = fleet.store.copy();
@@ -132,10 +119,7 @@
 fn generations_of_an_evacuated_domain_are_cut_off() {
     let fleet = Fleet::start(1);
     let events = 300;
-    let engine = |domain, id| {
-        let workload = Workload::Stream(events, EVENT_INTERVAL);
-        start_in(&fleet, domain, id, "engines", workload)
-    };
+    let engine = |domain, id| fleet.start_engine_in(domain, id, events, EVENT_INTERVAL);
     let _source = engine("a", "e1");
     fleet.store.put(
         config::KEY,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -49,6 +49,9 @@
 /// A route that a version of [`Fleet::write_version`] may add.
 pub const ADDED_ROUTE: Route = Route::new("/added/", "safe", "plain").with_anonymous();
 
+/// Failure domain of all gateways, by their settings. It is in the region `north`, and the failure domain `b` in `south`.
+pub const DOMAIN: &str = "a";
+
 /// Time within which a configuration is in force on every gateway (`ConfigApplyMs`).
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 
@@ -117,20 +120,28 @@
         }
     }
 
-    /// Starts an engine whose generations have `events` events, one in each `interval`.
+    /// Starts an engine in [`DOMAIN`] whose generations have `events` events, one in each `interval`.
     pub fn start_engine(&self, id: &str, events: u64, interval: Duration) -> Upstream {
-        Upstream::start(
-            &self.store,
-            &self.ledger,
-            id,
-            "engines",
-            Workload::Stream(events, interval),
-        )
+        self.start_engine_in(DOMAIN, id, events, interval)
+    }
+
+    /// Like [`Fleet::start_engine`], in any failure domain.
+    pub fn start_engine_in(&self, domain: &str, id: &str, events: u64, interval: Duration) -> Upstream {
+        self.start_in(domain, id, "engines", Workload::Stream(events, interval))
     }
 
-    /// Starts an upstream of the plain service that takes `time` for each request.
+    /// Starts an upstream of the plain service in [`DOMAIN`] that takes `time` for each request.
     pub fn start_plain(&self, id: &str, time: Duration) -> Upstream {
-        Upstream::start(&self.store, &self.ledger, id, "plain", Workload::Plain(time))
+        self.start_plain_in(DOMAIN, id, time)
+    }
+
+    /// Like [`Fleet::start_plain`], in any failure domain.
+    pub fn start_plain_in(&self, domain: &str, id: &str, time: Duration) -> Upstream {
+        self.start_in(domain, id, "plain", Workload::Plain(time))
+    }
+
+    fn start_in(&self, domain: &str, id: &str, service: &str, workload: Workload) -> Upstream {
+        Upstream::start_in(domain, (&self.store, &self.ledger), id, service, workload)
     }
 
     /// Sends a request for a generation to a gateway, waits until the generation runs and returns the
@@ -246,7 +257,7 @@
     pub fn write_settings(&self, seeds: &[SocketAddr], grace: &str) {
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let text = format!(
-            "[instance]\nname = {}\ndomain = a\nregions = a:north, b:south\n[callers]\naddress = {}\nready = {}\n\
+            "[instance]\nname = {}\ndomain = {DOMAIN}\nregions = a:north, b:south\n[callers]\naddress = {}\nready = {}\n\
              connections = 500\nbodies = {BODY_MEMORY}\n[admin]\naddress = {}\n[peers]\naddress = {}\nseeds = {}\n[upstreams]\n\
              source = {}\n[store]\naddress = {}\n\
              [leaving]\nupstream = 2500ms\ngrace = {grace:<8}\n[retries]\nratio = 0.2\nextra = 54\nwindow = 10s\n",
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -8,12 +8,14 @@
 };
 
 use carob_platform_standin::{
-    Link, Upstream, Workload,
+    Link,
     client::Request,
     config::{self, Route},
 };
 use fleet::{CLIENT_KEY, Fleet, LONG, generation_request, request, wait_until};
 
+const WORK_TIME: Duration = Duration::from_millis(2);
+
 /// Interval between two events of a generation.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 const EVENTS: u64 = 150;
@@ -21,7 +23,6 @@
 /// Time between the announcement that an upstream leaves and its end.
 const NOTICE: Duration = Duration::from_millis(1_600);
 
-/// All gateways are in the failure domain `a`, in the region `north`; `b` is in `south`.
 const SOUTH: &[&str] = &["south"];
 
 const ROUTES: [Route; 4] = [
@@ -35,30 +36,6 @@
     Route::new("/draft/", "streaming", "engines").with_regions(SOUTH),
 ];
 
-fn start_in(fleet: &Fleet, domain: &str, id: &str, service: &str, workload: Workload) -> Upstream {
-    Upstream::start_in(domain, (&fleet.store, &fleet.ledger), id, service, workload)
-}
-
-fn plain(fleet: &Fleet, domain: &str, id: &str) -> Upstream {
-    start_in(
-        fleet,
-        domain,
-        id,
-        "plain",
-        Workload::Plain(Duration::from_millis(2)),
-    )
-}
-
-fn engine(fleet: &Fleet, domain: &str, id: &str) -> Upstream {
-    start_in(
-        fleet,
-        domain,
-        id,
-        "engines",
-        Workload::Stream(EVENTS, EVENT_INTERVAL),
-    )
-}
-
 /// Writes a configuration in which the account may use `regions` only, and waits until gateways are ready.
 fn configure(fleet: &Fleet, version: u64, routes: &[Route], regions: &[&str]) {
     let mut config = config::config(version, routes, &[CLIENT_KEY]);
@@ -99,9 +76,9 @@
 #[test]
 fn requests_run_outside_the_regions_of_their_route_or_account() {
     let fleet = Fleet::start(2);
-    let _north = plain(&fleet, "a", "n");
-    let south = plain(&fleet, "b", "s");
-    let _unknown = plain(&fleet, "elsewhere", "u");
+    let _north = fleet.start_plain_in("a", "n", WORK_TIME);
+    let south = fleet.start_plain_in("b", "s", WORK_TIME);
+    let _unknown = fleet.start_plain_in("elsewhere", "u", WORK_TIME);
     configure(&fleet, 1, &ROUTES, &[]);
     expect(&fleet, "/read/1", "r", 200);
     expect(&fleet, "/open/1", "o", 200);
@@ -133,11 +110,11 @@
 #[test]
 fn a_generation_is_moved_out_of_its_regions() {
     let fleet = Fleet::start(1);
-    let source = engine(&fleet, "b", "e1");
-    let abroad = engine(&fleet, "a", "n");
+    let source = fleet.start_engine_in("b", "e1", EVENTS, EVENT_INTERVAL);
+    let abroad = fleet.start_engine_in("a", "n", EVENTS, EVENT_INTERVAL);
     configure(&fleet, 1, &ROUTES, &[]);
     let client = fleet.start_generation(0, "d1");
-    let _home = engine(&fleet, "b", "e2");
+    let _home = fleet.start_engine_in("b", "e2", EVENTS, EVENT_INTERVAL);
     thread::sleep(Duration::from_millis(300));
     source.leave(NOTICE);
     let outcome = client.join().expect("the client ends");
@@ -154,12 +131,12 @@
 #[test]
 fn a_generation_is_moved_by_the_regions_of_an_earlier_configuration() {
     let fleet = Fleet::start(1);
-    let source = engine(&fleet, "a", "e1");
+    let source = fleet.start_engine_in("a", "e1", EVENTS, EVENT_INTERVAL);
     let unrestricted = [Route::new("/draft/", "streaming", "engines")];
     configure(&fleet, 1, &unrestricted, &[]);
     let client = fleet.start_generation(0, "d1");
-    let near = engine(&fleet, "a", "n");
-    let _home = engine(&fleet, "b", "e2");
+    let near = fleet.start_engine_in("a", "n", EVENTS, EVENT_INTERVAL);
+    let _home = fleet.start_engine_in("b", "e2", EVENTS, EVENT_INTERVAL);
     configure(&fleet, 2, &ROUTES, &[]);
     thread::sleep(Duration::from_millis(400));
     source.leave(NOTICE);
@@ -174,7 +151,7 @@
 #[test]
 fn a_request_passes_through_a_gateway_in_another_region() {
     let fleet = Fleet::start(2);
-    let home = plain(&fleet, "b", "s");
+    let home = fleet.start_plain_in("b", "s", WORK_TIME);
     let free = Route::new("/free/", "safe", "plain");
     configure(&fleet, 1, &[ROUTES[0].clone(), free], &[]);
     expect(&fleet, "/read/1", "r", 200);
@@ -198,8 +175,8 @@
 #[test]
 fn a_generation_without_another_upstream_in_its_regions_goes_abroad() {
     let fleet = Fleet::start(1);
-    let source = engine(&fleet, "b", "e1");
-    let _abroad = engine(&fleet, "a", "n");
+    let source = fleet.start_engine_in("b", "e1", EVENTS, EVENT_INTERVAL);
+    let _abroad = fleet.start_engine_in("a", "n", EVENTS, EVENT_INTERVAL);
     configure(&fleet, 1, &ROUTES, &[]);
     let client = fleet.start_generation(0, "d1");
     source.leave(NOTICE);
--- a/tests/soak/domains.rs
+++ b/tests/soak/domains.rs
@@ -7,10 +7,10 @@
 
 use carob_platform_standin::{Ledger, Upstream};
 
-use crate::traffic::Observation;
+use crate::{fleet, traffic::Observation};
 
 /// Failure domains: all gateways are in the first one, in the region `north`; the other one is in `south`.
-pub const DOMAINS: [&str; 2] = ["a", "b"];
+pub const DOMAINS: [&str; 2] = [fleet::DOMAIN, "b"];
 
 /// Prefix of the route whose requests may run in the region `south` only.
 pub const SOUTH_PREFIX: &str = "/south/";
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -8,7 +8,7 @@
 };
 
 use carob_platform_standin::{
-    AnswerMode, Cut, Flood, Link, Outage, Trigger, Upstream, Workload,
+    AnswerMode, Cut, Flood, Link, Outage, Trigger, Upstream,
     client::Connection,
     config::{self, Route},
 };
@@ -196,9 +196,7 @@
         let plain = (0..count)
             .map(|n| {
                 let (id, domain) = (format!("p{n}"), domains::domain(n, count));
-                let workload = Workload::Plain(Duration::from_millis(15));
-                let upstream =
-                    Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "plain", workload);
+                let upstream = fleet.start_plain_in(domain, &id, Duration::from_millis(15));
                 domains.place(&upstream, domain);
                 upstream
             })
@@ -747,8 +745,7 @@
 /// Starts the engine with this number in a failure domain.
 fn start_engine(fleet: &Fleet, number: u32, domain: &'static str, domains: &mut Domains) -> Upstream {
     let id = format!("e{number}");
-    let workload = Workload::Stream(1, EVENT_INTERVAL);
-    let engine = Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "engines", workload);
+    let engine = fleet.start_engine_in(domain, &id, 1, EVENT_INTERVAL);
     domains.place(&engine, domain);
     engine.set_chunked(!number.is_multiple_of(UNFRAMED_ENGINES));
     engine.set_crlf(number.is_multiple_of(3));
