fix: a resumable stream whose upstream ends runs again when its link counts as lost too

Cause: when an upstream ends while other instances offer to relay, its link counts as lost, and the instance tries to stop the generation with its memory. Without an answer the stream was cut off, although its route permits another run. Change: the stream then runs again from the last event, as it does where no relay is offered.

--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -77,8 +77,8 @@
         Err(self.finish())
     }
 
-    /// Continues a generation whose upstream may go on behind a lost link. Returns whether it goes on elsewhere; if it
-    /// does not, the upstream may still send the rest.
+    /// Continues a generation whose upstream may go on behind a lost link, from its memory or, where that is lost, with a
+    /// further run. Returns whether it goes on elsewhere; if it does not, the upstream may still send the rest.
     pub(super) async fn rescue(&mut self, reason: &str) -> Result<bool, StreamEnd> {
         let upstream = self.reservation.upstream;
         let rescued = switch::rescue(
@@ -104,7 +104,7 @@
                     outcome = failure.reason; "generation not moved"
                 );
                 if failure.is_stopped {
-                    return Err(StreamEnd::Broken(failure.reason.to_owned()));
+                    return self.run_again(failure.reason, true).await.map(|()| true);
                 }
                 Ok(false)
             }
