test: resumed streams keep to the regions of the newest configuration

Guards against a rest that runs at the nearest upstream or at the one that has the prompt cached, although its route or account does not permit the region, or does not any more: for clients that come back to a gateway in another region, and for upstreams that break off. Fleets can have gateways in several failure domains.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each target uses a part of this module")]
 
 use std::{
-    fs::File,
+    fs::{self, File},
     io::{BufRead as _, BufReader, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
@@ -100,9 +100,17 @@
 
     /// Starts another gateway, with those that exist as its seeds, and returns its index.
     pub fn add_gateway(&mut self) -> usize {
+        self.add_gateway_in(DOMAIN)
+    }
+
+    /// Like [`Fleet::add_gateway`], in any failure domain.
+    pub fn add_gateway_in(&mut self, domain: &str) -> usize {
         let seeds: Vec<SocketAddr> = self.gateways.iter().map(|gateway| gateway.peer_address).collect();
         let index = self.gateways.len();
-        self.gateways.push(Gateway::start(&self.store, &seeds));
+        let mut gateway = Gateway::prepare(&self.store, &seeds);
+        gateway.place(domain);
+        gateway.spawn();
+        self.gateways.push(gateway);
         index
     }
 
@@ -285,6 +293,14 @@
         .expect("the directory is writable");
     }
 
+    /// Names another failure domain than [`DOMAIN`] in the settings file.
+    fn place(&self, domain: &str) {
+        let path = self.settings_path();
+        let text = fs::read_to_string(&path).expect("it was written");
+        let text = text.replace(&format!("domain = {DOMAIN}\n"), &format!("domain = {domain}\n"));
+        fs::write(path, text).expect("the directory is writable");
+    }
+
     /// Path of the settings file.
     pub fn settings_path(&self) -> std::path::PathBuf {
         self.directory.path().join("gateway.ini")
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -3,13 +3,14 @@
 mod fleet;
 
 use std::{
+    collections::BTreeSet,
     thread,
     time::{Duration, Instant},
 };
 
 use carob_platform_standin::{
-    Link,
-    client::Request,
+    Link, Upstream,
+    client::{self, Outcome, Request},
     config::{self, Route},
 };
 use fleet::{CLIENT_KEY, Fleet, LONG, generation_request, request, wait_until};
@@ -36,6 +37,71 @@
     Route::new("/draft/", "streaming", "engines").with_regions(SOUTH),
 ];
 
+/// Route whose streams may run again from an event on, in `south`, in `north`, or anywhere.
+const RESUMABLE: Route = Route::new("/answer/", "streaming", "engines")
+    .with_max_attempts(2)
+    .with_timeout(20_000)
+    .with_resumable();
+
+/// Events of such a stream, which goes on for longer than [`fleet::CONFIG_APPLY`].
+const ANSWER_EVENTS: u64 = 400;
+const ANSWER_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Starts a gateway in the failure domain `a`, one in `b`, and an engine `n` in `a`, `s` in `b` and `u` in none that the
+/// settings name.
+fn start_in_both_regions() -> (Fleet, Vec<Upstream>) {
+    let mut fleet = Fleet::start(1);
+    fleet.add_gateway_in("b");
+    let engines = [("a", "n"), ("b", "s"), ("elsewhere", "u")]
+        .map(|(domain, id)| fleet.start_engine_in(domain, id, ANSWER_EVENTS, ANSWER_INTERVAL));
+    (fleet, engines.into())
+}
+
+/// A request for a stream of [`RESUMABLE`], of which its client has the events up to `last`. All of them have a prompt in
+/// common, so that the upstream that ran one is a better choice for the next.
+fn answer_request(id: &str, last: u64) -> Request {
+    let mut answer = generation_request(id).with_prompt(&format!("c0ffee:900,{id}:100"));
+    "/answer/x".clone_into(&mut answer.path);
+    if last == 0 {
+        answer
+    } else {
+        answer.with_header("Last-Event-Id", &last.to_string())
+    }
+}
+
+/// Begins a stream at a gateway and loses its connection after some events. Returns the last event that the client has.
+fn begin_and_lose(fleet: &Fleet, gateway: usize, id: &str, before_loss: impl FnOnce()) -> u64 {
+    let address = fleet.gateways[gateway].caller_address;
+    let mut stream = client::open(address, &answer_request(id, 0)).expect("the gateway listens");
+    wait_until("the generation runs", || fleet.ledger.run_count(id) == 1);
+    before_loss();
+    let part = client::read(&mut stream, Instant::now() + ANSWER_INTERVAL * 10);
+    drop(stream);
+    assert!(part.status == 200 && !part.complete);
+    part.events().last().copied().expect("it has begun")
+}
+
+/// Names of the upstreams to which the requests with these ids were sent, or memory of which was copied.
+fn reached_by(fleet: &Fleet, engines: &[Upstream], ids: &[String]) -> BTreeSet<String> {
+    let arrivals = fleet.ledger.arrivals();
+    let arrived = arrivals.iter().filter(|arrival| ids.contains(&arrival.id));
+    let involved = fleet.ledger.involved();
+    let involved = involved.iter().filter(|(id, _)| ids.contains(id));
+    let copied = involved.map(|(_, address)| {
+        let found = engines.iter().find(|engine| engine.address() == *address);
+        found.expect("all engines are known").id().to_owned()
+    });
+    arrived
+        .map(|arrival| arrival.upstream.clone())
+        .chain(copied)
+        .collect()
+}
+
+fn expect_rest(outcome: &Outcome, from: u64) {
+    assert_eq!((outcome.status, outcome.complete), (200, true));
+    assert_eq!(outcome.events(), (from + 1..=ANSWER_EVENTS).collect::<Vec<_>>());
+}
+
 /// Writes a configuration in which the account may use `regions` only, and waits until gateways are ready.
 fn configure(fleet: &Fleet, version: u64, routes: &[Route], regions: &[&str]) {
     let mut config = config::config(version, routes, &[CLIENT_KEY]);
@@ -186,3 +252,111 @@
     let again = generation_request("d2").with_timeout(LONG);
     assert_eq!(fleet.send(0, &again).status, 503);
 }
+
+/// A stream whose client came back, to whichever gateway, ran on at the nearest upstream or at one that had its prompt cached.
+#[test]
+fn a_stream_is_resumed_outside_its_regions() {
+    let (fleet, engines) = start_in_both_regions();
+    configure(&fleet, 1, &[RESUMABLE.with_regions(SOUTH)], &[]);
+    for first in 0..2 {
+        for second in 0..2 {
+            let ids = [format!("f{first}{second}"), format!("r{first}{second}")];
+            let last = begin_and_lose(&fleet, first, &ids[0], || {});
+            let rest = fleet.send(second, &answer_request(&ids[1], last));
+            expect_rest(&rest, last);
+            assert_eq!(
+                reached_by(&fleet, &engines, &ids),
+                BTreeSet::from(["s".to_owned()])
+            );
+        }
+    }
+}
+
+/// The regions change while a stream runs, by the route or by the account. When its client comes back, the upstream that ran it
+/// may not get the rest any more, although it has the prompt cached and may be nearest; nothing names the request there.
+#[test]
+fn a_stream_is_resumed_where_it_may_not_run_any_more() {
+    const NORTH: &[&str] = &["north"];
+    let (fleet, engines) = start_in_both_regions();
+    // Regions of the route and of the account, and the only upstream that is left by them.
+    let configurations: [(&[&str], &[&str], Option<&str>); 6] = [
+        (SOUTH, &[], Some("s")),
+        (NORTH, &[], Some("n")),
+        (SOUTH, &[], Some("s")),
+        (&[], NORTH, Some("n")),
+        (&[], SOUTH, Some("s")),
+        (SOUTH, NORTH, None),
+    ];
+    let mut before = None;
+    for (version, (route, account, upstream)) in configurations.into_iter().enumerate() {
+        let change = || {
+            configure(
+                &fleet,
+                1 + version as u64,
+                &[RESUMABLE.with_regions(route)],
+                account,
+            );
+            thread::sleep(fleet::CONFIG_APPLY);
+        };
+        let Some(earlier) = before.replace(upstream) else {
+            change();
+            continue;
+        };
+        let ids = [format!("f{version}"), format!("r{version}")];
+        let last = begin_and_lose(&fleet, (version + 1) % 2, &ids[0], change);
+        let rest = fleet.send(version % 2, &answer_request(&ids[1], last));
+        let names = |upstream: Option<&str>| upstream.into_iter().map(str::to_owned).collect::<BTreeSet<_>>();
+        assert_eq!(
+            reached_by(&fleet, &engines, &ids[..1]),
+            names(earlier),
+            "{route:?} {account:?}"
+        );
+        assert_eq!(
+            reached_by(&fleet, &engines, &ids[1..]),
+            names(upstream),
+            "{route:?} {account:?}"
+        );
+        if upstream.is_some() {
+            expect_rest(&rest, last);
+        } else {
+            assert_eq!(rest.status, 503);
+        }
+    }
+}
+
+/// An upstream breaks a stream off after its regions have changed. The gateway has the rest made by itself, where the request
+/// may run now.
+#[test]
+fn a_stream_that_breaks_off_runs_on_where_it_may_not_run_any_more() {
+    let (fleet, mut engines) = start_in_both_regions();
+    engines.push(fleet.start_engine_in("b", "s2", ANSWER_EVENTS, ANSWER_INTERVAL));
+    configure(&fleet, 1, &[RESUMABLE], &[]);
+    // What has been served permits a repeat.
+    for number in 0..10 {
+        let earning = answer_request(&format!("earn{number}"), 0).with_events(1);
+        assert_eq!(fleet.send(0, &earning).status, 200);
+    }
+    configure(&fleet, 2, &[RESUMABLE.with_regions(SOUTH)], &[]);
+    thread::sleep(fleet::CONFIG_APPLY);
+    let address = fleet.gateways[0].caller_address;
+    let client = thread::spawn(move || client::send(address, &answer_request("d1", 0)));
+    wait_until("the generation runs", || fleet.ledger.run_count("d1") == 1);
+    configure(&fleet, 3, &[RESUMABLE.with_regions(&["north"])], &[]);
+    thread::sleep(fleet::CONFIG_APPLY);
+    let first = fleet
+        .ledger
+        .arrivals()
+        .into_iter()
+        .find(|arrival| arrival.id == "d1");
+    let first = first.expect("it runs").upstream;
+    let source = engines
+        .iter()
+        .find(|engine| engine.id() == first)
+        .expect("it is known");
+    source.kill();
+    expect_rest(&client.join().expect("the client ends"), 0);
+    assert_eq!(
+        reached_by(&fleet, &engines, &["d1".to_owned()]),
+        BTreeSet::from([first, "n".to_owned()])
+    );
+}
