test: the soak's check of evacuations finds what it is there for

Cause: a span was closed as lost by the store as soon as the key was missing, so that a key which was never written left nothing to be judged. Change: only a store that comes back from a copy may lack the key; otherwise a missing key is a violation. An evacuation lasts 12 to 15 s from the latest writing of its key, and a run of 24 s and more in which less than 1 s is judged fails. What is drawn for other parts is the same.

--- a/tests/soak/evacuations.rs
+++ b/tests/soak/evacuations.rs
@@ -20,9 +20,14 @@
 
 const PREFIX: &str = "op/evacuate/";
 
-/// Time between two evacuations, and the time that one lasts, in milliseconds.
+/// Time between two evacuations, and the time that one lasts once its key is in the store, in milliseconds: longer than the
+/// bound with the longest extension that faults of the store within the bound cause, so that each evacuation is judged.
 const PAUSE: std::ops::Range<u64> = 500..3_500;
-const LASTING: std::ops::Range<u64> = 6_500..11_500;
+const LASTING: std::ops::Range<u64> = 12_000..15_000;
+/// Time for which the evacuations of a run of [`RUN_TIME`] are judged at least: the shortest of [`LASTING`] less the longest bound.
+const JUDGED_TIME: Duration = Duration::from_secs(1);
+/// Duration of the shortest run in which one evacuation certainly ends: a pause, a loss of the key, and its time.
+const RUN_TIME: Duration = Duration::from_secs(24);
 
 /// Time after which an evacuation is in force (`EvacuateMs`), and its extension around faults of the store (`MaxStretchMs`).
 const APPLY_TIME: Duration = Duration::from_secs(5);
@@ -43,6 +48,13 @@
     rng: StdRng,
     next: Instant,
     active: Option<&'static str>,
+    /// Whether the store has come back without the key, which is not written again yet.
+    lost: bool,
+    /// Keys that the store did not hold although it had acknowledged them and came back from no copy since.
+    missing: Vec<String>,
+    start: Instant,
+    /// When the run ended.
+    ended: Option<Instant>,
     spans: Vec<Span>,
     /// Faults of the store, from beginning to end.
     faults: Vec<(Instant, Option<Instant>)>,
@@ -56,17 +68,25 @@
             rng,
             next,
             active: None,
+            lost: false,
+            missing: Vec::new(),
+            start: Instant::now(),
+            ended: None,
             spans: Vec::new(),
             faults: Vec::new(),
         }
     }
 
-    /// Begins or ends an evacuation if it is due. A key that the store has lost is judged no further until it is written again.
+    /// Begins or ends an evacuation if it is due.
     pub fn poll(&mut self, fleet: &Fleet) -> Option<String> {
-        if self.active.is_some() && fleet.store.keys(PREFIX).is_empty() {
-            self.close_span();
-        }
         let now = Instant::now();
+        if let Some(domain) = self.active
+            && !self.lost
+            && self.missing.is_empty()
+            && !has_key(fleet, domain)
+        {
+            self.missing.push(format!("{PREFIX}{domain}"));
+        }
         if now < self.next {
             return None;
         }
@@ -76,14 +96,22 @@
             fleet.store.remove(&format!("{PREFIX}{domain}"));
             return Some(format!("{domain} back in service"));
         }
-        self.next = now + Duration::from_millis(self.rng.random_range(LASTING));
         let domain = DOMAINS[1];
         self.active = Some(domain);
         self.write_again(fleet);
         Some(format!("{domain} out of service"))
     }
 
-    /// Writes what the operator has written, and removes keys that are out of date.
+    /// Notes that the store has come back from a copy. A key that it lacks is judged no further until it is written again.
+    pub fn note_return(&mut self, fleet: &Fleet) {
+        if self.active.is_some_and(|domain| !has_key(fleet, domain)) {
+            self.close_span();
+            self.lost = true;
+        }
+    }
+
+    /// Writes what the operator has written, and removes keys that are out of date. An evacuation whose key was lost lasts as
+    /// long as one that begins.
     pub fn write_again(&mut self, fleet: &Fleet) {
         for key in fleet.store.keys(PREFIX) {
             if self
@@ -95,8 +123,10 @@
         }
         let Some(domain) = self.active else { return };
         fleet.store.put_bytes(&format!("{PREFIX}{domain}"), b"{}");
+        self.lost = false;
         let is_open = self.spans.last().is_some_and(|span| span.to.is_none());
         if !is_open {
+            self.next = Instant::now() + Duration::from_millis(self.rng.random_range(LASTING));
             self.spans.push(Span {
                 domain,
                 from: Instant::now(),
@@ -105,10 +135,12 @@
         }
     }
 
-    /// Takes all failure domains back into service.
+    /// Takes all failure domains back into service for good.
     pub fn end(&mut self, fleet: &Fleet) {
         self.close_span();
+        self.ended.get_or_insert_with(Instant::now);
         self.active = None;
+        self.lost = false;
         self.write_again(fleet);
         self.next = Instant::now() + Duration::from_hours(1);
     }
@@ -153,7 +185,11 @@
             .collect();
         let arrivals = ledger.arrivals();
         let (mut judged, mut time) = (0, Duration::ZERO);
-        let mut violations = Vec::new();
+        let mut violations: Vec<String> = self
+            .missing
+            .iter()
+            .map(|key| format!("the store does not hold {key}"))
+            .collect();
         for span in &self.spans {
             let from = self.in_force(span);
             let to = span.to.unwrap_or_else(Instant::now);
@@ -186,6 +222,12 @@
                 )
             }));
         }
+        let ended = self.ended.unwrap_or_else(Instant::now);
+        if ended - self.start >= RUN_TIME && time < JUDGED_TIME {
+            violations.push(format!(
+                "evacuations were judged for {time:?}, expected {JUDGED_TIME:?} at least"
+            ));
+        }
         eprintln!(
             "{judged} of {} evacuations judged, for {time:?}",
             self.spans.len()
@@ -193,3 +235,8 @@
         violations
     }
 }
+
+fn has_key(fleet: &Fleet, domain: &str) -> bool {
+    let key = format!("{PREFIX}{domain}");
+    fleet.store.keys(PREFIX).contains(&key)
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -538,6 +538,7 @@
         if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
             match text {
                 "store away" => self.evacuations.begin_fault(),
+                "store back from the copy" => self.evacuations.note_return(&self.fleet),
                 "lost content written again" => self.evacuations.write_again(&self.fleet),
                 _ => {}
             }
