test: the soak has upstreams that are cold, and checks their rate

Two upstreams of a service of their own start cold or become cold again, under load beyond their rate. In no second may one get more than ColdPerS x ColdOverage + ColdSlack requests (11 at 4 a second); no gateway is excused, as the rule has no exception. One that becomes cold again is judged from ContactMs (4 s) on. The load has its own service, route and random numbers, and is left out of the share that has to be served, so that seeds mean the same for other parts.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -148,6 +148,18 @@
         self.start_in(domain, id, "plain", Workload::Plain(time))
     }
 
+    /// Starts an upstream of a plain service that takes the first of `times` for each request and is cold for the second.
+    pub fn start_cold_in(
+        &self,
+        domain: &str,
+        id: &str,
+        service: &str,
+        (time, cold): (Duration, Duration),
+    ) -> Upstream {
+        let stores = (&self.store, &self.ledger);
+        Upstream::start_cold_in(domain, stores, id, service, Workload::Plain(time), cold)
+    }
+
     fn start_in(&self, domain: &str, id: &str, service: &str, workload: Workload) -> Upstream {
         Upstream::start_in(domain, (&self.store, &self.ledger), id, service, workload)
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,8 @@
 mod budget;
 #[path = "soak/checks.rs"]
 mod checks;
+#[path = "soak/cold.rs"]
+mod cold;
 #[path = "soak/cuts.rs"]
 mod cuts;
 #[path = "soak/domains.rs"]
@@ -186,11 +188,15 @@
     violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
     let is_served =
         |observation: &Observation| observation.outcome.status == 200 && observation.outcome.complete;
-    let served = observations
+    // More is sent to cold upstreams than they take.
+    let counted = observations
         .iter()
+        .filter(|observation| observation.kind != Kind::Cold);
+    let served = counted
+        .clone()
         .filter(|observation| is_served(observation))
         .count();
-    let excused = observations.iter().filter(|observation| {
+    let excused = counted.clone().filter(|observation| {
         !is_served(observation) && injector.cuts.excuse(observation, &injector.operator)
     });
     let excused = excused.count();
@@ -199,7 +205,7 @@
     eprintln!(
         "seed {seed}: {} requests, {served} whole, {excused} excused by cuts, {} moves, {late} sent late in a shutdown, {late_ran} \
          of them ran",
-        observations.len(),
+        counted.clone().count(),
         injector.fleet.ledger.migrations()
     );
     print_slowest_shutdowns(injector);
@@ -224,7 +230,7 @@
         violations.len(),
         injector.log
     );
-    let expected = observations.len() - excused;
+    let expected = counted.count() - excused;
     assert!(
         served * 4 > expected,
         "seed {seed}: {served} of {expected} were served that could be; {:?}",
@@ -251,6 +257,7 @@
         observations,
         (&injector.operator, &injector.domains, &injector.harms),
     ));
+    violations.extend(injector.cold.violations(&injector.fleet.ledger));
     violations.extend(injector.drill_violations.iter().cloned());
     violations
 }
@@ -301,6 +308,7 @@
         let kind = match kind {
             Kind::Unsafe => "unsafe",
             Kind::Safe => "safe",
+            Kind::Cold => "cold",
             Kind::Stream(_) => "stream",
             Kind::Resumable { .. } => "resumable",
         };
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -81,7 +81,7 @@
     pub fn violation(&self, observation: &Observation) -> Option<String> {
         let (id, outcome) = (&observation.request.id, &observation.outcome);
         let runs = self.runs.get(id).copied().unwrap_or(0);
-        let may_repeat = matches!(observation.kind, Kind::Safe | Kind::Resumable { .. });
+        let may_repeat = matches!(observation.kind, Kind::Safe | Kind::Cold | Kind::Resumable { .. });
         let max_runs = if may_repeat { 2 } else { 1 };
         if runs > max_runs {
             return Some(format!("ran {runs} times"));
@@ -108,7 +108,7 @@
         let rest = match observation.kind {
             Kind::Stream(length) => Some((0, length)),
             Kind::Resumable { from, events } => Some((from, events)),
-            Kind::Unsafe | Kind::Safe => None,
+            Kind::Unsafe | Kind::Safe | Kind::Cold => None,
         };
         if let Some((from, length)) = rest {
             let events = outcome.events();
--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -56,6 +56,8 @@
         let is_whole = match seen.kind {
             Kind::Stream(_) | Kind::Resumable { .. } => matches!(self.scope, Scope::Engines | Scope::All),
             Kind::Unsafe | Kind::Safe => matches!(self.scope, Scope::Plain | Scope::All),
+            // No cut goes to their upstreams.
+            Kind::Cold => false,
         };
         is_whole && (self.from..self.to).contains(&seen.begun)
     }
@@ -195,7 +197,7 @@
                 others.any(|other| is_in_touch(other, seen, operator))
             };
             let calm = observations.iter().filter(|seen| {
-                !matches!(seen.kind, Kind::Stream(_) | Kind::Resumable { .. })
+                matches!(seen.kind, Kind::Unsafe | Kind::Safe)
                     && seen.begun >= from
                     && seen.begun < to
                     && is_in_touch(seen.gateway, seen, operator)
--- a/tests/soak/drills.rs
+++ b/tests/soak/drills.rs
@@ -43,6 +43,9 @@
     b"\xff\x00",
 ];
 
+/// Engines, plain upstreams, and those whose entries are only written again.
+type Upstreams<'a> = [&'a [Upstream]; 3];
+
 /// What is under way.
 enum Step {
     /// The store is copied at this time.
@@ -87,7 +90,7 @@
     pub fn poll(
         &mut self,
         fleet: &Fleet,
-        upstreams: [&[Upstream]; 2],
+        upstreams: Upstreams<'_>,
         configure: impl FnOnce(),
     ) -> Option<&'static str> {
         let (Step::Copy(due) | Step::Leave(due, _) | Step::Return(due, _) | Step::Rewrite(due)) = &self.step;
@@ -125,7 +128,7 @@
     }
 
     /// Lets an upstream send an earlier answer once more, or writes an odd entry.
-    fn confuse(&mut self, fleet: &Fleet, upstreams: [&[Upstream]; 2]) {
+    fn confuse(&mut self, fleet: &Fleet, upstreams: Upstreams<'_>) {
         let upstream = upstreams[self.rng.random_range(0..2)]
             .choose(&mut self.rng)
             .expect("there are upstreams");
@@ -154,7 +157,7 @@
     /// writes and whose number it returns, and to leave an upstream alone that leaves. Returns what does not hold.
     pub fn finish(
         fleet: &Fleet,
-        upstreams: [&[Upstream]; 2],
+        upstreams: Upstreams<'_>,
         configure: &mut dyn FnMut(bool) -> u64,
     ) -> Vec<String> {
         set_outage(fleet, None);
@@ -234,7 +237,7 @@
 }
 
 /// Writes what operator and upstreams had written, and removes entries of upstreams that have gone.
-fn write_again(fleet: &Fleet, upstreams: [&[Upstream]; 2], configure: impl FnOnce()) {
+fn write_again(fleet: &Fleet, upstreams: Upstreams<'_>, configure: impl FnOnce()) {
     configure();
     let living: Vec<&Upstream> = upstreams.into_iter().flatten().collect();
     for key in fleet.store.keys("servers/") {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     EVENT_INTERVAL, POLL_INTERVAL,
+    cold::{self, Cold},
     cuts::Cuts,
     domains::{self, Domains, SOUTH_PREFIX},
     drills::{Drills, FLAGS},
@@ -31,7 +32,7 @@
 };
 
 /// Routes of the configurations in a soak.
-pub const ROUTES: [Route; 6] = [
+pub const ROUTES: [Route; 7] = [
     Route::new("/draft/", "streaming", "engines").with_timeout(20_000),
     Route::new("/order/", "unsafe", "plain"),
     Route::new("/read/", "safe", "plain").with_max_attempts(2),
@@ -43,6 +44,7 @@
         .with_max_attempts(2)
         .with_resumable()
         .with_regions(&["south"]),
+    Route::new(cold::PREFIX, "safe", cold::SERVICE).with_max_attempts(2),
 ];
 
 /// Grace that each gateway starts with, according to [`Fleet::start`].
@@ -170,6 +172,8 @@
     pub domains: Domains,
     /// Evacuations of failure domains.
     pub evacuations: Evacuations,
+    /// Upstreams that are cold.
+    pub cold: Cold,
     /// Drills of the store.
     pub drills: Drills,
     /// What does not hold after the last of them.
@@ -205,6 +209,7 @@
         let addresses = fleet.gateways.iter().map(|gateway| gateway.caller_address);
         let ready_addresses = fleet.gateways.iter().map(|gateway| gateway.ready_address);
         let clients = Clients::new(addresses.collect(), ready_addresses.collect());
+        let cold = Cold::new(&fleet, seed.rotate_left(56));
         let mut injector = Self {
             fleet,
             operator,
@@ -227,6 +232,7 @@
             cuts: Cuts::new(seed.rotate_left(41)),
             domains,
             evacuations: Evacuations::new(seed.rotate_left(37)),
+            cold,
             drills: Drills::new(seed.rotate_left(29)),
             drill_violations: Vec::new(),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
@@ -530,9 +536,12 @@
         for text in self.limits.poll([&self.engines, &self.plain]) {
             self.note(&text);
         }
+        for text in self.cold.poll(&self.fleet, &mut self.harms) {
+            self.note(&text);
+        }
         let version = self.version;
         let configure = || write_config(&self.fleet, version);
-        let upstreams: [&[Upstream]; 2] = [&self.engines, &self.plain];
+        let upstreams = [&self.engines, &self.plain, self.cold.upstreams()];
         // Processes that are killed all the time know nothing while the store is away.
         let is_calm = self.trouble.until.is_none() || self.drills.is_away();
         if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
@@ -658,6 +667,7 @@
     /// Ends every fault, waits until the planned work is done and all gateways serve.
     pub fn recover(&mut self) {
         self.evacuations.end(&self.fleet);
+        self.cold.end();
         self.heal();
         self.cuts.end(&self.fleet, &mut self.harms);
         self.engines
@@ -690,7 +700,7 @@
             write_config(&self.fleet, version);
             version
         };
-        let upstreams: [&[Upstream]; 2] = [&self.engines, &self.plain];
+        let upstreams = [&self.engines, &self.plain, self.cold.upstreams()];
         self.drill_violations = Drills::finish(&self.fleet, upstreams, &mut configure);
     }
 
@@ -739,7 +749,8 @@
 fn write_config(fleet: &Fleet, version: u64) {
     let mut routes = ROUTES.to_vec();
     routes.push(FLAGS[(version % FLAGS.len() as u64) as usize].clone());
-    let content = config::config(version, &routes, &[CLIENT_KEY, "another-key"]);
+    let mut content = config::config(version, &routes, &[CLIENT_KEY, "another-key"]);
+    config::add_plain_service(&mut content, cold::SERVICE, cold::RATE);
     fleet.store.put(config::KEY, &content);
 }
 
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -16,7 +16,7 @@
 use rand_distr::{Distribution, LogNormal};
 
 use crate::{
-    EVENT_TOKENS, MAX_EVENTS,
+    EVENT_TOKENS, MAX_EVENTS, cold,
     domains::SOUTH_PREFIX,
     fleet::{LONG, request},
     resumers::RESUMERS,
@@ -48,6 +48,10 @@
 const READERS: u64 = 4;
 const READ_PAUSE: Range<u64> = 30..120;
 
+/// Number of clients that send to upstreams that may be cold, and the time between two requests of one, in milliseconds.
+const COLD_CLIENTS: u64 = 3;
+const COLD_PAUSE: Range<u64> = 20..80;
+
 /// Number of idle connections that a [`hold_connections`] client keeps.
 const HELD_CONNECTIONS: usize = 6;
 /// Milliseconds after the signal to shut down at which a held connection is used once more: around the time
@@ -64,6 +68,8 @@
 pub enum Kind {
     Unsafe,
     Safe,
+    /// An idempotent request to upstreams that may be cold.
+    Cold,
     /// A generation with this number of events.
     Stream(u64),
     /// The rest of a generation on a resumable route.
@@ -155,7 +161,7 @@
         let readers = (0..READERS).map(|number| {
             let clients = Arc::clone(self);
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(11) ^ number << 32);
-            thread::spawn(move || clients.send_reads(&mut rng))
+            thread::spawn(move || clients.send_reads(&mut rng, READ_PAUSE, (Kind::Safe, "/read/1")))
         });
         let readers: Vec<_> = readers.collect();
         let resumers = (0..RESUMERS).map(|number| {
@@ -167,7 +173,18 @@
         let clients = Arc::clone(self);
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(46));
         let south = thread::spawn(move || clients.resume_streams(&mut rng, &format!("{SOUTH_PREFIX}1")));
-        let others = [deadly, south].into_iter().chain(readers).chain(resumers);
+        let cold = (0..COLD_CLIENTS).map(|number| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(58) ^ number << 32);
+            let path = format!("{}1", cold::PREFIX);
+            thread::spawn(move || clients.send_reads(&mut rng, COLD_PAUSE, (Kind::Cold, &path)))
+        });
+        let cold: Vec<_> = cold.collect();
+        let others = [deadly, south]
+            .into_iter()
+            .chain(readers)
+            .chain(resumers)
+            .chain(cold);
         senders.chain(checks).chain(others).collect()
     }
 
@@ -263,13 +280,13 @@
     }
 
     /// Sends reads to gateways in rotation all the time, so that limits of upstreams are pressed.
-    fn send_reads(&self, rng: &mut StdRng) {
+    fn send_reads(&self, rng: &mut StdRng, pause: Range<u64>, (kind, path): (Kind, &str)) {
         while !self.is_stopped() {
-            thread::sleep(Duration::from_millis(rng.random_range(READ_PAUSE)));
+            thread::sleep(Duration::from_millis(rng.random_range(pause.clone())));
             let id = format!("r{}", self.next_id.fetch_add(1, Ordering::Relaxed));
-            let read = request(&id, "GET", "/read/1").with_timeout(SHORT_TIMEOUT);
+            let read = request(&id, "GET", path).with_timeout(SHORT_TIMEOUT);
             if let Some(mut held) = self.open(self.pick_gateway(rng)) {
-                self.exchange(&mut held, vec![(Kind::Safe, read)], Duration::ZERO);
+                self.exchange(&mut held, vec![(kind, read)], Duration::ZERO);
             }
         }
     }
