test: the soak has clients that read slowly or stop for some seconds

Four clients do not read answers of 400 KiB for 0.1 to 0.7 s or 2 to 6 s; the former have to get them whole unless something else excuses it. Beside them, requests to an upstream that no fault touches have to be answered within 1.5 s by each gateway that is neither suspended nor killed, and served by those in touch. Services, routes and random numbers are their own. What a gateway holds in memory is left to tests/slow_readers.rs.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -30,6 +30,8 @@
 mod process;
 #[path = "soak/resumers.rs"]
 mod resumers;
+#[path = "soak/slow.rs"]
+mod slow;
 #[path = "soak/traffic.rs"]
 mod traffic;
 
@@ -188,10 +190,10 @@
     violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
     let is_served =
         |observation: &Observation| observation.outcome.status == 200 && observation.outcome.complete;
-    // More is sent to cold upstreams than they take.
+    // More is sent to cold upstreams than they take, and other checks are about slow readers.
     let counted = observations
         .iter()
-        .filter(|observation| observation.kind != Kind::Cold);
+        .filter(|observation| !matches!(observation.kind, Kind::Cold | Kind::Large | Kind::Calm));
     let served = counted
         .clone()
         .filter(|observation| is_served(observation))
@@ -258,6 +260,7 @@
         (&injector.operator, &injector.domains, &injector.harms),
     ));
     violations.extend(injector.cold.violations(&injector.fleet.ledger));
+    violations.extend(slow::violations(observations, &injector.operator));
     violations.extend(injector.drill_violations.iter().cloned());
     violations
 }
@@ -309,6 +312,8 @@
             Kind::Unsafe => "unsafe",
             Kind::Safe => "safe",
             Kind::Cold => "cold",
+            Kind::Large => "large",
+            Kind::Calm => "calm",
             Kind::Stream(_) => "stream",
             Kind::Resumable { .. } => "resumable",
         };
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -14,6 +14,7 @@
     budget::{self, Counting, LIMITS},
     faults::{Harm, ROUTES},
     operator::{Life, Operator},
+    slow::LARGE_BYTES,
     traffic::{Kind, Observation},
 };
 
@@ -108,7 +109,7 @@
         let rest = match observation.kind {
             Kind::Stream(length) => Some((0, length)),
             Kind::Resumable { from, events } => Some((from, events)),
-            Kind::Unsafe | Kind::Safe | Kind::Cold => None,
+            Kind::Unsafe | Kind::Safe | Kind::Cold | Kind::Large | Kind::Calm => None,
         };
         if let Some((from, length)) = rest {
             let events = outcome.events();
@@ -121,7 +122,10 @@
             return (is_short && !self.unmarked.contains(id))
                 .then(|| "ended early but looks complete".to_owned());
         }
-        let body = format!("done {id}");
+        let mut body = format!("done {id}");
+        if observation.kind == Kind::Large {
+            body.push_str(&".".repeat(LARGE_BYTES - body.len()));
+        }
         (outcome.complete && outcome.body != body.as_bytes()).then(|| "another body".to_owned())
     }
 
--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -57,7 +57,7 @@
             Kind::Stream(_) | Kind::Resumable { .. } => matches!(self.scope, Scope::Engines | Scope::All),
             Kind::Unsafe | Kind::Safe => matches!(self.scope, Scope::Plain | Scope::All),
             // No cut goes to their upstreams.
-            Kind::Cold => false,
+            Kind::Cold | Kind::Large | Kind::Calm => false,
         };
         is_whole && (self.from..self.to).contains(&seen.begun)
     }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -28,11 +28,12 @@
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
     limits::Limits,
     operator::Operator,
+    slow,
     traffic::{Clients, deadly_part},
 };
 
 /// Routes of the configurations in a soak.
-pub const ROUTES: [Route; 7] = [
+pub const ROUTES: [Route; 9] = [
     Route::new("/draft/", "streaming", "engines").with_timeout(20_000),
     Route::new("/order/", "unsafe", "plain"),
     Route::new("/read/", "safe", "plain").with_max_attempts(2),
@@ -45,6 +46,8 @@
         .with_resumable()
         .with_regions(&["south"]),
     Route::new(cold::PREFIX, "safe", cold::SERVICE).with_max_attempts(2),
+    Route::new(slow::LARGE_PREFIX, "safe", slow::LARGE_SERVICE).with_timeout(15_000),
+    Route::new(slow::CALM_PREFIX, "safe", slow::CALM_SERVICE),
 ];
 
 /// Grace that each gateway starts with, according to [`Fleet::start`].
@@ -174,6 +177,8 @@
     pub evacuations: Evacuations,
     /// Upstreams that are cold.
     pub cold: Cold,
+    /// Upstreams that no fault touches, for slow readers and those beside them.
+    calm: [Upstream; 2],
     /// Drills of the store.
     pub drills: Drills,
     /// What does not hold after the last of them.
@@ -210,6 +215,7 @@
         let ready_addresses = fleet.gateways.iter().map(|gateway| gateway.ready_address);
         let clients = Clients::new(addresses.collect(), ready_addresses.collect());
         let cold = Cold::new(&fleet, seed.rotate_left(56));
+        let calm = slow::start(&fleet);
         let mut injector = Self {
             fleet,
             operator,
@@ -233,6 +239,7 @@
             domains,
             evacuations: Evacuations::new(seed.rotate_left(37)),
             cold,
+            calm,
             drills: Drills::new(seed.rotate_left(29)),
             drill_violations: Vec::new(),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
@@ -541,7 +548,8 @@
         }
         let version = self.version;
         let configure = || write_config(&self.fleet, version);
-        let upstreams = [&self.engines, &self.plain, self.cold.upstreams()];
+        let others = [self.cold.upstreams(), &self.calm].concat();
+        let upstreams = [&self.engines, &self.plain, &others[..]];
         // Processes that are killed all the time know nothing while the store is away.
         let is_calm = self.trouble.until.is_none() || self.drills.is_away();
         if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
@@ -700,7 +708,8 @@
             write_config(&self.fleet, version);
             version
         };
-        let upstreams = [&self.engines, &self.plain, self.cold.upstreams()];
+        let others = [self.cold.upstreams(), &self.calm].concat();
+        let upstreams = [&self.engines, &self.plain, &others[..]];
         self.drill_violations = Drills::finish(&self.fleet, upstreams, &mut configure);
     }
 
@@ -751,6 +760,8 @@
     routes.push(FLAGS[(version % FLAGS.len() as u64) as usize].clone());
     let mut content = config::config(version, &routes, &[CLIENT_KEY, "another-key"]);
     config::add_plain_service(&mut content, cold::SERVICE, cold::RATE);
+    config::add_plain_service(&mut content, slow::LARGE_SERVICE, 0.0);
+    config::add_plain_service(&mut content, slow::CALM_SERVICE, 0.0);
     fleet.store.put(config::KEY, &content);
 }
 
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -20,6 +20,7 @@
     domains::SOUTH_PREFIX,
     fleet::{LONG, request},
     resumers::RESUMERS,
+    slow,
 };
 
 /// Timeout of requests other than long generations.
@@ -70,6 +71,10 @@
     Safe,
     /// An idempotent request to upstreams that may be cold.
     Cold,
+    /// An idempotent request whose large answer is read slowly.
+    Large,
+    /// An idempotent request to an upstream that no fault touches.
+    Calm,
     /// A generation with this number of events.
     Stream(u64),
     /// The rest of a generation on a resumable route.
@@ -180,11 +185,26 @@
             thread::spawn(move || clients.send_reads(&mut rng, COLD_PAUSE, (Kind::Cold, &path)))
         });
         let cold: Vec<_> = cold.collect();
+        let slow = (0..slow::READERS).map(|number| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(61) ^ number << 32);
+            thread::spawn(move || clients.read_slowly(&mut rng))
+        });
+        let slow: Vec<_> = slow.collect();
+        let calm = (0..slow::OTHER_CLIENTS).map(|number| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(14) ^ number << 32);
+            let path = format!("{}1", slow::CALM_PREFIX);
+            thread::spawn(move || clients.send_reads(&mut rng, slow::CALM_PAUSE, (Kind::Calm, &path)))
+        });
+        let calm: Vec<_> = calm.collect();
         let others = [deadly, south]
             .into_iter()
             .chain(readers)
             .chain(resumers)
-            .chain(cold);
+            .chain(cold)
+            .chain(slow)
+            .chain(calm);
         senders.chain(checks).chain(others).collect()
     }
 
@@ -399,6 +419,11 @@
         }
     }
 
+    /// Address of a gateway for clients.
+    pub fn address(&self, gateway: usize) -> SocketAddr {
+        self.addresses[gateway]
+    }
+
     pub fn open(&self, gateway: usize) -> Option<Held> {
         let begun = Instant::now();
         Some(Held {
