--- a/tests/soak/evacuations.rs
+++ b/tests/soak/evacuations.rs
@@ -52,8 +52,8 @@
     lost: bool,
     /// Keys that the store did not hold although it had acknowledged them and came back from no copy since.
     missing: Vec<String>,
-    start: Instant,
-    /// When the run ended.
+    /// When the run began, without its setup, and when it ended.
+    start: Option<Instant>,
     ended: Option<Instant>,
     spans: Vec<Span>,
     /// Faults of the store, from beginning to end.
@@ -70,7 +70,7 @@
             active: None,
             lost: false,
             missing: Vec::new(),
-            start: Instant::now(),
+            start: None,
             ended: None,
             spans: Vec::new(),
             faults: Vec::new(),
@@ -80,6 +80,7 @@
     /// Begins or ends an evacuation if it is due.
     pub fn poll(&mut self, fleet: &Fleet) -> Option<String> {
         let now = Instant::now();
+        self.start.get_or_insert(now);
         if let Some(domain) = self.active
             && !self.lost
             && self.missing.is_empty()
@@ -222,8 +223,8 @@
                 )
             }));
         }
-        let ended = self.ended.unwrap_or_else(Instant::now);
-        if ended - self.start >= RUN_TIME && time < JUDGED_TIME {
+        let time_run = self.start.zip(self.ended).map(|(start, end)| end - start);
+        if time_run.is_some_and(|run| run >= RUN_TIME) && time < JUDGED_TIME {
             violations.push(format!(
                 "evacuations were judged for {time:?}, expected {JUDGED_TIME:?} at least"
             ));
