--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -8,7 +8,7 @@
 };
 
 use carob_platform_standin::{
-    AnswerMode, Cut, Flood, Link, Outage, Trigger, Upstream, Workload,
+    AnswerMode, Cut, Flood, Link, Outage, Trigger, Upstream,
     client::Connection,
     config::{self, Route},
 };
@@ -20,6 +20,7 @@
 
 use crate::{
     EVENT_INTERVAL, POLL_INTERVAL,
+    cold::{self, Cold},
     cuts::Cuts,
     domains::{self, Domains, SOUTH_PREFIX},
     drills::{Drills, FLAGS},
@@ -27,11 +28,12 @@
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
     limits::Limits,
     operator::Operator,
+    slow,
     traffic::{Clients, deadly_part},
 };
 
 /// Routes of the configurations in a soak.
-pub const ROUTES: [Route; 6] = [
+pub const ROUTES: [Route; 9] = [
     Route::new("/draft/", "streaming", "engines").with_timeout(20_000),
     Route::new("/order/", "unsafe", "plain"),
     Route::new("/read/", "safe", "plain").with_max_attempts(2),
@@ -43,6 +45,9 @@
         .with_max_attempts(2)
         .with_resumable()
         .with_regions(&["south"]),
+    Route::new(cold::PREFIX, "safe", cold::SERVICE).with_max_attempts(2),
+    Route::new(slow::LARGE_PREFIX, "safe", slow::LARGE_SERVICE).with_timeout(15_000),
+    Route::new(slow::CALM_PREFIX, "safe", slow::CALM_SERVICE),
 ];
 
 /// Grace that each gateway starts with, according to [`Fleet::start`].
@@ -170,6 +175,10 @@
     pub domains: Domains,
     /// Evacuations of failure domains.
     pub evacuations: Evacuations,
+    /// Upstreams that are cold.
+    pub cold: Cold,
+    /// Upstreams that no fault touches, for slow readers and those beside them.
+    calm: [Upstream; 2],
     /// Drills of the store.
     pub drills: Drills,
     /// What does not hold after the last of them.
@@ -196,9 +205,7 @@
         let plain = (0..count)
             .map(|n| {
                 let (id, domain) = (format!("p{n}"), domains::domain(n, count));
-                let workload = Workload::Plain(Duration::from_millis(15));
-                let upstream =
-                    Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "plain", workload);
+                let upstream = fleet.start_plain_in(domain, &id, Duration::from_millis(15));
                 domains.place(&upstream, domain);
                 upstream
             })
@@ -207,6 +214,8 @@
         let addresses = fleet.gateways.iter().map(|gateway| gateway.caller_address);
         let ready_addresses = fleet.gateways.iter().map(|gateway| gateway.ready_address);
         let clients = Clients::new(addresses.collect(), ready_addresses.collect());
+        let cold = Cold::new(&fleet, seed.rotate_left(56));
+        let calm = slow::start(&fleet);
         let mut injector = Self {
             fleet,
             operator,
@@ -229,6 +238,8 @@
             cuts: Cuts::new(seed.rotate_left(41)),
             domains,
             evacuations: Evacuations::new(seed.rotate_left(37)),
+            cold,
+            calm,
             drills: Drills::new(seed.rotate_left(29)),
             drill_violations: Vec::new(),
             cut_rng: StdRng::seed_from_u64(seed.rotate_left(51)),
@@ -532,14 +543,19 @@
         for text in self.limits.poll([&self.engines, &self.plain]) {
             self.note(&text);
         }
+        for text in self.cold.poll(&self.fleet, &mut self.harms) {
+            self.note(&text);
+        }
         let version = self.version;
         let configure = || write_config(&self.fleet, version);
-        let upstreams: [&[Upstream]; 2] = [&self.engines, &self.plain];
+        let others = [self.cold.upstreams(), &self.calm].concat();
+        let upstreams = [&self.engines, &self.plain, &others[..]];
         // Processes that are killed all the time know nothing while the store is away.
         let is_calm = self.trouble.until.is_none() || self.drills.is_away();
         if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
             match text {
                 "store away" => self.evacuations.begin_fault(),
+                "store back from the copy" => self.evacuations.note_return(&self.fleet),
                 "lost content written again" => self.evacuations.write_again(&self.fleet),
                 _ => {}
             }
@@ -659,6 +675,7 @@
     /// Ends every fault, waits until the planned work is done and all gateways serve.
     pub fn recover(&mut self) {
         self.evacuations.end(&self.fleet);
+        self.cold.end();
         self.heal();
         self.cuts.end(&self.fleet, &mut self.harms);
         self.engines
@@ -691,7 +708,8 @@
             write_config(&self.fleet, version);
             version
         };
-        let upstreams: [&[Upstream]; 2] = [&self.engines, &self.plain];
+        let others = [self.cold.upstreams(), &self.calm].concat();
+        let upstreams = [&self.engines, &self.plain, &others[..]];
         self.drill_violations = Drills::finish(&self.fleet, upstreams, &mut configure);
     }
 
@@ -740,15 +758,17 @@
 fn write_config(fleet: &Fleet, version: u64) {
     let mut routes = ROUTES.to_vec();
     routes.push(FLAGS[(version % FLAGS.len() as u64) as usize].clone());
-    let content = config::config(version, &routes, &[CLIENT_KEY, "another-key"]);
+    let mut content = config::config(version, &routes, &[CLIENT_KEY, "another-key"]);
+    config::add_plain_service(&mut content, cold::SERVICE, cold::RATE);
+    config::add_plain_service(&mut content, slow::LARGE_SERVICE, 0.0);
+    config::add_plain_service(&mut content, slow::CALM_SERVICE, 0.0);
     fleet.store.put(config::KEY, &content);
 }
 
 /// Starts the engine with this number in a failure domain.
 fn start_engine(fleet: &Fleet, number: u32, domain: &'static str, domains: &mut Domains) -> Upstream {
     let id = format!("e{number}");
-    let workload = Workload::Stream(1, EVENT_INTERVAL);
-    let engine = Upstream::start_in(domain, (&fleet.store, &fleet.ledger), &id, "engines", workload);
+    let engine = fleet.start_engine_in(domain, &id, 1, EVENT_INTERVAL);
     domains.place(&engine, domain);
     engine.set_chunked(!number.is_multiple_of(UNFRAMED_ENGINES));
     engine.set_crlf(number.is_multiple_of(3));
