placement: one function evaluates an upstream

Cause: placement and Fleet::exclusion had the same conditions in two places, and a score was one number, so that a placement could not be explained by what it used. Terms are added in the order in which they were, so scores are the same.

--- a/crates/carob-dispatch/src/fleet/eligibility.rs
+++ b/crates/carob-dispatch/src/fleet/eligibility.rs
@@ -7,7 +7,7 @@
 
 use carob_base::Time;
 
-use super::{Fleet, Requirements, Upstream, UpstreamKey, UpstreamState, place::has_room};
+use super::{Fleet, Requirements, Upstream, UpstreamKey, UpstreamState};
 use crate::{limits::Access, regions::Regions};
 
 carob_base::plain! {
@@ -35,6 +35,14 @@
 }
 
 impl Exclusion {
+    /// Whether waiting does not end it, as far as is known.
+    pub const fn is_lasting(self) -> bool {
+        match self {
+            Self::OtherService | Self::Leaving | Self::Tried | Self::Region | Self::Evacuated => true,
+            Self::Cold | Self::Paused | Self::NoPermit | Self::Full => false,
+        }
+    }
+
     /// Name in log lines and metrics.
     pub const fn name(self) -> &'static str {
         match self {
@@ -49,6 +57,21 @@
             Self::Full => "full",
         }
     }
+
+    /// The reason in words, for operators.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::OtherService => "it provides another service",
+            Self::Leaving => "it accepts no new requests",
+            Self::Tried => "the request was sent to it already",
+            Self::Region => "the request may not run in its region",
+            Self::Evacuated => "its failure domain is out of service",
+            Self::Cold => "it is cold, and there is no permit for a request to it",
+            Self::Paused => "it asks for a pause",
+            Self::NoPermit => "it limits its requests, and there is no permit for one",
+            Self::Full => "its slots, its memory or the prompts that it may have pending are used up",
+        }
+    }
 }
 
 impl Fleet {
@@ -85,9 +108,7 @@
     /// Why a request may not go to an upstream now; `None` if it may.
     pub fn exclusion(&self, key: UpstreamKey, requirements: &Requirements, now: Time) -> Option<Exclusion> {
         let upstream = self.upstreams.get(key)?;
-        self.lasting_exclusion(key, upstream, requirements)
-            .or_else(|| self.access_exclusion(upstream, now))
-            .or_else(|| (!has_room(upstream, requirements)).then_some(Exclusion::Full))
+        self.evaluate(key, upstream, requirements, now).err()
     }
 
     /// Whether an upstream could run a request, were it not for its load, a limit or a pause.
@@ -101,7 +122,7 @@
     }
 
     /// Why an upstream cannot run a request however long that waits.
-    fn lasting_exclusion(
+    pub(super) fn lasting_exclusion(
         &self,
         key: UpstreamKey,
         upstream: &Upstream,
@@ -131,7 +152,7 @@
     }
 
     /// Why an upstream takes no request from this instance at present.
-    fn access_exclusion(&self, upstream: &Upstream, now: Time) -> Option<Exclusion> {
+    pub(super) fn access_exclusion(&self, upstream: &Upstream, now: Time) -> Option<Exclusion> {
         if self.is_cold_held(upstream, now) {
             Some(Exclusion::Cold)
         } else if upstream.is_paused(now) {
--- a/crates/carob-dispatch/src/fleet/limited.rs
+++ b/crates/carob-dispatch/src/fleet/limited.rs
@@ -98,7 +98,7 @@
             {
                 continue;
             }
-            let score = self.score(key, upstream, requirements, now);
+            let score = self.score(key, upstream, requirements, now).total();
             let hash = upstream.hash();
             if self.limits.is_bounded(hash) || self.cold.is_bounded(hash, now) {
                 limited.push((score, hash));
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -38,7 +38,7 @@
 pub use links::LinkFailure;
 pub use pace::{KnownPace, MAX_REPORTS as MAX_PACE_REPORTS, PaceRange, PaceReport, SentLoad};
 pub use peers::{MessageStamp, PeerLoad};
-pub use place::{Placement, Requirements, UpstreamHealth};
+pub use place::{Placement, Requirements, Score, UpstreamHealth};
 pub use prefixes::{HeldPrefix, PrefixReport};
 pub use relays::{Relay, RelayOffer, service_hash};
 pub use waiting::{Assignment, QueuedRequest};
--- a/crates/carob-dispatch/src/fleet/place.rs
+++ b/crates/carob-dispatch/src/fleet/place.rs
@@ -11,7 +11,9 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState, pace, urgency::PatientBound};
+use super::{
+    Exclusion, Fleet, RequestSize, Upstream, UpstreamKey, UpstreamState, pace, urgency::PatientBound,
+};
 use crate::{head::PromptPart, limits::Access, regions::Regions};
 
 carob_base::plain! {
@@ -169,6 +171,39 @@
 /// confirmed, so that it is chosen before others unless it could not be reached lately.
 const PERMIT_BONUS: f64 = 8.0;
 
+/// Terms by which an upstream is compared with others, as shares of its capacity. The one with the lowest [`Score::total`]
+/// is chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Score {
+    /// Its load: memory and pending prompts of an engine, requests per slot of a plain upstream.
+    pub load: f64,
+    /// Added for its pace; negative if it is fast.
+    pub pace: f64,
+    /// Added for attempts that failed lately.
+    pub failures: f64,
+    /// Added if it could not be reached just before.
+    pub unreachable: f64,
+    /// Added if it is reached through another instance only.
+    pub relay: f64,
+    /// Added if it is in another failure domain or region.
+    pub distance: f64,
+    /// Random load that spreads requests over equal upstreams.
+    pub random: f64,
+    /// Subtracted for prompt tokens that it is likely to have cached.
+    pub saved: f64,
+    /// Subtracted if a permit for it is about to be void, or its limit has to be confirmed.
+    pub permit: f64,
+}
+
+impl Score {
+    /// The score: all terms together.
+    pub fn total(&self) -> f64 {
+        self.load + self.pace + self.failures + self.unreachable + self.relay + self.distance + self.random
+            - self.saved
+            - self.permit
+    }
+}
+
 impl Fleet {
     /// Chooses the upstream with the lowest score, its load plus penalties, among those that have room and, if they name
     /// a limit, a permit.
@@ -176,21 +211,15 @@
         let mut best = None;
         let mut any_ready = false;
         for (key, upstream) in &self.upstreams {
-            if !self.is_candidate(key, upstream, requirements) {
-                continue;
-            }
-            any_ready = true;
-            if !has_room(upstream, requirements) {
-                continue;
-            }
-            let bonus = match self.access(upstream, now) {
-                Access::Held => continue,
-                Access::Preferred => PERMIT_BONUS,
-                Access::Open | Access::Permitted => 0.0,
-            };
-            let score = self.score(key, upstream, requirements, now) - bonus;
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, key));
+            match self.evaluate(key, upstream, requirements, now) {
+                Ok(score) => {
+                    any_ready = true;
+                    let score = score.total();
+                    if best.is_none_or(|(least, _)| score < least) {
+                        best = Some((score, key));
+                    }
+                }
+                Err(exclusion) => any_ready |= !exclusion.is_lasting(),
             }
         }
         match best {
@@ -200,6 +229,41 @@
         }
     }
 
+    /// Evaluates an upstream for a request, for a placement and for the explanation of one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Exclusion`] if the request may not go there now.
+    pub(super) fn evaluate(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        requirements: &Requirements,
+        now: Time,
+    ) -> Result<Score, Exclusion> {
+        if let Some(exclusion) = self.lasting_exclusion(key, upstream, requirements) {
+            return Err(exclusion);
+        }
+        let access = self.access(upstream, now);
+        if access == Access::Held {
+            return Err(self
+                .access_exclusion(upstream, now)
+                .unwrap_or(Exclusion::NoPermit));
+        }
+        if !has_room(upstream, requirements) {
+            return Err(Exclusion::Full);
+        }
+        let permit = if access == Access::Preferred {
+            PERMIT_BONUS
+        } else {
+            0.0
+        };
+        Ok(Score {
+            permit,
+            ..self.score(key, upstream, requirements, now)
+        })
+    }
+
     /// Draws up to `count` ready upstreams at random, to query their load. `draw` is a random number.
     pub fn sample(
         &self,
@@ -325,32 +389,35 @@
         if count == 0 { 1.0 } else { sum / f64::from(count) }
     }
 
-    /// Load plus penalties, as a share of capacity; the upstream with the lowest score is chosen.
+    /// Load plus penalties, without regard to permits.
     pub(super) fn score(
         &self,
         key: UpstreamKey,
         upstream: &Upstream,
         requirements: &Requirements,
         now: Time,
-    ) -> f64 {
-        let unreachable = if upstream.avoid_until > now {
-            UNREACHABLE_PENALTY
-        } else {
-            0.0
-        };
-        let relay = if upstream.link.is_lost() {
-            RELAY_PENALTY
-        } else {
-            0.0
-        };
+    ) -> Score {
+        let load = load(upstream, requirements);
         let draw = self.uniform(key, self.tie_seed);
-        paced_load(upstream, requirements)
-            + upstream.failure_rate * FAILURE_PENALTY
-            + unreachable
-            + relay
-            + self.distance_penalty(&upstream.entry.domain)
-            + draw * (TIE_BREAK + upstream.pace.spread())
-            - self.saved_load(key, upstream, requirements, now)
+        Score {
+            load,
+            pace: pace_load(upstream, requirements, load),
+            failures: upstream.failure_rate * FAILURE_PENALTY,
+            unreachable: if upstream.avoid_until > now {
+                UNREACHABLE_PENALTY
+            } else {
+                0.0
+            },
+            relay: if upstream.link.is_lost() {
+                RELAY_PENALTY
+            } else {
+                0.0
+            },
+            distance: self.distance_penalty(&upstream.entry.domain),
+            random: draw * (TIE_BREAK + upstream.pace.spread()),
+            saved: self.saved_load(key, upstream, requirements, now),
+            permit: 0.0,
+        }
     }
 
     /// Hashes an upstream and a random number to a number above 0 and up to 1.
@@ -401,15 +468,15 @@
     }
 }
 
-/// Load as it is felt at the upstream's pace: an upstream that takes twice as long counts as twice as loaded, and the
-/// request itself takes twice as long there also if nothing else runs. At the pace of the median it is the [`load`].
-fn paced_load(upstream: &Upstream, requirements: &Requirements) -> f64 {
-    let load = load(upstream, requirements);
+/// What is added to the [`load`] so that it is as it is felt at the upstream's pace: an upstream that takes twice as long
+/// counts as twice as loaded, and the request itself takes twice as long there also if nothing else runs. At the pace of the
+/// median it is nothing.
+fn pace_load(upstream: &Upstream, requirements: &Requirements, load: f64) -> f64 {
     let size = requirements.size;
     let own = if requirements.capacity == 0 {
         1.0 / f64::from(upstream.entry.slots.max(1))
     } else {
         (size.tokens as f64 + size.prefill as f64 / PREFILL_SHARE) / requirements.capacity as f64
     };
-    load + (pace::factor(upstream, requirements) - 1.0) * (load + own)
+    (pace::factor(upstream, requirements) - 1.0) * (load + own)
 }
