admission: Fleet::decide decides whether a request is sent, waits or is refused

Cause: the decision was spread over exchange::reserve, admission::check_forecast and limit::plan_wait, with counting and logging between, so that nothing could ask for it alone. Change: Fleet::decide is pure and names the cause. reserve obeys it, in the same order of checks. Counting a request is apart from admitting it: admit, bounded_requirements and first_position have no effects.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! * [`Fleet::apply_peer_loads`] adds the requests that other instances run.
 
 mod cold;
+mod decision;
 mod directory;
 mod eligibility;
 mod engine;
@@ -31,6 +32,7 @@
 
 use crate::limits::{Cold, ColdPermit, Limits, Options as LimitOptions, Permit, Place};
 
+pub use decision::{Cause, Decision, Stay};
 pub use eligibility::Exclusion;
 pub use fairness::Share;
 pub use forecast::Forecast;
--- a/crates/carob-gateway/src/traffic/admission.rs
+++ b/crates/carob-gateway/src/traffic/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use carob_dispatch::fleet::{
-    Forecast, RequestSize, Requirements, Share, UpstreamKey,
+    Forecast, RequestSize, Requirements, Share, Stay, UpstreamKey,
     urgency::{self, Silence, TURN_TIME},
 };
 use tokio::{
@@ -31,26 +31,36 @@
 /// Requirements of a request that looks for an upstream other than those in `tried`, with the bounds for patient requests.
 /// Counts the arrival of one that has not been sent yet.
 pub(super) fn requirements(call: &Call, size: RequestSize, tried: &[UpstreamKey]) -> Requirements {
-    let requirements = call.requirements(size, tried);
     let shared = &call.shared;
-    let now = shared.now();
     if call.urgency.engine_priority.is_some() && tried.is_empty() {
         let rank = (call.priority, call.route.target_latency);
+        let now = shared.now();
         shared.fleet_mut().record_arrival(&call.service, rank, size, now);
     }
+    bounded_requirements(call, size, tried)
+}
+
+/// Like [`requirements`], without counting anything.
+pub(super) fn bounded_requirements(call: &Call, size: RequestSize, tried: &[UpstreamKey]) -> Requirements {
+    let requirements = call.requirements(size, tried);
+    let shared = &call.shared;
     let bound = call.urgency.headroom.map(|headroom| {
         shared
             .fleet()
-            .patient_bound(&requirements, (call.priority, headroom), now)
+            .patient_bound(&requirements, (call.priority, headroom), shared.now())
     });
     requirements.with_patience(bound)
 }
 
-/// Whether a patient request joins the queue although an engine has room: others wait for engines at other instances, and
-/// all take turns.
-pub(super) fn yields(call: &Call, requirements: &Requirements) -> bool {
-    let shared = &call.shared;
-    requirements.patience.is_some() && shared.fleet().waiting_instances(&call.service, shared.now()) > 0
+/// How a request may stay here until `queue_deadline`, or for `longest`, until it has a place.
+pub(super) fn stay(call: &Call, longest: Duration, queue_deadline: Instant, is_repeat: bool) -> Stay {
+    Stay {
+        priority: call.priority,
+        longest,
+        left: queue_deadline.saturating_duration_since(Instant::now()),
+        is_repeat,
+        is_forecast: call.urgency.engine_priority.is_some(),
+    }
 }
 
 /// Longest time for which a request may wait in the queue, counted from its arrival or the end of its previous run.
@@ -79,33 +89,26 @@
     );
 }
 
-/// Checks that a request that may wait for `longest` is expected to be served.
-///
-/// # Errors
-///
-/// Returns the gateway's answer if it would wait in vain by all that is known, with the time after which it probably would
-/// not.
-pub(super) fn check_forecast(call: &Call, longest: Duration) -> Result<(), Refusal> {
-    if call.urgency.engine_priority.is_none() {
-        return Ok(());
-    }
-    let forecast = forecast(call);
-    let Some(delay) = forecast.refusal(longest) else {
-        return Ok(());
-    };
-    Err(refuse(
+/// The gateway's answer to a request that may wait for `longest` and would wait in vain by all that is known, with the time
+/// after which it probably would not.
+pub(super) fn refuse_scarce(call: &Call, forecast: &Forecast, longest: Duration) -> Refusal {
+    let delay = forecast.refusal(longest).unwrap_or(RETRY_FULL);
+    refuse(
         call,
-        &forecast,
+        forecast,
         longest,
         delay,
         "all engines are taken for longer than it may wait",
-    ))
+    )
 }
 
 /// The gateway's answer to a request that has waited for `longest` in vain; `None` if nothing is predicted for it.
 pub(super) fn refusal(call: &Call, longest: Duration) -> Option<Refusal> {
     call.urgency.engine_priority?;
-    let forecast = forecast(call);
+    let shared = &call.shared;
+    let forecast = shared
+        .fleet()
+        .forecast(&call.service, call.priority, shared.now());
     let delay = forecast.retry_delay(longest).unwrap_or(RETRY_FULL);
     Some(refuse(
         call,
@@ -116,13 +119,6 @@
     ))
 }
 
-fn forecast(call: &Call) -> Forecast {
-    let shared = &call.shared;
-    shared
-        .fleet()
-        .forecast(&call.service, call.priority, shared.now())
-}
-
 fn refuse(
     call: &Call,
     forecast: &Forecast,
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_dispatch::{
     crashes::Part,
-    fleet::{Placement, QueuedRequest, UpstreamHealth, UpstreamKey, urgency::Urgency},
+    fleet::{Cause, Decision, QueuedRequest, UpstreamHealth, UpstreamKey, urgency::Urgency},
     head::{Head, LastEvent},
     outcome::{AttemptResult, NextAction},
     table::{Denial, Route},
@@ -45,7 +45,7 @@
 const ATTEMPT_FACTOR: f64 = 2.5;
 
 /// Assumed timeout of a client whose request states no deadline.
-const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_mins(1);
+pub(super) const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Maximum size of a request body in bytes while no configuration is known.
 const DEFAULT_BODY_LIMIT: usize = 4 << 20;
@@ -74,14 +74,9 @@
     let id = head.id.clone();
     shared.name_request(active.key, &id);
     metrics::counter!("carobhaven_requests_total").increment(1);
-    if waiting::is_exhausted(shared) {
+    if let Err((local, reason)) = check_memory(shared) {
         waiting::count_refusal("answers");
-        return refuse(
-            &id,
-            LocalAnswer::Refused(link::spread(RETRY_FULL)),
-            "answers that wait for their clients hold all their memory",
-            arrival,
-        );
+        return refuse(&id, local, reason, arrival);
     }
     let client_deadline = arrival + head.client_timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
     let limit = shared
@@ -106,10 +101,12 @@
         }
         Err(_elapsed) => return refuse(&id, LocalAnswer::Denied(408), "body not whole in time", arrival),
     };
-    let call = match admit(shared, head, parts, body, arrival, client_deadline) {
+    let pick = |route: &Route| route.pick_service(rand::random()).map(Box::from);
+    let call = match admit(shared, (head, parts), body, (arrival, client_deadline), pick) {
         Ok(call) => call,
         Err((local, reason)) => return refuse(&id, local, reason, arrival),
     };
+    record_admitted(&call);
     let outcome = run_attempts(&call, active, count).await;
     match outcome {
         Ok(response) => response,
@@ -126,24 +123,26 @@
     }
 }
 
+/// Refuses requests while answers that wait leave no memory for another one.
+pub(super) fn check_memory(shared: &Shared) -> Result<(), Refusal> {
+    if !waiting::is_exhausted(shared) {
+        return Ok(());
+    }
+    Err((
+        LocalAnswer::Refused(link::spread(RETRY_FULL)),
+        "answers that wait for their clients hold all their memory",
+    ))
+}
+
 /// Decides where the stream of a request begins: after the last event that its client has, if the route permits a
 /// further run.
-fn first_position(head: &Head, route: &Route) -> Result<Option<u64>, Refusal> {
+const fn first_position(head: &Head, route: &Route) -> Result<Option<u64>, Refusal> {
     if !route.kind.is_stream() || !route.kind.is_idempotent() {
-        if head.last_event != LastEvent::Absent {
-            log::info!(
-                request:% = String::from_utf8_lossy(&head.id), route:% = route.name, named:? = head.last_event;
-                "last event not obeyed: the route's requests do not resume"
-            );
-        }
         return Ok(None);
     }
     match head.last_event {
         LastEvent::Absent => Ok(None),
-        LastEvent::Id(id) => {
-            metrics::counter!("carobhaven_resumed_requests_total").increment(1);
-            Ok(Some(id))
-        }
+        LastEvent::Id(id) => Ok(Some(id)),
         LastEvent::Malformed => Err((
             LocalAnswer::Denied(400),
             "expected a number of at most 64 bits as the id of the last event, found something else",
@@ -151,6 +150,19 @@
     }
 }
 
+/// Counts a request that was admitted.
+fn record_admitted(call: &Call) {
+    call.shared.record_request(&call.service);
+    if call.last_event.is_some() {
+        metrics::counter!("carobhaven_resumed_requests_total").increment(1);
+    } else if call.head.last_event != LastEvent::Absent {
+        log::info!(
+            request:% = call.id(), route:% = call.route.name, named:? = call.head.last_event;
+            "last event not obeyed: the route's requests do not resume"
+        );
+    }
+}
+
 /// Answers a request that was not admitted.
 fn refuse(id: &Bytes, local: LocalAnswer, reason: &'static str, arrival: Instant) -> Response<ResponseBody> {
     log::warn!(
@@ -162,14 +174,14 @@
     local.response(id, reason)
 }
 
-/// Checks a request against the configuration and looks up its route, service and client account.
-fn admit(
+/// Checks a request against the configuration and looks up its route, service and client account. `pick` chooses among the
+/// services of the route.
+pub(super) fn admit(
     shared: &Rc<Shared>,
-    head: Head,
-    parts: Parts,
+    (head, parts): (Head, Parts),
     (body, held): (Bytes, HeldBytes),
-    arrival: Instant,
-    client_deadline: Instant,
+    (arrival, client_deadline): (Instant, Instant),
+    pick: impl FnOnce(&Route) -> Option<Box<str>>,
 ) -> Result<Rc<Call>, Refusal> {
     let Some(table) = shared.table() else {
         return Err((
@@ -197,23 +209,22 @@
         Err(Denial::NoRoute) => return Err((LocalAnswer::Denied(404), "no such route")),
         Err(Denial::InvalidKey) => return Err((LocalAnswer::Denied(401), "no account has the key")),
     };
-    let Some(service) = found.route.pick_service(rand::random()) else {
+    let Some(service) = pick(found.route) else {
         return Err((
             LocalAnswer::Refused(RETRY_NO_UPSTREAM),
             "the route has no service",
         ));
     };
     let last_event = first_position(&head, found.route)?;
-    let engine = table.service(service).and_then(|service| service.engine.clone());
-    shared.record_request(service);
-    let prompt = head.parts.iter().map(|hash| Part::of_prompt(service, *hash));
+    let engine = table.service(&service).and_then(|service| service.engine.clone());
+    let prompt = head.parts.iter().map(|hash| Part::of_prompt(&service, *hash));
     let priority = found
         .account
         .and_then(|account| account.priority)
         .unwrap_or(found.route.priority);
     let urgency = engine.as_ref().map_or(Urgency::UNIFORM, |_| {
         Urgency::new(
-            table.priority_classes(service),
+            table.priority_classes(&service),
             priority,
             found.route.target_latency,
         )
@@ -221,7 +232,7 @@
     Ok(Rc::new(Call {
         shared: Rc::clone(shared),
         prompt: prompt.collect(),
-        service: service.into(),
+        service,
         engine,
         admitted_regions: found.regions(),
         account: found.account.map(|account| account.name.clone()),
@@ -377,33 +388,17 @@
         return Ok(Reservation::new(shared, upstream, size));
     }
     let now = shared.now();
-    let queue_empty = shared.fleet().queue_length(&call.service) == 0;
-    let placement = shared.fleet().place(&requirements, now);
     let longest = admission::longest_wait(call, &requirements);
-    match placement {
-        Placement::Upstream(upstream)
-            if (queue_empty && !admission::yields(call, &requirements))
-                || !tried.is_empty()
-                || longest.is_zero() =>
-        {
-            return Ok(prefixes::reserve(shared, upstream, &requirements));
-        }
-        Placement::NoUpstream => {
-            return Err((
-                LocalAnswer::Refused(link::spread(RETRY_NO_UPSTREAM)),
-                "no upstream of the service is known",
-            ));
-        }
-        Placement::Upstream(_) | Placement::Full => {}
-    }
     let queue_deadline = call.answer_deadline().min(start.since + longest);
-    if Instant::now() >= queue_deadline {
-        return Err((LocalAnswer::Refused(RETRY_FULL), "all upstreams are full"));
-    }
-    if placement == Placement::Full {
-        admission::check_forecast(call, longest)?;
-    }
-    let wait = limit::plan_wait(call, &requirements, queue_deadline)?;
+    let stay = admission::stay(call, longest, queue_deadline, !tried.is_empty());
+    let decision = shared
+        .fleet()
+        .decide(&requirements, &stay, || limit::instances(shared), now);
+    let wait = match decision {
+        Decision::Send(upstream) => return Ok(prefixes::reserve(shared, upstream, &requirements)),
+        Decision::Refuse(cause) => return Err(refusal(call, &cause, longest)),
+        Decision::Wait(cause) => limit::plan_wait(call, &requirements, queue_deadline, &cause),
+    };
     admission::log_wait(call, &requirements, longest);
     let key = shared.fleet_mut().enqueue(QueuedRequest {
         requirements,
@@ -432,6 +427,21 @@
     }
 }
 
+/// The gateway's answer to a request that gets no place and may not wait, by its `longest` wait.
+fn refusal(call: &Call, cause: &Cause, longest: Duration) -> Refusal {
+    match cause {
+        Cause::NoUpstream => (
+            LocalAnswer::Refused(link::spread(RETRY_NO_UPSTREAM)),
+            "no upstream of the service is known",
+        ),
+        Cause::Scarce(forecast) => admission::refuse_scarce(call, forecast, longest),
+        Cause::Held(held) => limit::refuse(call, *held),
+        Cause::Full | Cause::Queue | Cause::Turns => {
+            (LocalAnswer::Refused(RETRY_FULL), "all upstreams are full")
+        }
+    }
+}
+
 /// How an attempt ended.
 enum Outcome {
     /// A stream whose head has arrived.
--- a/crates/carob-gateway/src/traffic/limit.rs
+++ b/crates/carob-gateway/src/traffic/limit.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use carob_dispatch::{
-    fleet::{Held, Requirements, UpstreamKey},
+    fleet::{Cause, Held, Requirements, UpstreamKey},
     limits::{
         ASK_TIME, COLD_ASK_TIME, Claim as PlaceClaim, Content, Grant as PlaceGrant, Members,
         Message as PermitMessage, Report, Statement,
@@ -232,34 +232,21 @@
     held: Option<Held>,
 }
 
-/// Decides how long a request that finds no place waits, until `deadline` at most.
-///
-/// # Errors
-///
-/// Returns the gateway's answer if every upstream names a limit, and no permit is expected in time.
-pub(super) fn plan_wait(
-    call: &Call,
-    requirements: &Requirements,
-    deadline: Instant,
-) -> Result<Wait, Refusal> {
+/// Decides how long a request that joins the queue for this `cause` waits, until `deadline` at most.
+pub(super) fn plan_wait(call: &Call, requirements: &Requirements, deadline: Instant, cause: &Cause) -> Wait {
     let shared = &call.shared;
     let now = Instant::now();
-    let instances = heard(shared).len() + 1;
-    let held = shared.fleet().held(requirements, instances, shared.now());
-    let Some(found) = held else {
+    let Cause::Held(found) = cause else {
         if !shared.fleet().cold().is_empty() {
             // The request takes a permit for a cold upstream if one comes first.
             shared.limits_changed.notify_one();
         }
-        return Ok(Wait {
+        return Wait {
             until: deadline,
-            held,
-        });
+            held: None,
+        };
     };
     let is_expected = now.checked_add(found.wait).is_some_and(|end| end <= deadline);
-    if !is_expected && !found.may_ask {
-        return Err(refuse(call, found));
-    }
     let until = if is_expected {
         deadline
     } else {
@@ -279,7 +266,15 @@
     let time = until.saturating_duration_since(now);
     shared.fleet_mut().record_wait(requirements, shared.now() + time);
     shared.limits_changed.notify_one();
-    Ok(Wait { until, held })
+    Wait {
+        until,
+        held: Some(*found),
+    }
+}
+
+/// Number of instances that share permits, this one included.
+pub(super) fn instances(shared: &Shared) -> usize {
+    heard(shared).len() + 1
 }
 
 impl Wait {
@@ -297,7 +292,8 @@
     }
 }
 
-fn refuse(call: &Call, held: Held) -> Refusal {
+/// The gateway's answer to a request that gets no permit in its time.
+pub(super) fn refuse(call: &Call, held: Held) -> Refusal {
     let shared = &call.shared;
     metrics::counter!("carobhaven_limit_refusals_total").increment(1);
     let fleet = shared.fleet();
