placement: Fleet::explain tells what is done with a request, and why

Change: Fleet::explain gives the decision and each upstream of the service with the terms of its score or its exclusion, and the age of what is known of its load, pace and cached prompts; 1,000 upstreams at most. It changes nothing.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod eligibility;
 mod engine;
+mod explanation;
 mod fairness;
 mod forecast;
 mod limited;
@@ -34,6 +35,7 @@
 
 pub use decision::{Cause, Decision, Stay};
 pub use eligibility::Exclusion;
+pub use explanation::{Candidate, Explanation, MAX_CANDIDATES};
 pub use fairness::Share;
 pub use forecast::Forecast;
 pub use limited::Held;
--- a/crates/carob-dispatch/src/fleet/peers.rs
+++ b/crates/carob-dispatch/src/fleet/peers.rs
@@ -139,6 +139,19 @@
             .map(|(peer, _)| *peer)
     }
 
+    /// Time since the oldest message that the loads of other instances on each upstream rest on, by its hash.
+    pub(super) fn load_ages(&self, now: Time) -> HashMap<u64, Duration> {
+        let mut ages: HashMap<u64, Duration> = HashMap::new();
+        for known in self.peers.values() {
+            let age = now.since(known.last_seen);
+            for hash in known.loads.keys() {
+                let oldest = ages.entry(*hash).or_default();
+                *oldest = age.max(*oldest);
+            }
+        }
+        ages
+    }
+
     /// Evicts instances that have sent nothing for [`PEER_TIMEOUT`], with their loads.
     pub(super) fn evict_peers(&mut self, now: Time) {
         let unresponsive: Vec<SocketAddr> = self
