gateway: the admin address answers where a request would go

Cause: nothing asked a running instance for Fleet::explain. Change: GET /where/METHOD/HOST/PATH with the headers of the described request, beside /metrics and not where callers arrive. The control thread passes it on and renders the answer; the traffic thread admits the request as described and explains it, without counting, queueing or sending. Evidence::peek asks about crashes without keeping verdicts longer.

--- a/crates/carob-dispatch/src/crashes/mod.rs
+++ b/crates/carob-dispatch/src/crashes/mod.rs
@@ -259,13 +259,22 @@
     /// Decides about a request that consists of `parts`. One that is tried has to be recorded with
     /// [`record_trial`](Self::record_trial) when it is sent.
     pub fn check(&mut self, parts: &[Part], now: Time) -> Decision {
+        for part in parts {
+            if let Some(condemned) = self.condemned.get_mut(part) {
+                condemned.asked = now + HISTORY;
+            }
+        }
+        self.peek(parts, now)
+    }
+
+    /// Like [`Self::check`], for a request that does not exist: verdicts are not kept for longer because of it.
+    pub fn peek(&self, parts: &[Part], now: Time) -> Decision {
         let now = now + HISTORY;
         let mut decision = Decision::Run;
         for part in parts {
-            let Some(condemned) = self.condemned.get_mut(part) else {
+            let Some(condemned) = self.condemned.get(part) else {
                 continue;
             };
-            condemned.asked = now;
             // One part that must not run decides, whatever the others are.
             if !matches!(decision, Decision::Refuse(_)) {
                 let trial = self.trials.get(part).copied().unwrap_or_default();
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -54,7 +54,7 @@
         tokio::task::spawn_local(register::run(Rc::clone(&control)));
         tokio::task::spawn_local(share::fetch_from_seeds(Rc::clone(&control)));
         tokio::task::spawn_local(share::serve(Rc::clone(&control), sharing));
-        tokio::task::spawn_local(admin::serve(admin, metrics.clone()));
+        tokio::task::spawn_local(admin::serve(admin, Rc::clone(&control), metrics.clone()));
         tokio::task::spawn_local(run_upkeep(metrics.clone()));
         tokio::task::spawn_local(reload_settings(Rc::clone(&control), path.to_owned()));
         loop {
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -23,6 +23,7 @@
     Change, Lag, Mirror, Settings, Versioned, delta,
     era::{AnswerEra, Eras, Position},
     evacuations::Evacuations,
+    question::Question,
     reach::{MIN_OUTAGE, Reachability},
     signals::Grace,
     update::{StoreUpdate, Update},
@@ -180,6 +181,11 @@
         }
     }
 
+    /// Sends a question to the traffic thread, unless its queue is full. Returns whether it was sent.
+    pub(super) fn ask(&self, question: Question) -> bool {
+        self.updates.try_send(Update::Question(question)).is_ok()
+    }
+
     pub(super) fn settings(&self) -> Arc<Settings> {
         Arc::clone(&self.settings.borrow())
     }
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod mirror;
 mod overhead;
 mod peer;
+mod question;
 pub mod reach;
 mod relayed;
 mod run;
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -23,6 +23,7 @@
 mod plain;
 mod prefixes;
 mod probe;
+mod question;
 mod queue;
 mod relay;
 mod repeats;
@@ -118,6 +119,7 @@
                     Ok(Update::Relay(relayed)) => {
                         tokio::task::spawn_local(relay::serve(Rc::clone(&shared), relayed));
                     }
+                    Ok(Update::Question(question)) => question::answer(&shared, question),
                     Ok(update) => shared.apply(update),
                     Err(_closed) => break,
                 },
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -492,8 +492,8 @@
                 }
             }
             Update::StoreUpdate(update) => self.add_store_update(update),
-            // Served in a task of its own.
-            Update::Relay(_) => {}
+            // Served in a task of its own, or by reading only.
+            Update::Relay(_) | Update::Question(_) => {}
             Update::Settings(settings) => {
                 self.repeats.apply_settings(&settings, now);
                 cold::apply_settings(self, &settings);
--- a/crates/carob-gateway/src/traffic/shutdown.rs
+++ b/crates/carob-gateway/src/traffic/shutdown.rs
@@ -15,22 +15,35 @@
     let Some((shutdown, active)) = call.shared.shutdown().zip(active) else {
         return Ok(());
     };
-    let bounds = Bounds {
+    let bounds = bounds(call);
+    let admitted = admit(call, shutdown, bounds);
+    log_decision(call, active, shutdown, bounds, admitted.is_ok());
+    admitted
+}
+
+/// Like [`check`], for a request that only is asked about.
+pub(super) fn peek(call: &Call) -> Result<(), Refusal> {
+    let shutdown = call.shared.shutdown();
+    shutdown.map_or(Ok(()), |shutdown| admit(call, shutdown, bounds(call)))
+}
+
+fn bounds(call: &Call) -> Bounds {
+    Bounds {
         deadline: call.deadline.saturating_duration_since(Instant::now()),
         longest: call.longest_duration(),
-    };
-    let accepted = shutdown.admits(call.shared.now(), bounds);
-    log_decision(call, active, shutdown, bounds, accepted);
-    if accepted {
-        Ok(())
-    } else {
-        Err((
-            LocalAnswer::Refused(RETRY_OTHER_INSTANCE),
-            "the instance leaves before the request would end",
-        ))
     }
 }
 
+fn admit(call: &Call, shutdown: Shutdown, bounds: Bounds) -> Result<(), Refusal> {
+    if shutdown.admits(call.shared.now(), bounds) {
+        return Ok(());
+    }
+    Err((
+        LocalAnswer::Refused(RETRY_OTHER_INSTANCE),
+        "the instance leaves before the request would end",
+    ))
+}
+
 /// Judges a queued request at the signal to shut down, and again when its longest answer counts no more.
 /// Returns the refusal if the shutdown could cut it off, and never returns otherwise.
 pub(super) async fn refusal(call: &Call, active: Option<&ActiveRequest>) -> Refusal {
--- a/crates/carob-gateway/src/traffic/verdict.rs
+++ b/crates/carob-gateway/src/traffic/verdict.rs
@@ -28,6 +28,24 @@
     evidence.check(&call.suspect_parts(), shared.now())
 }
 
+/// Like [`check`] and [`check_place`], for a request that only is asked about and would go to `upstream`, if to any.
+pub(super) fn peek(call: &Call, upstream: Option<UpstreamKey>) -> Result<(), Refusal> {
+    let shared = &call.shared;
+    let verdict = match shared.evidence().peek(&call.suspect_parts(), shared.now()) {
+        Decision::Run => return Ok(()),
+        Decision::Try(verdict) => Some(verdict),
+        Decision::Refuse(_) => None,
+    };
+    let fleet = shared.fleet();
+    let is_alone = upstream
+        .and_then(|upstream| fleet.upstream(upstream))
+        .is_none_or(|found| found.total_requests() == 0);
+    if verdict.is_some_and(|verdict| is_alone || verdict.is_doubtful) {
+        return Ok(());
+    }
+    Err((LocalAnswer::Refused(RETRY_CRASHES), CRASHES))
+}
+
 /// Whether a generation may go on at another upstream.
 pub(super) fn may_move(call: &Call) -> bool {
     decide(call) == Decision::Run
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -8,6 +8,7 @@
     Settings,
     era::{Position, Span},
     peer::{Item, RelayRequest},
+    question::Question,
     signals::ShutdownSignal,
 };
 
@@ -47,6 +48,8 @@
     Settings(Arc<Settings>),
     /// Another instance asks for a connection to an upstream.
     Relay(RelayedConnection),
+    /// An operator asks where a request would go.
+    Question(Question),
     /// The process received a signal to shut down.
     Shutdown(ShutdownSignal),
 }
