--- a/src/args.rs
+++ b/src/args.rs
@@ -35,6 +35,7 @@
     Standin(Standin),
     Status(Status),
     Ticket(Ticket),
+    Where(Where),
 }
 
 /// Run an entry instance until SIGTERM or SIGINT, then finish open requests and exit.
@@ -159,6 +160,45 @@
     pub admin: SocketAddr,
 }
 
+/// Ask a running gateway where a request would go now, and why. The request is described, and not sent.
+///
+/// Shows what would be done with it, the upstreams that it could go to with the terms of their scores, the best first, and
+/// why it does not go to the others.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "where")]
+pub struct Where {
+    /// admin address of the gateway
+    #[argh(option)]
+    pub admin: SocketAddr,
+    /// file that contains the client's API key
+    #[argh(option)]
+    pub key: Option<PathBuf>,
+    /// prompt tokens of a generation
+    #[argh(option)]
+    pub prompt: Option<u32>,
+    /// maximum output tokens of a generation
+    #[argh(option)]
+    pub output: Option<u32>,
+    /// output tokens that the client expects
+    #[argh(option)]
+    pub hint: Option<u32>,
+    /// parts of the prompt as the client lists them, such as `3fa9:2000,77c1:200`
+    #[argh(option)]
+    pub parts: Option<String>,
+    /// further header of the request, as `NAME: VALUE`; may be repeated
+    #[argh(option)]
+    pub header: Vec<String>,
+    /// print the answer as JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// method of the request, such as POST
+    #[argh(positional)]
+    pub method: String,
+    /// host and path of the request, such as `shop.example/draft/x`
+    #[argh(positional)]
+    pub target: String,
+}
+
 /// Check a change ticket, submit it or show its state.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "ticket")]
--- a/src/command.rs
+++ b/src/command.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod gateway;
 mod load;
+mod placement;
 mod replay;
 mod serve;
 mod standin;
@@ -30,5 +31,6 @@
         Command::Standin(args) => standin::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Ticket(args) => ticket::run(args.action),
+        Command::Where(args) => placement::run(&args),
     }
 }
--- a/src/command/admin.rs
+++ b/src/command/admin.rs
@@ -37,13 +37,34 @@
     )
 }
 
+/// Sends a GET request with `headers`, and waits for the response for `seconds` at most.
+///
+/// # Errors
+///
+/// Returns a report with the exit code [`Exit::Unreachable`] if no response is received.
+pub fn get_with(
+    address: SocketAddr,
+    path: &str,
+    headers: Vec<(String, String)>,
+    seconds: u64,
+) -> eyre::Result<Response> {
+    finish(
+        minreq::get(format!("http://{address}{path}")).with_headers(headers),
+        seconds,
+    )
+}
+
 fn send(request: minreq::Request, key: Option<&str>) -> eyre::Result<Response> {
     let request = match key {
         Some(key) => request.with_header("Authorization", format!("Bearer {key}")),
         None => request,
     };
+    finish(request, TIMEOUT_SECONDS)
+}
+
+fn finish(request: minreq::Request, seconds: u64) -> eyre::Result<Response> {
     let response = request
-        .with_timeout(TIMEOUT_SECONDS)
+        .with_timeout(seconds)
         .send()
         .map_err(|error| failure(Exit::Unreachable, format!("no answer: {error}")))?;
     Ok(Response {
--- a/src/command/ticket.rs
+++ b/src/command/ticket.rs
@@ -159,7 +159,8 @@
     fs::read_to_string(path).map_err(|error| failure(Exit::Usage, format!("{}: {error}", path.display())))
 }
 
-fn read_key(path: Option<&PathBuf>) -> eyre::Result<Option<String>> {
+/// Reads the file with a key, if there is one.
+pub(super) fn read_key(path: Option<&PathBuf>) -> eyre::Result<Option<String>> {
     path.map(|path| read(path).map(|text| text.trim().to_owned()))
         .transpose()
 }
