Merge: carobhaven where explains a placement

Cause: operators could not see where a request would go now, and why. Change: one function evaluates an upstream for placement and explanation, the admin address answers /where/, the command prints it.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -5,9 +5,11 @@
 //! * [`Fleet::apply_peer_loads`] adds the requests that other instances run.
 
 mod cold;
+mod decision;
 mod directory;
 mod eligibility;
 mod engine;
+mod explanation;
 mod fairness;
 mod forecast;
 mod limited;
@@ -31,14 +33,16 @@
 
 use crate::limits::{Cold, ColdPermit, Limits, Options as LimitOptions, Permit, Place};
 
+pub use decision::{Cause, Decision, Stay};
 pub use eligibility::Exclusion;
+pub use explanation::{Candidate, Explanation, MAX_CANDIDATES};
 pub use fairness::Share;
 pub use forecast::Forecast;
 pub use limited::Held;
 pub use links::LinkFailure;
 pub use pace::{KnownPace, MAX_REPORTS as MAX_PACE_REPORTS, PaceRange, PaceReport, SentLoad};
 pub use peers::{MessageStamp, PeerLoad};
-pub use place::{Placement, Requirements, UpstreamHealth};
+pub use place::{Placement, Requirements, Score, UpstreamHealth};
 pub use prefixes::{HeldPrefix, PrefixReport};
 pub use relays::{Relay, RelayOffer, service_hash};
 pub use waiting::{Assignment, QueuedRequest};
