fix: gauges of paces and prompts name their units

Cause: tests/telemetry.rs failed on already: carobhaven_prefix_parts names no unit; neither did three gauges of paces. Change: carobhaven_prefix_bytes, carobhaven_pace_fastest_seconds and carobhaven_pace_slowest_seconds replace them.

--- a/crates/carob-dispatch/src/fleet/pace.rs
+++ b/crates/carob-dispatch/src/fleet/pace.rs
@@ -102,11 +102,15 @@
     pub factor: f64,
 }
 
-/// Paces of a service's upstreams relative to their median, as placement uses them.
+/// Paces of a service's upstreams, and relative to their median, as placement uses them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PaceRange {
     /// Number of upstreams whose pace is known.
     pub known: usize,
+    /// Pace of the fastest of them, in milliseconds; infinite if there is none.
+    pub least_ms: f64,
+    /// Pace of the slowest of them, in milliseconds; zero if there is none.
+    pub most_ms: f64,
     /// Least of them, 1 at most.
     pub fastest: f64,
     /// Greatest of them, 1 at least.
@@ -313,20 +317,23 @@
     pub fn pace_range(&self, service: &str) -> PaceRange {
         let upstreams = self.upstreams.values();
         let used = upstreams.filter(|upstream| {
-            *upstream.entry.service == *service
-                && upstream.entry.state == UpstreamState::Ready
-                && upstream.pace.known_ms().is_some()
+            *upstream.entry.service == *service && upstream.entry.state == UpstreamState::Ready
         });
         let empty = PaceRange {
             known: 0,
+            least_ms: f64::INFINITY,
+            most_ms: 0.0,
             fastest: 1.0,
             slowest: 1.0,
         };
-        used.fold(empty, |range, upstream| PaceRange {
-            known: range.known + 1,
-            fastest: range.fastest.min(upstream.pace.idle_factor),
-            slowest: range.slowest.max(upstream.pace.idle_factor),
-        })
+        used.filter_map(|upstream| Some((upstream.pace.known_ms()?, upstream.pace.idle_factor)))
+            .fold(empty, |range, (ms, factor)| PaceRange {
+                known: range.known + 1,
+                least_ms: range.least_ms.min(ms),
+                most_ms: range.most_ms.max(ms),
+                fastest: range.fastest.min(factor),
+                slowest: range.slowest.max(factor),
+            })
     }
 
     /// Whether an upstream is in the region of this instance.
--- a/crates/carob-dispatch/src/fleet/prefixes.rs
+++ b/crates/carob-dispatch/src/fleet/prefixes.rs
@@ -35,6 +35,9 @@
 /// Maximum number of parts at all upstreams together, which take about 1 MB. Instances have 88 MB and more.
 const TOTAL_PARTS: usize = 16_384;
 
+/// Bytes that a part takes: id and times in a hash table that is half full.
+const PART_MEMORY: usize = 64;
+
 /// Minimum time between two searches of all upstreams for parts to drop.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -380,4 +383,9 @@
     pub const fn prefix_parts(&self) -> usize {
         self.prefixes.total
     }
+
+    /// Memory in bytes that these parts take here.
+    pub const fn prefix_bytes(&self) -> usize {
+        self.prefixes.total * PART_MEMORY
+    }
 }
--- a/crates/carob-dispatch/tests/fleet.rs
+++ b/crates/carob-dispatch/tests/fleet.rs
@@ -503,7 +503,7 @@
         fleet.apply_peer_loads(*peer, stamp, Vec::new(), true, NOW);
         let offer = domain.map(|domain| RelayOffer {
             domain: domain.into(),
-            cut: Default::default(),
+            cut: smallvec::SmallVec::new(),
         });
         fleet.set_relay_offer(*peer, offer);
     }
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -75,8 +75,7 @@
         let watching = shared.is_watching();
         let status = (watching, told_position(shared));
         let update = shared.take_store_update();
-        let now = shared.now();
-        let evidence = shared.evidence().take_changes(now);
+        let evidence = shared.evidence().take_changes(shared.now());
         let (limits, brittle) = take_limits(shared, complete);
         let cold = cold::reports(shared, complete);
         let paces = pace::take_reports(shared, complete);
@@ -85,11 +84,7 @@
         let offer = relay::offer(shared);
         let queued = admission::queue(shared);
         let loads = loads_by_upstream(shared);
-        let changed = if complete {
-            loads.values().copied().collect()
-        } else {
-            changed_loads(&self.loads, &loads)
-        };
+        let changed = changed_loads((!complete).then_some(&self.loads), &loads);
         let is_global = complete
             || has_departures
             || offer != self.offer
@@ -105,16 +100,16 @@
         if !is_global && paces.regional.is_empty() {
             return None;
         }
-        let era = update.as_ref().map_or(shared.position().era, |update| update.era);
-        let revision = update
-            .as_ref()
-            .map_or(shared.position().revision, |update| update.revision);
+        let position = update.as_ref().map_or(shared.position(), |update| Position {
+            era: update.era,
+            revision: update.revision,
+        });
         let base = update.as_ref().map_or(0, |update| update.base);
         let (updates, changes) = split_changes(update);
         let has_differences = !changes.is_empty();
         let message = Announcement {
-            era: Some(era),
-            revision,
+            era: Some(position.era),
+            revision: position.revision,
             base: if has_differences { 0 } else { base },
             changes_base: if has_differences { base } else { 0 },
             changes,
@@ -233,9 +228,12 @@
     }
 }
 
-/// Returns the loads that differ from those sent last, and zero loads for upstreams without requests any
-/// more.
-fn changed_loads(sent: &HashMap<u64, PeerLoad>, loads: &HashMap<u64, PeerLoad>) -> Vec<PeerLoad> {
+/// Returns the loads that differ from those in `sent`, and zero loads for upstreams without requests any more; all loads
+/// without `sent`.
+fn changed_loads(sent: Option<&HashMap<u64, PeerLoad>>, loads: &HashMap<u64, PeerLoad>) -> Vec<PeerLoad> {
+    let Some(sent) = sent else {
+        return loads.values().copied().collect();
+    };
     let ended = sent
         .keys()
         .filter(|hash| !loads.contains_key(hash))
--- a/crates/carob-gateway/src/traffic/pace.rs
+++ b/crates/carob-gateway/src/traffic/pace.rs
@@ -187,10 +187,12 @@
         .collect();
     for service in services {
         let range = fleet.pace_range(service);
-        let name = service.to_owned();
-        metrics::gauge!("carobhaven_pace_known_upstreams", "service" => name.clone()).set(range.known as f64);
-        metrics::gauge!("carobhaven_pace_fastest", "service" => name.clone()).set(range.fastest);
-        metrics::gauge!("carobhaven_pace_slowest", "service" => name).set(range.slowest);
+        if range.known > 0 {
+            let name = service.to_owned();
+            metrics::gauge!("carobhaven_pace_fastest_seconds", "service" => name.clone())
+                .set(range.least_ms / 1e3);
+            metrics::gauge!("carobhaven_pace_slowest_seconds", "service" => name).set(range.most_ms / 1e3);
+        }
     }
 }
 
--- a/crates/carob-gateway/src/traffic/prefixes.rs
+++ b/crates/carob-gateway/src/traffic/prefixes.rs
@@ -50,7 +50,7 @@
     let peers = peers.iter().filter(|peer| !fleet.is_remote(**peer)).count();
     let reports = fleet.take_prefix_reports(peers, complete, shared.now());
     if complete {
-        metrics::gauge!("carobhaven_prefix_parts").set(fleet.prefix_parts() as f64);
+        metrics::gauge!("carobhaven_prefix_bytes").set(fleet.prefix_bytes() as f64);
     }
     metrics::counter!("carobhaven_prefix_reports_total", "direction" => "sent")
         .increment(reports.len() as u64);
