refactor: regions of instances are looked up once a second; checks of requests have a module of their own

Change: the sender of messages keeps which instances are in other regions, for complete messages and when instances come or go; traffic/lookup.rs holds the checks. What the lookups cost was not measured: with 300 instances they were some 40,000 a second.

--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -1,6 +1,11 @@
 //! Sends this instance's load and updates of the store's content to the other instances, and receives theirs.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use carob_dispatch::{
     crashes::Report as CrashEvidence,
@@ -56,9 +61,44 @@
     }
 }
 
+/// The other instances.
+#[derive(Default)]
+pub(super) struct Audience {
+    peers: Vec<SocketAddr>,
+    /// Those in other regions.
+    remote: HashSet<SocketAddr>,
+}
+
+impl Audience {
+    /// Takes note of instances that have come and gone, and of all regions if `complete`. Messages are sent up to 66 times a
+    /// second to hundreds of instances, so that regions are not looked up for each of them.
+    fn refresh(&mut self, shared: &Shared, complete: bool) {
+        let peers = shared.peers();
+        if !complete && peers == self.peers {
+            return;
+        }
+        let fleet = shared.fleet();
+        let remote = peers.iter().copied().filter(|peer| fleet.is_remote(*peer));
+        self.remote = remote.collect();
+        drop(fleet);
+        self.peers = peers;
+    }
+
+    /// Number of instances in other regions.
+    pub(super) fn remote_count(&self) -> usize {
+        self.remote.len()
+    }
+
+    /// Number of the others.
+    pub(super) fn regional_count(&self) -> usize {
+        self.peers.len() - self.remote.len()
+    }
+}
+
 /// What the other instances were told last.
 #[derive(Default)]
 struct Told {
+    audience: Audience,
     loads: HashMap<u64, PeerLoad>,
     /// Whether this instance watches the store, and if so, up to which point it knows the content.
     status: (bool, Position),
@@ -72,13 +112,14 @@
     /// Returns the next message, without its sender and number; `None` if there is nothing to tell. A `complete` one
     /// holds everything, others what has changed.
     fn next_message(&mut self, shared: &Shared, complete: bool) -> Option<News> {
+        self.audience.refresh(shared, complete);
         let watching = shared.is_watching();
         let status = (watching, told_position(shared));
         let update = shared.take_store_update();
         let evidence = shared.evidence().take_changes(shared.now());
         let (limits, brittle) = take_limits(shared, complete);
         let cold = cold::reports(shared, complete);
-        let paces = pace::take_reports(shared, complete);
+        let paces = pace::take_reports(shared, &self.audience, complete);
         let leaving = shared.fleet().leaving_hashes();
         let has_departures = leaving.iter().any(|hash| !self.leaving.contains(hash));
         let offer = relay::offer(shared);
@@ -124,11 +165,12 @@
             paces: paces.regional,
             brittle,
             queued: queued.clone(),
-            prefixes: prefixes::take(shared, complete),
+            prefixes: prefixes::take(shared, &self.audience, complete),
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..of_evidence(evidence)
         };
         *self = Self {
+            audience: std::mem::take(&mut self.audience),
             loads,
             status,
             leaving,
@@ -201,7 +243,7 @@
             sequence += 1;
             news.message.boot_id = boot_id;
             news.message.sequence = sequence;
-            broadcast(&shared, &socket, &news).await;
+            broadcast(&told.audience, &socket, &news).await;
         }
         send_pauses(&shared, &socket).await;
         spread_evidence(&shared, &socket, (boot_id, &mut sequence), complete).await;
@@ -292,14 +334,14 @@
     }
 }
 
-async fn broadcast(shared: &Shared, socket: &UdpSocket, news: &News) {
+async fn broadcast(audience: &Audience, socket: &UdpSocket, news: &News) {
     let bytes = news.message.encode_to_vec();
     let remote_bytes = news.for_remote().map(|message| message.encode_to_vec());
-    for peer in shared.peers() {
-        if !shared.fleet().is_remote(peer) {
-            send_to(socket, &bytes, peer).await;
+    for peer in &audience.peers {
+        if !audience.remote.contains(peer) {
+            send_to(socket, &bytes, *peer).await;
         } else if let Some(bytes) = &remote_bytes {
-            send_to(socket, bytes, peer).await;
+            send_to(socket, bytes, *peer).await;
         }
     }
 }
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod limit;
 mod link;
 mod listen;
+mod lookup;
 mod migrate;
 mod pace;
 mod plain;
--- a/crates/carob-gateway/src/traffic/pace.rs
+++ b/crates/carob-gateway/src/traffic/pace.rs
@@ -7,7 +7,7 @@
 };
 use tokio::time::Instant;
 
-use super::{call::Call, guard::Reservation, shared::Shared};
+use super::{announce::Audience, call::Call, guard::Reservation, shared::Shared};
 use crate::peer::Pace;
 
 /// Wait for a slow client from which on the time to the next event says nothing about the upstream. Without a wait,
@@ -157,13 +157,10 @@
 }
 
 /// Takes what other instances are told of paces in the next message.
-pub(super) fn take_reports(shared: &Shared, complete: bool) -> Reports {
+pub(super) fn take_reports(shared: &Shared, audience: &Audience, complete: bool) -> Reports {
     let now = shared.now();
-    let peers = shared.peers();
-    let mut fleet = shared.fleet_mut();
-    let remote = peers.iter().filter(|peer| fleet.is_remote(**peer)).count() as u32;
-    let reports = fleet.take_pace_reports(complete, remote, now);
-    drop(fleet);
+    let remote = audience.remote_count() as u32;
+    let reports = shared.fleet_mut().take_pace_reports(complete, remote, now);
     if complete {
         set_gauges(&shared.fleet());
     }
--- a/crates/carob-gateway/src/traffic/prefixes.rs
+++ b/crates/carob-gateway/src/traffic/prefixes.rs
@@ -4,7 +4,7 @@
 
 use carob_dispatch::fleet::{HeldPrefix, PrefixReport, Requirements, UpstreamKey};
 
-use super::{call::Call, guard::Reservation, shared::Shared};
+use super::{announce::Audience, call::Call, guard::Reservation, shared::Shared};
 use crate::peer::Prefix;
 
 /// Reserves capacity at an upstream, less what the request saves by the beginning of its prompt there.
@@ -44,11 +44,9 @@
 }
 
 /// Takes what the other instances of the region are told in the next message; a `complete` one repeats earlier ones.
-pub(super) fn take(shared: &Shared, complete: bool) -> Vec<Prefix> {
-    let peers = shared.peers();
+pub(super) fn take(shared: &Shared, audience: &Audience, complete: bool) -> Vec<Prefix> {
     let mut fleet = shared.fleet_mut();
-    let peers = peers.iter().filter(|peer| !fleet.is_remote(**peer)).count();
-    let reports = fleet.take_prefix_reports(peers, complete, shared.now());
+    let reports = fleet.take_prefix_reports(audience.regional_count(), complete, shared.now());
     if complete {
         metrics::gauge!("carobhaven_prefix_bytes").set(fleet.prefix_bytes() as f64);
     }
--- a/crates/carob-gateway/src/traffic/question.rs
+++ b/crates/carob-gateway/src/traffic/question.rs
@@ -1,4 +1,4 @@
-//! Answers questions of operators where a request would go, with the decisions of [`exchange`] and without their effects.
+//! Answers questions of operators where a request would go, with the decisions of [`exchange`](super::exchange) and without their effects.
 
 use std::rc::Rc;
 
@@ -15,8 +15,8 @@
     admission,
     body::HeldBytes,
     call::Call,
-    exchange::{self, DEFAULT_CLIENT_TIMEOUT, Refusal},
-    limit, link,
+    exchange::{DEFAULT_CLIENT_TIMEOUT, Refusal},
+    limit, link, lookup,
     shared::Shared,
     shutdown, verdict,
 };
@@ -50,7 +50,7 @@
 }
 
 fn explain(shared: &Rc<Shared>, parts: &Parts) -> Result<Answer, Refusal> {
-    exchange::check_memory(shared)?;
+    lookup::check_memory(shared)?;
     let first = describe(shared, parts, 0)?;
     let more = (1..MAX_SERVICES).map_while(|index| describe(shared, parts, index).ok());
     let choices = std::iter::once(Rc::clone(&first)).chain(more);
@@ -77,7 +77,7 @@
     let deadline = arrival + head.client_timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
     let pick = |route: &Route| services(route).nth(index).map(|(name, _)| name.clone());
     let body = (Bytes::new(), HeldBytes::new(shared));
-    exchange::admit(shared, (head, parts.clone()), body, (arrival, deadline), pick)
+    lookup::admit(shared, (head, parts.clone()), body, (arrival, deadline), pick)
 }
 
 /// Services of a route that get requests, with their weights.
@@ -85,7 +85,7 @@
     route.services.iter().filter(|(_, weight)| *weight > 0)
 }
 
-/// What would be done with a request, as in [`exchange::handle`].
+/// What would be done with a request, as in [`exchange::handle`](super::exchange::handle).
 fn choose(call: &Call) -> Choice {
     let shared = &call.shared;
     let requirements = admission::bounded_requirements(call, call.run_size(0), &[]);
