--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -112,6 +112,8 @@
     runs: Mutex<HashMap<String, Run>>,
     /// Copies made of each request, by target: the events in the last one.
     copied: Mutex<HashMap<(String, String), u64>>,
+    /// Requests of which a copy is under way, and since when.
+    copying: Mutex<HashMap<String, Instant>>,
     /// Held while a copy uses the link.
     link: Mutex<()>,
     leaving: AtomicBool,
@@ -145,6 +147,7 @@
             events,
             runs: Mutex::default(),
             copied: Mutex::default(),
+            copying: Mutex::default(),
             link: Mutex::default(),
             leaving: AtomicBool::new(false),
             exited: AtomicBool::new(false),
@@ -214,6 +217,12 @@
         ids
     }
 
+    /// The request whose copy has been under way for the shortest time, which is the last one in the queue for the link.
+    pub fn last_in_queue(&self) -> Option<String> {
+        let copying = self.0.copying.lock().expect("no holder panics");
+        copying.iter().max_by_key(|(_, since)| **since).map(|(id, _)| id.clone())
+    }
+
     /// Loses the answer of a request that it works on: resets its connection, and works on. Returns whether it did.
     pub fn lose_answer(&self, id: &str) -> bool {
         let mut runs = self.runs();
@@ -261,6 +270,19 @@
         let Some((made, prompt)) = self.runs().get(&id).map(|run| (run.made, run.prompt)) else {
             return answer(stream, 404, "", "{}");
         };
+        {
+            let mut copying = self.0.copying.lock().expect("no holder panics");
+            if copying.contains_key(&id) {
+                drop(copying);
+                self.0.record.line(&format!(
+                    "runner {} answers 409 to a call for {id}: one is in progress{}",
+                    self.0.id,
+                    if is_last { " (Last)" } else { "" }
+                ));
+                return answer(stream, 409, "", "{}");
+            }
+            copying.insert(id.clone(), Instant::now());
+        }
         if is_last {
             self.end_run(&id, "called to stop");
         }
@@ -271,6 +293,7 @@
         let time = tokens as f64 * TOKEN_BYTES * 8.0 / LINK_BITS_PER_S;
         thread::sleep(Duration::from_secs_f64(time));
         drop(using);
+        self.0.copying.lock().expect("no holder panics").remove(&id);
         // While it was copied, the run may have made more, which is not in the copy.
         self.0.copied.lock().expect("no holder panics").insert(key, made);
         let handle = format!("h{}-{}", self.0.id, self.0.next_handle.fetch_add(1, Ordering::SeqCst));
