review: case 6, a runner that drains and resets connections for a second is not stopped

Shown: requests that are moved off a runner which resets new connections for a second run on there, beside the runners that have them now. Cause: stop gives up after three failed calls if the runner is known to leave, which every source of a move is.

--- a/review/standins-2/src/bin/lost_answer_during_copy.rs
+++ b/review/standins-2/src/bin/lost_answer_during_copy.rs
@@ -94,7 +94,7 @@
     for client in clients {
         let _ended = client.join();
     }
-    let overlap = pool.longest_overlap();
+    let overlap = pool.longest_overlap(drained);
     for engine in &engines {
         engine.exit();
     }
