review: case 7, drafts are cut off when their runner is silent for a second and resets new connections

Cause: a call to stop a draft that is reset counts as one that may have stopped it, and its stream is given up.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,6 +3,6 @@
 # disruption.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-program=target/review/release/lost_answer_before_move
+program=target/review/release/silent_and_crowded
 [ -x "$program" ] && [ -x target/release/carobhaven ] || { echo "not built: $program or the project's program"; exit 2; }
 RECORD="$folder/record.txt" exec timeout -k 5 110 "$program"
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -117,6 +117,7 @@
     /// Held while a copy uses the link.
     link: Mutex<()>,
     leaving: AtomicBool,
+    silent: AtomicBool,
     crowded: AtomicBool,
     exited: AtomicBool,
     next_handle: AtomicU64,
@@ -151,6 +152,7 @@
             copying: Mutex::default(),
             link: Mutex::default(),
             leaving: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
             exited: AtomicBool::new(false),
             next_handle: AtomicU64::new(1),
@@ -215,6 +217,13 @@
         self.0.record.line(&format!("runner {} {event}", self.0.id));
     }
 
+    /// Lets it fall silent, or go on: it sends no events while it is silent.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.0.silent.store(is_silent, Ordering::SeqCst);
+        let event = if is_silent { "falls silent" } else { "goes on" };
+        self.0.record.line(&format!("runner {} {event}", self.0.id));
+    }
+
     /// Exits: all its runs end, and its entry is removed.
     pub fn exit(&self) {
         self.0.exited.store(true, Ordering::SeqCst);
@@ -435,6 +444,9 @@
         thread::sleep(prefill);
         for number in last + 1..=self.0.events {
             thread::sleep(INTERVAL);
+            while self.0.silent.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+            }
             match self.runs().get_mut(&id) {
                 Some(run) if run.span == span && !run.stopped => run.made = number,
                 _ => return,
