--- a/review/standins-2/src/bin/lost_answer_during_copy.rs
+++ b/review/standins-2/src/bin/lost_answer_during_copy.rs
@@ -11,8 +11,8 @@
     config::{self, Route},
 };
 use review_standins_2::{
-    engine::{Engine, Pool},
     gateway,
+    platform::engine::{Engine, Pool},
     record::{Record, cannot_run, has_trouble, wait_until},
 };
 
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -1,5 +1,5 @@
 //! What the cases 6 to 10 of the review share: gateways as processes of their own, an engine, and the record of a case.
 
-pub mod engine;
 pub mod gateway;
+pub mod platform;
 pub mod record;
--- /dev/null
+++ b/review/standins-2/src/platform/mod.rs
@@ -0,0 +1,3 @@
+//! The only folder with names of the platform's protocol.
+
+pub mod engine;
