--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,5 +4,17 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 program=target/review/release/silent_and_crowded
-[ -x "$program" ] && [ -x target/release/carobhaven ] || { echo "not built: $program or the project's program"; exit 2; }
-RECORD="$folder/record.txt" exec timeout -k 5 110 "$program"
+if [ ! -x "$program" ] || [ ! -x target/release/carobhaven ]; then
+    echo "not built: $program or the project's program"
+    exit 2
+fi
+started=$(mktemp) || exit 2
+RECORD="$folder/record.txt" STARTED="$started" timeout -k 5 110 "$program"
+code=$?
+if [ "$code" -gt 1 ]; then
+    # It ended early; what it started may still run.
+    while read -r id; do kill -KILL "$id" 2>/dev/null; done <"$started"
+    code=2
+fi
+rm -f "$started"
+exit "$code"
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -13,7 +13,7 @@
     client::{self, Request},
 };
 
-use crate::record::cannot_run;
+use crate::record::{cannot_run, note_process};
 
 /// A gateway's process; dropping it ends the process.
 #[derive(Debug)]
@@ -125,7 +125,9 @@
             .stdin(Stdio::null())
             .stdout(log)
             .spawn();
-        self.child = Some(child.unwrap_or_else(|error| cannot_run(&format!("{program}: {error}"))));
+        let child = child.unwrap_or_else(|error| cannot_run(&format!("{program}: {error}")));
+        note_process(child.id());
+        self.child = Some(child);
     }
 
     /// Sends its process a signal; `name` is without `SIG`.
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -49,9 +49,27 @@
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
 
-/// Ends the case as one that could not run.
+/// Processes that were started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Notes the id of a process that was started, also in the file that the environment variable `STARTED` names.
+pub fn note_process(id: u32) {
+    STARTED.lock().expect("no holder panics").push(id);
+    if let Ok(path) = std::env::var("STARTED") {
+        let file = File::options().create(true).append(true).open(path);
+        let _noted = file.and_then(|mut file| writeln!(file, "{id}"));
+    }
+}
+
+/// Ends the case, and the processes that it started, as one that could not run.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let started = STARTED.lock().map(|started| started.clone()).unwrap_or_default();
+    for id in started {
+        let _sent = std::process::Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
     std::process::exit(2)
 }
 
