--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,7 @@
 # disruption.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-program=target/review/release/crowded_while_moving
+program=target/review/release/refused_while_moving
 if [ ! -x "$program" ] || [ ! -x target/release/carobhaven ]; then
     echo "not built: $program or the project's program"
     exit 2
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 # disruption.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-program=target/review/release/silent_and_crowded
+program=target/review/release/lost_answer_before_move
 if [ ! -x "$program" ] || [ ! -x target/release/carobhaven ]; then
     echo "not built: $program or the project's program"
     exit 2
