fix: a run is called to stop until it is known to have ended

Cause: calls to stop a run ended after three failures, half a second, if the upstream had said that it leaves, which says nothing about its end. Behind that, the link of a gateway with peers to such an upstream stayed lost for good: it is not probed, only a peer was asked, and the peer's link was lost as well. By the log, each run had three failed calls and none after.

The calls now go on until the upstream has stopped the run or runs none, a later process has its place in the directory, the run's deadline has passed, or 20 s are over. While no call can be sent, one in 0.2 s tries for all runs of an instance there, and all are made once a connection comes about. An upstream that leaves is tried directly and through a peer at once. The calls are in a module of their own, and say in the log by what a run is known to have ended.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -125,6 +125,22 @@
         self.unlist(key, now)
     }
 
+    /// Whether the process of an upstream is known to have ended: a later one has its name or its address. That its entry is
+    /// removed does not tell, since upstreams serve on after that.
+    pub fn has_ended(&self, key: UpstreamKey) -> bool {
+        let Some(upstream) = self.upstreams.get(key) else {
+            return false;
+        };
+        let entry = &upstream.entry;
+        entry.started_ms > 0
+            && self.upstreams.iter().any(|(other, found)| {
+                let found = &found.entry;
+                other != key
+                    && found.started_ms > entry.started_ms
+                    && (found.id == entry.id || found.address == entry.address)
+            })
+    }
+
     /// Names of the upstreams in the directory.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.by_name.keys().map(|name| &**name)
--- a/crates/carob-dispatch/src/fleet/links.rs
+++ b/crates/carob-dispatch/src/fleet/links.rs
@@ -23,6 +23,9 @@
 /// Time for which an answer shows that a link works.
 const FRESH_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which another call may be made although it is not known of the one before whether it could be sent.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Interval at which the links of a service that answers again are probed.
 const RETURN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -40,6 +43,8 @@
     probe_due: Time,
     /// Whether it is to be probed although it is not lost.
     suspected: bool,
+    /// When the next call may be made; `None` unless the last one could not be sent.
+    call_due: Option<Time>,
 }
 
 carob_base::plain! {
@@ -62,6 +67,7 @@
         let link = &mut upstream.link;
         link.answered = Some(now);
         link.suspected = false;
+        link.call_due = None;
         let since = link.lost_since.take()?;
         // What failed were connections, not the upstream.
         upstream.failure_rate = 0.0;
@@ -132,6 +138,36 @@
         self.limits.brittle(upstream.hash()).is_none()
     }
 
+    /// Whether the link to an upstream is probed if it is lost. That to an upstream which leaves is not: only a request or
+    /// a call shows that it is back.
+    pub fn is_probed(&self, key: UpstreamKey) -> bool {
+        let upstream = self.upstreams.get(key);
+        upstream.is_some_and(|found| found.entry.state == UpstreamState::Ready)
+    }
+
+    /// Whether a call may be made to an upstream now. While none can be sent to it, one at a time tries, for all that wait.
+    /// [`end_call`](Self::end_call) is to follow.
+    pub fn may_call(&mut self, key: UpstreamKey, now: Time) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return false;
+        };
+        let Some(due) = &mut upstream.link.call_due else {
+            return true;
+        };
+        let is_due = *due <= now;
+        if is_due {
+            *due = now + CALL_TIMEOUT;
+        }
+        is_due
+    }
+
+    /// Records that a call to an upstream is sent or, if `retry_at` names the time for the next one, that it could not be.
+    pub fn end_call(&mut self, key: UpstreamKey, retry_at: Option<Time>) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.link.call_due = retry_at;
+        }
+    }
+
     /// Whether something has arrived from an upstream on a direct connection since `since`.
     pub fn has_answered_since(&self, key: UpstreamKey, since: Time) -> bool {
         let answered = self.upstreams.get(key).and_then(|found| found.link.answered);
--- a/crates/carob-dispatch/src/migration.rs
+++ b/crates/carob-dispatch/src/migration.rs
@@ -52,8 +52,9 @@
 /// Time for which an upstream that may run a generation is called to stop it; it has forgotten the copy by then.
 pub const STOP_PERIOD: Duration = Duration::from_secs(20);
 
-/// Number of failed calls in a row after which an upstream that has left is taken to have ended.
-pub const MAX_FAILED_STOPS: u32 = 3;
+/// How often a call that waits for its turn at an upstream which cannot be reached checks whether it may be made. All that
+/// wait are made as soon as one of them could be sent.
+pub const TURN_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Number of answers in a row that an upstream runs no such generation after which it is taken to run none later either,
 /// if the request may still have been on its way.
--- a/crates/carob-dispatch/tests/links.rs
+++ b/crates/carob-dispatch/tests/links.rs
@@ -125,3 +125,51 @@
     assert!(fleet.take_probes(at(3_000)).is_empty());
     assert_eq!(fleet.take_probes(at(6_000)).to_vec(), [keys[1]]);
 }
+
+/// Each run at an upstream that could not be reached was called to stop by itself, and all waited on after one call had
+/// come through.
+#[test]
+fn calls_to_an_upstream_that_cannot_be_reached_are_made_by_all_that_wait() {
+    let (mut fleet, keys) = fleet(2);
+    let key = keys[0];
+    assert!(
+        fleet.may_call(key, at(0)) && fleet.may_call(key, at(0)),
+        "nothing failed"
+    );
+    fleet.end_call(key, Some(at(200)));
+    assert!(!fleet.may_call(key, at(199)));
+    assert!(fleet.may_call(keys[1], at(199)), "the other one is called");
+    assert!(fleet.may_call(key, at(200)));
+    assert!(!fleet.may_call(key, at(201)), "one call is under way");
+    assert!(
+        fleet.may_call(key, at(1_200)),
+        "nothing is known of the one under way"
+    );
+    fleet.end_call(key, None);
+    assert!(fleet.may_call(key, at(1_201)) && fleet.may_call(key, at(1_201)));
+    fleet.end_call(key, Some(at(1_400)));
+    fleet.record_link_answer(key, at(1_210));
+    assert!(fleet.may_call(key, at(1_210)), "it has answered");
+}
+
+/// An upstream that serves on after its entry was removed was taken to have ended.
+#[test]
+fn an_upstream_without_an_entry_has_ended() {
+    let (mut fleet, keys) = fleet(2);
+    let entry = |fleet: &Fleet, key: UpstreamKey| fleet.upstream(key).expect("it is known").entry.clone();
+    let (mut named, mut placed) = (entry(&fleet, keys[0]), entry(&fleet, keys[1]));
+    fleet.remove_entry("u0", at(0));
+    fleet.remove_entry("u1", at(0));
+    assert!(!fleet.is_probed(keys[0]));
+    assert!(!fleet.has_ended(keys[0]) && !fleet.has_ended(keys[1]));
+    // The next process of the first one has another address.
+    named.address = "127.0.0.1:9100".parse().expect("an address");
+    named.started_ms = 2;
+    fleet.update_entry(named, at(10));
+    assert!(fleet.has_ended(keys[0]) && !fleet.has_ended(keys[1]));
+    // Another process has the address of the second one.
+    placed.id = "u9".into();
+    placed.started_ms = 3;
+    fleet.update_entry(placed, at(20));
+    assert!(fleet.has_ended(keys[1]));
+}
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -13,7 +13,7 @@
     call::{CONNECT_TIMEOUT, Call},
     cold,
     exchange::Refusal,
-    relay::{self, Purpose},
+    relay::{self, Purpose, RELAY_TIMEOUT},
     shared::Shared,
 };
 use crate::socket::{self, Connection, MAX_CONTROL_BYTES};
@@ -167,6 +167,10 @@
     };
     let source = shared.settings().source;
     let direct = || Connection::open(address, source, deadline.min(Instant::now() + CONNECT_TIMEOUT));
+    if shared.fleet().is_link_lost(upstream) && !shared.fleet().is_probed(upstream) {
+        let relayed = relay::open(shared, upstream, purpose, deadline);
+        return open_either(direct, relayed, deadline).await;
+    }
     if shared.fleet().is_link_lost(upstream) {
         let relayed = relay::open(shared, upstream, purpose, deadline).await;
         let may_answer = shared.fleet().is_link_silent(upstream) || !shared.fleet().hears_peers(shared.now());
@@ -187,6 +191,33 @@
     relay::open(shared, upstream, purpose, deadline).await
 }
 
+/// Opens a connection to an upstream whose link is lost and not probed: directly or as a `relayed` one, whichever comes
+/// about.
+async fn open_either<D: Future<Output = Result<Connection, socket::Error>>>(
+    direct: impl Fn() -> D,
+    relayed: impl Future<Output = Result<Connection, socket::Error>>,
+    deadline: Instant,
+) -> Result<Connection, socket::Error> {
+    let end = deadline.min(Instant::now() + RELAY_TIMEOUT);
+    let tries = async {
+        loop {
+            let started = Instant::now();
+            let outcome = direct().await;
+            let has_hung = started.elapsed() >= CONNECT_TIMEOUT;
+            // A connection that hangs does not come about when the link is back; a new one does.
+            if outcome.is_ok() || !has_hung || Instant::now() >= end {
+                return outcome;
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        Ok(connection) = tries => Ok(connection),
+        Ok(connection) = relayed => Ok(connection),
+        else => Err(socket::Error::Connect("neither directly nor through another instance".to_owned())),
+    }
+}
+
 /// Sends a call about the generation `id`, or about the upstream if that is empty, to the upstream, directly or through
 /// another instance, and reads the whole response.
 ///
@@ -220,6 +251,8 @@
         request.headers_mut().insert(HOST, host);
     }
     let connection = open(shared, upstream, Purpose::Control, deadline).await?;
+    // Others that wait to call the upstream need not wait for the answer.
+    shared.fleet_mut().end_call(upstream, None);
     if connection.relay().is_some() {
         return socket::call_on(connection, request, MAX_CONTROL_BYTES, deadline).await;
     }
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -18,6 +18,7 @@
     call::Call, cold, exchange::upstream_name, guard::Reservation, limit, link, pace, resume::OpenStream,
     shared::Shared, switch,
 };
+use crate::socket;
 
 /// Time limit of a call that releases an unused copy.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -102,7 +103,7 @@
 async fn catch_up(call: &Call, source: Source, target: UpstreamKey, progress: &RefCell<Progress>) {
     while call.shared.now().since(source.leaving_since) < CATCH_UP_CUTOFF {
         let started = Instant::now();
-        let CopyOutcome::Done(copied) = copy(call, source.key, target, false).await else {
+        let CopyOutcome::Done(copied) = copy(call, source.key, target, false, COPY_TIMEOUT).await else {
             return;
         };
         if let Some((_, handle)) = &mut progress.borrow_mut().copy {
@@ -151,13 +152,13 @@
         cold::expect_move(shared, target);
         let reservation = Reservation::new(shared, target, requirements.size);
         let started = Instant::now();
-        let outcome = copy(call, source.key, target, false).await;
+        let outcome = copy(call, source.key, target, false, COPY_TIMEOUT).await;
         log_copy(call, source, target, &outcome, started);
         match outcome {
             CopyOutcome::Done(copied) => return Ok((reservation, copied.handle)),
             CopyOutcome::NoRoom(_) => {}
             CopyOutcome::NotRunning => return Err(MigrationOutcome::NotRunning),
-            CopyOutcome::Busy | CopyOutcome::Malformed => {
+            CopyOutcome::Busy | CopyOutcome::Unsent | CopyOutcome::Malformed => {
                 return Err(MigrationOutcome::Failed("the source does not copy"));
             }
         }
@@ -182,15 +183,22 @@
 }
 
 /// Requests the source to copy the generation's memory to `target`, and retries while the source answers that
-/// another copy is in progress or that the generation does not run yet. A `last` copy stops the generation.
-pub(super) async fn copy(call: &Call, source: UpstreamKey, target: UpstreamKey, last: bool) -> CopyOutcome {
+/// another copy is in progress or that the generation does not run yet. A `last` copy stops the generation. Each call may
+/// take until `limit`.
+pub(super) async fn copy(
+    call: &Call,
+    source: UpstreamKey,
+    target: UpstreamKey,
+    last: bool,
+    limit: Duration,
+) -> CopyOutcome {
     let address = call
         .shared
         .fleet()
         .upstream(target)
         .map(|found| found.entry.address);
     let Some(address) = address else {
-        return CopyOutcome::Malformed;
+        return CopyOutcome::Unsent;
     };
     // A generation that is only stopped names its own upstream.
     if target != source
@@ -204,7 +212,7 @@
     }
     let id = call.id().into_owned();
     for _ in 0..COPY_ATTEMPTS {
-        let deadline = Instant::now() + COPY_TIMEOUT;
+        let deadline = Instant::now() + limit;
         let request = engine::copy(&id, address, last);
         let answer = match link::call(&call.shared, source, request, &call.head.id, deadline).await {
             Ok(response) => engine::decode_copy(response.status(), response.body()),
@@ -212,7 +220,13 @@
                 log::info!(
                     request:% = id, source:% = upstream_name(call, source), error:% = error, last; "copy call failed"
                 );
-                return CopyOutcome::Malformed;
+                return match error {
+                    socket::Error::Connect(_) | socket::Error::Excluded(_) => CopyOutcome::Unsent,
+                    socket::Error::Broken(_)
+                    | socket::Error::Status(_)
+                    | socket::Error::Unfinished(_)
+                    | socket::Error::Timeout => CopyOutcome::Malformed,
+                };
             }
         };
         match answer {
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -31,6 +31,7 @@
 mod resume;
 mod shared;
 mod shutdown;
+mod stop;
 mod stream;
 mod switch;
 mod verdict;
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -9,6 +9,7 @@
 
 use carob_dispatch::{
     fleet::{LinkFailure, Relay, RelayOffer, RequestSize, UpstreamKey, service_hash},
+    migration::STOP_INTERVAL,
     regions::Regions,
 };
 use carob_platform::answer::{self, HeadScan};
@@ -40,7 +41,7 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time limit for a connection through any instance.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
+pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Number of instances that are asked for one connection.
 const MAX_RELAYS: usize = 3;
@@ -362,13 +363,21 @@
         }
     }
     if shared.fleet().is_link_lost(upstream) {
-        return Err(RelayState::Unreachable);
+        let may_try =
+            !shared.fleet().is_probed(upstream) && shared.fleet_mut().may_call(upstream, shared.now());
+        if !may_try {
+            return Err(RelayState::Unreachable);
+        }
     }
     let Some(address) = shared.fleet().upstream(upstream).map(|found| found.entry.address) else {
         return Err(RelayState::Stranger);
     };
     let source = shared.settings().source;
-    match timeout(CONNECT_TIMEOUT, socket::connect(address, source)).await {
+    let outcome = timeout(CONNECT_TIMEOUT, socket::connect(address, source)).await;
+    let is_open = matches!(outcome, Ok(Ok(_)));
+    let retry_at = (!is_open).then(|| shared.now() + STOP_INTERVAL);
+    shared.fleet_mut().end_call(upstream, retry_at);
+    match outcome {
         Ok(Ok(far)) => {
             set_tcp_options(&far);
             Ok((far, upstream))
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -18,7 +18,7 @@
         plain::UPSTREAM_PATIENCE,
         relay,
         resume::OpenStream,
-        switch, verdict,
+        stop, switch, verdict,
     },
     Migration, Stream, StreamEnd,
 };
@@ -213,7 +213,7 @@
         }
         // The present upstream may still work on the request.
         self.driver.abort();
-        switch::abandon_present(&call, self.reservation.upstream, is_stalled).await;
+        stop::abandon_present(&call, self.reservation.upstream, is_stalled).await;
         let start = RunStart {
             position: self.position.last(),
             generated: self.generated(),
--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -10,8 +10,7 @@
     budget::Reason,
     fleet::{RequestSize, UpstreamKey},
     migration::{
-        CONFIRM_TIMEOUT, HOLD_TIMEOUT, MAX_FAILED_STOPS, OVERLAP, QUIET_ANSWERS, STOP_INTERVAL, STOP_PERIOD,
-        STOP_TIMEOUT, TARGET_SHARE, TARGET_TIMEOUT,
+        CONFIRM_TIMEOUT, COPY_TIMEOUT, HOLD_TIMEOUT, OVERLAP, QUIET_ANSWERS, TARGET_SHARE, TARGET_TIMEOUT,
     },
 };
 use carob_platform::{
@@ -21,7 +20,7 @@
 use tokio::{
     sync::oneshot,
     task::AbortHandle,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout_at},
 };
 
 use super::{
@@ -30,6 +29,7 @@
     guard::Reservation,
     migrate::{self, MigrationOutcome, Progress},
     resume::{self, Failure, Fate, OpenStream, RESUME_TIMEOUT},
+    stop::{self, abandon, is_confirmed},
 };
 
 /// Memory of a stopped generation: a reservation where it can go on from it, and its handle.
@@ -114,7 +114,7 @@
     let (early, overlap) = overlap(attempt.as_mut(), begun).await;
     let early = match early {
         Some(Ok(opened)) => {
-            tokio::task::spawn_local(stop_source(Rc::clone(call), source, target));
+            tokio::task::spawn_local(stop::stop_source(Rc::clone(call), source, target));
             return MigrationOutcome::Continued(Box::new(opened));
         }
         Some(Err(failure)) => Some(failure),
@@ -226,7 +226,7 @@
         && failure.fate == Fate::Unknown
     {
         let upstream = failure.reservation.upstream;
-        let mut confirmed = abandon(call, upstream, spare(call, upstream), QUIET_ANSWERS);
+        let mut confirmed = abandon(call, upstream, stop::spare(call, upstream), QUIET_ANSWERS);
         is_confirmed(&mut confirmed, Instant::now() + CONFIRM_TIMEOUT).await;
     }
     resumed
@@ -247,17 +247,6 @@
     fleet.upstream(upstream).map(|found| found.entry.address)
 }
 
-/// An upstream that the call which stops a generation at `upstream` can name for its memory: one with room, or `upstream`
-/// itself.
-fn spare(call: &Call, upstream: UpstreamKey) -> UpstreamKey {
-    let shared = &call.shared;
-    let requirements = call.requirements(call.size(0), &[upstream]);
-    shared
-        .fleet()
-        .migration_target(upstream, &requirements, rand::random(), shared.now())
-        .unwrap_or(upstream)
-}
-
 /// Stops the generation at `source` in a task of its own, so that it is stopped whatever becomes of the caller: with its
 /// memory, or by closing its `connection` if no upstream has room for that. The memory is released if nobody waits for it
 /// any more.
@@ -326,7 +315,7 @@
 ) -> Result<Held, NotHeld> {
     let size = RequestSize { tokens, prefill: 0 };
     let started = Instant::now();
-    let outcome = migrate::copy(call, from, named, true).await;
+    let outcome = migrate::copy(call, from, named, true, COPY_TIMEOUT).await;
     log::info!(
         request:% = call.id(), source:% = upstream_name(call, from), target:% = upstream_name(call, named),
         outcome:% = outcome, took_ms = started.elapsed().as_millis() as u64; "source called to stop with its memory"
@@ -338,7 +327,7 @@
         CopyOutcome::Busy => Err(NotHeld::going("the upstream makes another copy")),
         // Had it stopped, it would have named what it keeps.
         CopyOutcome::NoRoom(None) => Err(NotHeld::going("the upstream finds no room for the copy")),
-        CopyOutcome::Malformed => Err(NotHeld::unclear("the upstream does not copy")),
+        CopyOutcome::Unsent | CopyOutcome::Malformed => Err(NotHeld::unclear("the upstream does not copy")),
     }
 }
 
@@ -351,106 +340,8 @@
 ) {
     match held.await {
         Ok(Ok((_reservation, handle))) => migrate::release(&call.shared, source, &handle).await,
-        Ok(Err(_)) | Err(_) => stop_source(call, source, target).await,
-    }
-}
-
-/// Stops the generation at `source` after it has continued at `target`. Most upstreams abort a request when its connection
-/// closes, but not all do.
-async fn stop_source(call: Rc<Call>, source: UpstreamKey, target: UpstreamKey) {
-    stop(&call, source, target, 1).await;
-}
-
-/// Gives up the run of a stream's present upstream, which goes on elsewhere; waits for a moment until it has stopped if it
-/// `may_go_on` by all that is known.
-pub(super) async fn abandon_present(call: &Rc<Call>, upstream: UpstreamKey, may_go_on: bool) {
-    let supports_stop = call
-        .engine
-        .as_ref()
-        .is_some_and(|engine| engine.supports_migration);
-    if !supports_stop || call.abandoned.borrow().contains(&upstream) {
-        return;
-    }
-    let mut confirmed = abandon(call, upstream, spare(call, upstream), 1);
-    if may_go_on {
-        is_confirmed(&mut confirmed, Instant::now() + CONFIRM_TIMEOUT).await;
-    }
-}
-
-/// Gives up a run of the generation at `upstream`, which may have the request: it is called to stop until it confirms that
-/// nothing runs there, also through other instances, and gets the request no more. Returns what tells of the confirmation.
-fn abandon(
-    call: &Rc<Call>,
-    upstream: UpstreamKey,
-    spare: UpstreamKey,
-    quiet_answers: u32,
-) -> oneshot::Receiver<()> {
-    call.abandoned.borrow_mut().push(upstream);
-    metrics::counter!("carobhaven_abandoned_runs_total").increment(1);
-    let (sender, confirmed) = oneshot::channel();
-    let call = Rc::clone(call);
-    tokio::task::spawn_local(async move {
-        let is_stopped = stop(&call, upstream, spare, quiet_answers).await;
-        log::info!(
-            request:% = call.id(), upstream:% = upstream_name(&call, upstream), confirmed = is_stopped;
-            "run of a generation given up"
-        );
-        if is_stopped {
-            // Fails only if nobody waits for it.
-            let _told = sender.send(());
-        }
-    });
-    confirmed
-}
-
-/// Waits until `deadline` for the confirmation that an upstream runs the generation no more.
-async fn is_confirmed(confirmed: &mut oneshot::Receiver<()>, deadline: Instant) -> bool {
-    matches!(timeout_at(deadline, confirmed).await, Ok(Ok(())))
-}
-
-/// Calls `upstream` to stop the generation, until it has stopped it or has said `quiet_answers` times in a row that it runs
-/// no such generation. The final copy that stops it goes to `named` at first; its memory is not needed. Returns whether it is
-/// stopped.
-async fn stop(call: &Rc<Call>, upstream: UpstreamKey, mut named: UpstreamKey, quiet_answers: u32) -> bool {
-    let end = Instant::now() + STOP_PERIOD;
-    let (mut quiet, mut failed) = (0, 0);
-    while Instant::now() < end {
-        let outcome = timeout(STOP_TIMEOUT, migrate::copy(call, upstream, named, true)).await;
-        match outcome.unwrap_or(CopyOutcome::Malformed) {
-            CopyOutcome::Done(copied) => return stopped(call, upstream, &copied.handle).await,
-            CopyOutcome::NoRoom(Some(handle)) => return stopped(call, upstream, &handle).await,
-            CopyOutcome::NotRunning => {
-                quiet += 1;
-                failed = 0;
-                if quiet >= quiet_answers {
-                    return true;
-                }
-            }
-            CopyOutcome::Busy | CopyOutcome::NoRoom(None) | CopyOutcome::Malformed => {
-                quiet = 0;
-                failed += 1;
-                named = spare(call, upstream);
-            }
-        }
-        if failed >= MAX_FAILED_STOPS && has_left(call, upstream) {
-            return false;
-        }
-        tokio::time::sleep(STOP_INTERVAL).await;
+        Ok(Err(_)) | Err(_) => stop::stop_source(call, source, target).await,
     }
-    false
-}
-
-/// Whether an upstream is known to have left, or to leave.
-fn has_left(call: &Call, upstream: UpstreamKey) -> bool {
-    let fleet = call.shared.fleet();
-    let found = fleet.upstream(upstream);
-    found.is_none_or(|found| found.leaving_since.is_some())
-}
-
-async fn stopped(call: &Rc<Call>, upstream: UpstreamKey, handle: &str) -> bool {
-    log::info!(request:% = call.id(), source:% = upstream_name(call, upstream); "the source still ran the generation and was stopped");
-    migrate::release(&call.shared, upstream, handle).await;
-    true
 }
 
 /// Stops the generation at `from`, whose link is lost, and continues it from its memory; the calls go through another
--- /dev/null
+++ b/tests/stops.rs
@@ -0,0 +1,122 @@
+//! Runs that go on elsewhere are stopped where they were, whatever happens to the calls that stop them.
+
+mod fleet;
+
+use std::{
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::{
+    Link, Upstream,
+    client::Outcome,
+    config::{self, Route},
+};
+use fleet::{CLIENT_KEY, Fleet, LONG, wait_until};
+
+/// Interval between two events.
+const INTERVAL: Duration = Duration::from_millis(20);
+
+/// Events of a generation; it takes four seconds and more.
+const EVENTS: u64 = 200;
+
+/// Time for which two upstreams may work on one generation.
+const OVERLAP: Duration = Duration::from_millis(400);
+
+/// Generations of a test.
+const IDS: [&str; 4] = ["m1", "m2", "m3", "m4"];
+
+/// Generations at an engine that goes on with them when their connections close, and an engine that they may move to.
+struct Runs {
+    fleet: Fleet,
+    source: Upstream,
+    _target: Upstream,
+    clients: Vec<JoinHandle<Outcome>>,
+}
+
+impl Runs {
+    /// Starts the generations `ids` at the first of `gateways`.
+    fn start(gateways: usize, ids: &[&str]) -> Self {
+        let fleet = Fleet::start(gateways);
+        let source = fleet.start_engine("source", EVENTS, INTERVAL);
+        source.set_ignores_close(true);
+        let route = Route::new("/draft/", "streaming", "engines").with_timeout(LONG.as_millis() as u64);
+        fleet
+            .store
+            .put(config::KEY, &config::config(1, &[route], &[CLIENT_KEY]));
+        fleet.wait_ready();
+        let clients = ids.iter().map(|id| fleet.start_generation(0, id)).collect();
+        let target = fleet.start_engine("target", EVENTS, INTERVAL);
+        wait_until("the gateway knows the target", || {
+            fleet.gateways[0].logged("\"directory entry\",\"upstream\":\"target\"")
+        });
+        Self {
+            fleet,
+            source,
+            _target: target,
+            clients,
+        }
+    }
+
+    /// Longest time for which two upstreams work on one of the generations `ids`, until their clients have their streams.
+    fn longest_overlap(&self, ids: &[&str]) -> Duration {
+        let mut since: Vec<Option<Instant>> = vec![None; ids.len()];
+        let mut longest = Duration::ZERO;
+        while !self.clients.iter().all(JoinHandle::is_finished) {
+            for (id, since) in ids.iter().zip(&mut since) {
+                if self.fleet.ledger.running_engines(id) > 1 {
+                    longest = longest.max(since.get_or_insert_with(Instant::now).elapsed());
+                } else {
+                    *since = None;
+                }
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        longest
+    }
+
+    /// Every stream is whole, and every generation was started once.
+    fn expect_whole(self, ids: &[&str]) {
+        for (client, id) in self.clients.into_iter().zip(ids) {
+            let outcome = client.join().expect("no client panics");
+            assert_eq!((outcome.status, outcome.complete), (200, true), "{id}");
+            assert_eq!(outcome.events(), (1..=EVENTS).collect::<Vec<_>>(), "{id}");
+            assert_eq!(self.fleet.ledger.run_count(id), 1, "{id} starts once");
+        }
+    }
+}
+
+/// Two upstreams worked on generations for seconds: the one that left could not be called for a moment, and was then taken
+/// to have ended although it served on.
+#[test]
+fn an_upstream_that_leaves_and_cannot_be_called_for_a_moment_is_not_stopped() {
+    for (gateways, is_refusing) in [(1, true), (2, true), (2, false)] {
+        let runs = Runs::start(gateways, &IDS);
+        let set_cut = |is_cut| match (is_refusing, is_cut) {
+            (true, _) => runs.source.set_refusing(is_cut),
+            (false, true) => runs.source.set_link(Link::ClosedToNew),
+            (false, false) => runs.source.set_link(Link::Open),
+        };
+        // Longer than all further copies may begin after the notice.
+        runs.source.set_copy_time(Duration::from_millis(1_200));
+        runs.source.announce_leaving();
+        wait_until("all are copied", || {
+            runs.fleet.ledger.involved().len() >= 2 * IDS.len()
+        });
+        set_cut(true);
+        wait_until("all go on at the target", || {
+            runs.fleet.ledger.migrations() == IDS.len() as u64
+        });
+        thread::sleep(Duration::from_millis(1_500));
+        let before = IDS.map(|id| runs.fleet.ledger.running_engines(id));
+        assert_eq!(before, [2; IDS.len()], "nothing could be stopped");
+        set_cut(false);
+        let longest = runs.longest_overlap(&IDS);
+        assert!(longest < OVERLAP, "both ran for {longest:?}, {gateways} gateways");
+        assert_eq!(
+            IDS.map(|id| runs.fleet.ledger.running_engines(id)),
+            [0; IDS.len()]
+        );
+        runs.expect_whole(&IDS);
+    }
+}
