fix: a call that was not sent does not count as one that may have stopped a run

Cause: the call that was to stop such a run, to go on from its memory elsewhere, was refused, and was taken for one without an answer, which may have stopped the run; by the log, 'no connection' was followed by the outcome 'no answer'. Such a call now counts as not sent, and the stream waits for its own connection.

--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -325,9 +325,10 @@
         CopyOutcome::NoRoom(Some(handle)) => Ok((Reservation::new(&call.shared, from, size), handle)),
         CopyOutcome::NotRunning => Err(NotHeld::ended("the upstream runs no such generation any more")),
         CopyOutcome::Busy => Err(NotHeld::going("the upstream makes another copy")),
+        CopyOutcome::Unsent => Err(NotHeld::going("the call to stop it could not be sent")),
         // Had it stopped, it would have named what it keeps.
         CopyOutcome::NoRoom(None) => Err(NotHeld::going("the upstream finds no room for the copy")),
-        CopyOutcome::Unsent | CopyOutcome::Malformed => Err(NotHeld::unclear("the upstream does not copy")),
+        CopyOutcome::Malformed => Err(NotHeld::unclear("the upstream does not copy")),
     }
 }
 
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -120,3 +120,16 @@
         runs.expect_whole(&IDS);
     }
 }
+
+/// A stream was cut off whose upstream was silent for a moment and refused new connections meanwhile: the call to stop it was
+/// never sent, and counted as one that may have stopped it.
+#[test]
+fn a_call_that_was_never_sent_counts_as_one_that_may_have_stopped_a_run() {
+    let runs = Runs::start(2, &IDS);
+    runs.source.set_link(Link::Silent);
+    runs.source.set_refusing(true);
+    thread::sleep(Duration::from_millis(1_200));
+    runs.source.set_refusing(false);
+    runs.source.set_link(Link::Open);
+    runs.expect_whole(&IDS);
+}
