fix: a run whose answer broke off is stopped before it goes on from a copy

Cause: with a copy at hand, a broken answer was taken for the end of the run, and the upstream was never called to stop.

Its upstream is now called to stop first, with a final copy to where the generation goes on. Catching up ends once the copy is used, and what is known of a run that is called to stop is shared by all paths that stop it.

--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -26,6 +26,7 @@
     relay::Purpose,
     repeats::{self, Repeat},
     shared::Shared,
+    stop::Abandoned,
 };
 use crate::{
     overhead::ReceivedBody,
@@ -80,7 +81,7 @@
     /// Notified when the request is written to a connection, from which on its upstream may get it.
     pub(super) send_begun: Notify,
     /// Upstreams that are called to stop the request, which they may run.
-    pub(super) abandoned: RefCell<SmallVec<[UpstreamKey; 2]>>,
+    pub(super) abandoned: RefCell<SmallVec<[Abandoned; 2]>>,
 }
 
 impl Call {
@@ -198,8 +199,8 @@
         let capacity = self.engine.as_ref().map_or(0, |engine| engine.capacity);
         let excluded = excluded
             .iter()
-            .chain(self.abandoned.borrow().iter())
             .copied()
+            .chain(self.abandoned.borrow().iter().map(|run| run.upstream))
             .collect();
         Requirements::new(self.service.clone(), size, capacity)
             .with_excluded(excluded)
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -106,8 +106,10 @@
         let CopyOutcome::Done(copied) = copy(call, source.key, target, false, COPY_TIMEOUT).await else {
             return;
         };
-        if let Some((_, handle)) = &mut progress.borrow_mut().copy {
-            *handle = copied.handle;
+        match &mut progress.borrow_mut().copy {
+            Some((_, handle)) => *handle = copied.handle,
+            // The stream goes on from it already.
+            None => return,
         }
         if started.elapsed() < CAUGHT_UP_THRESHOLD {
             return;
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -13,6 +13,7 @@
         crash,
         exchange::{self, Answer, RunStart, upstream_name},
         framing::{self, Framing},
+        guard::Reservation,
         link,
         migrate::{self, MigrationOutcome, Progress},
         plain::UPSTREAM_PATIENCE,
@@ -163,9 +164,10 @@
                 return Ok(());
             }
         }
-        let Some(((reservation, handle), engine)) = copy.zip(self.upstream_address()) else {
+        let Some((copy, engine)) = copy.zip(self.upstream_address()) else {
             return self.run_again(reason, false).await;
         };
+        let (reservation, handle) = self.end_present(copy, progress).await?;
         let resume = Resume {
             memory: Some(Memory { engine, handle }),
             last_event: self.position.last(),
@@ -179,6 +181,31 @@
         }
     }
 
+    /// Stops the present run before the stream goes on from `copy`: its upstream may have lost the answer alone. Returns the
+    /// copy to go on from.
+    async fn end_present(
+        &self,
+        (reservation, handle): (Reservation, String),
+        progress: &RefCell<Progress>,
+    ) -> Result<(Reservation, String), StreamEnd> {
+        // Most upstreams end a run whose connection is closed.
+        self.driver.abort();
+        let ended = stop::end_present(&self.call, self.reservation.upstream, reservation.upstream);
+        let outcome = tokio::select! {
+            biased;
+            () = self.client.closed() => Err(StreamEnd::ClientGone),
+            outcome = timeout_at(self.call.deadline, ended) => outcome.map_err(|_elapsed| StreamEnd::Late),
+        };
+        match outcome {
+            Ok(last) => Ok((reservation, last.unwrap_or(handle))),
+            Err(end) => {
+                progress.borrow_mut().copy = Some((reservation, handle));
+                self.release_copy(progress);
+                Err(end)
+            }
+        }
+    }
+
     /// Replaces the upstream's stream by that of another upstream.
     pub(super) fn continue_with(&mut self, opened: OpenStream, reason: &str) {
         log::info!(
@@ -284,7 +311,7 @@
     }
 
     /// Releases the copy of the memory, if there is one, and then its reservation.
-    pub(super) fn release_copy(&self, progress: &Rc<RefCell<Progress>>) {
+    pub(super) fn release_copy(&self, progress: &RefCell<Progress>) {
         let copy = progress.borrow_mut().copy.take();
         let Some((reservation, handle)) = copy else {
             return;
--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -29,7 +29,7 @@
     guard::Reservation,
     migrate::{self, MigrationOutcome, Progress},
     resume::{self, Failure, Fate, OpenStream, RESUME_TIMEOUT},
-    stop::{self, abandon, is_confirmed},
+    stop::{self, abandon},
 };
 
 /// Memory of a stopped generation: a reservation where it can go on from it, and its handle.
@@ -136,7 +136,7 @@
         Some(_) => {
             // It has broken off, so that one answer tells whether it still runs the generation.
             let mut stopped = abandon(call, target, source, 1);
-            if is_confirmed(&mut stopped, overlap).await {
+            if stopped.has_ended(overlap).await {
                 return MigrationOutcome::Failed("the other upstream broke off");
             }
             confirmed = Some(stopped);
@@ -162,7 +162,7 @@
         Err(failure) => {
             if failure.fate == Fate::Unknown {
                 let mut confirmed = confirmed.unwrap_or_else(|| abandon(call, target, source, QUIET_ANSWERS));
-                is_confirmed(&mut confirmed, Instant::now() + CONFIRM_TIMEOUT).await;
+                confirmed.has_ended(Instant::now() + CONFIRM_TIMEOUT).await;
             }
             resume_held(call, engine, held, progress).await
         }
@@ -211,7 +211,7 @@
     }
 }
 
-/// Continues a generation that runs nowhere; stops it where that fails and it may run.
+/// Continues a generation that runs nowhere, or only where it is called to stop; stops it where that fails and it may run.
 ///
 /// # Errors
 ///
@@ -227,7 +227,7 @@
     {
         let upstream = failure.reservation.upstream;
         let mut confirmed = abandon(call, upstream, stop::spare(call, upstream), QUIET_ANSWERS);
-        is_confirmed(&mut confirmed, Instant::now() + CONFIRM_TIMEOUT).await;
+        confirmed.has_ended(Instant::now() + CONFIRM_TIMEOUT).await;
     }
     resumed
 }
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -133,3 +133,34 @@
     runs.source.set_link(Link::Open);
     runs.expect_whole(&IDS);
 }
+
+/// Two upstreams worked on a generation until the first one ended: it left and had lost the answer after the copy of its memory,
+/// from which the generation went on elsewhere.
+#[test]
+fn an_upstream_that_leaves_and_has_lost_an_answer_is_not_stopped() {
+    for is_refusing in [false, true] {
+        let runs = Runs::start(1, &["m1"]);
+        // The next copy, and with it the move, takes longer than the rest of the test.
+        runs.source.set_copy_delay(Duration::from_secs(1));
+        runs.source.announce_leaving();
+        wait_until("it is copied", || runs.fleet.ledger.involved().len() == 2);
+        thread::sleep(Duration::from_millis(50));
+        runs.source.set_refusing(is_refusing);
+        runs.source.lose_answer("m1");
+        let lost = Instant::now();
+        wait_until("it goes on at the target", || runs.fleet.ledger.migrations() == 1);
+        if is_refusing {
+            assert!(lost.elapsed() < OVERLAP, "an upstream that has ended is awaited");
+            thread::sleep(Duration::from_secs(1));
+            assert_eq!(
+                runs.fleet.ledger.running_engines("m1"),
+                2,
+                "it could not be stopped"
+            );
+            runs.source.set_refusing(false);
+        }
+        let longest = runs.longest_overlap(&["m1"]);
+        assert!(longest < OVERLAP, "both ran for {longest:?}");
+        runs.expect_whole(&["m1"]);
+    }
+}
