fix: a run whose upstream makes another copy of its memory has not ended

Cause: a call that was answered 409 to its last try counted as answered 'no such generation', so that the calls to stop ended. Behind that the request was run again without waiting for calls that could not succeed yet, and the move under way went on beside it.

The last answer counts now. An answer that breaks off during the first copy waits for the move, for half of the pause that clients bear; a run is not replaced while its upstream says that it goes on, and the move is given up before.

--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -103,7 +103,7 @@
 async fn catch_up(call: &Call, source: Source, target: UpstreamKey, progress: &RefCell<Progress>) {
     while call.shared.now().since(source.leaving_since) < CATCH_UP_CUTOFF {
         let started = Instant::now();
-        let CopyOutcome::Done(copied) = copy(call, source.key, target, false, COPY_TIMEOUT).await else {
+        let CopyOutcome::Done(copied) = copy(call, source.key, target, false).await else {
             return;
         };
         match &mut progress.borrow_mut().copy {
@@ -154,7 +154,7 @@
         cold::expect_move(shared, target);
         let reservation = Reservation::new(shared, target, requirements.size);
         let started = Instant::now();
-        let outcome = copy(call, source.key, target, false, COPY_TIMEOUT).await;
+        let outcome = copy(call, source.key, target, false).await;
         log_copy(call, source, target, &outcome, started);
         match outcome {
             CopyOutcome::Done(copied) => return Ok((reservation, copied.handle)),
@@ -185,9 +185,24 @@
 }
 
 /// Requests the source to copy the generation's memory to `target`, and retries while the source answers that
-/// another copy is in progress or that the generation does not run yet. A `last` copy stops the generation. Each call may
-/// take until `limit`.
-pub(super) async fn copy(
+/// another copy is in progress or that the generation does not run yet. A `last` copy stops the generation.
+pub(super) async fn copy(call: &Call, source: UpstreamKey, target: UpstreamKey, last: bool) -> CopyOutcome {
+    let mut outcome = copy_once(call, source, target, last, COPY_TIMEOUT).await;
+    for _ in 1..COPY_ATTEMPTS {
+        match outcome {
+            CopyOutcome::Busy => {}
+            CopyOutcome::NotRunning if !last => {}
+            other => return other,
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+        outcome = copy_once(call, source, target, last, COPY_TIMEOUT).await;
+    }
+    outcome
+}
+
+/// Requests the source once to copy the generation's memory to `target`, and waits for the answer for `limit`. A `last` copy
+/// stops the generation.
+pub(super) async fn copy_once(
     call: &Call,
     source: UpstreamKey,
     target: UpstreamKey,
@@ -213,30 +228,21 @@
         return CopyOutcome::NoRoom(None);
     }
     let id = call.id().into_owned();
-    for _ in 0..COPY_ATTEMPTS {
-        let deadline = Instant::now() + limit;
-        let request = engine::copy(&id, address, last);
-        let answer = match link::call(&call.shared, source, request, &call.head.id, deadline).await {
-            Ok(response) => engine::decode_copy(response.status(), response.body()),
-            Err(error) => {
-                log::info!(
-                    request:% = id, source:% = upstream_name(call, source), error:% = error, last; "copy call failed"
-                );
-                return match error {
-                    socket::Error::Connect(_) | socket::Error::Excluded(_) => CopyOutcome::Unsent,
-                    socket::Error::Broken(_)
-                    | socket::Error::Status(_)
-                    | socket::Error::Unfinished(_)
-                    | socket::Error::Timeout => CopyOutcome::Malformed,
-                };
+    let deadline = Instant::now() + limit;
+    let request = engine::copy(&id, address, last);
+    match link::call(&call.shared, source, request, &call.head.id, deadline).await {
+        Ok(response) => engine::decode_copy(response.status(), response.body()),
+        Err(error) => {
+            log::info!(
+                request:% = id, source:% = upstream_name(call, source), error:% = error, last; "copy call failed"
+            );
+            match error {
+                socket::Error::Connect(_) | socket::Error::Excluded(_) => CopyOutcome::Unsent,
+                socket::Error::Broken(_)
+                | socket::Error::Status(_)
+                | socket::Error::Unfinished(_)
+                | socket::Error::Timeout => CopyOutcome::Malformed,
             }
-        };
-        match answer {
-            CopyOutcome::Busy => {}
-            CopyOutcome::NotRunning if !last => {}
-            other => return other,
         }
-        tokio::time::sleep(RETRY_DELAY).await;
     }
-    CopyOutcome::NotRunning
 }
--- a/crates/carob-gateway/src/traffic/stop.rs
+++ b/crates/carob-gateway/src/traffic/stop.rs
@@ -8,12 +8,12 @@
 
 use carob_dispatch::{
     fleet::UpstreamKey,
-    migration::{CONFIRM_TIMEOUT, STOP_INTERVAL, STOP_PERIOD, STOP_TIMEOUT, TURN_INTERVAL},
+    migration::{CONFIRM_TIMEOUT, RETRY_DELAY, STOP_INTERVAL, STOP_PERIOD, STOP_TIMEOUT, TURN_INTERVAL},
 };
 use carob_platform::engine::CopyOutcome;
 use tokio::{
     sync::{oneshot, watch},
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout_at},
 };
 
 use super::{call::Call, exchange::upstream_name, migrate};
@@ -47,6 +47,8 @@
 pub(super) enum RunState {
     /// Its upstream has not answered.
     Unknown,
+    /// Its upstream has answered that it goes on.
+    Running,
     /// No call can be sent to its upstream.
     Unreachable,
     /// It has ended.
@@ -74,14 +76,20 @@
     }
 }
 
-/// Waits until the run has ended, or for `limit` if its upstream does not answer. An upstream that no call can be sent to is
-/// not waited for: it has probably ended, and is called until that is known.
+/// Waits until the run has ended: for as long as its upstream answers that it goes on, and for `limit` if there is no answer.
+/// An upstream that no call can be sent to is not waited for: it has probably ended, and is called until that is known.
 async fn settle(state: &mut watch::Receiver<RunState>, limit: Duration) -> RunState {
-    let settled = state.wait_for(|state| *state != RunState::Unknown);
-    let outcome = timeout(limit, settled).await;
-    match outcome {
-        Ok(Ok(state)) => *state,
-        Ok(Err(_)) | Err(_) => RunState::Unknown,
+    let end = Instant::now() + limit;
+    loop {
+        let known = *state.borrow_and_update();
+        let is_changed = match known {
+            RunState::Ended | RunState::Unreachable => false,
+            RunState::Running => state.changed().await.is_ok(),
+            RunState::Unknown => matches!(timeout_at(end, state.changed()).await, Ok(Ok(()))),
+        };
+        if !is_changed {
+            return known;
+        }
     }
 }
 
@@ -91,9 +99,9 @@
         .is_some_and(|engine| engine.supports_migration)
 }
 
-/// Gives up the run of a stream's present upstream, which goes on elsewhere; waits for a moment until it has stopped if it
-/// `may_go_on` by all that is known.
-pub(super) async fn abandon_present(call: &Rc<Call>, upstream: UpstreamKey, may_go_on: bool) {
+/// Gives up the run of a stream's present upstream, which goes on elsewhere, and waits until it has stopped; for `limit` if its
+/// upstream does not answer.
+pub(super) async fn abandon_present(call: &Rc<Call>, upstream: UpstreamKey, limit: Duration) {
     if !supports_stop(call) {
         return;
     }
@@ -107,9 +115,7 @@
         Some(state) => state,
         None => abandon(call, upstream, spare(call, upstream), 1).state,
     };
-    if may_go_on {
-        settle(&mut state, CONFIRM_TIMEOUT).await;
-    }
+    settle(&mut state, limit).await;
 }
 
 /// Stops the run of a stream's present upstream, whose answer has broken off, before it goes on from a copy of its memory at
@@ -222,6 +228,47 @@
     }
 }
 
+/// What follows from the outcome of a call.
+enum Next {
+    /// The run has ended.
+    Ended(Evidence),
+    /// This is known of the run, and the next call follows after this time.
+    Again(RunState, Duration),
+}
+
+/// Calls that were made to stop a run.
+#[derive(Default)]
+struct Calls {
+    sent: u32,
+    unsent: u32,
+    /// Answers in a row that the upstream runs no such generation.
+    quiet: u32,
+}
+
+impl Calls {
+    /// Records the outcome of a call, whose copy goes to the upstream that the order names if it `keeps` the memory there.
+    fn record(&mut self, outcome: CopyOutcome, quiet_answers: u32, keeps: bool) -> Next {
+        let is_quiet = outcome == CopyOutcome::NotRunning;
+        if outcome == CopyOutcome::Unsent {
+            self.unsent += 1;
+            return Next::Again(RunState::Unreachable, Duration::ZERO);
+        }
+        self.sent += 1;
+        self.quiet = if is_quiet { self.quiet + 1 } else { 0 };
+        match outcome {
+            CopyOutcome::Done(copied) if keeps => Next::Ended(Evidence::Copied(copied.handle)),
+            CopyOutcome::Done(copied) => Next::Ended(Evidence::Stopped(copied.handle)),
+            CopyOutcome::NoRoom(Some(handle)) => Next::Ended(Evidence::Stopped(handle)),
+            CopyOutcome::NotRunning if self.quiet >= quiet_answers => Next::Ended(Evidence::NotRunning),
+            CopyOutcome::Busy => Next::Again(RunState::Running, RETRY_DELAY),
+            CopyOutcome::NoRoom(None) => Next::Again(RunState::Running, STOP_INTERVAL),
+            CopyOutcome::NotRunning | CopyOutcome::Unsent | CopyOutcome::Malformed => {
+                Next::Again(RunState::Unknown, STOP_INTERVAL)
+            }
+        }
+    }
+}
+
 /// Calls an upstream to stop the generation, until it has stopped it or has said often enough that it runs no such generation.
 /// Returns by what it is known that the run has ended, if it is.
 async fn stop(call: &Rc<Call>, order: Order, state: &watch::Sender<RunState>) -> Option<Evidence> {
@@ -231,7 +278,7 @@
     } = order;
     let begun = Instant::now();
     let end = call.deadline.min(begun + STOP_PERIOD);
-    let (mut quiet, mut calls, mut unsent) = (0, 0_u32, 0_u32);
+    let mut calls = Calls::default();
     let evidence = loop {
         if Instant::now() >= end || shared.fleet().upstream(upstream).is_none() {
             break (Instant::now() >= call.deadline).then_some(Evidence::Deadline);
@@ -244,43 +291,35 @@
         if shared.fleet().has_ended(upstream) {
             break Some(Evidence::Replaced);
         }
+        if named != upstream && shared.fleet().check_destination(named, &call.regions()).is_err() {
+            named = spare(call, upstream);
+        }
         let started = shared.now();
-        let outcome = migrate::copy(call, upstream, named, true, STOP_TIMEOUT).await;
-        calls += 1;
-        match outcome {
-            CopyOutcome::Done(copied) if named == order.named => {
-                break Some(Evidence::Copied(copied.handle));
-            }
-            CopyOutcome::Done(copied) => break Some(Evidence::Stopped(copied.handle)),
-            CopyOutcome::NoRoom(Some(handle)) => break Some(Evidence::Stopped(handle)),
-            CopyOutcome::NotRunning => {
-                quiet += 1;
-                if quiet >= order.quiet_answers {
-                    break Some(Evidence::NotRunning);
+        let outcome = migrate::copy_once(call, upstream, named, true, STOP_TIMEOUT).await;
+        let other_target = matches!(outcome, CopyOutcome::NoRoom(None) | CopyOutcome::Malformed);
+        match calls.record(outcome, order.quiet_answers, named == order.named) {
+            Next::Ended(evidence) => break Some(evidence),
+            Next::Again(known, pause) => {
+                state.send_replace(known);
+                if known == RunState::Unreachable {
+                    let retry_at = shared.now().max(started + STOP_INTERVAL);
+                    shared.fleet_mut().end_call(upstream, Some(retry_at));
                 }
+                tokio::time::sleep(pause).await;
             }
-            CopyOutcome::Unsent => {
-                unsent += 1;
-                let retry_at = shared.now().max(started + STOP_INTERVAL);
-                shared.fleet_mut().end_call(upstream, Some(retry_at));
-                state.send_replace(RunState::Unreachable);
-                continue;
-            }
-            CopyOutcome::Busy | CopyOutcome::NoRoom(None) | CopyOutcome::Malformed => {
-                quiet = 0;
-                named = spare(call, upstream);
-            }
         }
-        tokio::time::sleep(STOP_INTERVAL).await;
+        if other_target {
+            named = spare(call, upstream);
+        }
     };
     if evidence.is_some() {
         state.send_replace(RunState::Ended);
     }
-    metrics::counter!("carobhaven_stop_calls_total", "outcome" => "sent").increment((calls - unsent).into());
-    metrics::counter!("carobhaven_stop_calls_total", "outcome" => "unsent").increment(unsent.into());
+    metrics::counter!("carobhaven_stop_calls_total", "outcome" => "sent").increment(calls.sent.into());
+    metrics::counter!("carobhaven_stop_calls_total", "outcome" => "unsent").increment(calls.unsent.into());
     log::info!(
         request:% = call.id(), upstream:% = upstream_name(call, upstream),
-        evidence = evidence.as_ref().map_or("none", Evidence::name), calls, unsent,
+        evidence = evidence.as_ref().map_or("none", Evidence::name), sent = calls.sent, unsent = calls.unsent,
         took_ms = begun.elapsed().as_millis() as u64; "calls to stop a run have ended"
     );
     if let Some(Evidence::Stopped(handle) | Evidence::Copied(handle)) = &evidence {
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -2,9 +2,12 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use carob_dispatch::fleet::Placement;
+use carob_dispatch::{
+    fleet::Placement,
+    migration::{CONFIRM_TIMEOUT, OVERLAP, TARGET_SHARE},
+};
 use carob_platform::request::{Memory, Resume};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{
     super::{
@@ -51,7 +54,7 @@
         let outcome = if switching {
             self.await_migration(migration).await?
         } else {
-            MigrationOutcome::Failed("the source broke off")
+            self.await_copy(progress, migration).await?
         };
         self.resume_after(outcome, progress, reason).await.map(|()| true)
     }
@@ -145,6 +148,32 @@
         }
     }
 
+    /// Waits for the outcome of a migration whose first copy is under way: the source may have lost the answer alone, and the
+    /// copy tells. Gives the migration up if there is a copy already, or none for too long.
+    async fn await_copy(
+        &self,
+        progress: &RefCell<Progress>,
+        migration: &mut Option<Migration>,
+    ) -> Result<MigrationOutcome, StreamEnd> {
+        let Some(copying) = migration.as_mut().filter(|_| progress.borrow().copy.is_none()) else {
+            *migration = None;
+            return Ok(MigrationOutcome::Failed("the source broke off"));
+        };
+        let limit = self.call.route.patience().mul_f64(TARGET_SHARE);
+        let outcome = self.await_end(timeout(limit, copying.outcome())).await?;
+        if let Ok(outcome) = outcome {
+            *migration = None;
+            return Ok(outcome);
+        }
+        if progress.borrow().switching {
+            return self.await_migration(migration).await;
+        }
+        *migration = None;
+        Ok(MigrationOutcome::Failed(
+            "no copy in time after the source broke off",
+        ))
+    }
+
     /// Continues at another upstream after the source has failed: with the stream of a completed migration, from the
     /// copy of its memory if there is one, or with a further run.
     async fn resume_after(
@@ -191,12 +220,7 @@
         // Most upstreams end a run whose connection is closed.
         self.driver.abort();
         let ended = stop::end_present(&self.call, self.reservation.upstream, reservation.upstream);
-        let outcome = tokio::select! {
-            biased;
-            () = self.client.closed() => Err(StreamEnd::ClientGone),
-            outcome = timeout_at(self.call.deadline, ended) => outcome.map_err(|_elapsed| StreamEnd::Late),
-        };
-        match outcome {
+        match self.await_end(ended).await {
             Ok(last) => Ok((reservation, last.unwrap_or(handle))),
             Err(end) => {
                 progress.borrow_mut().copy = Some((reservation, handle));
@@ -206,6 +230,15 @@
         }
     }
 
+    /// Waits until a run has `ended`, but no longer than for the client and the deadline.
+    async fn await_end<T>(&self, ended: impl Future<Output = T>) -> Result<T, StreamEnd> {
+        tokio::select! {
+            biased;
+            () = self.client.closed() => Err(StreamEnd::ClientGone),
+            outcome = timeout_at(self.call.deadline, ended) => outcome.map_err(|_elapsed| StreamEnd::Late),
+        }
+    }
+
     /// Replaces the upstream's stream by that of another upstream.
     pub(super) fn continue_with(&mut self, opened: OpenStream, reason: &str) {
         log::info!(
@@ -240,7 +273,9 @@
         }
         // The present upstream may still work on the request.
         self.driver.abort();
-        stop::abandon_present(&call, self.reservation.upstream, is_stalled).await;
+        let limit = if is_stalled { CONFIRM_TIMEOUT } else { OVERLAP };
+        let ended = stop::abandon_present(&call, self.reservation.upstream, limit);
+        self.await_end(ended).await?;
         let start = RunStart {
             position: self.position.last(),
             generated: self.generated(),
--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -9,9 +9,7 @@
 use carob_dispatch::{
     budget::Reason,
     fleet::{RequestSize, UpstreamKey},
-    migration::{
-        CONFIRM_TIMEOUT, COPY_TIMEOUT, HOLD_TIMEOUT, OVERLAP, QUIET_ANSWERS, TARGET_SHARE, TARGET_TIMEOUT,
-    },
+    migration::{CONFIRM_TIMEOUT, HOLD_TIMEOUT, OVERLAP, QUIET_ANSWERS, TARGET_SHARE, TARGET_TIMEOUT},
 };
 use carob_platform::{
     engine::CopyOutcome,
@@ -315,7 +313,7 @@
 ) -> Result<Held, NotHeld> {
     let size = RequestSize { tokens, prefill: 0 };
     let started = Instant::now();
-    let outcome = migrate::copy(call, from, named, true, COPY_TIMEOUT).await;
+    let outcome = migrate::copy(call, from, named, true).await;
     log::info!(
         request:% = call.id(), source:% = upstream_name(call, from), target:% = upstream_name(call, named),
         outcome:% = outcome, took_ms = started.elapsed().as_millis() as u64; "source called to stop with its memory"
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -9,10 +9,10 @@
 
 use carob_platform_standin::{
     Link, Upstream,
-    client::Outcome,
+    client::{self, Outcome},
     config::{self, Route},
 };
-use fleet::{CLIENT_KEY, Fleet, LONG, wait_until};
+use fleet::{CLIENT_KEY, Fleet, LONG, generation_request, wait_until};
 
 /// Interval between two events.
 const INTERVAL: Duration = Duration::from_millis(20);
@@ -23,6 +23,11 @@
 /// Time for which two upstreams may work on one generation.
 const OVERLAP: Duration = Duration::from_millis(400);
 
+/// Route of a configuration whose streams may be run again from an event on.
+const RESUMABLE: Route = Route::new("/answer/", "streaming", "engines")
+    .with_max_attempts(2)
+    .with_resumable();
+
 /// Generations of a test.
 const IDS: [&str; 4] = ["m1", "m2", "m3", "m4"];
 
@@ -30,7 +35,7 @@
 struct Runs {
     fleet: Fleet,
     source: Upstream,
-    _target: Upstream,
+    target: Upstream,
     clients: Vec<JoinHandle<Outcome>>,
 }
 
@@ -40,10 +45,11 @@
         let fleet = Fleet::start(gateways);
         let source = fleet.start_engine("source", EVENTS, INTERVAL);
         source.set_ignores_close(true);
-        let route = Route::new("/draft/", "streaming", "engines").with_timeout(LONG.as_millis() as u64);
+        let route = Route::new("/draft/", "streaming", "engines");
+        let routes = [route, RESUMABLE].map(|route| route.with_timeout(LONG.as_millis() as u64));
         fleet
             .store
-            .put(config::KEY, &config::config(1, &[route], &[CLIENT_KEY]));
+            .put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
         fleet.wait_ready();
         let clients = ids.iter().map(|id| fleet.start_generation(0, id)).collect();
         let target = fleet.start_engine("target", EVENTS, INTERVAL);
@@ -53,7 +59,7 @@
         Self {
             fleet,
             source,
-            _target: target,
+            target,
             clients,
         }
     }
@@ -164,3 +170,58 @@
         runs.expect_whole(&["m1"]);
     }
 }
+
+/// Two upstreams worked on a resumable generation until the first one ended, and streams of other routes were cut off: the
+/// upstream lost the answer while its memory was copied, and its answer 409 to the calls to stop it was taken for the end of the
+/// run.
+#[test]
+fn an_upstream_that_loses_an_answer_during_a_copy_is_not_stopped() {
+    // A copy that is awaited, and one that takes longer than the client bears.
+    let (short, long) = (Duration::from_millis(700), Duration::from_millis(2_500));
+    for (path, copy_time, run_count) in [
+        ("/draft/x", short, 1),
+        ("/answer/x", short, 1),
+        ("/answer/x", long, 2),
+    ] {
+        let mut runs = Runs::start(1, &[]);
+        let mut request = generation_request("m1");
+        path.clone_into(&mut request.path);
+        // The first upstream alone is left when it is sent.
+        runs.target.announce_leaving();
+        for number in 0..5 {
+            // A further run needs a repeat, which these earn.
+            let mut earning = request.clone().with_events(1);
+            earning.id = format!("earn-{number}");
+            assert_eq!(runs.fleet.send(0, &earning).status, 200);
+        }
+        let address = runs.fleet.gateways[0].caller_address;
+        let client = thread::spawn(move || client::send(address, &request));
+        runs.clients.push(client);
+        wait_until("it runs", || runs.fleet.ledger.run_count("m1") == 1);
+        let _other = runs.fleet.start_engine("other", EVENTS, INTERVAL);
+        wait_until("the gateway knows the other engine", || {
+            runs.fleet.gateways[0].logged("\"directory entry\",\"upstream\":\"other\"")
+        });
+        runs.source.set_copy_time(copy_time);
+        runs.source.announce_leaving();
+        wait_until("the copy is under way", || runs.source.is_copying("m1"));
+        runs.source.lose_answer("m1");
+        let longest = runs.longest_overlap(&["m1"]);
+        assert!(
+            longest < OVERLAP,
+            "{path}, {copy_time:?}: both ran for {longest:?}"
+        );
+        let outcome = runs.clients.remove(0).join().expect("no client panics");
+        assert_eq!(
+            (outcome.status, outcome.complete),
+            (200, true),
+            "{path}, {copy_time:?}"
+        );
+        assert_eq!(outcome.events(), (1..=EVENTS).collect::<Vec<_>>());
+        assert_eq!(
+            runs.fleet.ledger.run_count("m1"),
+            run_count,
+            "{path}, {copy_time:?}"
+        );
+    }
+}
