fix: only a copy under way is awaited after an answer broke off

Cause: an answer that broke off before the copy of its memory had begun waited for the move as well, up to 0.7 s for one that is about to end and longer without room; and an upstream that answered that it runs no such generation was looked for behind its link for 0.8 s. Both would keep callers waiting for nothing. The handle of a final copy is passed on before the end of its run is told, and memory is released in one place.

--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -29,6 +29,8 @@
     /// Reservation at the target, and handle of the copy of the memory there. Whichever of the two uses the
     /// copy takes it.
     pub(super) copy: Option<(Reservation, String)>,
+    /// Whether the first copy is being made.
+    pub(super) copying: bool,
     /// Whether the target has been requested to continue and its outcome is not known yet.
     pub(super) switching: bool,
     /// Whether the source was told to stop, so that its stream ends early without a failure of its own.
@@ -87,7 +89,7 @@
     if remaining < SHORT_REMAINING {
         tokio::time::sleep(SHORT_REMAINING).await;
     }
-    let copy = match copy_ahead(&call, source, tokens).await {
+    let copy = match copy_ahead(&call, source, tokens, &progress).await {
         Ok(copy) => copy,
         Err(outcome) => return outcome,
     };
@@ -132,6 +134,7 @@
     call: &Rc<Call>,
     source: Source,
     tokens: u64,
+    progress: &RefCell<Progress>,
 ) -> Result<(Reservation, String), MigrationOutcome> {
     let shared = &call.shared;
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
@@ -154,7 +157,9 @@
         cold::expect_move(shared, target);
         let reservation = Reservation::new(shared, target, requirements.size);
         let started = Instant::now();
+        progress.borrow_mut().copying = true;
         let outcome = copy(call, source.key, target, false).await;
+        progress.borrow_mut().copying = false;
         log_copy(call, source, target, &outcome, started);
         match outcome {
             CopyOutcome::Done(copied) => return Ok((reservation, copied.handle)),
--- a/crates/carob-gateway/src/traffic/stop.rs
+++ b/crates/carob-gateway/src/traffic/stop.rs
@@ -39,7 +39,8 @@
         keeps_memory: false,
     };
     let (state, _unobserved) = watch::channel(RunState::Unknown);
-    stop(&call, order, &state).await;
+    let evidence = stop(&call, order, &state).await;
+    release(&call, order, evidence.as_ref()).await;
 }
 
 /// What is known of a run that is called to stop.
@@ -191,10 +192,14 @@
             request:% = call.id(), upstream:% = upstream_name(&call, upstream), confirmed = evidence.is_some();
             "run of a generation given up"
         );
-        if let Some(Evidence::Copied(handle)) = evidence {
-            // Fails only if nobody waits for it.
-            let _taken = sender.send(handle);
+        if let Some(Evidence::Copied(handle)) = &evidence {
+            // Before the end of the run is told. Fails only if nobody waits for it.
+            let _taken = sender.send(handle.clone());
         }
+        if evidence.is_some() {
+            state.send_replace(RunState::Ended);
+        }
+        release(&call, order, evidence.as_ref()).await;
     });
     Stopping {
         state: observed,
@@ -312,9 +317,6 @@
             named = spare(call, upstream);
         }
     };
-    if evidence.is_some() {
-        state.send_replace(RunState::Ended);
-    }
     metrics::counter!("carobhaven_stop_calls_total", "outcome" => "sent").increment(calls.sent.into());
     metrics::counter!("carobhaven_stop_calls_total", "outcome" => "unsent").increment(calls.unsent.into());
     log::info!(
@@ -322,14 +324,19 @@
         evidence = evidence.as_ref().map_or("none", Evidence::name), sent = calls.sent, unsent = calls.unsent,
         took_ms = begun.elapsed().as_millis() as u64; "calls to stop a run have ended"
     );
-    if let Some(Evidence::Stopped(handle) | Evidence::Copied(handle)) = &evidence {
-        log::info!(
-            request:% = call.id(), source:% = upstream_name(call, upstream);
-            "the source still ran the generation and was stopped"
-        );
-        if !order.keeps_memory {
-            migrate::release(shared, upstream, handle).await;
-        }
-    }
     evidence
 }
+
+/// Releases the memory of a run that was stopped, unless it is used.
+async fn release(call: &Call, order: Order, evidence: Option<&Evidence>) {
+    let Some(Evidence::Stopped(handle) | Evidence::Copied(handle)) = evidence else {
+        return;
+    };
+    log::info!(
+        request:% = call.id(), source:% = upstream_name(call, order.upstream);
+        "the source still ran the generation and was stopped"
+    );
+    if !order.keeps_memory {
+        migrate::release(&call.shared, order.upstream, handle).await;
+    }
+}
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -149,13 +149,13 @@
     }
 
     /// Waits for the outcome of a migration whose first copy is under way: the source may have lost the answer alone, and the
-    /// copy tells. Gives the migration up if there is a copy already, or none for too long.
+    /// copy tells. Gives the migration up if no first copy is being made, or for too long.
     async fn await_copy(
         &self,
         progress: &RefCell<Progress>,
         migration: &mut Option<Migration>,
     ) -> Result<MigrationOutcome, StreamEnd> {
-        let Some(copying) = migration.as_mut().filter(|_| progress.borrow().copy.is_none()) else {
+        let Some(copying) = migration.as_mut().filter(|_| progress.borrow().copying) else {
             *migration = None;
             return Ok(MigrationOutcome::Failed("the source broke off"));
         };
@@ -187,7 +187,8 @@
             return Ok(());
         }
         let copy = progress.borrow_mut().copy.take();
-        if copy.is_none() && self.may_rescue() {
+        let may_run = !matches!(outcome, MigrationOutcome::NotRunning);
+        if copy.is_none() && may_run && self.may_rescue() {
             link::is_lost_after_break(&self.call.shared, self.reservation.upstream).await;
             if self.is_behind_lost_link() && self.rescue(reason).await? {
                 return Ok(());
