--- a/crates/carob-dispatch/src/fleet/links.rs
+++ b/crates/carob-dispatch/src/fleet/links.rs
@@ -153,7 +153,7 @@
 
     /// Whether a call may be made to an upstream now. While none can be sent to it, one at a time tries, for all that wait.
     /// [`end_call`](Self::end_call) is to follow.
-    pub fn may_call(&mut self, key: UpstreamKey, now: Time) -> bool {
+    pub fn try_start_call(&mut self, key: UpstreamKey, now: Time) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
@@ -169,7 +169,7 @@
 
     /// Whether other instances may be asked now to call an upstream whose link is lost and not probed; if so, they are not to be
     /// asked again for [`RELAY_INTERVAL`].
-    pub fn may_ask_peers(&mut self, key: UpstreamKey, now: Time) -> bool {
+    pub fn try_ask_peers(&mut self, key: UpstreamKey, now: Time) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
--- a/crates/carob-dispatch/tests/links.rs
+++ b/crates/carob-dispatch/tests/links.rs
@@ -133,41 +133,41 @@
     let (mut fleet, keys) = fleet(2);
     let key = keys[0];
     assert!(
-        fleet.may_call(key, at(0)) && fleet.may_call(key, at(0)),
+        fleet.try_start_call(key, at(0)) && fleet.try_start_call(key, at(0)),
         "nothing failed"
     );
     fleet.end_call(key, Some(at(200)));
-    assert!(!fleet.may_call(key, at(199)));
-    assert!(fleet.may_call(keys[1], at(199)), "the other one is called");
-    assert!(fleet.may_call(key, at(200)));
-    assert!(!fleet.may_call(key, at(201)), "one call is under way");
+    assert!(!fleet.try_start_call(key, at(199)));
+    assert!(fleet.try_start_call(keys[1], at(199)), "the other one is called");
+    assert!(fleet.try_start_call(key, at(200)));
+    assert!(!fleet.try_start_call(key, at(201)), "one call is under way");
     assert!(
-        fleet.may_call(key, at(1_200)),
+        fleet.try_start_call(key, at(1_200)),
         "nothing is known of the one under way"
     );
     fleet.end_call(key, None);
-    assert!(fleet.may_call(key, at(1_201)) && fleet.may_call(key, at(1_201)));
+    assert!(fleet.try_start_call(key, at(1_201)) && fleet.try_start_call(key, at(1_201)));
     fleet.end_call(key, Some(at(1_400)));
     fleet.record_link_answer(key, at(1_210));
-    assert!(fleet.may_call(key, at(1_210)), "it has answered");
+    assert!(fleet.try_start_call(key, at(1_210)), "it has answered");
 }
 
 /// Every call to an upstream that has gone asked three other instances, five times a second.
 #[test]
 fn other_instances_are_asked_at_every_call_to_an_upstream_that_has_gone() {
     let (mut fleet, keys) = fleet(2);
-    assert!(fleet.may_ask_peers(keys[0], at(0)));
-    assert!(!fleet.may_ask_peers(keys[0], at(999)));
+    assert!(fleet.try_ask_peers(keys[0], at(0)));
+    assert!(!fleet.try_ask_peers(keys[0], at(999)));
     assert!(
-        fleet.may_ask_peers(keys[1], at(999)),
+        fleet.try_ask_peers(keys[1], at(999)),
         "they are asked for the other one"
     );
-    assert!(fleet.may_ask_peers(keys[0], at(1_000)));
+    assert!(fleet.try_ask_peers(keys[0], at(1_000)));
     fleet.end_call(keys[0], Some(at(1_200)));
-    assert!(!fleet.may_ask_peers(keys[0], at(1_001)));
+    assert!(!fleet.try_ask_peers(keys[0], at(1_001)));
     // One of them has connected a call, so that the others need not wait.
     fleet.end_call(keys[0], None);
-    assert!(fleet.may_ask_peers(keys[0], at(1_002)));
+    assert!(fleet.try_ask_peers(keys[0], at(1_002)));
 }
 
 /// An upstream that serves on after its entry was removed was taken to have ended.
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -170,7 +170,7 @@
     if shared.fleet().is_link_lost(upstream) && !shared.fleet().is_probed(upstream) {
         let relayed = async {
             let is_call = matches!(purpose, Purpose::Control);
-            if is_call && !shared.fleet_mut().may_ask_peers(upstream, shared.now()) {
+            if is_call && !shared.fleet_mut().try_ask_peers(upstream, shared.now()) {
                 return Err(socket::Error::Connect(
                     "other instances were asked just now".to_owned(),
                 ));
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -364,7 +364,7 @@
     }
     if shared.fleet().is_link_lost(upstream) {
         let may_try =
-            !shared.fleet().is_probed(upstream) && shared.fleet_mut().may_call(upstream, shared.now());
+            !shared.fleet().is_probed(upstream) && shared.fleet_mut().try_start_call(upstream, shared.now());
         if !may_try {
             return Err(RelayState::Unreachable);
         }
--- a/crates/carob-gateway/src/traffic/stop.rs
+++ b/crates/carob-gateway/src/traffic/stop.rs
@@ -18,29 +18,16 @@
 
 use super::{call::Call, exchange::upstream_name, migrate};
 
-/// An upstream that the call which stops a generation at `upstream` can name for its memory: one with room, or `upstream`
-/// itself.
-pub(super) fn spare(call: &Call, upstream: UpstreamKey) -> UpstreamKey {
-    let shared = &call.shared;
-    let requirements = call.requirements(call.size(0), &[upstream]);
-    shared
-        .fleet()
-        .migration_target(upstream, &requirements, rand::random(), shared.now())
-        .unwrap_or(upstream)
-}
-
-/// Stops the generation at `source` after it has continued at `target`. Most upstreams abort a request when its connection
-/// closes, but not all do.
-pub(super) async fn stop_source(call: Rc<Call>, source: UpstreamKey, target: UpstreamKey) {
-    let order = Order {
-        upstream: source,
-        named: target,
-        quiet_answers: 1,
-        keeps_memory: false,
-    };
-    let (state, _unobserved) = watch::channel(RunState::Unknown);
-    let evidence = stop(&call, order, &state).await;
-    release(&call, order, evidence.as_ref()).await;
+/// What is to be stopped, and how.
+#[derive(Clone, Copy)]
+struct StopRequest {
+    upstream: UpstreamKey,
+    /// Upstream that the final copy of the memory goes to at first.
+    named: UpstreamKey,
+    /// Number of answers in a row that the upstream runs no such generation after which none will run there either.
+    quiet_answers: u32,
+    /// Whether the generation goes on from its memory, so that this is not released.
+    keeps_memory: bool,
 }
 
 /// What is known of a run that is called to stop.
@@ -100,6 +87,31 @@
         .is_some_and(|engine| engine.supports_migration)
 }
 
+/// An upstream that the call which stops a generation at `upstream` can name for its memory: one with room, or `upstream`
+/// itself.
+pub(super) fn spare(call: &Call, upstream: UpstreamKey) -> UpstreamKey {
+    let shared = &call.shared;
+    let requirements = call.requirements(call.size(0), &[upstream]);
+    shared
+        .fleet()
+        .migration_target(upstream, &requirements, rand::random(), shared.now())
+        .unwrap_or(upstream)
+}
+
+/// Stops the generation at `source` after it has continued at `target`. Most upstreams abort a request when its connection
+/// closes, but not all do.
+pub(super) async fn stop_source(call: Rc<Call>, source: UpstreamKey, target: UpstreamKey) {
+    let wanted = StopRequest {
+        upstream: source,
+        named: target,
+        quiet_answers: 1,
+        keeps_memory: false,
+    };
+    let (state, _unobserved) = watch::channel(RunState::Unknown);
+    let evidence = stop(&call, wanted, &state).await;
+    release(&call, wanted, evidence.as_ref()).await;
+}
+
 /// Gives up the run of a stream's present upstream, which goes on elsewhere, and waits until it has stopped; for `limit` if its
 /// upstream does not answer.
 pub(super) async fn abandon_present(call: &Rc<Call>, upstream: UpstreamKey, limit: Duration) {
@@ -130,13 +142,13 @@
         return None;
     }
     let started = Instant::now();
-    let order = Order {
+    let wanted = StopRequest {
         upstream,
         named: target,
         quiet_answers: 1,
         keeps_memory: true,
     };
-    let mut stopping = begin(call, order);
+    let mut stopping = begin(call, wanted);
     let state = settle(&mut stopping.state, CONFIRM_TIMEOUT).await;
     let handle = stopping.memory.try_recv().ok();
     log::info!(
@@ -155,29 +167,18 @@
     spare: UpstreamKey,
     quiet_answers: u32,
 ) -> Stopping {
-    let order = Order {
+    let wanted = StopRequest {
         upstream,
         named: spare,
         quiet_answers,
         keeps_memory: false,
     };
-    begin(call, order)
-}
-
-/// What is to be stopped, and how.
-#[derive(Clone, Copy)]
-struct Order {
-    upstream: UpstreamKey,
-    /// Upstream that the final copy of the memory goes to at first.
-    named: UpstreamKey,
-    /// Number of answers in a row that the upstream runs no such generation after which none will run there either.
-    quiet_answers: u32,
-    /// Whether the generation goes on from its memory, so that this is not released.
-    keeps_memory: bool,
+    begin(call, wanted)
 }
 
-fn begin(call: &Rc<Call>, order: Order) -> Stopping {
-    let upstream = order.upstream;
+/// Calls an upstream to stop a run, in a task of its own, so that it is stopped whatever becomes of the caller.
+fn begin(call: &Rc<Call>, wanted: StopRequest) -> Stopping {
+    let upstream = wanted.upstream;
     let (state, observed) = watch::channel(RunState::Unknown);
     let (sender, memory) = oneshot::channel();
     call.abandoned.borrow_mut().push(Abandoned {
@@ -187,7 +188,7 @@
     metrics::counter!("carobhaven_abandoned_runs_total").increment(1);
     let call = Rc::clone(call);
     tokio::task::spawn_local(async move {
-        let evidence = stop(&call, order, &state).await;
+        let evidence = stop(&call, wanted, &state).await;
         log::info!(
             request:% = call.id(), upstream:% = upstream_name(&call, upstream), confirmed = evidence.is_some();
             "run of a generation given up"
@@ -199,7 +200,7 @@
         if evidence.is_some() {
             state.send_replace(RunState::Ended);
         }
-        release(&call, order, evidence.as_ref()).await;
+        release(&call, wanted, evidence.as_ref()).await;
     });
     Stopping {
         state: observed,
@@ -212,7 +213,7 @@
 enum Evidence {
     /// The upstream has stopped it, and its memory has this handle.
     Stopped(String),
-    /// The same; the memory was copied to the upstream that the order names.
+    /// The same; the memory was copied to the upstream that the request names.
     Copied(String),
     /// The upstream runs no such generation.
     NotRunning,
@@ -251,8 +252,8 @@
 }
 
 impl Calls {
-    /// Records the outcome of a call, whose copy goes to the upstream that the order names if it `keeps` the memory there.
-    fn record(&mut self, outcome: CopyOutcome, quiet_answers: u32, keeps: bool) -> Next {
+    /// Records the outcome of a call; its copy goes to the upstream that the request names if it is `as_wanted`.
+    fn record(&mut self, outcome: CopyOutcome, quiet_answers: u32, as_wanted: bool) -> Next {
         let is_quiet = outcome == CopyOutcome::NotRunning;
         if outcome == CopyOutcome::Unsent {
             self.unsent += 1;
@@ -261,7 +262,7 @@
         self.sent += 1;
         self.quiet = if is_quiet { self.quiet + 1 } else { 0 };
         match outcome {
-            CopyOutcome::Done(copied) if keeps => Next::Ended(Evidence::Copied(copied.handle)),
+            CopyOutcome::Done(copied) if as_wanted => Next::Ended(Evidence::Copied(copied.handle)),
             CopyOutcome::Done(copied) => Next::Ended(Evidence::Stopped(copied.handle)),
             CopyOutcome::NoRoom(Some(handle)) => Next::Ended(Evidence::Stopped(handle)),
             CopyOutcome::NotRunning if self.quiet >= quiet_answers => Next::Ended(Evidence::NotRunning),
@@ -276,11 +277,11 @@
 
 /// Calls an upstream to stop the generation, until it has stopped it or has said often enough that it runs no such generation.
 /// Returns by what it is known that the run has ended, if it is.
-async fn stop(call: &Rc<Call>, order: Order, state: &watch::Sender<RunState>) -> Option<Evidence> {
+async fn stop(call: &Rc<Call>, wanted: StopRequest, state: &watch::Sender<RunState>) -> Option<Evidence> {
     let shared = &call.shared;
-    let Order {
+    let StopRequest {
         upstream, mut named, ..
-    } = order;
+    } = wanted;
     let begun = Instant::now();
     let end = call.deadline.min(begun + STOP_PERIOD);
     let mut calls = Calls::default();
@@ -288,7 +289,7 @@
         if Instant::now() >= end || shared.fleet().upstream(upstream).is_none() {
             break (Instant::now() >= call.deadline).then_some(Evidence::Deadline);
         }
-        if !shared.fleet_mut().may_call(upstream, shared.now()) {
+        if !shared.fleet_mut().try_start_call(upstream, shared.now()) {
             state.send_replace(RunState::Unreachable);
             tokio::time::sleep(TURN_INTERVAL).await;
             continue;
@@ -302,7 +303,7 @@
         let started = shared.now();
         let outcome = migrate::copy_once(call, upstream, named, true, STOP_TIMEOUT).await;
         let other_target = matches!(outcome, CopyOutcome::NoRoom(None) | CopyOutcome::Malformed);
-        match calls.record(outcome, order.quiet_answers, named == order.named) {
+        match calls.record(outcome, wanted.quiet_answers, named == wanted.named) {
             Next::Ended(evidence) => break Some(evidence),
             Next::Again(known, pause) => {
                 state.send_replace(known);
@@ -328,15 +329,15 @@
 }
 
 /// Releases the memory of a run that was stopped, unless it is used.
-async fn release(call: &Call, order: Order, evidence: Option<&Evidence>) {
+async fn release(call: &Call, wanted: StopRequest, evidence: Option<&Evidence>) {
     let Some(Evidence::Stopped(handle) | Evidence::Copied(handle)) = evidence else {
         return;
     };
     log::info!(
-        request:% = call.id(), source:% = upstream_name(call, order.upstream);
+        request:% = call.id(), source:% = upstream_name(call, wanted.upstream);
         "the source still ran the generation and was stopped"
     );
-    if !order.keeps_memory {
-        migrate::release(&call.shared, order.upstream, handle).await;
+    if !wanted.keeps_memory {
+        migrate::release(&call.shared, wanted.upstream, handle).await;
     }
 }
