feat: the log says by which regions a request was sent

Callers' requests ran outside their regions, and the log could not tell why: "sent to an upstream" had the version that admitted the request, neither the regions, the version that decided, how old it was, nor where the upstream is; nothing was logged of the moment of the send, nor of copies of memory.

Placement lines now have the regions and the upstream's failure domain. Requests that are restricted to regions get a line when they are written, and one for each copy of their memory: regions, region of the upstream, version in force, its age, whether the instance can take it as current, and the instance that relays. Unrestricted requests get no further line.

Test: a_log_does_not_tell_by_which_regions_a_request_was_sent; the fields and the line did not exist before.

--- a/crates/carob-dispatch/src/fleet/relays.rs
+++ b/crates/carob-dispatch/src/fleet/relays.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Failure domain that the instance at `peer` has told; `None` if it relays nothing.
+    pub fn peer_domain(&self, peer: SocketAddr) -> Option<&str> {
+        let offer = self.peers.get(&peer)?.offer.as_ref()?;
+        Some(&offer.domain)
+    }
+
     /// Whether `peer` is an instance whose process has told this random number.
     pub fn is_known_process(&self, peer: SocketAddr, boot_id: u64) -> bool {
         self.peers
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -1,6 +1,6 @@
 //! An admitted client request with everything that its handling needs.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use carob_dispatch::{
@@ -253,6 +253,46 @@
         })
     }
 
+    /// Logs by which regions the memory of a restricted request is copied to an upstream.
+    pub(super) fn log_copy_target(&self, upstream: UpstreamKey, last: bool) {
+        let regions = self.regions();
+        let fleet = self.shared.fleet();
+        let Some(found) = fleet.upstream(upstream).filter(|_| !regions.is_any()) else {
+            return;
+        };
+        let (domain, config) = (&found.entry.domain, self.shared.config_state());
+        log::info!(
+            request:% = self.id(), target:% = found.entry.id, domain:% = domain,
+            region = fleet.region(domain).unwrap_or("unknown"), regions:% = regions,
+            version = config.version, config_age_ms = config.age_ms, current = config.is_current,
+            blind = config.is_uninformed, admitted_version = self.version, last;
+            "memory of a restricted request is copied"
+        );
+    }
+
+    /// Logs by which regions a restricted request is written, and where to: to an upstream, directly or through the instance
+    /// at `peer`.
+    fn log_restricted(&self, upstream: UpstreamKey, regions: &Regions, peer: Option<SocketAddr>) {
+        if regions.is_any() {
+            return;
+        }
+        let shared = &self.shared;
+        let fleet = shared.fleet();
+        let Some(found) = fleet.upstream(upstream) else {
+            return;
+        };
+        let (domain, config) = (&found.entry.domain, shared.config_state());
+        let peer_domain = peer.and_then(|peer| fleet.peer_domain(peer));
+        let peer = peer.map_or_else(|| "none".to_owned(), |peer| peer.to_string());
+        log::info!(
+            request:% = self.id(), upstream:% = found.entry.id, domain:% = domain,
+            region = fleet.region(domain).unwrap_or("unknown"), regions:% = regions,
+            peer:% = peer, peer_domain = peer_domain.unwrap_or("none"), version = config.version,
+            config_age_ms = config.age_ms, current = config.is_current, blind = config.is_uninformed,
+            admitted_version = self.version, age_ms = self.age_ms(); "restricted request written to an upstream"
+        );
+    }
+
     /// Sends the request to the upstream of `reservation` and reads the head of its response. `repeat` is
     /// present if another upstream may have got it before. With `resume`, the upstream continues a generation.
     pub(super) async fn send(
@@ -272,7 +312,9 @@
         let connection = link::open(&self.shared, reservation.upstream, purpose, deadline).await?;
         cold::spend(self, reservation).await?;
         // A configuration or an evacuation may have come into force since.
-        self.check_destination(reservation.upstream, &self.regions())?;
+        let regions = self.regions();
+        self.check_destination(reservation.upstream, &regions)?;
+        self.log_restricted(reservation.upstream, &regions, connection.relay());
         let added = AddedHeaders {
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             upstream: &name,
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -492,7 +492,8 @@
         tokens = reservation.size.tokens, upstream_tokens = found.expected_tokens(),
         upstream_prompts = found.pending_prefill(), upstream_requests = found.total_requests(),
         saved_tokens = held.tokens, saved_age_ms = held.age.as_millis() as u64, attempts_before,
-        age_ms = call.age_ms(), version = call.version; "sent to an upstream"
+        domain:% = found.entry.domain, regions:% = call.regions(), age_ms = call.age_ms(), version = call.version;
+        "sent to an upstream"
     );
 }
 
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -232,6 +232,9 @@
         );
         return CopyOutcome::NoRoom(None);
     }
+    if target != source {
+        call.log_copy_target(target, last);
+    }
     let id = call.id().into_owned();
     let deadline = Instant::now() + limit;
     let request = engine::copy(&id, address, last);
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -53,12 +53,23 @@
 /// Upstream that a queued request was placed on, and the fleet's key of the request there.
 pub(super) type Grant = (UpstreamKey, RunKey);
 
+/// What an instance knows of its configuration, for log lines.
+pub(super) struct ConfigState {
+    pub(super) version: u64,
+    /// Milliseconds since it came into force here.
+    pub(super) age_ms: u64,
+    pub(super) is_current: bool,
+    pub(super) is_uninformed: bool,
+}
+
 /// State of the traffic thread.
 pub(super) struct Shared {
     pub(super) clock: Clock,
     settings: RefCell<Arc<Settings>>,
     /// Absent until the first configuration is known.
     table: RefCell<Option<Arc<RoutingTable>>>,
+    /// When `table` came into force here.
+    table_since: Cell<Time>,
     fleet: RefCell<Fleet>,
     /// Retry budgets by service.
     pub(super) repeats: Repeats,
@@ -144,6 +155,7 @@
             clock: Clock::new(),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
+            table_since: Cell::new(Time::ZERO),
             fleet: RefCell::new(fleet),
             repeats: Repeats::default(),
             current: Cell::new(false),
@@ -195,6 +207,16 @@
         self.table.borrow().clone()
     }
 
+    /// The configuration in force and what is known of its being the newest, for log lines.
+    pub(super) fn config_state(&self) -> ConfigState {
+        ConfigState {
+            version: self.table.borrow().as_ref().map_or(0, |table| table.version()),
+            age_ms: self.now().since(self.table_since.get()).as_millis() as u64,
+            is_current: self.is_current(),
+            is_uninformed: self.is_uninformed(),
+        }
+    }
+
     pub(super) fn fleet(&self) -> Ref<'_, Fleet> {
         self.fleet.borrow()
     }
@@ -450,6 +472,7 @@
             Update::Table(table) => {
                 cold::apply_table(self, &table);
                 *self.table.borrow_mut() = Some(table);
+                self.table_since.set(now);
             }
             Update::Entry(entry, position) => {
                 log::info!(
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -172,6 +172,40 @@
     assert_eq!((arrived(&fleet, "n"), arrived(&fleet, "u")), (0, 0));
 }
 
+/// The log did not say by which regions a request was sent, nor where to.
+#[test]
+fn a_log_does_not_tell_by_which_regions_a_request_was_sent() {
+    let fleet = Fleet::start(1);
+    let _home = fleet.start_plain_in("b", "s", WORK_TIME);
+    configure(&fleet, 1, &ROUTES, &[]);
+    let read = request("r", "GET", "/read/1").with_timeout(Duration::from_secs(2));
+    assert_eq!(fleet.send(0, &read).status, 200);
+    let sent = [
+        "\"request\":\"r\"",
+        "\"domain\":\"b\"",
+        "\"regions\":\"south\"",
+        "\"version\":1",
+    ];
+    let written = [
+        "\"region\":\"south\"",
+        "\"peer\":\"none\"",
+        "\"config_age_ms\":",
+        "\"current\":true",
+    ];
+    let is_told = |message: &str, fields: &[&str]| {
+        let lines = fleet.gateways[0].log_lines();
+        let found = lines.iter().find(|line| line.contains(message));
+        found.is_some_and(|line| fields.iter().all(|field| line.contains(field)))
+    };
+    let written = [&sent[..], &written].concat();
+    wait_until("the placement is logged", || {
+        is_told("\"sent to an upstream\"", &sent)
+    });
+    wait_until("the send is logged", || {
+        is_told("\"restricted request written to an upstream\"", &written)
+    });
+}
+
 /// A generation whose upstream leaves was copied to the target with the most memory, abroad.
 #[test]
 fn a_generation_is_moved_out_of_its_regions() {
