fix: regions of a request are looked up by its host, path and key

What callers saw: the rest of a stream, and a copy of its memory, went to an upstream in a region that neither the route nor the account permitted any more.

Cause: the regions of a request in progress were looked up under the host and name of the route that had admitted it. A longer prefix that came since was not seen, another route of that name was taken for it, and without the name or the key the regions of admission held, however often they had changed since.

Change: Residence keeps the regions of a request by route and by account, and follows each configuration by host, path and key. A request that waits starts anew when its regions change, so that one which may run nowhere any more is refused at once.

--- a/crates/carob-dispatch/src/lib.rs
+++ b/crates/carob-dispatch/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod outcome;
 pub mod position;
 pub mod regions;
+pub mod residence;
 pub mod table;
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -271,19 +271,25 @@
         self.classes.values().any(|classes| classes.len() > 1)
     }
 
-    /// Regions in which requests of a route of an earlier configuration may run now; `None` if it or the account of `key` is
-    /// not there any more.
-    pub fn present_regions(&self, earlier: &Route, key: Option<&str>) -> Option<Regions> {
-        let routes = self.hosts.get(&earlier.host)?;
-        let route = routes.iter().find(|route| route.name == earlier.name)?;
-        let account = match (&self.keys, key) {
-            (Some(keys), Some(key)) => keys.get(key),
-            _ => None,
+    /// The route of a request for `path` of `host`, with or without a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.split_once(':').map_or(host, |(name, _port)| name);
+        let routes = match self.hosts.get(host) {
+            Some(routes) => Some(routes),
+            None => self.hosts.get(host.to_ascii_lowercase().as_str()),
         };
-        if account.is_none() && self.keys.is_some() && !route.anonymous {
-            return None;
-        }
-        Some(RouteMatch { route, account }.regions())
+        routes?.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// The account that `key` belongs to.
+    pub fn account(&self, key: Option<&str>) -> Option<&Account> {
+        self.keys.as_ref()?.get(key?)
+    }
+
+    /// The account that a key with this [`key_hash`] belongs to.
+    pub fn account_by_hash(&self, hash: u64) -> Option<&Account> {
+        let mut keys = self.keys.as_ref()?.iter();
+        keys.find_map(|(key, account)| (key_hash(key) == hash).then_some(account))
     }
 
     /// Finds the route for `host`, with or without a port, and `path`, and the account that `key` belongs to.
@@ -292,18 +298,8 @@
     ///
     /// Returns a [`Denial`] if no route matches, or if the route needs a key and `key` is missing or unknown.
     pub fn lookup(&self, host: &str, path: &str, key: Option<&str>) -> Result<RouteMatch<'_>, Denial> {
-        let host = host.split_once(':').map_or(host, |(name, _port)| name);
-        let routes = match self.hosts.get(host) {
-            Some(routes) => Some(routes),
-            None => self.hosts.get(host.to_ascii_lowercase().as_str()),
-        };
-        let route = routes
-            .and_then(|routes| routes.iter().find(|route| path.starts_with(&*route.prefix)))
-            .ok_or(Denial::NoRoute)?;
-        let account = match (&self.keys, key) {
-            (Some(keys), Some(key)) => keys.get(key),
-            _ => None,
-        };
+        let route = self.route(host, path).ok_or(Denial::NoRoute)?;
+        let account = self.account(key);
         if account.is_none() && self.keys.is_some() && !route.anonymous {
             return Err(Denial::InvalidKey);
         }
@@ -311,6 +307,11 @@
     }
 }
 
+/// Hash of an API key, by which instances name it to each other.
+pub fn key_hash(key: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(key.as_bytes())
+}
+
 /// Lists the priorities that requests to each service may have: that of the route, or that of the account where it has one.
 fn priority_classes(config: &RoutingConfig) -> HashMap<Box<str>, Vec<PriorityClass>> {
     let accounts = config.accounts.as_deref().unwrap_or_default();
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -21,7 +21,7 @@
 use super::{
     body::HeldBytes,
     cold, departure, exchange,
-    guard::Reservation,
+    guard::{Reservation, ResidenceGuard},
     limit, link, prefixes,
     relay::Purpose,
     repeats::{self, Repeat},
@@ -62,8 +62,8 @@
     pub(super) prompt: crashes::Parts,
     /// Absent for plain services.
     pub(super) engine: Option<Engine>,
-    /// Regions in which the request might run when it was admitted.
-    pub(super) admitted_regions: Regions,
+    /// Regions in which the request may run.
+    pub(super) residence: ResidenceGuard,
     /// Name of the client account; absent for anonymous requests.
     pub(super) account: Option<Box<str>>,
     /// Priority in the queue; 0 goes first.
@@ -181,16 +181,9 @@
         parts
     }
 
-    /// Regions in which the request may run by the configuration in force, or by that which admitted it if its route or
-    /// account is not there any more.
+    /// Regions in which the request may run by the newest configuration that says so.
     pub(super) fn regions(&self) -> Regions {
-        let table = self
-            .shared
-            .table()
-            .filter(|table| table.version() != self.version);
-        table
-            .and_then(|table| table.present_regions(&self.route, self.head.key.as_deref()))
-            .unwrap_or_else(|| self.admitted_regions.clone())
+        self.residence.get().regions()
     }
 
     /// Requirements on an upstream for a request of `size`, other than those in `excluded` and those that are called to
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use carob_dispatch::{
-    fleet::{Cause, Decision, QueuedRequest, UpstreamHealth, UpstreamKey},
+    fleet::{Cause, Decision, QueuedRequest, Requirements, UpstreamHealth, UpstreamKey},
     head::LastEvent,
     outcome::{AttemptResult, NextAction},
     table::Route,
@@ -256,16 +256,35 @@
     }
 }
 
-/// Reserves capacity at an upstream, after waiting in the queue if all are full.
+/// Reserves capacity at an upstream, after waiting in the queue if all are full. Starts anew if the regions of the request
+/// change while it waits.
 async fn reserve(
     call: &Rc<Call>,
     tried: &[UpstreamKey],
     start: RunStart,
     active: Option<&ActiveRequest>,
 ) -> Result<Reservation, Refusal> {
-    let shared = &call.shared;
     let size = call.run_size(start.generated);
-    let requirements = admission::requirements(call, size, tried);
+    let mut requirements = admission::requirements(call, size, tried);
+    loop {
+        let reserved = reserve_once(call, requirements, (start, !tried.is_empty()), active);
+        tokio::select! {
+            biased;
+            () = call.residence.changed() => {}
+            outcome = reserved => return outcome,
+        }
+        requirements = admission::bounded_requirements(call, size, tried);
+    }
+}
+
+async fn reserve_once(
+    call: &Rc<Call>,
+    requirements: Requirements,
+    (start, is_repeat): (RunStart, bool),
+    active: Option<&ActiveRequest>,
+) -> Result<Reservation, Refusal> {
+    let shared = &call.shared;
+    let size = requirements.size;
     shutdown::check(call, active)?;
     limit::record_demand(shared, &requirements);
     if requirements.capacity > 0
@@ -277,7 +296,7 @@
     let now = shared.now();
     let longest = admission::longest_wait(call, &requirements);
     let queue_deadline = call.answer_deadline().min(start.since + longest);
-    let stay = admission::stay(call, longest, queue_deadline, !tried.is_empty());
+    let stay = admission::stay(call, longest, queue_deadline, is_repeat);
     let decision = shared
         .fleet()
         .decide(&requirements, &stay, || limit::instances(shared), now);
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -1,14 +1,23 @@
 //! RAII guards for the state of a request, whose future may be dropped at any await point.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, Ref, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use carob_base::Time;
 use carob_dispatch::{
     fleet::{RequestSize, RunKey, UpstreamKey, WaitKey, urgency},
     limits::Spent,
+    residence::Residence,
+    table::RoutingTable,
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::Instant,
 };
-use tokio::{sync::oneshot, time::Instant};
 
 use super::{
     pace::Sent,
@@ -59,6 +68,77 @@
     }
 }
 
+slotmap::new_key_type! {
+    /// Key of a [`FollowedResidence`].
+    pub(super) struct ResidenceKey;
+}
+
+/// Regions of a request, and what it is looked up by in later configurations.
+pub(super) struct FollowedResidence {
+    host: Box<str>,
+    path: Box<str>,
+    key: Option<Box<str>>,
+    residence: RefCell<Residence>,
+    /// Notified when the request may run in other regions than before.
+    changed: Notify,
+}
+
+impl FollowedResidence {
+    /// Follows the `residence` of a request for `path` of `host` with `key`.
+    pub(super) fn new((host, path): (&str, &str), key: Option<&str>, residence: Residence) -> Self {
+        Self {
+            host: host.into(),
+            path: path.into(),
+            key: key.map(Into::into),
+            residence: RefCell::new(residence),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Applies a later configuration.
+    pub(super) fn update(&self, table: &RoutingTable) {
+        let account = table.account(self.key.as_deref());
+        let mut residence = self.residence.borrow_mut();
+        if residence.update(table, (&self.host, &self.path), account) {
+            self.changed.notify_waiters();
+        }
+    }
+}
+
+/// Guard that has the regions of a request follow the configuration until the guard is dropped.
+pub(super) struct ResidenceGuard {
+    shared: Rc<Shared>,
+    key: ResidenceKey,
+    followed: Rc<FollowedResidence>,
+}
+
+impl ResidenceGuard {
+    pub(super) fn new(shared: &Rc<Shared>, followed: FollowedResidence) -> Self {
+        let followed = Rc::new(followed);
+        Self {
+            shared: Rc::clone(shared),
+            key: shared.follow_residence(Rc::clone(&followed)),
+            followed,
+        }
+    }
+
+    /// Returns once the request may run in other regions than now.
+    pub(super) fn changed(&self) -> impl Future<Output = ()> + '_ {
+        self.followed.changed.notified()
+    }
+
+    /// The regions by the newest configuration that says so.
+    pub(super) fn get(&self) -> Ref<'_, Residence> {
+        self.followed.residence.borrow()
+    }
+}
+
+impl Drop for ResidenceGuard {
+    fn drop(&mut self) {
+        self.shared.forget_residence(self.key);
+    }
+}
+
 /// Guard that counts a client connection as open until the guard is dropped.
 pub(super) struct OpenConnection(Rc<Shared>);
 
--- a/crates/carob-gateway/src/traffic/lookup.rs
+++ b/crates/carob-gateway/src/traffic/lookup.rs
@@ -7,6 +7,7 @@
     crashes::Part,
     fleet::urgency::Urgency,
     head::{Head, LastEvent},
+    residence::Residence,
     table::{Denial, Route},
 };
 use hyper::{header::HOST, http::request::Parts};
@@ -17,6 +18,7 @@
     body::HeldBytes,
     call::Call,
     exchange::{RETRY_FULL, RETRY_NO_UPSTREAM, Refusal},
+    guard::{FollowedResidence, ResidenceGuard},
     link,
     shared::Shared,
     waiting,
@@ -107,12 +109,14 @@
             found.route.target_latency,
         )
     });
+    let residence = Residence::new(&found, table.version());
+    let followed = FollowedResidence::new((host, parts.uri.path()), head.key.as_deref(), residence);
     Ok(Rc::new(Call {
         shared: Rc::clone(shared),
         prompt: prompt.collect(),
         service,
         engine,
-        admitted_regions: found.regions(),
+        residence: ResidenceGuard::new(shared, followed),
         account: found.account.map(|account| account.name.clone()),
         priority,
         urgency,
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -26,7 +26,7 @@
     cold,
     crash::{self, Break},
     evacuation,
-    guard::{Active, ActiveKey},
+    guard::{Active, ActiveKey, FollowedResidence, ResidenceKey},
     repeats::Repeats,
     waiting::Waiting,
 };
@@ -102,6 +102,8 @@
     last_probes: RefCell<SecondaryMap<UpstreamKey, Time>>,
     /// Requests that are being handled.
     active: RefCell<SlotMap<ActiveKey, Active>>,
+    /// Regions of the requests that are being handled.
+    residences: RefCell<SlotMap<ResidenceKey, Rc<FollowedResidence>>>,
     /// Bytes of bodies that are held in memory.
     body_bytes: Cell<usize>,
     /// Answers that wait for their clients.
@@ -173,6 +175,7 @@
             newcomers: RefCell::new(Vec::new()),
             last_probes: RefCell::new(SecondaryMap::new()),
             active: RefCell::new(SlotMap::with_key()),
+            residences: RefCell::new(SlotMap::with_key()),
             body_bytes: Cell::new(0),
             waiting: Waiting::default(),
             connections: Cell::new(0),
@@ -469,11 +472,7 @@
     pub(super) fn apply(&self, update: Update) {
         let now = self.now();
         match update {
-            Update::Table(table) => {
-                cold::apply_table(self, &table);
-                *self.table.borrow_mut() = Some(table);
-                self.table_since.set(now);
-            }
+            Update::Table(table) => self.apply_table(table),
             Update::Entry(entry, position) => {
                 log::info!(
                     upstream:% = entry.id, service:% = entry.service, address:% = entry.address,
@@ -540,6 +539,15 @@
         }
     }
 
+    fn apply_table(&self, table: Arc<RoutingTable>) {
+        cold::apply_table(self, &table);
+        for followed in self.residences.borrow().values() {
+            followed.update(&table);
+        }
+        *self.table.borrow_mut() = Some(table);
+        self.table_since.set(self.now());
+    }
+
     /// Returns what is notified when `upstream` starts to leave.
     pub(super) fn leaving_notice(&self, upstream: UpstreamKey) -> Rc<Notify> {
         let mut notices = self.leaving_notices.borrow_mut();
@@ -639,6 +647,15 @@
         self.notify_idle();
     }
 
+    /// Has the regions of a request follow the configuration.
+    pub(super) fn follow_residence(&self, followed: Rc<FollowedResidence>) -> ResidenceKey {
+        self.residences.borrow_mut().insert(followed)
+    }
+
+    pub(super) fn forget_residence(&self, key: ResidenceKey) {
+        self.residences.borrow_mut().remove(key);
+    }
+
     pub(super) fn connection_opened(&self) {
         self.connections.set(self.connections.get() + 1);
     }
