fix: an upstream whose address a later one has gets nothing

Found by reading. A request was written, with its body, to an upstream of another service or failure domain: an upstream that crashes stays in the directory for up to three heartbeats and more, and its address may be used again earlier. The regions were checked against the entry of the former one.

An upstream is now marked when an entry of another one at its address with a later start is applied, whichever entry comes first. While it is marked, it is neither chosen nor sent to, its own instances relay nothing to it, and calls to stop its runs end. Only an entry that it writes after the later one has left the directory takes the mark off. It does not count as leaving, so that no generation is moved away from it through calls to the later one. The marks are made when entries appear, not for each heartbeat and each choice.

Evidence: before, both new tests in eligibility.rs fail ("left: None right: Some(Leaving)"), and the test in gateway.rs finds a request "sent to an upstream" with the name of the former one. They pass now.

--- a/crates/carob-dispatch/src/fleet/directory.rs
+++ b/crates/carob-dispatch/src/fleet/directory.rs
@@ -40,7 +40,6 @@
             if stays_leaving {
                 entry.state = UpstreamState::Leaving;
             }
-            entry.sequence = entry.sequence.max(upstream.entry.sequence);
             let starts_leaving = entry.state == UpstreamState::Leaving && upstream.leaving_since.is_none();
             upstream.leaving_since = match entry.state {
                 UpstreamState::Ready => None,
@@ -49,19 +48,34 @@
             if !stays_leaving {
                 upstream.announced = entry.state == UpstreamState::Leaving;
             }
+            let is_written = entry.sequence == 0 || entry.sequence > upstream.entry.sequence;
+            entry.sequence = entry.sequence.max(upstream.entry.sequence);
             self.by_name.insert(entry.id.clone(), key);
             upstream.entry = entry;
             let replaced = listed
                 .filter(|_| is_replaced)
                 .and_then(|other| self.unlist(other, now));
+            if listed != Some(key) {
+                self.mark_taken(key);
+            }
+            if is_written && self.upstreams[key].address_taken {
+                self.upstreams[key].address_taken = self.has_successor(key, true);
+            }
             return starts_leaving.then_some(key).or(replaced);
         }
         let replaced = listed.and_then(|key| self.unlist(key, now));
+        self.add_upstream(entry, now);
+        replaced
+    }
+
+    /// Adds an upstream that was not known.
+    fn add_upstream(&mut self, entry: DirectoryEntry, now: Time) {
         let leaving_since = (entry.state == UpstreamState::Leaving).then_some(now);
         let key = self.upstreams.insert(Upstream {
             leaving_since,
             announced: leaving_since.is_some(),
             said_leaving: false,
+            address_taken: false,
             local_requests: 0,
             local_tokens: 0,
             local_prefill: 0,
@@ -81,10 +95,11 @@
         self.by_name.insert(id, key);
         let hash = self.upstream_hash(key);
         self.by_hash.insert(hash, key);
+        self.mark_taken(key);
+        self.upstreams[key].address_taken = self.has_successor(key, false);
         self.count_known_loads(key);
         self.inherit_brittle(key, now);
         self.refresh_paces(now);
-        replaced
     }
 
     /// The upstream whose incarnation, address and service an entry names, also if its entry was removed since.
@@ -103,6 +118,30 @@
         })
     }
 
+    /// Marks the upstreams that were at the address of `key` before it.
+    fn mark_taken(&mut self, key: UpstreamKey) {
+        let later = &self.upstreams[key].entry;
+        let (address, started_ms) = (later.address, later.started_ms);
+        for upstream in self.upstreams.values_mut() {
+            let former = &upstream.entry;
+            upstream.address_taken |=
+                former.address == address && former.started_ms > 0 && former.started_ms < started_ms;
+        }
+    }
+
+    /// Whether an upstream that started later is known at the address of `key`. With `listed`, only one that is in the
+    /// directory counts.
+    fn has_successor(&self, key: UpstreamKey, listed: bool) -> bool {
+        let former = &self.upstreams[key].entry;
+        former.started_ms > 0
+            && self.upstreams.iter().any(|(other, found)| {
+                let found = &found.entry;
+                found.address == former.address
+                    && found.started_ms > former.started_ms
+                    && (!listed || self.by_name.get(&found.id) == Some(&other))
+            })
+    }
+
     /// Takes a new upstream for brittle if others of its service are: it has not answered yet.
     fn inherit_brittle(&mut self, key: UpstreamKey, now: Time) {
         let service = &self.upstreams[key].entry.service;
@@ -132,13 +171,10 @@
             return false;
         };
         let entry = &upstream.entry;
-        entry.started_ms > 0
-            && self.upstreams.iter().any(|(other, found)| {
-                let found = &found.entry;
-                other != key
-                    && found.started_ms > entry.started_ms
-                    && (found.id == entry.id || found.address == entry.address)
-            })
+        let mut others = self.upstreams.values().map(|found| &found.entry);
+        upstream.address_taken
+            || (entry.started_ms > 0
+                && others.any(|other| other.id == entry.id && other.started_ms > entry.started_ms))
     }
 
     /// Names of the upstreams in the directory.
--- a/crates/carob-dispatch/src/fleet/eligibility.rs
+++ b/crates/carob-dispatch/src/fleet/eligibility.rs
@@ -97,11 +97,15 @@
     ///
     /// # Errors
     ///
-    /// Returns the [`Exclusion`] if the upstream's region or failure domain does not permit it any more.
+    /// Returns the [`Exclusion`] if the upstream's region or failure domain does not permit it any more, or if another
+    /// upstream has its address.
     pub fn check_destination(&self, key: UpstreamKey, regions: &Regions) -> Result<(), Exclusion> {
         let Some(upstream) = self.upstreams.get(key) else {
             return Err(Exclusion::Leaving);
         };
+        if upstream.address_taken {
+            return Err(Exclusion::Leaving);
+        }
         self.location_exclusion(upstream, regions).map_or(Ok(()), Err)
     }
 
@@ -130,7 +134,7 @@
     ) -> Option<Exclusion> {
         if *upstream.entry.service != *requirements.service {
             Some(Exclusion::OtherService)
-        } else if upstream.entry.state != UpstreamState::Ready {
+        } else if upstream.entry.state != UpstreamState::Ready || upstream.address_taken {
             Some(Exclusion::Leaving)
         } else if requirements.excluded.contains(&key) {
             Some(Exclusion::Tried)
--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -103,6 +103,8 @@
     pub announced: bool,
     /// Whether it has said itself that it leaves, in an answer or a report. Its entry may still say otherwise.
     said_leaving: bool,
+    /// Whether an upstream that started later is at its address, so that its process has ended.
+    address_taken: bool,
     /// Requests that this instance has running on it.
     pub local_requests: u32,
     /// Tokens that this instance's requests are expected to hold when they end.
--- a/crates/carob-dispatch/tests/eligibility.rs
+++ b/crates/carob-dispatch/tests/eligibility.rs
@@ -146,3 +146,79 @@
     let tried = requirements(&[]).with_excluded([near].into_iter().collect());
     assert_eq!(fleet.exclusion(near, &tried, NOW), Some(Exclusion::Tried));
 }
+
+/// The entry of the upstream `id`, which started at `started_ms`, at an address that others have too.
+fn shared_address(id: &str, started_ms: u64, sequence: u64) -> DirectoryEntry {
+    DirectoryEntry {
+        id: id.into(),
+        started_ms,
+        sequence,
+        service: if id == "later" { "others" } else { "engines" }.into(),
+        address: ([10, 0, 1, 1], 80).into(),
+        domain: if id == "later" { "b1" } else { "a1" }.into(),
+        slots: 24,
+        state: UpstreamState::Ready,
+        cold_left: std::time::Duration::ZERO,
+    }
+}
+
+/// A request to an upstream that crashed was written to the one that had got its address, in another region.
+#[test]
+fn a_former_upstream_gets_nothing_while_a_later_one_has_its_address() {
+    let former = |sequence| shared_address("former", 5, sequence);
+    let later = |sequence| shared_address("later", 9, sequence);
+    let unknown = |sequence| shared_address("later", 0, sequence);
+    // Entries in the order of their arrival, and whether the former upstream is usable after them.
+    let cases = [
+        (vec![former(1)], true),
+        (vec![former(1), later(1)], false),
+        (vec![later(1), former(1)], false),
+        (vec![former(1), later(1), former(2), later(2), former(3)], false),
+        (vec![former(1), unknown(1)], true),
+        (vec![unknown(1), former(1), unknown(2)], true),
+        (vec![shared_address("former", 0, 1), later(1)], true),
+        (vec![former(1), shared_address("later", 5, 1)], true),
+    ];
+    for (entries, is_usable) in cases {
+        let mut fleet = fleet();
+        for entry in entries.clone() {
+            fleet.update_entry(entry, NOW);
+        }
+        check_former(&fleet, is_usable, &entries);
+    }
+}
+
+/// An upstream whose address was lost for a time never got requests again.
+#[test]
+fn a_former_upstream_is_usable_once_it_writes_after_the_later_one_is_gone() {
+    let mut fleet = fleet();
+    let mut apply = |entry: Option<DirectoryEntry>, is_usable| {
+        match entry {
+            Some(entry) => fleet.update_entry(entry, NOW),
+            None => fleet.remove_entry("later", NOW),
+        };
+        check_former(&fleet, is_usable, &[]);
+    };
+    apply(Some(shared_address("former", 5, 1)), true);
+    apply(Some(shared_address("later", 9, 1)), false);
+    apply(None, false);
+    apply(Some(shared_address("former", 5, 1)), false);
+    apply(Some(shared_address("former", 5, 2)), true);
+    apply(Some(shared_address("later", 9, 2)), false);
+    apply(Some(shared_address("former", 5, 3)), false);
+}
+
+fn check_former(fleet: &Fleet, is_usable: bool, entries: &[DirectoryEntry]) {
+    let mut upstreams = fleet.upstreams();
+    let found = upstreams.find(|(_, upstream)| *upstream.entry.id == *"former");
+    let key = found.expect("its entry was applied").0;
+    let expected = (!is_usable).then_some(Exclusion::Leaving);
+    let any = Regions::default();
+    assert_eq!(fleet.check_destination(key, &any).err(), expected, "{entries:?}");
+    assert_eq!(
+        fleet.exclusion(key, &requirements(&[]), NOW),
+        expected,
+        "{entries:?}"
+    );
+    assert_eq!(fleet.has_ended(key), !is_usable, "{entries:?}");
+}
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -352,7 +352,7 @@
         let Some(found) = fleet.upstream(upstream) else {
             return Err(RelayState::Stranger);
         };
-        if found.leaving_since.is_some() {
+        if found.leaving_since.is_some() || fleet.has_ended(upstream) {
             return Err(RelayState::Leaving);
         }
         if fleet.is_evacuated(upstream) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -363,6 +363,10 @@
         assert_eq!(fleet.send(0, &request(&id, "POST", "/order/1")).status, 200);
         assert_eq!(fleet.ledger.run_count(&id), 1);
     }
+    let lines = fleet.gateways[0].log_lines();
+    let is_sent_there =
+        |line: &String| line.contains("sent to an upstream") && line.contains("\"upstream\":\"former\"");
+    assert_eq!(lines.iter().find(|line| is_sent_there(line)), None);
 }
 
 /// Two clients leave at the same time: one whose request runs, and one whose request is granted its place.
