fix: the host in a request's target goes before its header

A request whose target names its host (GET http://host/path) got the route, and with it the regions, of its Host header, and was forwarded with that target: one that names a restricted route ran where the other host's route permits. Of several Host headers the first one was taken, while an upstream may take another. By RFC 9112 the target's host goes first, and several are answered 400.

Requests of other forms are handled as before: hosts in capitals or with a port match, those with a dot at the end or in brackets match no route, and paths are taken literally.

--- a/crates/carob-gateway/src/traffic/lookup.rs
+++ b/crates/carob-gateway/src/traffic/lookup.rs
@@ -10,7 +10,11 @@
     residence::Residence,
     table::{Denial, Route},
 };
-use hyper::{header::HOST, http::request::Parts};
+use hyper::{
+    Uri,
+    header::{HOST, HeaderValue},
+    http::request::Parts,
+};
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
@@ -54,11 +58,26 @@
     }
 }
 
+/// Returns the host of a request, empty if there is none. That of its target goes before the header, which is forwarded as if
+/// it had named it.
+fn request_host(parts: &mut Parts) -> Result<Box<str>, Refusal> {
+    if parts.headers.get_all(HOST).iter().nth(1).is_some() {
+        return Err((LocalAnswer::Denied(400), "expected one host, found several"));
+    }
+    if let (Some(host), Some(path)) = (parts.uri.host(), parts.uri.path_and_query()) {
+        let host = HeaderValue::from_str(host).map_err(|_error| (LocalAnswer::Denied(400), "no host"))?;
+        parts.headers.insert(HOST, host);
+        parts.uri = Uri::from(path.clone());
+    }
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    Ok(host.unwrap_or_default().into())
+}
+
 /// Checks a request against the configuration and looks up its route, service and client account. `pick` chooses among the
 /// services of the route.
 pub(super) fn admit(
     shared: &Rc<Shared>,
-    (head, parts): (Head, Parts),
+    (head, mut parts): (Head, Parts),
     (body, held): (Bytes, HeldBytes),
     (arrival, client_deadline): (Instant, Instant),
     pick: impl FnOnce(&Route) -> Option<Box<str>>,
@@ -72,12 +91,8 @@
     if head.id.is_empty() {
         return Err((LocalAnswer::Denied(400), "no id"));
     }
-    let host = parts
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or_default();
-    let found = match table.lookup(host, parts.uri.path(), head.key.as_deref()) {
+    let host = request_host(&mut parts)?;
+    let found = match table.lookup(&host, parts.uri.path(), head.key.as_deref()) {
         Ok(found) => found,
         // A newer configuration may contain the route or the key.
         Err(_) if !shared.is_current() => {
@@ -110,7 +125,7 @@
         )
     });
     let residence = Residence::new(&found, table.version());
-    let followed = FollowedResidence::new((host, parts.uri.path()), head.key.as_deref(), residence);
+    let followed = FollowedResidence::new((&host, parts.uri.path()), head.key.as_deref(), residence);
     Ok(Rc::new(Call {
         shared: Rc::clone(shared),
         prompt: prompt.collect(),
