fix: the instance that relays is checked once more before the body

What callers saw: a request whose upstream was reached through another instance passed through a region that its route or account had ceased to permit.

Cause: the region of that instance was checked when it was chosen. It has half a second to reply, and a cold upstream's permit is awaited after that; a configuration that came into force meanwhile was applied to the upstream alone.

Why it works: the check is made after the last wait before the request is written. Nothing was sent yet, so that the request is answered by 503 truthfully, or goes elsewhere. An instance whose failure domain is not known is in no region.

--- a/crates/carob-dispatch/src/fleet/relays.rs
+++ b/crates/carob-dispatch/src/fleet/relays.rs
@@ -5,7 +5,7 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Fleet, peers::Peer};
+use super::{Exclusion, Fleet, peers::Peer};
 use crate::regions::Regions;
 
 /// Age of an instance's last message up to which it is chosen: two of its messages were missed.
@@ -57,12 +57,6 @@
         }
     }
 
-    /// Failure domain that the instance at `peer` has told; `None` if it relays nothing.
-    pub fn peer_domain(&self, peer: SocketAddr) -> Option<&str> {
-        let offer = self.peers.get(&peer)?.offer.as_ref()?;
-        Some(&offer.domain)
-    }
-
     /// Whether `peer` is an instance whose process has told this random number.
     pub fn is_known_process(&self, peer: SocketAddr, boot_id: u64) -> bool {
         self.peers
@@ -102,6 +96,26 @@
         })
     }
 
+    /// Failure domain of the instance at `peer`, as that offers to relay; `None` if it is not known.
+    pub fn relay_domain(&self, peer: SocketAddr) -> Option<&str> {
+        let offer = self.peers.get(&peer)?.offer.as_ref()?;
+        Some(&*offer.domain)
+    }
+
+    /// Checks that a request restricted to `regions` may still pass through the instance at `peer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Exclusion::Region`] if that is in another region, or if it is not known where it is.
+    pub fn check_relay(&self, peer: SocketAddr, regions: &Regions) -> Result<(), Exclusion> {
+        let region = self.relay_domain(peer).and_then(|domain| self.region(domain));
+        if regions.permits(region) {
+            Ok(())
+        } else {
+            Err(Exclusion::Region)
+        }
+    }
+
     fn relay_cost(&self, domain: &str) -> f64 {
         let regions = &self.topology.regions;
         if *domain == *self.topology.domain {
--- a/crates/carob-dispatch/tests/eligibility.rs
+++ b/crates/carob-dispatch/tests/eligibility.rs
@@ -5,8 +5,8 @@
 use carob_base::Time;
 use carob_dispatch::{
     fleet::{
-        DirectoryEntry, Exclusion, Fleet, Placement, RequestSize, Requirements, Topology, UpstreamKey,
-        UpstreamState,
+        DirectoryEntry, Exclusion, Fleet, MessageStamp, Placement, RelayOffer, RequestSize, Requirements,
+        Topology, UpstreamKey, UpstreamState,
     },
     regions::Regions,
 };
@@ -222,3 +222,32 @@
     );
     assert_eq!(fleet.has_ended(key), !is_usable, "{entries:?}");
 }
+
+/// Guards against bodies that pass through an instance in another region, or in one that is not known any more.
+#[test]
+fn an_instance_relays_only_where_the_request_may_be() {
+    let mut fleet = fleet();
+    let peers = [Some("a2"), Some("b1"), Some("c1"), None];
+    let addresses = [1, 2, 3, 4].map(|number| ([10, 0, 1, number], 80).into());
+    let stamp = MessageStamp {
+        boot_id: 1,
+        number: 1,
+    };
+    for (peer, domain) in addresses.into_iter().zip(peers) {
+        fleet.apply_peer_loads(peer, stamp, Vec::new(), true, NOW);
+        let offer = domain.map(|domain| RelayOffer {
+            domain: domain.into(),
+            cut: smallvec::SmallVec::new(),
+        });
+        fleet.set_relay_offer(peer, offer);
+    }
+    let permitted = |fleet: &Fleet, names: &[&str]| {
+        let regions = requirements(names).regions;
+        addresses.map(|peer| fleet.check_relay(peer, &regions).is_ok())
+    };
+    assert_eq!(permitted(&fleet, &["a"]), [true, false, false, false]);
+    assert_eq!(permitted(&fleet, &["b"]), [false, true, false, false]);
+    assert_eq!(permitted(&fleet, &[]), [true; 4]);
+    fleet.set_relay_offer(addresses[0], None);
+    assert_eq!(permitted(&fleet, &["a"]), [false; 4]);
+}
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -275,7 +275,7 @@
             return;
         };
         let (domain, config) = (&found.entry.domain, shared.config_state());
-        let peer_domain = peer.and_then(|peer| fleet.peer_domain(peer));
+        let peer_domain = peer.and_then(|peer| fleet.relay_domain(peer));
         let peer = peer.map_or_else(|| "none".to_owned(), |peer| peer.to_string());
         log::info!(
             request:% = self.id(), upstream:% = found.entry.id, domain:% = domain,
@@ -286,6 +286,19 @@
         );
     }
 
+    /// Checks that the request may still pass through the instance at `relay`, which was chosen for it.
+    fn check_relay(&self, relay: SocketAddr, regions: &Regions) -> Result<(), socket::Error> {
+        let checked = self.shared.fleet().check_relay(relay, regions);
+        checked.map_err(|exclusion| {
+            log::info!(
+                request:% = self.id(), peer:% = relay, exclusion = exclusion.name(), regions:% = regions;
+                "request not sent: the instance that relays is not permitted any more"
+            );
+            metrics::counter!("carobhaven_destinations_rejected_total", "reason" => "relay").increment(1);
+            socket::Error::Excluded(exclusion)
+        })
+    }
+
     /// Sends the request to the upstream of `reservation` and reads the head of its response. `repeat` is
     /// present if another upstream may have got it before. With `resume`, the upstream continues a generation.
     pub(super) async fn send(
@@ -307,6 +320,9 @@
         // A configuration or an evacuation may have come into force since.
         let regions = self.regions();
         self.check_destination(reservation.upstream, &regions)?;
+        if let Some(relay) = connection.relay() {
+            self.check_relay(relay, &regions)?;
+        }
         self.log_restricted(reservation.upstream, &regions, connection.relay());
         let added = AddedHeaders {
             time_left: self.deadline.saturating_duration_since(Instant::now()),
