fix: an instance relays by the newer of two configurations

What callers saw: requests reached upstreams outside their regions through an instance that knew better, while the one that had the request followed an earlier configuration.

Cause: the question for a connection named the upstream alone. The instance that relays could tell neither which request it is nor by which configuration its regions were decided, and connected to anything.

Evidence: two gateways with stores of their own, so that one stays at version 1 and the other at version 2. The request ran where version 2 forbids it, by its route and by its account: expected (503, 0), found (200, 1) for status and runs, with the check taken out. With it all five requests of each case are refused after one question.

Why it works: the question says what the sender knows, and the instance that relays applies its own configuration if that is newer, before it connects and again after. It answers `region` with the regions by which it decided. The sender keeps to them, asks no further instance and opens no direct connection. Earlier builds send nothing of this and are served as before; they read the answer as one that says nothing. The key is not sent, only its hash.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -44,7 +44,7 @@
 pub use peers::{MessageStamp, PeerLoad};
 pub use place::{Placement, Requirements, Score, UpstreamHealth};
 pub use prefixes::{HeldPrefix, PrefixReport};
-pub use relays::{Relay, RelayOffer, service_hash};
+pub use relays::{Relay, RelayOffer, RelayedRequest, service_hash};
 pub use waiting::{Assignment, QueuedRequest};
 
 slotmap::new_key_type! {
--- a/crates/carob-dispatch/src/fleet/relays.rs
+++ b/crates/carob-dispatch/src/fleet/relays.rs
@@ -5,8 +5,8 @@
 use carob_base::Time;
 use smallvec::SmallVec;
 
-use super::{Exclusion, Fleet, peers::Peer};
-use crate::regions::Regions;
+use super::{Exclusion, Fleet, UpstreamKey, peers::Peer};
+use crate::{regions::Regions, residence::Residence, table::RoutingTable};
 
 /// Age of an instance's last message up to which it is chosen: two of its messages were missed.
 const HEARD_TIME: Duration = Duration::from_millis(2_200);
@@ -18,6 +18,18 @@
 const REGION_COST: f64 = 16.0;
 
 carob_base::value! {
+    /// What an instance that asks for a connection says of the request, or of the generation that it calls about.
+    pub struct RelayedRequest {
+        /// Where it may run by the configuration of that instance.
+        pub residence: Residence,
+        /// Host that it names.
+        pub host: Box<str>,
+        /// Its path.
+        pub path: Box<str>,
+        /// [`key_hash`](crate::table::key_hash) of its key; absent without one.
+        pub key_hash: Option<u64>,
+    }
+
     /// What an instance says about relaying connections for others.
     pub struct RelayOffer {
         /// Its failure domain.
@@ -42,6 +54,18 @@
     xxhash_rust::xxh3::xxh3_64(service.as_bytes())
 }
 
+impl RelayedRequest {
+    /// Where it may run by the configuration of the instance that asks, or by `table` if that is newer.
+    pub fn residence(&self, table: Option<&RoutingTable>) -> Residence {
+        let mut residence = self.residence.clone();
+        if let Some(table) = table {
+            let account = self.key_hash.and_then(|hash| table.account_by_hash(hash));
+            residence.update(table, (&self.host, &self.path), account);
+        }
+        residence
+    }
+}
+
 impl Fleet {
     /// Records what the instance at `peer` says about relaying; `None` if it relays nothing.
     pub fn set_relay_offer(&mut self, peer: SocketAddr, offer: Option<RelayOffer>) {
@@ -116,6 +140,20 @@
         }
     }
 
+    /// Checks that a request restricted to `regions` may pass through this instance to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Exclusion`] if the upstream's location or this instance's region does not permit it.
+    pub fn check_passage(&self, key: UpstreamKey, regions: &Regions) -> Result<(), Exclusion> {
+        self.check_destination(key, regions)?;
+        if regions.permits(self.region(&self.topology.domain)) {
+            Ok(())
+        } else {
+            Err(Exclusion::Region)
+        }
+    }
+
     fn relay_cost(&self, domain: &str) -> f64 {
         let regions = &self.topology.regions;
         if *domain == *self.topology.domain {
--- a/crates/carob-dispatch/src/regions.rs
+++ b/crates/carob-dispatch/src/regions.rs
@@ -17,6 +17,16 @@
         Self((!names.is_empty()).then(|| names.into()))
     }
 
+    /// Exactly these regions; an empty list permits none.
+    pub fn only(names: impl IntoIterator<Item = Box<str>>) -> Self {
+        Self(Some(names.into_iter().collect()))
+    }
+
+    /// The permitted regions; `None` if all are.
+    pub fn names(&self) -> Option<&[Box<str>]> {
+        self.0.as_deref()
+    }
+
     /// Whether all regions are permitted, also unknown ones.
     pub const fn is_any(&self) -> bool {
         self.0.is_none()
--- a/crates/carob-dispatch/tests/eligibility.rs
+++ b/crates/carob-dispatch/tests/eligibility.rs
@@ -251,3 +251,25 @@
     fleet.set_relay_offer(addresses[0], None);
     assert_eq!(permitted(&fleet, &["a"]), [false; 4]);
 }
+
+/// Guards against a connection that is relayed to an upstream, or through an instance, in another region.
+#[test]
+fn an_instance_relays_only_to_and_from_where_the_request_may_be() {
+    let fleet = fleet();
+    let keys: Vec<_> = fleet.upstreams().map(|(key, _)| key).collect();
+    let permitted = |names: &[&str]| {
+        let regions = requirements(names).regions;
+        let permitted = keys
+            .iter()
+            .filter(|key| fleet.check_passage(**key, &regions).is_ok());
+        let mut domains: Vec<_> = permitted.map(|key| domain(&fleet, *key)).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains
+    };
+    assert_eq!(permitted(&[]), ["a1", "a2", "b1", "c1"]);
+    assert_eq!(permitted(&["a"]), ["a1", "a2"]);
+    assert_eq!(permitted(&["a", "b"]), ["a1", "a2", "b1"]);
+    // This instance is in `a`.
+    assert!(permitted(&["b"]).is_empty());
+}
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`evacuations`]: failure domains that are out of service.
 //! * [`Lag`]: how long the copy has been behind those of other instances.
 //! * [`memory`]: how much of answers waits for clients, and which slow readers are cut off.
+//! * [`relaying`]: how an instance asks another one for a connection to an upstream.
 //! * [`events`]: splits a byte stream into complete server-sent events.
 
 mod control;
@@ -29,6 +30,7 @@
 mod question;
 pub mod reach;
 mod relayed;
+pub mod relaying;
 mod run;
 mod settings;
 mod signals;
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -18,6 +18,8 @@
 
 pub(crate) use cold::{Cold, ColdPermits, ColdWant};
 
+use crate::relaying::RelayRequest;
+
 /// Maximum length of a frame in bytes: enough for a configuration of the store's maximum value size and the
 /// whole directory.
 pub(crate) const MAX_FRAME_LENGTH: usize = 4 << 20;
@@ -217,75 +219,6 @@
     pub left_ms: u64,
 }
 
-/// Asks the receiver to connect to an upstream and to forward bytes.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub(crate) struct RelayRequest {
-    /// Address under which the sender is registered.
-    #[prost(string, tag = "1")]
-    pub sender: String,
-    /// The sender's random number, which only instances know that it announces itself to.
-    #[prost(fixed64, tag = "2")]
-    pub boot_id: u64,
-    /// Stable hash that identifies the upstream and its incarnation.
-    #[prost(fixed64, tag = "3")]
-    pub upstream_hash: u64,
-    /// Id of the client's request; empty if there is none.
-    #[prost(bytes = "bytes", tag = "4")]
-    pub request: bytes::Bytes,
-    /// Whether the connection is for a call about the upstream and not for a client's request.
-    #[prost(bool, tag = "5")]
-    pub is_control: bool,
-}
-
-/// Answers a [`RelayRequest`]; after [`RelayState::Open`] the connection is the upstream's.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub(crate) struct RelayReply {
-    // Other numbers than those of `Content`, which an instance that does not relay sends.
-    #[prost(enumeration = "RelayState", tag = "15")]
-    pub state: i32,
-}
-
-/// What became of a [`RelayRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
-#[repr(i32)]
-pub(crate) enum RelayState {
-    /// The receiver does not know.
-    Unknown = 0,
-    /// The upstream is connected.
-    Open = 1,
-    /// The upstream cannot be reached.
-    Unreachable = 2,
-    /// The upstream has asked the receiver for a pause.
-    Paused = 3,
-    /// The upstream leaves.
-    Leaving = 4,
-    /// The receiver relays as many connections as it may.
-    Full = 5,
-    /// The receiver shuts down.
-    Closing = 6,
-    /// The receiver does not know the sender or the upstream.
-    Stranger = 7,
-    /// The upstream's failure domain is out of service.
-    Evacuated = 8,
-}
-
-impl RelayState {
-    /// Name in metrics and log lines.
-    pub(crate) const fn name(self) -> &'static str {
-        match self {
-            Self::Unknown => "unknown",
-            Self::Open => "open",
-            Self::Unreachable => "unreachable",
-            Self::Paused => "paused",
-            Self::Leaving => "leaving",
-            Self::Full => "full",
-            Self::Closing => "closing",
-            Self::Stranger => "stranger",
-            Self::Evacuated => "evacuated",
-        }
-    }
-}
-
 /// What an upstream said of its limit.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub(crate) struct Limit {
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -309,11 +309,10 @@
         deadline: Instant,
     ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
         let name = exchange::upstream_name(self, reservation.upstream);
-        let regions = self.regions();
-        self.check_destination(reservation.upstream, &regions)?;
+        self.check_destination(reservation.upstream, &self.regions())?;
         let purpose = Purpose::Request {
             id: &self.head.id,
-            regions: &regions,
+            residence: self.residence.followed(),
         };
         let connection = link::open(&self.shared, reservation.upstream, purpose, deadline).await?;
         cold::spend(self, reservation).await?;
--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -9,10 +9,11 @@
 use bytes::Bytes;
 use carob_base::Time;
 use carob_dispatch::{
-    fleet::{RequestSize, RunKey, UpstreamKey, WaitKey, urgency},
+    fleet::{RelayedRequest, RequestSize, RunKey, UpstreamKey, WaitKey, urgency},
     limits::Spent,
+    regions::Regions,
     residence::Residence,
-    table::RoutingTable,
+    table::{self, RoutingTable},
 };
 use tokio::{
     sync::{Notify, oneshot},
@@ -95,6 +96,11 @@
         }
     }
 
+    /// The regions by the newest configuration that says so.
+    pub(super) fn regions(&self) -> Regions {
+        self.residence.borrow().regions()
+    }
+
     /// Applies a later configuration.
     pub(super) fn update(&self, table: &RoutingTable) {
         let account = table.account(self.key.as_deref());
@@ -103,6 +109,28 @@
             self.changed.notify_waiters();
         }
     }
+
+    /// Takes over where the request may run by the configuration of another instance, if that is newer.
+    pub(super) fn learn(&self, told: Residence) {
+        let mut residence = self.residence.borrow_mut();
+        if told.version() <= residence.version() {
+            return;
+        }
+        let before = std::mem::replace(&mut *residence, told);
+        if residence.regions() != before.regions() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// What another instance is told that relays a connection.
+    pub(super) fn describe(&self) -> RelayedRequest {
+        RelayedRequest {
+            residence: self.residence.borrow().clone(),
+            host: self.host.clone(),
+            path: self.path.clone(),
+            key_hash: self.key.as_deref().map(table::key_hash),
+        }
+    }
 }
 
 /// Guard that has the regions of a request follow the configuration until the guard is dropped.
@@ -127,6 +155,11 @@
         self.followed.changed.notified()
     }
 
+    /// The regions, and what the request is looked up by.
+    pub(super) fn followed(&self) -> &FollowedResidence {
+        &self.followed
+    }
+
     /// The regions by the newest configuration that says so.
     pub(super) fn get(&self) -> Ref<'_, Residence> {
         self.followed.residence.borrow()
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -155,7 +155,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`socket::Error::Connect`] if no connection comes about by `deadline`.
+/// Returns [`socket::Error::Connect`] if no connection comes about by `deadline`, and [`socket::Error::Excluded`] if another
+/// instance knows that the request may not run there; a direct connection is not tried then.
 pub(super) async fn open(
     shared: &Rc<Shared>,
     upstream: UpstreamKey,
@@ -182,7 +183,8 @@
     if shared.fleet().is_link_lost(upstream) {
         let relayed = relay::open(shared, upstream, purpose, deadline).await;
         let may_answer = shared.fleet().is_link_silent(upstream) || !shared.fleet().hears_peers(shared.now());
-        if relayed.is_ok() || !may_answer {
+        let is_excluded = matches!(relayed, Err(socket::Error::Excluded(_)));
+        if relayed.is_ok() || is_excluded || !may_answer {
             return relayed;
         }
         return direct().await;
@@ -200,7 +202,7 @@
 }
 
 /// Opens a connection to an upstream whose link is lost and not probed: directly or as a `relayed` one, whichever comes
-/// about.
+/// about. Neither does if the upstream is excluded.
 async fn open_either<D: Future<Output = Result<Connection, socket::Error>>>(
     direct: impl Fn() -> D,
     relayed: impl Future<Output = Result<Connection, socket::Error>>,
@@ -221,7 +223,7 @@
     tokio::select! {
         biased;
         Ok(connection) = tries => Ok(connection),
-        Ok(connection) = relayed => Ok(connection),
+        outcome @ (Ok(_) | Err(socket::Error::Excluded(_))) = relayed => outcome,
         else => Err(socket::Error::Connect("neither directly nor through another instance".to_owned())),
     }
 }
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -4,13 +4,19 @@
 //! that connection. The other instance forwards bytes and decides nothing, so that deadlines, attempts, permits and
 //! streams are the business of one instance, as on a direct connection. It only reads from the head of the answer whether
 //! the upstream leaves, since it is bound by that too. It connects itself: what is relayed is never relayed again.
+//!
+//! Either instance may have the newer configuration. The one that asks says by which it decided where the request may run; the
+//! other one applies its own if that is newer, and connects nothing that it does not permit.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use carob_dispatch::{
-    fleet::{LinkFailure, Relay, RelayOffer, RequestSize, UpstreamKey, service_hash},
+    fleet::{
+        Exclusion, LinkFailure, Relay, RelayOffer, RelayedRequest, RequestSize, UpstreamKey, service_hash,
+    },
     migration::STOP_INTERVAL,
     regions::Regions,
+    residence,
 };
 use carob_platform::answer::{self, HeadScan};
 use prost::Message;
@@ -25,14 +31,15 @@
 use super::{
     call::CONNECT_TIMEOUT,
     departure,
-    guard::{ActiveRequest, Reservation},
+    guard::{ActiveRequest, FollowedResidence, Reservation},
     link,
     shared::Shared,
 };
 use crate::{
     overhead::MAX_HEAD,
-    peer::{self, ContentRequest, RelayReply, RelayRequest, RelayState},
+    peer::{self, ContentRequest},
     relayed::LENGTH_BYTES,
+    relaying::{RelayReply, RelayRequest, RelayState, Residence},
     socket::{self, Connection, Error, set_tcp_options},
     update::RelayedConnection,
 };
@@ -71,8 +78,8 @@
     Request {
         /// Its id.
         id: &'a [u8],
-        /// Regions in which it may run, and through which it may pass.
-        regions: &'a Regions,
+        /// Where it may run, and through which regions it may pass.
+        residence: &'a FollowedResidence,
     },
     /// A report, a copy of memory, or the question whether the upstream lives.
     Control,
@@ -118,7 +125,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Connect`] if no instance connects to the upstream by `deadline`.
+/// Returns [`Error::Connect`] if no instance connects to the upstream by `deadline`, and [`Error::Excluded`] if one that is
+/// asked says that the request may not run there, or not pass through it.
 pub(super) async fn open(
     shared: &Rc<Shared>,
     upstream: UpstreamKey,
@@ -132,16 +140,11 @@
     else {
         return Err(Error::Connect("the upstream is forgotten".to_owned()));
     };
-    let any = Regions::any();
-    let regions = match purpose {
-        Purpose::Request { regions, .. } => regions,
-        Purpose::Control => &any,
-    };
     let deadline = deadline.min(Instant::now() + RELAY_TIMEOUT);
     let mut asked: SmallVec<[SocketAddr; 4]> = SmallVec::new();
     let mut reason = "no instance reaches an upstream of the service".to_owned();
     while asked.len() < MAX_RELAYS && Instant::now() < deadline {
-        let Some(relay) = choose(shared, &service, regions, &asked) else {
+        let Some(relay) = choose(shared, &service, &purpose.regions(), &asked) else {
             break;
         };
         asked.push(relay.peer);
@@ -152,12 +155,15 @@
             .await
             .unwrap_or_else(|_elapsed| Err("no reply in time".to_owned()));
         let state = match outcome {
-            Ok((RelayState::Open, stream)) => {
+            Ok((reply, stream)) if reply.state() == RelayState::Open => {
                 count("out", "open");
                 log_relayed(shared, purpose, &name, upstream, relay, started);
                 return Connection::relayed(stream, relay.peer, counted).await;
             }
-            Ok((state, _)) => state,
+            Ok((reply, _)) => {
+                purpose.learn(&reply);
+                reply.state()
+            }
             Err(error) => {
                 reason = format!("instance {} does not relay: {error}", relay.peer);
                 avoid(shared, relay.peer, SILENT_PAUSE);
@@ -170,6 +176,8 @@
             took_ms = started.elapsed().as_millis() as u64; "connection not relayed by another instance"
         );
         match state {
+            // The others would connect it by an earlier configuration.
+            RelayState::Region => return Err(Error::Excluded(Exclusion::Region)),
             RelayState::Full | RelayState::Closing => avoid(shared, relay.peer, FULL_PAUSE),
             RelayState::Unreachable => {
                 reason = format!("instance {} does not reach the upstream either", relay.peer);
@@ -180,6 +188,39 @@
     Err(Error::Connect(reason))
 }
 
+impl Purpose<'_> {
+    /// Regions through which the connection may pass.
+    fn regions(self) -> Regions {
+        match self {
+            Self::Request { residence, .. } => residence.regions(),
+            Self::Control => Regions::any(),
+        }
+    }
+
+    /// What the instance that relays is told.
+    fn describe(self) -> RelayRequest {
+        match self {
+            Self::Request { id, residence } => RelayRequest {
+                request: id.to_vec().into(),
+                ..RelayRequest::default()
+            }
+            .with_request(&residence.describe()),
+            Self::Control => RelayRequest {
+                is_control: true,
+                ..RelayRequest::default()
+            },
+        }
+    }
+
+    /// Takes over what the instance that was asked says of a newer configuration.
+    fn learn(self, reply: &RelayReply) {
+        let told = reply.residence.as_ref().and_then(Residence::decode);
+        if let (Self::Request { residence, .. }, Some(told)) = (self, told) {
+            residence.learn(told);
+        }
+    }
+}
+
 fn log_relayed(
     shared: &Shared,
     purpose: Purpose<'_>,
@@ -215,7 +256,7 @@
     peer: SocketAddr,
     upstream_hash: u64,
     purpose: Purpose<'_>,
-) -> Result<(RelayState, TcpStream), String> {
+) -> Result<(RelayReply, TcpStream), String> {
     let mut stream = TcpStream::connect(peer)
         .await
         .map_err(|error| error.to_string())?;
@@ -229,11 +270,7 @@
             sender: shared.settings().peer_address.to_string(),
             boot_id: shared.boot_id(),
             upstream_hash,
-            request: match purpose {
-                Purpose::Request { id, .. } => id.to_vec().into(),
-                Purpose::Control => bytes::Bytes::new(),
-            },
-            is_control: matches!(purpose, Purpose::Control),
+            ..purpose.describe()
         }),
     };
     write_frame(&mut stream, &request.encode_to_vec())
@@ -251,7 +288,7 @@
         .await
         .map_err(|error| error.to_string())?;
     let reply = RelayReply::decode(&bytes[..]).map_err(|error| error.to_string())?;
-    Ok((reply.state(), stream))
+    Ok((reply, stream))
 }
 
 async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
@@ -298,6 +335,13 @@
     count("in", state.name());
     let mut reply = RelayReply::default();
     reply.set_state(state);
+    if state == RelayState::Region {
+        reply.residence = request
+            .request()
+            .map(|asked| residence(&shared, &asked))
+            .as_ref()
+            .map(Residence::from);
+    }
     let is_told = write_frame(&mut near, &reply.encode_to_vec()).await.is_ok();
     log::info!(
         request:% = String::from_utf8_lossy(&request.request), peer:% = request.sender,
@@ -325,6 +369,25 @@
     (!is_control && !shared.is_engine(&service)).then(|| Reservation::without_permit(shared, upstream, size))
 }
 
+/// Where a request of another instance may run, by the newer one of its configuration and this instance's.
+fn residence(shared: &Shared, asked: &RelayedRequest) -> residence::Residence {
+    asked.residence(shared.table().as_deref())
+}
+
+/// Checks that a request of another instance may pass through this one to an upstream.
+fn check_regions(shared: &Shared, request: &RelayRequest, upstream: UpstreamKey) -> Result<(), RelayState> {
+    let Some(asked) = request.request() else {
+        return Ok(());
+    };
+    let regions = residence(shared, &asked).regions();
+    let checked = shared.fleet().check_passage(upstream, &regions);
+    checked.map_err(|exclusion| match exclusion {
+        Exclusion::Region => RelayState::Region,
+        Exclusion::Evacuated => RelayState::Evacuated,
+        _ => RelayState::Stranger,
+    })
+}
+
 /// Connects to the upstream that another instance asks for.
 async fn connect(
     shared: &Rc<Shared>,
@@ -346,6 +409,7 @@
         .fleet()
         .find_hash(request.upstream_hash)
         .ok_or(RelayState::Stranger)?;
+    check_regions(shared, request, upstream)?;
     if !request.is_control {
         let now = shared.now();
         let fleet = shared.fleet();
@@ -379,6 +443,8 @@
     shared.fleet_mut().end_call(upstream, retry_at);
     match outcome {
         Ok(Ok(far)) => {
+            // A configuration may have come into force since.
+            check_regions(shared, request, upstream)?;
             set_tcp_options(&far);
             Ok((far, upstream))
         }
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -7,8 +7,9 @@
 use crate::{
     Settings,
     era::{Position, Span},
-    peer::{Item, RelayRequest},
+    peer::Item,
     question::Question,
+    relaying::RelayRequest,
     signals::ShutdownSignal,
 };
 
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -306,7 +306,7 @@
     }
 
     /// Names another failure domain than [`DOMAIN`] in the settings file.
-    fn place(&self, domain: &str) {
+    pub fn place(&self, domain: &str) {
         let path = self.settings_path();
         let text = fs::read_to_string(&path).expect("it was written");
         let text = text.replace(&format!("domain = {DOMAIN}\n"), &format!("domain = {domain}\n"));
--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -5,11 +5,11 @@
 use std::{thread, time::Duration};
 
 use carob_platform_standin::{
-    Link, Upstream,
+    Link, Outage, Store, Upstream,
     client::{self, Request},
     config::{self, Route},
 };
-use fleet::{CLIENT_KEY, Fleet, request, wait_until};
+use fleet::{CLIENT_KEY, Fleet, Gateway, request, wait_until};
 
 const WORK_TIME: Duration = Duration::from_millis(2);
 const SOUTH: &[&str] = &["south"];
@@ -18,7 +18,7 @@
 const ROUTES: [Route; 3] = [
     Route::new("/read/", "safe", "plain"),
     Route::new("/draft/", "streaming", "engines"),
-    Route::new("/free/", "safe", "plain"),
+    Route::new("/free/", "safe", "plain").with_anonymous(),
 ];
 
 fn restricted_routes() -> [Route; 3] {
@@ -34,7 +34,7 @@
 fn cut(fleet: &Fleet, upstream: &Upstream) {
     let is_served = |gateway: usize| {
         let id = format!("f{gateway}-{}", fleet.ledger.arrivals().len());
-        let free = request(&id, "GET", "/free/1").with_timeout(Duration::from_secs(1));
+        let free = Request::new(&id, "GET", "/free/1").with_timeout(Duration::from_secs(1));
         fleet.send(gateway, &free).status == 200
     };
     for gateway in 0..2 {
@@ -88,3 +88,72 @@
         || fleet.gateways[0].logged(not_sent),
     );
 }
+
+/// Starts a gateway in `a` that has the earlier configuration, and one in `domain` that has a later one with these routes, in
+/// which the account may use `regions` only.
+///
+/// They have stores of their own. The other one loses its store before it hears of the first one, whose revision is higher;
+/// so it learns of upstreams and keeps its configuration.
+fn start_apart(domain: &str, routes: &[Route], regions: &[&str]) -> Fleet {
+    let mut fleet = Fleet::start(1);
+    let earlier = config::config(1, &ROUTES, &[CLIENT_KEY]);
+    for _ in 0..8 {
+        fleet.store.put(config::KEY, &earlier);
+    }
+    let (first, other) = (&fleet.gateways[0], Store::new());
+    let mut later = config::config(2, routes, &[CLIENT_KEY]);
+    config::restrict_account(&mut later, regions);
+    other.put(config::KEY, &later);
+    let mut gateway = Gateway::prepare(&other, &[first.peer_address]);
+    gateway.write_settings(&[], "10s");
+    gateway.place(domain);
+    gateway.spawn();
+    for (gateway, version) in [(first, 1), (&gateway, 2)] {
+        wait_until("the configurations are in force", || {
+            gateway.logged(&format!("\"version\":{version}"))
+        });
+    }
+    gateway.store_endpoint.set_outage(Some(Outage::Busy));
+    gateway.write_settings(&[first.peer_address], "10s");
+    gateway.place(domain);
+    fleet.gateways.push(gateway);
+    fleet
+}
+
+/// Expects that requests which the later configuration does not permit are refused after one question.
+fn expect_refusals(fleet: &Fleet) {
+    for number in 0..5 {
+        let id = format!("x{number}");
+        let outcome = fleet.send(0, &read(&id));
+        assert_eq!((outcome.status, fleet.ledger.run_count(&id)), (503, 0));
+        let line = format!("\"connection relayed for another instance\",\"request\":\"{id}\"");
+        let asked = |gateway: &Gateway| {
+            let lines = gateway.log_lines().into_iter();
+            lines.filter(|found| found.contains(&line)).collect::<Vec<_>>()
+        };
+        wait_until("the question is logged", || !asked(&fleet.gateways[1]).is_empty());
+        let lines = asked(&fleet.gateways[1]);
+        assert!(
+            lines.len() == 1 && lines[0].contains("\"state\":\"region\""),
+            "{lines:?}"
+        );
+    }
+}
+
+/// An instance connected to an upstream abroad for one with an earlier configuration, although it knew better.
+#[test]
+fn a_request_is_relayed_to_where_a_later_configuration_does_not_permit_it() {
+    let fleet = start_apart("b", &restricted_routes(), &[]);
+    let abroad = fleet.start_plain_in("a", "n", WORK_TIME);
+    cut(&fleet, &abroad);
+    expect_refusals(&fleet);
+}
+
+/// The same, through an instance that is itself abroad by what the account permits.
+#[test]
+fn a_request_is_relayed_from_where_a_later_configuration_does_not_permit_it() {
+    let fleet = start_apart("a", &ROUTES, SOUTH);
+    let home = fleet.start_plain_in("b", "s", WORK_TIME);
+    cut(&fleet, &home);
+    expect_refusals(&fleet);
+}
