fix: requests bound to regions are not sent by a configuration that may be outdated

Callers' requests ran in regions that had been taken from their route long before: a gateway that heard neither the store nor another gateway sent them by the regions it knew until the cut ended, and one that stood still sent what waited in its sockets before it had caught up.

Cause: whatever the age of the configuration, it was taken as the one in force.

`carob_dispatch::freshness` decides whether it can be relied on. It cannot while the instance is uninformed and hears fewer than half of the others (an outage of the store that concerns everybody leaves it reliable), and after more than 1.5 s without a regular pass of the traffic thread or of suspension; then until 0.5 s have passed and the store or a peer has confirmed the content after that. The same holds after a cut: the first messages may be those of instances that do not know better either. Where nobody is left to confirm it, as in an outage of the store, 2.2 s are enough.

A request that may run in some regions only is refused at the beginning of an attempt with 503 (one that may have run gets no further attempt), and not sent or resumed, nor its memory copied, at the last moment. Calls that stop a run name its own upstream meanwhile. Others are not affected, and a running stream goes on where it is.

--- a/crates/carob-dispatch/src/fleet/eligibility.rs
+++ b/crates/carob-dispatch/src/fleet/eligibility.rs
@@ -23,6 +23,8 @@
         Region,
         /// Operators have taken its failure domain out of service.
         Evacuated,
+        /// The request may run in some regions only, and these may have changed without this instance knowing.
+        Outdated,
         /// It is cold, and this instance has no permit for a request to it.
         Cold,
         /// It asks for a pause.
@@ -39,7 +41,7 @@
     pub const fn is_lasting(self) -> bool {
         match self {
             Self::OtherService | Self::Leaving | Self::Tried | Self::Region | Self::Evacuated => true,
-            Self::Cold | Self::Paused | Self::NoPermit | Self::Full => false,
+            Self::Outdated | Self::Cold | Self::Paused | Self::NoPermit | Self::Full => false,
         }
     }
 
@@ -51,6 +53,7 @@
             Self::Tried => "tried",
             Self::Region => "region",
             Self::Evacuated => "evacuated",
+            Self::Outdated => "outdated",
             Self::Cold => "cold",
             Self::Paused => "paused",
             Self::NoPermit => "no-permit",
@@ -66,6 +69,7 @@
             Self::Tried => "the request was sent to it already",
             Self::Region => "the request may not run in its region",
             Self::Evacuated => "its failure domain is out of service",
+            Self::Outdated => "the regions in which the request may run may have changed",
             Self::Cold => "it is cold, and there is no permit for a request to it",
             Self::Paused => "it asks for a pause",
             Self::NoPermit => "it limits its requests, and there is no permit for one",
--- /dev/null
+++ b/crates/carob-dispatch/src/freshness.rs
@@ -0,0 +1,129 @@
+//! Whether an instance can rely on its configuration for requests that may run in some regions only.
+//!
+//! Another instance may have newer regions that this one has not heard of, because it is cut off from all that could tell it,
+//! or has stood still meanwhile.
+
+use std::time::Duration;
+
+use carob_base::Time;
+
+/// Longest time between two regular passes of an instance that runs, which has one a second at least.
+pub const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Time after a standstill or a cut in which what arrives may have been sent before its end.
+pub const SETTLING_TIME: Duration = Duration::from_millis(500);
+
+/// Time after a standstill within which an instance hears of others, if it can.
+pub const HEARING_TIME: Duration = Duration::from_millis(2_200);
+
+carob_base::plain! {
+    /// One moment by two clocks.
+    pub struct Moment {
+        /// Monotonic time.
+        pub time: Time,
+        /// Time of day, since any fixed moment.
+        pub day: Duration,
+    }
+
+    /// Whom an instance hears.
+    pub struct Contact {
+        /// Whether neither the store nor an instance that watches it tells of changes.
+        pub uninformed: bool,
+        /// Number of other instances.
+        pub peers: usize,
+        /// Number of those that were heard lately.
+        pub heard: usize,
+    }
+
+    /// Why the configuration cannot be relied on.
+    pub enum Doubt {
+        /// The instance hears neither the store nor most others, or has not caught up since.
+        CutOff,
+        /// The instance stood still, and has not caught up since.
+        StoodStill,
+    }
+}
+
+impl Contact {
+    /// Whether others may know what this instance cannot hear. While the store answers nobody, those that hear most others
+    /// know what there is to know.
+    const fn is_cut_off(self) -> bool {
+        self.uninformed && self.heard * 2 < self.peers
+    }
+}
+
+impl Doubt {
+    /// Name in log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::CutOff => "cut-off",
+            Self::StoodStill => "stood-still",
+        }
+    }
+}
+
+/// When an instance last passed its regular loop, stood still, and learned that its configuration is current.
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    passed: Moment,
+    /// Why it cannot be relied on, and when that was last seen; `None` once the instance has caught up.
+    doubted: Option<(Doubt, Time)>,
+    confirmed: Time,
+}
+
+impl Freshness {
+    /// The state of an instance that starts at `now`.
+    pub const fn new(now: Moment) -> Self {
+        Self {
+            passed: now,
+            doubted: None,
+            confirmed: now.time,
+        }
+    }
+
+    /// Records a regular pass.
+    pub fn pass(&mut self, now: Moment) {
+        self.observe(now);
+        self.passed = now;
+    }
+
+    /// Records that the configuration was found to be current at `time`.
+    pub fn confirm(&mut self, time: Time) {
+        self.confirmed = self.confirmed.max(time);
+    }
+
+    /// Time since the configuration was found to be current.
+    pub fn age(&self, now: Moment) -> Duration {
+        now.time.since(self.confirmed)
+    }
+
+    /// Why the configuration cannot be relied on; `None` if it can.
+    pub fn doubt(&mut self, now: Moment, contact: Contact) -> Option<Doubt> {
+        self.observe(now);
+        let is_hearing =
+            matches!(self.doubted, Some((Doubt::StoodStill, since)) if now.time < since + HEARING_TIME);
+        if contact.is_cut_off() && !is_hearing {
+            self.doubted = Some((Doubt::CutOff, now.time));
+        }
+        let (doubt, since) = self.doubted?;
+        let settled = since + SETTLING_TIME;
+        // While the store answers nobody, there is no confirmation to wait for.
+        let is_alone = contact.uninformed && now.time >= since + HEARING_TIME;
+        if now.time < settled || !(self.confirmed >= settled || is_alone) {
+            return Some(doubt);
+        }
+        self.doubted = None;
+        None
+    }
+
+    /// Takes note of a standstill since the last pass.
+    fn observe(&mut self, now: Moment) {
+        let elapsed = now.time.since(self.passed.time);
+        // Monotonic time stops while a machine is suspended, and the time of day does not. A step of it counts as well.
+        let suspended = now.day.saturating_sub(self.passed.day).saturating_sub(elapsed);
+        if elapsed + suspended > MAX_PAUSE {
+            self.doubted = Some((Doubt::StoodStill, now.time));
+            self.passed = now;
+        }
+    }
+}
--- a/crates/carob-dispatch/src/lib.rs
+++ b/crates/carob-dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! function reads a clock: the current time is always an argument.
 //!
 //! * [`table`]: the operators' configuration: routes, services, accounts, limits.
+//! * [`freshness`]: whether the configuration can be relied on for requests that are bound to regions.
 //! * [`head`]: request metadata taken from the headers.
 //! * [`fleet`]: upstreams, the requests running on them and the requests queued for them.
 //! * [`budget`]: this instance's share of the retry budget.
@@ -18,6 +19,7 @@
 pub mod budget;
 pub mod crashes;
 pub mod fleet;
+pub mod freshness;
 pub mod head;
 pub mod limits;
 pub mod migration;
--- a/crates/carob-explain/src/placement.rs
+++ b/crates/carob-explain/src/placement.rs
@@ -44,6 +44,7 @@
     match name {
         "region" => "it is outside these regions",
         "evacuated" => "its failure domain was taken out of service",
+        "outdated" => "the gateway's configuration might be outdated, and with it these regions",
         "leaving" => "it had left",
         other => other,
     }
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -26,7 +26,7 @@
     question::Question,
     reach::{MIN_OUTAGE, Reachability},
     signals::Grace,
-    update::{StoreUpdate, Update},
+    update::{StoreStatus, StoreUpdate, Update},
     watchers::Watchers,
 };
 
@@ -76,6 +76,10 @@
 /// lease, after which the registration of one that has gone would have ended.
 const FORMER_TTL: Duration = super::register::LEASE_TTL;
 
+/// Time by which a confirmation is later than the last one that the traffic thread was told of. Each message of another
+/// instance is one, up to hundreds a second.
+const CONFIRMATION_STEP: Duration = Duration::from_millis(200);
+
 /// Time between two requests for content to other instances while none is heard of.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -102,8 +106,8 @@
     pub(super) lacks_evacuations: Cell<bool>,
     /// Instances that were registered in the era before, and may not have registered again yet.
     former: RefCell<Option<FormerInstances>>,
-    /// Fields of the last [`Update::StoreStatus`] that was sent, in their order.
-    last_status: Cell<(Position, bool, bool, bool)>,
+    /// The last [`Update::StoreStatus`] that was sent.
+    last_status: Cell<Option<StoreStatus>>,
     lag: RefCell<Lag>,
     eras: RefCell<Eras>,
     watchers: RefCell<Watchers>,
@@ -155,7 +159,7 @@
             evacuations: RefCell::new(Evacuations::new()),
             lacks_evacuations: Cell::new(false),
             former: RefCell::new(None),
-            last_status: Cell::new((Position::START, false, false, false)),
+            last_status: Cell::new(None),
             lag: RefCell::new(Lag::new()),
             eras: RefCell::new(Eras::new()),
             watchers: RefCell::default(),
@@ -439,19 +443,19 @@
         self.remove_lapsed();
         self.remove_former();
         self.remove_silent();
-        let status = (
-            self.position(),
-            self.confirmed_at.get().elapsed() < MAX_STALENESS,
-            self.watching.get() && self.is_answering() && self.pending_era().is_none(),
-            self.is_uninformed(),
-        );
-        if self.last_status.replace(status) != status {
-            self.send(Update::StoreStatus {
-                position: status.0,
-                current: status.1,
-                watching: status.2,
-                uninformed: status.3,
-            });
+        let confirmed = self.confirmed_at.get();
+        let told = self.last_status.get().map(|status| status.confirmed);
+        let status = StoreStatus {
+            position: self.position(),
+            current: confirmed.elapsed() < MAX_STALENESS,
+            watching: self.watching.get() && self.is_answering() && self.pending_era().is_none(),
+            uninformed: self.is_uninformed(),
+            confirmed: told
+                .filter(|told| confirmed.into_std().saturating_duration_since(*told) < CONFIRMATION_STEP)
+                .unwrap_or_else(|| confirmed.into_std()),
+        };
+        if self.last_status.replace(Some(status)) != Some(status) {
+            self.send(Update::StoreStatus(status));
         }
     }
 
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{admission, cold, departure, limit, pace, prefixes, relay, shared::Shared};
+use super::{admission, cold, departure, limit, outdated, pace, prefixes, relay, shared::Shared};
 use crate::{
     era::Position,
     peer::{Announcement, Crash, Item, Limit, Load, Pace, Queue, RelayOffer, Sound, Trial},
@@ -256,6 +256,7 @@
         // A timeout is the usual case: nothing has changed.
         let _changed = tokio::time::timeout_at(due, shared.load_changed.notified()).await;
         shared.record_stall(due.elapsed());
+        outdated::pass(&shared);
     }
 }
 
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carob_dispatch::{
     crashes::{self, Part},
-    fleet::{RequestSize, Requirements, UpstreamKey, urgency::Urgency},
+    fleet::{Exclusion, RequestSize, Requirements, UpstreamKey, urgency::Urgency},
     head::Head,
     regions::Regions,
     table::{Engine, Route},
@@ -22,7 +22,7 @@
     body::HeldBytes,
     cold, departure, exchange,
     guard::{Reservation, ResidenceGuard},
-    limit, link, prefixes,
+    limit, link, outdated, prefixes,
     relay::Purpose,
     repeats::{self, Repeat},
     shared::Shared,
@@ -233,13 +233,23 @@
         })
     }
 
+    /// Checks that the request may still go to an upstream that was chosen for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Exclusion`] if it may not.
+    pub(super) fn check_place(&self, upstream: UpstreamKey) -> Result<(), Exclusion> {
+        let regions = self.regions();
+        self.shared.fleet().check_destination(upstream, &regions)?;
+        outdated::doubt(&self.shared, &regions).map_or(Ok(()), |_doubt| Err(Exclusion::Outdated))
+    }
+
     /// Checks that the request may still be sent to an upstream that was chosen for it.
-    fn check_destination(&self, upstream: UpstreamKey, regions: &Regions) -> Result<(), socket::Error> {
-        let checked = self.shared.fleet().check_destination(upstream, regions);
-        checked.map_err(|exclusion| {
+    fn check_destination(&self, upstream: UpstreamKey) -> Result<(), socket::Error> {
+        self.check_place(upstream).map_err(|exclusion| {
             log::info!(
                 request:% = self.id(), upstream:% = exchange::upstream_name(self, upstream),
-                exclusion = exclusion.name(), regions:% = regions; "request not sent: its upstream is not permitted any more"
+                exclusion = exclusion.name(), regions:% = self.regions(); "request not sent: its upstream is not permitted any more"
             );
             metrics::counter!("carobhaven_destinations_rejected_total", "reason" => exclusion.name()).increment(1);
             socket::Error::Excluded(exclusion)
@@ -309,7 +319,7 @@
         deadline: Instant,
     ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
         let name = exchange::upstream_name(self, reservation.upstream);
-        self.check_destination(reservation.upstream, &self.regions())?;
+        self.check_destination(reservation.upstream)?;
         let purpose = Purpose::Request {
             id: &self.head.id,
             residence: self.residence.followed(),
@@ -317,8 +327,8 @@
         let connection = link::open(&self.shared, reservation.upstream, purpose, deadline).await?;
         cold::spend(self, reservation).await?;
         // A configuration or an evacuation may have come into force since.
+        self.check_destination(reservation.upstream)?;
         let regions = self.regions();
-        self.check_destination(reservation.upstream, &regions)?;
         if let Some(relay) = connection.relay() {
             self.check_relay(relay, &regions)?;
         }
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -26,7 +26,7 @@
     guard::{ActiveRequest, QueueEntry, Reservation},
     limit, link,
     listen::RequestCount,
-    lookup, pace, plain, prefixes, probe,
+    lookup, outdated, pace, plain, prefixes, probe,
     repeats::Repeat,
     resume::OpenStream,
     shared::Shared,
@@ -195,6 +195,7 @@
         if attempts.ran == 0 {
             link::check(call)?;
         }
+        outdated::check(call, attempts.ran)?;
         let reservation = match reserve(call, &attempts.tried, start, unrun).await {
             Ok(reservation) => reservation,
             Err(refusal) if attempts.ran == 0 => return Err(refusal),
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -224,7 +224,7 @@
     };
     // A generation that is only stopped names its own upstream.
     if target != source
-        && let Err(exclusion) = call.shared.fleet().check_destination(target, &call.regions())
+        && let Err(exclusion) = call.check_place(target)
     {
         log::info!(
             request:% = call.id(), target:% = upstream_name(call, target), exclusion = exclusion.name(), last;
--- a/crates/carob-gateway/src/traffic/mod.rs
+++ b/crates/carob-gateway/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod listen;
 mod lookup;
 mod migrate;
+mod outdated;
 mod pace;
 mod plain;
 mod prefixes;
--- /dev/null
+++ b/crates/carob-gateway/src/traffic/outdated.rs
@@ -0,0 +1,131 @@
+//! Refuses requests that may run in some regions only while these may have changed without this instance knowing.
+
+use std::{
+    cell::Cell,
+    time::{Duration, SystemTime},
+};
+
+use carob_base::Time;
+use carob_dispatch::{
+    freshness::{Contact, Doubt, Freshness, Moment},
+    regions::Regions,
+};
+
+use super::{
+    answer::LocalAnswer,
+    call::Call,
+    exchange::Refusal,
+    link,
+    shared::{PEER_TIMEOUT, Shared},
+};
+
+/// Suggested retry delay; another instance may know the regions, and one that stood still catches up within it.
+const RETRY_OUTDATED: Duration = Duration::from_secs(1);
+
+/// Whether the configuration can be relied on.
+pub(super) struct Outdated {
+    freshness: Cell<Freshness>,
+    /// What was logged last.
+    logged: Cell<Option<Doubt>>,
+}
+
+impl Outdated {
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            freshness: Cell::new(Freshness::new(moment(now))),
+            logged: Cell::new(None),
+        }
+    }
+
+    /// Records that the store or a peer confirmed at `time` that the configuration is current.
+    pub(super) fn confirm(&self, time: Time) {
+        self.change(|freshness| freshness.confirm(time));
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut Freshness) -> T) -> T {
+        let mut freshness = self.freshness.get();
+        let outcome = change(&mut freshness);
+        self.freshness.set(freshness);
+        outcome
+    }
+}
+
+fn moment(time: Time) -> Moment {
+    let day = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Moment {
+        time,
+        day: day.unwrap_or_default(),
+    }
+}
+
+/// Records a regular pass of the traffic thread.
+pub(super) fn pass(shared: &Shared) {
+    let now = moment(shared.now());
+    shared.outdated.change(|freshness| freshness.pass(now));
+    refresh(shared);
+}
+
+/// Takes note of whether the configuration can be relied on now.
+pub(super) fn refresh(shared: &Shared) {
+    present(shared);
+}
+
+/// Why a request that may run in `regions` must not go anywhere now; `None` if it may.
+pub(super) fn doubt(shared: &Shared, regions: &Regions) -> Option<Doubt> {
+    if regions.is_any() {
+        return None;
+    }
+    present(shared)
+}
+
+/// Refuses a request that must not go anywhere now; `ran` attempts of it may have run.
+pub(super) fn check(call: &Call, ran: u32) -> Result<(), Refusal> {
+    let Some(doubt) = doubt(&call.shared, &call.regions()) else {
+        return Ok(());
+    };
+    metrics::counter!("carobhaven_outdated_refusals_total", "reason" => doubt.name()).increment(1);
+    let (local, reason) = refusal();
+    Err((if ran == 0 { local } else { LocalAnswer::Unclear }, reason))
+}
+
+/// Whether a request would be refused.
+pub(super) fn peek(call: &Call) -> Result<(), Refusal> {
+    doubt(&call.shared, &call.regions()).map_or(Ok(()), |_doubt| Err(refusal()))
+}
+
+fn refusal() -> Refusal {
+    (
+        LocalAnswer::Refused(link::spread(RETRY_OUTDATED)),
+        "the regions in which it may run may have changed",
+    )
+}
+
+/// Why the configuration cannot be relied on; logs when that changes.
+fn present(shared: &Shared) -> Option<Doubt> {
+    let now = moment(shared.now());
+    let uninformed = shared.is_uninformed();
+    let contact = Contact {
+        uninformed,
+        peers: shared.peer_count(),
+        heard: if uninformed {
+            shared.fleet().recent_peers(PEER_TIMEOUT, now.time)
+        } else {
+            0
+        },
+    };
+    let outdated = &shared.outdated;
+    let doubt = outdated.change(|freshness| freshness.doubt(now, contact));
+    let before = outdated.logged.replace(doubt);
+    if before == doubt {
+        return doubt;
+    }
+    let age_ms = outdated.freshness.get().age(now).as_millis() as u64;
+    match doubt {
+        Some(doubt) => log::warn!(
+            reason = doubt.name(), age_ms, peers = contact.peers, heard = contact.heard;
+            "configuration may be outdated; requests restricted to regions are refused"
+        ),
+        None => log::info!(age_ms; "configuration can be relied on again"),
+    }
+    doubt
+}
--- a/crates/carob-gateway/src/traffic/question.rs
+++ b/crates/carob-gateway/src/traffic/question.rs
@@ -16,7 +16,7 @@
     body::HeldBytes,
     call::Call,
     exchange::{DEFAULT_CLIENT_TIMEOUT, Refusal},
-    limit, link, lookup,
+    limit, link, lookup, outdated,
     shared::Shared,
     shutdown, verdict,
 };
@@ -106,6 +106,7 @@
     };
     let refusal = verdict::peek(call, upstream)
         .and_then(|()| link::check(call))
+        .and_then(|()| outdated::peek(call))
         .and_then(|()| shutdown::peek(call))
         .err();
     let weight = services(&call.route).find(|(name, _)| *name == call.service);
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -27,6 +27,7 @@
     crash::{self, Break},
     evacuation,
     guard::{Active, ActiveKey, FollowedResidence, ResidenceKey},
+    outdated::{self, Outdated},
     repeats::Repeats,
     waiting::Waiting,
 };
@@ -34,7 +35,7 @@
     Settings,
     era::Position,
     peer::Pause,
-    update::{Report, StoreUpdate, Update},
+    update::{Report, StoreStatus, StoreUpdate, Update},
 };
 
 /// Instances send their load at least once a second; one counts as unresponsive after two missed messages.
@@ -79,6 +80,8 @@
     watching: Cell<bool>,
     /// Whether directory updates no longer arrive.
     uninformed: Cell<bool>,
+    /// Whether the configuration can be relied on.
+    pub(super) outdated: Outdated,
     /// Notified when `uninformed` changes.
     pub(super) uninformed_changed: Notify,
     /// Changes of the store's content that have not been sent to the other instances yet.
@@ -153,8 +156,9 @@
         };
         let mut fleet = Fleet::new(topology, rand::random());
         fleet.set_cold_options(settings.cold);
+        let clock = Clock::new();
         Self {
-            clock: Clock::new(),
+            clock,
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             table_since: Cell::new(Time::ZERO),
@@ -163,6 +167,7 @@
             current: Cell::new(false),
             watching: Cell::new(false),
             uninformed: Cell::new(false),
+            outdated: Outdated::new(clock.now()),
             uninformed_changed: Notify::new(),
             pending_update: RefCell::new(None),
             position: Cell::new(Position::START),
@@ -232,6 +237,11 @@
         self.peers.borrow().clone()
     }
 
+    /// Number of the other instances.
+    pub(super) fn peer_count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
     pub(super) const fn position(&self) -> Position {
         self.position.get()
     }
@@ -494,25 +504,7 @@
                 addresses,
                 registered,
             } => self.set_peers(addresses, registered),
-            Update::StoreStatus {
-                position,
-                current,
-                watching,
-                uninformed,
-            } => {
-                let (era, revision) = (position.era, position.revision);
-                if self.uninformed.replace(uninformed) != uninformed {
-                    log::info!(blind = uninformed, era, revision; "news of upstreams changed");
-                    self.uninformed_changed.notify_waiters();
-                }
-                let newer = self.position.replace(position) != position;
-                if self.watching.replace(watching) != watching || (watching && newer) {
-                    self.load_changed.notify_one();
-                }
-                if self.current.replace(current) != current {
-                    log::info!(current, era, revision; "whether the configuration is current has changed");
-                }
-            }
+            Update::StoreStatus(status) => self.apply_status(status),
             Update::StoreUpdate(update) => self.add_store_update(update),
             // Served in a task of its own, or by reading only.
             Update::Relay(_) | Update::Question(_) => {}
@@ -548,6 +540,31 @@
         self.table_since.set(self.now());
     }
 
+    fn apply_status(&self, status: StoreStatus) {
+        let StoreStatus {
+            position,
+            current,
+            watching,
+            uninformed,
+            confirmed,
+        } = status;
+        self.outdated.confirm(self.now() - confirmed.elapsed());
+        // A cut that ends now lasted until now.
+        outdated::refresh(self);
+        let (era, revision) = (position.era, position.revision);
+        if self.uninformed.replace(uninformed) != uninformed {
+            log::info!(blind = uninformed, era, revision; "news of upstreams changed");
+            self.uninformed_changed.notify_waiters();
+        }
+        let newer = self.position.replace(position) != position;
+        if self.watching.replace(watching) != watching || (watching && newer) {
+            self.load_changed.notify_one();
+        }
+        if self.current.replace(current) != current {
+            log::info!(current, era, revision; "whether the configuration is current has changed");
+        }
+    }
+
     /// Returns what is notified when `upstream` starts to leave.
     pub(super) fn leaving_notice(&self, upstream: UpstreamKey) -> Rc<Notify> {
         let mut notices = self.leaving_notices.borrow_mut();
--- a/crates/carob-gateway/src/traffic/stop.rs
+++ b/crates/carob-gateway/src/traffic/stop.rs
@@ -87,14 +87,15 @@
         .is_some_and(|engine| engine.supports_migration)
 }
 
-/// An upstream that the call which stops a generation at `upstream` can name for its memory: one with room, or `upstream`
-/// itself.
+/// An upstream that the call which stops a generation at `upstream` can name for its memory: one with room where the request
+/// may go, or `upstream` itself.
 pub(super) fn spare(call: &Call, upstream: UpstreamKey) -> UpstreamKey {
     let shared = &call.shared;
     let requirements = call.requirements(call.size(0), &[upstream]);
     shared
         .fleet()
         .migration_target(upstream, &requirements, rand::random(), shared.now())
+        .filter(|target| call.check_place(*target).is_ok())
         .unwrap_or(upstream)
 }
 
@@ -297,7 +298,7 @@
         if shared.fleet().has_ended(upstream) {
             break Some(Evidence::Replaced);
         }
-        if named != upstream && shared.fleet().check_destination(named, &call.regions()).is_err() {
+        if named != upstream && call.check_place(named).is_err() {
             named = spare(call, upstream);
         }
         let started = shared.now();
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -1,6 +1,6 @@
 //! Messages between the control thread and the traffic thread.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
 
 use carob_dispatch::{fleet::DirectoryEntry, table::RoutingTable};
 
@@ -32,17 +32,7 @@
         registered: bool,
     },
     /// How current this instance's copy of the store's content is.
-    StoreStatus {
-        /// Point of the store's history up to which every change is known.
-        position: Position,
-        /// Whether the configuration was confirmed recently enough to be taken as current.
-        current: bool,
-        /// Whether this instance watches the store itself, and the store answers.
-        watching: bool,
-        /// Whether directory updates no longer arrive, neither from the store nor from a peer that watches
-        /// it.
-        uninformed: bool,
-    },
+    StoreStatus(StoreStatus),
     /// Small changes of the store's content, to be passed on to the other instances.
     StoreUpdate(StoreUpdate),
     /// The settings file was changed.
@@ -55,6 +45,23 @@
     Shutdown(ShutdownSignal),
 }
 
+carob_base::plain! {
+    /// How current this instance's copy of the store's content is.
+    pub(crate) struct StoreStatus {
+        /// Point of the store's history up to which every change is known.
+        pub position: Position,
+        /// Whether the configuration was confirmed recently enough to be taken as current.
+        pub current: bool,
+        /// Whether this instance watches the store itself, and the store answers.
+        pub watching: bool,
+        /// Whether directory updates no longer arrive, neither from the store nor from a peer that watches
+        /// it.
+        pub uninformed: bool,
+        /// When the store or a peer last confirmed that the content is current.
+        pub confirmed: Instant,
+    }
+}
+
 /// A connection of another instance that is to be forwarded to an upstream.
 #[derive(Debug)]
 pub(crate) struct RelayedConnection {
--- /dev/null
+++ b/tests/outdated_regions.rs
@@ -0,0 +1,203 @@
+//! Gateways whose configuration may be outdated, and requests that may run in some regions only.
+
+mod fleet;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use carob_platform_standin::{
+    Outage, Upstream,
+    client::{self, Request},
+    config::{self, Route},
+};
+use fleet::{CLIENT_KEY, CONFIG_APPLY, Fleet, LONG, request, wait_until};
+
+const WORK_TIME: Duration = Duration::from_millis(2);
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest time in which a gateway refuses a request that it does not hold.
+const REFUSAL_TIME: Duration = Duration::from_millis(700);
+
+/// Events of a generation, which goes on for longer than it takes to notice a cut.
+const EVENTS: u64 = 400;
+
+/// Time between the announcement that an upstream leaves and its end.
+const NOTICE: Duration = Duration::from_millis(1_600);
+
+const NORTH: &[&str] = &["north"];
+const SOUTH: &[&str] = &["south"];
+
+/// Starts gateways, an upstream `n` in `north` and another one in `south`.
+fn start(count: usize) -> (Fleet, [Upstream; 2]) {
+    let fleet = Fleet::start(count);
+    let upstreams = [("a", "n"), ("b", "s")].map(|(domain, id)| fleet.start_plain_in(domain, id, WORK_TIME));
+    write(&fleet, 1, NORTH);
+    fleet.wait_ready();
+    thread::sleep(Duration::from_secs(2));
+    (fleet, upstreams)
+}
+
+/// Writes a version of the configuration in which reads may run in `regions` only.
+fn write(fleet: &Fleet, version: u64, regions: &'static [&'static str]) {
+    let routes = [
+        Route::new("/read/", "safe", "plain").with_regions(regions),
+        Route::new("/free/", "safe", "plain"),
+    ];
+    fleet
+        .store
+        .put(config::KEY, &config::config(version, &routes, &[CLIENT_KEY]));
+}
+
+/// Ids of reads that reached `upstream` after `from`.
+fn reads_after(fleet: &Fleet, upstream: &str, from: Instant) -> Vec<String> {
+    let arrivals = fleet.ledger.arrivals().into_iter();
+    let late = arrivals
+        .filter(|arrival| arrival.upstream == upstream && arrival.at > from && arrival.id.starts_with('r'));
+    late.map(|arrival| arrival.id).collect()
+}
+
+/// Sends reads to a gateway until one is served.
+fn expect_served(fleet: &Fleet, gateway: usize) {
+    wait_until("reads are served again", || {
+        let id = format!("r-again{}", fleet.ledger.arrivals().len());
+        fleet.send(gateway, &request(&id, "GET", "/read/1")).status == 200
+    });
+}
+
+/// Sends reads and requests that may run anywhere to the first gateway. Returns how many reads were refused after `from`;
+/// expects that all others were served, and that refusals came at once.
+fn send_for(fleet: &Fleet, time: Duration, from: Instant) -> usize {
+    let (started, mut refused) = (Instant::now(), 0);
+    for number in 0.. {
+        if started.elapsed() >= time {
+            break;
+        }
+        let free = request(&format!("f{number}"), "GET", "/free/1").with_timeout(LONG);
+        assert_eq!(fleet.send(0, &free).status, 200, "requests that may run anywhere");
+        let sent = Instant::now();
+        let read = request(&format!("r{number}"), "GET", "/read/1").with_timeout(LONG);
+        let status = fleet.send(0, &read).status;
+        if sent > from && status == 503 {
+            assert!(sent.elapsed() < REFUSAL_TIME, "held for {:?}", sent.elapsed());
+            refused += 1;
+        } else {
+            assert_eq!(status, 200);
+        }
+        thread::sleep(INTERVAL);
+    }
+    refused
+}
+
+/// A gateway that heard neither the store nor another gateway sent reads by regions that were replaced 12 s before.
+#[test]
+fn a_gateway_that_is_cut_off_sends_requests_by_replaced_regions() {
+    for (count, outage) in [(2, Outage::Reset), (4, Outage::Silent)] {
+        let (fleet, _upstreams) = start(count);
+        fleet.gateways[0].store_endpoint.set_outage(Some(outage));
+        for gateway in &fleet.gateways[1..] {
+            gateway.signal("STOP");
+        }
+        let written = Instant::now();
+        write(&fleet, 2, SOUTH);
+        let refused = send_for(&fleet, CONFIG_APPLY * 2, written);
+        let late = reads_after(&fleet, "n", written + CONFIG_APPLY);
+        assert!(late.is_empty(), "{outage:?}: {late:?}");
+        assert!(refused > 0, "{outage:?}: no read was refused");
+        let metrics = client::send(
+            fleet.gateways[0].admin_address,
+            &Request::new("m", "GET", "/metrics"),
+        );
+        let metrics = String::from_utf8(metrics.body).expect("metrics are text");
+        assert!(
+            metrics.contains("carobhaven_outdated_refusals_total{reason=\"cut-off\"}"),
+            "{metrics}"
+        );
+        fleet.gateways[0].store_endpoint.set_outage(None);
+        for gateway in &fleet.gateways[1..] {
+            gateway.signal("CONT");
+        }
+        expect_served(&fleet, 0);
+        let late = reads_after(&fleet, "n", written + CONFIG_APPLY);
+        assert!(late.is_empty(), "{outage:?}: {late:?}");
+        assert!(!reads_after(&fleet, "s", written).is_empty());
+    }
+}
+
+/// A generation was moved by regions that a gateway which is cut off cannot rely on. It stays where it runs.
+#[test]
+fn a_generation_is_moved_by_replaced_regions() {
+    let fleet = Fleet::start(2);
+    let engines = ["e1", "e2"].map(|id| fleet.start_engine(id, EVENTS, INTERVAL));
+    let routes = [Route::new("/draft/", "streaming", "engines").with_regions(NORTH)];
+    fleet
+        .store
+        .put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
+    fleet.wait_ready();
+    let client = fleet.start_generation(0, "d1");
+    let source = fleet.ledger.arrivals()[0].upstream.clone();
+    fleet.gateways[0].store_endpoint.set_outage(Some(Outage::Reset));
+    fleet.gateways[1].signal("STOP");
+    thread::sleep(CONFIG_APPLY);
+    let leaving = engines.iter().find(|engine| engine.id() == source);
+    let leaving = leaving.expect("it runs there");
+    leaving.leave(NOTICE);
+    let outcome = client.join().expect("the client ends");
+    fleet.gateways[1].signal("CONT");
+    let involved = fleet.ledger.involved();
+    let copied = involved.iter().find(|(_, target)| *target != leaving.address());
+    assert_eq!(copied, None, "memory was copied");
+    assert_eq!(fleet.ledger.arrivals().len(), 1, "it ran elsewhere");
+    assert!(outcome.events().len() as u128 > CONFIG_APPLY.as_millis() / INTERVAL.as_millis());
+}
+
+/// A gateway that stood still sent what waited in its sockets by the regions that it knew before.
+#[test]
+fn a_gateway_that_stood_still_sends_requests_by_replaced_regions() {
+    for count in [1, 3] {
+        let (fleet, _upstreams) = start(count);
+        fleet.gateways[0].signal("STOP");
+        // Its call to the store is answered with a change before that of the regions, which the next one brings late.
+        fleet.store.put_bytes("op/note", b"1");
+        fleet.gateways[0]
+            .store_endpoint
+            .set_answer_delay(Duration::from_millis(700));
+        let written = Instant::now();
+        write(&fleet, 2, SOUTH);
+        let address = fleet.gateways[0].caller_address;
+        let clients: Vec<_> = (0..20)
+            .map(|number| {
+                thread::sleep(CONFIG_APPLY / 15);
+                let read = request(&format!("r{number}"), "GET", "/read/1").with_timeout(LONG);
+                thread::spawn(move || client::send(address, &read).status)
+            })
+            .collect();
+        fleet.gateways[0].signal("CONT");
+        let statuses: Vec<u16> = clients
+            .into_iter()
+            .map(|client| client.join().expect("it ends"))
+            .collect();
+        assert!(
+            statuses.iter().all(|status| [200, 503].contains(status)),
+            "{statuses:?}"
+        );
+        expect_served(&fleet, 0);
+        let late = reads_after(&fleet, "n", written + CONFIG_APPLY);
+        assert!(late.is_empty(), "{count} gateways: {late:?}");
+    }
+}
+
+/// While the store answers nobody, nobody knows better regions: reads are served.
+#[test]
+fn an_outage_of_the_store_for_all_gateways_refuses_requests() {
+    for count in [1, 3] {
+        let (fleet, _upstreams) = start(count);
+        for gateway in &fleet.gateways {
+            gateway.store_endpoint.set_outage(Some(Outage::Silent));
+        }
+        let refused = send_for(&fleet, CONFIG_APPLY * 2, Instant::now());
+        assert_eq!(refused, 0, "{count} gateways");
+        assert!(!fleet.gateways[0].logged("configuration may be outdated"));
+    }
+}
