fix: relayed calls copy memory only to where the generation may run

What callers saw: a generation whose upstream left went on outside its regions, from a copy that another instance had asked for.

Cause: calls about a generation that pass through another instance were connected whatever they named. The one that sent them had an earlier configuration, the other one knew better.

Evidence: two gateways with versions 1 and 2; the first one loses its link to the source, which leaves. The memory was copied to the target that version 2 forbids (the test fails with "memory was copied abroad" without the check).

Why it works: the question for a call that has memory copied names the target and says where the generation may run. The instance that relays checks the target's region by the newer configuration. A call that only stops a generation names its own upstream, which is always permitted. Refused targets count as without room, so that others are tried, by the regions that the sender has been told; the next call need not wait.

--- a/crates/carob-dispatch/src/fleet/relays.rs
+++ b/crates/carob-dispatch/src/fleet/relays.rs
@@ -154,6 +154,22 @@
         }
     }
 
+    /// Checks that the memory of a generation restricted to `regions` may be copied from one upstream to another, by their
+    /// stable hashes. A generation that is only stopped names its own upstream as the target, which is always permitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Exclusion::Region`] if the target is in another region, or if it is not known.
+    pub fn check_copy(&self, (from, to): (u64, u64), regions: &Regions) -> Result<(), Exclusion> {
+        let target = self.find_hash(to).and_then(|key| self.upstream(key));
+        let region = target.and_then(|target| self.region(&target.entry.domain));
+        if from == to || regions.permits(region) {
+            Ok(())
+        } else {
+            Err(Exclusion::Region)
+        }
+    }
+
     fn relay_cost(&self, domain: &str) -> f64 {
         let regions = &self.topology.regions;
         if *domain == *self.topology.domain {
--- a/crates/carob-dispatch/tests/eligibility.rs
+++ b/crates/carob-dispatch/tests/eligibility.rs
@@ -273,3 +273,24 @@
     // This instance is in `a`.
     assert!(permitted(&["b"]).is_empty());
 }
+
+/// Guards against memory that is copied abroad by a call which passes through another instance, and against runs that cannot
+/// be stopped where they are.
+#[test]
+fn a_call_that_is_relayed_copies_memory_only_to_where_the_generation_may_run() {
+    let fleet = fleet();
+    let hashes: Vec<_> = fleet.upstreams().map(|(_, upstream)| upstream.hash()).collect();
+    let permitted = |names: &[&str], from: u64, to: u64| {
+        let regions = requirements(names).regions;
+        fleet.check_copy((from, to), &regions).is_ok()
+    };
+    let from = hashes[4];
+    let targets = |names: &[&str]| -> Vec<bool> {
+        let targets = [0, 2, 4, 5, 6].map(|index| hashes[index]).into_iter().chain([1]);
+        targets.map(|to| permitted(names, from, to)).collect()
+    };
+    // In a1, a2, where it runs, b1, c1, and one that is not known.
+    assert_eq!(targets(&["a"]), [true, true, true, false, false, false]);
+    assert_eq!(targets(&["b"]), [false, false, true, true, false, false]);
+    assert_eq!(targets(&[]), [true; 6]);
+}
--- a/crates/carob-gateway/src/relaying.rs
+++ b/crates/carob-gateway/src/relaying.rs
@@ -37,6 +37,9 @@
     /// Hash of the request's key; absent without one.
     #[prost(fixed64, optional, tag = "9")]
     pub key_hash: Option<u64>,
+    /// Stable hash of the upstream to which the call copies the memory of a generation; absent if it copies none.
+    #[prost(fixed64, optional, tag = "10")]
+    pub target_hash: Option<u64>,
 }
 
 /// Where a request may run, by the configuration of a version.
--- a/crates/carob-gateway/src/traffic/crash.rs
+++ b/crates/carob-gateway/src/traffic/crash.rs
@@ -192,7 +192,7 @@
             };
             Connection::open(address, shared.settings().source, deadline).await
         }
-        Way::Relay => relay::open(shared, upstream, Purpose::Control, deadline).await,
+        Way::Relay => relay::open(shared, upstream, Purpose::CONTROL, deadline).await,
     };
     match connection {
         // Only engines have reports.
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -13,7 +13,7 @@
     call::{CONNECT_TIMEOUT, Call},
     cold,
     exchange::Refusal,
-    relay::{self, Purpose, RELAY_TIMEOUT},
+    relay::{self, MemoryCopy, Purpose, RELAY_TIMEOUT},
     shared::Shared,
 };
 use crate::socket::{self, Connection, MAX_CONTROL_BYTES};
@@ -170,7 +170,7 @@
     let direct = || Connection::open(address, source, deadline.min(Instant::now() + CONNECT_TIMEOUT));
     if shared.fleet().is_link_lost(upstream) && !shared.fleet().is_probed(upstream) {
         let relayed = async {
-            let is_call = matches!(purpose, Purpose::Control);
+            let is_call = matches!(purpose, Purpose::Control { .. });
             if is_call && !shared.fleet_mut().try_ask_peers(upstream, shared.now()) {
                 return Err(socket::Error::Connect(
                     "other instances were asked just now".to_owned(),
@@ -241,7 +241,32 @@
     id: &[u8],
     deadline: Instant,
 ) -> Result<Response<Bytes>, socket::Error> {
-    let response = exchange(shared, upstream, request, deadline).await?;
+    let response = exchange(shared, upstream, Purpose::CONTROL, request, deadline).await?;
+    check_answer(response, id)
+}
+
+/// Like [`call`], for a call about the generation of `client` that has its memory copied to `target`.
+///
+/// # Errors
+///
+/// See [`call`]; [`socket::Error::Excluded`] if another instance knows that the generation may not run at `target`.
+pub(super) async fn call_copy(
+    client: &Call,
+    (upstream, target): (UpstreamKey, UpstreamKey),
+    request: Request<Bytes>,
+    deadline: Instant,
+) -> Result<Response<Bytes>, socket::Error> {
+    let shared = &client.shared;
+    let copy = MemoryCopy {
+        residence: client.residence.followed(),
+        target_hash: shared.fleet().upstream_hash(target),
+    };
+    let purpose = Purpose::Control { copy: Some(copy) };
+    let response = exchange(shared, upstream, purpose, request, deadline).await?;
+    check_answer(response, &client.head.id)
+}
+
+fn check_answer(response: Response<Bytes>, id: &[u8]) -> Result<Response<Bytes>, socket::Error> {
     if answer::names_other_request(response.headers(), id) {
         return Err(socket::Error::Broken(
             "expected the answer to the call, found one to another request".to_owned(),
@@ -253,6 +278,7 @@
 async fn exchange(
     shared: &Rc<Shared>,
     upstream: UpstreamKey,
+    purpose: Purpose<'_>,
     mut request: Request<Bytes>,
     deadline: Instant,
 ) -> Result<Response<Bytes>, socket::Error> {
@@ -260,9 +286,12 @@
     if let Some(host) = address.and_then(|address| address.to_string().parse().ok()) {
         request.headers_mut().insert(HOST, host);
     }
-    let connection = open(shared, upstream, Purpose::Control, deadline).await?;
-    // Others that wait to call the upstream need not wait for the answer.
-    shared.fleet_mut().end_call(upstream, None);
+    let opened = open(shared, upstream, purpose, deadline).await;
+    if matches!(opened, Ok(_) | Err(socket::Error::Excluded(_))) {
+        // Others that wait to call the upstream need not wait for the answer, nor does a call with another target.
+        shared.fleet_mut().end_call(upstream, None);
+    }
+    let connection = opened?;
     if connection.relay().is_some() {
         return socket::call_on(connection, request, MAX_CONTROL_BYTES, deadline).await;
     }
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -238,14 +238,16 @@
     let id = call.id().into_owned();
     let deadline = Instant::now() + limit;
     let request = engine::copy(&id, address, last);
-    match link::call(&call.shared, source, request, &call.head.id, deadline).await {
+    match link::call_copy(call, (source, target), request, deadline).await {
         Ok(response) => engine::decode_copy(response.status(), response.body()),
         Err(error) => {
             log::info!(
                 request:% = id, source:% = upstream_name(call, source), error:% = error, last; "copy call failed"
             );
             match error {
-                socket::Error::Connect(_) | socket::Error::Excluded(_) => CopyOutcome::Unsent,
+                // The target is not permitted, as another instance knows; the call was not sent.
+                socket::Error::Excluded(_) => CopyOutcome::NoRoom(None),
+                socket::Error::Connect(_) => CopyOutcome::Unsent,
                 socket::Error::Broken(_)
                 | socket::Error::Status(_)
                 | socket::Error::Unfinished(_)
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -81,8 +81,21 @@
         /// Where it may run, and through which regions it may pass.
         residence: &'a FollowedResidence,
     },
-    /// A report, a copy of memory, or the question whether the upstream lives.
-    Control,
+    /// A report, a copy of memory, or the question whether the upstream lives. It holds no prompt, so that it may pass through
+    /// any region; where it has memory copied to is restricted.
+    Control {
+        /// Present if it has memory copied.
+        copy: Option<MemoryCopy<'a>>,
+    },
+}
+
+/// What a call copies the memory of a generation to.
+#[derive(Clone, Copy)]
+pub(super) struct MemoryCopy<'a> {
+    /// Where the generation may run.
+    pub(super) residence: &'a FollowedResidence,
+    /// [`Fleet::upstream_hash`](carob_dispatch::fleet::Fleet::upstream_hash) of the target.
+    pub(super) target_hash: u64,
 }
 
 /// What this instance says to others about relaying: nothing while it shuts down.
@@ -189,33 +202,51 @@
 }
 
 impl Purpose<'_> {
+    /// A call that copies no memory.
+    pub(super) const CONTROL: Self = Self::Control { copy: None };
+
+    /// Where the request, or the generation whose memory is copied, may run; `None` for other calls.
+    const fn residence(&self) -> Option<&FollowedResidence> {
+        match self {
+            Self::Request { residence, .. }
+            | Self::Control {
+                copy: Some(MemoryCopy { residence, .. }),
+            } => Some(residence),
+            Self::Control { copy: None } => None,
+        }
+    }
+
     /// Regions through which the connection may pass.
     fn regions(self) -> Regions {
         match self {
             Self::Request { residence, .. } => residence.regions(),
-            Self::Control => Regions::any(),
+            Self::Control { .. } => Regions::any(),
         }
     }
 
     /// What the instance that relays is told.
     fn describe(self) -> RelayRequest {
-        match self {
-            Self::Request { id, residence } => RelayRequest {
+        let request = match self {
+            Self::Request { id, .. } => RelayRequest {
                 request: id.to_vec().into(),
                 ..RelayRequest::default()
-            }
-            .with_request(&residence.describe()),
-            Self::Control => RelayRequest {
+            },
+            Self::Control { copy } => RelayRequest {
                 is_control: true,
+                target_hash: copy.map(|copy| copy.target_hash),
                 ..RelayRequest::default()
             },
+        };
+        match self.residence() {
+            Some(residence) => request.with_request(&residence.describe()),
+            None => request,
         }
     }
 
     /// Takes over what the instance that was asked says of a newer configuration.
     fn learn(self, reply: &RelayReply) {
         let told = reply.residence.as_ref().and_then(Residence::decode);
-        if let (Self::Request { residence, .. }, Some(told)) = (self, told) {
+        if let (Some(residence), Some(told)) = (self.residence(), told) {
             residence.learn(told);
         }
     }
@@ -374,13 +405,18 @@
     asked.residence(shared.table().as_deref())
 }
 
-/// Checks that a request of another instance may pass through this one to an upstream.
+/// Checks that a request of another instance may pass through this one to an upstream, or that a call may have memory copied.
 fn check_regions(shared: &Shared, request: &RelayRequest, upstream: UpstreamKey) -> Result<(), RelayState> {
     let Some(asked) = request.request() else {
         return Ok(());
     };
     let regions = residence(shared, &asked).regions();
-    let checked = shared.fleet().check_passage(upstream, &regions);
+    let checked = match request.target_hash {
+        Some(target) => shared
+            .fleet()
+            .check_copy((request.upstream_hash, target), &regions),
+        None => shared.fleet().check_passage(upstream, &regions),
+    };
     checked.map_err(|exclusion| match exclusion {
         Exclusion::Region => RelayState::Region,
         Exclusion::Evacuated => RelayState::Evacuated,
--- a/crates/carob-gateway/tests/relaying.rs
+++ b/crates/carob-gateway/tests/relaying.rs
@@ -63,6 +63,9 @@
 fn a_request_without_regions_says_nothing_of_them() {
     let mut request = decode(&earlier().encode_to_vec());
     assert_eq!(request.request(), None);
+    assert_eq!(request.target_hash, None);
+    request.target_hash = Some(3);
+    assert_eq!(decode(&request.encode_to_vec()), request);
     request.residence = Some(relaying::Residence::default());
     assert_eq!(decode(&request.encode_to_vec()).request(), None);
 }
--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -12,6 +12,12 @@
 use fleet::{CLIENT_KEY, Fleet, Gateway, request, wait_until};
 
 const WORK_TIME: Duration = Duration::from_millis(2);
+const EVENTS: u64 = 150;
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time between the announcement that an upstream leaves and its end.
+const NOTICE: Duration = Duration::from_millis(1_600);
+
 const SOUTH: &[&str] = &["south"];
 
 /// Routes of an earlier configuration, and of a later one that restricts them to `south`, apart from `/free/`.
@@ -157,3 +163,33 @@
     cut(&fleet, &home);
     expect_refusals(&fleet);
 }
+
+/// A call that has memory copied passed through an instance that knew that its target is not permitted any more, and the
+/// generation went on there.
+#[test]
+fn memory_is_copied_to_where_a_later_configuration_does_not_permit_it() {
+    let fleet = start_apart("b", &restricted_routes(), &[]);
+    let source = fleet.start_engine_in("b", "e1", EVENTS, EVENT_INTERVAL);
+    fleet.wait_ready();
+    let client = fleet.start_generation(0, "d1");
+    let abroad = fleet.start_engine_in("a", "n", EVENTS, EVENT_INTERVAL);
+    for gateway in &fleet.gateways {
+        wait_until("both know the target", || {
+            gateway.logged("\"directory entry\",\"upstream\":\"n\"")
+        });
+    }
+    let cut = fleet.gateways[0].peer_address.ip();
+    source.set_source_links(&[(cut, Link::ClosedToNew)]);
+    source.leave(NOTICE);
+    let outcome = client.join().expect("the client ends");
+    let involved = fleet.ledger.involved();
+    assert!(
+        involved.iter().all(|(_, target)| *target != abroad.address()),
+        "memory was copied abroad"
+    );
+    assert_eq!((outcome.complete, fleet.ledger.run_count("d1")), (false, 1));
+    let lines = fleet.gateways[1].log_lines();
+    let refused = lines.iter().filter(|line| line.contains("\"state\":\"region\""));
+    // Its regions are known after the first one.
+    assert_eq!(refused.count(), 1);
+}
