fix: the order in which regions are listed does not matter

A configuration that lists the same regions in another order, or one twice, counted as a change of the regions: a request that waited for a place started anew, behind those that came after it. Lists are sorted and made unique when they are read, and a request that starts anew keeps its turn. The new test fails without the sorting (update returns true).

--- a/crates/carob-dispatch/src/regions.rs
+++ b/crates/carob-dispatch/src/regions.rs
@@ -12,8 +12,10 @@
         Self(None)
     }
 
-    /// The regions that a configuration lists; an empty list permits all.
-    pub fn listed(names: Vec<Box<str>>) -> Self {
+    /// The regions that a configuration lists, in any order; an empty list permits all.
+    pub fn listed(mut names: Vec<Box<str>>) -> Self {
+        names.sort_unstable();
+        names.dedup();
         Self((!names.is_empty()).then(|| names.into()))
     }
 
--- a/crates/carob-dispatch/tests/residence.rs
+++ b/crates/carob-dispatch/tests/residence.rs
@@ -173,6 +173,14 @@
     expect(Some("k"), &steps);
 }
 
+/// The same regions in another order counted as a change, for which a waiting request lost its place.
+#[test]
+fn the_order_of_regions_does_not_matter() {
+    let reversed = table(2, (&[(HOST, "/d/", &["west", "south", "north", "west"])], &[]));
+    let mut residence = Residence::with_regions(regions(NAMED), Regions::any(), 1);
+    assert!(!residence.update(&reversed, REQUEST, None));
+}
+
 /// A configuration that arrives late, or once more, took a request back to regions that are not its own any more.
 #[test]
 fn an_earlier_configuration_changes_nothing() {
--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use carob_base::Time;
 use carob_dispatch::{
     fleet::{Cause, Decision, QueuedRequest, Requirements, UpstreamHealth, UpstreamKey},
     head::LastEvent,
@@ -266,9 +267,11 @@
     active: Option<&ActiveRequest>,
 ) -> Result<Reservation, Refusal> {
     let size = call.run_size(start.generated);
+    let queued_at = call.shared.now();
     let mut requirements = admission::requirements(call, size, tried);
     loop {
-        let reserved = reserve_once(call, requirements, (start, !tried.is_empty()), active);
+        let place = (start, queued_at, !tried.is_empty());
+        let reserved = reserve_once(call, requirements, place, active);
         tokio::select! {
             biased;
             () = call.residence.changed() => {}
@@ -281,7 +284,7 @@
 async fn reserve_once(
     call: &Rc<Call>,
     requirements: Requirements,
-    (start, is_repeat): (RunStart, bool),
+    (start, queued_at, is_repeat): (RunStart, Time, bool),
     active: Option<&ActiveRequest>,
 ) -> Result<Reservation, Refusal> {
     let shared = &call.shared;
@@ -310,7 +313,7 @@
     let key = shared.fleet_mut().enqueue(QueuedRequest {
         requirements,
         priority: call.priority,
-        queued_at: now,
+        queued_at,
         share: admission::share(call, wait.until),
     });
     let mut entry = QueueEntry::new(shared, key);
