fix: a target that may be outdated is not reserved for a copy

A move whose copy would not be made, since the regions may be outdated, reserved room at its target first and went on to the next one. The target is checked before it is reserved.

--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -143,6 +143,7 @@
         let target = shared
             .fleet()
             .migration_target(source.key, &requirements, rand::random(), shared.now());
+        let target = target.filter(|target| call.check_place(*target).is_ok());
         let Some(target) = target.filter(|_| tried.len() < MAX_TARGETS) else {
             if shared.now().since(source.leaving_since) >= COPY_CUTOFF {
                 return Err(MigrationOutcome::Failed("no upstream has room for the copy"));
