soak: regions that change while requests wait, run and resume

Nothing changed regions in the soak: the reported fault needs a route or an account whose regions change, or a longer prefix with other ones that comes and goes, beside requests for both.

The operator now draws other regions every few seconds for two routes and one account, with longer routes at times; clients read and resume streams on them. A request must reach an upstream only in a region that a version permits which was in force from CONFIG_APPLY before its client's send until its arrival, at every gateway: none is excused as out of touch. A version that a returned copy of the store has is in force until the lost ones are written again, and the lost one with it. Versions are judged whole: the route and the account of the same version have to permit the region.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -30,6 +30,8 @@
 mod process;
 #[path = "soak/resumers.rs"]
 mod resumers;
+#[path = "soak/roaming.rs"]
+mod roaming;
 #[path = "soak/slow.rs"]
 mod slow;
 #[path = "soak/traffic.rs"]
@@ -190,10 +192,12 @@
     violations.extend(checks::budget_violations(&injector.fleet.ledger, &observations));
     let is_served =
         |observation: &Observation| observation.outcome.status == 200 && observation.outcome.complete;
-    // More is sent to cold upstreams than they take, and other checks are about slow readers.
-    let counted = observations
-        .iter()
-        .filter(|observation| !matches!(observation.kind, Kind::Cold | Kind::Large | Kind::Calm));
+    // More is sent to cold upstreams than they take, other checks are about slow readers, and a region that a request roams to
+    // may be evacuated.
+    let counted = observations.iter().filter(|observation| {
+        !matches!(observation.kind, Kind::Cold | Kind::Large | Kind::Calm)
+            && !roaming::is_roaming(&observation.request.path)
+    });
     let served = counted
         .clone()
         .filter(|observation| is_served(observation))
@@ -254,6 +258,11 @@
             .domains
             .region_violations(&injector.fleet.ledger, observations),
     );
+    violations.extend(
+        injector
+            .roaming
+            .violations(&injector.fleet.ledger, observations, &injector.domains),
+    );
     violations.extend(injector.evacuations.violations(
         &injector.fleet.ledger,
         observations,
@@ -312,6 +321,7 @@
             Kind::Unsafe => "unsafe",
             Kind::Safe => "safe",
             Kind::Cold => "cold",
+            Kind::Roaming => "roaming",
             Kind::Large => "large",
             Kind::Calm => "calm",
             Kind::Stream(_) => "stream",
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -14,6 +14,7 @@
     budget::{self, Counting, LIMITS},
     faults::{Harm, ROUTES},
     operator::{Life, Operator},
+    roaming,
     slow::LARGE_BYTES,
     traffic::{Kind, Observation},
 };
@@ -82,7 +83,10 @@
     pub fn violation(&self, observation: &Observation) -> Option<String> {
         let (id, outcome) = (&observation.request.id, &observation.outcome);
         let runs = self.runs.get(id).copied().unwrap_or(0);
-        let may_repeat = matches!(observation.kind, Kind::Safe | Kind::Cold | Kind::Resumable { .. });
+        let may_repeat = matches!(
+            observation.kind,
+            Kind::Safe | Kind::Cold | Kind::Roaming | Kind::Resumable { .. }
+        );
         let max_runs = if may_repeat { 2 } else { 1 };
         if runs > max_runs {
             return Some(format!("ran {runs} times"));
@@ -109,7 +113,7 @@
         let rest = match observation.kind {
             Kind::Stream(length) => Some((0, length)),
             Kind::Resumable { from, events } => Some((from, events)),
-            Kind::Unsafe | Kind::Safe | Kind::Cold | Kind::Large | Kind::Calm => None,
+            Kind::Unsafe | Kind::Safe | Kind::Cold | Kind::Roaming | Kind::Large | Kind::Calm => None,
         };
         if let Some((from, length)) = rest {
             let events = outcome.events();
@@ -135,6 +139,7 @@
         let sent = observation.sent?;
         let route = ROUTES
             .iter()
+            .chain(&roaming::ROUTES)
             .find(|route| observation.request.path.starts_with(route.prefix))?;
         let time_limit = observation
             .request
@@ -179,7 +184,8 @@
     arrivals.retain(|arrival| ids.contains(&arrival.id));
     let mut violations = Vec::new();
     for service in ["engines", "plain"] {
-        let routes = ROUTES.iter().filter(|route| route.service == service);
+        let routes = ROUTES.iter().chain(&roaming::ROUTES);
+        let routes = routes.filter(|route| route.service == service);
         let prefixes: Vec<&str> = routes.map(|route| route.prefix).collect();
         let sent: Vec<Instant> = observations
             .iter()
--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -58,6 +58,8 @@
             Kind::Unsafe | Kind::Safe => matches!(self.scope, Scope::Plain | Scope::All),
             // No cut goes to their upstreams.
             Kind::Cold | Kind::Large | Kind::Calm => false,
+            // Whether they are served is not judged.
+            Kind::Roaming => false,
         };
         is_whole && (self.from..self.to).contains(&seen.begun)
     }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -28,6 +28,7 @@
     fleet::{self, CLIENT_KEY, Fleet, request, wait_until},
     limits::Limits,
     operator::Operator,
+    roaming::Roaming,
     slow,
     traffic::{Clients, deadly_part},
 };
@@ -173,6 +174,8 @@
     pub cuts: Cuts,
     /// Failure domains of the upstreams.
     pub domains: Domains,
+    /// Routes and an account whose regions change.
+    pub roaming: Roaming,
     /// Evacuations of failure domains.
     pub evacuations: Evacuations,
     /// Upstreams that are cold.
@@ -237,6 +240,7 @@
             limits: Limits::new(seed.rotate_left(24)),
             cuts: Cuts::new(seed.rotate_left(41)),
             domains,
+            roaming: Roaming::new(seed.rotate_left(31)),
             evacuations: Evacuations::new(seed.rotate_left(37)),
             cold,
             calm,
@@ -349,7 +353,9 @@
 
     fn configure(&mut self, version: u64) {
         self.version = version;
-        write_config(&self.fleet, version);
+        let before = Instant::now();
+        write_config(&self.fleet, &self.roaming, version);
+        self.roaming.note_written(version, before);
     }
 
     fn choose_upstream(&self, rng: &mut StdRng) -> Upstream {
@@ -547,7 +553,8 @@
             self.note(&text);
         }
         let version = self.version;
-        let configure = || write_config(&self.fleet, version);
+        let before = Instant::now();
+        let configure = || write_config(&self.fleet, &self.roaming, version);
         let others = [self.cold.upstreams(), &self.calm].concat();
         let upstreams = [&self.engines, &self.plain, &others[..]];
         // Processes that are killed all the time know nothing while the store is away.
@@ -555,14 +562,25 @@
         if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
             match text {
                 "store away" => self.evacuations.begin_fault(),
-                "store back from the copy" => self.evacuations.note_return(&self.fleet),
-                "lost content written again" => self.evacuations.write_again(&self.fleet),
+                "store copied" => self.roaming.note_copy(version),
+                "store back from the copy" => {
+                    self.roaming.note_return(before);
+                    self.evacuations.note_return(&self.fleet);
+                }
+                "lost content written again" => {
+                    self.roaming.note_written(version, before);
+                    self.evacuations.write_again(&self.fleet);
+                }
                 _ => {}
             }
             self.note(text);
             // Stale answers end with other faults.
             self.heal_at = self.heal_at.max(Instant::now() + CUT_TIME);
         }
+        if let Some(text) = self.roaming.poll(self.version + 1) {
+            self.note(&text);
+            self.configure(self.version + 1);
+        }
         if let Some(text) = self.evacuations.poll(&self.fleet) {
             self.note(&text);
         }
@@ -705,7 +723,7 @@
         let mut version = self.version;
         let mut configure = |is_next: bool| {
             version += u64::from(is_next);
-            write_config(&self.fleet, version);
+            write_config(&self.fleet, &self.roaming, version);
             version
         };
         let others = [self.cold.upstreams(), &self.calm].concat();
@@ -755,13 +773,15 @@
 }
 
 /// Writes a configuration with the routes of all versions and the flag of this one.
-fn write_config(fleet: &Fleet, version: u64) {
+fn write_config(fleet: &Fleet, roaming: &Roaming, version: u64) {
     let mut routes = ROUTES.to_vec();
+    routes.extend(roaming.routes(version));
     routes.push(FLAGS[(version % FLAGS.len() as u64) as usize].clone());
     let mut content = config::config(version, &routes, &[CLIENT_KEY, "another-key"]);
     config::add_plain_service(&mut content, cold::SERVICE, cold::RATE);
     config::add_plain_service(&mut content, slow::LARGE_SERVICE, 0.0);
     config::add_plain_service(&mut content, slow::CALM_SERVICE, 0.0);
+    roaming.add_to(&mut content, version);
     fleet.store.put(config::KEY, &content);
 }
 
--- a/tests/soak/resumers.rs
+++ b/tests/soak/resumers.rs
@@ -5,7 +5,10 @@
 use carob_platform_standin::client::Outcome;
 use rand::{RngExt as _, rngs::StdRng};
 
-use super::traffic::{Clients, Kind, Observation, draw_resumable};
+use super::{
+    roaming,
+    traffic::{Clients, Kind, Observation, draw_resumable},
+};
 
 /// Number of clients that resume streams.
 pub const RESUMERS: u64 = 3;
@@ -44,6 +47,7 @@
     fn ask_for_rest(&self, rng: &mut StdRng, path: &str, from: u64, events: u64) -> Observation {
         let mut request = draw_resumable(rng, &self.next_request_id(), from, events);
         path.clone_into(&mut request.path);
+        request = request.with_key(roaming::key(path));
         let gateway = self.pick_gateway(rng);
         let opened = Instant::now();
         let mut held = self.open(gateway);
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -20,7 +20,7 @@
     domains::SOUTH_PREFIX,
     fleet::{LONG, request},
     resumers::RESUMERS,
-    slow,
+    roaming, slow,
 };
 
 /// Timeout of requests other than long generations.
@@ -71,6 +71,8 @@
     Safe,
     /// An idempotent request to upstreams that may be cold.
     Cold,
+    /// An idempotent request whose regions change.
+    Roaming,
     /// An idempotent request whose large answer is read slowly.
     Large,
     /// An idempotent request to an upstream that no fault touches.
@@ -198,8 +200,20 @@
             thread::spawn(move || clients.send_reads(&mut rng, slow::CALM_PAUSE, (Kind::Calm, &path)))
         });
         let calm: Vec<_> = calm.collect();
+        let roaming = ["/roam/x", "/roam/far/x"].map(|path| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(49) ^ path.len() as u64);
+            thread::spawn(move || clients.resume_streams(&mut rng, path))
+        });
+        let looks = ["/look/1", "/look/far/1"].map(|path| {
+            let clients = Arc::clone(self);
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(53) ^ path.len() as u64);
+            thread::spawn(move || clients.send_reads(&mut rng, READ_PAUSE, (Kind::Roaming, path)))
+        });
         let others = [deadly, south]
             .into_iter()
+            .chain(roaming)
+            .chain(looks)
             .chain(readers)
             .chain(resumers)
             .chain(cold)
@@ -304,7 +318,8 @@
         while !self.is_stopped() {
             thread::sleep(Duration::from_millis(rng.random_range(pause.clone())));
             let id = format!("r{}", self.next_id.fetch_add(1, Ordering::Relaxed));
-            let read = request(&id, "GET", path).with_timeout(SHORT_TIMEOUT);
+            let read = request(&id, "GET", path).with_key(roaming::key(path));
+            let read = read.with_timeout(SHORT_TIMEOUT);
             if let Some(mut held) = self.open(self.pick_gateway(rng)) {
                 self.exchange(&mut held, vec![(kind, read)], Duration::ZERO);
             }
