--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -56,10 +56,8 @@
         let is_whole = match seen.kind {
             Kind::Stream(_) | Kind::Resumable { .. } => matches!(self.scope, Scope::Engines | Scope::All),
             Kind::Unsafe | Kind::Safe => matches!(self.scope, Scope::Plain | Scope::All),
-            // No cut goes to their upstreams.
-            Kind::Cold | Kind::Large | Kind::Calm => false,
-            // Whether they are served is not judged.
-            Kind::Roaming => false,
+            // No cut goes to their upstreams, or whether they are served is not judged.
+            Kind::Cold | Kind::Large | Kind::Calm | Kind::Roaming => false,
         };
         is_whole && (self.from..self.to).contains(&seen.begun)
     }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -552,31 +552,7 @@
         for text in self.cold.poll(&self.fleet, &mut self.harms) {
             self.note(&text);
         }
-        let version = self.version;
-        let before = Instant::now();
-        let configure = || write_config(&self.fleet, &self.roaming, version);
-        let others = [self.cold.upstreams(), &self.calm].concat();
-        let upstreams = [&self.engines, &self.plain, &others[..]];
-        // Processes that are killed all the time know nothing while the store is away.
-        let is_calm = self.trouble.until.is_none() || self.drills.is_away();
-        if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
-            match text {
-                "store away" => self.evacuations.begin_fault(),
-                "store copied" => self.roaming.note_copy(version),
-                "store back from the copy" => {
-                    self.roaming.note_return(before);
-                    self.evacuations.note_return(&self.fleet);
-                }
-                "lost content written again" => {
-                    self.roaming.note_written(version, before);
-                    self.evacuations.write_again(&self.fleet);
-                }
-                _ => {}
-            }
-            self.note(text);
-            // Stale answers end with other faults.
-            self.heal_at = self.heal_at.max(Instant::now() + CUT_TIME);
-        }
+        self.poll_drills();
         if let Some(text) = self.roaming.poll(self.version + 1) {
             self.note(&text);
             self.configure(self.version + 1);
@@ -614,6 +590,35 @@
         }
     }
 
+    /// Takes the store away, copies it and brings it back, as the drills have it.
+    fn poll_drills(&mut self) {
+        let version = self.version;
+        let before = Instant::now();
+        let configure = || write_config(&self.fleet, &self.roaming, version);
+        let others = [self.cold.upstreams(), &self.calm].concat();
+        let upstreams = [&self.engines, &self.plain, &others[..]];
+        // Processes that are killed all the time know nothing while the store is away.
+        let is_calm = self.trouble.until.is_none() || self.drills.is_away();
+        if is_calm && let Some(text) = self.drills.poll(&self.fleet, upstreams, configure) {
+            match text {
+                "store away" => self.evacuations.begin_fault(),
+                "store copied" => self.roaming.note_copy(version),
+                "store back from the copy" => {
+                    self.roaming.note_return(before);
+                    self.evacuations.note_return(&self.fleet);
+                }
+                "lost content written again" => {
+                    self.roaming.note_written(version, before);
+                    self.evacuations.write_again(&self.fleet);
+                }
+                _ => {}
+            }
+            self.note(text);
+            // Stale answers end with other faults.
+            self.heal_at = self.heal_at.max(Instant::now() + CUT_TIME);
+        }
+    }
+
     fn plan(&mut self, delay: Duration, work: Work) {
         self.work.push((Instant::now() + delay, work));
     }
--- a/tests/soak/traffic.rs
+++ b/tests/soak/traffic.rs
@@ -200,6 +200,19 @@
             thread::spawn(move || clients.send_reads(&mut rng, slow::CALM_PAUSE, (Kind::Calm, &path)))
         });
         let calm: Vec<_> = calm.collect();
+        let others = [deadly, south]
+            .into_iter()
+            .chain(self.spawn_roaming(seed))
+            .chain(readers)
+            .chain(resumers)
+            .chain(cold)
+            .chain(slow)
+            .chain(calm);
+        senders.chain(checks).chain(others).collect()
+    }
+
+    /// Starts the clients of routes whose regions change.
+    fn spawn_roaming(self: &Arc<Self>, seed: u64) -> impl Iterator<Item = JoinHandle<()>> {
         let roaming = ["/roam/x", "/roam/far/x"].map(|path| {
             let clients = Arc::clone(self);
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(49) ^ path.len() as u64);
@@ -210,16 +223,7 @@
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(53) ^ path.len() as u64);
             thread::spawn(move || clients.send_reads(&mut rng, READ_PAUSE, (Kind::Roaming, path)))
         });
-        let others = [deadly, south]
-            .into_iter()
-            .chain(roaming)
-            .chain(looks)
-            .chain(readers)
-            .chain(resumers)
-            .chain(cold)
-            .chain(slow)
-            .chain(calm);
-        senders.chain(checks).chain(others).collect()
+        roaming.into_iter().chain(looks)
     }
 
     pub fn stop(&self) {
