fix: an instance that has just started relies on nothing unconfirmed

An instance that starts while the store does not answer it takes what another one knows, which may be cut off itself. Restricted requests were sent by that for up to 0.4 s, until the failed calls counted. It now counts as in doubt from its start until the store, or an instance that watches it, has confirmed the content; while the store answers nobody, for 2.2 s. Found by reading; the pure test fails before (no doubt at 0.3 s). An instance that reads the store first, as on any ordinary start, is confirmed by that and refuses nothing for it.

--- a/crates/carob-dispatch/src/freshness.rs
+++ b/crates/carob-dispatch/src/freshness.rs
@@ -41,6 +41,8 @@
         CutOff,
         /// The instance stood still, and has not caught up since.
         StoodStill,
+        /// The instance has started, and what it knows may come from another one that does not know better.
+        Started,
     }
 }
 
@@ -58,6 +60,7 @@
         match self {
             Self::CutOff => "cut-off",
             Self::StoodStill => "stood-still",
+            Self::Started => "started",
         }
     }
 }
@@ -68,7 +71,8 @@
     passed: Moment,
     /// Why it cannot be relied on, and when that was last seen; `None` once the instance has caught up.
     doubted: Option<(Doubt, Time)>,
-    confirmed: Time,
+    /// `None` before the first time.
+    confirmed: Option<Time>,
 }
 
 impl Freshness {
@@ -76,8 +80,8 @@
     pub const fn new(now: Moment) -> Self {
         Self {
             passed: now,
-            doubted: None,
-            confirmed: now.time,
+            doubted: Some((Doubt::Started, now.time)),
+            confirmed: None,
         }
     }
 
@@ -89,27 +93,33 @@
 
     /// Records that the configuration was found to be current at `time`.
     pub fn confirm(&mut self, time: Time) {
-        self.confirmed = self.confirmed.max(time);
+        self.confirmed = self.confirmed.max(Some(time));
     }
 
-    /// Time since the configuration was found to be current.
-    pub fn age(&self, now: Moment) -> Duration {
-        now.time.since(self.confirmed)
+    /// Time since the configuration was found to be current; `None` if it never was.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.time.since(confirmed))
     }
 
     /// Why the configuration cannot be relied on; `None` if it can.
     pub fn doubt(&mut self, now: Moment, contact: Contact) -> Option<Doubt> {
         self.observe(now);
-        let is_hearing =
-            matches!(self.doubted, Some((Doubt::StoodStill, since)) if now.time < since + HEARING_TIME);
+        let is_hearing = self
+            .doubted
+            .is_some_and(|(doubt, since)| doubt != Doubt::CutOff && now.time < since + HEARING_TIME);
         if contact.is_cut_off() && !is_hearing {
             self.doubted = Some((Doubt::CutOff, now.time));
         }
         let (doubt, since) = self.doubted?;
-        let settled = since + SETTLING_TIME;
+        // Nothing waited in the sockets of an instance that has started.
+        let settled = if doubt == Doubt::Started {
+            since
+        } else {
+            since + SETTLING_TIME
+        };
         // While the store answers nobody, there is no confirmation to wait for.
         let is_alone = contact.uninformed && now.time >= since + HEARING_TIME;
-        if now.time < settled || !(self.confirmed >= settled || is_alone) {
+        if now.time < settled || !(self.confirmed >= Some(settled) || is_alone) {
             return Some(doubt);
         }
         self.doubted = None;
--- a/crates/carob-dispatch/tests/freshness.rs
+++ b/crates/carob-dispatch/tests/freshness.rs
@@ -21,10 +21,40 @@
 
 fn start() -> Freshness {
     let mut freshness = Freshness::new(moment(0, 0));
+    freshness.confirm(Time::from_millis(100));
+    assert_eq!(freshness.doubt(moment(100, 0), INFORMED), None);
     freshness.pass(moment(1_000, 0));
     freshness
 }
 
+/// An instance that had just started relied on what another one had told it, which was cut off itself.
+#[test]
+fn an_instance_relies_on_what_nobody_has_confirmed() {
+    let alone = Contact {
+        uninformed: true,
+        ..INFORMED
+    };
+    // Time of a confirmation, if there is one, and of the question after a start at 0.
+    for (confirmed, asked, contact, doubt) in [
+        (None, 300, INFORMED, Some(Doubt::Started)),
+        (None, 1_400, INFORMED, Some(Doubt::Started)),
+        (Some(100), 100, INFORMED, None),
+        (None, 2_199, alone, Some(Doubt::Started)),
+        (None, 2_200, alone, None),
+        (None, 2_200, Contact { heard: 1, ..alone }, Some(Doubt::CutOff)),
+    ] {
+        let mut freshness = Freshness::new(moment(0, 0));
+        if let Some(confirmed) = confirmed {
+            freshness.confirm(Time::from_millis(confirmed));
+        }
+        for time in (0..=asked).step_by(100) {
+            freshness.pass(moment(time, 0));
+        }
+        let found = freshness.doubt(moment(asked, 0), contact);
+        assert_eq!(found, doubt, "{confirmed:?} {asked} {contact:?}");
+    }
+}
+
 /// An instance that heard nothing new went on as if there were nothing.
 #[test]
 fn an_instance_that_is_cut_off_relies_on_its_configuration() {
@@ -135,7 +165,7 @@
         );
         assert_eq!(
             freshness.age(moment(asked, 0)),
-            Duration::from_millis(asked - confirmed)
+            Some(Duration::from_millis(asked - confirmed))
         );
     }
 }
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -175,6 +175,7 @@
     }
     control.lacks_evacuations.set(false);
     control.record_confirmation();
+    control.send_status();
     if let Some(pending) = pending {
         control.refute_era(pending);
     }
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -96,8 +96,10 @@
     /// Version of the configuration in force.
     version: Cell<u64>,
     reachability: RefCell<Reachability>,
-    /// When the store or a peer last confirmed that the mirror is current.
+    /// When the store or a peer last confirmed that the mirror is current; the start of this instance before.
     confirmed_at: Cell<Instant>,
+    /// Whether one of them has.
+    is_confirmed: Cell<bool>,
     /// Ids of directory entries that were removed around an outage of the store and may reappear.
     lapsed: RefCell<HashSet<String>>,
     /// Failure domains that are out of service.
@@ -155,6 +157,7 @@
             version: Cell::new(0),
             reachability: RefCell::new(Reachability::new()),
             confirmed_at: Cell::new(now),
+            is_confirmed: Cell::new(false),
             lapsed: RefCell::new(HashSet::new()),
             evacuations: RefCell::new(Evacuations::new()),
             lacks_evacuations: Cell::new(false),
@@ -421,6 +424,7 @@
     /// Records that the store, or a peer that watches it, knows nothing newer.
     pub(super) fn record_confirmation(&self) {
         self.confirmed_at.set(Instant::now());
+        self.is_confirmed.set(true);
     }
 
     /// Records the `position` that a peer reports. Returns how long this instance has been behind its peers.
@@ -443,16 +447,24 @@
         self.remove_lapsed();
         self.remove_former();
         self.remove_silent();
-        let confirmed = self.confirmed_at.get();
-        let told = self.last_status.get().map(|status| status.confirmed);
+        let confirmed = self
+            .is_confirmed
+            .get()
+            .then(|| self.confirmed_at.get().into_std());
+        let told = self.last_status.get().and_then(|status| status.confirmed);
+        let is_told = |confirmed: std::time::Instant| {
+            told.is_some_and(|told| confirmed.saturating_duration_since(told) < CONFIRMATION_STEP)
+        };
         let status = StoreStatus {
             position: self.position(),
-            current: confirmed.elapsed() < MAX_STALENESS,
+            current: self.confirmed_at.get().elapsed() < MAX_STALENESS,
             watching: self.watching.get() && self.is_answering() && self.pending_era().is_none(),
             uninformed: self.is_uninformed(),
-            confirmed: told
-                .filter(|told| confirmed.into_std().saturating_duration_since(*told) < CONFIRMATION_STEP)
-                .unwrap_or_else(|| confirmed.into_std()),
+            confirmed: if confirmed.is_some_and(is_told) {
+                told
+            } else {
+                confirmed
+            },
         };
         if self.last_status.replace(Some(status)) != Some(status) {
             self.send(Update::StoreStatus(status));
--- a/crates/carob-gateway/src/traffic/outdated.rs
+++ b/crates/carob-gateway/src/traffic/outdated.rs
@@ -119,13 +119,14 @@
     if before == doubt {
         return doubt;
     }
-    let age_ms = outdated.freshness.get().age(now).as_millis() as u64;
+    let age = outdated.freshness.get().age(now);
+    let age_ms = age.map(|age| age.as_millis() as u64);
     match doubt {
         Some(doubt) => log::warn!(
-            reason = doubt.name(), age_ms, peers = contact.peers, heard = contact.heard;
+            reason = doubt.name(), age_ms:? = age_ms, peers = contact.peers, heard = contact.heard;
             "configuration may be outdated; requests restricted to regions are refused"
         ),
-        None => log::info!(age_ms; "configuration can be relied on again"),
+        None => log::info!(age_ms:? = age_ms; "configuration can be relied on again"),
     }
     doubt
 }
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -548,7 +548,9 @@
             uninformed,
             confirmed,
         } = status;
-        self.outdated.confirm(self.now() - confirmed.elapsed());
+        if let Some(confirmed) = confirmed {
+            self.outdated.confirm(self.now() - confirmed.elapsed());
+        }
         // A cut that ends now lasted until now.
         outdated::refresh(self);
         let (era, revision) = (position.era, position.revision);
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -57,8 +57,8 @@
         /// Whether directory updates no longer arrive, neither from the store nor from a peer that watches
         /// it.
         pub uninformed: bool,
-        /// When the store or a peer last confirmed that the content is current.
-        pub confirmed: Instant,
+        /// When the store or a peer last confirmed that the content is current; `None` before the first time.
+        pub confirmed: Option<Instant>,
     }
 }
 
