logs: relayed connections say by which regions and version

What was missing: the lines of both instances about a relayed connection named neither the regions of the request, nor the configurations that decided, nor where upstream and instances are, so that a request outside its regions could not be traced.

Change: "request sent through another instance" has `domain` of the peer, `regions` and `version`; "connection relayed for another instance" has `regions` and `version` as the sender sent them (`unknown` and 0 if it did not), `own_version`, `upstream_domain` and `domain`. Messages and earlier fields are as they were.

Evidence: the tests of relayed requests look for the fields.

--- a/crates/carob-gateway/src/traffic/guard.rs
+++ b/crates/carob-gateway/src/traffic/guard.rs
@@ -96,9 +96,14 @@
         }
     }
 
+    /// The regions by route and account, and the version that says so.
+    pub(super) fn get(&self) -> Ref<'_, Residence> {
+        self.residence.borrow()
+    }
+
     /// The regions by the newest configuration that says so.
     pub(super) fn regions(&self) -> Regions {
-        self.residence.borrow().regions()
+        self.get().regions()
     }
 
     /// Applies a later configuration.
@@ -162,7 +167,7 @@
 
     /// The regions by the newest configuration that says so.
     pub(super) fn get(&self) -> Ref<'_, Residence> {
-        self.followed.residence.borrow()
+        self.followed.get()
     }
 }
 
--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -260,15 +260,18 @@
     relay: Relay,
     started: Instant,
 ) {
-    let Purpose::Request { id, .. } = purpose else {
+    let Purpose::Request { id, residence } = purpose else {
         return;
     };
-    let lost = shared.fleet().link_lost_since(upstream);
+    let residence = residence.get();
+    let fleet = shared.fleet();
+    let lost = fleet.link_lost_since(upstream);
     log::info!(
         request:% = String::from_utf8_lossy(id), upstream:% = name, peer:% = relay.peer,
         heard_ms = relay.heard.as_millis() as u64,
         lost_ms = lost.map_or(0, |since| shared.now().since(since).as_millis() as u64),
-        took_ms = started.elapsed().as_millis() as u64; "request sent through another instance"
+        took_ms = started.elapsed().as_millis() as u64, domain = fleet.relay_domain(relay.peer).unwrap_or("unknown"),
+        regions:% = residence.regions(), version = residence.version(); "request sent through another instance"
     );
 }
 
@@ -374,11 +377,7 @@
             .map(Residence::from);
     }
     let is_told = write_frame(&mut near, &reply.encode_to_vec()).await.is_ok();
-    log::info!(
-        request:% = String::from_utf8_lossy(&request.request), peer:% = request.sender,
-        incarnation:% = format!("{:016x}", request.upstream_hash), state = state.name(),
-        control = request.is_control; "connection relayed for another instance"
-    );
+    log_served(&shared, &request, state);
     if let Ok((far, upstream)) = outcome
         && is_told
     {
@@ -389,6 +388,24 @@
     metrics::gauge!("carobhaven_relayed_connections").set(f64::from(shared.relayed().get()));
 }
 
+fn log_served(shared: &Shared, request: &RelayRequest, state: RelayState) {
+    let told = request.residence.as_ref().and_then(Residence::decode);
+    let fleet = shared.fleet();
+    let upstream = fleet
+        .find_hash(request.upstream_hash)
+        .and_then(|key| fleet.upstream(key));
+    log::info!(
+        request:% = String::from_utf8_lossy(&request.request), peer:% = request.sender,
+        incarnation:% = format!("{:016x}", request.upstream_hash), state = state.name(),
+        control = request.is_control,
+        regions:% = told.as_ref().map_or_else(|| "unknown".to_owned(), |told| told.regions().to_string()),
+        version = told.as_ref().map_or(0, residence::Residence::version),
+        own_version = shared.table().map_or(0, |table| table.version()),
+        upstream_domain = upstream.map_or("unknown", |found| &*found.entry.domain),
+        domain:% = shared.settings().domain; "connection relayed for another instance"
+    );
+}
+
 /// Counts a request at a plain upstream. Generations are counted by the instance that they belong to, which tells the
 /// others.
 fn reserve(shared: &Rc<Shared>, upstream: UpstreamKey, is_control: bool) -> Option<Reservation> {
--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -126,8 +126,15 @@
     fleet
 }
 
-/// Expects that requests which the later configuration does not permit are refused after one question.
-fn expect_refusals(fleet: &Fleet) {
+/// Expects that requests which the later configuration does not permit are refused after one question, whose log line says
+/// why: what was known on both sides, and the failure domains of upstream and instance.
+fn expect_refusals(fleet: &Fleet, domains: [&str; 2]) {
+    let reason = format!(
+        "\"state\":\"region\",\"control\":false,\"regions\":\"any\",\"version\":1,\"own_version\":2,\
+         \"upstream_domain\":\"{}\",\"domain\":\"{}\"",
+        domains[0], domains[1]
+    );
+
     for number in 0..5 {
         let id = format!("x{number}");
         let outcome = fleet.send(0, &read(&id));
@@ -139,10 +146,7 @@
         };
         wait_until("the question is logged", || !asked(&fleet.gateways[1]).is_empty());
         let lines = asked(&fleet.gateways[1]);
-        assert!(
-            lines.len() == 1 && lines[0].contains("\"state\":\"region\""),
-            "{lines:?}"
-        );
+        assert!(lines.len() == 1 && lines[0].contains(&reason), "{lines:?}");
     }
 }
 
@@ -152,7 +156,13 @@
     let fleet = start_apart("b", &restricted_routes(), &[]);
     let abroad = fleet.start_plain_in("a", "n", WORK_TIME);
     cut(&fleet, &abroad);
-    expect_refusals(&fleet);
+    let sent = "\"domain\":\"b\",\"regions\":\"any\",\"version\":1";
+    wait_until("the first one logs what it knew", || {
+        let lines = fleet.gateways[0].log_lines().into_iter();
+        let mut lines = lines.filter(|line| line.contains("request sent through another instance"));
+        lines.any(|line| line.contains(sent))
+    });
+    expect_refusals(&fleet, ["a", "b"]);
 }
 
 /// The same, through an instance that is itself abroad by what the account permits.
@@ -161,7 +171,7 @@
     let fleet = start_apart("a", &ROUTES, SOUTH);
     let home = fleet.start_plain_in("b", "s", WORK_TIME);
     cut(&fleet, &home);
-    expect_refusals(&fleet);
+    expect_refusals(&fleet, ["b", "a"]);
 }
 
 /// A call that has memory copied passed through an instance that knew that its target is not permitted any more, and the
