fix: the regions of an account bind after it has lost the key

Found in review: a request that was admitted with a key kept the regions that the account had when that key was replaced, and ran outside those that the account got later. The account was looked up by the key alone.

A residence keeps the name of the account, and finds it by that once the key is gone; an instance that relays is told it too. The configuration keeps accounts without keys.

--- a/crates/carob-dispatch/src/residence.rs
+++ b/crates/carob-dispatch/src/residence.rs
@@ -13,6 +13,8 @@
 pub struct Residence {
     route: Regions,
     account: Regions,
+    /// Name of the account, by which it is found once the key is gone.
+    owner: Option<Box<str>>,
     version: u64,
 }
 
@@ -20,7 +22,9 @@
     /// What the configuration of `version` says of a request with the route and account `found`.
     pub fn new(found: &RouteMatch<'_>, version: u64) -> Self {
         let account = found.account.map(|account| account.regions.clone());
+        let owner = found.account.map(|account| account.name.clone());
         Self::with_regions(found.route.regions.clone(), account.unwrap_or_default(), version)
+            .with_owner(owner)
     }
 
     /// The regions that a route and an account permit by the configuration of `version`.
@@ -28,10 +32,17 @@
         Self {
             route,
             account,
+            owner: None,
             version,
         }
     }
 
+    /// Names the account.
+    #[must_use]
+    pub fn with_owner(self, owner: Option<Box<str>>) -> Self {
+        Self { owner, ..self }
+    }
+
     /// Applies `table` to the request for `path` of `host`, whose key belongs to `account` there. An earlier configuration
     /// than the one known changes nothing. Returns whether the request may run in other regions than before.
     pub fn update(
@@ -48,8 +59,9 @@
         if let Some(route) = table.route(host, path) {
             self.route = route.regions.clone();
         }
-        if let Some(account) = account {
+        if let Some(account) = account.or_else(|| table.account_named(self.owner()?)) {
             self.account = account.regions.clone();
+            self.owner = Some(account.name.clone());
         }
         self.regions() != before
     }
@@ -64,6 +76,11 @@
         &self.account
     }
 
+    /// Name of the account; `None` for a request without one.
+    pub fn owner(&self) -> Option<&str> {
+        self.owner.as_deref()
+    }
+
     /// Regions in which the request may run: those that route and account both permit.
     pub fn regions(&self) -> Regions {
         self.route.intersection(&self.account)
--- a/crates/carob-dispatch/src/table.rs
+++ b/crates/carob-dispatch/src/table.rs
@@ -171,6 +171,8 @@
     classes: HashMap<Box<str>, Vec<PriorityClass>>,
     /// Accounts by API key; `None` if requests need no key.
     keys: Option<HashMap<Box<str>, Account>>,
+    /// All accounts, also those that have no key at present.
+    accounts: Vec<Account>,
 }
 
 carob_base::plain! {
@@ -218,6 +220,8 @@
             .into_iter()
             .map(|service| (service.name.clone(), service))
             .collect();
+        let listed = config.accounts.iter().flatten();
+        let accounts = listed.map(|(account, _)| account.clone()).collect();
         let keys = config.accounts.map(|accounts| {
             accounts
                 .into_iter()
@@ -231,6 +235,7 @@
             services,
             classes,
             keys,
+            accounts,
         }
     }
 
@@ -286,6 +291,11 @@
         self.keys.as_ref()?.get(key?)
     }
 
+    /// The account with this name.
+    pub fn account_named(&self, name: &str) -> Option<&Account> {
+        self.accounts.iter().find(|account| *account.name == *name)
+    }
+
     /// The account that a key with this [`key_hash`] belongs to.
     pub fn account_by_hash(&self, hash: u64) -> Option<&Account> {
         let mut keys = self.keys.as_ref()?.iter();
--- a/crates/carob-dispatch/tests/residence.rs
+++ b/crates/carob-dispatch/tests/residence.rs
@@ -42,12 +42,18 @@
         regions: regions(names),
     };
     let account = |(key, names): &(&str, &[&str])| {
+        // A key with a name in front belongs to the account of that name.
+        let (name, key) = key.split_once('=').unwrap_or(("", key));
         let account = Account {
-            name: format!("of {key} in {names:?}").into(),
+            name: if name.is_empty() {
+                format!("of {key} in {names:?}").into()
+            } else {
+                name.into()
+            },
             priority: None,
             regions: regions(names),
         };
-        (account, vec![Box::from(*key)])
+        (account, vec![Box::from(key)])
     };
     RoutingTable::new(RoutingConfig {
         version,
@@ -153,6 +159,19 @@
     expect(Some("k"), &unknown);
 }
 
+/// A request kept the regions that its account had when the key was taken away, however the account changed after that.
+#[test]
+fn an_account_that_loses_the_key_still_binds() {
+    let all: Routes = &[(HOST, "/d/", ANY)];
+    let steps: [((Routes, Accounts), &[&str]); 4] = [
+        ((all, &[("acme=k", NORTH)]), NORTH),
+        ((all, &[("acme=l", NORTH)]), NORTH),
+        ((all, &[("acme=l", SOUTH)]), SOUTH),
+        ((all, &[]), SOUTH),
+    ];
+    expect(Some("k"), &steps);
+}
+
 /// Where route and account have nothing in common, nothing is permitted, which is not the same as no restriction.
 #[test]
 fn route_and_account_bind_both_and_may_leave_nothing() {
--- a/crates/carob-gateway/src/relaying.rs
+++ b/crates/carob-gateway/src/relaying.rs
@@ -54,6 +54,9 @@
     /// Regions that its account permits.
     #[prost(message, optional, tag = "3")]
     pub account: Option<RegionList>,
+    /// Name of the account; absent for a request without one.
+    #[prost(string, optional, tag = "4")]
+    pub owner: Option<String>,
 }
 
 /// Regions that are permitted; no names stand for none.
@@ -151,7 +154,8 @@
     /// `None` if it does not say what the route and the account permit.
     pub fn decode(&self) -> Option<residence::Residence> {
         let [route, account] = [&self.route, &self.account].map(|list| list.as_ref().map(Regions::from));
-        Some(residence::Residence::with_regions(route?, account?, self.version))
+        let residence = residence::Residence::with_regions(route?, account?, self.version);
+        Some(residence.with_owner(self.owner.as_deref().map(Into::into)))
     }
 }
 
@@ -161,6 +165,7 @@
             version: residence.version(),
             route: Some(residence.route_regions().into()),
             account: Some(residence.account_regions().into()),
+            owner: residence.owner().map(ToOwned::to_owned),
         }
     }
 }
