--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -1,9 +1,10 @@
 //! Connections to upstreams through other instances.
 //!
 //! An instance whose links to upstreams are lost asks another one to connect to an upstream, and sends its request on
-//! that connection. The other instance forwards bytes and decides nothing, so that deadlines, attempts, permits and
-//! streams are the business of one instance, as on a direct connection. It only reads from the head of the answer whether
-//! the upstream leaves, since it is bound by that too. It connects itself: what is relayed is never relayed again.
+//! that connection. The other instance forwards bytes, so that deadlines, attempts, permits and streams are the business of
+//! one instance, as on a direct connection. It refuses what its own, newer configuration does not permit, and reads from the
+//! head of the answer whether the upstream leaves, since it is bound by that too. It connects itself: what is relayed is never
+//! relayed again.
 //!
 //! Either instance may have the newer configuration. The one that asks says by which it decided where the request may run; the
 //! other one applies its own if that is newer, and connects nothing that it does not permit.
@@ -189,7 +190,7 @@
             took_ms = started.elapsed().as_millis() as u64; "connection not relayed by another instance"
         );
         match state {
-            // The others would connect it by an earlier configuration.
+            // Others may follow an earlier configuration, and would connect it.
             RelayState::Region => return Err(Error::Excluded(Exclusion::Region)),
             RelayState::Full | RelayState::Closing => avoid(shared, relay.peer, FULL_PAUSE),
             RelayState::Unreachable => {
@@ -520,11 +521,12 @@
     mut near: TcpStream,
     mut far: TcpStream,
 ) {
+    let permitted = || check_regions(shared, request, upstream).is_ok();
     let is_whole = {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
         tokio::select! {
-            () = forward_requests(near_read, far_write) => return,
+            () = forward_requests(near_read, far_write, permitted) => return,
             is_whole = forward_answers(shared, upstream, request, far_read, near_write) => is_whole,
         }
     };
@@ -543,12 +545,17 @@
     .await;
 }
 
-/// Returns when the other instance has closed its connection.
-async fn forward_requests(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) {
+/// Returns when the other instance has closed its connection, or once what it sends is not `permitted` any more: a
+/// configuration may have come into force here since the connection was offered.
+async fn forward_requests(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, permitted: impl Fn() -> bool) {
     let mut buffer = vec![0; BUFFER];
     loop {
         match from.read(&mut buffer).await {
             Ok(0) | Err(_) => return,
+            Ok(_) if !permitted() => {
+                count("in", "stopped");
+                return;
+            }
             Ok(length) => {
                 if to.write_all(&buffer[..length]).await.is_err() {
                     // The upstream may have answered before it closed.
