fix: an instance that hears others and is not confirmed is behind

Found in review: an instance that hears of newer content and cannot get it was in no doubt, for 12 s in a unit run. After 2.2 s without a confirmation it now counts as behind, until there is one. The tests' instance is confirmed when it passes, as a real one is; what they ask has not changed.

--- a/crates/carob-dispatch/src/freshness.rs
+++ b/crates/carob-dispatch/src/freshness.rs
@@ -13,6 +13,9 @@
 /// Time after a standstill or a cut in which what arrives may have been sent before its end.
 pub const SETTLING_TIME: Duration = Duration::from_millis(500);
 
+/// Time without a confirmation after which an instance that is informed counts as behind. Others tell once a second.
+pub const MAX_UNCONFIRMED: Duration = Duration::from_millis(2_200);
+
 /// Time after a standstill within which an instance hears of others, if it can.
 pub const HEARING_TIME: Duration = Duration::from_millis(2_200);
 
@@ -41,14 +44,16 @@
         CutOff,
         /// The instance stood still, and has not caught up since.
         StoodStill,
+        /// The instance hears others, and none of what it hears confirms its configuration.
+        Behind,
         /// The instance has started, and what it knows may come from another one that does not know better.
         Started,
     }
 }
 
 impl Contact {
-    /// Whether others may know what this instance cannot hear. While the store answers nobody, those that hear most others
-    /// know what there is to know.
+    /// Whether others may know what this instance cannot hear. One that hears most others is taken to be on the larger side of an
+    /// outage of the store; that the store answers the smaller side alone cannot be told from here.
     const fn is_cut_off(self) -> bool {
         self.uninformed && self.heard * 2 < self.peers
     }
@@ -60,6 +65,7 @@
         match self {
             Self::CutOff => "cut-off",
             Self::StoodStill => "stood-still",
+            Self::Behind => "behind",
             Self::Started => "started",
         }
     }
@@ -110,12 +116,15 @@
         if contact.is_cut_off() && !is_hearing {
             self.doubted = Some((Doubt::CutOff, now.time));
         }
+        let is_unconfirmed = self.age(now).is_some_and(|age| age > MAX_UNCONFIRMED);
+        if self.doubted.is_none() && is_unconfirmed && !contact.uninformed {
+            self.doubted = Some((Doubt::Behind, now.time));
+        }
         let (doubt, since) = self.doubted?;
-        // Nothing waited in the sockets of an instance that has started.
-        let settled = if doubt == Doubt::Started {
-            since
-        } else {
-            since + SETTLING_TIME
+        // Nothing that is old waits in the sockets of an instance that has started, or that went on all the while.
+        let settled = match doubt {
+            Doubt::Started | Doubt::Behind => since,
+            Doubt::CutOff | Doubt::StoodStill => since + SETTLING_TIME,
         };
         // While the store answers nobody, there is no confirmation to wait for.
         let is_alone = contact.uninformed && now.time >= since + HEARING_TIME;
--- a/crates/carob-dispatch/tests/freshness.rs
+++ b/crates/carob-dispatch/tests/freshness.rs
@@ -24,6 +24,7 @@
     freshness.confirm(Time::from_millis(100));
     assert_eq!(freshness.doubt(moment(100, 0), INFORMED), None);
     freshness.pass(moment(1_000, 0));
+    freshness.confirm(Time::from_millis(1_000));
     freshness
 }
 
@@ -109,6 +110,25 @@
     }
 }
 
+/// An instance that heard of newer content, and could not get it, went on by its own.
+#[test]
+fn an_instance_that_is_behind_relies_on_its_configuration() {
+    let mut freshness = start();
+    for (time, doubt) in [
+        (1_500, None),
+        (3_200, None),
+        (3_300, Some(Doubt::Behind)),
+        (12_000, Some(Doubt::Behind)),
+    ] {
+        for pass in (1_500..=time).step_by(100) {
+            freshness.pass(moment(pass, 0));
+        }
+        assert_eq!(freshness.doubt(moment(time, 0), INFORMED), doubt, "{time}");
+    }
+    freshness.confirm(Time::from_millis(12_100));
+    assert_eq!(freshness.doubt(moment(12_200, 0), INFORMED), None);
+}
+
 /// What was asked first after a standstill was answered as if there had been none.
 #[test]
 fn a_standstill_is_noticed_by_the_loop_alone() {
--- a/crates/carob-gateway/src/traffic/outdated.rs
+++ b/crates/carob-gateway/src/traffic/outdated.rs
@@ -33,7 +33,7 @@
     pub(super) fn new(now: Time) -> Self {
         Self {
             freshness: Cell::new(Freshness::new(moment(now))),
-            logged: Cell::new(None),
+            logged: Cell::new(Some(Doubt::Started)),
         }
     }
 
@@ -116,7 +116,7 @@
     let outdated = &shared.outdated;
     let doubt = outdated.change(|freshness| freshness.doubt(now, contact));
     let before = outdated.logged.replace(doubt);
-    if before == doubt {
+    if before == doubt || (before == Some(Doubt::Started) && doubt.is_none()) {
         return doubt;
     }
     let age = outdated.freshness.get().age(now);
--- a/crates/carob-gateway/src/traffic/stream/failover.rs
+++ b/crates/carob-gateway/src/traffic/stream/failover.rs
@@ -328,7 +328,7 @@
         let size = self.call.run_size(self.generated());
         let requirements = self.call.requirements(size, &excluded);
         let placement = shared.fleet().place(&requirements, shared.now());
-        let has_place = matches!(placement, Placement::Upstream(_));
+        let has_place = matches!(placement, Placement::Upstream(key) if self.call.check_place(key).is_ok());
         if !has_place || !verdict::may_move(&self.call) || !Attempts::permit_another(&self.call) {
             return Ok(false);
         }
