--- a/crates/carob-dispatch/tests/freshness.rs
+++ b/crates/carob-dispatch/tests/freshness.rs
@@ -189,3 +189,14 @@
         );
     }
 }
+
+/// The larger side of a partition relied on its configuration while the store answered the smaller side alone.
+#[test]
+fn a_majority_without_the_store_relies_on_its_configuration() {
+    let contact = Contact {
+        uninformed: true,
+        peers: 65,
+        heard: 43,
+    };
+    assert!(start().doubt(moment(1_500, 0), contact).is_some());
+}
--- a/tests/outdated_regions.rs
+++ b/tests/outdated_regions.rs
@@ -201,3 +201,19 @@
         assert!(!fleet.gateways[0].logged("configuration may be outdated"));
     }
 }
+
+/// A gateway that was cut off sent requests abroad whose route was restricted to regions meanwhile.
+#[test]
+fn a_route_is_restricted_first_while_a_gateway_is_cut_off() {
+    let (fleet, _upstreams) = start(2);
+    write(&fleet, 2, &[]);
+    thread::sleep(CONFIG_APPLY);
+    fleet.gateways[0].store_endpoint.set_outage(Some(Outage::Reset));
+    fleet.gateways[1].signal("STOP");
+    let written = Instant::now();
+    write(&fleet, 3, SOUTH);
+    send_for(&fleet, CONFIG_APPLY * 2, written);
+    fleet.gateways[1].signal("CONT");
+    let late = reads_after(&fleet, "n", written + CONFIG_APPLY);
+    assert!(late.is_empty(), "{} reads in the north", late.len());
+}
