tests: the platform's names stay in its folder

tests/names.rs failed on two new tests that wrote configurations and raw requests themselves. The stand-in adds an account and writes heads for them; what they ask has not changed (both pass).

--- a/tests/region_forms.rs
+++ b/tests/region_forms.rs
@@ -9,7 +9,7 @@
 };
 
 use carob_platform_standin::{
-    client,
+    client::{self, Request},
     config::{self, Route},
 };
 use fleet::{CLIENT_KEY, Fleet, LONG};
@@ -93,9 +93,13 @@
 /// Sends a request that begins with `lines`. Returns the status of the answer.
 fn send_raw(fleet: &Fleet, lines: &str, id: &str) -> u16 {
     let mut stream = TcpStream::connect(fleet.gateways[0].caller_address).expect("the gateway listens");
-    let text = format!(
-        "{lines}Request-Id: {id}\r\nDeadline-Ms: 4000\r\nX-Api-Key: {CLIENT_KEY}\r\nConnection: close\r\n\r\n"
-    );
+    let plain = Request::new(id, "GET", "/")
+        .with_key(CLIENT_KEY)
+        .with_header("Connection", "close");
+    let head = plain.head("Content-Length: 0");
+    // Its own request line and host are the first two lines.
+    let rest = head.splitn(3, "\r\n").nth(2).expect("a head has more lines");
+    let text = format!("{lines}{rest}");
     stream.write_all(text.as_bytes()).expect("the gateway reads");
     let outcome = client::read(&mut stream, Instant::now() + LONG);
     let _closed = stream.shutdown(Shutdown::Both);
--- a/tests/soak/roaming.rs
+++ b/tests/soak/roaming.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::{Ledger, config::Route};
+use carob_platform_standin::{
+    Ledger,
+    config::{self, Route},
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use crate::{
     domains::{DOMAINS, Domains},
@@ -136,27 +139,17 @@
         found.unwrap_or(0)
     }
 
-    /// Adds the routes and the account of a version to its configuration.
+    /// Adds the account of a version to its configuration.
     pub fn add_to(&self, content: &mut Value, version: u64) {
-        let rules = &self.rules[self.number(version)];
-        for route in content["Routes"].as_array_mut().expect("a list") {
-            let place = ROUTES.iter().position(|other| route["Prefix"] == other.prefix);
-            if let Some(place) = place {
-                route["AllowedRegions"] = json!(rules.routes[place].unwrap_or_default());
-            }
-        }
-        let account = json!({ "Name": "rover", "ApiKeys": [KEY], "AllowedRegions": rules.account });
-        content["Tenants"].as_array_mut().expect("a list").push(account);
+        let account = self.rules[self.number(version)].account;
+        config::add_account(content, ("rover", KEY), account);
     }
 
     /// Routes of a version.
     pub fn routes(&self, version: u64) -> impl Iterator<Item = Route> {
-        let present = self.rules[self.number(version)].routes.iter();
-        ROUTES
-            .iter()
-            .zip(present)
-            .filter(|(_, regions)| regions.is_some())
-            .map(|(route, _)| route.clone())
+        let present = self.rules[self.number(version)].routes;
+        let routes = ROUTES.iter().zip(present);
+        routes.filter_map(|(route, regions)| Some(route.clone().with_regions(regions?)))
     }
 
     /// Notes that a version was written, begun at `from`.
