fix: a doubt that soon passes ends no stream that breaks off

Callers saw a stream cut in the middle when its upstream broke off while the gateway stood still for two seconds, although another upstream in its regions had room and the gateway could rely on its configuration again within a second. `outdated::check` refused the next run at once; a request that may have run cannot return with Retry-After, so that this ended it.

Such a request now waits until the doubt ends, for half of the pause that its client bears, as the next run needs the rest. One that has not run is refused at once, as before.

--- a/crates/carob-gateway/src/traffic/exchange.rs
+++ b/crates/carob-gateway/src/traffic/exchange.rs
@@ -196,7 +196,7 @@
         if attempts.ran == 0 {
             link::check(call)?;
         }
-        outdated::check(call, attempts.ran)?;
+        outdated::check(call, attempts.ran).await?;
         let reservation = match reserve(call, &attempts.tried, start, unrun).await {
             Ok(reservation) => reservation,
             Err(refusal) if attempts.ran == 0 => return Err(refusal),
--- a/crates/carob-gateway/src/traffic/outdated.rs
+++ b/crates/carob-gateway/src/traffic/outdated.rs
@@ -11,6 +11,11 @@
     regions::Regions,
 };
 
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
 use super::{
     answer::LocalAnswer,
     call::Call,
@@ -27,6 +32,8 @@
     freshness: Cell<Freshness>,
     /// What was logged last.
     logged: Cell<Option<Doubt>>,
+    /// Notified when that changes.
+    changed: Notify,
 }
 
 impl Outdated {
@@ -34,6 +41,7 @@
         Self {
             freshness: Cell::new(Freshness::new(moment(now))),
             logged: Cell::new(Some(Doubt::Started)),
+            changed: Notify::new(),
         }
     }
 
@@ -78,8 +86,12 @@
     present(shared)
 }
 
-/// Refuses a request that must not go anywhere now; `ran` attempts of it may have run.
-pub(super) fn check(call: &Call, ran: u32) -> Result<(), Refusal> {
+/// Refuses a request that must not go anywhere now. One of which `ran` attempts may have run cannot return, and waits until it
+/// may go on, for half of the pause that its client bears.
+pub(super) async fn check(call: &Call, ran: u32) -> Result<(), Refusal> {
+    if ran > 0 && await_end(call, call.route.patience() / 2).await {
+        return Ok(());
+    }
     let Some(doubt) = doubt(&call.shared, &call.regions()) else {
         return Ok(());
     };
@@ -88,6 +100,20 @@
     Err((if ran == 0 { local } else { LocalAnswer::Unclear }, reason))
 }
 
+/// Waits until a request may go somewhere, for `limit` at most; returns whether it may.
+async fn await_end(call: &Call, limit: Duration) -> bool {
+    let end = call.answer_deadline().min(Instant::now() + limit);
+    loop {
+        let changed = call.shared.outdated.changed.notified();
+        if doubt(&call.shared, &call.regions()).is_none() {
+            return true;
+        }
+        if timeout_at(end, changed).await.is_err() {
+            return false;
+        }
+    }
+}
+
 /// Whether a request would be refused.
 pub(super) fn peek(call: &Call) -> Result<(), Refusal> {
     doubt(&call.shared, &call.regions()).map_or(Ok(()), |_doubt| Err(refusal()))
@@ -116,6 +142,9 @@
     let outdated = &shared.outdated;
     let doubt = outdated.change(|freshness| freshness.doubt(now, contact));
     let before = outdated.logged.replace(doubt);
+    if before != doubt {
+        outdated.changed.notify_waiters();
+    }
     if before == doubt || (before == Some(Doubt::Started) && doubt.is_none()) {
         return doubt;
     }
--- a/tests/outdated_regions.rs
+++ b/tests/outdated_regions.rs
@@ -12,7 +12,7 @@
     client::{self, Request},
     config::{self, Route},
 };
-use fleet::{CLIENT_KEY, CONFIG_APPLY, Fleet, LONG, request, wait_until};
+use fleet::{CLIENT_KEY, CONFIG_APPLY, Fleet, LONG, generation_request, request, wait_until};
 
 const WORK_TIME: Duration = Duration::from_millis(2);
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -23,6 +23,12 @@
 /// Events of a generation, which goes on for longer than it takes to notice a cut.
 const EVENTS: u64 = 400;
 
+/// Interval between two events of a generation that is to reach its end.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time for which a gateway stands still, longer than it takes to doubt its configuration.
+const STANDSTILL: Duration = Duration::from_secs(2);
+
 /// Time between the announcement that an upstream leaves and its end.
 const NOTICE: Duration = Duration::from_millis(1_600);
 
@@ -188,6 +194,40 @@
     }
 }
 
+/// A stream that broke off while its gateway stood still was not run again, although the gateway soon knew where it may run.
+#[test]
+fn a_stream_that_breaks_off_during_a_standstill_ends() {
+    let fleet = Fleet::start(2);
+    let first = fleet.start_engine("e1", EVENTS, EVENT_INTERVAL);
+    let routes = [
+        Route::new("/draft/", "streaming", "engines")
+            .with_regions(NORTH)
+            .with_timeout(20_000)
+            .with_max_attempts(2)
+            .with_resumable(),
+        Route::new("/earn/", "streaming", "engines").with_anonymous(),
+    ];
+    let config = config::config(1, &routes, &[CLIENT_KEY]);
+    fleet.store.put(config::KEY, &config);
+    fleet.wait_ready();
+    for number in 0..10 {
+        let mut earning = generation_request(&format!("earn{number}")).with_events(1);
+        "/earn/x".clone_into(&mut earning.path);
+        assert_eq!(fleet.send(0, &earning).status, 200);
+    }
+    let client = fleet.start_generation(0, "d1");
+    let _second = fleet.start_engine("e2", EVENTS, EVENT_INTERVAL);
+    thread::sleep(Duration::from_secs(1));
+    fleet.gateways[0].signal("STOP");
+    thread::sleep(STANDSTILL);
+    first.kill();
+    fleet.gateways[0].signal("CONT");
+    let outcome = client.join().expect("the client ends");
+    assert!(fleet.gateways[0].logged("\"reason\":\"stood-still\""));
+    assert_eq!((outcome.status, outcome.complete), (200, true));
+    assert_eq!(outcome.events(), (1..=EVENTS).collect::<Vec<_>>());
+}
+
 /// While the store answers nobody, nobody knows better regions: reads are served.
 #[test]
 fn an_outage_of_the_store_for_all_gateways_refuses_requests() {
