fix: a source is stopped with its memory when its target is not permitted any more

By reading: when a move's target does not answer and a configuration forbids it meanwhile, the call that stops the source named that target for the memory. `copy_once` does not send such a call; the source's connection was closed, and the generation lost what it had generated.

The call now names the source itself, as `stop::spare` does, and the generation goes on from there if it may. No test: the window is the 400 ms in which both run.

--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -261,8 +261,10 @@
         let until = Instant::now() + HOLD_TIMEOUT;
         let mut outcome = hold(&call, source, Some(target), tokens).await;
         if matches!(&outcome, Err(failure) if failure.goes_on) && Instant::now() < until {
-            // The target has room for the generation, if any upstream has.
-            outcome = hold_at(&call, source, (target, source), tokens).await;
+            // The target has room for the generation, if any upstream has. The source keeps the memory if it may not go there.
+            let is_permitted = call.check_place(target).is_ok();
+            let named = if is_permitted { target } else { source };
+            outcome = hold_at(&call, source, (named, source), tokens).await;
         }
         if let Err(failure) = &outcome
             && failure.goes_on
