perf: the key of a relayed request is looked up under a newer configuration alone

An instance that relays hashed the keys of all accounts up to four times a request, and dropped the account found unless its own configuration was newer than the one that the sender told. It compares the versions first. The time it takes was not measured.

--- a/crates/carob-dispatch/src/fleet/relays.rs
+++ b/crates/carob-dispatch/src/fleet/relays.rs
@@ -58,7 +58,8 @@
     /// Where it may run by the configuration of the instance that asks, or by `table` if that is newer.
     pub fn residence(&self, table: Option<&RoutingTable>) -> Residence {
         let mut residence = self.residence.clone();
-        if let Some(table) = table {
+        // Finding the account takes time in proportion to the number of keys.
+        if let Some(table) = table.filter(|table| table.version() > residence.version()) {
             let account = self.key_hash.and_then(|hash| table.account_by_hash(hash));
             residence.update(table, (&self.host, &self.path), account);
         }
