test: what is relayed is checked at both ends in each run of its tests

In the log it applied the restriction first, all five times, and refused by itself, so that the sender's check was never asked; the test expects that it was. The other gateway now has a configuration of its own that permits the request, which the sender's cannot replace: the sender's check alone decides, in each round.

--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -50,14 +50,44 @@
     });
 }
 
+/// Starts a gateway in `a` that has the earlier configuration, and one in `domain` that has the later `version` with these
+/// routes, in which the account may use `regions` only.
+///
+/// They have stores of their own. The other one loses its store before it hears of the first one, whose revision is higher;
+/// so it learns of upstreams and keeps its configuration.
+fn start_apart((version, domain): (u64, &str), routes: &[Route], regions: &[&str]) -> Fleet {
+    let mut fleet = Fleet::start(1);
+    let earlier = config::config(1, &ROUTES, &[CLIENT_KEY]);
+    for _ in 0..8 {
+        fleet.store.put(config::KEY, &earlier);
+    }
+    let (first, other) = (&fleet.gateways[0], Store::new());
+    let mut later = config::config(version, routes, &[CLIENT_KEY]);
+    config::restrict_account(&mut later, regions);
+    other.put(config::KEY, &later);
+    let mut gateway = Gateway::prepare(&other, &[first.peer_address]);
+    gateway.write_settings(&[], "10s");
+    gateway.place(domain);
+    gateway.spawn();
+    for (gateway, version) in [(first, 1), (&gateway, version)] {
+        wait_until("the configurations are in force", || {
+            gateway.logged(&format!("\"version\":{version}"))
+        });
+    }
+    gateway.store_endpoint.set_outage(Some(Outage::Busy));
+    gateway.write_settings(&[first.peer_address], "10s");
+    gateway.place(domain);
+    fleet.gateways.push(gateway);
+    fleet
+}
+
 /// The instance that relays was chosen by one configuration, and the body was written under another that forbids its region.
 #[test]
 fn a_body_is_written_to_a_gateway_that_is_not_permitted_any_more() {
-    let fleet = Fleet::start(2);
+    // The other gateway keeps what permits it, so that it relays whichever it hears of first, the restriction or the request.
+    let fleet = start_apart((100, "a"), &ROUTES, &[]);
     let home = fleet.start_plain_in("b", "s", WORK_TIME);
     let config = |version, routes: &[Route]| config::config(version, routes, &[CLIENT_KEY]);
-    fleet.store.put(config::KEY, &config(1, &ROUTES));
-    fleet.wait_ready();
     cut(&fleet, &home);
     for version in [2, 4, 6, 8, 10] {
         // The other gateway stands still while it is asked, for less than the time in which it has to reply.
@@ -92,35 +122,51 @@
     );
 }
 
-/// Starts a gateway in `a` that has the earlier configuration, and one in `domain` that has a later one with these routes, in
-/// which the account may use `regions` only.
-///
-/// They have stores of their own. The other one loses its store before it hears of the first one, whose revision is higher;
-/// so it learns of upstreams and keeps its configuration.
-fn start_apart(domain: &str, routes: &[Route], regions: &[&str]) -> Fleet {
-    let mut fleet = Fleet::start(1);
-    let earlier = config::config(1, &ROUTES, &[CLIENT_KEY]);
-    for _ in 0..8 {
-        fleet.store.put(config::KEY, &earlier);
-    }
-    let (first, other) = (&fleet.gateways[0], Store::new());
-    let mut later = config::config(2, routes, &[CLIENT_KEY]);
-    config::restrict_account(&mut later, regions);
-    other.put(config::KEY, &later);
-    let mut gateway = Gateway::prepare(&other, &[first.peer_address]);
-    gateway.write_settings(&[], "10s");
-    gateway.place(domain);
-    gateway.spawn();
-    for (gateway, version) in [(first, 1), (&gateway, 2)] {
-        wait_until("the configurations are in force", || {
-            gateway.logged(&format!("\"version\":{version}"))
+/// A gateway went on forwarding what arrived after it had learned that the request is not permitted there any more.
+#[test]
+fn a_body_is_forwarded_that_arrives_after_the_restriction() {
+    let fleet = Fleet::start(2);
+    let abroad = fleet.start_plain_in("a", "n", WORK_TIME);
+    let config = |version, routes: &[Route]| config::config(version, routes, &[CLIENT_KEY]);
+    fleet.store.put(config::KEY, &config(1, &ROUTES));
+    fleet.wait_ready();
+    cut(&fleet, &abroad);
+    let [sender, relaying] = &fleet.gateways[..] else {
+        panic!("two gateways");
+    };
+    for version in [2, 4, 6] {
+        let id = format!("x{version}");
+        let (address, sent) = (sender.caller_address, read(&id));
+        relaying.signal("STOP");
+        let client = thread::spawn(move || client::send(address, &sent));
+        wait_until("the request is placed", || {
+            sender.logged(&format!("\"sent to an upstream\",\"request\":\"{id}\""))
+        });
+        thread::sleep(Duration::from_millis(50));
+        // Until the restriction is in force where it passes through.
+        sender.signal("STOP");
+        relaying.signal("CONT");
+        wait_until("the connection is offered", || {
+            relaying.logged(&format!(
+                "\"connection relayed for another instance\",\"request\":\"{id}\""
+            ))
+        });
+        fleet
+            .store
+            .put(config::KEY, &config(version, &restricted_routes()));
+        wait_until("the restriction is in force", || {
+            relaying.logged_since_start(&format!("\"version\":{version}"))
+        });
+        sender.signal("CONT");
+        let outcome = client.join().expect("the client ends");
+        assert_ne!(outcome.status, 200);
+        assert_eq!(fleet.ledger.run_count(&id), 0);
+        fleet.store.put(config::KEY, &config(version + 1, &ROUTES));
+        wait_until("the other gateway relays again", || {
+            let id = format!("y{}", fleet.ledger.arrivals().len());
+            fleet.send(0, &read(&id)).status == 200
         });
     }
-    gateway.store_endpoint.set_outage(Some(Outage::Busy));
-    gateway.write_settings(&[first.peer_address], "10s");
-    gateway.place(domain);
-    fleet.gateways.push(gateway);
-    fleet
 }
 
 /// Expects that requests which the later configuration does not permit are refused after one question, whose log line says
@@ -150,7 +196,7 @@
 /// An instance connected to an upstream abroad for one with an earlier configuration, although it knew better.
 #[test]
 fn a_request_is_relayed_to_where_a_later_configuration_does_not_permit_it() {
-    let fleet = start_apart("b", &restricted_routes(), &[]);
+    let fleet = start_apart((2, "b"), &restricted_routes(), &[]);
     let abroad = fleet.start_plain_in("a", "n", WORK_TIME);
     cut(&fleet, &abroad);
     let sent = "\"domain\":\"b\",\"regions\":\"any\",\"version\":1";
@@ -162,10 +208,10 @@
     expect_refusals(&fleet, ["a", "b"]);
 }
 
-/// The same, through an instance that is itself abroad by what the account permits.
+/// An instance relayed that is itself abroad by what the account permits.
 #[test]
 fn a_request_is_relayed_from_where_a_later_configuration_does_not_permit_it() {
-    let fleet = start_apart("a", &ROUTES, SOUTH);
+    let fleet = start_apart((2, "a"), &ROUTES, SOUTH);
     let home = fleet.start_plain_in("b", "s", WORK_TIME);
     cut(&fleet, &home);
     expect_refusals(&fleet, ["b", "a"]);
@@ -175,7 +221,7 @@
 /// generation went on there.
 #[test]
 fn memory_is_copied_to_where_a_later_configuration_does_not_permit_it() {
-    let fleet = start_apart("b", &restricted_routes(), &[]);
+    let fleet = start_apart((2, "b"), &restricted_routes(), &[]);
     let source = fleet.start_engine_in("b", "e1", EVENTS, EVENT_INTERVAL);
     fleet.wait_ready();
     let address = fleet.gateways[0].caller_address;
