fix: a refusal that names many regions is a refusal

By reading: an instance that does not relay a request for its regions names those of its own configuration. With over 4 KiB of names the sender took the reply for one of another kind: the instance counted as silent for a second, and others were asked, which may know less.

Regions that do not fit are left out of the reply; it refuses without them as well. Evidence: the new test, with 600 regions, fails before (the second request is not asked about) and passes.

--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -66,6 +66,9 @@
 /// Maximum size of a reply in bytes. An instance that does not relay answers with other content.
 const MAX_REPLY: u32 = 4 << 10;
 
+/// Maximum size in bytes of what a reply says of a request. A refusal counts without it as well.
+const MAX_TOLD: usize = MAX_REPLY as usize - 64;
+
 /// Size of the buffer for each direction of a relayed connection, in bytes.
 const BUFFER: usize = 16 << 10;
 
@@ -375,7 +378,8 @@
             .request()
             .map(|asked| residence(&shared, &asked))
             .as_ref()
-            .map(Residence::from);
+            .map(Residence::from)
+            .filter(|told| told.encoded_len() < MAX_TOLD);
     }
     let is_told = write_frame(&mut near, &reply.encode_to_vec()).await.is_ok();
     log_served(&shared, &request, state);
--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -208,6 +208,18 @@
     expect_refusals(&fleet, ["a", "b"]);
 }
 
+/// A refusal with more regions than a reply holds counted as silence: the instance was not asked for a while, and others were.
+#[test]
+fn a_refusal_that_names_many_regions_counts_as_silence() {
+    let names = (0..600).map(|number| &*format!("region-{number}").leak());
+    let regions = names.collect::<Vec<&'static str>>().leak();
+    let [read, draft, free] = ROUTES;
+    let fleet = start_apart((2, "b"), &[read.with_regions(regions), draft, free], &[]);
+    let abroad = fleet.start_plain_in("a", "n", WORK_TIME);
+    cut(&fleet, &abroad);
+    expect_refusals(&fleet, ["a", "b"]);
+}
+
 /// An instance relayed that is itself abroad by what the account permits.
 #[test]
 fn a_request_is_relayed_from_where_a_later_configuration_does_not_permit_it() {
