fix: regions of failure domains are those of the reloaded settings

Found in review: operators who assigned a failure domain to another region and reloaded the settings read "settings reloaded", and restricted requests went on to the domain's former region until the next start. The fleet's topology was built once; a reload replaced the budgets and the options for cold upstreams alone.

A reload now replaces it too; each choice and each check reads it then. Evidence: the new test exchanges the two regions; before, 60 reads reach the former one and none the other ([0, 60] for [30, 30]); now 30 each.

--- a/crates/carob-dispatch/src/fleet/mod.rs
+++ b/crates/carob-dispatch/src/fleet/mod.rs
@@ -271,6 +271,11 @@
         }
     }
 
+    /// Replaces the location of this instance and the regions of failure domains.
+    pub fn set_topology(&mut self, topology: Topology) {
+        self.topology = topology;
+    }
+
     /// The upstream with this key; `None` once it has been evicted.
     pub fn upstream(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -148,13 +148,16 @@
     pub(super) load_changed: Notify,
 }
 
+fn topology(settings: &Settings) -> Topology {
+    Topology {
+        domain: settings.domain.clone(),
+        regions: settings.regions.clone(),
+    }
+}
+
 impl Shared {
     pub(super) fn new(settings: Arc<Settings>, reports: Sender<Report>) -> Self {
-        let topology = Topology {
-            domain: settings.domain.clone(),
-            regions: settings.regions.clone(),
-        };
-        let mut fleet = Fleet::new(topology, rand::random());
+        let mut fleet = Fleet::new(topology(&settings), rand::random());
         fleet.set_cold_options(settings.cold);
         let clock = Clock::new();
         Self {
@@ -511,6 +514,7 @@
             Update::Settings(settings) => {
                 self.repeats.apply_settings(&settings, now);
                 cold::apply_settings(self, &settings);
+                self.fleet.borrow_mut().set_topology(topology(&settings));
                 *self.settings.borrow_mut() = settings;
             }
             Update::Shutdown(signal) => {
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -138,6 +138,25 @@
     }
 }
 
+/// A gateway went by the regions of failure domains that it had read when it started.
+#[test]
+fn regions_of_reloaded_settings_are_not_obeyed() {
+    let fleet = Fleet::start(1);
+    let _upstreams = [("a", "n"), ("b", "s")].map(|(domain, id)| fleet.start_plain_in(domain, id, WORK_TIME));
+    configure(&fleet, 1, &ROUTES, &[]);
+    expect(&fleet, "/read/", "before", 200);
+    assert_eq!([arrived(&fleet, "n"), arrived(&fleet, "s")], [0, 30]);
+    let gateway = &fleet.gateways[0];
+    let settings = std::fs::read_to_string(gateway.settings_path()).expect("it was written");
+    let exchanged = settings.replace("a:north, b:south", "a:south, b:north");
+    std::fs::write(gateway.settings_path(), exchanged).expect("the directory is writable");
+    gateway.signal("HUP");
+    wait_until("they are reloaded", || gateway.logged("settings reloaded"));
+    thread::sleep(Duration::from_millis(100));
+    expect(&fleet, "/read/", "after", 200);
+    assert_eq!([arrived(&fleet, "n"), arrived(&fleet, "s")], [30, 30]);
+}
+
 /// Requests were sent to the nearest upstreams, in whatever region these are.
 #[test]
 fn requests_run_outside_the_regions_of_their_route_or_account() {
