fix: a call that copies memory is checked once it is connected

Found in review, by reading: the call names the address of its target, which was checked before the connection alone; connecting takes up to 800 ms through other instances. A configuration, an evacuation or a later upstream at that address that came meanwhile was not asked, and the memory was copied where it may not go. Requests are checked both before and after.

`link::exchange` now asks once more before the write.

--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -244,6 +244,19 @@
         outdated::doubt(&self.shared, &regions).map_or(Ok(()), |_doubt| Err(Exclusion::Outdated))
     }
 
+    /// Checks that the memory of the generation at `source` may still be copied to `target`. A generation that is only stopped
+    /// names its own upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Exclusion`] if it may not.
+    pub(super) fn check_copy(&self, source: UpstreamKey, target: UpstreamKey) -> Result<(), Exclusion> {
+        if target == source {
+            return Ok(());
+        }
+        self.check_place(target)
+    }
+
     /// Checks that the request may still be sent to an upstream that was chosen for it.
     fn check_destination(&self, upstream: UpstreamKey) -> Result<(), socket::Error> {
         self.check_place(upstream).map_err(|exclusion| {
@@ -292,7 +305,8 @@
             region = fleet.region(domain).unwrap_or("unknown"), regions:% = regions,
             peer:% = peer, peer_domain = peer_domain.unwrap_or("none"), version = config.version,
             config_age_ms = config.age_ms, current = config.is_current, blind = config.is_uninformed,
-            admitted_version = self.version, age_ms = self.age_ms(); "restricted request written to an upstream"
+            admitted_version = self.version, regions_version = self.residence.get().version(),
+            age_ms = self.age_ms(); "restricted request written to an upstream"
         );
     }
 
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -241,7 +241,7 @@
     id: &[u8],
     deadline: Instant,
 ) -> Result<Response<Bytes>, socket::Error> {
-    let response = exchange(shared, upstream, Purpose::CONTROL, request, deadline).await?;
+    let response = exchange(shared, upstream, Purpose::CONTROL, request, || Ok(()), deadline).await?;
     check_answer(response, id)
 }
 
@@ -262,7 +262,12 @@
         target_hash: shared.fleet().upstream_hash(target),
     };
     let purpose = Purpose::Control { copy: Some(copy) };
-    let response = exchange(shared, upstream, purpose, request, deadline).await?;
+    let permitted = || {
+        client
+            .check_copy(upstream, target)
+            .map_err(socket::Error::Excluded)
+    };
+    let response = exchange(shared, upstream, purpose, request, permitted, deadline).await?;
     check_answer(response, &client.head.id)
 }
 
@@ -280,6 +285,7 @@
     upstream: UpstreamKey,
     purpose: Purpose<'_>,
     mut request: Request<Bytes>,
+    permitted: impl Fn() -> Result<(), socket::Error>,
     deadline: Instant,
 ) -> Result<Response<Bytes>, socket::Error> {
     let address = shared.fleet().upstream(upstream).map(|found| found.entry.address);
@@ -292,6 +298,8 @@
         shared.fleet_mut().end_call(upstream, None);
     }
     let connection = opened?;
+    // A configuration may have come into force while the connection was opened.
+    permitted()?;
     if connection.relay().is_some() {
         return socket::call_on(connection, request, MAX_CONTROL_BYTES, deadline).await;
     }
--- a/crates/carob-gateway/src/traffic/migrate.rs
+++ b/crates/carob-gateway/src/traffic/migrate.rs
@@ -223,10 +223,7 @@
     let Some(address) = address else {
         return CopyOutcome::Unsent;
     };
-    // A generation that is only stopped names its own upstream.
-    if target != source
-        && let Err(exclusion) = call.check_place(target)
-    {
+    if let Err(exclusion) = call.check_copy(source, target) {
         log::info!(
             request:% = call.id(), target:% = upstream_name(call, target), exclusion = exclusion.name(), last;
             "memory not copied: the target is not permitted any more"
