fix: what waited in an instance that relays while it stood still is not forwarded

Found in review: a body that had arrived at an instance which then stood still was forwarded when it went on, by the regions that it knew before, however long ago these were replaced; the sender may have given up by then. The check as a body arrives asked the configuration alone.

While an instance has not caught up after a standstill, it offers and forwards nothing that is restricted. A refusal with many region names now tells them (64 KiB), as the sender went on by its own configuration else.

--- a/crates/carob-gateway/src/traffic/relay.rs
+++ b/crates/carob-gateway/src/traffic/relay.rs
@@ -15,6 +15,7 @@
     fleet::{
         Exclusion, LinkFailure, Relay, RelayOffer, RelayedRequest, RequestSize, UpstreamKey, service_hash,
     },
+    freshness::Doubt,
     migration::STOP_INTERVAL,
     regions::Regions,
     residence,
@@ -33,7 +34,7 @@
     call::CONNECT_TIMEOUT,
     departure,
     guard::{ActiveRequest, FollowedResidence, Reservation},
-    link,
+    link, outdated,
     shared::Shared,
 };
 use crate::{
@@ -64,7 +65,7 @@
 const MAX_RELAYED: u32 = 256;
 
 /// Maximum size of a reply in bytes. An instance that does not relay answers with other content.
-const MAX_REPLY: u32 = 4 << 10;
+const MAX_REPLY: u32 = 64 << 10;
 
 /// Maximum size in bytes of what a reply says of a request. A refusal counts without it as well.
 const MAX_TOLD: usize = MAX_REPLY as usize - 64;
@@ -433,6 +434,10 @@
         return Ok(());
     };
     let regions = residence(shared, &asked).regions();
+    // What arrived before a standstill may have been sent by regions that were replaced meanwhile.
+    if outdated::doubt(shared, &regions) == Some(Doubt::StoodStill) {
+        return Err(RelayState::Unknown);
+    }
     let checked = match request.target_hash {
         Some(target) => shared
             .fleet()
--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -2,7 +2,10 @@
 
 mod fleet;
 
-use std::{thread, time::Duration};
+use std::{
+    thread::{self, JoinHandle},
+    time::Duration,
+};
 
 use carob_platform_standin::{
     Link, Outage, Store, Upstream,
@@ -15,6 +18,9 @@
 const EVENTS: u64 = 150;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time for which a gateway stands still, longer than it takes to doubt its configuration.
+const STANDSTILL: Duration = Duration::from_secs(2);
+
 const SOUTH: &[&str] = &["south"];
 
 /// Routes of an earlier configuration, and of a later one that restricts them to `south`, apart from `/free/`.
@@ -122,6 +128,56 @@
     );
 }
 
+/// Sends a read to the first gateway and stops that once the second one has offered a connection, before the body is written.
+fn offer_while_stopped(fleet: &Fleet, id: &str) -> JoinHandle<u16> {
+    let (sender, relaying) = (&fleet.gateways[0], &fleet.gateways[1]);
+    let (address, sent) = (sender.caller_address, read(id));
+    relaying.signal("STOP");
+    let client = thread::spawn(move || client::send(address, &sent).status);
+    wait_until("the request is placed", || {
+        sender.logged(&format!("\"sent to an upstream\",\"request\":\"{id}\""))
+    });
+    thread::sleep(Duration::from_millis(50));
+    sender.signal("STOP");
+    relaying.signal("CONT");
+    wait_until("the connection is offered", || {
+        relaying.logged(&format!(
+            "\"connection relayed for another instance\",\"request\":\"{id}\""
+        ))
+    });
+    client
+}
+
+/// A gateway that stood still forwarded what had arrived before, by the regions that were replaced meanwhile.
+#[test]
+fn a_body_is_forwarded_that_waited_during_a_standstill() {
+    let fleet = Fleet::start(2);
+    let abroad = fleet.start_plain_in("a", "n", WORK_TIME);
+    let [read, draft, free] = ROUTES;
+    let routes = [read.with_regions(&["north"]), draft, free];
+    fleet
+        .store
+        .put(config::KEY, &config::config(1, &routes, &[CLIENT_KEY]));
+    fleet.wait_ready();
+    cut(&fleet, &abroad);
+    let client = offer_while_stopped(&fleet, "x");
+    fleet.gateways[1].signal("STOP");
+    fleet.gateways[0].signal("CONT");
+    thread::sleep(Duration::from_millis(300));
+    fleet.store.put(
+        config::KEY,
+        &config::config(2, &restricted_routes(), &[CLIENT_KEY]),
+    );
+    thread::sleep(STANDSTILL);
+    fleet.gateways[1].signal("CONT");
+    let status = client.join().expect("the client ends");
+    wait_until("the restriction is in force", || {
+        fleet.gateways[1].logged_since_start("\"version\":2")
+    });
+    assert_ne!(status, 200);
+    assert_eq!(fleet.ledger.run_count("x"), 0);
+}
+
 /// A gateway went on forwarding what arrived after it had learned that the request is not permitted there any more.
 #[test]
 fn a_body_is_forwarded_that_arrives_after_the_restriction() {
@@ -131,26 +187,10 @@
     fleet.store.put(config::KEY, &config(1, &ROUTES));
     fleet.wait_ready();
     cut(&fleet, &abroad);
-    let [sender, relaying] = &fleet.gateways[..] else {
-        panic!("two gateways");
-    };
+    let (sender, relaying) = (&fleet.gateways[0], &fleet.gateways[1]);
     for version in [2, 4, 6] {
         let id = format!("x{version}");
-        let (address, sent) = (sender.caller_address, read(&id));
-        relaying.signal("STOP");
-        let client = thread::spawn(move || client::send(address, &sent));
-        wait_until("the request is placed", || {
-            sender.logged(&format!("\"sent to an upstream\",\"request\":\"{id}\""))
-        });
-        thread::sleep(Duration::from_millis(50));
-        // Until the restriction is in force where it passes through.
-        sender.signal("STOP");
-        relaying.signal("CONT");
-        wait_until("the connection is offered", || {
-            relaying.logged(&format!(
-                "\"connection relayed for another instance\",\"request\":\"{id}\""
-            ))
-        });
+        let client = offer_while_stopped(&fleet, &id);
         fleet
             .store
             .put(config::KEY, &config(version, &restricted_routes()));
@@ -158,8 +198,8 @@
             relaying.logged_since_start(&format!("\"version\":{version}"))
         });
         sender.signal("CONT");
-        let outcome = client.join().expect("the client ends");
-        assert_ne!(outcome.status, 200);
+        let status = client.join().expect("the client ends");
+        assert_ne!(status, 200);
         assert_eq!(fleet.ledger.run_count(&id), 0);
         fleet.store.put(config::KEY, &config(version + 1, &ROUTES));
         wait_until("the other gateway relays again", || {
@@ -208,7 +248,7 @@
     expect_refusals(&fleet, ["a", "b"]);
 }
 
-/// A refusal with more regions than a reply holds counted as silence: the instance was not asked for a while, and others were.
+/// A refusal with over 4 KiB of region names counted as silence: the instance was not asked for a while, and others were.
 #[test]
 fn a_refusal_that_names_many_regions_counts_as_silence() {
     let names = (0..600).map(|number| &*format!("region-{number}").leak());
