--- a/crates/carob-gateway/src/traffic/outdated.rs
+++ b/crates/carob-gateway/src/traffic/outdated.rs
@@ -10,7 +10,6 @@
     freshness::{Contact, Doubt, Freshness, Moment},
     regions::Regions,
 };
-
 use tokio::{
     sync::Notify,
     time::{Instant, timeout_at},
