log: an instance that relays says by which regions it decided

Cause: its line had the regions that the sender told. Where its own configuration was newer, what decided could only be inferred from the version, and a connection that it closed as the body arrived had no line.

The test's pause before it stops the sender is longer, since a missed question ends the test.

--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -21,6 +21,9 @@
 /// Time for which a gateway stands still, longer than it takes to doubt its configuration.
 const STANDSTILL: Duration = Duration::from_secs(2);
 
+/// Time in which a gateway has asked another one for a connection; it waits for 500 ms for the reply.
+const QUESTION_TIME: Duration = Duration::from_millis(150);
+
 const SOUTH: &[&str] = &["south"];
 
 /// Routes of an earlier configuration, and of a later one that restricts them to `south`, apart from `/free/`.
@@ -137,7 +140,7 @@
     wait_until("the request is placed", || {
         sender.logged(&format!("\"sent to an upstream\",\"request\":\"{id}\""))
     });
-    thread::sleep(Duration::from_millis(50));
+    thread::sleep(QUESTION_TIME);
     sender.signal("STOP");
     relaying.signal("CONT");
     wait_until("the connection is offered", || {
@@ -210,11 +213,11 @@
 }
 
 /// Expects that requests which the later configuration does not permit are refused after one question, whose log line says
-/// why: what was known on both sides, and the failure domains of upstream and instance.
-fn expect_refusals(fleet: &Fleet, domains: [&str; 2]) {
+/// why: what was known on both sides, what was decided by that, and the failure domains of upstream and instance.
+fn expect_refusals(fleet: &Fleet, domains: [&str; 2], decided: &str) {
     let reason = format!(
         "\"state\":\"region\",\"control\":false,\"regions\":\"any\",\"version\":1,\"own_version\":2,\
-         \"upstream_domain\":\"{}\",\"domain\":\"{}\"",
+         \"upstream_domain\":\"{}\",\"domain\":\"{}\",\"decided_regions\":\"{decided}",
         domains[0], domains[1]
     );
 
@@ -245,7 +248,7 @@
         let mut lines = lines.filter(|line| line.contains("request sent through another instance"));
         lines.any(|line| line.contains(sent))
     });
-    expect_refusals(&fleet, ["a", "b"]);
+    expect_refusals(&fleet, ["a", "b"], "south\"");
 }
 
 /// A refusal with over 4 KiB of region names counted as silence: the instance was not asked for a while, and others were.
@@ -257,7 +260,7 @@
     let fleet = start_apart((2, "b"), &[read.with_regions(regions), draft, free], &[]);
     let abroad = fleet.start_plain_in("a", "n", WORK_TIME);
     cut(&fleet, &abroad);
-    expect_refusals(&fleet, ["a", "b"]);
+    expect_refusals(&fleet, ["a", "b"], "region-0,region-1,");
 }
 
 /// An instance relayed that is itself abroad by what the account permits.
@@ -266,7 +269,7 @@
     let fleet = start_apart((2, "a"), &ROUTES, SOUTH);
     let home = fleet.start_plain_in("b", "s", WORK_TIME);
     cut(&fleet, &home);
-    expect_refusals(&fleet, ["b", "a"]);
+    expect_refusals(&fleet, ["b", "a"], "south\"");
 }
 
 /// A call that has memory copied passed through an instance that knew that its target is not permitted any more, and the
