fix: an instance that waits for the store did not notice that nobody watches it any more

Callers saw: while the store answered no instance, reads that may run in some regions only were refused for 2.2 s ("the regions in which it may run may have changed"), although nobody knew newer regions.

Cause: whether directory updates still arrive was told to the traffic thread during a watch of the store, and not during a read of all content (1.5 s), a call for missed changes, or a pause after a failure. An instance without the store, which learns from others, reads and pauses in turn for as long as its calls fail; when the last of the others lost the store as well, it went on as informed for up to 2.3 s. After 2.2 s without a confirmation it took itself to be behind, and held to that for 2.2 s. Departures of upstreams that nobody could tell of were learned as late.

Change: a task of the control thread tells it every 50 ms, whatever is waited for. Calls only note their silence.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -28,7 +28,7 @@
 /// Time within which those that watch are heard of: instances report once a second.
 const HEAR_TIME: Duration = Duration::from_secs(1);
 
-/// How often an instance that begins to watch checks whether directory updates still arrive.
+/// How often an instance checks whether directory updates still arrive.
 const STATUS_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Delay of the store's answer from which on it is taken for silent, while the answer is waited for still: five times the
@@ -112,6 +112,15 @@
     watch_all(&control, &mut outage).await;
 }
 
+/// Tells the traffic thread for as long as the process runs if directory updates no longer arrive: the last instance that
+/// passes them on may be lost at any moment of a call, and of a pause between calls.
+pub(super) async fn run_status(control: Rc<Control>) {
+    loop {
+        tokio::time::sleep(STATUS_INTERVAL).await;
+        control.send_status();
+    }
+}
+
 /// Revision that leaves the known position as it is: positions only advance.
 const UNCHANGED: u64 = 0;
 
@@ -249,7 +258,7 @@
             wait + ANSWER_MARGIN,
         );
         let answer = tokio::select! {
-            answer = with_status(control, call, wait + SILENCE_MARGIN) => answer,
+            answer = with_silence(control, call, wait + SILENCE_MARGIN) => answer,
             () = control.era_seen.notified() => continue,
             () = control.watcher_lost.notified(), if !is_unsure => {
                 is_doubted = true;
@@ -293,7 +302,6 @@
     } else if notified.is_ok() && control.is_behind() {
         catch_up(control).await;
     }
-    control.send_status();
 }
 
 /// Reads the content of a later era as an instance that does not watch: from a peer if one has it, else from the store.
@@ -313,26 +321,16 @@
     }
 }
 
-/// Waits for a call, and tells the traffic thread meanwhile if directory updates no longer arrive: the store may
-/// have answered a call of this instance just before the peers lost it. After `silence` the store counts as silent.
-async fn with_status<T>(control: &Control, call: impl Future<Output = T>, silence: Duration) -> T {
+/// Waits for a call; after `limit` the store counts as silent.
+async fn with_silence<T>(control: &Control, call: impl Future<Output = T>, limit: Duration) -> T {
     tokio::pin!(call);
     let started = Instant::now();
-    loop {
-        let pause = if control.is_answering() {
-            silence.saturating_sub(started.elapsed()).max(STATUS_INTERVAL)
-        } else {
-            STATUS_INTERVAL
-        };
-        tokio::select! {
-            outcome = &mut call => return outcome,
-            () = tokio::time::sleep(pause) => {}
-        }
-        if started.elapsed() >= silence {
-            control.record_failure(started);
-        }
-        control.send_status();
+    if let Ok(outcome) = tokio::time::timeout(limit, call.as_mut()).await {
+        return outcome;
     }
+    control.record_failure(started);
+    control.send_status();
+    call.await
 }
 
 /// Waits for this instance's turn to ask a store that does not answer it. Returns whether no others have begun to watch
@@ -357,7 +355,6 @@
         if from.elapsed() >= HEAR_TIME {
             control.record_failure(from);
         }
-        control.send_status();
         if control.is_behind()
             && let Some(peer) = control.ahead_peer.take()
         {
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -51,6 +51,7 @@
         let admin = admin::bind(settings.admin_address)
             .map_err(|error| Error::Listen(settings.admin_address, error))?;
         tokio::task::spawn_local(follow::run(Rc::clone(&control)));
+        tokio::task::spawn_local(follow::run_status(Rc::clone(&control)));
         tokio::task::spawn_local(register::run(Rc::clone(&control)));
         tokio::task::spawn_local(share::fetch_from_seeds(Rc::clone(&control)));
         tokio::task::spawn_local(share::serve(Rc::clone(&control), sharing));
--- a/tests/outdated_regions.rs
+++ b/tests/outdated_regions.rs
@@ -32,6 +32,10 @@
 /// Time between the announcement that an upstream leaves and its end.
 const NOTICE: Duration = Duration::from_millis(1_600);
 
+/// Number of outages that spread, each later by [`SPREAD_STEP`]; together they are longer than the calls of one read.
+const SPREADS: u32 = 6;
+const SPREAD_STEP: Duration = Duration::from_millis(350);
+
 const NORTH: &[&str] = &["north"];
 const SOUTH: &[&str] = &["south"];
 
@@ -242,6 +246,30 @@
     }
 }
 
+/// A gateway that reads all content of a silent store did not notice that the last one that watched the store lost it as well,
+/// and refused reads.
+#[test]
+fn an_outage_of_the_store_that_spreads_refuses_requests() {
+    let trials: Vec<_> = (0..SPREADS)
+        .map(|number| {
+            thread::spawn(move || {
+                let (fleet, _upstreams) = start(2);
+                let endpoints = [0, 1].map(|gateway| &fleet.gateways[gateway].store_endpoint);
+                endpoints[0].set_outage(Some(Outage::Silent));
+                thread::sleep(CONFIG_APPLY + SPREAD_STEP * number);
+                endpoints[1].set_outage(Some(Outage::Silent));
+                (number, send_for(&fleet, CONFIG_APPLY * 2, Instant::now()))
+            })
+        })
+        .collect();
+    let refused: Vec<_> = trials
+        .into_iter()
+        .map(|trial| trial.join().expect("the trial ends"))
+        .filter(|(_, refused)| *refused > 0)
+        .collect();
+    assert!(refused.is_empty(), "refused reads of each trial: {refused:?}");
+}
+
 /// A gateway that was cut off sent requests abroad whose route was restricted to regions meanwhile.
 #[test]
 fn a_route_is_restricted_first_while_a_gateway_is_cut_off() {
