fix: an answer of the store took several times its size in memory

Cause: a body was kept as the parts in which it arrived until it was whole. Each part keeps the whole buffer that it was read into, however few of its bytes it has, so that 4 MiB took 12.7 MB. The answer to a call about the lease was also read up to 4 MiB, beside a page, although it has some bytes.

The bound is as it was.

Change: parts are copied as they arrive; answers about the lease have the limit of other control calls.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -10,7 +10,7 @@
 use super::state::{Control, PREFIXES, keep};
 use crate::{
     era::{AnswerEra, Position},
-    socket,
+    socket::{self, MAX_PAGE_BYTES},
 };
 
 /// Duration of a watch without changes. An unresponsive connection is noticed after this and
@@ -452,7 +452,8 @@
     metrics::counter!("carobhaven_store_calls_total", "call" => "read").increment(1);
     let started = Instant::now();
     let expected = control.followed_era();
-    let outcome = match socket::call(control.store_address(), request, started + timeout).await {
+    let deadline = started + timeout;
+    let outcome = match socket::call(control.store_address(), request, MAX_PAGE_BYTES, deadline).await {
         Ok(response) => {
             let era = match control.judge_answer(response.headers(), "read") {
                 // Another one than before the call if it was taken from a peer meanwhile.
--- a/crates/carob-gateway/src/control/register.rs
+++ b/crates/carob-gateway/src/control/register.rs
@@ -11,7 +11,10 @@
     follow::Error,
     state::{Control, INSTANCE_PREFIX},
 };
-use crate::{era::AnswerEra, socket};
+use crate::{
+    era::AnswerEra,
+    socket::{self, MAX_CONTROL_BYTES},
+};
 
 /// Duration of the lease, after which the registration of an instance that has gone is removed.
 pub(super) const LEASE_TTL: Duration = Duration::from_secs(10);
@@ -134,7 +137,8 @@
 async fn call(control: &Control, request: Request<Bytes>) -> Result<(Response<Bytes>, u64), Error> {
     metrics::counter!("carobhaven_store_calls_total", "call" => "lease").increment(1);
     let followed = control.followed_era();
-    let response = socket::call(control.store_address(), request, Instant::now() + CALL_TIMEOUT).await?;
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let response = socket::call(control.store_address(), request, MAX_CONTROL_BYTES, deadline).await?;
     let era = match control.judge_answer(response.headers(), "lease") {
         AnswerEra::Followed => control.followed_era(),
         AnswerEra::Unnamed => followed,
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -7,6 +7,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
+    pin::pin,
     time::Duration,
 };
 
@@ -14,7 +15,7 @@
 use carob_dispatch::fleet::Exclusion;
 use carob_platform::answer;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{Request, Response, client::conn::http1};
+use hyper::{Request, Response, body::Body, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -235,24 +236,25 @@
     text
 }
 
-/// Maximum size of a response body read by [`call`]; the largest is a page of the store's items.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Maximum size of a page of the store's items.
+pub(crate) const MAX_PAGE_BYTES: usize = 4 << 20;
 
-/// Maximum size of an upstream's response to a control call: a report names each run of the upstream in some 50 bytes. An
-/// instance may make hundreds of such calls at a time.
+/// Maximum size of the response to a control call: the store's to one about a lease is short, and an upstream's report names
+/// each of its runs in some 50 bytes. An instance may make hundreds of such calls at a time.
 pub(crate) const MAX_CONTROL_BYTES: usize = 64 << 10;
 
-/// Connects to the store, sends the request and reads the whole response, all by `deadline`.
+/// Connects to the store, sends the request and reads the whole response of at most `limit` bytes, all by `deadline`.
 pub(crate) async fn call(
     address: SocketAddr,
     mut request: Request<Bytes>,
+    limit: usize,
     deadline: Instant,
 ) -> Result<Response<Bytes>, Error> {
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
     let connection = Connection::open(address, None, deadline).await?;
-    call_on(connection, request, MAX_RESPONSE_BYTES, deadline).await
+    call_on(connection, request, limit, deadline).await
 }
 
 /// Sends the request on `connection` and reads the whole response of at most `limit` bytes, by `deadline`.
@@ -267,12 +269,25 @@
     if !answer::is_final_status(head.status.as_u16()) {
         return Err(Error::Status(head.status.as_str().to_owned()));
     }
-    let body = timeout_at(deadline, Limited::new(body, limit).collect())
+    let body = timeout_at(deadline, read_whole(Limited::new(body, limit)))
         .await
         .map_err(|_elapsed| Error::Unfinished("the deadline passed".to_owned()))?
         .map_err(|error| match error.downcast_ref::<LengthLimitError>() {
             Some(_) => Error::Unfinished(format!("expected at most {limit} bytes, found more")),
             None => Error::Broken(describe(&*error)),
         })?;
-    Ok(Response::from_parts(head, body.to_bytes()))
+    Ok(Response::from_parts(head, body))
+}
+
+/// Reads a whole body. Its parts are copied, as each of them keeps the buffer that it was read into, however few of its bytes
+/// it has.
+async fn read_whole<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, B::Error> {
+    let mut body = pin!(body);
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(part) = frame?.into_data() {
+            bytes.extend_from_slice(&part);
+        }
+    }
+    Ok(bytes.into())
 }
