test: signals to gateways are sent without another process

By the logs of all four gateways nothing was sent for 19.86 s, from the moment at which the test kills one of them: between the request before and the next one it only started `kill` and waited for it. The fleet itself was idle.

The signal is now sent by the test's process.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -21,6 +21,7 @@
     client::{self, Outcome, Request},
     config::{self, Route},
 };
+use rustix::process::{Pid, Signal, kill_process};
 
 /// Longer than any step of a test takes, even on a heavily loaded machine: the timeout of waits, and the
 /// duration of work that is not meant to end by itself.
@@ -387,8 +388,16 @@
 
     /// Sends a signal to the process; `name` is without `SIG`, such as `TERM`.
     pub fn signal(&self, name: &str) {
-        let sent = spawn(Command::new("kill").args([format!("-{name}"), self.child.id().to_string()])).wait();
-        assert!(sent.is_ok_and(|status| status.success()), "the process exists");
+        let signal = match name {
+            "CONT" => Signal::CONT,
+            "HUP" => Signal::HUP,
+            "INT" => Signal::INT,
+            "KILL" => Signal::KILL,
+            "STOP" => Signal::STOP,
+            "TERM" => Signal::TERM,
+            other => panic!("no signal {other}"),
+        };
+        kill_process(Pid::from_child(&self.child), signal).expect("the process exists");
     }
 
     /// Whether the gateway accepts new client connections.
