fix: an instance that knew that it had missed a version went on by the one before

Callers would see (found by reading, shown by a test): a version with other regions, too large to be passed on in a message, is in force at one instance, which ends before the others have fetched it; the store answers none of them. They sent reads to a region that the version forbids for as long as the store was away.

Cause: without the store nobody confirms a configuration, so that an instance which hears most others was in no doubt. It had heard, though, that another one was ahead; that only led to the attempt to fetch.

Change: the control thread tells since when others have been ahead. After 2.2 s the instance counts as behind and refuses restricted requests until it has what it missed, whether or not the store answers anybody.

--- a/crates/carob-dispatch/src/freshness.rs
+++ b/crates/carob-dispatch/src/freshness.rs
@@ -13,7 +13,8 @@
 /// Time after a standstill or a cut in which what arrives may have been sent before its end.
 pub const SETTLING_TIME: Duration = Duration::from_millis(500);
 
-/// Time without a confirmation after which an instance that is informed counts as behind. Others tell once a second.
+/// Time after which an instance counts as behind that others are ahead of, or that is informed and not confirmed. Others tell
+/// once a second.
 pub const MAX_UNCONFIRMED: Duration = Duration::from_millis(2_200);
 
 /// Time after a standstill within which an instance hears of others, if it can.
@@ -36,6 +37,8 @@
         pub peers: usize,
         /// Number of those that were heard lately.
         pub heard: usize,
+        /// Time for which others are known to be ahead; zero if none is.
+        pub lag: Duration,
     }
 
     /// Why the configuration cannot be relied on.
@@ -44,7 +47,7 @@
         CutOff,
         /// The instance stood still, and has not caught up since.
         StoodStill,
-        /// The instance hears others, and none of what it hears confirms its configuration.
+        /// The instance has missed what others know, or hears others and none of what it hears confirms its configuration.
         Behind,
         /// The instance has started, and what it knows may come from another one that does not know better.
         Started,
@@ -116,8 +119,9 @@
         if contact.is_cut_off() && !is_hearing {
             self.doubted = Some((Doubt::CutOff, now.time));
         }
-        let is_unconfirmed = self.age(now).is_some_and(|age| age > MAX_UNCONFIRMED);
-        if self.doubted.is_none() && is_unconfirmed && !contact.uninformed {
+        let is_unconfirmed = !contact.uninformed && self.age(now).is_some_and(|age| age > MAX_UNCONFIRMED);
+        let has_missed = contact.lag > MAX_UNCONFIRMED;
+        if self.doubted.is_none() && (is_unconfirmed || has_missed) {
             self.doubted = Some((Doubt::Behind, now.time));
         }
         let (doubt, since) = self.doubted?;
@@ -128,7 +132,7 @@
         };
         // While the store answers nobody, there is no confirmation to wait for.
         let is_alone = contact.uninformed && now.time >= since + HEARING_TIME;
-        if now.time < settled || !(self.confirmed >= Some(settled) || is_alone) {
+        if now.time < settled || has_missed || !(self.confirmed >= Some(settled) || is_alone) {
             return Some(doubt);
         }
         self.doubted = None;
--- a/crates/carob-dispatch/tests/freshness.rs
+++ b/crates/carob-dispatch/tests/freshness.rs
@@ -9,6 +9,7 @@
     uninformed: false,
     peers: 4,
     heard: 4,
+    lag: Duration::ZERO,
 };
 
 /// A moment by monotonic time, when the machine was suspended for `suspended` before; both in milliseconds.
@@ -74,6 +75,7 @@
             uninformed,
             peers,
             heard,
+            ..INFORMED
         };
         assert_eq!(start().doubt(moment(1_500, 0), contact), doubt, "{contact:?}");
     }
@@ -129,6 +131,30 @@
     assert_eq!(freshness.doubt(moment(12_200, 0), INFORMED), None);
 }
 
+/// An instance that knew that it had missed something relied on its configuration while the store answered nobody.
+#[test]
+fn an_instance_relies_on_its_configuration_although_others_are_ahead() {
+    let lagging = |lag| Contact {
+        uninformed: true,
+        lag: Duration::from_millis(lag),
+        ..INFORMED
+    };
+    let mut freshness = start();
+    // Time of a question, the lag then, and what the instance doubts.
+    for (time, lag, doubt) in [
+        (3_000, 2_000, None),
+        (3_200, 2_200, None),
+        (3_300, 2_300, Some(Doubt::Behind)),
+        (9_000, 8_000, Some(Doubt::Behind)),
+        (9_100, 0, None),
+    ] {
+        for pass in (1_500..=time).step_by(100) {
+            freshness.pass(moment(pass, 0));
+        }
+        assert_eq!(freshness.doubt(moment(time, 0), lagging(lag)), doubt, "{time}");
+    }
+}
+
 /// What was asked first after a standstill was answered as if there had been none.
 #[test]
 fn a_standstill_is_noticed_by_the_loop_alone() {
@@ -197,6 +223,7 @@
         uninformed: true,
         peers: 65,
         heard: 43,
+        ..INFORMED
     };
     assert!(start().doubt(moment(1_500, 0), contact).is_some());
 }
--- a/crates/carob-gateway/src/traffic/outdated.rs
+++ b/crates/carob-gateway/src/traffic/outdated.rs
@@ -29,6 +29,8 @@
 /// Whether the configuration can be relied on.
 pub(super) struct Outdated {
     freshness: Cell<Freshness>,
+    /// Since when others have been ahead of this instance; `None` if none is.
+    behind: Cell<Option<Time>>,
     /// What was logged last.
     logged: Cell<Option<Doubt>>,
     /// Notified when that changes.
@@ -39,6 +41,7 @@
     pub(super) fn new(now: Time) -> Self {
         Self {
             freshness: Cell::new(Freshness::new(moment(now))),
+            behind: Cell::new(None),
             logged: Cell::new(Some(Doubt::Started)),
             changed: Notify::new(),
         }
@@ -49,6 +52,11 @@
         self.change(|freshness| freshness.confirm(time));
     }
 
+    /// Records since when others have been ahead of this instance.
+    pub(super) fn set_behind(&self, since: Option<Time>) {
+        self.behind.set(since);
+    }
+
     fn change<T>(&self, change: impl FnOnce(&mut Freshness) -> T) -> T {
         let mut freshness = self.freshness.get();
         let outcome = change(&mut freshness);
@@ -137,6 +145,11 @@
         } else {
             0
         },
+        lag: shared
+            .outdated
+            .behind
+            .get()
+            .map_or(Duration::ZERO, |since| now.time.since(since)),
     };
     let outdated = &shared.outdated;
     let doubt = outdated.change(|freshness| freshness.doubt(now, contact));
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -551,7 +551,10 @@
             watching,
             uninformed,
             confirmed,
+            behind,
         } = status;
+        self.outdated
+            .set_behind(behind.map(|since| self.now() - since.elapsed()));
         if let Some(confirmed) = confirmed {
             self.outdated.confirm(self.now() - confirmed.elapsed());
         }
--- a/tests/outdated_regions.rs
+++ b/tests/outdated_regions.rs
@@ -36,6 +36,11 @@
 const SPREADS: u32 = 6;
 const SPREAD_STEP: Duration = Duration::from_millis(350);
 
+/// API keys of a version that is too large to be passed on to other gateways, and time in which they hear of it, below that after
+/// which they fetch it.
+const LARGE_KEYS: usize = 2_000;
+const TELL_TIME: Duration = Duration::from_millis(50);
+
 const NORTH: &[&str] = &["north"];
 const SOUTH: &[&str] = &["south"];
 
@@ -270,6 +275,41 @@
     assert!(refused.is_empty(), "refused reads of each trial: {refused:?}");
 }
 
+/// Gateways that heard of a version, and could not fetch it before the only one that had it ended, sent reads by the one before.
+#[test]
+fn a_version_that_is_lost_with_its_gateway_is_passed_over() {
+    let (fleet, _upstreams) = start(4);
+    let [others @ .., last] = &fleet.gateways[..] else {
+        unreachable!("four were started");
+    };
+    for gateway in others {
+        gateway.store_endpoint.set_outage(Some(Outage::Reset));
+    }
+    thread::sleep(CONFIG_APPLY);
+    let written = Instant::now();
+    let routes = [
+        Route::new("/read/", "safe", "plain").with_regions(SOUTH),
+        Route::new("/free/", "safe", "plain"),
+    ];
+    // Too large to be passed on in a message.
+    let others_keys: Vec<String> = (0..LARGE_KEYS).map(|number| format!("key-{number:04}")).collect();
+    let keys: Vec<&str> = std::iter::once(CLIENT_KEY)
+        .chain(others_keys.iter().map(String::as_str))
+        .collect();
+    fleet.store.put(config::KEY, &config::config(2, &routes, &keys));
+    thread::sleep(TELL_TIME);
+    last.signal("KILL");
+    last.store_endpoint.set_outage(Some(Outage::Reset));
+    let refused = send_for(&fleet, CONFIG_APPLY * 3, written);
+    assert!(
+        !fleet.gateways[0].logged("\"configuration in force\",\"version\":2"),
+        "it was fetched"
+    );
+    let late = reads_after(&fleet, "n", written + CONFIG_APPLY);
+    assert!(late.is_empty(), "{late:?}");
+    assert!(refused > 0, "no read was refused");
+}
+
 /// A gateway that was cut off sent requests abroad whose route was restricted to regions meanwhile.
 #[test]
 fn a_route_is_restricted_first_while_a_gateway_is_cut_off() {
