fix: a source that could not be called to stop ran a generation beside its target

The target of a move does not answer; the call that stops the source is made after 200 ms, and its connection hangs for up to 350 ms before the connection on which the source sends is closed.

Change: if no call to stop the source could be sent within 120 ms, its connection is closed, and the call goes on being tried. A run whose connection was closed counts as stopped, so that its broken end is not taken for its own.

--- a/crates/carob-dispatch/src/migration.rs
+++ b/crates/carob-dispatch/src/migration.rs
@@ -34,8 +34,8 @@
 /// on one generation for at most 400 ms, the way of the stop to the source included; most targets answer in less.
 pub const OVERLAP: Duration = Duration::from_millis(200);
 
-/// Time for calls that stop the source and keep its memory. If they are refused for lack of room by then, its connection
-/// is closed.
+/// Time for calls that stop the source and keep its memory. If none could be sent by then, or they are refused for lack of
+/// room, its connection is closed.
 pub const HOLD_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Time limit of a call that stops a generation, of which the next one follows after [`STOP_INTERVAL`].
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -80,6 +80,8 @@
     pub(super) sent_to: RefCell<SmallVec<[UpstreamKey; 4]>>,
     /// Notified when the request is written to a connection, from which on its upstream may get it.
     pub(super) send_begun: Notify,
+    /// Notified when a call that copies the memory of its generation is sent.
+    pub(super) copy_begun: Notify,
     /// Upstreams that are called to stop the request, which they may run.
     pub(super) abandoned: RefCell<SmallVec<[Abandoned; 2]>>,
 }
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -265,7 +265,9 @@
     let permitted = || {
         client
             .check_copy(upstream, target)
-            .map_err(socket::Error::Excluded)
+            .map_err(socket::Error::Excluded)?;
+        client.copy_begun.notify_waiters();
+        Ok(())
     };
     let response = exchange(shared, upstream, purpose, request, permitted, deadline).await?;
     check_answer(response, &client.head.id)
--- a/crates/carob-gateway/src/traffic/lookup.rs
+++ b/crates/carob-gateway/src/traffic/lookup.rs
@@ -141,6 +141,7 @@
         version: table.version(),
         sent_to: RefCell::default(),
         send_begun: Notify::new(),
+        copy_begun: Notify::new(),
         abandoned: RefCell::default(),
         head,
         parts,
--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -246,8 +246,8 @@
 }
 
 /// Stops the generation at `source` in a task of its own, so that it is stopped whatever becomes of the caller: with its
-/// memory, or by closing its `connection` if no upstream has room for that. The memory is released if nobody waits for it
-/// any more.
+/// memory, or by closing its `connection` if no upstream has room for that or the source cannot be called. The memory is
+/// released if nobody waits for it any more.
 fn hold_apart(
     call: &Rc<Call>,
     source: UpstreamKey,
@@ -259,22 +259,39 @@
     let call = Rc::clone(call);
     tokio::task::spawn_local(async move {
         let until = Instant::now() + HOLD_TIMEOUT;
-        let mut outcome = hold(&call, source, Some(target), tokens).await;
-        if matches!(&outcome, Err(failure) if failure.goes_on) && Instant::now() < until {
-            // The target has room for the generation, if any upstream has. The source keeps the memory if it may not go there.
-            let is_permitted = call.check_place(target).is_ok();
-            let named = if is_permitted { target } else { source };
-            outcome = hold_at(&call, source, (named, source), tokens).await;
-        }
-        if let Err(failure) = &outcome
-            && failure.goes_on
-            && let Some(connection) = connection
-        {
+        let close = |reason| {
+            let Some(connection) = &connection else {
+                return;
+            };
             log::info!(
-                request:% = call.id(), source:% = upstream_name(&call, source), reason = failure.reason;
+                request:% = call.id(), source:% = upstream_name(&call, source), reason;
                 "connection to the source closed: it cannot be stopped with its memory"
             );
             connection.abort();
+        };
+        let sent = timeout_at(until, call.copy_begun.notified());
+        let unsent = async {
+            if sent.await.is_ok() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let holding = hold_by(&call, source, target, tokens, until);
+        tokio::pin!(holding);
+        let mut is_closed = false;
+        let mut outcome = tokio::select! {
+            biased;
+            outcome = holding.as_mut() => outcome,
+            () = unsent => {
+                is_closed = true;
+                close("no call to stop it could be sent in time");
+                holding.await
+            }
+        };
+        if let Err(failure) = &mut outcome {
+            failure.is_stopped |= is_closed;
+            if failure.goes_on && !is_closed {
+                close(failure.reason);
+            }
         }
         if let Err(Ok((_reservation, handle))) = sender.send(outcome) {
             migrate::release(&call.shared, source, &handle).await;
@@ -283,6 +300,25 @@
     held
 }
 
+/// Stops the generation at `source` and has its memory copied to an upstream with room other than `target`, or to that one
+/// if none has and it is not later than `until`.
+async fn hold_by(
+    call: &Rc<Call>,
+    source: UpstreamKey,
+    target: UpstreamKey,
+    tokens: u64,
+    until: Instant,
+) -> Result<Held, NotHeld> {
+    let outcome = hold(call, source, Some(target), tokens).await;
+    if !matches!(&outcome, Err(failure) if failure.goes_on) || Instant::now() >= until {
+        return outcome;
+    }
+    // The target has room for the generation, if any upstream has. The source keeps the memory if it may not go there.
+    let is_permitted = call.check_place(target).is_ok();
+    let named = if is_permitted { target } else { source };
+    hold_at(call, source, (named, source), tokens).await
+}
+
 /// Stops the generation at `from` and has its memory copied to an upstream with room, other than `excluded`. It goes on
 /// there, or at `from`, which keeps its memory.
 ///
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -261,6 +261,18 @@
 /// Two upstreams work on a generation, since the answer of the one that it moves to does not arrive.
 #[test]
 fn a_target_whose_answers_are_lost_runs_a_generation_beside_its_source() {
+    expect_one_run(|_source| {});
+}
+
+/// The same, and the source cannot be called to stop, while its connection goes on.
+#[test]
+fn a_source_that_cannot_be_called_runs_a_generation_beside_its_target() {
+    expect_one_run(Upstream::hang_new);
+}
+
+/// Moves a generation to a target whose answers are lost, and calls `disturb` with the source once both run it. Expects that
+/// one of them soon stops.
+fn expect_one_run(disturb: impl Fn(&Upstream)) {
     let fleet = Fleet::start(1);
     let source = fleet.start_engine("e0", 400, Duration::from_millis(20));
     fleet.configure();
@@ -277,6 +289,9 @@
     let mut had_both = false;
     while start.elapsed() < Duration::from_millis(2_900) {
         if fleet.ledger.running_engines("m1") > 1 {
+            if !had_both {
+                disturb(&source);
+            }
             had_both = true;
             longest = longest.max(both_since.get_or_insert_with(Instant::now).elapsed());
         } else {
