fix: entries that may reappear after an outage were removed during a call

Found in review of: the status that is told every 50 ms also removed what had lapsed in an outage of the store, although the answer that was awaited might bring it back. In part this is older: an outage was only noted when a call failed or was answered, up to 2.3 s after it was last seen, so that an instance in a long call that another one overtook gave entries less than the 2 s in which they may come back. Callers would see upstreams that run taken for gone, or an evacuated failure domain used again for a moment.

An instance that the store never answered, and that has its content from others, stayed informed when nobody watched any more: the time without an answer had no beginning.

Change: the regular status removes nothing, and takes note of an outage that goes on. Without any answer the time begins when the instance first leaves the watching to others. Two tests of the state machine, which cannot be written without the changes (a new function, a new argument).

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -117,7 +117,7 @@
 pub(super) async fn run_status(control: Rc<Control>) {
     loop {
         tokio::time::sleep(STATUS_INTERVAL).await;
-        control.send_status();
+        control.tell_status();
     }
 }
 
@@ -302,6 +302,7 @@
     } else if notified.is_ok() && control.is_behind() {
         catch_up(control).await;
     }
+    control.send_status();
 }
 
 /// Reads the content of a later era as an instance that does not watch: from a peer if one has it, else from the store.
@@ -355,6 +356,7 @@
         if from.elapsed() >= HEAR_TIME {
             control.record_failure(from);
         }
+        control.send_status();
         if control.is_behind()
             && let Some(peer) = control.ahead_peer.take()
         {
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -349,7 +349,7 @@
 
     /// Records that this instance makes no calls because enough others watch.
     pub(super) fn suspend_calls(&self) {
-        self.reachability.borrow_mut().suspend();
+        self.reachability.borrow_mut().suspend(now());
     }
 
     /// Whether directory updates no longer arrive, neither from the store nor from a peer that watches it.
@@ -442,11 +442,18 @@
         self.reachability.borrow().is_answering()
     }
 
-    /// Sends the traffic thread the [`Update::StoreStatus`] if it has changed.
+    /// Removes what has lapsed, and sends the traffic thread the [`Update::StoreStatus`] if it has changed.
     pub(super) fn send_status(&self) {
         self.remove_lapsed();
         self.remove_former();
         self.remove_silent();
+        self.tell_status();
+    }
+
+    /// Sends the traffic thread the [`Update::StoreStatus`] if it has changed, at any moment of a call: what may reappear in the
+    /// answer is kept.
+    pub(super) fn tell_status(&self) {
+        self.reachability.borrow_mut().observe(now(), self.peer_watches());
         let confirmed = self
             .is_confirmed
             .get()
--- a/crates/carob-gateway/src/reach.rs
+++ b/crates/carob-gateway/src/reach.rs
@@ -64,10 +64,16 @@
     }
 
     /// Records that this instance makes no calls because peers watch; the outcome of its last call no longer
-    /// counts.
-    pub const fn suspend(&mut self) {
+    /// counts. If the store has never answered, the time without an answer begins now.
+    pub fn suspend(&mut self, now: Instant) {
         self.failing_since = None;
         self.answering = false;
+        self.last_answer.get_or_insert(now);
+    }
+
+    /// Takes note of an outage that goes on while a call is waited for.
+    pub fn observe(&mut self, now: Instant, peer_watches: bool) {
+        self.record_outage(now, peer_watches);
     }
 
     /// How long calls have failed without an answer; zero if the last call succeeded or none is made.
--- a/crates/carob-gateway/tests/reach.rs
+++ b/crates/carob-gateway/tests/reach.rs
@@ -53,7 +53,7 @@
         "before the first call there is no evidence"
     );
     reach.record_answer(start, true);
-    reach.suspend();
+    reach.suspend(start);
     let later = start + Duration::from_secs(9);
     assert!(!reach.is_uninformed(later, true));
     assert!(reach.is_uninformed(later, false));
@@ -63,6 +63,35 @@
     assert!(!reach.is_uninformed(later + STEP * 2, false));
 }
 
+/// An instance that the store never answered, and that has its content from others, stayed informed when nobody watched any more.
+#[test]
+fn an_instance_that_was_never_answered_stays_informed() {
+    let start = Instant::now();
+    let mut reach = Reachability::new();
+    reach.record_failure(start, start + STEP, true);
+    reach.suspend(start + STEP);
+    let later = start + Duration::from_secs(9);
+    assert!(!reach.is_uninformed(later, true));
+    assert!(reach.is_uninformed(later, false));
+}
+
+/// An outage that went on during a long call counted as over since the call before it.
+#[test]
+fn entries_reappear_after_an_outage_that_goes_on_during_a_call() {
+    let start = Instant::now();
+    let mut reach = Reachability::new();
+    reach.record_answer(start, false);
+    reach.record_failure(start, start + MIN_OUTAGE, false);
+    let end = start + MIN_OUTAGE + REAPPEARANCE_WINDOW;
+    reach.observe(end, false);
+    // Another instance regains the store first.
+    reach.record_answer(end + STEP, true);
+    assert_eq!(
+        reach.reappearance_left(end + STEP),
+        Some(REAPPEARANCE_WINDOW - STEP)
+    );
+}
+
 #[test]
 fn a_single_failing_call_makes_no_instance_blind() {
     let start = Instant::now();
@@ -82,7 +111,7 @@
     assert!(!reach.is_answering());
     reach.record_answer(start, false);
     assert!(reach.is_answering());
-    reach.suspend();
+    reach.suspend(start);
     assert!(!reach.is_answering());
     reach.record_answer(start + STEP, false);
     assert!(reach.is_answering());
