fix: values from another instance kept the whole message in memory

Found in review of, the same cause elsewhere: a message with store content was decoded from the buffer that it was read into, so that each value which is kept holds on to all of it, up to 4 MiB. It is decoded from a slice, which copies the values. By reading; no test and no figure.

--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -257,7 +257,8 @@
         held,
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
-    let content = Content::decode(next_frame(&mut frames).await?)?;
+    // Decoded from a slice, as values that are kept would each keep the whole frame.
+    let content = Content::decode(&next_frame(&mut frames).await?[..])?;
     let own = control.position();
     let reached = PeerPosition {
         era: content.era,
