fix: what an instance has missed is told by versions of the configuration, to all

An instance refused restricted requests for whatever it had missed, an upstream's entry as well; it went on refusing for 2.2 s after it had caught up; a position that the store denies would have held it for good, although the store answers; and those that had not heard the lost instance, or started later, sent by the old regions.

Change: instances tell the newest version of the configuration that they know to be in force anywhere, and pass on what they have heard. One that has missed a version for 2.2 s refuses restricted requests while nobody is heard that the store answers; with the version, or a confirmation by the store, this ends at once. The message that nobody watches any more is taken before the doubt is looked at again, as it otherwise began one that it ends.

--- a/crates/carob-dispatch/src/freshness.rs
+++ b/crates/carob-dispatch/src/freshness.rs
@@ -13,8 +13,8 @@
 /// Time after a standstill or a cut in which what arrives may have been sent before its end.
 pub const SETTLING_TIME: Duration = Duration::from_millis(500);
 
-/// Time after which an instance counts as behind that others are ahead of, or that is informed and not confirmed. Others tell
-/// once a second.
+/// Time after which an instance counts as behind that is informed and not confirmed, or that is not informed and has missed a
+/// newer configuration. Others tell once a second.
 pub const MAX_UNCONFIRMED: Duration = Duration::from_millis(2_200);
 
 /// Time after a standstill within which an instance hears of others, if it can.
@@ -37,7 +37,7 @@
         pub peers: usize,
         /// Number of those that were heard lately.
         pub heard: usize,
-        /// Time for which others are known to be ahead; zero if none is.
+        /// Time for which another instance is known to have a newer configuration; zero if none is.
         pub lag: Duration,
     }
 
@@ -47,7 +47,7 @@
         CutOff,
         /// The instance stood still, and has not caught up since.
         StoodStill,
-        /// The instance has missed what others know, or hears others and none of what it hears confirms its configuration.
+        /// The instance has missed a newer configuration, or hears others and none of what it hears confirms its own.
         Behind,
         /// The instance has started, and what it knows may come from another one that does not know better.
         Started,
@@ -120,7 +120,7 @@
             self.doubted = Some((Doubt::CutOff, now.time));
         }
         let is_unconfirmed = !contact.uninformed && self.age(now).is_some_and(|age| age > MAX_UNCONFIRMED);
-        let has_missed = contact.lag > MAX_UNCONFIRMED;
+        let has_missed = contact.uninformed && contact.lag > MAX_UNCONFIRMED;
         if self.doubted.is_none() && (is_unconfirmed || has_missed) {
             self.doubted = Some((Doubt::Behind, now.time));
         }
@@ -130,8 +130,8 @@
             Doubt::Started | Doubt::Behind => since,
             Doubt::CutOff | Doubt::StoodStill => since + SETTLING_TIME,
         };
-        // While the store answers nobody, there is no confirmation to wait for.
-        let is_alone = contact.uninformed && now.time >= since + HEARING_TIME;
+        // While the store answers nobody, there is no confirmation to wait for. One that was behind has heard others all along.
+        let is_alone = contact.uninformed && (doubt == Doubt::Behind || now.time >= since + HEARING_TIME);
         if now.time < settled || has_missed || !(self.confirmed >= Some(settled) || is_alone) {
             return Some(doubt);
         }
--- a/crates/carob-dispatch/tests/freshness.rs
+++ b/crates/carob-dispatch/tests/freshness.rs
@@ -145,6 +145,7 @@
         (3_000, 2_000, None),
         (3_200, 2_200, None),
         (3_300, 2_300, Some(Doubt::Behind)),
+        (3_400, 0, None),
         (9_000, 8_000, Some(Doubt::Behind)),
         (9_100, 0, None),
     ] {
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -472,7 +472,6 @@
             } else {
                 confirmed
             },
-            behind: self.lag.borrow_mut().since(self.position()),
         };
         if self.last_status.replace(Some(status)) != Some(status) {
             self.send(Update::StoreStatus(status));
--- a/crates/carob-gateway/src/lag.rs
+++ b/crates/carob-gateway/src/lag.rs
@@ -34,14 +34,6 @@
         now.saturating_duration_since(*self.since.get_or_insert(now))
     }
 
-    /// Since when this instance, which is at `own`, has been behind; `None` if it is not.
-    pub fn since(&mut self, own: Position) -> Option<Instant> {
-        if !self.is_behind(own) {
-            self.since = None;
-        }
-        self.since
-    }
-
     /// Whether another instance has reported a position newer than `own`.
     pub fn is_behind(&self, own: Position) -> bool {
         self.newest > own
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -156,6 +156,7 @@
             changes,
             watching,
             keeps_evacuations: true,
+            config_version: outdated::newest_version(shared),
             complete,
             loads: changed.into_iter().map(Load::from).collect(),
             updates,
@@ -321,6 +322,7 @@
         revision: shared.position().revision,
         watching: shared.is_watching(),
         keeps_evacuations: true,
+        config_version: outdated::newest_version(shared),
         ..of_evidence(evidence)
     };
     let bytes = message.encode_to_vec();
@@ -390,6 +392,7 @@
     if !message.pauses.is_empty() {
         return limit::merge_pauses(shared, peer, &message.pauses);
     }
+    outdated::hear_version(shared, peer, message.config_version);
     let own = shared.position();
     let keeps_evacuations = message.keeps_evacuations;
     // What a build that knows no evacuations passes on may lack one.
--- a/crates/carob-gateway/src/traffic/outdated.rs
+++ b/crates/carob-gateway/src/traffic/outdated.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    net::SocketAddr,
     time::{Duration, SystemTime},
 };
 
@@ -29,8 +30,8 @@
 /// Whether the configuration can be relied on.
 pub(super) struct Outdated {
     freshness: Cell<Freshness>,
-    /// Since when others have been ahead of this instance; `None` if none is.
-    behind: Cell<Option<Time>>,
+    /// Newest version that another instance has told of, and since when a newer one than that in force here was known.
+    heard: Cell<Option<(u64, Time)>>,
     /// What was logged last.
     logged: Cell<Option<Doubt>>,
     /// Notified when that changes.
@@ -41,7 +42,7 @@
     pub(super) fn new(now: Time) -> Self {
         Self {
             freshness: Cell::new(Freshness::new(moment(now))),
-            behind: Cell::new(None),
+            heard: Cell::new(None),
             logged: Cell::new(Some(Doubt::Started)),
             changed: Notify::new(),
         }
@@ -52,11 +53,6 @@
         self.change(|freshness| freshness.confirm(time));
     }
 
-    /// Records since when others have been ahead of this instance.
-    pub(super) fn set_behind(&self, since: Option<Time>) {
-        self.behind.set(since);
-    }
-
     fn change<T>(&self, change: impl FnOnce(&mut Freshness) -> T) -> T {
         let mut freshness = self.freshness.get();
         let outcome = change(&mut freshness);
@@ -80,6 +76,41 @@
     refresh(shared);
 }
 
+/// Version of the configuration in force here; zero if there is none.
+fn own_version(shared: &Shared) -> u64 {
+    shared.table().map_or(0, |table| table.version())
+}
+
+/// Newest version that is known to be in force at any instance, whether or not this one has it.
+pub(super) fn newest_version(shared: &Shared) -> u64 {
+    let heard = shared.outdated.heard.get().map_or(0, |(version, _)| version);
+    heard.max(own_version(shared))
+}
+
+/// Records that the instance at `peer` knows `version` to be in force somewhere. Those that hear of it tell others, as the only
+/// instance that has it may end.
+pub(super) fn hear_version(shared: &Shared, peer: SocketAddr, version: u64) {
+    let own = own_version(shared);
+    if version <= newest_version(shared) {
+        return;
+    }
+    // A version that follows one that was missed does not end the lag.
+    let since = match shared.outdated.heard.get() {
+        Some((before, since)) if before > own => since,
+        _ => shared.now(),
+    };
+    shared.outdated.heard.set(Some((version, since)));
+    log::info!(peer:% = peer, version, own; "another instance knows of a newer configuration");
+}
+
+/// Time for which another instance is known to have a newer configuration.
+fn lag(shared: &Shared, now: Time) -> Duration {
+    match shared.outdated.heard.get() {
+        Some((version, since)) if version > own_version(shared) => now.since(since),
+        _ => Duration::ZERO,
+    }
+}
+
 /// Takes note of whether the configuration can be relied on now.
 pub(super) fn refresh(shared: &Shared) {
     present(shared);
@@ -145,11 +176,7 @@
         } else {
             0
         },
-        lag: shared
-            .outdated
-            .behind
-            .get()
-            .map_or(Duration::ZERO, |since| now.time.since(since)),
+        lag: lag(shared, now.time),
     };
     let outdated = &shared.outdated;
     let doubt = outdated.change(|freshness| freshness.doubt(now, contact));
--- a/crates/carob-gateway/src/traffic/shared.rs
+++ b/crates/carob-gateway/src/traffic/shared.rs
@@ -551,20 +551,20 @@
             watching,
             uninformed,
             confirmed,
-            behind,
         } = status;
-        self.outdated
-            .set_behind(behind.map(|since| self.now() - since.elapsed()));
         if let Some(confirmed) = confirmed {
             self.outdated.confirm(self.now() - confirmed.elapsed());
         }
-        // A cut that ends now lasted until now.
-        outdated::refresh(self);
+        if self.is_uninformed() {
+            // A cut that ends now lasted until now.
+            outdated::refresh(self);
+        }
         let (era, revision) = (position.era, position.revision);
         if self.uninformed.replace(uninformed) != uninformed {
             log::info!(blind = uninformed, era, revision; "news of upstreams changed");
             self.uninformed_changed.notify_waiters();
         }
+        outdated::refresh(self);
         let newer = self.position.replace(position) != position;
         if self.watching.replace(watching) != watching || (watching && newer) {
             self.load_changed.notify_one();
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -59,8 +59,6 @@
         pub uninformed: bool,
         /// When the store or a peer last confirmed that the content is current; `None` before the first time.
         pub confirmed: Option<Instant>,
-        /// Since when other instances have been ahead of this one; `None` if none is.
-        pub behind: Option<Instant>,
     }
 }
 
