--- a/tests/outdated_regions.rs
+++ b/tests/outdated_regions.rs
@@ -3,13 +3,13 @@
 mod fleet;
 
 use std::{
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
 use carob_platform_standin::{
     Outage, Upstream,
-    client::{self, Request},
+    client::{self, Outcome, Request},
     config::{self, Route},
 };
 use fleet::{CLIENT_KEY, CONFIG_APPLY, Fleet, LONG, generation_request, request, wait_until};
@@ -204,21 +204,11 @@
     }
 }
 
-/// A stream that broke off while its gateway stood still was not run again, although the gateway soon knew where it may run.
-#[test]
-fn a_stream_that_breaks_off_during_a_standstill_ends() {
+/// Starts two gateways and a generation at the first one that may run again in the north, where a second engine can take it.
+fn start_resumable() -> (Fleet, [Upstream; 2], JoinHandle<Outcome>) {
     let fleet = Fleet::start(2);
     let first = fleet.start_engine("e1", EVENTS, EVENT_INTERVAL);
-    let routes = [
-        Route::new("/draft/", "streaming", "engines")
-            .with_regions(NORTH)
-            .with_timeout(20_000)
-            .with_max_attempts(2)
-            .with_resumable(),
-        Route::new("/earn/", "streaming", "engines").with_anonymous(),
-    ];
-    let config = config::config(1, &routes, &[CLIENT_KEY]);
-    fleet.store.put(config::KEY, &config);
+    write_resumable(&fleet, 1, NORTH);
     fleet.wait_ready();
     for number in 0..10 {
         let mut earning = generation_request(&format!("earn{number}")).with_events(1);
@@ -226,8 +216,29 @@
         assert_eq!(fleet.send(0, &earning).status, 200);
     }
     let client = fleet.start_generation(0, "d1");
-    let _second = fleet.start_engine("e2", EVENTS, EVENT_INTERVAL);
+    let second = fleet.start_engine("e2", EVENTS, EVENT_INTERVAL);
     thread::sleep(Duration::from_secs(1));
+    (fleet, [first, second], client)
+}
+
+/// Writes a version of the configuration in which generations may run, and run again, in `regions` only.
+fn write_resumable(fleet: &Fleet, version: u64, regions: &'static [&'static str]) {
+    let routes = [
+        Route::new("/draft/", "streaming", "engines")
+            .with_regions(regions)
+            .with_timeout(20_000)
+            .with_max_attempts(2)
+            .with_resumable(),
+        Route::new("/earn/", "streaming", "engines").with_anonymous(),
+    ];
+    let config = config::config(version, &routes, &[CLIENT_KEY]);
+    fleet.store.put(config::KEY, &config);
+}
+
+/// A stream that broke off while its gateway stood still was not run again, although the gateway soon knew where it may run.
+#[test]
+fn a_stream_that_breaks_off_during_a_standstill_ends() {
+    let (fleet, [first, _second], client) = start_resumable();
     fleet.gateways[0].signal("STOP");
     thread::sleep(STANDSTILL);
     first.kill();
@@ -238,6 +249,22 @@
     assert_eq!(outcome.events(), (1..=EVENTS).collect::<Vec<_>>());
 }
 
+/// A stream that broke off ran again where regions that were replaced during a cut permit it.
+#[test]
+fn a_stream_of_a_gateway_that_is_cut_off_runs_again_by_replaced_regions() {
+    let (fleet, [first, _second], client) = start_resumable();
+    fleet.gateways[0].store_endpoint.set_outage(Some(Outage::Reset));
+    fleet.gateways[1].signal("STOP");
+    write_resumable(&fleet, 2, SOUTH);
+    thread::sleep(CONFIG_APPLY);
+    first.kill();
+    let outcome = client.join().expect("the client ends");
+    fleet.gateways[1].signal("CONT");
+    assert!(fleet.gateways[0].logged("\"reason\":\"cut-off\""));
+    assert!(!outcome.complete);
+    assert_eq!(fleet.ledger.run_count("d1"), 1, "it ran again");
+}
+
 /// While the store answers nobody, nobody knows better regions: reads are served.
 #[test]
 fn an_outage_of_the_store_for_all_gateways_refuses_requests() {
