fix: a call to another upstream counted as the one that stops the source

And a connection that had ended by itself counted as closed, so that a whole answer could be taken for broken.

--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -1,6 +1,11 @@
 //! An admitted client request with everything that its handling needs.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use carob_dispatch::{
@@ -80,7 +85,8 @@
     pub(super) sent_to: RefCell<SmallVec<[UpstreamKey; 4]>>,
     /// Notified when the request is written to a connection, from which on its upstream may get it.
     pub(super) send_begun: Notify,
-    /// Notified when a call that copies the memory of its generation is sent.
+    /// Upstream of which it is awaited that a call to copy the memory of the generation is sent, and what is notified then.
+    pub(super) copy_awaited: Cell<Option<UpstreamKey>>,
     pub(super) copy_begun: Notify,
     /// Upstreams that are called to stop the request, which they may run.
     pub(super) abandoned: RefCell<SmallVec<[Abandoned; 2]>>,
--- a/crates/carob-gateway/src/traffic/link.rs
+++ b/crates/carob-gateway/src/traffic/link.rs
@@ -266,7 +266,9 @@
         client
             .check_copy(upstream, target)
             .map_err(socket::Error::Excluded)?;
-        client.copy_begun.notify_waiters();
+        if client.copy_awaited.get() == Some(upstream) {
+            client.copy_begun.notify_waiters();
+        }
         Ok(())
     };
     let response = exchange(shared, upstream, purpose, request, permitted, deadline).await?;
--- a/crates/carob-gateway/src/traffic/lookup.rs
+++ b/crates/carob-gateway/src/traffic/lookup.rs
@@ -1,6 +1,10 @@
 //! Checks requests against the configuration and looks up what it says of them.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use carob_dispatch::{
@@ -141,6 +145,7 @@
         version: table.version(),
         sent_to: RefCell::default(),
         send_begun: Notify::new(),
+        copy_awaited: Cell::new(None),
         copy_begun: Notify::new(),
         abandoned: RefCell::default(),
         head,
--- a/crates/carob-gateway/src/traffic/switch.rs
+++ b/crates/carob-gateway/src/traffic/switch.rs
@@ -260,15 +260,17 @@
     tokio::task::spawn_local(async move {
         let until = Instant::now() + HOLD_TIMEOUT;
         let close = |reason| {
-            let Some(connection) = &connection else {
-                return;
+            let Some(connection) = connection.as_ref().filter(|open| !open.is_finished()) else {
+                return false;
             };
             log::info!(
                 request:% = call.id(), source:% = upstream_name(&call, source), reason;
                 "connection to the source closed: it cannot be stopped with its memory"
             );
             connection.abort();
+            true
         };
+        call.copy_awaited.set(Some(source));
         let sent = timeout_at(until, call.copy_begun.notified());
         let unsent = async {
             if sent.await.is_ok() {
@@ -282,8 +284,7 @@
             biased;
             outcome = holding.as_mut() => outcome,
             () = unsent => {
-                is_closed = true;
-                close("no call to stop it could be sent in time");
+                is_closed = close("no call to stop it could be sent in time");
                 holding.await
             }
         };
