fix: an instance whose content was confirmed while it still started refused restricted requests

Cause: the doubt of a start ended with a confirmation after the traffic thread was set up. The control thread runs beside it and may have read the store by then; the next confirmation is up to 1 s later.

The new unit test fails before.

Change: any confirmation ends that doubt, as all of them come after the start of the process.

--- a/crates/carob-dispatch/src/freshness.rs
+++ b/crates/carob-dispatch/src/freshness.rs
@@ -126,9 +126,11 @@
             self.doubted = Some((Doubt::Behind, now.time));
         }
         let (doubt, since) = self.doubted?;
-        // Nothing that is old waits in the sockets of an instance that has started, or that went on all the while.
+        // Nothing that is old waits in the sockets of an instance that has started, or that went on all the while. Whatever was
+        // confirmed to one that has started is newer than its start, also if it was before the state was set up.
         let settled = match doubt {
-            Doubt::Started | Doubt::Behind => since,
+            Doubt::Started => Time::default(),
+            Doubt::Behind => since,
             Doubt::CutOff | Doubt::StoodStill => since + SETTLING_TIME,
         };
         // While the store answers nobody, there is no confirmation to wait for. One that was behind has heard others all along.
--- a/crates/carob-dispatch/tests/freshness.rs
+++ b/crates/carob-dispatch/tests/freshness.rs
@@ -175,6 +175,14 @@
     assert_eq!(freshness.doubt(moment(2_700, 0), contact(0)), None);
 }
 
+/// An instance whose content was confirmed while it still started did not rely on it for up to 1 s.
+#[test]
+fn a_confirmation_before_the_state_is_set_up_is_passed_over() {
+    let mut freshness = Freshness::new(moment(60, 0));
+    freshness.confirm(Time::from_millis(0));
+    assert_eq!(freshness.doubt(moment(60, 0), INFORMED), None);
+}
+
 /// What was asked first after a standstill was answered as if there had been none.
 #[test]
 fn a_standstill_is_noticed_by_the_loop_alone() {
