--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -261,18 +261,29 @@
 /// Two upstreams work on a generation, since the answer of the one that it moves to does not arrive.
 #[test]
 fn a_target_whose_answers_are_lost_runs_a_generation_beside_its_source() {
-    expect_one_run(|_source| {});
+    expect_one_run(|target| target.set_link(Link::OneWay), |_source| {});
 }
 
 /// The same, and the source cannot be called to stop, while its connection goes on.
 #[test]
 fn a_source_that_cannot_be_called_runs_a_generation_beside_its_target() {
-    expect_one_run(Upstream::hang_new);
+    expect_one_run(|target| target.set_link(Link::OneWay), Upstream::hang_new);
 }
 
-/// Moves a generation to a target whose answers are lost, and calls `disturb` with the source once both run it. Expects that
-/// one of them soon stops.
-fn expect_one_run(disturb: impl Fn(&Upstream)) {
+/// The same, while the target has broken off and is called to stop again and again, which counted as the calls to the source.
+#[test]
+fn calls_to_a_target_count_as_those_to_its_source() {
+    let break_off = |target: &Upstream| {
+        target.lose_answer("m1");
+        target.set_ignores_close(true);
+        target.set_refuses_stops(true);
+    };
+    expect_one_run(break_off, Upstream::hang_new);
+}
+
+/// Moves a generation to a target that `prepare` sets up so that its answers are lost, and calls `disturb` with the source
+/// once both run it. Expects that one of them soon stops.
+fn expect_one_run(prepare: impl Fn(&Upstream), disturb: impl Fn(&Upstream)) {
     let fleet = Fleet::start(1);
     let source = fleet.start_engine("e0", 400, Duration::from_millis(20));
     fleet.configure();
@@ -281,7 +292,7 @@
     wait_until("the gateway knows the target", || {
         fleet.gateways[0].logged("\"directory entry\",\"upstream\":\"e1\"")
     });
-    target.set_link(Link::OneWay);
+    prepare(&target);
     source.leave(Duration::from_secs(3));
     let start = Instant::now();
     let mut both_since = None;
