--- a/crates/carob-gateway/tests/settings.rs
+++ b/crates/carob-gateway/tests/settings.rs
@@ -16,6 +16,14 @@
     assert_eq!(settings.regions.get("b").map(|region| &**region), Some("south"));
 }
 
+/// The README starts a gateway with this file.
+#[test]
+fn the_example_is_read() {
+    let example = include_str!("../../../examples/gateway.ini");
+    let settings = Settings::parse(example, "examples/gateway.ini").expect("it is valid");
+    assert!(settings.seeds.is_empty());
+}
+
 /// Files of older versions state only the limit for bodies, new ones the memory.
 #[test]
 fn memory_or_the_limit_for_bodies_is_required() {
