log: by which way a change came, how large it was and how long it took

Cause: of an instance that is behind, the log told neither which way its changes come, nor how long attempts to get them took and how much they brought, nor that messages were left out since earlier ones are missing. Change: "configuration in force" has `bytes` and `way`; reads of the store and of peers have `took_ms`, `bytes` or `changes`; carobhaven_changes_total counts messages that could not be used. No decision depends on them.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::state::{Control, PREFIXES, keep};
+use super::state::{Control, PREFIXES, Way, keep};
 use crate::{
     era::{AnswerEra, Position},
     socket::{self, MAX_PAGE_BYTES},
@@ -154,7 +154,7 @@
             let kept: Vec<Item> = page.items.into_iter().filter_map(keep).collect();
             if found == control.position().era {
                 // What is known of this era is not lost if a later page fails.
-                control.apply(kept.clone(), Position::new(found, UNCHANGED));
+                control.apply(kept.clone(), Position::new(found, UNCHANGED), Way::Read);
             }
             items.extend(kept);
             if !page.has_more || after.is_none() {
@@ -178,7 +178,7 @@
         })
         .collect();
     let items = content.into_iter().flat_map(|read| read.items).collect();
-    control.apply(items, Position::new(era, first));
+    control.apply(items, Position::new(era, first), Way::Read);
     for (prefix, revision, present) in lists {
         control.retain(prefix, Position::new(era, revision), &present);
     }
@@ -271,7 +271,7 @@
                 outage.record_success();
                 control.record_confirmation();
                 let has_changes = !page.items.is_empty();
-                control.apply_changes(page.items, Position::new(era, page.revision));
+                control.apply_changes(page.items, Position::new(era, page.revision), Way::Watch);
                 if has_changes {
                     is_doubted = pause_after_changes(control).await;
                 }
@@ -400,7 +400,7 @@
 /// same change, and at first only those that watch have it. A store that is silent for [`ANSWER_MARGIN`] turns it away as well.
 async fn catch_up(control: &Rc<Control>) {
     let from = control.position();
-    let before = from.revision;
+    let (before, started) = (from.revision, Instant::now());
     if control.is_turned_away() && fetch_in_turn(control).await {
         return;
     }
@@ -418,14 +418,21 @@
     };
     match answer {
         Ok((page, era)) if era == from.era && era == control.followed_era() => {
+            let changes = page.items.len();
             control.record_confirmation();
-            control.apply_changes(page.items, Position::new(era, page.revision));
-            log::info!(before, era, revision = control.revision(); "caught up with the store");
+            control.apply_changes(page.items, Position::new(era, page.revision), Way::Watch);
+            log::info!(
+                before, era, revision = control.revision(), changes,
+                took_ms = started.elapsed().as_millis() as u64; "caught up with the store"
+            );
         }
         // The content of the later era is read next.
         Ok(_) => {}
         Err(error) => {
-            log::info!(error:% = error, revision = before; "missed changes not read from the store; asking a peer");
+            log::info!(
+                error:% = error, revision = before, took_ms = started.elapsed().as_millis() as u64;
+                "missed changes not read from the store; asking a peer"
+            );
             control.record_turned_away();
             if let Some(peer) = control.ahead_peer.take() {
                 super::share::fetch_from_peer(control, peer);
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -14,13 +14,13 @@
 use prost::Message;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{Instant, timeout},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::state::{Control, PREFIXES};
+use super::state::{Control, PREFIXES, Way};
 use crate::{
     delta,
     era::Position,
@@ -102,13 +102,25 @@
     };
     if let Some(update) = update
         && update.era == own.era
-        && update.base <= own.revision
         && update.revision > own.revision
     {
-        match delta::decode(update.items, |key| control.value(key)) {
-            Ok(items) => control.apply_changes(items, Position::new(update.era, update.revision)),
-            // What is missing is fetched.
-            Err(error) => log::info!(peer:% = peer, error:% = error; "changes not taken from the message"),
+        if update.base > own.revision {
+            metrics::counter!("carobhaven_changes_total", "outcome" => "gap").increment(1);
+            log::debug!(
+                peer:% = peer, base = update.base, revision = own.revision, changes = update.items.len();
+                "changes not taken from the message: earlier ones are missing"
+            );
+        } else {
+            match delta::decode(update.items, |key| control.value(key)) {
+                Ok(items) => {
+                    control.apply_changes(items, Position::new(update.era, update.revision), Way::Message);
+                }
+                // What is missing is fetched.
+                Err(error) => {
+                    metrics::counter!("carobhaven_changes_total", "outcome" => "difference").increment(1);
+                    log::info!(peer:% = peer, error:% = error; "changes not taken from the message");
+                }
+            }
         }
     }
     let own = control.position();
@@ -162,16 +174,18 @@
     if control.fetching.replace(true) {
         return;
     }
-    let before = control.revision();
-    match with_timeout(fetch_content(control, peer)).await {
-        Ok(()) => {
+    let (before, started) = (control.revision(), Instant::now());
+    let outcome = with_timeout(fetch_content(control, peer)).await;
+    let took_ms = started.elapsed().as_millis() as u64;
+    match outcome {
+        Ok(bytes) => {
             let Position { era, revision } = control.position();
             log::info!(
-                peer:% = peer, before, era, revision,
+                peer:% = peer, before, era, revision, bytes, took_ms,
                 outage_ms = control.outage().as_millis() as u64; "store's content taken from a peer"
             );
         }
-        Err(error) => log::info!(peer:% = peer, error:% = error; "no content from the peer"),
+        Err(error) => log::info!(peer:% = peer, error:% = error, before, took_ms; "no content from the peer"),
     }
     control.fetching.set(false);
 }
@@ -187,7 +201,7 @@
                 continue;
             }
             match with_timeout(fetch_content(&control, peer)).await {
-                Ok(()) => log::info!(peer:% = peer, revision = control.revision(); "seed asked"),
+                Ok(_bytes) => log::info!(peer:% = peer, revision = control.revision(); "seed asked"),
                 Err(error) => log::debug!(peer:% = peer, error:% = error; "no content from the seed"),
             }
         }
@@ -195,7 +209,7 @@
     }
 }
 
-async fn with_timeout(exchange: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+async fn with_timeout<T>(exchange: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     timeout(EXCHANGE_TIMEOUT, exchange)
         .await
         .map_err(|_elapsed| Error::Timeout)?
@@ -238,7 +252,8 @@
     Ok(())
 }
 
-async fn fetch_content(control: &Control, peer: SocketAddr) -> Result<(), Error> {
+/// Fetches content from a peer. Returns the size of its answer in bytes.
+async fn fetch_content(control: &Control, peer: SocketAddr) -> Result<usize, Error> {
     let mut frames = framed(TcpStream::connect(peer).await?);
     let own = control.position();
     let held = if control.pending_era().is_some() {
@@ -258,7 +273,10 @@
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     // Decoded from a slice, as values that are kept would each keep the whole frame.
-    let content = Content::decode(&next_frame(&mut frames).await?[..])?;
+    let frame = next_frame(&mut frames).await?;
+    let bytes = frame.len();
+    let content = Content::decode(&frame[..])?;
+    drop(frame);
     let own = control.position();
     let reached = PeerPosition {
         era: content.era,
@@ -278,12 +296,12 @@
     let items = items.collect::<Result<Vec<_>, _>>()?;
     control.follow_era(reached.era);
     let present: BTreeSet<String> = content.keys.into_iter().collect();
-    control.apply(items, reached);
+    control.apply(items, reached, Way::Peer);
     for prefix in PREFIXES {
         control.retain(prefix, reached, &present);
     }
     control.send_peers();
-    Ok(())
+    Ok(bytes)
 }
 
 /// Adds the value that the sender has left out, since this instance has it.
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -86,6 +86,34 @@
 /// How long the store counts as turning this instance away after a call for missed changes has failed.
 const TURNED_AWAY_TTL: Duration = Duration::from_secs(5);
 
+carob_base::plain! {
+    /// How content reaches this instance; in log lines.
+    pub(super) enum Way {
+        /// A read of all content of the store, or of a key.
+        Read,
+        /// A watch of the store, or a look at what has changed there.
+        Watch,
+        /// A message of another instance.
+        Message,
+        /// Content that another instance was asked for.
+        Peer,
+        /// A complete list of keys, in which others are missing.
+        List,
+    }
+}
+
+impl Way {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Watch => "watch",
+            Self::Message => "message",
+            Self::Peer => "peer",
+            Self::List => "list",
+        }
+    }
+}
+
 /// State of the control thread.
 pub(super) struct Control {
     updates: Sender<Update>,
@@ -480,7 +508,7 @@
 
     /// Applies `changes`, which are all those from the known position to `reached`. If they were seen by watching, they are
     /// passed on to the other instances, unless they are far too large for a datagram.
-    pub(super) fn apply_changes(&self, changes: Vec<Item>, reached: Position) {
+    pub(super) fn apply_changes(&self, changes: Vec<Item>, reached: Position, way: Way) {
         // Changes that no instance reads bring the others to the same position, too.
         let has_changes = !changes.is_empty();
         let items: Vec<Item> = changes.into_iter().filter_map(keep).collect();
@@ -489,7 +517,7 @@
         if is_next && self.watching.get() && has_changes {
             self.pass_on(&items, before, reached);
         }
-        self.apply(items, reached);
+        self.apply(items, reached, way);
     }
 
     /// Passes `items`, which are all changes from `before` to `reached`, on to the other instances unless they are too large
@@ -517,7 +545,7 @@
     }
 
     /// Applies `items`, of the era of `reached`, to the mirror and records that every change up to that point is known.
-    pub(super) fn apply(&self, items: Vec<Item>, reached: Position) {
+    pub(super) fn apply(&self, items: Vec<Item>, reached: Position, way: Way) {
         let mut instances_changed = false;
         for item in items.into_iter().filter_map(keep) {
             let change = self.mirror.borrow_mut().apply(
@@ -527,7 +555,7 @@
             );
             if let Some(change) = change {
                 instances_changed |= item.key.starts_with(INSTANCE_PREFIX);
-                self.publish(&item.key, change);
+                self.publish(&item.key, change, way);
             }
         }
         self.mirror.borrow_mut().advance_to(reached);
@@ -542,7 +570,7 @@
     pub(super) fn retain(&self, prefix: &str, position: Position, present: &BTreeSet<String>) {
         let removed = self.mirror.borrow_mut().retain(prefix, position, present);
         for key in removed {
-            self.publish(&key, Change::Removed);
+            self.publish(&key, Change::Removed, Way::List);
         }
     }
 
@@ -609,10 +637,10 @@
     }
 
     /// Passes a change of the mirror on to the traffic thread.
-    fn publish(&self, key: &str, change: Change) {
+    fn publish(&self, key: &str, change: Change, way: Way) {
         if key == config::KEY {
             if let Change::Set(item) = change {
-                self.apply_config(&item.value, item.position);
+                self.apply_config(&item.value, item.position, way);
             }
         } else if let Some(domain) = config::evacuated_domain(key) {
             self.publish_evacuation(domain, &change);
@@ -672,13 +700,13 @@
     }
 
     /// Puts a configuration in force if it can be read and its version is newer than the present one.
-    fn apply_config(&self, value: &Bytes, position: Position) {
+    fn apply_config(&self, value: &Bytes, position: Position, way: Way) {
         let (era, revision) = (position.era, position.revision);
         match config::decode(value) {
             Ok(table) if table.version() > self.version.get() => {
                 log::info!(
                     version = table.version(), before = self.version.get(), era, revision,
-                    routes = table.route_count(); "configuration in force"
+                    routes = table.route_count(), bytes = value.len(), way = way.name(); "configuration in force"
                 );
                 self.version.set(table.version());
                 self.send(Update::Table(Arc::new(table)));
