fix: one change that could not be used held up all others in its message, and those after it

What callers saw: requests to upstreams that leave (DRAIN), and routes and keys of an older version (CONFIG), while versions came closely. Cause: a message with changes was used whole or not at all, and only by an instance that knew everything before it. So a change that was too large for a message, lost or made from an unknown value held up the entry of an upstream that leaves, which needs none of it. Besides, two versions in one answer of the store made a message that everybody refused: the difference of the second was made from the value before both, and applied to the first. Change: each change of a message counts by its key and revision; the position advances only if nothing is missing before. A change that is too large is left out, and the rest of its message is sent. Of a key that changed several times the newest value is sent; a value that is known already is recognised by its hash. Messages with some of the changes use a field that earlier builds do not read; these fetch as before.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -122,7 +122,7 @@
 }
 
 /// Revision that leaves the known position as it is: positions only advance.
-const UNCHANGED: u64 = 0;
+pub(super) const UNCHANGED: u64 = 0;
 
 /// All items under a prefix.
 struct FullPrefix {
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -20,7 +20,10 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::state::{Control, PREFIXES, Way};
+use super::{
+    follow::UNCHANGED,
+    state::{Control, PREFIXES, Way},
+};
 use crate::{
     delta,
     era::Position,
@@ -100,28 +103,8 @@
     let Some(reached) = reached else {
         return;
     };
-    if let Some(update) = update
-        && update.era == own.era
-        && update.revision > own.revision
-    {
-        if update.base > own.revision {
-            metrics::counter!("carobhaven_changes_total", "outcome" => "gap").increment(1);
-            log::debug!(
-                peer:% = peer, base = update.base, revision = own.revision, changes = update.items.len();
-                "changes not taken from the message: earlier ones are missing"
-            );
-        } else {
-            match delta::decode(update.items, |key| control.value(key)) {
-                Ok(items) => {
-                    control.apply_changes(items, Position::new(update.era, update.revision), Way::Message);
-                }
-                // What is missing is fetched.
-                Err(error) => {
-                    metrics::counter!("carobhaven_changes_total", "outcome" => "difference").increment(1);
-                    log::info!(peer:% = peer, error:% = error; "changes not taken from the message");
-                }
-            }
-        }
+    if let Some(update) = update.filter(|update| update.era == own.era && update.revision > own.revision) {
+        apply_update(control, peer, update);
     }
     let own = control.position();
     if watching && reached <= own {
@@ -153,6 +136,36 @@
     }
 }
 
+/// Applies changes that a peer has passed on. Of those that are not all since the known position, each key counts by itself.
+fn apply_update(control: &Control, peer: SocketAddr, update: StoreUpdate) {
+    let own = control.position();
+    let StoreUpdate {
+        era,
+        base,
+        revision,
+        items,
+    } = update;
+    let decoded = delta::decode(items, |key| control.value(key));
+    if let Some(error) = &decoded.error {
+        // What is missing is fetched.
+        metrics::counter!("carobhaven_changes_total", "outcome" => "difference").increment(1);
+        log::info!(peer:% = peer, error:% = error; "changes not taken from the message");
+    }
+    if base > own.revision {
+        metrics::counter!("carobhaven_changes_total", "outcome" => "gap").increment(1);
+        log::debug!(
+            peer:% = peer, base, revision = own.revision, changes = decoded.items.len();
+            "earlier changes than those in the message are missing"
+        );
+    }
+    if base <= own.revision && decoded.error.is_none() {
+        return control.apply_changes(decoded.items, Position::new(era, revision), Way::Message);
+    }
+    let is_later = |item: &StoreItem| item.revision > own.revision;
+    let later = decoded.items.into_iter().filter(is_later).collect();
+    control.apply(later, Position::new(era, UNCHANGED), Way::Message);
+}
+
 /// Fetches what this instance has missed and `peer` has.
 fn fetch_missed(control: &Rc<Control>, peer: SocketAddr) {
     if control.watching.get() {
@@ -233,12 +246,11 @@
     let items = items.into_iter().map(|(key, item)| {
         let is_held = held.contains(&item_hash(&key, &item.value));
         ContentItem {
-            key,
             revision: item.position.revision,
             value: (!is_held).then_some(item.value),
+            key,
             is_held,
-            delta: None,
-            known_hash: 0,
+            ..ContentItem::default()
         }
     });
     let content = Content {
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -520,25 +520,41 @@
         self.apply(items, reached, way);
     }
 
-    /// Passes `items`, which are all changes from `before` to `reached`, on to the other instances unless they are too large
-    /// for a datagram.
+    /// Passes `items`, which are all changes from `before` to `reached`, on to the other instances. What is too large for a
+    /// datagram is left out; the rest does not wait for it.
     fn pass_on(&self, items: &[Item], before: Position, reached: Position) {
-        let items = items.iter().cloned().map(|item| {
-            let known = self.value(&item.key);
-            delta::encode(item, known.as_deref())
+        let mut last = HashSet::new();
+        // Of a key that changed several times the last value counts.
+        let newest = items.iter().rev().filter(|item| last.insert(item.key.as_str()));
+        let mut items: Vec<_> = newest
+            .cloned()
+            .map(|item| {
+                let known = self.value(&item.key);
+                delta::encode(item, known.as_deref())
+            })
+            .collect();
+        items.reverse();
+        let (mut bytes, count) = (0, items.len());
+        items.retain(|item| {
+            let size = item.encoded_len();
+            let fits = bytes + size <= MAX_UPDATE_BYTES;
+            bytes += if fits { size } else { 0 };
+            fits
         });
-        let items: Vec<_> = items.collect();
-        let bytes: usize = items.iter().map(Message::encoded_len).sum();
-        if bytes > MAX_UPDATE_BYTES {
+        let is_whole = items.len() == count;
+        if !is_whole {
             log::info!(
-                bytes, base = before.revision, revision = reached.revision;
+                bytes, left_out = count - items.len(), base = before.revision, revision = reached.revision;
                 "changes too large to be passed on"
             );
-            return;
         }
         self.send(Update::StoreUpdate(StoreUpdate {
             era: reached.era,
-            base: before.revision,
+            base: if is_whole {
+                before.revision
+            } else {
+                reached.revision
+            },
             revision: reached.revision,
             items,
         }));
--- a/crates/carob-gateway/src/delta.rs
+++ b/crates/carob-gateway/src/delta.rs
@@ -39,7 +39,7 @@
         found: u64,
     },
     /// The value would be too large.
-    #[error("expected a value of at most {MAX_VALUE} bytes, found {0}")]
+    #[error("expected a value of permitted size, found {0} bytes")]
     TooLong(usize),
     /// There is no length.
     #[error("expected a length of {LENGTH_BYTES} bytes, found {0}")]
@@ -55,6 +55,7 @@
     let delta = item.value.as_ref().and_then(|value| difference(value, known));
     let mut item = Item::from(item);
     if let Some(delta) = delta {
+        item.value_hash = item.value.as_ref().map_or(0, |value| hash(value));
         item.value = None;
         item.delta = Some(delta.into());
         item.known_hash = hash(known);
@@ -62,28 +63,65 @@
     item
 }
 
-/// Decodes items in their order; `known` returns the value before of a key.
-///
-/// # Errors
-///
-/// Returns an [`Error`] if one of them is a difference that cannot be applied.
-pub(crate) fn decode(
-    items: Vec<Item>,
-    known: impl Fn(&str) -> Option<Bytes>,
-) -> Result<Vec<StoreItem>, Error> {
+/// Items that were decoded, and why others were not.
+#[derive(Debug, Default)]
+pub(crate) struct Decoded {
+    /// In their order.
+    pub items: Vec<StoreItem>,
+    /// Why the first of the others cannot be decoded.
+    pub error: Option<Error>,
+}
+
+/// Decodes items in their order; `known` returns the value before of a key. One that cannot be decoded is left out, as are later
+/// ones that rest on it.
+pub(crate) fn decode(items: Vec<Item>, known: impl Fn(&str) -> Option<Bytes>) -> Decoded {
     // A key may have changed several times.
     let mut latest: HashMap<String, Option<Bytes>> = HashMap::new();
-    items
-        .into_iter()
-        .map(|mut item| {
-            if let Some(delta) = item.delta.take() {
-                let before = latest.get(&item.key).cloned().unwrap_or_else(|| known(&item.key));
-                item.value = Some(apply(&delta, item.known_hash, &before.unwrap_or_default())?);
+    let mut decoded = Decoded::default();
+    for item in items {
+        let before = latest.get(&item.key).cloned().unwrap_or_else(|| known(&item.key));
+        match decode_item(item, before) {
+            Ok(item) => {
+                latest.insert(item.key.clone(), item.value.clone());
+                decoded.items.push(item);
+            }
+            Err(error) => {
+                decoded.error.get_or_insert(error);
             }
-            latest.insert(item.key.clone(), item.value.clone());
-            Ok(item.into())
-        })
-        .collect()
+        }
+    }
+    decoded
+}
+
+/// Decodes an item, with `before` as the known value of its key.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it is a difference that cannot be applied.
+pub(crate) fn decode_item(mut item: Item, before: Option<Bytes>) -> Result<StoreItem, Error> {
+    let Some(delta) = item.delta.take() else {
+        return Ok(item.into());
+    };
+    let before = before.unwrap_or_default();
+    item.value = if item.value_hash != 0 && hash(&before) == item.value_hash {
+        // Another way was faster.
+        Some(before)
+    } else {
+        Some(apply(&delta, item.known_hash, &before)?)
+    };
+    Ok(item.into())
+}
+
+/// Checks the length at the beginning of compressed bytes.
+fn checked(bytes: &[u8], limit: usize) -> Result<&[u8], Error> {
+    let Some((length, _rest)) = bytes.split_first_chunk::<LENGTH_BYTES>() else {
+        return Err(Error::NoLength(bytes.len()));
+    };
+    let length = u32::from_le_bytes(*length) as usize;
+    if length > limit {
+        return Err(Error::TooLong(length));
+    }
+    Ok(bytes)
 }
 
 /// Returns the difference of a large value from `known`, the value before, if it is shorter than the value.
@@ -105,12 +143,6 @@
     if found != expected {
         return Err(Error::OtherValue { expected, found });
     }
-    let Some((length, _rest)) = delta.split_first_chunk::<LENGTH_BYTES>() else {
-        return Err(Error::NoLength(delta.len()));
-    };
-    let length = u32::from_le_bytes(*length) as usize;
-    if length > MAX_VALUE {
-        return Err(Error::TooLong(length));
-    }
+    let delta = checked(delta, MAX_VALUE)?;
     Ok(block::decompress_size_prepended_with_dict(delta, known)?.into())
 }
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -120,6 +120,12 @@
     /// nobody; zero in messages of builds that do not tell.
     #[prost(uint64, tag = "29")]
     pub config_version: u64,
+    /// Like `changes`, which are not all; then `updates` and `changes` are empty.
+    #[prost(message, repeated, tag = "30")]
+    pub patched: Vec<Item>,
+    /// Revision after which `patched` begins, or `revision` if that holds some of the latest changes only; zero if it is empty.
+    #[prost(uint64, tag = "31")]
+    pub patched_base: u64,
 }
 
 /// How fast an upstream works.
@@ -394,6 +400,9 @@
     /// Hash of the value before, with `delta`.
     #[prost(fixed64, tag = "6")]
     pub known_hash: u64,
+    /// Hash of the value, if that is absent and the item is not removed; zero in messages of builds that do not tell.
+    #[prost(fixed64, tag = "8")]
+    pub value_hash: u64,
 }
 
 impl From<&fleet::RelayOffer> for RelayOffer {
@@ -437,6 +446,7 @@
             is_held: false,
             delta: None,
             known_hash: 0,
+            value_hash: 0,
         }
     }
 }
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -19,7 +19,7 @@
 use super::{admission, cold, departure, limit, outdated, pace, prefixes, relay, shared::Shared};
 use crate::{
     era::Position,
-    peer::{Announcement, Crash, Item, Limit, Load, Pace, Queue, RelayOffer, Sound, Trial},
+    peer::{Announcement, Crash, Limit, Load, Pace, Queue, RelayOffer, Sound, Trial},
     update::{PeerPosition, Report, StoreUpdate},
 };
 
@@ -145,21 +145,14 @@
             era: update.era,
             revision: update.revision,
         });
-        let base = update.as_ref().map_or(0, |update| update.base);
-        let (updates, changes) = split_changes(update);
-        let has_differences = !changes.is_empty();
         let message = Announcement {
             era: Some(position.era),
             revision: position.revision,
-            base: if has_differences { 0 } else { base },
-            changes_base: if has_differences { base } else { 0 },
-            changes,
             watching,
             keeps_evacuations: true,
             config_version: outdated::told_version(shared),
             complete,
             loads: changed.into_iter().map(Load::from).collect(),
-            updates,
             limits,
             leaving: leaving.clone(),
             cold,
@@ -170,6 +163,7 @@
             relays: Some(offer.as_ref().map_or_else(RelayOffer::default, RelayOffer::from)),
             ..of_evidence(evidence)
         };
+        let message = with_changes(message, update);
         *self = Self {
             audience: std::mem::take(&mut self.audience),
             loads,
@@ -219,13 +213,35 @@
     }
 }
 
-/// Separates changes of the store's content with differences, which instances of earlier builds must not read, from others.
-fn split_changes(update: Option<StoreUpdate>) -> (Vec<Item>, Vec<Item>) {
-    let items = update.map_or_else(Vec::new, |update| update.items);
-    if items.iter().any(|item| item.delta.is_some()) {
-        (Vec::new(), items)
+/// Adds changes of the store's content in the field that only instances read which can use all of them.
+fn with_changes(message: Announcement, update: Option<StoreUpdate>) -> Announcement {
+    let Some(StoreUpdate {
+        base,
+        revision,
+        items,
+        ..
+    }) = update
+    else {
+        return message;
+    };
+    if base == revision {
+        Announcement {
+            patched: items,
+            patched_base: base,
+            ..message
+        }
+    } else if items.iter().any(|item| item.delta.is_some()) {
+        Announcement {
+            changes: items,
+            changes_base: base,
+            ..message
+        }
     } else {
-        (items, Vec::new())
+        Announcement {
+            updates: items,
+            base,
+            ..message
+        }
     }
 }
 
@@ -367,8 +383,10 @@
 fn changes_of(message: &Announcement) -> Option<StoreUpdate> {
     let (base, items) = if message.base > 0 {
         (message.base, &message.updates)
-    } else {
+    } else if message.changes_base > 0 {
         (message.changes_base, &message.changes)
+    } else {
+        (message.patched_base, &message.patched)
     };
     (base > 0).then(|| StoreUpdate {
         era: message.era.unwrap_or(0),
--- a/crates/carob-gateway/src/traffic/relay/mod.rs
+++ b/crates/carob-gateway/src/traffic/relay/mod.rs
@@ -279,14 +279,13 @@
     let request = ContentRequest {
         // An instance that does not relay answers with the changes after this revision.
         after: u64::MAX,
-        era: None,
-        held: Vec::new(),
         relay: Some(RelayRequest {
             sender: shared.settings().peer_address.to_string(),
             boot_id: shared.boot_id(),
             upstream_hash,
             ..purpose.describe()
         }),
+        ..ContentRequest::default()
     };
     write_frame(&mut stream, &request.encode_to_vec())
         .await
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -71,7 +71,7 @@
     pub request: RelayRequest,
 }
 
-/// All changes of the store's content between two revisions of an era.
+/// All changes of the store's content between two revisions of an era; if they are the same, some of the latest changes.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreUpdate {
     /// Era of both.
@@ -85,14 +85,18 @@
 }
 
 impl StoreUpdate {
-    /// Adds `later` changes. If some are missing between the two, only the later ones stay: an instance that is told all of
-    /// both as one would take itself to know what is missing.
+    /// Adds `later` changes. If some are missing between the two, they count as some of the latest: an instance that is told
+    /// all of both as one would take itself to know what is missing.
     pub(crate) fn join(&mut self, later: Self) {
-        let Some(joined) = self.span().join(later.span()) else {
+        if self.era != later.era {
             *self = later;
             return;
-        };
-        (self.base, self.revision) = (joined.base, joined.revision);
+        }
+        let joined = self.span().join(later.span());
+        let (base, revision) = joined.map_or((later.revision, later.revision), |joined| {
+            (joined.base, joined.revision)
+        });
+        (self.base, self.revision) = (base, revision);
         self.items.extend(later.items);
     }
 
