fix: from 64 KiB on each version of the configuration was fetched whole by everyone

What callers saw: versions that were acknowledged were not in force in time (CONFIG). Cause: the difference of a value was made by a compressor that refers 64 KiB back. Of a larger configuration it had a third of the size, which is more than a message may hold, and of one of over 256 KiB there was none. Then all instances asked the store for it, or, where that took too long, those few that had it: hundreds of kilobytes each, over links of 10 Mbit/s, within a second. Change: of large values a patch is made, which names the blocks that both values have in common wherever they are (fast_rsync). An instance that lacks a version sends a signature of the one that it has, 12 bytes for each KiB, and gets a patch as well; it asks others first, as the store has nothing but whole values. Earlier builds are sent neither, and send none.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -401,7 +401,9 @@
 async fn catch_up(control: &Rc<Control>) {
     let from = control.position();
     let (before, started) = (from.revision, Instant::now());
-    if control.is_turned_away() && fetch_in_turn(control).await {
+    // The store answers with each version of the configuration whole.
+    let is_slow = control.is_turned_away() || control.large_config().is_some();
+    if is_slow && fetch_in_turn(control).await {
         return;
     }
     let call = call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT);
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use carob_platform::store::Item as StoreItem;
+use carob_platform::{config, store::Item as StoreItem};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::{
@@ -27,7 +27,7 @@
 use crate::{
     delta,
     era::Position,
-    peer::{Content, ContentRequest, Item as ContentItem, MAX_FRAME_LENGTH},
+    peer::{Content, ContentRequest, Item as ContentItem, MAX_FRAME_LENGTH, Signed},
     socket::set_tcp_options,
     update::{PeerPosition, RelayedConnection, StoreUpdate, Update},
 };
@@ -59,6 +59,8 @@
     NoEvacuations,
     #[error("expected the value of {0}, which is not known any more")]
     NotHeld(String),
+    #[error("{0}")]
+    Delta(#[from] delta::Error),
 }
 
 /// Listens on `address`.
@@ -245,12 +247,17 @@
     let (items, keys) = control.content_after(after);
     let items = items.into_iter().map(|(key, item)| {
         let is_held = held.contains(&item_hash(&key, &item.value));
-        ContentItem {
+        let signed = request.signed.iter().find(|signed| signed.key == key);
+        let item = ContentItem {
             revision: item.position.revision,
             value: (!is_held).then_some(item.value),
             key,
             is_held,
             ..ContentItem::default()
+        };
+        match signed {
+            Some(signed) => delta::encode_signed(item, &signed.signature, signed.hash),
+            None => item,
         }
     });
     let content = Content {
@@ -277,11 +284,13 @@
     } else {
         Vec::new()
     };
+    let config = control.large_config();
     let request = ContentRequest {
         after: own.revision,
         relay: None,
         era: Some(own.era),
         held,
+        signed: config.iter().map(sign).collect(),
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     // Decoded from a slice, as values that are kept would each keep the whole frame.
@@ -304,7 +313,10 @@
         }
         control.lacks_evacuations.set(true);
     }
-    let items = content.items.into_iter().map(|item| fill_in(control, item));
+    let items = content
+        .items
+        .into_iter()
+        .map(|item| fill_in(control, item, config.as_ref()));
     let items = items.collect::<Result<Vec<_>, _>>()?;
     control.follow_era(reached.era);
     let present: BTreeSet<String> = content.keys.into_iter().collect();
@@ -316,15 +328,24 @@
     Ok(bytes)
 }
 
-/// Adds the value that the sender has left out, since this instance has it.
-fn fill_in(control: &Control, mut item: ContentItem) -> Result<StoreItem, Error> {
+/// What another instance makes a patch from that leads from `config`, the large configuration here, to its own.
+fn sign(config: &Bytes) -> Signed {
+    Signed {
+        key: config::KEY.to_owned(),
+        signature: delta::signature(config),
+        hash: delta::hash(config),
+    }
+}
+
+/// Adds the value that the sender has left out, since this instance has it, or has `signed` the one before.
+fn fill_in(control: &Control, mut item: ContentItem, signed: Option<&Bytes>) -> Result<StoreItem, Error> {
     if item.is_held {
         item.value = control.value(&item.key);
         if item.value.is_none() {
             return Err(Error::NotHeld(item.key));
         }
     }
-    Ok(item.into())
+    Ok(delta::decode_item(item, signed.cloned())?)
 }
 
 /// Identifies an item's key and value.
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -44,6 +44,9 @@
 /// the store or from a peer.
 const MAX_UPDATE_BYTES: usize = 8 << 10;
 
+/// Size in bytes from which on a configuration is large: a link of 10 Mbit/s takes 50 ms for it.
+const LARGE_VALUE: usize = 48 << 10;
+
 /// Returns what is kept of an item; nothing if no instance reads its key. A value that is too large for an entry is left
 /// empty, which is malformed as well.
 pub(super) fn keep(mut item: Item) -> Option<Item> {
@@ -602,6 +605,11 @@
         (items, keys)
     }
 
+    /// The configuration, if it is so large that its versions are got apart from other changes.
+    pub(super) fn large_config(&self) -> Option<Bytes> {
+        self.value(config::KEY).filter(|value| value.len() > LARGE_VALUE)
+    }
+
     /// The value of a key.
     pub(super) fn value(&self, key: &str) -> Option<Bytes> {
         self.mirror.borrow().get(key).map(|item| item.value.clone())
--- a/crates/carob-gateway/src/peer.rs
+++ b/crates/carob-gateway/src/peer.rs
@@ -120,7 +120,7 @@
     /// nobody; zero in messages of builds that do not tell.
     #[prost(uint64, tag = "29")]
     pub config_version: u64,
-    /// Like `changes`, which are not all; then `updates` and `changes` are empty.
+    /// Like `changes`, of which some are patches, or which are not all; then `updates` and `changes` are empty.
     #[prost(message, repeated, tag = "30")]
     pub patched: Vec<Item>,
     /// Revision after which `patched` begins, or `revision` if that holds some of the latest changes only; zero if it is empty.
@@ -358,6 +358,22 @@
     /// Hashes of the items that the sender has from an earlier era; their values need not be sent.
     #[prost(fixed64, repeated, tag = "4")]
     pub held: Vec<u64>,
+    /// Large values that the sender has; newer ones may be sent as patches of them.
+    #[prost(message, repeated, tag = "5")]
+    pub signed: Vec<Signed>,
+}
+
+/// A large value that an instance has.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Signed {
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Identifies its blocks.
+    #[prost(bytes = "vec", tag = "2")]
+    pub signature: Vec<u8>,
+    /// Hash of the value.
+    #[prost(fixed64, tag = "3")]
+    pub hash: u64,
 }
 
 /// An instance's copy of the store's content, or the part that changed after a revision.
@@ -400,6 +416,10 @@
     /// Hash of the value before, with `delta`.
     #[prost(fixed64, tag = "6")]
     pub known_hash: u64,
+    /// What leads from the value with `known_hash` to this one; then the value is absent. Instances of earlier builds are sent
+    /// none.
+    #[prost(bytes = "bytes", optional, tag = "7")]
+    pub patch: Option<bytes::Bytes>,
     /// Hash of the value, if that is absent and the item is not removed; zero in messages of builds that do not tell.
     #[prost(fixed64, tag = "8")]
     pub value_hash: u64,
@@ -446,6 +466,7 @@
             is_held: false,
             delta: None,
             known_hash: 0,
+            patch: None,
             value_hash: 0,
         }
     }
--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -224,7 +224,7 @@
     else {
         return message;
     };
-    if base == revision {
+    if base == revision || items.iter().any(|item| item.patch.is_some()) {
         Announcement {
             patched: items,
             patched_base: base,
--- a/crates/carob-gateway/tests/delta.rs
+++ b/crates/carob-gateway/tests/delta.rs
@@ -1,6 +1,6 @@
 //! Differences of large values are short where values are alike, and damaged ones change nothing.
 
-use carob_gateway::delta::{Error, apply, difference, hash};
+use carob_gateway::delta::{Error, apply, apply_patch, difference, hash, patch, patch_signed, signature};
 use rand::{RngExt as _, SeedableRng, rngs::StdRng};
 
 const SEED: u64 = 44;
@@ -81,3 +81,75 @@
         Err(Error::TooLong(_))
     ));
 }
+
+/// Sizes of configurations in routes; the largest has 500 kB.
+const LARGE: [usize; 4] = [600, 1_200, 2_000, 5_000];
+
+#[test]
+fn one_changed_route_takes_bytes_for_all_of_them() {
+    for routes in LARGE {
+        let (before, after) = (configuration(routes, 1), configuration(routes, routes / 2));
+        let made = patch(&after, &before).expect("it is large");
+        assert!(
+            made.len() <= SHORT,
+            "{routes} routes: {} of {} bytes",
+            made.len(),
+            after.len()
+        );
+        let hashes = (hash(&before), hash(&after));
+        assert_eq!(apply_patch(&made, hashes, &before).expect("it is whole"), after);
+        let other = apply_patch(&made, hashes, &after);
+        assert!(matches!(other, Err(Error::OtherValue { .. })), "{other:?}");
+        let other = apply_patch(&made, (hash(&before), hash(&before)), &before);
+        assert!(matches!(other, Err(Error::Mismatch { .. })), "{other:?}");
+    }
+}
+
+#[test]
+fn a_value_that_an_instance_lacks_is_sent_whole() {
+    for routes in LARGE {
+        let (before, after) = (configuration(routes, 1), configuration(routes + 10, routes / 2));
+        let signed = signature(&before);
+        let made = patch_signed(&after, &signed).expect("it is a signature");
+        assert!(
+            made.len() + signed.len() <= after.len() / 8,
+            "{routes} routes: {} and {} of {} bytes",
+            made.len(),
+            signed.len(),
+            after.len()
+        );
+        let hashes = (hash(&before), hash(&after));
+        assert_eq!(apply_patch(&made, hashes, &before).expect("it is whole"), after);
+    }
+}
+
+#[test]
+fn damaged_patches_and_signatures_end_the_process() {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let (before, after) = (configuration(700, 1), configuration(705, 9));
+    let hashes = (hash(&before), hash(&after));
+    let (whole, signed) = (patch(&after, &before).expect("it is large"), signature(&before));
+    let mut damage = |bytes: &[u8]| {
+        let mut bytes = bytes.to_vec();
+        if rng.random_bool(0.3) {
+            bytes.truncate(rng.random_range(0..bytes.len()));
+        }
+        for _ in 0..rng.random_range(0..4) {
+            if !bytes.is_empty() {
+                let at = rng.random_range(0..bytes.len());
+                bytes[at] = rng.random();
+            }
+        }
+        bytes
+    };
+    for case in 0..CASES / 10 {
+        if let Ok(value) = apply_patch(&damage(&whole), hashes, &before) {
+            assert_eq!(value, after, "case {case}");
+        }
+        if let Ok(made) = patch_signed(&after, &damage(&signed))
+            && let Ok(value) = apply_patch(&made, hashes, &before)
+        {
+            assert_eq!(value, after, "case {case}");
+        }
+    }
+}
