fix: versions of a large configuration came faster than a narrow link carries them, and entries waited behind them

What callers saw: versions in force 5 to 20 s after their acknowledgement (CONFIG), and requests to upstreams that had said that they leave, 4 to 5 s after it (DRAIN). Cause: the store answers with each version since the known one, whole, and with the entries of upstreams in the same order. On a link of 10 Mbit/s ten versions a second of 300 kB never end: an answer fails after 1.3 s, and the next one is longer. Those that watch passed nothing on, were taken for cut off, and others began to watch in their place, with the same end. Change: while the configuration is large (over 48 KiB), directory, registrations and configuration are watched by calls of their own. An answer with more than one version is not read; the newest version is, again and again until there is no further one, with half of the time between. What comes is passed on at once, key by key, and once more when all up to a position is known. An instance that does not watch reads all content from the store only if no peer has sent it a patch. Evidence: tests/large_configs.rs, five gateways, links of 10 Mbit/s to the store, 300 kB, ten versions a second: before, version 5 was in force 2.9 s after version 6 was written (bound 2.5 s), and a departure was known at no gateway after 4 s; passes.

--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -7,7 +7,10 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::state::{Control, PREFIXES, Way, keep};
+use super::{
+    apart,
+    state::{Control, PREFIXES, UNCHANGED, Way, keep},
+};
 use crate::{
     era::{AnswerEra, Position},
     socket::{self, MAX_PAGE_BYTES},
@@ -16,11 +19,11 @@
 /// Duration of a watch without changes. An unresponsive connection is noticed after this and
 /// [`ANSWER_MARGIN`], which together have to be less than the 1.5 s in advance with which upstreams announce
 /// that they leave. Each watch is charged as a call to the store, but few instances watch.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(800);
+pub(super) const WATCH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time for the store's response after a watch has ended: ten times the usual response time, including the
 /// round trip between regions.
-const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 
 /// How often an instance that does not watch checks whether it has to.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -33,7 +36,7 @@
 
 /// Delay of the store's answer from which on it is taken for silent, while the answer is waited for still: five times the
 /// usual response time, including the round trip between regions.
-const SILENCE_MARGIN: Duration = Duration::from_millis(250);
+pub(super) const SILENCE_MARGIN: Duration = Duration::from_millis(250);
 
 /// Pause of an instance that watches after each answer with changes, if another one watches too and is before it in rank:
 /// it gets them from that one, and every answer is charged as a call.
@@ -121,9 +124,6 @@
     }
 }
 
-/// Revision that leaves the known position as it is: positions only advance.
-pub(super) const UNCHANGED: u64 = 0;
-
 /// All items under a prefix.
 struct FullPrefix {
     prefix: &'static str,
@@ -199,8 +199,13 @@
 /// a store that answers again may never answer the calls that it got while it was silent.
 async fn read_page(control: &Control, prefix: &str, after: Option<&str>) -> Result<(Page, u64), Error> {
     let started = Instant::now();
+    let limit = if control.large_config().is_some() {
+        apart::CONFIG_TIMEOUT
+    } else {
+        READ_TIMEOUT
+    };
     let call = || {
-        let left = READ_TIMEOUT.saturating_sub(started.elapsed());
+        let left = limit.saturating_sub(started.elapsed());
         call_store(control, store::range(prefix, after), left)
     };
     let mut calls = FuturesUnordered::from_iter([call()]);
@@ -244,14 +249,19 @@
             continue;
         }
         let from = control.position();
-        let longest = control
-            .reappearance_left()
-            .map_or(WATCH_TIMEOUT, |left| WATCH_TIMEOUT.min(left + REMOVAL_MARGIN));
+        if control.large_config().is_some() {
+            (must_read, is_doubted) = watch_apart(control, outage, is_doubted).await;
+            continue;
+        }
         // An instance that begins to watch, or that the store did not answer, learns at once whether it does now, and
         // tells its peers.
         let is_unsure = is_doubted || !control.is_answering();
         is_doubted = false;
-        let wait = if is_unsure { Duration::ZERO } else { longest };
+        let wait = if is_unsure {
+            Duration::ZERO
+        } else {
+            watch_time(control)
+        };
         let call = call_store(
             control,
             store::watch("", from.revision, wait),
@@ -277,20 +287,67 @@
                 }
             }
             Ok(_) => must_read = true,
-            Err(Error::Refused(Refusal::Compacted)) => {
-                log::info!(era = from.era, revision = from.revision; "the store has compacted the needed history; reading all content again");
-                must_read = true;
-            }
-            // Many or large changes at once. A full read has pages.
-            Err(Error::Socket(error @ socket::Error::Unfinished(_))) => {
-                log::warn!(error:% = error, revision = from.revision; "changes not read at once; reading all content");
-                must_read = true;
-            }
+            Err(error) if lacks_changes(&error, from) => must_read = true,
             Err(error) => outage.record_failure_and_pause(control, &error).await,
         }
     }
 }
 
+/// Whether the changes after `from` cannot be had from the store, although it answers.
+fn lacks_changes(error: &Error, from: Position) -> bool {
+    let Position { era, revision } = from;
+    match error {
+        Error::Refused(Refusal::Compacted) => {
+            log::info!(era, revision; "the store has compacted the needed history; reading all content again");
+            true
+        }
+        // Many or large changes at once. A full read has pages.
+        Error::Socket(socket::Error::Unfinished(_)) => {
+            log::warn!(error:% = error, revision; "changes not read at once; reading all content");
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Reads all content; pauses and returns `false` if that fails.
+async fn read_again(control: &Control, outage: &mut Outage) -> bool {
+    match read_all(control).await {
+        Ok(()) => {
+            outage.record_success();
+            true
+        }
+        Err(error) => {
+            outage.record_failure_and_pause(control, &error).await;
+            false
+        }
+    }
+}
+
+/// Watches while the configuration is large. Returns whether all content has to be read, and whether another instance has lost
+/// the store.
+async fn watch_apart(control: &Rc<Control>, outage: &mut Outage, is_doubted: bool) -> (bool, bool) {
+    let ended = tokio::select! {
+        ended = apart::watch(control, outage, is_doubted) => ended,
+        () = control.era_seen.notified() => Ok(false),
+        () = control.watcher_lost.notified(), if !is_doubted => return (false, true),
+    };
+    match ended {
+        Ok(must_read) => (must_read, false),
+        Err(error) => {
+            outage.record_failure_and_pause(control, &error).await;
+            (false, false)
+        }
+    }
+}
+
+/// How long a watch may take.
+pub(super) fn watch_time(control: &Control) -> Duration {
+    control
+        .reappearance_left()
+        .map_or(WATCH_TIMEOUT, |left| WATCH_TIMEOUT.min(left + REMOVAL_MARGIN))
+}
+
 /// Waits for a while, and fetches what this instance has missed.
 async fn follow_peers(control: &Rc<Control>, outage: &mut Outage) {
     // Ends the measuring of an outage: the outcome of the last call no longer counts.
@@ -316,14 +373,11 @@
     if control.pending_era().is_none() {
         return;
     }
-    match read_all(control).await {
-        Ok(()) => outage.record_success(),
-        Err(error) => outage.record_failure_and_pause(control, &error).await,
-    }
+    read_again(control, outage).await;
 }
 
 /// Waits for a call; after `limit` the store counts as silent.
-async fn with_silence<T>(control: &Control, call: impl Future<Output = T>, limit: Duration) -> T {
+pub(super) async fn with_silence<T>(control: &Control, call: impl Future<Output = T>, limit: Duration) -> T {
     tokio::pin!(call);
     let started = Instant::now();
     if let Ok(outcome) = tokio::time::timeout(limit, call.as_mut()).await {
@@ -378,14 +432,18 @@
     }
 }
 
-/// Lets further changes come together after an answer. Returns at once and `true` if another instance loses the store.
-async fn pause_after_changes(control: &Control) -> bool {
-    let pause = if control.is_first_watcher() {
+/// Pause after an answer with changes, in which further ones come together, or come from another instance that watches.
+pub(super) fn change_pause(control: &Control) -> Duration {
+    if control.is_first_watcher() {
         FIRST_PAUSE
     } else {
         SECOND_PAUSE
-    };
-    tokio::time::timeout(pause, control.watcher_lost.notified())
+    }
+}
+
+/// Lets further changes come together after an answer. Returns at once and `true` if another instance loses the store.
+async fn pause_after_changes(control: &Control) -> bool {
+    tokio::time::timeout(change_pause(control), control.watcher_lost.notified())
         .await
         .is_ok()
 }
@@ -401,11 +459,12 @@
 async fn catch_up(control: &Rc<Control>) {
     let from = control.position();
     let (before, started) = (from.revision, Instant::now());
-    // The store answers with each version of the configuration whole.
-    let is_slow = control.is_turned_away() || control.large_config().is_some();
-    if is_slow && fetch_in_turn(control).await {
+    if control.is_turned_away() && fetch_in_turn(control).await {
         return;
     }
+    if control.large_config().is_some() {
+        return catch_up_apart(control).await;
+    }
     let call = call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT);
     tokio::pin!(call);
     let answer = match tokio::time::timeout(ANSWER_MARGIN, call.as_mut()).await {
@@ -443,28 +502,60 @@
     }
 }
 
-/// Fetches missed changes from the peer that was last seen ahead. Returns whether nothing is missing any more.
+/// Fetches missed changes while the configuration is large: from a peer, or all content from the store. The changes there have
+/// each version of the configuration whole.
+async fn catch_up_apart(control: &Control) {
+    if fetch_in_turn(control).await {
+        return;
+    }
+    if let Err(error) = read_all(control).await {
+        log::info!(error:% = error, revision = control.revision(); "content not read from the store");
+        control.record_turned_away();
+    }
+}
+
+/// Fetches missed changes from the peer that was last seen ahead. Returns whether it has sent them, or nothing is missing any
+/// more.
 async fn fetch_in_turn(control: &Control) -> bool {
     let spread = FETCH_INTERVAL * control.instance_count();
     tokio::time::sleep(spread.mul_f64(rand::random::<f64>())).await;
-    if let Some(peer) = control.ahead_peer.take().filter(|_| control.is_behind()) {
-        super::share::fetch_awaiting(control, peer).await;
+    if !control.is_behind() {
+        return true;
+    }
+    match control.ahead_peer.take() {
+        Some(peer) => super::share::fetch_awaiting(control, peer).await,
+        None => false,
     }
-    !control.is_behind()
 }
 
-/// Makes one read or watch call with the time limit `timeout`. Returns the page and its era, which is not earlier than the
-/// followed one.
-async fn call_store(
+/// Makes one read or watch call with the time limit `timeout`, and takes note of whether the store answers. Returns the page and
+/// its era, which is not earlier than the followed one.
+pub(super) async fn call_store(
     control: &Control,
     request: hyper::Request<bytes::Bytes>,
     timeout: Duration,
 ) -> Result<(Page, u64), Error> {
-    metrics::counter!("carobhaven_store_calls_total", "call" => "read").increment(1);
     let started = Instant::now();
+    let outcome = read_store(control, request, MAX_PAGE_BYTES, timeout).await;
+    if matches!(outcome, Ok(_) | Err(Error::Refused(Refusal::Compacted))) {
+        control.record_answer();
+    } else {
+        control.record_failure(started);
+    }
+    outcome
+}
+
+/// Makes one read or watch call with the time limit `timeout`, for at most `limit` bytes.
+pub(super) async fn read_store(
+    control: &Control,
+    request: hyper::Request<bytes::Bytes>,
+    limit: usize,
+    timeout: Duration,
+) -> Result<(Page, u64), Error> {
+    metrics::counter!("carobhaven_store_calls_total", "call" => "read").increment(1);
     let expected = control.followed_era();
-    let deadline = started + timeout;
-    let outcome = match socket::call(control.store_address(), request, MAX_PAGE_BYTES, deadline).await {
+    let deadline = Instant::now() + timeout;
+    match socket::call(control.store_address(), request, limit, deadline).await {
         Ok(response) => {
             let era = match control.judge_answer(response.headers(), "read") {
                 // Another one than before the call if it was taken from a peer meanwhile.
@@ -479,23 +570,17 @@
             })
         }
         Err(error) => Err(Error::Socket(error)),
-    };
-    if matches!(outcome, Ok(_) | Err(Error::Refused(Refusal::Compacted))) {
-        control.record_answer();
-    } else {
-        control.record_failure(started);
     }
-    outcome
 }
 
 #[derive(Debug, Default)]
-struct Outage {
+pub(super) struct Outage {
     /// Consecutive failed calls.
     failures: u32,
 }
 
 impl Outage {
-    fn record_success(&mut self) {
+    pub(super) fn record_success(&mut self) {
         if self.failures > 0 {
             log::info!(failures = self.failures; "the store was regained");
         }
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! settings and signals.
 
 mod admin;
+mod apart;
 mod follow;
 mod register;
 mod share;
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -20,10 +20,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{
-    follow::UNCHANGED,
-    state::{Control, PREFIXES, Way},
-};
+use super::state::{Control, PREFIXES, UNCHANGED, Way};
 use crate::{
     delta,
     era::Position,
@@ -181,17 +178,20 @@
 /// Fetches content from a peer that is ahead, unless a fetch is in progress.
 pub(super) fn fetch_from_peer(control: &Rc<Control>, peer: SocketAddr) {
     let control = Rc::clone(control);
-    tokio::task::spawn_local(async move { fetch_awaiting(&control, peer).await });
+    tokio::task::spawn_local(async move {
+        fetch_awaiting(&control, peer).await;
+    });
 }
 
-/// Fetches content from a peer that is ahead and waits for it, unless a fetch is in progress.
-pub(super) async fn fetch_awaiting(control: &Control, peer: SocketAddr) {
+/// Fetches content from a peer that is ahead and waits for it, unless a fetch is in progress. Returns whether it was sent.
+pub(super) async fn fetch_awaiting(control: &Control, peer: SocketAddr) -> bool {
     if control.fetching.replace(true) {
-        return;
+        return false;
     }
     let (before, started) = (control.revision(), Instant::now());
     let outcome = with_timeout(fetch_content(control, peer)).await;
     let took_ms = started.elapsed().as_millis() as u64;
+    let is_sent = outcome.is_ok();
     match outcome {
         Ok(bytes) => {
             let Position { era, revision } = control.position();
@@ -203,6 +203,7 @@
         Err(error) => log::info!(peer:% = peer, error:% = error, before, took_ms; "no content from the peer"),
     }
     control.fetching.set(false);
+    is_sent
 }
 
 /// Fetches content from the seeds until any is known: an unreachable store at the start must not keep the
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -30,6 +30,9 @@
     watchers::Watchers,
 };
 
+/// Revision that leaves the known position as it is: positions only advance.
+pub(super) const UNCHANGED: u64 = 0;
+
 /// Prefix of the keys under which instances register their addresses.
 pub(super) const INSTANCE_PREFIX: &str = "carobhaven/instances/";
 
@@ -126,6 +129,8 @@
     mirror: RefCell<Mirror>,
     /// Version of the configuration in force.
     version: Cell<u64>,
+    /// The configuration before the known one, if it was large.
+    former_config: RefCell<Option<Bytes>>,
     reachability: RefCell<Reachability>,
     /// When the store or a peer last confirmed that the mirror is current; the start of this instance before.
     confirmed_at: Cell<Instant>,
@@ -186,6 +191,7 @@
             grace,
             mirror: RefCell::new(Mirror::new()),
             version: Cell::new(0),
+            former_config: RefCell::default(),
             reachability: RefCell::new(Reachability::new()),
             confirmed_at: Cell::new(now),
             is_confirmed: Cell::new(false),
@@ -523,6 +529,65 @@
         self.apply(items, reached, way);
     }
 
+    /// Applies `changes` that were seen by watching some keys, and passes them on; earlier ones of other keys may be missing.
+    pub(super) fn apply_some(&self, changes: Vec<Item>, era: u64, way: Way) {
+        let own = self.position();
+        let is_new = |item: &Item| {
+            let mirror = self.mirror.borrow();
+            item.revision > own.revision
+                && mirror
+                    .get(&item.key)
+                    .is_none_or(|known| known.position < Position::new(era, item.revision))
+        };
+        let items: Vec<Item> = changes.into_iter().filter_map(keep).filter(is_new).collect();
+        if items.is_empty() {
+            return;
+        }
+        if self.watching.get() {
+            self.pass_on(&items, own, own);
+        }
+        self.apply(items, Position::new(era, UNCHANGED), way);
+    }
+
+    /// Records that every change up to `reached` is known, and passes on what has changed since the known position: some of
+    /// it may have been lost when it was passed on for itself.
+    pub(super) fn advance(&self, reached: Position) {
+        let before = self.position();
+        if reached <= before {
+            return;
+        }
+        let changes = self.mirror.borrow().changes(before, reached);
+        if self.watching.get() {
+            let items: Vec<Item> = changes
+                .into_iter()
+                .map(|(key, position, value)| Item {
+                    key,
+                    revision: position.revision,
+                    value,
+                })
+                .collect();
+            self.pass_on(&items, before, reached);
+        }
+        self.mirror.borrow_mut().advance_to(reached);
+        self.send_status();
+    }
+
+    /// Revision at which the known configuration was written; zero if there is none.
+    pub(super) fn config_revision(&self) -> u64 {
+        let mirror = self.mirror.borrow();
+        mirror.get(config::KEY).map_or(0, |item| item.position.revision)
+    }
+
+    /// Value that a change of `key` is passed on as a difference from: the one before.
+    fn value_before(&self, item: &Item) -> Option<Bytes> {
+        let known = self.value(&item.key);
+        let is_known = known.is_some() && known == item.value;
+        if item.key == config::KEY && is_known {
+            return self.former_config.borrow().clone();
+        }
+        known
+    }
+
     /// Passes `items`, which are all changes from `before` to `reached`, on to the other instances. What is too large for a
     /// datagram is left out; the rest does not wait for it.
     fn pass_on(&self, items: &[Item], before: Position, reached: Position) {
@@ -532,7 +597,7 @@
         let mut items: Vec<_> = newest
             .cloned()
             .map(|item| {
-                let known = self.value(&item.key);
+                let known = self.value_before(&item);
                 delta::encode(item, known.as_deref())
             })
             .collect();
@@ -567,12 +632,16 @@
     pub(super) fn apply(&self, items: Vec<Item>, reached: Position, way: Way) {
         let mut instances_changed = false;
         for item in items.into_iter().filter_map(keep) {
+            let before = (item.key == config::KEY).then(|| self.large_config()).flatten();
             let change = self.mirror.borrow_mut().apply(
                 &item.key,
                 Position::new(reached.era, item.revision),
                 item.value,
             );
             if let Some(change) = change {
+                if before.is_some() {
+                    *self.former_config.borrow_mut() = before;
+                }
                 instances_changed |= item.key.starts_with(INSTANCE_PREFIX);
                 self.publish(&item.key, change, way);
             }
--- a/crates/carob-gateway/src/mirror.rs
+++ b/crates/carob-gateway/src/mirror.rs
@@ -64,6 +64,21 @@
         self.items.get(key)
     }
 
+    /// The latest change of each key after `before` and up to `reached`, with its value unless it was removed.
+    pub fn changes(&self, before: Position, reached: Position) -> Vec<(String, Position, Option<Bytes>)> {
+        let is_between = |position: Position| before < position && position <= reached;
+        let items = self.items.iter();
+        let set = items.map(|(key, item)| (key, item.position, Some(item.value.clone())));
+        let removed = self
+            .tombstones
+            .iter()
+            .map(|(key, position)| (key, *position, None));
+        set.chain(removed)
+            .filter(|(_, position, _)| is_between(*position))
+            .map(|(key, position, value)| (key.clone(), position, value))
+            .collect()
+    }
+
     /// Applies one change; `value` is absent if the key was removed. Returns its effect, or `None` if it is
     /// not newer than what is known or leaves the value as it was.
     pub fn apply(&mut self, key: &str, position: Position, value: Option<Bytes>) -> Option<Change> {
--- a/crates/carob-gateway/src/socket.rs
+++ b/crates/carob-gateway/src/socket.rs
@@ -269,6 +269,13 @@
     if !answer::is_final_status(head.status.as_u16()) {
         return Err(Error::Status(head.status.as_str().to_owned()));
     }
+    // Nothing of an answer that is known to be too long need be read.
+    let length = body.size_hint().lower();
+    if length > limit as u64 {
+        return Err(Error::Unfinished(format!(
+            "expected at most {limit} bytes, found {length}"
+        )));
+    }
     let body = timeout_at(deadline, read_whole(Limited::new(body, limit)))
         .await
         .map_err(|_elapsed| Error::Unfinished("the deadline passed".to_owned()))?
--- a/tests/large_configs.rs
+++ b/tests/large_configs.rs
@@ -1,17 +1,23 @@
-//! Large configurations whose versions follow each other closely.
+//! Large configurations whose versions follow each other faster than a narrow link carries them.
 
 mod fleet;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use carob_platform_standin::config;
-use fleet::{CLIENT_KEY, Fleet, Gateway, ROUTES};
+use fleet::{CLIENT_KEY, CONFIG_APPLY, DRAIN, Fleet, Gateway, ROUTES, request, wait_until};
 use serde_json::{Value, json};
 
 const GATEWAYS: usize = 5;
 
 const SHORT: Duration = Duration::from_millis(10);
 
+/// Bytes a second of a link of 10 Mbit/s.
+const NARROW: u64 = 1_250_000;
+
 /// Time between two versions.
 const VERSION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -36,6 +42,45 @@
     found
 }
 
+/// The newest version that a gateway has logged as in force.
+fn version_in_force(gateway: &Gateway) -> u64 {
+    let lines = gateway.log_lines();
+    let found = lines.iter().rev().find_map(|line| {
+        let (_, rest) = line.split_once("\"configuration in force\",\"version\":")?;
+        rest.split(',').next()?.parse().ok()
+    });
+    found.unwrap_or(0)
+}
+
+/// Writes versions of a configuration with `added` routes more for `time`, while `check` is called between them.
+fn write_versions(fleet: &Fleet, added: u64, time: Duration, mut check: impl FnMut(Duration)) {
+    let start = Instant::now();
+    let mut written = Vec::new();
+    for version in 2.. {
+        if start.elapsed() >= time {
+            return;
+        }
+        let next = start + VERSION_INTERVAL * (version as u32 - 1);
+        fleet.store.put(config::KEY, &large_config(version, added));
+        written.push((version, Instant::now()));
+        check(start.elapsed());
+        let due = written
+            .iter()
+            .filter(|(_, at)| at.elapsed() > CONFIG_APPLY)
+            .map(|(version, _)| *version)
+            .max();
+        for (index, gateway) in fleet.gateways.iter().enumerate() {
+            let found = version_in_force(gateway);
+            assert!(
+                found >= due.unwrap_or(0),
+                "gateway {index}: version {found} in force after {:?}, expected {due:?}",
+                start.elapsed()
+            );
+        }
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    }
+}
+
 fn start() -> Fleet {
     let fleet = Fleet::start(GATEWAYS);
     fleet.start_plain("p1", SHORT);
@@ -44,6 +89,49 @@
     fleet
 }
 
+#[test]
+fn versions_of_a_large_configuration_are_late_on_narrow_links() {
+    let fleet = start();
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_rate(Some(NARROW));
+    }
+    write_versions(&fleet, 1_200, Duration::from_secs(8), |_| ());
+}
+
+#[test]
+fn a_departure_waits_behind_a_large_configuration() {
+    let fleet = start();
+    let leaving = fleet.start_plain("p2", SHORT);
+    wait_until("the new upstream is used", || {
+        fleet.send(0, &request("r", "GET", "/read/1"));
+        fleet.arrivals_after("p2", Instant::now() - Duration::from_secs(1)) > 0
+    });
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_rate(Some(NARROW));
+    }
+    let mut announced = None;
+    let mut known = [None; GATEWAYS];
+    write_versions(&fleet, 1_200, Duration::from_secs(6), |since| {
+        if since >= Duration::from_secs(2) && announced.is_none() {
+            leaving.announce_leaving();
+            announced = Some(Instant::now());
+        }
+        for (known, gateway) in known.iter_mut().zip(&fleet.gateways) {
+            if known.is_none() && gateway.logged("\"state\":\"Leaving\"") {
+                *known = Some(Instant::now());
+            }
+        }
+    });
+    let announced = announced.expect("it was announced");
+    for (index, known) in known.iter().enumerate() {
+        let late = known.map(|known| known.saturating_duration_since(announced));
+        assert!(
+            late.is_some_and(|late| late < DRAIN / 2),
+            "gateway {index} knew after {late:?} that the upstream leaves"
+        );
+    }
+}
+
 #[test]
 fn two_versions_in_one_answer_are_passed_on_to_nobody() {
     let fleet = start();
