fix: patches of configurations whose routes are alike were too large for a message

What callers saw: the same lag as before, less of it: each instance fetched each version from another one. Cause: patches named blocks of 64 bytes. Where routes share most of their text, such blocks are alike, and each is named for itself. Change: blocks of 512 bytes, which hold a whole route.

--- a/crates/carob-gateway/src/delta.rs
+++ b/crates/carob-gateway/src/delta.rs
@@ -30,8 +30,9 @@
 /// Maximum size of a value that is patched, in bytes: that of the store's values.
 const MAX_PATCHED: usize = 1 << 20;
 
-/// Size in bytes of the blocks that patches name, if they are made from the value before.
-const FINE_BLOCK: u32 = 64;
+/// Size in bytes of the blocks that patches name, if they are made from the value before. Shorter ones that are alike make
+/// patches longer, as each is named for itself.
+const FINE_BLOCK: u32 = 512;
 
 /// The same if they are made from a signature, which holds [`HASH_BYTES`] and four more for each block.
 const COARSE_BLOCK: u32 = 1 << 10;
