fix: two instances read each version of a large configuration, and their watches fell silent behind it

Cause: both instances that watch read each version whole. On a link of 10 Mbit/s a watch of the directory then got no answer in 1.3 s; it failed, the read under way was given up with it, both were taken for silent, and others began to watch and wait for turns. Change: a watch of the configuration tells that there is a version, as its answer is longer than a notice and not read (the length in its head says so); the first instance that watches reads the newest one, others wait 1.2 s for it. While it is read, the store counts as silent after 1 s instead of 0.25 s. Five peers are asked for missed changes before the store is; a watch of all content ends at 512 KiB, after which a full read has the last value of each key.

--- a/crates/carob-gateway/src/control/apart.rs
+++ b/crates/carob-gateway/src/control/apart.rs
@@ -1,20 +1,18 @@
 //! Watches the store while the configuration is large: its versions apart from changes that are small and urgent.
 //!
 //! An answer of the store has each version since the known one, whole. If versions follow each other faster than the link carries
-//! them, each answer is longer than the one before, and an entry of an upstream that leaves would wait behind all of them.
+//! them, each answer is longer than the one before, and an entry of an upstream that leaves would wait behind all of them. So a
+//! watch only tells that there is a version, and the newest one is read, by the first instance that watches.
 
 use std::{cell::Cell, collections::BTreeSet, rc::Rc, time::Duration};
 
-use carob_platform::{
-    config,
-    store::{self, Page, Refusal},
-};
-use tokio::time::Instant;
+use carob_platform::store::{self, Page, Refusal};
+use tokio::time::{Instant, timeout_at};
 
 use super::{
     follow::{
         ANSWER_MARGIN, Error, Outage, SILENCE_MARGIN, WATCH_TIMEOUT, call_store, change_pause, read_store,
-        watch_time, with_silence,
+        watch_time,
     },
     state::{Control, PREFIXES, Way},
 };
@@ -26,9 +24,22 @@
 /// Time limit of a call whose answer may hold the configuration.
 pub(super) const CONFIG_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Longest pause between two reads of the configuration. Usually it is the time that the last one took, so that half of the link
-/// stays free.
-const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause between two reads of the configuration. Usually it is half of the time that the last one took, so that the link
+/// is free for a third of the time.
+const MAX_PAUSE: Duration = Duration::from_millis(250);
+
+/// Largest answer to a watch of the prefix with the configuration that is read.
+const MAX_NOTICE: usize = 16 << 10;
+
+/// Time within which the first instance that watches has read a version and passed it on, before another one reads it.
+const FIRST_TIME: Duration = Duration::from_millis(1_200);
+
+/// How often an instance looks whether it has been told of a version.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Number of times that [`SILENCE_MARGIN`] has to pass while the link carries the configuration, for the store to be taken for
+/// silent.
+const BUSY_MARGINS: u32 = 4;
 
 /// What is known of the content of the store, by prefix.
 struct Streams<'a> {
@@ -36,6 +47,8 @@
     era: u64,
     /// Revisions up to which every change is known, in the order of [`PREFIXES`].
     reached: [Cell<u64>; PREFIXES.len()],
+    /// Whether the configuration is being read.
+    is_reading: Cell<bool>,
 }
 
 /// Watches each prefix for itself, for as long as this instance has to watch and the configuration is large. Returns whether
@@ -54,6 +67,7 @@
         control,
         era,
         reached: [(); PREFIXES.len()].map(|()| Cell::new(revision)),
+        is_reading: Cell::new(false),
     };
     let is_unsure = is_unsure || !control.is_answering();
     let [operator, directory, instances] = [0, 1, 2];
@@ -64,13 +78,6 @@
     }
 }
 
-/// Size of an answer with one version of the configuration, in base64 and with what else there may be. One with two takes
-/// longer than to read the newer one alone.
-fn max_answer(control: &Control) -> usize {
-    let value = control.large_config().map_or(MAX_PAGE_BYTES, |value| value.len());
-    MAX_PAGE_BYTES.min(2 * value + (16 << 10))
-}
-
 impl Streams<'_> {
     /// Whether the prefixes need not be watched apart any more.
     fn is_over(&self) -> bool {
@@ -101,8 +108,12 @@
                 watch_time(control)
             };
             let request = store::watch(PREFIXES[index], self.from(index), wait);
-            let call = call_store(control, request, wait + ANSWER_MARGIN);
-            let page = match with_silence(control, call, wait + SILENCE_MARGIN).await {
+            let call = call_store(
+                control,
+                request,
+                wait + SILENCE_MARGIN * BUSY_MARGINS + ANSWER_MARGIN,
+            );
+            let page = match self.with_silence(call, wait).await {
                 Ok((page, era)) if era == self.era => page,
                 Ok(_)
                 | Err(Error::Refused(Refusal::Compacted) | Error::Socket(socket::Error::Unfinished(_))) => {
@@ -122,53 +133,77 @@
         Ok(false)
     }
 
-    /// Follows the prefix with the configuration. If an answer has more than one version, only the newest is read, until there is
-    /// no further one.
+    /// Waits for a call that is answered after `wait`; after a margin the store counts as silent.
+    async fn with_silence<T>(&self, call: impl Future<Output = T>, wait: Duration) -> T {
+        let started = Instant::now();
+        tokio::pin!(call);
+        for margins in 1..=BUSY_MARGINS {
+            let limit = started + wait + SILENCE_MARGIN * margins;
+            if let Ok(outcome) = timeout_at(limit, call.as_mut()).await {
+                return outcome;
+            }
+            if !self.is_reading.get() {
+                break;
+            }
+        }
+        self.control.record_failure(started);
+        self.control.send_status();
+        call.await
+    }
+
+    /// Follows the prefix with the configuration.
     async fn follow_config(&self, index: usize) -> Result<bool, Error> {
         let control = self.control;
-        let mut is_behind = false;
         while !self.is_over() {
-            let started = Instant::now();
-            let request = if is_behind {
-                store::range(PREFIXES[index], None)
-            } else {
-                store::watch(PREFIXES[index], self.from(index), WATCH_TIMEOUT)
-            };
             let known = control.config_revision();
-            let limit = if is_behind {
-                MAX_PAGE_BYTES
-            } else {
-                max_answer(control)
-            };
-            let page = match read_store(control, request, limit, CONFIG_TIMEOUT).await {
-                Ok((page, era)) if era == self.era => page,
+            let request = store::watch(PREFIXES[index], self.from(index), WATCH_TIMEOUT);
+            match read_store(control, request, MAX_NOTICE, CONFIG_TIMEOUT).await {
+                Ok((page, era)) if era == self.era => {
+                    control.record_confirmation();
+                    self.take(index, page, Way::Watch);
+                }
                 Ok(_) => return Ok(true),
-                Err(Error::Refused(Refusal::Compacted) | Error::Socket(socket::Error::Unfinished(_)))
-                    if !is_behind =>
-                {
-                    is_behind = true;
-                    continue;
+                Err(Error::Refused(Refusal::Compacted) | Error::Socket(socket::Error::Unfinished(_))) => {
+                    if (control.is_first_watcher() || !self.is_told(index, known).await)
+                        && self.read_newest(index).await?
+                    {
+                        return Ok(true);
+                    }
                 }
                 Err(error) => return Err(error),
-            };
-            let versions = page.items.iter().filter(|item| item.key == config::KEY);
-            let newer = versions.filter(|item| item.revision > known).count();
-            control.record_confirmation();
-            if is_behind {
-                if page.has_more {
-                    return Ok(true);
-                }
-                is_behind = newer > 0;
-                self.take_all(index, page);
-            } else {
-                is_behind = newer > 1;
-                self.take(index, page, Way::Watch);
             }
-            if newer > 0 {
-                let pause = change_pause(control).max(started.elapsed());
-                tokio::time::sleep(pause.min(MAX_PAUSE)).await;
+        }
+        Ok(false)
+    }
+
+    /// Waits until another instance has told of a configuration that is newer than that at `known`, and of all before it. Returns
+    /// whether one has.
+    async fn is_told(&self, index: usize, known: u64) -> bool {
+        let (from, end) = (self.from(index), Instant::now() + FIRST_TIME);
+        while Instant::now() < end {
+            if self.control.config_revision() > known && self.from(index) > from {
+                return true;
             }
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+        false
+    }
+
+    /// Reads the prefix with the configuration, and pauses. Returns whether all content has to be read.
+    async fn read_newest(&self, index: usize) -> Result<bool, Error> {
+        let control = self.control;
+        let started = Instant::now();
+        self.is_reading.set(true);
+        let request = store::range(PREFIXES[index], None);
+        let answer = read_store(control, request, MAX_PAGE_BYTES, CONFIG_TIMEOUT).await;
+        self.is_reading.set(false);
+        let (page, era) = answer?;
+        if era != self.era || page.has_more {
+            return Ok(true);
         }
+        control.record_confirmation();
+        self.take_all(index, page);
+        tokio::time::sleep((started.elapsed() / 2).min(MAX_PAUSE)).await;
         Ok(false)
     }
 
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -49,6 +49,12 @@
 /// the store. The watch is ended then, so that entries which did not reappear are removed.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(20);
 
+/// Maximum size of an answer to a watch. All content is read if there are more changes, of which it has the last of each key.
+const MAX_CHANGES_BYTES: usize = 512 << 10;
+
+/// Number of peers that are asked for missed changes before the store is, while the configuration is large.
+const MAX_FETCHES: usize = 5;
+
 /// Time limit of a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -262,9 +268,10 @@
         } else {
             watch_time(control)
         };
-        let call = call_store(
+        let call = call_limited(
             control,
             store::watch("", from.revision, wait),
+            MAX_CHANGES_BYTES,
             wait + ANSWER_MARGIN,
         );
         let answer = tokio::select! {
@@ -377,7 +384,7 @@
 }
 
 /// Waits for a call; after `limit` the store counts as silent.
-pub(super) async fn with_silence<T>(control: &Control, call: impl Future<Output = T>, limit: Duration) -> T {
+async fn with_silence<T>(control: &Control, call: impl Future<Output = T>, limit: Duration) -> T {
     tokio::pin!(call);
     let started = Instant::now();
     if let Ok(outcome) = tokio::time::timeout(limit, call.as_mut()).await {
@@ -465,7 +472,8 @@
     if control.large_config().is_some() {
         return catch_up_apart(control).await;
     }
-    let call = call_store(control, store::watch("", before, Duration::ZERO), READ_TIMEOUT);
+    let request = store::watch("", before, Duration::ZERO);
+    let call = call_limited(control, request, MAX_CHANGES_BYTES, READ_TIMEOUT);
     tokio::pin!(call);
     let answer = match tokio::time::timeout(ANSWER_MARGIN, call.as_mut()).await {
         Ok(answer) => answer,
@@ -502,11 +510,13 @@
     }
 }
 
-/// Fetches missed changes while the configuration is large: from a peer, or all content from the store. The changes there have
+/// Fetches missed changes while the configuration is large: from peers, or all content from the store. The changes there have
 /// each version of the configuration whole.
 async fn catch_up_apart(control: &Control) {
-    if fetch_in_turn(control).await {
-        return;
+    for _ in 0..MAX_FETCHES {
+        if fetch_in_turn(control).await {
+            return;
+        }
     }
     if let Err(error) = read_all(control).await {
         log::info!(error:% = error, revision = control.revision(); "content not read from the store");
@@ -534,9 +544,19 @@
     control: &Control,
     request: hyper::Request<bytes::Bytes>,
     timeout: Duration,
+) -> Result<(Page, u64), Error> {
+    call_limited(control, request, MAX_PAGE_BYTES, timeout).await
+}
+
+/// Like [`call_store`], for at most `limit` bytes.
+async fn call_limited(
+    control: &Control,
+    request: hyper::Request<bytes::Bytes>,
+    limit: usize,
+    timeout: Duration,
 ) -> Result<(Page, u64), Error> {
     let started = Instant::now();
-    let outcome = read_store(control, request, MAX_PAGE_BYTES, timeout).await;
+    let outcome = read_store(control, request, limit, timeout).await;
     if matches!(outcome, Ok(_) | Err(Error::Refused(Refusal::Compacted))) {
         control.record_answer();
     } else {
