fix: a value was refused that was made from one that the receiver had just replaced

What callers saw: versions late by the time of a fetch, whenever two came closely. Cause: two instances watch, and one may get two versions in an answer of which the other gets the first alone. Then each passes on differences from a value that receivers of the other's have just replaced; these refused the whole chain until they had fetched a version. A value that was passed on before is named by its hash alone.

--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -144,7 +144,7 @@
         revision,
         items,
     } = update;
-    let decoded = delta::decode(items, |key| control.value(key));
+    let decoded = delta::decode(items, |key| control.known_values(key));
     if let Some(error) = &decoded.error {
         // What is missing is fetched.
         metrics::counter!("carobhaven_changes_total", "outcome" => "difference").increment(1);
@@ -346,7 +346,7 @@
             return Err(Error::NotHeld(item.key));
         }
     }
-    Ok(delta::decode_item(item, signed.cloned())?)
+    Ok(delta::decode_item(item, &signed.into_iter().cloned().collect())?)
 }
 
 /// Identifies an item's key and value.
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -20,9 +20,11 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    Change, Lag, Mirror, Settings, Versioned, delta,
+    Change, Lag, Mirror, Settings, Versioned,
+    delta::{self, Known},
     era::{AnswerEra, Eras, Position},
     evacuations::Evacuations,
+    former::FormerValues,
     question::Question,
     reach::{MIN_OUTAGE, Reachability},
     signals::Grace,
@@ -129,8 +131,8 @@
     mirror: RefCell<Mirror>,
     /// Version of the configuration in force.
     version: Cell<u64>,
-    /// The configuration before the known one, if it was large.
-    former_config: RefCell<Option<Bytes>>,
+    /// Configurations before the known one.
+    former_configs: RefCell<FormerValues>,
     reachability: RefCell<Reachability>,
     /// When the store or a peer last confirmed that the mirror is current; the start of this instance before.
     confirmed_at: Cell<Instant>,
@@ -191,7 +193,7 @@
             grace,
             mirror: RefCell::new(Mirror::new()),
             version: Cell::new(0),
-            former_config: RefCell::default(),
+            former_configs: RefCell::default(),
             reachability: RefCell::new(Reachability::new()),
             confirmed_at: Cell::new(now),
             is_confirmed: Cell::new(false),
@@ -578,12 +580,24 @@
         mirror.get(config::KEY).map_or(0, |item| item.position.revision)
     }
 
-    /// Value that a change of `key` is passed on as a difference from: the one before.
-    fn value_before(&self, item: &Item) -> Option<Bytes> {
-        let known = self.value(&item.key);
-        let is_known = known.is_some() && known == item.value;
-        if item.key == config::KEY && is_known {
-            return self.former_config.borrow().clone();
+    /// Keeps the known configuration if `item` has a newer one, or that in it.
+    fn keep_former(&self, item: &Item) {
+        let known = self.value(config::KEY);
+        let former = if item.revision > self.config_revision() {
+            known
+        } else {
+            item.value.clone().filter(|value| known.as_ref() != Some(value))
+        };
+        if let Some(former) = former {
+            self.former_configs.borrow_mut().insert(former);
+        }
+    }
+
+    /// Values of a key that other instances may pass differences of, the newest first.
+    pub(super) fn known_values(&self, key: &str) -> Known {
+        let mut known: Known = self.value(key).into_iter().collect();
+        if key == config::KEY {
+            known.extend(self.former_configs.borrow().iter().cloned());
         }
         known
     }
@@ -597,7 +611,7 @@
         let mut items: Vec<_> = newest
             .cloned()
             .map(|item| {
-                let known = self.value_before(&item);
+                let known = self.value(&item.key);
                 delta::encode(item, known.as_deref())
             })
             .collect();
@@ -632,16 +646,15 @@
     pub(super) fn apply(&self, items: Vec<Item>, reached: Position, way: Way) {
         let mut instances_changed = false;
         for item in items.into_iter().filter_map(keep) {
-            let before = (item.key == config::KEY).then(|| self.large_config()).flatten();
+            if item.key == config::KEY {
+                self.keep_former(&item);
+            }
             let change = self.mirror.borrow_mut().apply(
                 &item.key,
                 Position::new(reached.era, item.revision),
                 item.value,
             );
             if let Some(change) = change {
-                if before.is_some() {
-                    *self.former_config.borrow_mut() = before;
-                }
                 instances_changed |= item.key.starts_with(INSTANCE_PREFIX);
                 self.publish(&item.key, change, way);
             }
--- a/crates/carob-gateway/src/delta.rs
+++ b/crates/carob-gateway/src/delta.rs
@@ -14,6 +14,7 @@
 use carob_platform::store::Item as StoreItem;
 use fast_rsync::{ApplyError, DiffError, Signature, SignatureOptions, SignatureParseError};
 use lz4_flex::block::{self, DecompressError};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::peer::Item;
@@ -94,6 +95,14 @@
     let Some(value) = &encoded.value else {
         return encoded;
     };
+    if value == known && value.len() > MAX_PLAIN {
+        // It was passed on before; that it is the one with this hash says enough.
+        encoded.value_hash = hash(value);
+        encoded.known_hash = encoded.value_hash;
+        encoded.value = None;
+        encoded.patch = Some(Bytes::new());
+        return encoded;
+    }
     let (delta, made) = if known.len() <= WINDOW {
         (difference(value, known), None)
     } else {
@@ -134,17 +143,22 @@
     pub error: Option<Error>,
 }
 
-/// Decodes items in their order; `known` returns the value before of a key. One that cannot be decoded is left out, as are later
-/// ones that rest on it.
-pub(crate) fn decode(items: Vec<Item>, known: impl Fn(&str) -> Option<Bytes>) -> Decoded {
+/// Values of a key that are known, of which differences may be made.
+pub(crate) type Known = SmallVec<[Bytes; 4]>;
+
+/// Decodes items; `known` returns the values of a key that are known here, the newest first. An item that cannot be decoded is
+/// left out.
+pub(crate) fn decode(items: Vec<Item>, known: impl Fn(&str) -> Known) -> Decoded {
     // A key may have changed several times.
-    let mut latest: HashMap<String, Option<Bytes>> = HashMap::new();
+    let mut earlier: HashMap<String, Known> = HashMap::new();
     let mut decoded = Decoded::default();
     for item in items {
-        let before = latest.get(&item.key).cloned().unwrap_or_else(|| known(&item.key));
-        match decode_item(item, before) {
+        let values = earlier
+            .entry(item.key.clone())
+            .or_insert_with(|| known(&item.key));
+        match decode_item(item, values) {
             Ok(item) => {
-                latest.insert(item.key.clone(), item.value.clone());
+                values.extend(item.value.clone());
                 decoded.items.push(item);
             }
             Err(error) => {
@@ -155,24 +169,28 @@
     decoded
 }
 
-/// Decodes an item, with `before` as the known value of its key.
+/// Decodes an item, of whose key the `known` values are known.
 ///
 /// # Errors
 ///
 /// Returns an [`Error`] if it is a difference or a patch that cannot be applied.
-pub(crate) fn decode_item(mut item: Item, before: Option<Bytes>) -> Result<StoreItem, Error> {
+pub(crate) fn decode_item(mut item: Item, known: &Known) -> Result<StoreItem, Error> {
     if item.delta.is_none() && item.patch.is_none() {
         return Ok(item.into());
     }
-    let before = before.unwrap_or_default();
-    item.value = if item.value_hash != 0 && hash(&before) == item.value_hash {
+    let find = |expected| known.iter().find(|value| hash(value) == expected);
+    item.value = if let Some(value) = find(item.value_hash).filter(|_| item.value_hash != 0) {
         // Another way was faster.
-        Some(before)
-    } else if let Some(patch) = item.patch.take() {
-        Some(apply_patch(&patch, (item.known_hash, item.value_hash), &before)?)
+        Some(value.clone())
     } else {
-        let delta = item.delta.take().unwrap_or_default();
-        Some(apply(&delta, item.known_hash, &before)?)
+        let before = find(item.known_hash)
+            .or(known.first())
+            .cloned()
+            .unwrap_or_default();
+        match (item.patch.take(), item.delta.take()) {
+            (Some(patch), _) => Some(apply_patch(&patch, (item.known_hash, item.value_hash), &before)?),
+            (None, delta) => Some(apply(&delta.unwrap_or_default(), item.known_hash, &before)?),
+        }
     };
     Ok(item.into())
 }
--- a/crates/carob-gateway/src/lib.rs
+++ b/crates/carob-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`reach`]: whether the store can be reached.
 //! * [`era`]: which history of the store is followed.
 //! * [`evacuations`]: failure domains that are out of service.
+//! * [`former`]: values that a key had lately.
 //! * [`Lag`]: how long the copy has been behind those of other instances.
 //! * [`memory`]: how much of answers waits for clients, and which slow readers are cut off.
 //! * [`relaying`]: how an instance asks another one for a connection to an upstream.
@@ -22,6 +23,7 @@
 pub mod era;
 pub mod evacuations;
 pub mod events;
+pub mod former;
 mod lag;
 pub mod memory;
 mod mirror;
