fix: an instance that watches filled its link with what it sent to all others at once

Cause: when a version is too large for a message, all others fetch it from the two that have it, in the same 0.2 s: 14 kB each, 2.7 MB over a link of 20 Mbit/s, together with messages of up to 8 kB to each, twice. The instance's own calls and what it hears stood still for 5 s; it went on by the version that it had. Change: content is served to six peers at a time; others are turned away at once and ask the next one, which by then has it as well. A message with changes is at most as large as 400 KiB to all instances together.

--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -36,6 +36,9 @@
 /// Time limit for the whole exchange with a peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum number of peers that are served content at the same time. Others ask again, and then other instances have it as well.
+const MAX_SERVED: usize = 6;
+
 /// Pause between rounds of requests to the seeds.
 const SEED_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -50,6 +53,8 @@
     Ended,
     #[error("timed out")]
     Timeout,
+    #[error("{MAX_SERVED} others are served")]
+    Busy,
     #[error("expected content that is not older than the known one, found {0:?}")]
     Older(PeerPosition),
     #[error("expected content with evacuated failure domains, found that of a build that knows none")]
@@ -242,6 +247,10 @@
         }));
         return Ok(());
     }
+    let served = Rc::clone(&control.served);
+    if Rc::strong_count(&served) > MAX_SERVED + 1 {
+        return Err(Error::Busy);
+    }
     let Position { era, revision } = control.position();
     let after = Position::new(request.era.unwrap_or(era), request.after);
     let held: HashSet<u64> = request.held.into_iter().collect();
@@ -269,6 +278,9 @@
         keeps_evacuations: !control.lacks_evacuations.get(),
     };
     frames.send(Bytes::from(content.encode_to_vec())).await?;
+    // The peer closes the connection once it has all of it.
+    let _closed = frames.next().await;
+    drop(served);
     Ok(())
 }
 
--- a/crates/carob-gateway/src/control/state.rs
+++ b/crates/carob-gateway/src/control/state.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeSet, HashSet},
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -49,6 +50,9 @@
 /// the store or from a peer.
 const MAX_UPDATE_BYTES: usize = 8 << 10;
 
+/// The same for all instances together, to which the datagram is sent at once. A link of 10 Mbit/s takes 0.3 s for it.
+const MAX_BURST_BYTES: usize = 400 << 10;
+
 /// Size in bytes from which on a configuration is large: a link of 10 Mbit/s takes 50 ms for it.
 const LARGE_VALUE: usize = 48 << 10;
 
@@ -173,6 +177,8 @@
     pub(super) lagging: Notify,
     /// Whether content is being fetched from a peer.
     pub(super) fetching: Cell<bool>,
+    /// Cloned for each peer that is being served content.
+    pub(super) served: Rc<()>,
 }
 
 /// Instances that were registered in an earlier era of the store.
@@ -216,6 +222,7 @@
             ahead_peer: Cell::new(None),
             lagging: Notify::new(),
             fetching: Cell::new(false),
+            served: Rc::new(()),
         }
     }
 
@@ -616,10 +623,11 @@
             })
             .collect();
         items.reverse();
+        let most = MAX_UPDATE_BYTES.min(MAX_BURST_BYTES / self.instance_count() as usize);
         let (mut bytes, count) = (0, items.len());
         items.retain(|item| {
             let size = item.encoded_len();
-            let fits = bytes + size <= MAX_UPDATE_BYTES;
+            let fits = bytes + size <= most;
             bytes += if fits { size } else { 0 };
             fits
         });
