fix: changes that were passed on before their position were dropped by instances at the same one

What callers saw: departures known up to 0.8 s late while versions of a large configuration come. Cause: a message with some of the latest changes names the sender's position, which is that of most receivers. They took it for one that holds nothing new, and learned the changes by the message with all up to the next position. Change: such changes count by their own revisions.

--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -107,7 +107,9 @@
     let Some(reached) = reached else {
         return;
     };
-    if let Some(update) = update.filter(|update| update.era == own.era && update.revision > own.revision) {
+    // Some of the latest changes may be later than the sender's position.
+    let is_later = |update: &StoreUpdate| update.base == update.revision || update.revision > own.revision;
+    if let Some(update) = update.filter(|update| update.era == own.era && is_later(update)) {
         apply_update(control, peer, update);
     }
     let own = control.position();
@@ -162,7 +164,7 @@
             "earlier changes than those in the message are missing"
         );
     }
-    if base <= own.revision && decoded.error.is_none() {
+    if base <= own.revision && revision > own.revision && decoded.error.is_none() {
         return control.apply_changes(decoded.items, Position::new(era, revision), Way::Message);
     }
     let is_later = |item: &StoreItem| item.revision > own.revision;
