fix: a request was sent to an upstream that had begun to leave while its connection was awaited

What callers saw: requests to upstreams that leave (DRAIN). Cause: whether an upstream leaves was asked when it was chosen. Change: asked again by the sender before it connects and before it writes, and by the instance that relays after it has connected. A request that goes on from the memory of a generation is excepted, as its source leaves by design. By itself the way is shorter than what upstreams bear; it adds to late knowledge.

--- a/crates/carob-dispatch/src/fleet/eligibility.rs
+++ b/crates/carob-dispatch/src/fleet/eligibility.rs
@@ -113,6 +113,20 @@
         self.location_exclusion(upstream, regions).map_or(Ok(()), Err)
     }
 
+    /// Checks that an upstream that was chosen for a request earlier still accepts requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Exclusion::Leaving`] if it does not.
+    pub fn check_ready(&self, key: UpstreamKey) -> Result<(), Exclusion> {
+        let found = self.upstreams.get(key);
+        if found.is_some_and(|upstream| upstream.entry.state == UpstreamState::Ready) {
+            Ok(())
+        } else {
+            Err(Exclusion::Leaving)
+        }
+    }
+
     /// Why a request may not go to an upstream now; `None` if it may.
     pub fn exclusion(&self, key: UpstreamKey, requirements: &Requirements, now: Time) -> Option<Exclusion> {
         let upstream = self.upstreams.get(key)?;
--- a/crates/carob-gateway/src/traffic/call.rs
+++ b/crates/carob-gateway/src/traffic/call.rs
@@ -265,9 +265,16 @@
         self.check_place(target)
     }
 
-    /// Checks that the request may still be sent to an upstream that was chosen for it.
-    fn check_destination(&self, upstream: UpstreamKey) -> Result<(), socket::Error> {
-        self.check_place(upstream).map_err(|exclusion| {
+    /// Checks that the request may still be sent to an upstream that was chosen for it. One that goes on from the memory of a
+    /// generation may be sent to an upstream that leaves.
+    fn check_destination(&self, upstream: UpstreamKey, resume: Option<&Resume>) -> Result<(), socket::Error> {
+        let goes_on = resume.is_some_and(|resume| resume.memory.is_some());
+        let ready = if goes_on {
+            Ok(())
+        } else {
+            self.shared.fleet().check_ready(upstream)
+        };
+        ready.and_then(|()| self.check_place(upstream)).map_err(|exclusion| {
             log::info!(
                 request:% = self.id(), upstream:% = exchange::upstream_name(self, upstream),
                 exclusion = exclusion.name(), regions:% = self.regions(); "request not sent: its upstream is not permitted any more"
@@ -341,15 +348,15 @@
         deadline: Instant,
     ) -> Result<(Response<ReceivedBody>, ConnectionTask), socket::Error> {
         let name = exchange::upstream_name(self, reservation.upstream);
-        self.check_destination(reservation.upstream)?;
+        self.check_destination(reservation.upstream, resume)?;
         let purpose = Purpose::Request {
             id: &self.head.id,
             residence: self.residence.followed(),
         };
         let connection = link::open(&self.shared, reservation.upstream, purpose, deadline).await?;
         cold::spend(self, reservation).await?;
-        // A configuration or an evacuation may have come into force since.
-        self.check_destination(reservation.upstream)?;
+        // A configuration or an evacuation may have come into force since, or the upstream leaves.
+        self.check_destination(reservation.upstream, resume)?;
         let regions = self.regions();
         if let Some(relay) = connection.relay() {
             self.check_relay(relay, &regions)?;
--- a/crates/carob-gateway/src/traffic/relay/serving.rs
+++ b/crates/carob-gateway/src/traffic/relay/serving.rs
@@ -206,8 +206,11 @@
     shared.fleet_mut().end_call(upstream, retry_at);
     match outcome {
         Ok(Ok(far)) => {
-            // A configuration may have come into force since.
+            // A configuration may have come into force since, or the upstream leaves.
             check_regions(shared, request, upstream)?;
+            if !request.is_control && shared.fleet().check_ready(upstream).is_err() {
+                return Err(RelayState::Leaving);
+            }
             set_tcp_options(&far);
             Ok((far, upstream))
         }
--- a/tests/large_configs.rs
+++ b/tests/large_configs.rs
@@ -101,10 +101,10 @@
 #[test]
 fn a_departure_waits_behind_a_large_configuration() {
     let fleet = start();
-    let leaving = fleet.start_plain("p2", SHORT);
+    let (leaving, began) = (fleet.start_plain("p2", SHORT), Instant::now());
     wait_until("the new upstream is used", || {
         fleet.send(0, &request("r", "GET", "/read/1"));
-        fleet.arrivals_after("p2", Instant::now() - Duration::from_secs(1)) > 0
+        fleet.arrivals_after("p2", began) > 0
     });
     for gateway in &fleet.gateways {
         gateway.store_endpoint.set_rate(Some(NARROW));
--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -131,6 +131,36 @@
     );
 }
 
+/// The upstream began to leave while the connection through another gateway was awaited.
+#[test]
+fn a_request_is_relayed_to_an_upstream_that_began_to_leave() {
+    let fleet = start_apart((100, "a"), &ROUTES, &[]);
+    for name in ["p0", "p1", "p2", "p3"] {
+        let leaving = fleet.start_plain_in("b", name, WORK_TIME);
+        cut(&fleet, &leaving);
+        fleet.gateways[1].signal("STOP");
+        let (address, id) = (fleet.gateways[0].caller_address, format!("x{name}"));
+        let sent = read(&id);
+        let client = thread::spawn(move || client::send(address, &sent));
+        wait_until("the request is placed", || {
+            fleet.gateways[0].logged(&format!("\"sent to an upstream\",\"request\":\"{id}\""))
+        });
+        leaving.announce_leaving();
+        wait_until("the departure is known", || {
+            let lines = fleet.gateways[0].log_lines();
+            lines
+                .iter()
+                .any(|line| line.contains("\"Leaving\"") && line.contains(&format!("\"{name}\"")))
+        });
+        fleet.gateways[1].signal("CONT");
+        client.join().expect("the client ends");
+        assert_eq!(fleet.ledger.run_count(&id), 0, "{name}");
+        leaving.kill();
+        fleet.store.remove(&format!("servers/{name}"));
+        thread::sleep(QUESTION_TIME);
+    }
+}
+
 /// Sends a read to the first gateway and stops that once the second one has offered a connection, before the body is written.
 fn offer_while_stopped(fleet: &Fleet, id: &str) -> JoinHandle<u16> {
     let (sender, relaying) = (&fleet.gateways[0], &fleet.gateways[1]);
