fix: a message to all instances at once was dropped by links whose queue it filled

What callers saw: requests to upstreams that leave (DRAIN), at a tenth of the instances up to 2 s after others knew, whenever several leave together. Cause: a message goes to all instances at once. With the entries of nine upstreams it has 2.7 kB, 175 kB to 65 others, more than the queue of a link of 10 Mbit/s holds; the rest was dropped, and learned by the next fetch. Change: messages of more than 1 KiB are sent in bursts of 32 KiB, a megabyte a second. Smaller ones go out at once, as before. Loopback drops nothing, so that there is no test of its own.

--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -39,6 +39,15 @@
 /// have requests at.
 const MAX_DATAGRAM: usize = 32 << 10;
 
+/// Messages of at most this many bytes are sent to all instances at once.
+const PLAIN_BYTES: usize = 1 << 10;
+
+/// Bytes of larger messages that are sent at once, which the queue of a link of 10 Mbit/s holds.
+const MAX_BURST: usize = 32 << 10;
+
+/// Bytes a second in which larger messages are sent, less than such a link carries.
+const BURST_RATE: f64 = 1e6;
+
 /// A message to the other instances.
 struct News {
     message: Announcement,
@@ -353,15 +362,26 @@
     }
 }
 
+/// Sends a message to all other instances. A large one is spread over time.
 async fn broadcast(audience: &Audience, socket: &UdpSocket, news: &News) {
     let bytes = news.message.encode_to_vec();
     let remote_bytes = news.for_remote().map(|message| message.encode_to_vec());
+    let mut burst = 0;
     for peer in &audience.peers {
-        if !audience.remote.contains(peer) {
-            send_to(socket, &bytes, *peer).await;
-        } else if let Some(bytes) = &remote_bytes {
-            send_to(socket, bytes, *peer).await;
+        let bytes = if audience.remote.contains(peer) {
+            let Some(bytes) = &remote_bytes else {
+                continue;
+            };
+            bytes
+        } else {
+            &bytes
+        };
+        if bytes.len() > PLAIN_BYTES && burst > MAX_BURST {
+            tokio::time::sleep(Duration::from_secs_f64(burst as f64 / BURST_RATE)).await;
+            burst = 0;
         }
+        burst += bytes.len();
+        send_to(socket, bytes, *peer).await;
     }
 }
 
