--- a/crates/carob-gateway/src/traffic/announce.rs
+++ b/crates/carob-gateway/src/traffic/announce.rs
@@ -365,6 +365,10 @@
 /// Sends a message to all other instances. A large one is spread over time.
 async fn broadcast(audience: &Audience, socket: &UdpSocket, news: &News) {
     let bytes = news.message.encode_to_vec();
+    if bytes.len() > MAX_DATAGRAM {
+        // Receivers cut it off, and drop what they cannot decode.
+        log::warn!(bytes = bytes.len(), most = MAX_DATAGRAM; "message too large for other instances");
+    }
     let remote_bytes = news.for_remote().map(|message| message.encode_to_vec());
     let mut burst = 0;
     for peer in &audience.peers {
--- a/crates/carob-gateway/src/update.rs
+++ b/crates/carob-gateway/src/update.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
 
 use carob_dispatch::{fleet::DirectoryEntry, table::RoutingTable};
+use prost::Message;
 
 use crate::{
     Settings,
@@ -71,6 +72,12 @@
     pub request: RelayRequest,
 }
 
+/// Maximum size in bytes of changes that are joined, well below that of a datagram.
+const MAX_JOINED: usize = 16 << 10;
+
+/// Changes of at most this many bytes are left out last.
+const MAX_SMALL: usize = 1 << 10;
+
 /// All changes of the store's content between two revisions of an era; if they are the same, some of the latest changes.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreUpdate {
@@ -98,6 +105,20 @@
         });
         (self.base, self.revision) = (base, revision);
         self.items.extend(later.items);
+        self.shorten();
+    }
+
+    /// Leaves out what is too much for a datagram: first large changes, which are fetched otherwise, then the earliest ones.
+    fn shorten(&mut self) {
+        let size = |items: &[Item]| -> usize { items.iter().map(Message::encoded_len).sum() };
+        if size(&self.items) <= MAX_JOINED {
+            return;
+        }
+        self.base = self.revision;
+        self.items.retain(|item| item.encoded_len() <= MAX_SMALL);
+        while size(&self.items) > MAX_JOINED {
+            self.items.drain(..self.items.len().div_ceil(2));
+        }
     }
 
     const fn span(&self) -> Span {
