test: the soak writes large configurations as well

Cause: no version of the soak was over 4 kB, so that neither patches nor watches of their own took part in it.

--- a/tests/large_configs.rs
+++ b/tests/large_configs.rs
@@ -9,7 +9,7 @@
 
 use carob_platform_standin::config;
 use fleet::{CLIENT_KEY, CONFIG_APPLY, DRAIN, Fleet, Gateway, ROUTES, request, wait_until};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 const GATEWAYS: usize = 5;
 
@@ -21,24 +21,10 @@
 /// Time between two versions.
 const VERSION_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A configuration with `added` routes more. Version and one of the timeouts differ between versions.
+/// A configuration with `added` routes more.
 fn large_config(version: u64, added: u64) -> Value {
     let mut found = config::config(version, &ROUTES, &[CLIENT_KEY]);
-    let rows = (1..=added).map(|number| {
-        let id = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let timeout = if number == 1 + version % added {
-            4_000 + version
-        } else {
-            3_000
-        };
-        json!({
-            "Name": format!("r-{id:x}"), "Host": format!("{id:x}.example"), "Prefix": format!("/{number}/"),
-            "Kind": "safe", "TimeoutMs": timeout, "TargetLatencyMs": 150, "Priority": 2, "Service": "plain",
-            "MaxAttempts": 2, "AllowAnonymous": false, "Resumable": false, "AllowedRegions": [],
-        })
-    });
-    let routes = found["Routes"].as_array_mut().expect("routes are a list");
-    routes.extend(rows);
+    config::add_routes(&mut found, added);
     found
 }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -51,6 +51,9 @@
     Route::new(slow::CALM_PREFIX, "safe", slow::CALM_SERVICE),
 ];
 
+/// Routes that some versions of the configuration have more, about 100 kB, and number of versions after which that changes.
+const LARGE_ROUTES: u64 = 400;
+const LARGE_RUN: u64 = 8;
 /// Grace that each gateway starts with, according to [`Fleet::start`].
 const FIRST_GRACE: Duration = Duration::from_secs(10);
 /// Grace of all gateways before any other change.
@@ -787,6 +790,9 @@
     config::add_plain_service(&mut content, slow::LARGE_SERVICE, 0.0);
     config::add_plain_service(&mut content, slow::CALM_SERVICE, 0.0);
     roaming.add_to(&mut content, version);
+    if (version / LARGE_RUN) % 2 == 1 {
+        config::add_routes(&mut content, LARGE_ROUTES);
+    }
     fleet.store.put(config::KEY, &content);
 }
 
