fix: what a read shows as removed was recorded after others were told that all up to there is known

If the notice of a version also held the end of an evacuation, that is seen by the read of the newest version as a key that is missing. Others were told of the position first; where the configuration was the last of the prefixes to reach it, they would have gone on by the evacuation until it changed again. Change: removed keys are recorded before the position is passed on, as changes up to it. It guards against the failure, and was not shown to fail.

--- a/crates/carob-gateway/src/control/apart.rs
+++ b/crates/carob-gateway/src/control/apart.rs
@@ -125,7 +125,7 @@
                 outage.record_success();
             }
             let has_changes = !page.items.is_empty();
-            self.take(index, page, Way::Watch);
+            self.take(index, page);
             if has_changes {
                 tokio::time::sleep(change_pause(control)).await;
             }
@@ -160,7 +160,7 @@
             match read_store(control, request, MAX_NOTICE, CONFIG_TIMEOUT).await {
                 Ok((page, era)) if era == self.era => {
                     control.record_confirmation();
-                    self.take(index, page, Way::Watch);
+                    self.take(index, page);
                 }
                 Ok(_) => return Ok(true),
                 Err(Error::Refused(Refusal::Compacted) | Error::Socket(socket::Error::Unfinished(_))) => {
@@ -207,18 +207,24 @@
         Ok(false)
     }
 
-    /// Applies all items under a prefix.
+    /// Applies all items under a prefix. Those that are gone count as removed before others are told of all up to here.
     fn take_all(&self, index: usize, page: Page) {
         let position = Position::new(self.era, page.revision);
         let present: BTreeSet<String> = page.items.iter().map(|item| item.key.clone()).collect();
-        self.take(index, page, Way::Read);
+        self.control.apply_some(page.items, self.era, Way::Read);
         self.control.retain(PREFIXES[index], position, &present);
+        self.reach(index, page.revision);
     }
 
-    /// Applies the changes of a prefix, and passes on what all of them lead to.
-    fn take(&self, index: usize, page: Page, way: Way) {
-        self.control.apply_some(page.items, self.era, way);
-        self.reached[index].set(page.revision.max(self.from(index)));
+    /// Applies the changes of a prefix.
+    fn take(&self, index: usize, page: Page) {
+        self.control.apply_some(page.items, self.era, Way::Watch);
+        self.reach(index, page.revision);
+    }
+
+    /// Records that every change of a prefix up to `revision` is known, and passes on what is known of all prefixes.
+    fn reach(&self, index: usize, revision: u64) {
+        self.reached[index].set(revision.max(self.from(index)));
         let least = (0..self.reached.len()).map(|index| self.from(index)).min();
         self.control.advance(Position::new(self.era, least.unwrap_or(0)));
     }
--- a/tests/large_configs.rs
+++ b/tests/large_configs.rs
@@ -130,3 +130,39 @@
     let found = fleet.gateways.iter().filter(|gateway| refused(gateway)).count();
     assert_eq!(found, 0, "gateways that refused a message");
 }
+
+/// The version is read instead of the changes, which hold the end of the evacuation.
+#[test]
+fn an_evacuation_that_ended_beside_a_large_version_goes_on() {
+    const KEY: &str = "op/evacuate/b";
+    let fleet = start();
+    let told = |gateway: &Gateway, is_evacuated: bool| {
+        let text = format!("\"domain\":\"b\",\"evacuated\":{is_evacuated}");
+        let lines = gateway.log_lines();
+        lines.iter().filter(|line| line.contains(&text)).count()
+    };
+    let expect_told = |is_evacuated: bool, times: usize| {
+        let written = Instant::now();
+        for (index, gateway) in fleet.gateways.iter().enumerate() {
+            while told(gateway, is_evacuated) < times {
+                let late = written.elapsed();
+                assert!(
+                    late < CONFIG_APPLY,
+                    "gateway {index}: evacuated {is_evacuated} not known after {late:?}"
+                );
+                thread::sleep(SHORT);
+            }
+        }
+    };
+    for gateway in &fleet.gateways {
+        gateway.store_endpoint.set_rate(Some(NARROW));
+    }
+    for round in 1..=8_usize {
+        fleet.store.put_bytes(KEY, b"{}");
+        expect_told(true, round);
+        fleet.store.put(config::KEY, &large_config(1 + round as u64, 600));
+        fleet.store.remove(KEY);
+        let _arrived = fleet.start_plain(&format!("p{}", 1 + round), SHORT);
+        expect_told(false, round);
+    }
+}
