--- a/crates/carob-gateway/src/control/apart.rs
+++ b/crates/carob-gateway/src/control/apart.rs
@@ -10,11 +10,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{
+    changes::Way,
     follow::{
         ANSWER_MARGIN, Error, Outage, SILENCE_MARGIN, WATCH_TIMEOUT, call_store, change_pause, read_store,
         watch_time,
     },
-    state::{Control, PREFIXES, Way},
+    state::{Control, PREFIXES},
 };
 use crate::{
     era::Position,
--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -9,7 +9,8 @@
 
 use super::{
     apart,
-    state::{Control, PREFIXES, UNCHANGED, Way, keep},
+    changes::Way,
+    state::{Control, PREFIXES, UNCHANGED, keep},
 };
 use crate::{
     era::{AnswerEra, Position},
--- a/crates/carob-gateway/src/control/mod.rs
+++ b/crates/carob-gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod apart;
+mod changes;
 mod follow;
 mod register;
 mod share;
--- a/crates/carob-gateway/src/control/share.rs
+++ b/crates/carob-gateway/src/control/share.rs
@@ -20,7 +20,10 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::state::{Control, PREFIXES, UNCHANGED, Way};
+use super::{
+    changes::Way,
+    state::{Control, PREFIXES, UNCHANGED},
+};
 use crate::{
     delta,
     era::Position,
