test: a test whose set-up is not certain gives way to the one that shows the fault

Traced: until the stand-in has replaced its listener, connections are refused instead of hanging, and the gateway refuses the request truthfully, as no upstream is left. Change: it is removed. What it asks, that nothing reaches an upstream after its departure is known, is asked by a_request_is_relayed_to_an_upstream_that_began_to_leave, which fails without the fix.

--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -8,7 +8,6 @@
     time::{Duration, Instant},
 };
 
-use carob_platform_standin::client;
 use fleet::{DRAIN, Fleet, LONG, generation_request, request, wait_until};
 
 const GATEWAYS: usize = 3;
@@ -128,35 +127,3 @@
     assert_eq!(fleet.ledger.migrations(), 1);
     assert!(fleet.gateways[1].logged("upstream leaves, another instance says"));
 }
-
-/// The request waits for its connection, and the upstream's entry says that it leaves meanwhile.
-#[test]
-fn a_request_is_sent_to_an_upstream_that_began_to_leave_while_it_was_connected() {
-    for path in ["/order/1", "/read/1"] {
-        let fleet = Fleet::start(1);
-        let leaving = fleet.start_plain("p0", Duration::from_millis(5));
-        fleet.configure();
-        leaving.hang_new();
-        // The listener has to be replaced first.
-        thread::sleep(Duration::from_millis(100));
-        let method = if path.starts_with("/read") { "GET" } else { "POST" };
-        let sent = request("late", method, path).with_timeout(LONG / 4);
-        let address = fleet.gateways[0].caller_address;
-        let answered = thread::spawn(move || client::send(address, &sent));
-        thread::sleep(Duration::from_millis(100));
-        let _other = fleet.start_plain("p1", Duration::from_millis(5));
-        leaving.announce_leaving();
-        wait_until("the departure is known", || {
-            fleet.gateways[0].logged("\"state\":\"Leaving\"")
-        });
-        let from = Instant::now();
-        leaving.set_refusing(false);
-        let outcome = answered.join().expect("the client does not panic");
-        assert_eq!(
-            fleet.arrivals_after("p0", from),
-            0,
-            "{path}: requests after the notice"
-        );
-        assert_eq!(outcome.status, 200, "{path}");
-    }
-}
