--- a/crates/carob-gateway/src/control/follow.rs
+++ b/crates/carob-gateway/src/control/follow.rs
@@ -464,6 +464,7 @@
 ///
 /// While the store turns this instance away, peers are asked at once, and one after the other: many instances may miss the
 /// same change, and at first only those that watch have it. A store that is silent for [`ANSWER_MARGIN`] turns it away as well.
+/// They are asked first as well while the configuration is large, as they send patches of it.
 async fn catch_up(control: &Rc<Control>) {
     let from = control.position();
     let (before, started) = (from.revision, Instant::now());
